Add the types that everything else decides over

Cause: reader choice, spreading, routing and the operators' checks all need one notion of names, versions, catalogue and instance list.

Change: checked names; versions of revision and digest; documents of keyed items whose deltas are only applied to their base and only if the result has the announced digest; a YAML reader that notes every fault with its place;

--- /dev/null
+++ b/crates/core/src/catalogue.rs
@@ -0,0 +1,30 @@
+//! The operators' catalogue: services with their owner, class, limits and
+//! routes, and the weights of kinds of requests.
+
+pub use self::item::CatalogueItem;
+pub use self::item::ItemKey;
+pub use self::kind::Kind;
+pub use self::limits::Limits;
+pub use self::limits::RetryLimits;
+pub use self::parse::parse;
+pub use self::path::RoutePath;
+pub use self::route::Route;
+pub use self::service::ServiceEntry;
+
+use crate::Document;
+
+mod item;
+mod kind;
+mod limits;
+mod parse;
+mod path;
+mod route;
+mod service;
+#[cfg(test)]
+mod tests;
+
+/// A catalogue under its version.
+pub type Catalogue = Document<CatalogueItem>;
+
+/// The largest text of a catalogue in bytes: what the platform holds at most.
+pub const MAX_CATALOGUE_BYTES: usize = 1024 * 1024;
--- /dev/null
+++ b/crates/core/src/catalogue/item.rs
@@ -0,0 +1,50 @@
+//! What a catalogue is made of.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Item;
+use crate::Kind;
+use crate::KindName;
+use crate::ServiceEntry;
+use crate::ServiceName;
+
+/// One independently changing part of a catalogue.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CatalogueItem {
+    /// A kind of request.
+    Kind(Kind),
+    /// A service with its routes.
+    Service(ServiceEntry),
+}
+
+/// What identifies an item of a catalogue.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum ItemKey {
+    /// A kind, by name.
+    Kind(KindName),
+    /// A service, by name.
+    Service(ServiceName),
+}
+
+impl fmt::Display for ItemKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ItemKey::Kind(name) => write!(f, "kind {name}"),
+            ItemKey::Service(name) => write!(f, "service {name}"),
+        }
+    }
+}
+
+impl Item for CatalogueItem {
+    type Key = ItemKey;
+
+    fn key(&self) -> ItemKey {
+        match self {
+            CatalogueItem::Kind(kind) => ItemKey::Kind(kind.name.clone()),
+            CatalogueItem::Service(entry) => ItemKey::Service(entry.name.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalogue/kind.rs
@@ -0,0 +1,15 @@
+//! Kinds of requests.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::KindName;
+
+/// A kind of request and how much one of it counts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Kind {
+    /// The kind's name.
+    pub name: KindName,
+    /// How much one answered request counts, 1 to 1,000.
+    pub weight: u32,
+}
--- /dev/null
+++ b/crates/core/src/catalogue/parse.rs
@@ -0,0 +1,196 @@
+//! From the text of a catalogue to its items, with every fault at once.
+
+use std::time::Duration;
+
+use super::MAX_CATALOGUE_BYTES;
+use crate::CatalogueItem;
+use crate::Class;
+use crate::Faults;
+use crate::Kind;
+use crate::KindName;
+use crate::Limits;
+use crate::OwnerName;
+use crate::Place;
+use crate::RetryLimits;
+use crate::Route;
+use crate::RoutePath;
+use crate::ServiceEntry;
+use crate::ServiceName;
+use crate::yaml;
+use crate::yaml::Table;
+
+/// Bounds of a kind's weight.
+const WEIGHT: std::ops::RangeInclusive<u64> = 1..=1_000;
+/// Bounds of an entry's rate, in requests a second.
+const RATE: std::ops::RangeInclusive<u64> = 1..=1_000_000;
+/// Bounds of an entry's concurrency.
+const CONCURRENCY: std::ops::RangeInclusive<u64> = 1..=10_000;
+/// Bounds of an entry's deadline, in milliseconds.
+const DEADLINE_MS: std::ops::RangeInclusive<u64> = 1..=600_000;
+/// Bounds of the number of tries.
+const ATTEMPTS: std::ops::RangeInclusive<u64> = 1..=5;
+/// Bounds of the retry budget, in percent of first tries.
+const BUDGET_PERCENT: std::ops::RangeInclusive<u64> = 0..=100;
+
+const TOP: Place = Place { line: 1, column: 1 };
+
+/// Reads a catalogue's items from its text.
+///
+/// What holds across entries, such as that a route's service exists, is
+/// checked when the catalogue is bound to a snapshot, since a catalogue that
+/// came as a delta has no text.
+///
+/// # Errors
+///
+/// Returns every fault with its place: an unknown or missing field, a value
+/// out of range, a name that isn't one, or a text over 1 MiB.
+pub fn parse(text: &str) -> Result<Vec<CatalogueItem>, Faults> {
+    let mut faults = Faults::new();
+    if text.len() > MAX_CATALOGUE_BYTES {
+        let reason = format!("has {} bytes, at most {MAX_CATALOGUE_BYTES}", text.len());
+        faults.add("catalogue", "", reason);
+        return Err(faults);
+    }
+    let tree = yaml::parse(text)?;
+    let mut items = Vec::new();
+    if let Some(mut top) = Table::open("", &tree, TOP, &mut faults) {
+        if let Some(mut kinds) = top.table("kinds", &mut faults) {
+            read_kinds(&mut kinds, &mut items, &mut faults);
+        }
+        if let Some(mut services) = top.table("services", &mut faults) {
+            read_services(&mut services, &mut items, &mut faults);
+        }
+        top.finish(&mut faults);
+    }
+    faults.into_result(items)
+}
+
+fn read_kinds(kinds: &mut Table<'_>, items: &mut Vec<CatalogueItem>, faults: &mut Faults) {
+    for field in kinds.rest() {
+        let name = checked(KindName::new(&field.key), field.place, faults);
+        let entry = format!("kind {}", field.key);
+        let table = Table::open(entry, &field.value.tree, field.value.place, faults);
+        let Some(mut table) = table else { continue };
+        let weight = number_u32(table.number("weight", WEIGHT, faults));
+        table.finish(faults);
+        if let (Some(name), Some(weight)) = (name, weight) {
+            items.push(CatalogueItem::Kind(Kind { name, weight }));
+        }
+    }
+}
+
+fn read_services(services: &mut Table<'_>, items: &mut Vec<CatalogueItem>, faults: &mut Faults) {
+    for field in services.rest() {
+        let name = checked(ServiceName::new(&field.key), field.place, faults);
+        let table = Table::open(&*field.key, &field.value.tree, field.value.place, faults);
+        let Some(table) = table else { continue };
+        if let Some(entry) = read_service(name, table, faults) {
+            items.push(CatalogueItem::Service(entry));
+        }
+    }
+}
+
+fn read_service(
+    name: Option<ServiceName>,
+    mut table: Table<'_>,
+    faults: &mut Faults,
+) -> Option<ServiceEntry> {
+    let owner = table.text("owner", faults, OwnerName::new);
+    let class = table.text("class", faults, class_of);
+    let limits = match table.table("limits", faults) {
+        Some(limits) => read_limits(limits, faults),
+        None => {
+            faults.add_at(Some(table.place()), table.entry(), "limits", "is missing");
+            None
+        }
+    };
+    let mut routes = Vec::new();
+    for (i, placed) in table.list("routes", faults).iter().enumerate() {
+        let entry = format!("{}.routes[{i}]", table.entry());
+        let Some(route) = Table::open(entry, &placed.tree, placed.place, faults) else {
+            continue;
+        };
+        routes.extend(read_route(name.as_ref(), class, route, faults));
+    }
+    table.finish(faults);
+    Some(ServiceEntry {
+        name: name?,
+        owner: owner?,
+        class: class?,
+        limits: limits?,
+        routes,
+    })
+}
+
+fn read_limits(mut table: Table<'_>, faults: &mut Faults) -> Option<Limits> {
+    let rate_per_s = number_u32(table.number("rate_per_s", RATE, faults));
+    let concurrency = number_u32(table.number("concurrency", CONCURRENCY, faults));
+    let deadline = table.number("deadline_ms", DEADLINE_MS, faults);
+    let retry = match table.table("retry", faults) {
+        Some(retry) => read_retry(retry, faults),
+        None => Some(RetryLimits::default()),
+    };
+    table.finish(faults);
+    Some(Limits {
+        rate_per_s: rate_per_s?,
+        concurrency: concurrency?,
+        deadline: Duration::from_millis(deadline?),
+        retry: retry?,
+    })
+}
+
+fn read_retry(mut table: Table<'_>, faults: &mut Faults) -> Option<RetryLimits> {
+    let default = RetryLimits::default();
+    let attempts = table.number_or("attempts", ATTEMPTS, default.attempts.into(), faults);
+    let budget = table.number_or(
+        "budget_percent",
+        BUDGET_PERCENT,
+        default.budget_percent.into(),
+        faults,
+    );
+    table.finish(faults);
+    Some(RetryLimits {
+        attempts: number_u32(attempts)?,
+        budget_percent: number_u32(budget)?,
+    })
+}
+
+fn read_route(
+    owner: Option<&ServiceName>,
+    default_class: Option<Class>,
+    mut table: Table<'_>,
+    faults: &mut Faults,
+) -> Option<Route> {
+    let path = table.text("path", faults, RoutePath::new);
+    let kind = table.text("kind", faults, KindName::new);
+    let service = table.optional_text("service", faults, ServiceName::new);
+    let class = table.optional_text("class", faults, class_of);
+    let idempotent = table.flag_or("idempotent", false, faults);
+    table.finish(faults);
+    Some(Route {
+        path: path?,
+        service: service.or_else(|| owner.cloned())?,
+        kind: kind?,
+        class: class.or(default_class)?,
+        idempotent: idempotent?,
+    })
+}
+
+fn class_of(name: &str) -> Result<Class, String> {
+    let known = "critical, standard or background";
+    Class::from_name(name).ok_or_else(|| format!("must be {known}, is {name:?}"))
+}
+
+fn checked<T>(name: crate::Result<T>, place: Place, faults: &mut Faults) -> Option<T> {
+    match name {
+        Ok(name) => Some(name),
+        Err(err) => {
+            faults.add_at(Some(place), "", "", err.to_string());
+            None
+        }
+    }
+}
+
+fn number_u32(n: Option<u64>) -> Option<u32> {
+    n.and_then(|n| u32::try_from(n).ok())
+}
--- /dev/null
+++ b/crates/core/src/catalogue/path.rs
@@ -0,0 +1,107 @@
+//! Paths of routes.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Error;
+use crate::Result;
+use crate::Step;
+
+/// The longest path of a route in bytes.
+const MAX_PATH_BYTES: usize = 256;
+
+/// A path that takes itself and everything below it, by whole segments.
+///
+/// # Invariants
+///
+/// Begins with `/`, doesn't end with one unless it is the root, has no empty,
+/// `.` or `..` segment, no query and at most 256 printable ASCII bytes.
+///
+/// # Example
+///
+/// ```
+/// use sassafrasspool_core::RoutePath;
+///
+/// let path = RoutePath::new("/adjuster")?;
+/// assert!(path.takes("/adjuster/approvals"));
+/// assert!(!path.takes("/adjusters"));
+/// # Ok::<(), sassafrasspool_core::Error>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Arc<str>")]
+pub struct RoutePath(Arc<str>);
+
+impl RoutePath {
+    /// Checks and takes a path.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an invariant of the type doesn't hold.
+    pub fn new(path: &str) -> Result<RoutePath> {
+        RoutePath::try_from(Arc::from(path))
+    }
+
+    /// The path as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether a request for `path`, without its query, falls under this one.
+    pub fn takes(&self, path: &str) -> bool {
+        if &*self.0 == "/" {
+            return path.starts_with('/');
+        }
+        match path.strip_prefix(&*self.0) {
+            Some(rest) => rest.is_empty() || rest.starts_with('/'),
+            None => false,
+        }
+    }
+}
+
+impl TryFrom<Arc<str>> for RoutePath {
+    type Error = Error;
+
+    fn try_from(path: Arc<str>) -> Result<RoutePath> {
+        check_path(&path)?;
+        // INVARIANT: The path was just checked.
+        Ok(RoutePath(path))
+    }
+}
+
+impl fmt::Display for RoutePath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn check_path(path: &str) -> Result<()> {
+    let refuse = |why: &str| Err(Error::new(Step::Check, format!("path {path:?} {why}")));
+    if path.len() > MAX_PATH_BYTES {
+        return refuse("is longer than 256 bytes");
+    }
+    let Some(below) = path.strip_prefix('/') else {
+        return refuse("must begin with /");
+    };
+    if !path
+        .bytes()
+        .all(|byte| byte.is_ascii_graphic() && !matches!(byte, b'?' | b'#'))
+    {
+        return refuse("may only have printable ASCII without ? and #");
+    }
+    let odd = |segment: &str| matches!(segment, "" | "." | "..");
+    if !below.is_empty() && below.split('/').any(odd) {
+        return refuse("has an empty, . or .. segment, or ends with /");
+    }
+    Ok(())
+}
+
+/// Lets a map by path be asked with the text of a request's path.
+impl Borrow<str> for RoutePath {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalogue/tests.rs
@@ -0,0 +1,52 @@
+use rstest::rstest;
+
+use crate::RoutePath;
+
+#[derive(Debug)]
+struct Bad {
+    text: &'static str,
+    told: &'static [&'static str],
+}
+
+#[rstest]
+#[case(Bad { text: "kinds: {a: {weight: 0}}\nextra: 1\n", told: &[
+    "1:21: kind a: weight: must be 1 to 1000, is 0",
+    "2:1: extra: is unknown",
+] })]
+#[case(Bad { text: "services:\n  Desk: {owner: a, class: urgent, limits: {}}\n", told: &[
+    "2:3: check: service name \"Desk\" may only have a-z, 0-9, '-', '_' and '.', and begins with a letter or digit",
+    "2:27: Desk: class: must be critical, standard or background, is \"urgent\"",
+    "2:43: Desk.limits: rate_per_s: is missing",
+    "2:43: Desk.limits: concurrency: is missing",
+    "2:43: Desk.limits: deadline_ms: is missing",
+] })]
+#[case(Bad { text: "- 1\n", told: &["1:1: must be a table, is a list"] })]
+fn a_bad_text_tells_every_fault(#[case] case: Bad) {
+    let faults = super::parse(case.text).unwrap_err();
+    let told: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert_eq!(told, case.told);
+}
+
+#[test]
+fn a_text_over_the_limit_is_refused_before_it_is_read() {
+    let text = "#".repeat(super::MAX_CATALOGUE_BYTES + 1);
+    assert!(super::parse(&text).is_err());
+}
+
+#[derive(Debug)]
+struct PathCase {
+    path: &'static str,
+    taken: bool,
+}
+
+#[rstest]
+#[case(PathCase { path: "/", taken: true })]
+#[case(PathCase { path: "/a/b", taken: true })]
+#[case(PathCase { path: "/a/", taken: false })]
+#[case(PathCase { path: "/a//b", taken: false })]
+#[case(PathCase { path: "/a/../b", taken: false })]
+#[case(PathCase { path: "a", taken: false })]
+#[case(PathCase { path: "/a?b", taken: false })]
+fn paths_are_checked(#[case] case: PathCase) {
+    assert_eq!(RoutePath::new(case.path).is_ok(), case.taken, "{case:?}");
+}
--- /dev/null
+++ b/crates/core/src/document/tests.rs
@@ -0,0 +1,56 @@
+use proptest::prelude::*;
+
+use crate::CatalogueItem;
+use crate::Document;
+use crate::Kind;
+use crate::KindName;
+use crate::Revision;
+
+fn document(revision: u64, weights: &[u32]) -> Document<CatalogueItem> {
+    let kind = |(i, &weight): (usize, &u32)| {
+        let name = KindName::new(&format!("k{i}")).unwrap();
+        CatalogueItem::Kind(Kind { name, weight })
+    };
+    let kept = weights
+        .iter()
+        .enumerate()
+        .filter(|(_, weight)| **weight > 0);
+    Document::new(Revision::new(revision).unwrap(), kept.map(kind)).unwrap()
+}
+
+proptest! {
+    // Whatever changed, a delta leads to exactly what reading the whole would.
+    #[test]
+    fn a_delta_leads_to_the_same_as_the_whole(
+        old in proptest::collection::vec(0u32..4, 0..12),
+        new in proptest::collection::vec(0u32..4, 0..12),
+    ) {
+        let old = document(1, &old);
+        let new = document(2, &new);
+        let applied = old.apply(&old.delta_to(&new)).unwrap();
+        prop_assert_eq!(applied.version(), new.version());
+        prop_assert!(applied.iter().eq(new.iter()));
+    }
+}
+
+// A node asks for a delta, and meanwhile applies another version. The delta
+// that then arrives was made from what is no longer held; were it applied,
+// the node would hold a mix of two versions.
+#[test]
+fn a_delta_that_crossed_another_is_refused() {
+    let first = document(1, &[1, 2]);
+    let second = document(2, &[1, 3]);
+    let third = document(3, &[1, 3, 4]);
+    let crossed = first.delta_to(&third);
+    assert!(second.apply(&crossed).is_err());
+}
+
+// A delta loses an item on its way. Its base fits, so that only the digest of
+// the result tells that the version is not whole.
+#[test]
+fn a_damaged_delta_is_refused() {
+    let old = document(1, &[1, 2]);
+    let mut delta = old.delta_to(&document(2, &[3, 4]));
+    delta.put.pop();
+    assert!(old.apply(&delta).is_err());
+}
--- /dev/null
+++ b/crates/core/src/instance/entry.rs
@@ -0,0 +1,45 @@
+//! One instance as the platform lists it.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::DomainName;
+use crate::InstanceId;
+use crate::InstanceState;
+use crate::Item;
+use crate::RegionName;
+use crate::ServiceName;
+
+/// A target instance and the node beside it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Instance {
+    /// The instance's name.
+    pub id: InstanceId,
+    /// The service that its target serves.
+    pub service: ServiceName,
+    /// The region that it stands in.
+    pub region: RegionName,
+    /// The failure domain that it stands in.
+    pub domain: DomainName,
+    /// Where its node takes requests from other nodes.
+    pub traffic: SocketAddr,
+    /// Where its node takes control messages.
+    pub control: SocketAddr,
+    /// Requests that its target runs at once.
+    pub slots: u32,
+    /// Connections that its target holds at most.
+    pub connections: u32,
+    /// Whether the platform believes that it is live or leaving.
+    pub state: InstanceState,
+}
+
+impl Item for Instance {
+    type Key = InstanceId;
+
+    fn key(&self) -> InstanceId {
+        self.id.clone()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,93 @@
-//! Decisions.
+/*!
+Every decision of a configuration distribution system for a service mesh,
+without I/O, clock or runtime.
+
+Time enters as [`Tick`], randomness as a seeded generator, the network as
+events; what is to be done comes back as values. The same code can therefore
+be driven by a daemon, by a benchmark and by a test.
+
+# Tour
+
+Operators publish a catalogue. [`catalogue::parse`] checks its text and gives
+every fault at once, each with its place:
+
+```
+use sassafrasspool_core::Catalogue;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::catalogue;
+
+let text = "
+kinds:
+  approval: {weight: 10}
+services:
+  adjuster-desk:
+    owner: claims-review
+    class: critical
+    limits: {rate_per_s: 200, concurrency: 10, deadline_ms: 2000}
+    routes:
+      - {path: /adjuster/approvals, kind: approval, idempotent: false}
+";
+let items = catalogue::parse(text)?;
+let held = Catalogue::new(Revision::new(1)?, items)?;
+assert_eq!(held.version().revision().get(), 1);
+# Ok::<(), Box<dyn std::error::Error>>(())
+```
+
+A [`Document`] is a set of items under one [`Version`]; two versions differ by
+a [`Delta`], which only applies to the base it was made from and only if the
+result has the digest that was announced. A [`Snapshot`] binds a catalogue and
+an instance list together, and is what a request is routed by.
+*/
+
+pub mod catalogue;
+mod class;
+mod document;
+mod error;
+mod fault;
+mod id;
+mod instance;
+mod snapshot;
+mod stream;
+mod tick;
+mod version;
+pub mod yaml;
+
+pub use crate::catalogue::Catalogue;
+pub use crate::catalogue::CatalogueItem;
+pub use crate::catalogue::ItemKey;
+pub use crate::catalogue::Kind;
+pub use crate::catalogue::Limits;
+pub use crate::catalogue::RetryLimits;
+pub use crate::catalogue::Route;
+pub use crate::catalogue::RoutePath;
+pub use crate::catalogue::ServiceEntry;
+pub use crate::class::Class;
+pub use crate::document::Delta;
+pub use crate::document::Document;
+pub use crate::document::Item;
+pub use crate::error::Error;
+pub use crate::error::Result;
+pub use crate::error::Step;
+pub use crate::fault::Fault;
+pub use crate::fault::Faults;
+pub use crate::fault::Place;
+pub use crate::id::DomainName;
+pub use crate::id::InstanceId;
+pub use crate::id::KindName;
+pub use crate::id::OwnerName;
+pub use crate::id::RegionName;
+pub use crate::id::ServiceName;
+pub use crate::instance::Instance;
+pub use crate::instance::InstanceList;
+pub use crate::instance::InstanceState;
+pub use crate::snapshot::BoundRoute;
+pub use crate::snapshot::BoundService;
+pub use crate::snapshot::Endpoint;
+pub use crate::snapshot::EndpointKey;
+pub use crate::snapshot::ServiceKey;
+pub use crate::snapshot::Snapshot;
+pub use crate::stream::Stream;
+pub use crate::tick::Tick;
+pub use crate::version::Digest;
+pub use crate::version::Revision;
+pub use crate::version::Version;
--- /dev/null
+++ b/crates/core/src/snapshot/build.rs
@@ -0,0 +1,107 @@
+//! Building a snapshot.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+
+use super::check::check;
+use crate::BoundRoute;
+use crate::BoundService;
+use crate::Catalogue;
+use crate::CatalogueItem;
+use crate::Endpoint;
+use crate::EndpointKey;
+use crate::Faults;
+use crate::InstanceList;
+use crate::RoutePath;
+use crate::ServiceKey;
+use crate::ServiceName;
+use crate::Snapshot;
+
+/// Collects the parts of a snapshot.
+#[derive(Debug)]
+pub(super) struct Builder<'a> {
+    catalogue: &'a Catalogue,
+    instances: &'a InstanceList,
+    services: SlotMap<ServiceKey, BoundService>,
+    by_name: HashMap<ServiceName, ServiceKey>,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    routes: BTreeMap<RoutePath, BoundRoute>,
+}
+
+impl<'a> Builder<'a> {
+    pub(super) fn new(catalogue: &'a Catalogue, instances: &'a InstanceList) -> Builder<'a> {
+        Builder {
+            catalogue,
+            instances,
+            services: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            endpoints: SlotMap::with_key(),
+            routes: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn build(mut self) -> Result<Snapshot, Faults> {
+        let weights = check(self.catalogue)?;
+        self.add_services();
+        self.add_endpoints();
+        self.add_routes(&weights);
+        // INVARIANT: Every key was given out by the maps that go in here.
+        Ok(Snapshot {
+            catalogue: self.catalogue.version(),
+            instances: self.instances.version(),
+            services: self.services,
+            by_name: self.by_name,
+            endpoints: self.endpoints,
+            routes: self.routes,
+        })
+    }
+
+    fn add_services(&mut self) {
+        for item in self.catalogue.iter() {
+            let CatalogueItem::Service(entry) = item else {
+                continue;
+            };
+            let key = self.services.insert(BoundService {
+                entry: Arc::new(entry.clone()),
+                endpoints: Vec::new(),
+            });
+            self.by_name.insert(entry.name.clone(), key);
+        }
+    }
+
+    fn add_endpoints(&mut self) {
+        for instance in self.instances.iter() {
+            let Some(&service) = self.by_name.get(&instance.service) else {
+                continue;
+            };
+            let key = self.endpoints.insert(Endpoint {
+                service,
+                instance: instance.clone(),
+            });
+            self.services[service].endpoints.push(key);
+        }
+    }
+
+    fn add_routes(&mut self, weights: &super::check::Weights<'_>) {
+        for item in self.catalogue.iter() {
+            let CatalogueItem::Service(entry) = item else {
+                continue;
+            };
+            for route in &entry.routes {
+                // The check found every service, so that none is passed over.
+                let Some(&service) = self.by_name.get(&route.service) else {
+                    continue;
+                };
+                let bound = BoundRoute {
+                    route: route.clone(),
+                    service,
+                    weight: weights.of(&route.kind),
+                };
+                self.routes.insert(route.path.clone(), bound);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/snapshot/whole.rs
@@ -0,0 +1,111 @@
+//! The snapshot itself.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+
+use super::build::Builder;
+use crate::BoundRoute;
+use crate::BoundService;
+use crate::Catalogue;
+use crate::Endpoint;
+use crate::EndpointKey;
+use crate::Faults;
+use crate::InstanceList;
+use crate::RoutePath;
+use crate::ServiceKey;
+use crate::ServiceName;
+use crate::Version;
+
+/// A catalogue and an instance list, bound together.
+///
+/// # Invariants
+///
+/// Every service key of a route or an endpoint names a service of `services`,
+/// and every endpoint key of a service an endpoint of `endpoints`.
+#[derive(Debug, Clone)]
+pub struct Snapshot {
+    pub(super) catalogue: Version,
+    pub(super) instances: Version,
+    pub(super) services: SlotMap<ServiceKey, BoundService>,
+    pub(super) by_name: HashMap<ServiceName, ServiceKey>,
+    pub(super) endpoints: SlotMap<EndpointKey, Endpoint>,
+    pub(super) routes: BTreeMap<RoutePath, BoundRoute>,
+}
+
+impl Snapshot {
+    /// Binds a catalogue and an instance list.
+    ///
+    /// Instances of services that the catalogue doesn't have are left out: the
+    /// list lags, and a service may go before its instances do.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the catalogue: a route to a service that isn't
+    /// there, a kind that isn't declared, a path that is taken twice.
+    pub fn build(catalogue: &Catalogue, instances: &InstanceList) -> Result<Snapshot, Faults> {
+        Builder::new(catalogue, instances).build()
+    }
+
+    /// The version of the catalogue that this was built from.
+    pub fn catalogue(&self) -> Version {
+        self.catalogue
+    }
+
+    /// The version of the instance list that this was built from.
+    pub fn instances(&self) -> Version {
+        self.instances
+    }
+
+    /// All services with their keys.
+    pub fn services(&self) -> impl Iterator<Item = (ServiceKey, &BoundService)> {
+        self.services.iter()
+    }
+
+    /// A service by its key in this snapshot.
+    pub fn service(&self, key: ServiceKey) -> Option<&BoundService> {
+        self.services.get(key)
+    }
+
+    /// A service by its name.
+    pub fn find_service(&self, name: &ServiceName) -> Option<(ServiceKey, &BoundService)> {
+        let key = *self.by_name.get(name)?;
+        self.services.get(key).map(|service| (key, service))
+    }
+
+    /// An endpoint by its key in this snapshot.
+    pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// The endpoints of a service, in the order of their instance ids.
+    pub fn endpoints_of(
+        &self,
+        service: &BoundService,
+    ) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        let keys = service.endpoints.iter().copied();
+        keys.filter_map(|key| self.endpoints.get(key).map(|endpoint| (key, endpoint)))
+    }
+
+    /// All routes in the order of their paths.
+    pub fn routes(&self) -> impl Iterator<Item = &BoundRoute> {
+        self.routes.values()
+    }
+
+    /// The route with the longest path that takes `path`, which has no query.
+    pub fn match_route(&self, path: &str) -> Option<&BoundRoute> {
+        let mut prefix = path;
+        loop {
+            let cut = prefix.trim_end_matches('/');
+            let key = if cut.is_empty() { "/" } else { cut };
+            if let Some(found) = self.routes.get(key) {
+                return Some(found);
+            }
+            if key == "/" {
+                return None;
+            }
+            prefix = &cut[..=cut.rfind('/')?];
+        }
+    }
+}
