--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod catalogue;
 mod class;
 mod document;
+mod endpoint;
 mod error;
 mod fault;
 mod id;
@@ -65,6 +66,8 @@
 pub use crate::document::Delta;
 pub use crate::document::Document;
 pub use crate::document::Item;
+pub use crate::endpoint::EndpointState;
+pub use crate::endpoint::Phase;
 pub use crate::error::Error;
 pub use crate::error::Result;
 pub use crate::error::Step;
