Add what control and traffic share in a node

The traffic path must never wait on the control thread, so that both need one small set of types first: the view in force behind an atomic pointer, the phase that only goes forward, the requests in flight, and the age of the newest contact with the platform. The traffic side is a shape without content as yet.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! The node: the one small process beside each target instance.
+//!
+//! A control thread keeps the configuration current and the traffic threads
+//! move requests. They share [`Shared`] alone, which the traffic path reads
+//! without ever waiting on the control thread.
+
+pub mod settings;
+mod shared;
+mod traffic;
+
+pub use crate::settings::Settings;
+pub use crate::shared::Clock;
+pub use crate::shared::ContactAge;
+pub use crate::shared::InFlight;
+pub use crate::shared::InFlightGuard;
+pub use crate::shared::Shared;
+pub use crate::shared::View;
+pub use crate::traffic::RunningTraffic;
+pub use crate::traffic::Traffic;
+pub use crate::traffic::TrafficAddrs;
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,3 @@
+//! The node's program.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,117 @@
+//! What the control thread and the traffic threads share.
+//!
+//! The control thread writes and the traffic threads read, each without
+//! waiting for the other: a request pins one [`View`] for its whole life, so
+//! that it never sees half of a change.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::Phase;
+use tokio::sync::watch;
+
+pub use self::clock::Clock;
+pub use self::contact::ContactAge;
+pub use self::in_flight::InFlight;
+pub use self::in_flight::InFlightGuard;
+pub use self::view::View;
+
+mod clock;
+mod contact;
+mod in_flight;
+#[cfg(test)]
+mod tests;
+mod view;
+
+/// One node's state that both sides read.
+///
+/// # Invariants
+///
+/// Only the control thread puts views and changes the phase, and the phase
+/// only goes forward.
+#[derive(Debug)]
+pub struct Shared {
+    me: InstanceId,
+    incarnation: u64,
+    clock: Clock,
+    view: ArcSwapOption<View>,
+    phase: watch::Sender<Phase>,
+    in_flight: InFlight,
+    contact: ContactAge,
+}
+
+impl Shared {
+    /// The state of a node that holds nothing yet and is starting.
+    pub fn new(me: InstanceId, incarnation: u64) -> Shared {
+        Shared {
+            me,
+            incarnation,
+            clock: Clock::start(),
+            view: ArcSwapOption::empty(),
+            phase: watch::Sender::new(Phase::Starting),
+            in_flight: InFlight::new(),
+            contact: ContactAge::new(),
+        }
+    }
+
+    /// The instance beside which this node runs.
+    pub fn me(&self) -> &InstanceId {
+        &self.me
+    }
+
+    /// Which life of this instance's node this is; a later one is higher.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// The node's clock, which every tick given to the core comes from.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// What is in force now, or nothing before the first snapshot.
+    ///
+    /// The caller keeps what it gets for the whole of a request.
+    pub fn view(&self) -> Option<Arc<View>> {
+        self.view.load_full()
+    }
+
+    /// Puts another view in force, whole and at once.
+    pub fn set_view(&self, view: View) {
+        self.view.store(Some(Arc::new(view)));
+    }
+
+    /// The phase of this node's own endpoint.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Follows the phase of this node's own endpoint.
+    pub fn watch_phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Goes on to `phase`; returns whether that was a step forward.
+    pub fn advance(&self, phase: Phase) -> bool {
+        // INVARIANT: A phase that isn't later than the present one is dropped,
+        // so that a late probe can't make a draining endpoint ready again.
+        self.phase.send_if_modified(|now| {
+            let forward = phase > *now;
+            if forward {
+                *now = phase;
+            }
+            forward
+        })
+    }
+
+    /// Counts the requests that this node works on.
+    pub fn in_flight(&self) -> &InFlight {
+        &self.in_flight
+    }
+
+    /// How old this node's newest proof of contact with the platform is.
+    pub fn contact(&self) -> &ContactAge {
+        &self.contact
+    }
+}
--- /dev/null
+++ b/crates/node/src/shared/tests.rs
@@ -0,0 +1,67 @@
+use std::time::Duration;
+
+use rstest::rstest;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::Tick;
+
+use super::Shared;
+
+fn shared() -> Shared {
+    Shared::new(InstanceId::new("wd-1").expect("a name"), 1)
+}
+
+#[derive(Debug)]
+struct Advance {
+    steps: &'static [Phase],
+    taken: &'static [bool],
+    end: Phase,
+}
+
+#[rstest]
+#[case::whole_life(Advance {
+    steps: &[Phase::Ready, Phase::Draining, Phase::Gone],
+    taken: &[true, true, true],
+    end: Phase::Gone,
+})]
+#[case::late_probe_after_drain(Advance {
+    steps: &[Phase::Draining, Phase::Ready],
+    taken: &[true, false],
+    end: Phase::Draining,
+})]
+#[case::twice(Advance {
+    steps: &[Phase::Ready, Phase::Ready],
+    taken: &[true, false],
+    end: Phase::Ready,
+})]
+fn phase_only_goes_forward(#[case] case: Advance) {
+    let shared = shared();
+    let taken: Vec<bool> = case.steps.iter().map(|&to| shared.advance(to)).collect();
+    assert_eq!(taken, case.taken);
+    assert_eq!(shared.phase(), case.end);
+}
+
+#[test]
+fn contact_only_gets_newer() {
+    let shared = shared();
+    assert_eq!(shared.contact().age(Tick::from_millis(5)), None);
+    shared.contact().note(Tick::from_millis(10));
+    shared.contact().note(Tick::from_millis(7));
+    let age = shared.contact().age(Tick::from_millis(15));
+    assert_eq!(age, Some(Duration::from_millis(5)));
+}
+
+#[tokio::test]
+async fn idle_waits_for_the_last_request() {
+    let shared = shared();
+    let first = shared.in_flight().enter();
+    let last = shared.in_flight().enter();
+    let counter = shared.in_flight().clone();
+    let idle = tokio::spawn(async move { counter.idle().await });
+    drop(first);
+    tokio::task::yield_now().await;
+    assert!(!idle.is_finished());
+    drop(last);
+    idle.await.expect("idle");
+    assert_eq!(shared.in_flight().count(), 0);
+}
