Open the benchmark: generated catalogues, summaries, one verb

A measurement needs input of the target's size that repeats from a seed, percentiles that every verb works out alike, and one JSON object a run.

--- /dev/null
+++ b/crates/bench/src/generate.rs
@@ -0,0 +1,12 @@
+//! Seeded catalogues and instance lists of any size, the target's included.
+
+pub use self::catalogue::GeneratedCatalogue;
+pub use self::fleet::GeneratedFleet;
+pub use self::shape::Shape;
+
+mod catalogue;
+mod fleet;
+mod shape;
+#[cfg(test)]
+mod tests;
+mod text;
--- /dev/null
+++ b/crates/bench/src/generate/catalogue.rs
@@ -0,0 +1,129 @@
+//! Catalogues.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use sassafrasspool_core::Class;
+use sassafrasspool_core::Kind;
+use sassafrasspool_core::KindName;
+use sassafrasspool_core::Limits;
+use sassafrasspool_core::OwnerName;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::RetryLimits;
+use sassafrasspool_core::Route;
+use sassafrasspool_core::RoutePath;
+use sassafrasspool_core::ServiceEntry;
+use sassafrasspool_core::ServiceName;
+
+use super::Shape;
+use super::text;
+
+/// Names and weights of the kinds in every generated catalogue.
+const KINDS: [(&str, u32); 4] = [
+    ("approval", 10),
+    ("sign-off", 8),
+    ("lookup", 2),
+    ("archive", 1),
+];
+
+/// Teams that own entries.
+const OWNERS: usize = 24;
+
+/// The most routes that one entry brings.
+const MAX_ROUTES: usize = 4;
+
+/// A catalogue that grows by seeded changes.
+#[derive(Debug, Clone)]
+pub struct GeneratedCatalogue {
+    kinds: Vec<Kind>,
+    services: Vec<ServiceEntry>,
+    rng: SmallRng,
+}
+
+impl GeneratedCatalogue {
+    /// Generates a catalogue of the shape's services.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a generated name is refused, which would be a fault of the
+    /// generator.
+    pub fn new(shape: Shape) -> Result<GeneratedCatalogue> {
+        let mut rng = SmallRng::seed_from_u64(shape.seed);
+        let kinds = KINDS.iter().map(|&(name, weight)| {
+            Ok(Kind {
+                name: KindName::new(name)?,
+                weight,
+            })
+        });
+        let services = (0..shape.services.max(1)).map(|i| service(i, &mut rng));
+        Ok(GeneratedCatalogue {
+            kinds: kinds.collect::<Result<_>>()?,
+            services: services.collect::<Result<_>>()?,
+            rng,
+        })
+    }
+
+    /// The services as they stand now.
+    pub fn services(&self) -> &[ServiceEntry] {
+        &self.services
+    }
+
+    /// Changes the limits of one entry, as an operator's ordinary change does.
+    pub fn change(&mut self) {
+        let i = self.rng.random_range(0..self.services.len());
+        let limits = &mut self.services[i].limits;
+        limits.rate_per_s = limits.rate_per_s % 900 + 100 + self.rng.random_range(1..100);
+    }
+
+    /// The text that an operator would publish.
+    pub fn text(&self) -> String {
+        text::render(&self.kinds, &self.services)
+    }
+
+    /// A text of the same size that has a route to a service that isn't there.
+    pub fn bad_text(&self) -> String {
+        let mut services = self.services.clone();
+        let gone = services.len() - 1;
+        let name = services.remove(gone).name;
+        if let Some(route) = services.first_mut().and_then(|s| s.routes.first_mut()) {
+            route.service = name;
+        }
+        text::render(&self.kinds, &services)
+    }
+}
+
+fn service(i: usize, rng: &mut SmallRng) -> Result<ServiceEntry> {
+    let name = ServiceName::new(&format!("service-{i:04}"))?;
+    let class = Class::ALL[rng.random_range(0..Class::ALL.len())];
+    let routes = (0..rng.random_range(1..=MAX_ROUTES)).map(|r| route(&name, class, i, r));
+    let routes = routes.collect::<Result<_>>()?;
+    Ok(ServiceEntry {
+        owner: OwnerName::new(&format!("team-{:02}", i % OWNERS))?,
+        class,
+        limits: limits(rng),
+        routes,
+        name,
+    })
+}
+
+fn route(service: &ServiceName, class: Class, i: usize, r: usize) -> Result<Route> {
+    let (kind, _) = KINDS[r % KINDS.len()];
+    Ok(Route {
+        path: RoutePath::new(&format!("/s{i:04}/{kind}"))?,
+        service: service.clone(),
+        kind: KindName::new(kind)?,
+        class,
+        idempotent: matches!(kind, "lookup" | "archive"),
+    })
+}
+
+fn limits(rng: &mut SmallRng) -> Limits {
+    Limits {
+        rate_per_s: rng.random_range(100..1000),
+        concurrency: rng.random_range(5..50),
+        deadline: Duration::from_millis(rng.random_range(500..5000)),
+        retry: RetryLimits::default(),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/generate/text.rs
@@ -0,0 +1,60 @@
+//! The YAML text of generated entries.
+
+use std::fmt::Write;
+
+use sassafrasspool_core::Kind;
+use sassafrasspool_core::Route;
+use sassafrasspool_core::ServiceEntry;
+
+/// Writes a catalogue in the form that operators publish.
+pub(super) fn render(kinds: &[Kind], services: &[ServiceEntry]) -> String {
+    let mut text = String::from("kinds:\n");
+    for kind in kinds {
+        line(
+            &mut text,
+            &format!("  {}: {{weight: {}}}", kind.name, kind.weight),
+        );
+    }
+    line(&mut text, "services:");
+    for service in services {
+        render_service(&mut text, service);
+    }
+    text
+}
+
+fn render_service(text: &mut String, service: &ServiceEntry) {
+    let limits = &service.limits;
+    line(text, &format!("  {}:", service.name));
+    line(text, &format!("    owner: {}", service.owner));
+    line(text, &format!("    class: {}", service.class));
+    line(text, "    limits:");
+    line(text, &format!("      rate_per_s: {}", limits.rate_per_s));
+    line(text, &format!("      concurrency: {}", limits.concurrency));
+    let deadline_ms = limits.deadline.as_millis();
+    line(text, &format!("      deadline_ms: {deadline_ms}"));
+    let retry = limits.retry;
+    line(
+        text,
+        &format!(
+            "      retry: {{attempts: {}, budget_percent: {}}}",
+            retry.attempts, retry.budget_percent
+        ),
+    );
+    line(text, "    routes:");
+    for route in &service.routes {
+        render_route(text, route);
+    }
+}
+
+fn render_route(text: &mut String, route: &Route) {
+    line(text, &format!("      - path: {}", route.path));
+    line(text, &format!("        kind: {}", route.kind));
+    line(text, &format!("        service: {}", route.service));
+    line(text, &format!("        class: {}", route.class));
+    line(text, &format!("        idempotent: {}", route.idempotent));
+}
+
+fn line(text: &mut String, line: &str) {
+    // Writing to a string can't fail.
+    let _ = writeln!(text, "{line}");
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,11 @@
+//! Measurements on the real node code over loopback.
+//!
+//! Each verb is a module with its options and one `run`; each run prints one
+//! JSON object on standard output, so that runs can be compared by a script.
+//! What the verbs share stands beside them: generated catalogues, summaries
+//! of samples and the output.
+
+pub mod cli;
+pub mod generate;
+pub mod output;
+pub mod summary;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,7 @@
-//! Start.
+//! The benchmark's command line.
 
-fn main() {}
+use sassafrasspool_bench::cli;
+
+fn main() -> miette::Result<()> {
+    cli::run()
+}
