Check and compare catalogues from the command line

Operators had no way to learn before publishing whether nodes would refuse a catalogue.

sassafrasspoolctl check tells every fault of a file with the lines in which it stands, judged by the same code as a node; diff tells what a new catalogue changes by entry and field. Exit codes tell yes, no and unanswered apart.

--- /dev/null
+++ b/crates/ctl/src/diff/fields.rs
@@ -0,0 +1,55 @@
+//! The fields of an entry under the names that the catalogue's text gives
+//! them. Routes go by their path, so that moving one in the list isn't a
+//! change.
+
+use std::collections::BTreeMap;
+
+use sassafrasspool_core::CatalogueItem;
+use sassafrasspool_core::Route;
+use sassafrasspool_core::ServiceEntry;
+
+/// Every field with its value.
+pub(super) fn fields(item: &CatalogueItem) -> BTreeMap<String, String> {
+    let mut found = BTreeMap::new();
+    match item {
+        CatalogueItem::Kind(kind) => {
+            found.insert("weight".to_owned(), kind.weight.to_string());
+        }
+        CatalogueItem::Service(entry) => add_service(entry, &mut found),
+    }
+    found
+}
+
+fn add_service(entry: &ServiceEntry, found: &mut BTreeMap<String, String>) {
+    let limits = &entry.limits;
+    let values = [
+        ("owner", entry.owner.to_string()),
+        ("class", entry.class.to_string()),
+        ("limits.rate_per_s", limits.rate_per_s.to_string()),
+        ("limits.concurrency", limits.concurrency.to_string()),
+        (
+            "limits.deadline_ms",
+            limits.deadline.as_millis().to_string(),
+        ),
+        ("limits.retry.attempts", limits.retry.attempts.to_string()),
+        (
+            "limits.retry.budget_percent",
+            limits.retry.budget_percent.to_string(),
+        ),
+    ];
+    found.extend(values.map(|(name, value)| (name.to_owned(), value)));
+    for route in &entry.routes {
+        add_route(route, found);
+    }
+}
+
+fn add_route(route: &Route, found: &mut BTreeMap<String, String>) {
+    let values = [
+        ("service", route.service.to_string()),
+        ("kind", route.kind.to_string()),
+        ("class", route.class.to_string()),
+        ("idempotent", route.idempotent.to_string()),
+    ];
+    let path = &route.path;
+    found.extend(values.map(|(name, value)| (format!("routes[{path}].{name}"), value)));
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,17 @@
+//! The operators' client: checks and compares catalogues, and asks nodes what
+//! they hold.
+//!
+//! Every verb ends with a [`Verdict`], so that a script can tell "no" from
+//! "couldn't be asked". A verb never leaves out a node silently.
+
+pub use self::run::run;
+pub use self::verdict::Verdict;
+
+mod args;
+mod catalogue;
+mod check;
+mod diff;
+mod print;
+mod report;
+mod run;
+mod verdict;
--- /dev/null
+++ b/crates/ctl/tests/files.rs
@@ -0,0 +1,129 @@
+//! The verbs that read files, run as an operator runs them.
+
+use std::ffi::OsString;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use rstest::rstest;
+use sassafrasspool_ctl::Verdict;
+
+/// What one run printed and how it ended.
+#[derive(Debug)]
+struct Ran {
+    out: String,
+    err: String,
+    verdict: Verdict,
+}
+
+fn ran(args: &[&str]) -> Ran {
+    let args = args.iter().map(OsString::from).collect();
+    let mut out = Vec::new();
+    let mut err = Vec::new();
+    let verdict = sassafrasspool_ctl::run(args, &mut out, &mut err).unwrap();
+    Ran {
+        out: String::from_utf8(out).unwrap(),
+        err: String::from_utf8(err).unwrap(),
+        verdict,
+    }
+}
+
+fn examples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples")
+}
+
+const DESK: &str = "kinds: {review: {weight: 2}}
+services:
+  desk:
+    owner: claims
+    class: standard
+    limits: {rate_per_s: 10, concurrency: 4, deadline_ms: 900}
+    routes:
+      - {path: /desk, kind: review, service: desk}
+";
+
+#[derive(Debug)]
+struct BadFile {
+    from: &'static str,
+    to: &'static str,
+    line: u64,
+    column: u64,
+    told: &'static str,
+}
+
+#[rstest]
+#[case(BadFile { from: "weight: 2", to: "weight: -1", line: 1, column: 26, told: "must be a whole number" })]
+#[case(BadFile { from: "rate_per_s: 10", to: "rate_per_s: 0", line: 6, column: 26, told: "must be 1 to 1000000, is 0" })]
+#[case(BadFile { from: "owner: claims", to: "owner: Claims", line: 4, column: 12, told: "owner" })]
+#[case(BadFile { from: "service: desk", to: "service: gone", line: 8, column: 46, told: "there is no service gone" })]
+#[case(BadFile { from: "kind: review", to: "kind: other", line: 8, column: 29, told: "there is no kind other" })]
+#[case(BadFile { from: "routes:\n", to: "routes:\n      - {path: /desk, kind: review}\n", line: 9, column: 16, told: "/desk is already taken" })]
+#[case(BadFile { from: "class: standard", to: "class: standard\n    extra: 1", line: 6, column: 5, told: "is unknown" })]
+fn check_tells_a_fault_with_its_place(#[case] case: BadFile) {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("bad.yaml");
+    fs::write(&file, DESK.replacen(case.from, case.to, 1)).unwrap();
+    let file = file.to_str().unwrap();
+
+    let json = ran(&["check", file, "--json"]);
+    assert_eq!(json.verdict, Verdict::No, "{json:?}");
+    let found: serde_json::Value = serde_json::from_str(&json.out).unwrap();
+    let fault = &found["faults"][0];
+    assert_eq!(fault["line"], case.line, "{found}");
+    assert_eq!(fault["column"], case.column, "{found}");
+    assert!(
+        fault["reason"].as_str().unwrap().contains(case.told),
+        "{found}"
+    );
+
+    let text = ran(&["check", file]);
+    assert_eq!(text.verdict, Verdict::No);
+    let place = format!("{file}:{}:{}", case.line, case.column);
+    assert!(text.out.contains(&place), "{}", text.out);
+    assert!(text.out.contains("refused, 1 faults"), "{}", text.out);
+}
+
+#[rstest]
+#[case("khangai")]
+#[case("thekkady")]
+fn every_example_is_valid_and_equals_itself(#[case] name: &str) {
+    let file = examples().join(name).join("catalogue.yaml");
+    let file = file.to_str().unwrap();
+    let checked = ran(&["check", file]);
+    assert_eq!(checked.verdict, Verdict::Yes, "{checked:?}");
+    let same = ran(&["diff", file, file]);
+    assert_eq!(same.verdict, Verdict::Yes);
+    assert!(same.out.starts_with("no difference"), "{}", same.out);
+}
+
+#[derive(Debug)]
+struct BadArgs {
+    args: &'static [&'static str],
+    told: &'static str,
+}
+
+#[rstest]
+#[case(BadArgs { args: &[], told: "subcommand is required" })]
+#[case(BadArgs { args: &["publish"], told: "unexpected argument: \"publish\"" })]
+#[case(BadArgs { args: &["check"], told: "flag is required: `file`" })]
+#[case(BadArgs { args: &["check", "a", "--verbose"], told: "--verbose" })]
+#[case(BadArgs { args: &["check", "/nowhere/at-all.yaml"], told: "parse: /nowhere/at-all.yaml can't be read" })]
+fn bad_arguments_are_told_and_unanswered(#[case] case: BadArgs) {
+    let ran = ran(case.args);
+    assert_eq!(ran.verdict, Verdict::Unanswered, "{ran:?}");
+    assert!(ran.err.contains(case.told), "{ran:?}");
+    assert!(ran.out.is_empty(), "{ran:?}");
+}
+
+#[test]
+fn diff_refuses_a_catalogue_with_faults() {
+    let dir = tempfile::tempdir().unwrap();
+    let good = dir.path().join("good.yaml");
+    let bad = dir.path().join("bad.yaml");
+    fs::write(&good, DESK).unwrap();
+    fs::write(&bad, DESK.replace("service: desk", "service: gone")).unwrap();
+    let ran = ran(&["diff", good.to_str().unwrap(), bad.to_str().unwrap()]);
+    assert_eq!(ran.verdict, Verdict::Unanswered);
+    assert!(ran.err.contains("there is no service gone"), "{}", ran.err);
+    assert!(ran.err.contains("bad.yaml has 1 faults"), "{}", ran.err);
+}
