Read a node's settings with every fault at once

A derived reader stops at its first fault, so that operators mended settings one start at a time. Settings now go through the same tables as the catalogue: unknown keys, missing ones and bad ranges are collected, each with its line and column, and shown in the file by miette.

--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -97,13 +97,9 @@
 ) -> Option<ServiceEntry> {
     let owner = table.text("owner", faults, OwnerName::new);
     let class = table.text("class", faults, class_of);
-    let limits = match table.table("limits", faults) {
-        Some(limits) => read_limits(limits, faults),
-        None => {
-            faults.add_at(Some(table.place()), table.entry(), "limits", "is missing");
-            None
-        }
-    };
+    let limits = table
+        .required_table("limits", faults)
+        .and_then(|limits| read_limits(limits, faults));
     let mut routes = Vec::new();
     for (i, placed) in table.list("routes", faults).iter().enumerate() {
         let entry = format!("{}.routes[{i}]", table.entry());
--- a/crates/core/src/yaml/table.rs
+++ b/crates/core/src/yaml/table.rs
@@ -142,6 +142,13 @@
         Table::open(entry, &placed.tree, placed.place, faults)
     }
 
+    /// Takes a table that must be there.
+    pub fn required_table(&mut self, key: &str, faults: &mut Faults) -> Option<Table<'t>> {
+        let placed = self.required(key, faults)?;
+        let entry = self.nested(key);
+        Table::open(entry, &placed.tree, placed.place, faults)
+    }
+
     /// Takes a list that may be missing; it is then empty.
     pub fn list(&mut self, key: &str, faults: &mut Faults) -> &'t [Placed] {
         let Some(placed) = self.optional(key) else {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,13 +1,17 @@
 //! A node's settings: YAML text, checked whole before anything starts.
 
+use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use sassafrasspool_core::DomainName;
+use sassafrasspool_core::Faults;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::RegionName;
 use sassafrasspool_core::ServiceName;
 
 pub use self::drain::DrainSettings;
+pub use self::fault::SettingsError;
 pub use self::listen::Listen;
 pub use self::log::LogFormat;
 pub use self::log::LogLevel;
@@ -17,11 +21,16 @@
 pub use self::target::TargetSettings;
 
 mod drain;
+mod fault;
 mod listen;
 mod log;
 mod platform;
+mod read;
 mod spread;
 mod target;
+#[cfg(test)]
+mod tests;
+mod value;
 
 /// Everything that a node is told at its start.
 #[derive(Debug, Clone)]
@@ -51,3 +60,36 @@
     /// How the node stops.
     pub drain: DrainSettings,
 }
+
+impl Settings {
+    /// Reads settings from their YAML text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its place: a field that is missing or
+    /// unknown, a value out of range, a text over 64 KiB.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use sassafrasspool_node::Settings;
+    ///
+    /// let faults = Settings::parse("instance: wd-1").expect_err("much is missing");
+    /// assert!(faults.to_string().contains("listen: is missing"));
+    /// ```
+    pub fn parse(text: &str) -> Result<Settings, Faults> {
+        read::read(text)
+    }
+
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read, or with every fault of its text.
+    pub fn load(file: &Path) -> Result<Settings, SettingsError> {
+        let name = file.display().to_string();
+        let text = fs::read_to_string(file)
+            .map_err(|err| SettingsError::unreadable(&name, &err.to_string()))?;
+        Settings::parse(&text).map_err(|faults| SettingsError::new(&name, &text, faults))
+    }
+}
--- a/crates/node/src/settings/listen.rs
+++ b/crates/node/src/settings/listen.rs
@@ -2,6 +2,12 @@
 
 use std::net::SocketAddr;
 
+use sassafrasspool_core::Faults;
+use sassafrasspool_core::yaml::Table;
+
+use super::value::addr;
+use super::value::loopback;
+
 /// The node's listening addresses; port 0 takes any free port.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Listen {
@@ -16,3 +22,40 @@
     /// HTTP for operators; a loopback address.
     pub admin: SocketAddr,
 }
+
+impl Listen {
+    pub(super) fn read(mut table: Table<'_>, faults: &mut Faults) -> Option<Listen> {
+        let ingress = table.text("ingress", faults, addr);
+        let egress = table.text("egress", faults, addr);
+        let traffic = table.text("traffic", faults, addr);
+        let control = table.text("control", faults, addr);
+        let admin = table.text("admin", faults, loopback);
+        let place = table.place();
+        table.finish(faults);
+        let listen = Listen {
+            ingress: ingress?,
+            egress: egress?,
+            traffic: traffic?,
+            control: control?,
+            admin: admin?,
+        };
+        if let Some(twice) = listen.twice() {
+            let reason = format!("names {twice} for two listeners");
+            faults.add_at(Some(place), "listen", "", reason);
+        }
+        Some(listen)
+    }
+
+    /// An address with a port of its own that two listeners would share.
+    fn twice(&self) -> Option<SocketAddr> {
+        let all = [
+            self.ingress,
+            self.egress,
+            self.traffic,
+            self.control,
+            self.admin,
+        ];
+        let shared = |at: usize| all[at].port() != 0 && all[..at].contains(&all[at]);
+        (0..all.len()).find(|&at| shared(at)).map(|at| all[at])
+    }
+}
--- a/crates/node/src/settings/log.rs
+++ b/crates/node/src/settings/log.rs
@@ -1,5 +1,8 @@
 //! How a node logs.
 
+use sassafrasspool_core::Faults;
+use sassafrasspool_core::yaml::Table;
+
 /// Form and level of log lines.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LogSettings {
@@ -32,3 +35,49 @@
     /// Detail for developers.
     Debug,
 }
+
+impl LogSettings {
+    pub(super) fn read(mut table: Table<'_>, faults: &mut Faults) -> Option<LogSettings> {
+        let format = table.optional_text("format", faults, LogFormat::from_name);
+        let level = table.optional_text("level", faults, LogLevel::from_name);
+        table.finish(faults);
+        Some(LogSettings {
+            format: format.unwrap_or_default(),
+            level: level.unwrap_or_default(),
+        })
+    }
+}
+
+impl LogFormat {
+    fn from_name(name: &str) -> Result<LogFormat, String> {
+        match name {
+            "text" => Ok(LogFormat::Text),
+            "json" => Ok(LogFormat::Json),
+            _ => Err(format!("must be text or json, is {name:?}")),
+        }
+    }
+}
+
+impl LogLevel {
+    /// The level's name in settings and log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            LogLevel::Error => "error",
+            LogLevel::Warn => "warn",
+            LogLevel::Info => "info",
+            LogLevel::Debug => "debug",
+        }
+    }
+
+    fn from_name(name: &str) -> Result<LogLevel, String> {
+        let all = [
+            LogLevel::Error,
+            LogLevel::Warn,
+            LogLevel::Info,
+            LogLevel::Debug,
+        ];
+        all.into_iter()
+            .find(|level| level.as_str() == name)
+            .ok_or_else(|| format!("must be error, warn, info or debug, is {name:?}"))
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/read.rs
@@ -0,0 +1,131 @@
+//! From the text of the settings to their values, with every fault at once.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use sassafrasspool_core::DomainName;
+use sassafrasspool_core::Faults;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::Place;
+use sassafrasspool_core::RegionName;
+use sassafrasspool_core::ServiceName;
+use sassafrasspool_core::yaml;
+use sassafrasspool_core::yaml::Scalar;
+use sassafrasspool_core::yaml::Table;
+use sassafrasspool_core::yaml::Tree;
+
+use super::DrainSettings;
+use super::Listen;
+use super::LogSettings;
+use super::PlatformSettings;
+use super::Settings;
+use super::SpreadSettings;
+use super::TargetSettings;
+use super::value::addr;
+
+/// The largest text of settings, in bytes.
+pub(super) const MAX_SETTINGS_BYTES: usize = 64 * 1024;
+/// The most seeds.
+const MAX_SEEDS: usize = 64;
+/// Bounds of the number of traffic threads.
+const TRAFFIC_THREADS: RangeInclusive<u64> = 1..=64;
+/// Traffic threads unless settings say otherwise.
+const DEFAULT_TRAFFIC_THREADS: u64 = 2;
+
+const TOP: Place = Place { line: 1, column: 1 };
+
+/// Reads settings from their text.
+pub(super) fn read(text: &str) -> Result<Settings, Faults> {
+    let mut faults = Faults::new();
+    if text.len() > MAX_SETTINGS_BYTES {
+        let reason = format!("has {} bytes, at most {MAX_SETTINGS_BYTES}", text.len());
+        faults.add("settings", "", reason);
+        return Err(faults);
+    }
+    let tree = yaml::parse(text)?;
+    let top = Table::open("", &tree, TOP, &mut faults);
+    match top.and_then(|top| read_top(top, &mut faults)) {
+        Some(settings) => faults.into_result(settings),
+        // A part that gave nothing has noted why.
+        None => Err(faults),
+    }
+}
+
+fn read_top(mut top: Table<'_>, faults: &mut Faults) -> Option<Settings> {
+    let instance = top.text("instance", faults, InstanceId::new);
+    let service = top.text("service", faults, ServiceName::new);
+    let region = top.text("region", faults, RegionName::new);
+    let domain = top.text("domain", faults, DomainName::new);
+    let listen = required(&mut top, "listen", faults, Listen::read);
+    let target = required(&mut top, "target", faults, TargetSettings::read);
+    let platform = required(&mut top, "platform", faults, PlatformSettings::read);
+    let seeds = read_seeds(&mut top, faults);
+    let spread = or_default(&mut top, "spread", faults, SpreadSettings::read);
+    let threads = top.number_or(
+        "traffic_threads",
+        TRAFFIC_THREADS,
+        DEFAULT_TRAFFIC_THREADS,
+        faults,
+    );
+    let log = or_default(&mut top, "log", faults, LogSettings::read);
+    let drain = or_default(&mut top, "drain", faults, DrainSettings::read);
+    top.finish(faults);
+    Some(Settings {
+        instance: instance?,
+        service: service?,
+        region: region?,
+        domain: domain?,
+        listen: listen?,
+        target: target?,
+        platform: platform?,
+        seeds,
+        spread: spread?,
+        traffic_threads: usize::try_from(threads?).ok()?,
+        log: log?,
+        drain: drain?,
+    })
+}
+
+/// Reads a section that must be there.
+fn required<T>(
+    top: &mut Table<'_>,
+    key: &str,
+    faults: &mut Faults,
+    read: impl FnOnce(Table<'_>, &mut Faults) -> Option<T>,
+) -> Option<T> {
+    let table = top.required_table(key, faults)?;
+    read(table, faults)
+}
+
+/// Reads a section, or takes its default if it is missing.
+fn or_default<T: Default>(
+    top: &mut Table<'_>,
+    key: &str,
+    faults: &mut Faults,
+    read: impl FnOnce(Table<'_>, &mut Faults) -> Option<T>,
+) -> Option<T> {
+    match top.table(key, faults) {
+        Some(table) => read(table, faults),
+        None => Some(T::default()),
+    }
+}
+
+fn read_seeds(top: &mut Table<'_>, faults: &mut Faults) -> Vec<SocketAddr> {
+    let list = top.list("seeds", faults);
+    if list.len() > MAX_SEEDS {
+        let reason = format!("has {} entries, at most {MAX_SEEDS}", list.len());
+        faults.add_at(Some(top.place()), "", "seeds", reason);
+    }
+    let mut seeds = Vec::new();
+    for (i, placed) in list.iter().enumerate() {
+        let read = match &placed.tree {
+            Tree::Scalar(Scalar::Text(text)) => addr(text),
+            other => Err(format!("must be text, is {}", other.describe())),
+        };
+        match read {
+            Ok(seed) => seeds.push(seed),
+            Err(reason) => faults.add_at(Some(placed.place), "", &format!("seeds[{i}]"), reason),
+        }
+    }
+    seeds
+}
--- a/crates/node/src/settings/target.rs
+++ b/crates/node/src/settings/target.rs
@@ -1,6 +1,24 @@
 //! The target beside a node.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use sassafrasspool_core::Faults;
+use sassafrasspool_core::yaml::Table;
+
+use super::value::addr;
+use super::value::millis_or;
+use super::value::path;
+
+/// Bounds of a target's slots.
+const SLOTS: RangeInclusive<u64> = 1..=10_000;
+/// Bounds of the connections to a target.
+const CONNECTIONS: RangeInclusive<u64> = 1..=10_000;
+/// Bounds of the time between two probes, in milliseconds.
+const PROBE_MS: RangeInclusive<u64> = 10..=60_000;
+/// Time between two probes of a target that is starting.
+const DEFAULT_PROBE: Duration = Duration::from_millis(200);
 
 /// The target and its limits.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -9,8 +27,29 @@
     pub addr: SocketAddr,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Connections that the node opens to it at most.
+    /// Connections that the node opens to it at most; its slots by default.
     pub connections: u32,
     /// The path that answers 200 once the target has started.
     pub ready_path: String,
+    /// Time between two probes of that path while the target is starting.
+    pub probe: Duration,
+}
+
+impl TargetSettings {
+    pub(super) fn read(mut table: Table<'_>, faults: &mut Faults) -> Option<TargetSettings> {
+        let addr = table.text("addr", faults, addr);
+        let slots = table.number("slots", SLOTS, faults);
+        let default = slots.unwrap_or(*CONNECTIONS.start());
+        let connections = table.number_or("connections", CONNECTIONS, default, faults);
+        let ready_path = table.text("ready_path", faults, path);
+        let probe = millis_or(&mut table, "probe_ms", PROBE_MS, DEFAULT_PROBE, faults);
+        table.finish(faults);
+        Some(TargetSettings {
+            addr: addr?,
+            slots: u32::try_from(slots?).ok()?,
+            connections: u32::try_from(connections?).ok()?,
+            ready_path: ready_path?,
+            probe: probe?,
+        })
+    }
 }
