Judge a recorded run by nine rules

A fault in a decision must not be able to hide in the code that decides, so runs are judged from what nodes, callers and targets recorded. Each promise has a rule of its own, and each rule is shown to fail: 17 runs that break one promise on purpose are caught, each by that promise alone, and the run without a fault passes.

--- /dev/null
+++ b/crates/core/src/history/check.rs
@@ -0,0 +1,23 @@
+//! Running every rule over a history.
+
+use super::Bounds;
+use super::History;
+use super::Violation;
+use super::rule;
+
+/// Every violation in a history, rule by rule.
+///
+/// A history is judged as a finished run: a request without an end is lost.
+pub fn check(history: &History, bounds: &Bounds) -> Vec<Violation> {
+    let records = history.in_order();
+    let mut found = Vec::new();
+    for mut rule in rule::all(bounds) {
+        for record in &records {
+            rule.see(record.at, &record.event, &mut found);
+        }
+        if let Some(last) = records.last() {
+            rule.end(last.at, &mut found);
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/core/src/history/rule.rs
@@ -0,0 +1,55 @@
+//! The rules: one for each promise, each on its own.
+
+use self::all_or_nothing::AllOrNothing;
+use self::at_most_once::AtMostOnce;
+use self::graceful_stop::GracefulStop;
+use self::in_force_soon::InForceSoon;
+use self::leaving_rests::LeavingRests;
+use self::no_dangling::NoDangling;
+use self::no_step_back::NoStepBack;
+use self::true_refusal::TrueRefusal;
+use self::whole_answer::WholeAnswer;
+use super::Bounds;
+use super::Breach;
+use super::Event;
+use super::Violation;
+use crate::Tick;
+
+mod all_or_nothing;
+mod at_most_once;
+mod graceful_stop;
+mod in_force_soon;
+mod leaving_rests;
+mod no_dangling;
+mod no_step_back;
+mod true_refusal;
+mod whole_answer;
+
+/// Judges one promise, event by event in the order of time.
+pub(super) trait Rule {
+    /// Takes note of an event.
+    fn see(&mut self, at: Tick, event: &Event, found: &mut Vec<Violation>);
+
+    /// Judges what is left open when the run ends.
+    fn end(&mut self, _at: Tick, _found: &mut Vec<Violation>) {}
+}
+
+/// A rule for each promise.
+pub(super) fn all(bounds: &Bounds) -> [Box<dyn Rule>; 9] {
+    [
+        Box::new(NoStepBack::default()),
+        Box::new(NoDangling),
+        Box::new(AllOrNothing::default()),
+        Box::new(WholeAnswer::default()),
+        Box::new(TrueRefusal::default()),
+        Box::new(AtMostOnce::default()),
+        Box::new(LeavingRests::new(bounds.leaving)),
+        Box::new(GracefulStop::default()),
+        Box::new(InForceSoon::new(bounds.in_force)),
+    ]
+}
+
+/// Adds a breach to what was found.
+fn add(found: &mut Vec<Violation>, at: Tick, breach: Breach) {
+    found.push(Violation { at, breach });
+}
--- /dev/null
+++ b/crates/core/src/history/rule/all_or_nothing.rs
@@ -0,0 +1,89 @@
+//! A version is in force whole or not at all.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use super::Rule;
+use super::add;
+use crate::Digest;
+use crate::InstanceId;
+use crate::Stream;
+use crate::Tick;
+use crate::Version;
+use crate::history::Breach;
+use crate::history::Event;
+use crate::history::Held;
+use crate::history::Violation;
+
+/// What was published, and what each pair of versions contains by the first
+/// node that had it in force. A run puts a snapshot built from the published
+/// texts first, so that all nodes can't be wrong alike.
+#[derive(Debug, Default)]
+pub(super) struct AllOrNothing {
+    good: HashSet<(Stream, Version)>,
+    content: HashMap<(Version, Version), Digest>,
+}
+
+impl Rule for AllOrNothing {
+    fn see(&mut self, at: Tick, event: &Event, found: &mut Vec<Violation>) {
+        match event {
+            Event::PublishedGood { stream, version } => {
+                self.good.insert((*stream, *version));
+            }
+            Event::InForce { node, held } => {
+                self.check_published(at, node, held, found);
+                self.check_content(at, node, held, found);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl AllOrNothing {
+    fn check_published(
+        &self,
+        at: Tick,
+        node: &InstanceId,
+        held: &Held,
+        found: &mut Vec<Violation>,
+    ) {
+        for stream in Stream::ALL {
+            let version = held.version(stream);
+            if !self.good.contains(&(stream, version)) {
+                let node = node.clone();
+                add(
+                    found,
+                    at,
+                    Breach::NotPublished {
+                        node,
+                        stream,
+                        version,
+                    },
+                );
+            }
+        }
+    }
+
+    fn check_content(
+        &mut self,
+        at: Tick,
+        node: &InstanceId,
+        held: &Held,
+        found: &mut Vec<Violation>,
+    ) {
+        let (catalogue, instances) = (held.catalogue, held.instances);
+        let whole = self.content.entry((catalogue, instances));
+        if *whole.or_insert(held.content) != held.content {
+            let node = node.clone();
+            add(
+                found,
+                at,
+                Breach::InPart {
+                    node,
+                    catalogue,
+                    instances,
+                },
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/history/rule/at_most_once.rs
@@ -0,0 +1,56 @@
+//! What may not be repeated runs at most once.
+
+use std::collections::HashMap;
+
+use super::Rule;
+use super::add;
+use crate::Tick;
+use crate::history::Breach;
+use crate::history::Event;
+use crate::history::OperationId;
+use crate::history::RequestId;
+use crate::history::Violation;
+
+/// Which operation each request is for, and which request ran it first.
+#[derive(Debug, Default)]
+pub(super) struct AtMostOnce {
+    guarded: HashMap<RequestId, OperationId>,
+    first: HashMap<OperationId, RequestId>,
+}
+
+impl Rule for AtMostOnce {
+    fn see(&mut self, at: Tick, event: &Event, found: &mut Vec<Violation>) {
+        match *event {
+            Event::Sent {
+                request,
+                operation,
+                repeatable: false,
+            } => {
+                self.guarded.insert(request, operation);
+            }
+            Event::RunStarted { request, .. } => self.run(at, request, found),
+            _ => {}
+        }
+    }
+}
+
+impl AtMostOnce {
+    fn run(&mut self, at: Tick, again: RequestId, found: &mut Vec<Violation>) {
+        let Some(&operation) = self.guarded.get(&again) else {
+            return;
+        };
+        match self.first.get(&operation) {
+            None => {
+                self.first.insert(operation, again);
+            }
+            Some(&first) => {
+                let breach = Breach::RanAgain {
+                    operation,
+                    first,
+                    again,
+                };
+                add(found, at, breach);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/history/rule/in_force_soon.rs
@@ -0,0 +1,157 @@
+//! A good version is soon in force on every node that can be reached.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::Rule;
+use super::add;
+use crate::InstanceId;
+use crate::Revision;
+use crate::Stream;
+use crate::Tick;
+use crate::Version;
+use crate::history::Breach;
+use crate::history::Event;
+use crate::history::Violation;
+
+/// Which versions each node still has to put in force.
+///
+/// Time counts from the latest of: the version was published, the node came
+/// back, the source came back. A version that a newer one overtook is in
+/// force by the newer one.
+#[derive(Debug)]
+pub(super) struct InForceSoon {
+    bound: Duration,
+    source_back: Option<Tick>,
+    newest: HashMap<Stream, Published>,
+    nodes: BTreeMap<InstanceId, Node>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Published {
+    version: Version,
+    at: Tick,
+}
+
+#[derive(Debug, Default)]
+struct Node {
+    back: Option<Tick>,
+    held: HashMap<Stream, Revision>,
+    owed: HashMap<Stream, Vec<Published>>,
+}
+
+impl InForceSoon {
+    pub(super) fn new(bound: Duration) -> InForceSoon {
+        InForceSoon {
+            bound,
+            source_back: Some(Tick::ZERO),
+            newest: HashMap::new(),
+            nodes: BTreeMap::new(),
+        }
+    }
+}
+
+impl Rule for InForceSoon {
+    fn see(&mut self, at: Tick, event: &Event, found: &mut Vec<Violation>) {
+        if !concerns_nodes(event) {
+            return;
+        }
+        // What is overdue is judged before the event that might excuse it.
+        self.judge(at, found);
+        match event {
+            Event::PublishedGood { stream, version } => self.publish(at, *stream, *version),
+            Event::SourceLost => self.source_back = None,
+            Event::SourceBack => self.source_back = Some(at),
+            Event::NodeLost { node } => self.node(node).back = None,
+            Event::NodeBack { node } => self.come_back(at, node),
+            Event::InForce { node, held } => {
+                for stream in Stream::ALL {
+                    self.node(node)
+                        .hold(stream, held.version(stream).revision());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, at: Tick, found: &mut Vec<Violation>) {
+        self.judge(at, found);
+    }
+}
+
+impl InForceSoon {
+    fn node(&mut self, node: &InstanceId) -> &mut Node {
+        self.nodes.entry(node.clone()).or_default()
+    }
+
+    fn publish(&mut self, at: Tick, stream: Stream, version: Version) {
+        let published = Published { version, at };
+        self.newest.insert(stream, published);
+        for node in self.nodes.values_mut() {
+            node.owe(stream, published);
+        }
+    }
+
+    fn come_back(&mut self, at: Tick, node: &InstanceId) {
+        let newest = self.newest.clone();
+        let node = self.node(node);
+        node.back = Some(at);
+        for (stream, published) in newest {
+            node.owe(stream, published);
+        }
+    }
+
+    fn judge(&mut self, at: Tick, found: &mut Vec<Violation>) {
+        let Some(source_back) = self.source_back else {
+            return;
+        };
+        let bound = self.bound;
+        for (name, node) in &mut self.nodes {
+            let Some(back) = node.back else { continue };
+            for (&stream, owed) in &mut node.owed {
+                let overdue = |p: &Published| at > p.at.max(back).max(source_back) + bound;
+                for late in owed.iter().filter(|p| overdue(p)) {
+                    let breach = Breach::Late {
+                        node: name.clone(),
+                        stream,
+                        version: late.version,
+                    };
+                    add(found, at, breach);
+                }
+                // Each version is told once.
+                owed.retain(|p| !overdue(p));
+            }
+        }
+    }
+}
+
+impl Node {
+    fn owe(&mut self, stream: Stream, published: Published) {
+        let revision = published.version.revision();
+        if self.held.get(&stream).is_none_or(|held| *held < revision) {
+            self.owed.entry(stream).or_default().push(published);
+        }
+    }
+
+    fn hold(&mut self, stream: Stream, revision: Revision) {
+        self.held.insert(stream, revision);
+        if let Some(owed) = self.owed.get_mut(&stream) {
+            owed.retain(|p| p.version.revision() > revision);
+        }
+    }
+}
+
+/// Whether an event can make a version owed, in force or excused. Requests
+/// can't, and are nearly all of a long record.
+fn concerns_nodes(event: &Event) -> bool {
+    matches!(
+        event,
+        Event::PublishedGood { .. }
+            | Event::SourceLost
+            | Event::SourceBack
+            | Event::NodeLost { .. }
+            | Event::NodeBack { .. }
+            | Event::InForce { .. }
+    )
+}
--- /dev/null
+++ b/crates/core/src/history/rule/no_dangling.rs
@@ -0,0 +1,25 @@
+//! No reference leads out of a snapshot.
+
+use super::Rule;
+use super::add;
+use crate::Tick;
+use crate::history::Breach;
+use crate::history::Event;
+use crate::history::Violation;
+
+/// Each snapshot is judged by itself.
+#[derive(Debug)]
+pub(super) struct NoDangling;
+
+impl Rule for NoDangling {
+    fn see(&mut self, at: Tick, event: &Event, found: &mut Vec<Violation>) {
+        let Event::InForce { node, held } = event else {
+            return;
+        };
+        for what in &held.dangling {
+            let node = node.clone();
+            let what = what.clone();
+            add(found, at, Breach::Dangles { node, what });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/history/rule/no_step_back.rs
@@ -0,0 +1,106 @@
+//! No node returns to an older version.
+
+use std::collections::HashMap;
+
+use super::Rule;
+use super::add;
+use crate::InstanceId;
+use crate::Stream;
+use crate::Tick;
+use crate::Version;
+use crate::history::Breach;
+use crate::history::Event;
+use crate::history::RequestId;
+use crate::history::Violation;
+
+/// The newest version of each stream on each node. It outlives restarts: a
+/// replaced process under the same name is the same node to its callers.
+#[derive(Debug, Default)]
+pub(super) struct NoStepBack {
+    newest: HashMap<(InstanceId, Stream), Version>,
+}
+
+impl Rule for NoStepBack {
+    fn see(&mut self, at: Tick, event: &Event, found: &mut Vec<Violation>) {
+        match event {
+            Event::InForce { node, held } => {
+                for stream in Stream::ALL {
+                    self.apply(at, node, stream, held.version(stream), found);
+                }
+            }
+            Event::Pinned {
+                request,
+                node,
+                catalogue,
+                instances,
+            } => {
+                let pin = Pin {
+                    at,
+                    node,
+                    request: *request,
+                };
+                self.serve(&pin, Stream::Catalogue, *catalogue, found);
+                self.serve(&pin, Stream::Instances, *instances, found);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A request that was served by a snapshot.
+#[derive(Debug)]
+struct Pin<'a> {
+    at: Tick,
+    node: &'a InstanceId,
+    request: RequestId,
+}
+
+impl NoStepBack {
+    fn apply(
+        &mut self,
+        at: Tick,
+        node: &InstanceId,
+        stream: Stream,
+        applied: Version,
+        found: &mut Vec<Violation>,
+    ) {
+        let newest = self.newest.entry((node.clone(), stream)).or_insert(applied);
+        let held = *newest;
+        if goes_back(held, applied) {
+            let node = node.clone();
+            add(
+                found,
+                at,
+                Breach::SteppedBack {
+                    node,
+                    stream,
+                    held,
+                    applied,
+                },
+            );
+        } else {
+            *newest = applied;
+        }
+    }
+
+    fn serve(&self, pin: &Pin<'_>, stream: Stream, pinned: Version, found: &mut Vec<Violation>) {
+        let Some(&held) = self.newest.get(&(pin.node.clone(), stream)) else {
+            return;
+        };
+        if goes_back(held, pinned) {
+            let breach = Breach::ServedByOlder {
+                node: pin.node.clone(),
+                request: pin.request,
+                stream,
+                held,
+                pinned,
+            };
+            add(found, pin.at, breach);
+        }
+    }
+}
+
+fn goes_back(held: Version, next: Version) -> bool {
+    let same = next.revision() == held.revision();
+    next.revision() < held.revision() || (same && next.digest() != held.digest())
+}
--- /dev/null
+++ b/crates/core/src/history/rule/true_refusal.rs
@@ -0,0 +1,47 @@
+//! What was refused as not run was not run.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use super::Rule;
+use super::add;
+use crate::InstanceId;
+use crate::Tick;
+use crate::history::Breach;
+use crate::history::Event;
+use crate::history::RequestId;
+use crate::history::Violation;
+
+/// Both orders count: a run after the refusal is as wrong as one before it.
+#[derive(Debug, Default)]
+pub(super) struct TrueRefusal {
+    refused: HashSet<RequestId>,
+    run: HashMap<RequestId, InstanceId>,
+}
+
+impl Rule for TrueRefusal {
+    fn see(&mut self, at: Tick, event: &Event, found: &mut Vec<Violation>) {
+        match event {
+            Event::RefusedNotRun { request } => {
+                self.refused.insert(*request);
+                if let Some(target) = self.run.get(request) {
+                    add(found, at, breach(*request, target));
+                }
+            }
+            Event::RunStarted { request, target } => {
+                self.run.insert(*request, target.clone());
+                if self.refused.contains(request) {
+                    add(found, at, breach(*request, target));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn breach(request: RequestId, target: &InstanceId) -> Breach {
+    Breach::RanThoughRefused {
+        request,
+        target: target.clone(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/history/tests.rs
@@ -0,0 +1,295 @@
+use std::sync::Arc;
+
+use rstest::rstest;
+
+use super::Bounds;
+use super::Dangling;
+use super::Event;
+use super::Held;
+use super::History;
+use super::OperationId;
+use super::Promise;
+use super::RequestId;
+use super::check;
+use crate::Digest;
+use crate::InstanceId;
+use crate::Revision;
+use crate::RoutePath;
+use crate::ServiceName;
+use crate::Stream;
+use crate::Tick;
+use crate::Version;
+
+/// One step of a run: milliseconds and what happened.
+#[derive(Debug, Clone)]
+struct At(u64, Event);
+
+fn version(revision: u64, content: u8) -> Version {
+    Version::new(Revision::new(revision).unwrap(), Digest::of(&[content]))
+}
+
+fn node() -> InstanceId {
+    InstanceId::new("wd-1").unwrap()
+}
+
+fn in_force(catalogue: Version) -> Event {
+    let held = Held {
+        catalogue,
+        instances: version(1, 0),
+        content: catalogue.digest(),
+        dangling: Vec::new(),
+    };
+    let node = node();
+    Event::InForce {
+        node,
+        held: Arc::new(held),
+    }
+}
+
+fn in_force_with(change: impl FnOnce(&mut Held)) -> Event {
+    let Event::InForce { node, held } = in_force(version(1, 1)) else {
+        unreachable!()
+    };
+    let mut held = Arc::unwrap_or_clone(held);
+    change(&mut held);
+    let held = Arc::new(held);
+    Event::InForce { node, held }
+}
+
+fn published(stream: Stream, version: Version) -> Event {
+    Event::PublishedGood { stream, version }
+}
+
+fn pinned(catalogue: Version) -> Event {
+    Event::Pinned {
+        request: RequestId(1),
+        node: node(),
+        catalogue,
+        instances: version(1, 0),
+    }
+}
+
+fn sent(request: u64, operation: u64) -> Event {
+    Event::Sent {
+        request: RequestId(request),
+        operation: OperationId(operation),
+        repeatable: false,
+    }
+}
+
+fn answered(request: u64, answers: u64, whole: bool) -> Event {
+    Event::Answered {
+        request: RequestId(request),
+        answers: RequestId(answers),
+        whole,
+    }
+}
+
+fn started(request: u64) -> Event {
+    Event::RunStarted {
+        request: RequestId(request),
+        target: node(),
+    }
+}
+
+fn finished(request: u64) -> Event {
+    Event::RunFinished {
+        request: RequestId(request),
+        target: node(),
+    }
+}
+
+fn refused(request: u64) -> Event {
+    Event::RefusedNotRun {
+        request: RequestId(request),
+    }
+}
+
+fn unknown(request: u64) -> Event {
+    Event::Unknown {
+        request: RequestId(request),
+    }
+}
+
+fn drain_began() -> Event {
+    Event::DrainBegan { target: node() }
+}
+
+fn drain_ended(cut: u64) -> Event {
+    Event::DrainEnded {
+        target: node(),
+        cut,
+    }
+}
+
+/// A run without a fault: two versions, the second behind an outage and a
+/// pause; a run, a true refusal, a repeat under a second request; a stop.
+fn good_run() -> Vec<At> {
+    vec![
+        At(0, Event::NodeBack { node: node() }),
+        At(0, published(Stream::Instances, version(1, 0))),
+        At(0, published(Stream::Catalogue, version(1, 1))),
+        At(10, in_force(version(1, 1))),
+        At(20, pinned(version(1, 1))),
+        At(20, sent(1, 1)),
+        At(21, started(1)),
+        At(30, finished(1)),
+        At(31, answered(1, 1, true)),
+        At(40, sent(2, 2)),
+        At(41, refused(2)),
+        At(42, sent(3, 2)),
+        At(43, started(3)),
+        At(44, unknown(3)),
+        At(50, Event::SourceLost),
+        At(60, published(Stream::Catalogue, version(2, 2))),
+        At(30_000, Event::SourceBack),
+        At(31_000, Event::NodeLost { node: node() }),
+        At(60_000, Event::NodeBack { node: node() }),
+        At(65_000, in_force(version(2, 2))),
+        At(65_001, pinned(version(2, 2))),
+        At(66_000, drain_began()),
+        At(66_001, sent(4, 4)),
+        At(66_002, started(4)),
+        At(66_500, finished(3)),
+        At(66_600, finished(4)),
+        At(66_601, answered(4, 4, true)),
+        At(67_000, drain_ended(0)),
+        At(90_000, Event::SourceBack),
+    ]
+}
+
+fn broken_promises(run: &[At]) -> Vec<Promise> {
+    let mut history = History::new();
+    for At(ms, event) in run {
+        history.record(Tick::from_millis(*ms), event.clone());
+    }
+    let found = check(&history, &Bounds::default());
+    found.iter().map(|violation| violation.promise()).collect()
+}
+
+#[test]
+fn a_good_run_passes() {
+    assert_eq!(broken_promises(&good_run()), []);
+}
+
+/// A rule that is broken on purpose, by events put into the good run.
+#[derive(Debug)]
+struct Broken {
+    /// How a user would see it.
+    story: &'static str,
+    events: Vec<At>,
+    promise: Promise,
+}
+
+#[rstest]
+#[case(Broken {
+    story: "a delta that was late brings back the limits of yesterday",
+    events: vec![At(65_100, in_force(version(1, 1)))],
+    promise: Promise::NoStepBack,
+})]
+#[case(Broken {
+    story: "one revision was published with two contents, and a node takes the second",
+    events: vec![
+        At(65_050, published(Stream::Catalogue, version(2, 3))),
+        At(65_100, in_force(version(2, 3))),
+    ],
+    promise: Promise::NoStepBack,
+})]
+#[case(Broken {
+    story: "a request is still routed by the old snapshot after the swap",
+    events: vec![At(65_100, pinned(version(1, 1)))],
+    promise: Promise::NoStepBack,
+})]
+#[case(Broken {
+    story: "a route is called whose service was removed, and nobody answers",
+    events: vec![At(11, in_force_with(|held| held.dangling.push(Dangling::Route {
+        path: RoutePath::new("/adjuster").unwrap(),
+        service: ServiceName::new("gone").unwrap(),
+    })))],
+    promise: Promise::NoDangling,
+})]
+#[case(Broken {
+    story: "a version that doesn't bind is in force on one node",
+    events: vec![
+        At(65_050, Event::PublishedBad { stream: Stream::Catalogue, version: version(3, 9) }),
+        At(65_100, in_force(version(3, 9))),
+    ],
+    promise: Promise::AllOrNothing,
+})]
+#[case(Broken {
+    story: "half of a version's entries are in force under its name",
+    events: vec![At(11, in_force_with(|held| held.content = Digest::of(b"half")))],
+    promise: Promise::AllOrNothing,
+})]
+#[case(Broken {
+    story: "an agent sees another agent's report",
+    events: vec![At(70, sent(9, 9)), At(71, answered(9, 1, true))],
+    promise: Promise::WholeAnswer,
+})]
+#[case(Broken {
+    story: "a photograph ends in the middle and looks complete to the client",
+    events: vec![At(70, sent(9, 9)), At(71, answered(9, 9, false))],
+    promise: Promise::WholeAnswer,
+})]
+#[case(Broken {
+    story: "an answer arrives after the caller was told that there is none",
+    events: vec![At(70, answered(3, 3, true))],
+    promise: Promise::WholeAnswer,
+})]
+#[case(Broken {
+    story: "a fitter waits and hears nothing at all",
+    events: vec![At(70, sent(9, 9))],
+    promise: Promise::WholeAnswer,
+})]
+#[case(Broken {
+    story: "a refused approval was paid out, and is asked for again",
+    events: vec![At(70, sent(9, 9)), At(71, refused(9)), At(72, started(9)), At(73, finished(9))],
+    promise: Promise::TrueRefusal,
+})]
+#[case(Broken {
+    story: "a caller repeats an approval with its key, and it is paid twice",
+    events: vec![
+        At(70, sent(9, 1)),
+        At(71, started(9)),
+        At(72, finished(9)),
+        At(73, answered(9, 9, true)),
+    ],
+    promise: Promise::AtMostOnce,
+})]
+#[case(Broken {
+    story: "one request reaches the target twice over two connections",
+    events: vec![At(22, started(1))],
+    promise: Promise::AtMostOnce,
+})]
+#[case(Broken {
+    story: "a peer that lags sends work to a target that left three seconds ago",
+    events: vec![
+        At(69_000, sent(9, 9)),
+        At(69_001, started(9)),
+        At(69_002, answered(9, 9, true)),
+    ],
+    promise: Promise::LeavingRests,
+})]
+#[case(Broken {
+    story: "the target stops while it still runs a sign-off",
+    events: vec![At(66_010, sent(9, 9)), At(66_011, started(9)), At(67_000, unknown(9))],
+    promise: Promise::GracefulStop,
+})]
+#[case(Broken {
+    story: "the bound of a drain ends requests, and its node counts them",
+    events: vec![At(67_001, drain_ended(2))],
+    promise: Promise::GracefulStop,
+})]
+#[case(Broken {
+    story: "a node that is up serves yesterday's limits for eleven seconds and more",
+    events: vec![At(68_000, published(Stream::Catalogue, version(3, 3)))],
+    promise: Promise::InForceSoon,
+})]
+fn a_broken_rule_is_caught(#[case] case: Broken) {
+    let mut run = good_run();
+    run.extend(case.events.clone());
+    let found = broken_promises(&run);
+    assert!(!found.is_empty(), "{}", case.story);
+    let other = found.iter().find(|promise| **promise != case.promise);
+    assert_eq!(other, None, "{}", case.story);
+}
--- /dev/null
+++ b/crates/core/src/history/violation.rs
@@ -0,0 +1,125 @@
+//! What a checker found.
+
+use std::fmt;
+use std::time::Duration;
+
+use super::Dangling;
+use super::OperationId;
+use super::Promise;
+use super::RequestId;
+use crate::InstanceId;
+use crate::Stream;
+use crate::Tick;
+use crate::Version;
+
+/// A broken promise and when it was seen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Violation {
+    /// When it was seen.
+    pub at: Tick,
+    /// What was seen.
+    pub breach: Breach,
+}
+
+/// What broke a promise.
+#[derive(Debug, Clone, PartialEq)]
+#[expect(missing_docs, reason = "the fields are what the variant's text names")]
+pub enum Breach {
+    /// A node put `applied` in force after `held`.
+    SteppedBack {
+        node: InstanceId,
+        stream: Stream,
+        held: Version,
+        applied: Version,
+    },
+    /// A node served a request by `pinned` though `held` was in force.
+    ServedByOlder {
+        node: InstanceId,
+        request: RequestId,
+        stream: Stream,
+        held: Version,
+        pinned: Version,
+    },
+    /// A snapshot in force has a reference that leads nowhere.
+    Dangles { node: InstanceId, what: Dangling },
+    /// A version in force was never published as a good one.
+    NotPublished {
+        node: InstanceId,
+        stream: Stream,
+        version: Version,
+    },
+    /// Content in force differs from what the same versions are elsewhere.
+    InPart {
+        node: InstanceId,
+        catalogue: Version,
+        instances: Version,
+    },
+    /// A caller got the answer to another request.
+    Crossed {
+        request: RequestId,
+        answers: RequestId,
+    },
+    /// A caller got an incomplete body as if it were complete.
+    CutShort { request: RequestId },
+    /// A caller got a second end of its request.
+    EndedTwice { request: RequestId },
+    /// A request was never answered, refused or given up.
+    Lost { request: RequestId },
+    /// A request was refused as not run, but ran.
+    RanThoughRefused {
+        request: RequestId,
+        target: InstanceId,
+    },
+    /// An operation that may not be repeated ran again.
+    RanAgain {
+        operation: OperationId,
+        first: RequestId,
+        again: RequestId,
+    },
+    /// A leaving target started work `after` it began to leave.
+    WorkedWhileLeaving {
+        target: InstanceId,
+        request: RequestId,
+        after: Duration,
+    },
+    /// A planned stop ended while a request ran.
+    CutByStop {
+        target: InstanceId,
+        request: RequestId,
+    },
+    /// A node counted requests that its planned stop cut.
+    CountedCuts { target: InstanceId, cut: u64 },
+    /// A good version wasn't in force in time.
+    Late {
+        node: InstanceId,
+        stream: Stream,
+        version: Version,
+    },
+}
+
+impl Violation {
+    /// The promise that was broken.
+    pub fn promise(&self) -> Promise {
+        match self.breach {
+            Breach::SteppedBack { .. } | Breach::ServedByOlder { .. } => Promise::NoStepBack,
+            Breach::Dangles { .. } => Promise::NoDangling,
+            Breach::NotPublished { .. } | Breach::InPart { .. } => Promise::AllOrNothing,
+            Breach::Crossed { .. }
+            | Breach::CutShort { .. }
+            | Breach::EndedTwice { .. }
+            | Breach::Lost { .. } => Promise::WholeAnswer,
+            Breach::RanThoughRefused { .. } => Promise::TrueRefusal,
+            Breach::RanAgain { .. } => Promise::AtMostOnce,
+            Breach::WorkedWhileLeaving { .. } => Promise::LeavingRests,
+            Breach::CutByStop { .. } | Breach::CountedCuts { .. } => Promise::GracefulStop,
+            Breach::Late { .. } => Promise::InForceSoon,
+        }
+    }
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let at_ms = self.at.as_micros() / 1_000;
+        write!(f, "{} at {at_ms} ms: {:?}", self.promise(), self.breach)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,6 +45,7 @@
 mod endpoint;
 mod error;
 mod fault;
+pub mod history;
 mod id;
 mod instance;
 mod snapshot;
