--- /dev/null
+++ b/crates/wire/src/admin/held.rs
@@ -0,0 +1,40 @@
+//! Versions as operators read them.
+
+use std::fmt;
+
+use sassafrasspool_core::Version;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A version, with its digest in hexadecimal digits.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct VersionInfo {
+    /// The platform's revision.
+    pub revision: u64,
+    /// The digest of the content.
+    pub digest: String,
+}
+
+impl From<Version> for VersionInfo {
+    fn from(version: Version) -> VersionInfo {
+        VersionInfo {
+            revision: version.revision().get(),
+            digest: version.digest().to_string(),
+        }
+    }
+}
+
+impl fmt::Display for VersionInfo {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.revision, self.digest)
+    }
+}
+
+/// A version of each stream, where there is one.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The catalogue's version.
+    pub catalogue: Option<VersionInfo>,
+    /// The instance list's version.
+    pub instances: Option<VersionInfo>,
+}
--- /dev/null
+++ b/crates/wire/src/header.rs
@@ -0,0 +1,40 @@
+//! Names of the headers that mean something to nodes.
+
+use http::HeaderName;
+
+pub use self::outcome::Outcome;
+
+mod outcome;
+
+/// From callers: names a request that may be repeated, so that it runs once.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// From callers: the caller's name for the request.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// From callers: how long the caller waits, in milliseconds.
+pub const REQUEST_TIMEOUT_MS: HeaderName = HeaderName::from_static("x-request-timeout-ms");
+
+/// From callers: 1 on a first attempt; absent if it may be a repeat.
+pub const REQUEST_ATTEMPT: HeaderName = HeaderName::from_static("x-request-attempt");
+
+/// `not-run` or `unknown`, on answers that no target gave.
+pub const OUTCOME: HeaderName = HeaderName::from_static("x-sassafrasspool-outcome");
+
+/// Between nodes: milliseconds until the deadline.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("x-sassafrasspool-deadline-ms");
+
+/// Between nodes: how many nodes the call has passed.
+pub const HOP: HeaderName = HeaderName::from_static("x-sassafrasspool-hop");
+
+/// Between nodes: in flight, slots and queued beside the target.
+pub const LOAD: HeaderName = HeaderName::from_static("x-sassafrasspool-load");
+
+/// Between nodes: the service that the request is for.
+pub const SERVICE: HeaderName = HeaderName::from_static("x-sassafrasspool-service");
+
+/// Between nodes: 1 if this is the first attempt with its key.
+pub const FIRST: HeaderName = HeaderName::from_static("x-sassafrasspool-first");
+
+/// What all headers begin with that only nodes may set.
+pub const OWN_PREFIX: &str = "x-sassafrasspool-";
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! What passes between a node and others: messages of nodes to one another,
+//! reads of the platform, the headers of requests and the answers of the
+//! admin address.
+//!
+//! Nothing is decided here. Whatever comes in is bounded in size and checked
+//! in shape before it reaches a decision, and an error names the step and the
+//! peer.
+
+pub mod admin;
+pub mod header;
