Add the decisions of the request path

The traffic path needs its decisions before its I/O can be written: which endpoint, whether to admit, whether to try again, whether a repeat may run, how to stop.

Refusal and hand-over are types, so that a request that was handed over can't be refused as not run. Endpoints are chosen by failure domain and by the less loaded of two; admission has a short queue by class; retries have a budget; a window of request keys at one owner, fenced by a lease on the instance list, keeps what may not be repeated to one run.

Tests of these parts follow by part.

--- /dev/null
+++ b/crates/core/src/admit.rs
@@ -0,0 +1,28 @@
+//! Admission beside a target: what runs now, what waits shortly, and what is
+//! refused at once as not run.
+//!
+//! A target runs as many requests as it has slots. What finds no slot waits in
+//! a short queue, bounded in length and by each request's deadline; what can't
+//! be served in time is refused as soon as that is known, so that the caller
+//! can act while there is time. Critical work goes first; standard work goes
+//! before background work by a set weight, so that neither stops for good.
+
+pub use self::ask::Ask;
+pub use self::ask::Offer;
+pub use self::control::Admission;
+pub use self::permit::Permit;
+pub use self::queued::Queued;
+pub use self::settings::AdmissionSettings;
+pub use self::wake::Waker;
+
+mod ask;
+mod bucket;
+mod control;
+mod permit;
+mod queue;
+mod queued;
+mod settings;
+mod state;
+#[cfg(test)]
+mod tests;
+mod wake;
--- /dev/null
+++ b/crates/core/src/admit/ask.rs
@@ -0,0 +1,30 @@
+//! What is asked of admission, and its answer.
+
+use crate::Class;
+use crate::Deadline;
+use crate::Limits;
+use crate::Permit;
+use crate::Queued;
+use crate::Refusal;
+
+/// A request as admission sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// How urgent it is.
+    pub class: Class,
+    /// Until when it may run.
+    pub deadline: Deadline,
+    /// The limits of its entry, from the snapshot that the request pins.
+    pub limits: &'a Limits,
+}
+
+/// The answer of admission.
+#[derive(Debug)]
+pub enum Offer {
+    /// It runs now.
+    Admitted(Permit),
+    /// It waits; its waker is called once, unless it is dropped first.
+    Queued(Queued),
+    /// It was not run, and this is final.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/core/src/admit/state.rs
@@ -0,0 +1,259 @@
+//! What admission keeps under its lock.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::bucket::Bucket;
+use super::control::Shared;
+use super::queue::Queue;
+use super::queue::WaitKey;
+use super::queue::Waiting;
+use super::wake::Wake;
+use super::wake::Waker;
+use crate::AdmissionSettings;
+use crate::Ask;
+use crate::Class;
+use crate::LoadReport;
+use crate::Permit;
+use crate::Reason;
+use crate::Refusal;
+use crate::Step;
+use crate::Tick;
+
+/// The least and the greatest time after which a refused caller may come back.
+const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(5)];
+/// The weight of the newest service time in its average, as a shift.
+const AVERAGE_SHIFT: u32 = 3;
+
+/// What is decided under the lock.
+pub(super) enum Decision {
+    Run,
+    Wait(WaitKey, Tick),
+    Refuse(Refusal),
+}
+
+/// Slots, queue and rate of one target.
+///
+/// # Invariants
+///
+/// `running` is the number of permits that exist, and `running_of` the same by
+/// class.
+pub(super) struct State {
+    settings: AdmissionSettings,
+    slots: u32,
+    concurrency: u32,
+    running: u32,
+    running_of: [u32; Class::ALL.len()],
+    took: [u64; Class::ALL.len()],
+    queue: Queue,
+    bucket: Bucket,
+    closed: Option<Reason>,
+    now: Tick,
+}
+
+impl State {
+    pub(super) fn new(settings: AdmissionSettings, slots: u32) -> State {
+        State {
+            settings,
+            slots,
+            concurrency: slots,
+            running: 0,
+            running_of: [0; Class::ALL.len()],
+            took: [0; Class::ALL.len()],
+            queue: Queue::new(),
+            bucket: Bucket::full(),
+            closed: None,
+            now: Tick::ZERO,
+        }
+    }
+
+    pub(super) fn load(&self) -> LoadReport {
+        let narrow = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
+        LoadReport {
+            in_flight: narrow(self.running),
+            slots: narrow(self.concurrency),
+            queued: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// Decides over a new request; `waker` is only made if it is to wait.
+    pub(super) fn offer(
+        &mut self,
+        now: Tick,
+        ask: &Ask<'_>,
+        waker: impl FnOnce() -> Waker,
+        wakes: &mut Vec<Wake>,
+    ) -> Decision {
+        self.now = self.now.max(now);
+        self.concurrency = self.slots.min(ask.limits.concurrency.max(1));
+        self.sweep(wakes);
+        if let Some(refusal) = self.refuse_at_once(ask) {
+            return Decision::Refuse(refusal);
+        }
+        if self.queue.ahead_of(ask.class) == 0 && self.has_slot(ask.class) {
+            self.bucket.take();
+            self.count(ask.class);
+            return Decision::Run;
+        }
+        self.enqueue(ask, waker, wakes)
+    }
+
+    fn refuse_at_once(&mut self, ask: &Ask<'_>) -> Option<Refusal> {
+        if let Some(reason) = self.closed {
+            return Some(refusal(reason));
+        }
+        if ask.deadline.passed(self.now) {
+            return Some(refusal(Reason::DeadlinePassed));
+        }
+        let rate = ask.limits.rate_per_s;
+        let wait = self.bucket.refill(self.now, rate, self.settings.burst)?;
+        Some(refusal(Reason::RateLimited).after(wait))
+    }
+
+    fn enqueue(
+        &mut self,
+        ask: &Ask<'_>,
+        waker: impl FnOnce() -> Waker,
+        wakes: &mut Vec<Wake>,
+    ) -> Decision {
+        let wait = self.expected_wait(ask.class);
+        let needed = wait + Duration::from_micros(self.took[ask.class.index()]);
+        if needed > ask.deadline.remaining(self.now) {
+            return Decision::Refuse(refusal(Reason::DeadlineTooShort).after(wait));
+        }
+        if self.queue.len() >= self.queue_bound() {
+            let Some(displaced) = self.queue.displace(ask.class) else {
+                return Decision::Refuse(refusal(Reason::QueueFull).after(wait));
+            };
+            let wait = self.expected_wait(displaced.class);
+            wakes.push(refuse(displaced, refusal(Reason::Displaced).after(wait)));
+        }
+        self.bucket.take();
+        let until = ask.deadline.tick().min(self.now + self.settings.max_wait);
+        let key = self.queue.push(Waiting {
+            class: ask.class,
+            until,
+            waker: waker(),
+        });
+        Decision::Wait(key, until)
+    }
+
+    /// Takes back a slot and gives what is free to those who wait.
+    pub(super) fn release(
+        &mut self,
+        now: Option<Tick>,
+        class: Class,
+        since: Tick,
+        shared: &Arc<Shared>,
+        wakes: &mut Vec<Wake>,
+    ) {
+        // INVARIANT: Only a permit calls this, and each calls it once.
+        self.running -= 1;
+        self.running_of[class.index()] -= 1;
+        if let Some(now) = now {
+            self.now = self.now.max(now);
+            self.average(class, now.since(since));
+        }
+        self.sweep(wakes);
+        self.fill(shared, wakes);
+    }
+
+    fn fill(&mut self, shared: &Arc<Shared>, wakes: &mut Vec<Wake>) {
+        while self.running < self.concurrency {
+            let background = self.has_slot(Class::Background);
+            let next = self.queue.pop(self.settings.standard_weight, background);
+            let Some(waiting) = next else { return };
+            self.count(waiting.class);
+            let permit = Permit::new(shared, waiting.class, self.now);
+            wakes.push(Wake {
+                waker: waiting.waker,
+                verdict: Ok(permit),
+            });
+        }
+    }
+
+    /// Takes a request out of the queue, if it still waits.
+    pub(super) fn leave(&mut self, key: WaitKey) -> Option<Waiting> {
+        self.queue.remove(key)
+    }
+
+    pub(super) fn expire(&mut self, now: Tick, key: WaitKey) -> Option<Refusal> {
+        self.now = self.now.max(now);
+        let gone = self.queue.remove(key)?;
+        Some(self.timed_out(gone.class))
+    }
+
+    /// Refuses everything from now on, and what waits.
+    pub(super) fn close(&mut self, reason: Reason, wakes: &mut Vec<Wake>) {
+        self.closed = Some(reason);
+        let waiting = self.queue.clear();
+        wakes.extend(waiting.into_iter().map(|w| refuse(w, refusal(reason))));
+    }
+
+    pub(super) fn open(&mut self) {
+        self.closed = None;
+    }
+
+    fn sweep(&mut self, wakes: &mut Vec<Wake>) {
+        if self.queue.len() == 0 {
+            return;
+        }
+        for gone in self.queue.expired(self.now) {
+            let told = self.timed_out(gone.class);
+            wakes.push(refuse(gone, told));
+        }
+    }
+
+    fn timed_out(&self, class: Class) -> Refusal {
+        refusal(Reason::QueueTimeout).after(self.expected_wait(class))
+    }
+
+    fn has_slot(&self, class: Class) -> bool {
+        let free = self.running < self.concurrency;
+        let share = self.concurrency * self.settings.background_percent / 100;
+        let cap = share.max(1);
+        free && (class != Class::Background || self.running_of[class.index()] < cap)
+    }
+
+    fn count(&mut self, class: Class) {
+        self.running += 1;
+        self.running_of[class.index()] += 1;
+    }
+
+    fn queue_bound(&self) -> usize {
+        let bound = self.slots.saturating_mul(self.settings.queue_per_slot);
+        usize::try_from(bound).unwrap_or(usize::MAX)
+    }
+
+    /// How long a new request of `class` would wait, by what others took.
+    fn expected_wait(&self, class: Class) -> Duration {
+        let ahead = u64::try_from(self.queue.ahead_of(class)).unwrap_or(u64::MAX);
+        let mean = self.mean_took();
+        let us = mean.saturating_mul(ahead + 1) / u64::from(self.concurrency.max(1));
+        Duration::from_micros(us).clamp(RETRY_AFTER[0], RETRY_AFTER[1])
+    }
+
+    /// The average over what runs now, by class.
+    fn mean_took(&self) -> u64 {
+        let sum = |acc: u64, i: usize| acc + self.took[i] * u64::from(self.running_of[i]);
+        let all = (0..Class::ALL.len()).fold(0, sum);
+        all / u64::from(self.running.max(1))
+    }
+
+    fn average(&mut self, class: Class, took: Duration) {
+        let us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX) >> AVERAGE_SHIFT;
+        let held = &mut self.took[class.index()];
+        *held = *held - (*held >> AVERAGE_SHIFT) + us;
+    }
+}
+
+fn refusal(reason: Reason) -> Refusal {
+    Refusal::not_run(Step::Admission, reason)
+}
+
+fn refuse(waiting: Waiting, refusal: Refusal) -> Wake {
+    Wake {
+        waker: waiting.waker,
+        verdict: Err(refusal),
+    }
+}
--- /dev/null
+++ b/crates/core/src/drain/gate.rs
@@ -0,0 +1,108 @@
+//! Counting what runs, with a door that closes.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use crate::Reason;
+use crate::Refusal;
+use crate::Step;
+use crate::Word;
+
+/// The bit that says that the gate is closed; those below it count.
+const CLOSED: u64 = 1 << 63;
+
+/// Counts requests in flight and lets none in once it is closed.
+///
+/// # Invariants
+///
+/// Door and count are one word: after the closing write no request enters, so
+/// that a count of zero seen on a closed gate is final.
+pub struct Gate<W: Word = AtomicU64>(Arc<W>);
+
+impl<W: Word> Gate<W> {
+    /// An open gate.
+    pub fn open() -> Gate<W> {
+        Gate(Arc::new(W::zero()))
+    }
+
+    /// Lets a request in.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as not run if the gate is closed.
+    pub fn enter(&self) -> Result<Pass<W>, Refusal> {
+        loop {
+            let word = self.0.load();
+            if word & CLOSED != 0 {
+                return Err(Refusal::not_run(Step::Admission, Reason::Draining));
+            }
+            if self.0.swap_if(word, word + 1) {
+                return Ok(Pass(self.0.clone()));
+            }
+        }
+    }
+
+    /// Whether it is closed.
+    pub fn is_closed(&self) -> bool {
+        self.0.load() & CLOSED != 0
+    }
+
+    /// How many passes there are.
+    pub fn in_flight(&self) -> u64 {
+        self.0.load() & !CLOSED
+    }
+
+    pub(super) fn close(&self) {
+        self.change(|word| word | CLOSED);
+    }
+
+    pub(super) fn reopen(&self) {
+        self.change(|word| word & !CLOSED);
+    }
+
+    fn change(&self, to: impl Fn(u64) -> u64) {
+        loop {
+            let word = self.0.load();
+            if self.0.swap_if(word, to(word)) {
+                return;
+            }
+        }
+    }
+}
+
+impl<W: Word> Clone for Gate<W> {
+    fn clone(&self) -> Gate<W> {
+        Gate(self.0.clone())
+    }
+}
+
+impl<W: Word> fmt::Debug for Gate<W> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gate")
+            .field("closed", &self.is_closed())
+            .field("in_flight", &self.in_flight())
+            .finish()
+    }
+}
+
+/// Held by a request in flight until its answer has been sent whole.
+#[must_use = "dropping a pass ends the request"]
+pub struct Pass<W: Word = AtomicU64>(Arc<W>);
+
+impl<W: Word> Drop for Pass<W> {
+    fn drop(&mut self) {
+        loop {
+            let word = self.0.load();
+            if self.0.swap_if(word, word - 1) {
+                return;
+            }
+        }
+    }
+}
+
+impl<W: Word> fmt::Debug for Pass<W> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Pass")
+    }
+}
--- /dev/null
+++ b/crates/core/src/outcome/reason.rs
@@ -0,0 +1,117 @@
+//! Why requests are refused.
+
+use std::fmt;
+
+/// Why a request was refused before it was handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum Reason {
+    /// No route takes its path.
+    NoRoute,
+    /// No endpoint of its service takes new work.
+    NoEndpoint,
+    /// No connection to the endpoint was made, so that nothing was sent.
+    Connect,
+    /// The node or its target takes no new work because it is leaving.
+    Draining,
+    /// The entry's rate is used up.
+    RateLimited,
+    /// All slots are taken and the queue is full.
+    QueueFull,
+    /// More urgent work took its place in the queue.
+    Displaced,
+    /// It waited in the queue for as long as is allowed.
+    QueueTimeout,
+    /// It would wait longer than its deadline allows.
+    DeadlineTooShort,
+    /// Its deadline passed before it was handed over.
+    DeadlinePassed,
+    /// This node doesn't own the request's key.
+    NotOwner,
+    /// This node can't prove that its instance list is still in force.
+    LeaseLapsed,
+    /// This node owns the request's key since too short a time.
+    Settling,
+    /// The window of request keys is full.
+    WindowFull,
+    /// An earlier attempt with the same key is still running.
+    EarlierRunning,
+    /// An earlier attempt with the same key may have run.
+    EarlierUnknown,
+}
+
+impl Reason {
+    /// Every reason.
+    pub const ALL: [Reason; 16] = [
+        Reason::NoRoute,
+        Reason::NoEndpoint,
+        Reason::Connect,
+        Reason::Draining,
+        Reason::RateLimited,
+        Reason::QueueFull,
+        Reason::Displaced,
+        Reason::QueueTimeout,
+        Reason::DeadlineTooShort,
+        Reason::DeadlinePassed,
+        Reason::NotOwner,
+        Reason::LeaseLapsed,
+        Reason::Settling,
+        Reason::WindowFull,
+        Reason::EarlierRunning,
+        Reason::EarlierUnknown,
+    ];
+
+    /// The reason's name in headers, metrics and logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Reason::NoRoute => "no-route",
+            Reason::NoEndpoint => "no-endpoint",
+            Reason::Connect => "connect",
+            Reason::Draining => "draining",
+            Reason::RateLimited => "rate-limited",
+            Reason::QueueFull => "queue-full",
+            Reason::Displaced => "displaced",
+            Reason::QueueTimeout => "queue-timeout",
+            Reason::DeadlineTooShort => "deadline-too-short",
+            Reason::DeadlinePassed => "deadline-passed",
+            Reason::NotOwner => "not-owner",
+            Reason::LeaseLapsed => "lease-lapsed",
+            Reason::Settling => "settling",
+            Reason::WindowFull => "window-full",
+            Reason::EarlierRunning => "earlier-running",
+            Reason::EarlierUnknown => "earlier-unknown",
+        }
+    }
+
+    /// The reason of that name, if there is one.
+    pub fn from_name(name: &str) -> Option<Reason> {
+        Reason::ALL
+            .into_iter()
+            .find(|reason| reason.as_str() == name)
+    }
+
+    /// Whether it says that this endpoint is the wrong one, and nothing of how
+    /// loaded the service is: another endpoint may well take the request.
+    pub const fn is_misplaced(self) -> bool {
+        matches!(self, Reason::Connect | Reason::Draining | Reason::NotOwner)
+    }
+
+    /// Whether the service as a whole may be short, so that trying again costs
+    /// others their place.
+    pub const fn is_overload(self) -> bool {
+        matches!(
+            self,
+            Reason::RateLimited
+                | Reason::QueueFull
+                | Reason::Displaced
+                | Reason::QueueTimeout
+                | Reason::DeadlineTooShort
+        )
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/core/src/repeat/key.rs
@@ -0,0 +1,48 @@
+//! Request keys.
+
+use std::fmt;
+
+use crate::Digest;
+use crate::Error;
+use crate::Result;
+use crate::ServiceName;
+use crate::Step;
+use crate::route::Score;
+
+/// The longest key in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// What makes two requests the same: the caller's key for the same operation.
+///
+/// The operation is part of it, so that a key that a caller uses again for
+/// something else never gets the answer to what it was used for first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct RequestKey(Digest);
+
+impl RequestKey {
+    /// The key of a request to `service`, by the caller's `key` and the
+    /// operation, such as its method and path.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `key` is empty or longer than 256 bytes.
+    pub fn new(service: &ServiceName, operation: &str, key: &str) -> Result<RequestKey> {
+        if key.is_empty() || key.len() > MAX_KEY_BYTES {
+            let told = format!("a request key has 1 to {MAX_KEY_BYTES} bytes");
+            return Err(Error::new(Step::Check, told));
+        }
+        let parts = [service.as_str(), operation, key].map(|part| Digest::of(part.as_bytes()));
+        Ok(RequestKey(Digest::of_all(&parts)))
+    }
+
+    /// Its hash, against which endpoints are drawn for its owner.
+    pub(crate) fn score(&self) -> Score {
+        Score::of_digest(&self.0)
+    }
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/repeat/settings.rs
@@ -0,0 +1,61 @@
+//! Settings of the window of request keys.
+
+use std::time::Duration;
+
+use crate::Error;
+use crate::Result;
+use crate::Step;
+
+/// How long and how much an owner remembers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RepeatSettings {
+    /// How long a key is remembered after its request ended. Callers must not
+    /// use it again later than this after their last attempt.
+    pub hold: Duration,
+    /// How old the proof may be that the instance list is in force. It must be
+    /// the same on every node, and longer than a proof takes to get around.
+    pub lease: Duration,
+    /// Keys that are remembered at most.
+    pub max_keys: usize,
+    /// Bytes of stored answers at most, over all keys.
+    pub max_bytes: usize,
+    /// Bytes of one stored answer at most.
+    pub max_answer_bytes: usize,
+}
+
+impl RepeatSettings {
+    /// The same settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a time or bound is zero.
+    pub(super) fn checked(self) -> Result<RepeatSettings> {
+        if self.hold.is_zero() || self.lease.is_zero() || self.max_keys == 0 {
+            let told = "hold, lease and keys of the repeat window are more than zero";
+            return Err(Error::new(Step::Check, told));
+        }
+        Ok(self)
+    }
+
+    /// How long an owner waits before it runs a first attempt.
+    pub(super) fn settle(&self) -> Duration {
+        2 * self.lease
+    }
+
+    /// How long an owner waits before an unseen key means an unused one.
+    pub(super) fn proof(&self) -> Duration {
+        self.settle() + self.hold
+    }
+}
+
+impl Default for RepeatSettings {
+    fn default() -> RepeatSettings {
+        RepeatSettings {
+            hold: Duration::from_secs(300),
+            lease: Duration::from_secs(15),
+            max_keys: 50_000,
+            max_bytes: 16 << 20,
+            max_answer_bytes: 64 << 10,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/repeat/window.rs
@@ -0,0 +1,117 @@
+//! The window of keys at their owner.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use super::state::Decision;
+use super::state::State;
+use super::tenure::Members;
+use super::tenure::Tenure;
+use crate::Attempt;
+use crate::Begin;
+use crate::InstanceId;
+use crate::Refusal;
+use crate::RepeatSettings;
+use crate::RequestKey;
+use crate::Result;
+use crate::Revision;
+use crate::Running;
+use crate::StoredAnswer;
+use crate::Tick;
+
+/// The keys that one owner has seen, shared by the traffic threads.
+///
+/// Only requests with a key on routes that aren't idempotent come here.
+#[derive(Debug, Clone)]
+pub struct RepeatWindow(Arc<Shared>);
+
+/// What the window and those that run share.
+pub(super) struct Shared(Mutex<State>);
+
+impl RepeatWindow {
+    /// The empty window of a node that just started.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a time or bound of the settings is zero.
+    pub fn new(cfg: RepeatSettings, me: InstanceId) -> Result<RepeatWindow> {
+        let cfg = cfg.checked()?;
+        let tenure = Tenure::new(me, cfg.lease);
+        let state = State::new(cfg, tenure);
+        Ok(RepeatWindow(Arc::new(Shared(Mutex::new(state)))))
+    }
+
+    /// Takes over a newer instance list: the live endpoints of the service of
+    /// this node's target.
+    pub fn list_changed<'a>(
+        &self,
+        now: Tick,
+        revision: Revision,
+        live: impl IntoIterator<Item = &'a InstanceId>,
+    ) {
+        let members = Members::new(live);
+        self.0.lock().tenure.change(now, revision, members);
+    }
+
+    /// Takes over a proof that the list of `revision` was the platform's newest
+    /// at `at`: a read of the source by this node, or by a peer whose word
+    /// carries the age of its own proof.
+    pub fn prove(&self, at: Tick, revision: Revision) {
+        self.0.lock().tenure.prove(at, revision);
+    }
+
+    /// Decides over an attempt that reached this node.
+    pub fn begin(&self, now: Tick, key: RequestKey, attempt: Attempt) -> Begin {
+        let decision = self.0.lock().begin(now, key, attempt);
+        match decision {
+            Decision::Run => Begin::Run(Running::new(&self.0, key, attempt)),
+            Decision::Answer(answer) => Begin::Answer(answer),
+            Decision::Refuse(refusal) => Begin::Refuse(refusal),
+        }
+    }
+
+    /// How many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.0.lock().len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // A panic under the lock would leave a key running, which is refused as
+        // unknown from then on: never run again, which is the safe side.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn check(&self, now: Tick, key: &RequestKey, attempt: Attempt) -> Option<Refusal> {
+        self.lock().refuse_owner(now, key, attempt)
+    }
+
+    pub(super) fn done(&self, now: Tick, key: &RequestKey, answer: StoredAnswer) {
+        self.lock().done(now, key, answer);
+    }
+
+    pub(super) fn lost(&self, now: Option<Tick>, key: &RequestKey) {
+        self.lock().lost(now, key);
+    }
+
+    pub(super) fn forget(&self, key: &RequestKey) {
+        self.lock().forget(key);
+    }
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RepeatWindow")
+            .field("keys", &self.lock().len())
+            .finish()
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/whole.rs
@@ -0,0 +1,121 @@
+//! Requests and what may happen to them until they are handed over.
+
+use crate::Admitted;
+use crate::Ask;
+use crate::Class;
+use crate::Deadline;
+use crate::HandedOver;
+use crate::Limits;
+use crate::Permit;
+use crate::Reason;
+use crate::Received;
+use crate::Refusal;
+use crate::Step;
+use crate::Tick;
+
+/// A request beside its target.
+///
+/// # Invariants
+///
+/// A value in state [`Received`] or [`Admitted`] was not sent to the target.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use sassafrasspool_core::Class;
+/// use sassafrasspool_core::Deadline;
+/// use sassafrasspool_core::Reason;
+/// use sassafrasspool_core::Request;
+/// use sassafrasspool_core::Step;
+/// use sassafrasspool_core::Tick;
+///
+/// let deadline = Deadline::within(Tick::ZERO, Duration::from_secs(2));
+/// let request = Request::received(Class::Critical, deadline);
+/// let refusal = request.refuse(Step::Admission, Reason::Draining);
+/// assert_eq!(refusal.to_string(), "not-run at admission: draining");
+/// ```
+#[derive(Debug)]
+pub struct Request<S> {
+    pub(super) class: Class,
+    pub(super) deadline: Deadline,
+    pub(super) state: S,
+}
+
+impl<S> Request<S> {
+    /// How urgent it is.
+    pub const fn class(&self) -> Class {
+        self.class
+    }
+
+    /// Until when it may run.
+    pub const fn deadline(&self) -> Deadline {
+        self.deadline
+    }
+}
+
+impl Request<Received> {
+    /// A request that just arrived.
+    pub const fn received(class: Class, deadline: Deadline) -> Request<Received> {
+        Request {
+            class,
+            deadline,
+            state: Received::new(),
+        }
+    }
+
+    /// What admission needs to know of it, with the limits of its entry.
+    pub const fn ask<'a>(&self, limits: &'a Limits) -> Ask<'a> {
+        Ask {
+            class: self.class,
+            deadline: self.deadline,
+            limits,
+        }
+    }
+
+    /// Takes the slot that admission gave.
+    pub fn admit(self, permit: Permit) -> Request<Admitted> {
+        Request {
+            class: self.class,
+            deadline: self.deadline,
+            state: Admitted { permit },
+        }
+    }
+
+    /// Refuses the request as not run.
+    pub fn refuse(self, step: Step, reason: Reason) -> Refusal {
+        // INVARIANT: A request in this state was not sent.
+        Refusal::not_run(step, reason)
+    }
+}
+
+impl Request<Admitted> {
+    /// Marks the request as handed over, right before its first byte is sent.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as not run if the deadline has passed.
+    pub fn hand_over(self, now: Tick) -> Result<Request<HandedOver>, Refusal> {
+        // A process that was paused between admission and here would run work
+        // that its caller gave up long ago. The clock counts on during a pause,
+        // so that reading it again at this last moment finds it out.
+        if self.deadline.passed(now) {
+            self.state.permit.release(now);
+            return Err(Refusal::not_run(Step::Forward, Reason::DeadlinePassed));
+        }
+        let permit = self.state.permit;
+        Ok(Request {
+            class: self.class,
+            deadline: self.deadline,
+            state: HandedOver { permit },
+        })
+    }
+
+    /// Gives the slot back and refuses the request as not run.
+    pub fn refuse(self, now: Tick, step: Step, reason: Reason) -> Refusal {
+        self.state.permit.release(now);
+        // INVARIANT: A request in this state was not sent.
+        Refusal::not_run(step, reason)
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry/tries.rs
@@ -0,0 +1,121 @@
+//! The tries of one request.
+
+use crate::Budget;
+use crate::Deadline;
+use crate::Failure;
+use crate::Outcome;
+use crate::Reason;
+use crate::RetryLimits;
+use crate::Tick;
+
+/// How often a request may go to another endpoint because those before were
+/// the wrong ones.
+const MAX_MOVES: u32 = 4;
+
+/// Where in a chain of calls a node stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hop {
+    /// The node that took the call from its caller.
+    First,
+    /// A node that got it from another node.
+    Later,
+}
+
+/// What to do after a try that brought no answer.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a request is either tried again or answered"]
+pub enum Next {
+    /// Choose an endpoint again and try at once.
+    Again,
+    /// This is the final answer, which the caller gets at once.
+    Stop(Failure),
+}
+
+/// What is left to try of one request.
+///
+/// # Invariants
+///
+/// [`Next::Again`] only follows a try that is proved not to have run, unless
+/// the route is idempotent.
+#[derive(Debug)]
+pub struct Tries {
+    hop: Hop,
+    idempotent: bool,
+    deadline: Deadline,
+    tries: u32,
+    moves: u32,
+}
+
+impl Tries {
+    /// The tries of a request whose first is about to be made.
+    pub fn first(
+        hop: Hop,
+        idempotent: bool,
+        limits: &RetryLimits,
+        deadline: Deadline,
+        budget: &Budget,
+    ) -> Tries {
+        budget.pay_in(limits.budget_percent);
+        Tries {
+            hop,
+            idempotent,
+            deadline,
+            tries: limits.attempts.saturating_sub(1),
+            moves: MAX_MOVES,
+        }
+    }
+
+    /// What to do after `failure`.
+    pub fn after(&mut self, now: Tick, failure: Failure, budget: &Budget) -> Next {
+        let again = self.hop == Hop::First
+            && !self.deadline.passed(now)
+            && self.may_repeat(&failure)
+            && self.can_pay(&failure, budget);
+        if again {
+            return Next::Again;
+        }
+        Next::Stop(failure)
+    }
+
+    fn may_repeat(&self, failure: &Failure) -> bool {
+        match failure {
+            Failure::Refused(refusal) => {
+                refusal.outcome() == Outcome::NotRun && !is_final(refusal.reason())
+            }
+            // After the hand-over nothing proves that it didn't run.
+            Failure::Lost(_) => self.idempotent,
+        }
+    }
+
+    fn can_pay(&mut self, failure: &Failure, budget: &Budget) -> bool {
+        // A wrong endpoint says nothing of the load of the service, and no
+        // target has spent anything on the request: it costs less, and is
+        // bounded on its own, so that a drain doesn't use up the retries.
+        let misplaced = matches!(failure, Failure::Refused(r) if r.reason().is_misplaced());
+        let (left, paid): (&mut u32, fn(&Budget) -> bool) = if misplaced {
+            (&mut self.moves, Budget::take_move)
+        } else {
+            (&mut self.tries, Budget::take_retry)
+        };
+        if *left == 0 || !paid(budget) {
+            return false;
+        }
+        *left -= 1;
+        true
+    }
+}
+
+/// Whether another endpoint would refuse just the same.
+const fn is_final(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::NoRoute
+            | Reason::NoEndpoint
+            | Reason::DeadlinePassed
+            | Reason::LeaseLapsed
+            | Reason::Settling
+            | Reason::WindowFull
+            | Reason::EarlierRunning
+            | Reason::EarlierUnknown
+    )
+}
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,29 @@
+//! Choosing the endpoint that a request goes to.
+//!
+//! [`Meters`] is what a node knows of endpoints and outlives every snapshot: its
+//! own requests in flight, the load that answers reported, what went wrong. A
+//! [`Picker`] binds it to one snapshot. It chooses in the node's own failure
+//! domain first, then in its region, then elsewhere, each time the less loaded
+//! of two drawn at random, and goes on to the next when that one is full.
+
+pub use self::meters::Intake;
+pub use self::meters::Meters;
+pub use self::picked::Picked;
+pub use self::picker::Picker;
+pub use self::position::Position;
+pub use self::settings::RouteSettings;
+
+pub(crate) use self::rendezvous::Score;
+
+mod candidate;
+mod meter;
+mod meters;
+mod picked;
+mod picker;
+mod position;
+mod rendezvous;
+mod service;
+mod settings;
+mod subset;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/route/candidate.rs
@@ -0,0 +1,19 @@
+//! Endpoints as the picker holds them.
+
+use std::sync::Arc;
+
+use super::meter::Meter;
+use super::rendezvous::Score;
+use crate::EndpointKey;
+use crate::InstanceId;
+
+/// An endpoint that requests may go to.
+#[derive(Debug, Clone)]
+pub(super) struct Candidate {
+    pub(super) key: EndpointKey,
+    pub(super) id: InstanceId,
+    pub(super) tier: usize,
+    pub(super) slots: u32,
+    pub(super) score: Score,
+    pub(super) meter: Arc<Meter>,
+}
--- /dev/null
+++ b/crates/core/src/route/meters.rs
@@ -0,0 +1,107 @@
+//! What a node knows of all endpoints, across snapshots.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use super::meter::Meter;
+use super::service::ServiceMeter;
+use crate::InstanceId;
+use crate::ServiceName;
+use crate::Snapshot;
+use crate::Tick;
+
+/// Whether an endpoint takes new work, by the word of its own node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Intake {
+    /// It is ready.
+    Open,
+    /// It starts, drains or is gone.
+    Closed,
+}
+
+/// The meters of all endpoints; shared by the control and traffic threads.
+///
+/// Traffic threads go through a [`crate::Picker`], which holds what it needs,
+/// and don't take this lock.
+#[derive(Debug, Default)]
+pub struct Meters {
+    inner: Mutex<Inner>,
+    /// Held while an ejection is decided, so that two at once can't both pass
+    /// the bound on the share that is left out.
+    pub(super) ejecting: Mutex<()>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    endpoints: HashMap<InstanceId, Arc<Meter>>,
+    services: HashMap<ServiceName, Arc<ServiceMeter>>,
+    built: bool,
+}
+
+impl Meters {
+    /// Meters of nothing so far.
+    pub fn new() -> Meters {
+        Meters::default()
+    }
+
+    /// Takes over what an endpoint's own node said of it.
+    ///
+    /// The caller orders these by incarnation and sequence; what is marked
+    /// last counts.
+    pub fn mark(&self, instance: &InstanceId, intake: Intake, now: Tick) {
+        let mut inner = self.lock();
+        let meter = inner.endpoints.entry(instance.clone()).or_default();
+        match intake {
+            Intake::Open => meter.open(now),
+            Intake::Closed => meter.close(),
+        }
+    }
+
+    /// Forgets endpoints and services that the snapshot doesn't have.
+    pub fn retain(&self, snapshot: &Snapshot) {
+        let mut inner = self.lock();
+        let mut listed = HashSet::new();
+        for (_, service) in snapshot.services() {
+            let endpoints = snapshot.endpoints_of(service);
+            listed.extend(endpoints.map(|(_, endpoint)| &endpoint.instance.id));
+        }
+        inner.endpoints.retain(|id, _| listed.contains(id));
+        inner
+            .services
+            .retain(|name, _| snapshot.find_service(name).is_some());
+    }
+
+    /// The meter of an endpoint; one that wasn't there before starts cold,
+    /// unless this is the first list that the node sees.
+    pub(super) fn endpoint(&self, instance: &InstanceId, now: Tick) -> Arc<Meter> {
+        let mut inner = self.lock();
+        if let Some(held) = inner.endpoints.get(instance) {
+            return held.clone();
+        }
+        let meter = Arc::new(Meter::default());
+        if inner.built {
+            meter.start_cold(now);
+        }
+        inner.endpoints.insert(instance.clone(), meter.clone());
+        meter
+    }
+
+    pub(super) fn service(&self, name: &ServiceName) -> Arc<ServiceMeter> {
+        let mut inner = self.lock();
+        inner.services.entry(name.clone()).or_default().clone()
+    }
+
+    /// Notes that a list was bound: endpoints that come later are new.
+    pub(super) fn mark_built(&self) {
+        self.lock().built = true;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        // Each change under the lock is whole before the next begins.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/picker.rs
@@ -0,0 +1,225 @@
+//! The choice itself.
+
+use std::sync::Arc;
+
+use rand::Rng;
+use slotmap::SecondaryMap;
+
+use super::candidate::Candidate;
+use super::position::TIERS;
+use super::rendezvous::Score;
+use super::service::ServiceView;
+use super::subset::arrange;
+use crate::Budget;
+use crate::EndpointKey;
+use crate::InstanceState;
+use crate::Meters;
+use crate::Picked;
+use crate::Position;
+use crate::Reason;
+use crate::Refusal;
+use crate::RequestKey;
+use crate::RouteSettings;
+use crate::ServiceKey;
+use crate::Snapshot;
+use crate::Step;
+use crate::Tick;
+
+/// Chooses endpoints of the services of one snapshot.
+///
+/// It belongs to that snapshot: keys of another mean nothing here. Build it
+/// beside the snapshot and put both in force together.
+#[derive(Debug)]
+pub struct Picker {
+    cfg: RouteSettings,
+    meters: Arc<Meters>,
+    services: SecondaryMap<ServiceKey, Arc<ServiceView>>,
+}
+
+impl Picker {
+    /// Binds the meters to a snapshot.
+    pub fn build(
+        snapshot: &Snapshot,
+        position: &Position,
+        cfg: RouteSettings,
+        meters: &Arc<Meters>,
+        now: Tick,
+    ) -> Picker {
+        let node = Score::of(position.instance.as_str());
+        let mut services = SecondaryMap::new();
+        for (key, service) in snapshot.services() {
+            let mut candidates = Vec::new();
+            for (key, endpoint) in snapshot.endpoints_of(service) {
+                let instance = &endpoint.instance;
+                if instance.state == InstanceState::Leaving {
+                    continue;
+                }
+                candidates.push(Candidate {
+                    key,
+                    id: instance.id.clone(),
+                    tier: position.tier_of(instance),
+                    slots: instance.slots,
+                    score: Score::of(instance.id.as_str()),
+                    meter: meters.endpoint(&instance.id, now),
+                });
+            }
+            // INVARIANT: The arrangement orders both parts by tier.
+            let subset = arrange(&mut candidates, node, &cfg);
+            let view = ServiceView {
+                candidates,
+                subset,
+                meter: meters.service(&service.entry.name),
+            };
+            services.insert(key, Arc::new(view));
+        }
+        meters.mark_built();
+        Picker {
+            cfg,
+            meters: meters.clone(),
+            services,
+        }
+    }
+
+    /// Chooses an endpoint other than those in `avoid` and counts the request
+    /// there.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as not run if no endpoint takes new work.
+    pub fn pick(
+        &self,
+        service: ServiceKey,
+        now: Tick,
+        avoid: &[EndpointKey],
+        rng: &mut impl Rng,
+    ) -> Result<Picked, Refusal> {
+        let refusal = Refusal::not_run(Step::Route, Reason::NoEndpoint);
+        let Some(view) = self.services.get(service) else {
+            return Err(refusal);
+        };
+        let (subset, rest) = view.candidates.split_at(view.subset);
+        let wanted = |c: &Candidate| !avoid.contains(&c.key);
+        let usable = |c: &Candidate| wanted(c) && c.meter.is_usable(now);
+        // When all that are left are ejected, the fault is likelier in what
+        // judged them: they are tried rather than nothing.
+        let open = |c: &Candidate| wanted(c) && c.meter.is_open(now);
+        let found = self
+            .best_of(subset, now, usable, rng)
+            .or_else(|| self.best_of(rest, now, usable, rng))
+            .or_else(|| self.best_of(&view.candidates, now, open, rng));
+        match found {
+            Some(candidate) => Ok(self.picked(view, candidate, now)),
+            None => Err(refusal.after(self.cfg.drain_pause)),
+        }
+    }
+
+    /// The endpoint that owns a request key, and counts the request there.
+    ///
+    /// The owner goes by the list and not by who can be reached or looks well:
+    /// were it otherwise, two parts of a divided fleet would name two owners.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as not run if the service has no live endpoint or the owner is
+    /// known not to take new work.
+    pub fn pick_owner(
+        &self,
+        service: ServiceKey,
+        now: Tick,
+        key: &RequestKey,
+    ) -> Result<Picked, Refusal> {
+        let refusal = Refusal::not_run(Step::Route, Reason::NoEndpoint);
+        let Some(view) = self.services.get(service) else {
+            return Err(refusal);
+        };
+        let by_score = |c: &&Candidate| (c.score.against(key.score()), c.id.clone());
+        match view.candidates.iter().max_by_key(by_score) {
+            Some(owner) => Ok(self.picked(view, owner, now)),
+            None => Err(refusal),
+        }
+    }
+
+    /// The retry budget of a service.
+    pub fn budget(&self, service: ServiceKey) -> Option<&Budget> {
+        self.services.get(service).map(|view| &view.meter.budget)
+    }
+
+    /// The endpoints of a service that this node sends to as a rule.
+    pub fn subset(&self, service: ServiceKey) -> impl Iterator<Item = EndpointKey> {
+        let view = self.services.get(service);
+        let subset = view.map_or(&[][..], |view| &view.candidates[..view.subset]);
+        subset.iter().map(|c| c.key)
+    }
+
+    fn picked(&self, view: &Arc<ServiceView>, candidate: &Candidate, now: Tick) -> Picked {
+        Picked::new(self.cfg, &self.meters, view, candidate, now)
+    }
+
+    /// The best endpoint tier by tier; a further tier is only looked at while
+    /// the best of those before is full.
+    fn best_of<'a>(
+        &self,
+        among: &'a [Candidate],
+        now: Tick,
+        fits: impl Fn(&Candidate) -> bool + Copy,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Candidate> {
+        let full = percent(self.cfg.spill_percent);
+        let margin = percent(self.cfg.spill_margin_percent);
+        let mut best: Option<(f32, &Candidate)> = None;
+        for tier in 0..TIERS {
+            let in_tier = |c: &&Candidate| c.tier == tier && fits(c);
+            let Some((load, found)) = self.less_loaded(among, now, in_tier, rng) else {
+                continue;
+            };
+            if best.is_none_or(|(held, _)| load + margin < held) {
+                best = Some((load, found));
+            }
+            if best.is_some_and(|(held, _)| held <= full) {
+                break;
+            }
+        }
+        best.map(|(_, found)| found)
+    }
+
+    /// The less loaded of two that are drawn at random.
+    fn less_loaded<'a>(
+        &self,
+        among: &'a [Candidate],
+        now: Tick,
+        fits: impl Fn(&&Candidate) -> bool + Copy,
+        rng: &mut impl Rng,
+    ) -> Option<(f32, &'a Candidate)> {
+        let count = among.iter().filter(fits).count();
+        if count == 0 {
+            return None;
+        }
+        let draw = rng.next_u64();
+        let first = below(draw as u32, count);
+        let skip = below((draw >> 32) as u32, count.max(2) - 1);
+        let second = (first + 1 + skip) % count;
+        let weigh = |c: &'a Candidate| (c.meter.load(now, c.slots, &self.cfg), c);
+        let mut fitting = among.iter().filter(fits);
+        let low = fitting.nth(first.min(second)).map(weigh)?;
+        if first == second {
+            return Some(low);
+        }
+        // Meters may have changed since they were counted: one is enough.
+        let Some(high) = fitting.nth(first.abs_diff(second) - 1).map(weigh) else {
+            return Some(low);
+        };
+        // An equal load must not favour the one that stands first.
+        let lower = low.0 < high.0 || (low.0 == high.0 && first < second);
+        Some(if lower { low } else { high })
+    }
+}
+
+/// A number below `bound` from 32 random bits.
+fn below(bits: u32, bound: usize) -> usize {
+    let wide = u64::from(bits) * u64::try_from(bound).unwrap_or(u64::MAX);
+    usize::try_from(wide >> 32).unwrap_or(0)
+}
+
+fn percent(n: u32) -> f32 {
+    n as f32 / 100.0
+}
