Add stand-ins for the platform and for a target

Everything that the system must withstand comes from outside: outages, staleness, budgets, cold starts, late answers, crashes. Tests, demos and benchmarks need all of them on call, without a real platform.

The platform stand-in serves both streams as plain reads and watches under a read budget, and can be out, stale, set back, lagging or slow to answer. The target stand-in sheds beyond its slots, refuses connections beyond its limit, starts cold, drains, crashes with resets and comes back on the same port, hangs, cuts answers and lies about its health. Its ledger tells how each run ended, also those that were cancelled, cut or lost in a crash. Both run inside a test or as a process.

--- /dev/null
+++ b/crates/standin/src/platform/instance_list.rs
@@ -0,0 +1,60 @@
+//! The instance list as a body, and changes of one instance.
+
+use bytes::Bytes;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::InstanceState;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::refusal::Refusal;
+
+/// The body of an instance list.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct ListBody<I> {
+    instances: I,
+}
+
+impl ListBody<Vec<Instance>> {
+    /// The JSON of a list.
+    pub(super) fn encode(list: &[Instance]) -> Result<Bytes, Refusal> {
+        let json = serde_json::to_vec(&ListBody { instances: list });
+        json.map(Bytes::from)
+            .map_err(|e| Refusal::Malformed(e.to_string()))
+    }
+
+    /// The list in a JSON body.
+    pub(super) fn decode(body: &[u8]) -> Result<Vec<Instance>, Refusal> {
+        let read: Result<ListBody<Vec<Instance>>, _> = serde_json::from_slice(body);
+        read.map(|body| body.instances)
+            .map_err(|e| Refusal::Malformed(e.to_string()))
+    }
+}
+
+/// What becomes of an instance in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum InstanceChange {
+    /// Listed as live.
+    Live,
+    /// Listed as leaving.
+    Leaving,
+    /// Taken off the list.
+    Gone,
+}
+
+impl InstanceChange {
+    /// Changes the instance `id` in `list`.
+    pub(super) fn apply(self, id: &InstanceId, list: &mut Vec<Instance>) -> Result<(), Refusal> {
+        let place = list.iter().position(|instance| instance.id == *id);
+        let place = place.ok_or_else(|| Refusal::UnknownInstance(id.clone()))?;
+        match self {
+            InstanceChange::Live => list[place].state = InstanceState::Live,
+            InstanceChange::Leaving => list[place].state = InstanceState::Leaving,
+            InstanceChange::Gone => {
+                list.remove(place);
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/read_api.rs
@@ -0,0 +1,102 @@
+//! The read port: plain reads and watches of both streams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::Stream;
+use serde::Deserialize;
+
+use super::MAX_WAIT;
+use super::REVISION_HEADER;
+use super::shared::Shared;
+use super::state::Found;
+
+/// The parameters of a read.
+#[derive(Debug, Default, Deserialize)]
+struct ReadQuery {
+    /// The revision that the reader has; absent for a plain read.
+    after: Option<u64>,
+    /// Milliseconds to wait for a newer one.
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// The routes of the read port.
+pub(super) fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/catalogue", get(read_catalogue))
+        .route("/v1/instances", get(read_instances))
+        .with_state(shared)
+}
+
+async fn read_catalogue(shared: State<Arc<Shared>>, query: Query<ReadQuery>) -> Response {
+    read(&shared, Stream::Catalogue, &query).await
+}
+
+async fn read_instances(shared: State<Arc<Shared>>, query: Query<ReadQuery>) -> Response {
+    read(&shared, Stream::Instances, &query).await
+}
+
+async fn read(shared: &Shared, stream: Stream, query: &ReadQuery) -> Response {
+    let admitted = shared.state().admit(tokio::time::Instant::now());
+    if let Err(wait) = admitted {
+        return over_budget(wait);
+    }
+    let wait = Duration::from_millis(query.wait_ms);
+    if wait > MAX_WAIT {
+        let text = format!("wait_ms is at most {}", MAX_WAIT.as_millis());
+        return (StatusCode::BAD_REQUEST, text).into_response();
+    }
+    let found = shared.watch(stream, query.after, wait).await;
+    let delay = shared.state().answer_delay;
+    tokio::time::sleep(delay).await;
+    answer(stream, found)
+}
+
+fn answer(stream: Stream, found: Found) -> Response {
+    match found {
+        Found::Outage => (StatusCode::SERVICE_UNAVAILABLE, "outage").into_response(),
+        Found::Nothing => (StatusCode::NOT_FOUND, "nothing published").into_response(),
+        Found::Unchanged(revision) => {
+            (StatusCode::NOT_MODIFIED, [revision_header(revision)]).into_response()
+        }
+        Found::Value(value) => {
+            let content_type = (CONTENT_TYPE, HeaderValue::from_static(media_type(stream)));
+            let headers = [revision_header(value.revision), content_type];
+            (headers, value.body).into_response()
+        }
+    }
+}
+
+fn over_budget(wait: Duration) -> Response {
+    let seconds = wait.as_secs().saturating_add(1);
+    let retry_after = (RETRY_AFTER, HeaderValue::from(seconds));
+    (
+        StatusCode::TOO_MANY_REQUESTS,
+        [retry_after],
+        "over the read budget",
+    )
+        .into_response()
+}
+
+fn revision_header(revision: Revision) -> (http::HeaderName, HeaderValue) {
+    (REVISION_HEADER, HeaderValue::from(revision.get()))
+}
+
+fn media_type(stream: Stream) -> &'static str {
+    match stream {
+        Stream::Catalogue => "application/yaml",
+        Stream::Instances => "application/json",
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/shared.rs
@@ -0,0 +1,109 @@
+//! What the handle and both ports of a platform stand-in share.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use sassafrasspool_core::Stream;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::settings::PlatformSettings;
+use super::state::Found;
+use super::state::State;
+use super::stats::PlatformStats;
+use super::switches::PlatformSwitches;
+use super::waiting::Waiting;
+
+/// The state, and the news that it changed.
+#[derive(Debug)]
+pub(super) struct Shared {
+    state: Mutex<State>,
+    changed: watch::Sender<()>,
+    waiting: Waiting,
+    cancel: CancellationToken,
+}
+
+impl Shared {
+    /// Nothing published; `cancel` ends every waiting watch.
+    pub(super) fn new(cfg: &PlatformSettings, cancel: CancellationToken) -> Shared {
+        Shared {
+            state: Mutex::new(State::new(cfg, Instant::now())),
+            changed: watch::Sender::new(()),
+            waiting: Waiting::default(),
+            cancel,
+        }
+    }
+
+    /// The state, to look at or to count in.
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the state and wakes all that wait.
+    pub(super) fn change<T>(&self, f: impl FnOnce(&mut State, Instant) -> T) -> T {
+        let result = f(&mut self.state(), Instant::now());
+        self.changed.send_replace(());
+        result
+    }
+
+    /// Waits up to `wait` for something that a reader with `after` lacks.
+    pub(super) async fn watch(&self, stream: Stream, after: Option<u64>, wait: Duration) -> Found {
+        let end = Instant::now() + wait;
+        let mut changed = self.changed.subscribe();
+        let _guard = self.waiting.enter();
+        loop {
+            let now = Instant::now();
+            let (found, next) = self.look(stream, after, now);
+            let settled = matches!(found, Found::Value(_) | Found::Outage);
+            if settled || now >= end {
+                return found;
+            }
+            let until = next.map_or(end, |next| next.min(end));
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep_until(until) => {}
+                () = self.cancel.cancelled() => return Found::Outage,
+            }
+        }
+    }
+
+    /// Turns switches.
+    pub(super) fn switch(&self, switches: &PlatformSwitches) {
+        self.change(|state, now| {
+            if let Some(outage) = switches.outage {
+                state.outage = outage;
+            }
+            if let Some(stale) = switches.stale {
+                state.set_stale(stale, now);
+            }
+            if let Some(ms) = switches.list_lag_ms {
+                state.list_lag = Duration::from_millis(ms);
+            }
+            if let Some(ms) = switches.answer_delay_ms {
+                state.answer_delay = Duration::from_millis(ms);
+            }
+        });
+        tracing::info!(?switches, "switched");
+    }
+
+    /// The figures so far.
+    pub(super) fn stats(&self) -> PlatformStats {
+        let state = self.state();
+        PlatformStats {
+            reads: state.reads.total(),
+            reads_peak_per_s: state.reads.peak(),
+            refused: state.reads.refused(),
+            waiting: self.waiting.count(),
+        }
+    }
+
+    fn look(&self, stream: Stream, after: Option<u64>, now: Instant) -> (Found, Option<Instant>) {
+        let state = self.state();
+        let found = state.find(stream, after, now);
+        let next = state.channel(stream).next_visible_at(now);
+        (found, next)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,239 @@
+//! The target stand-in: a back end with few slots and a ledger, so that the
+//! system can be shown what real back ends do at their worst.
+
+mod admin_api;
+mod answer;
+mod answer_stream;
+mod clock;
+mod control;
+mod counters;
+mod health;
+mod ledger;
+mod life;
+mod listener;
+mod open_connection;
+mod order;
+mod refusal;
+mod run;
+mod run_guard;
+mod service_times;
+mod settings;
+mod shared;
+mod switches;
+mod work;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderName;
+use sassafrasspool_core::Result;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+use tokio_util::task::TaskTracker;
+
+pub use self::answer::answer_body;
+pub use self::answer::pattern;
+pub use self::counters::TargetStats;
+pub use self::health::Load;
+pub use self::ledger::LedgerPages;
+pub use self::order::ANSWER_BYTES_HEADER;
+pub use self::order::KIND_HEADER;
+pub use self::order::MAX_ANSWER_BYTES;
+pub use self::order::REQUEST_ID_HEADER;
+pub use self::run::Run;
+pub use self::run::RunEnd;
+pub use self::service_times::ServiceTimes;
+pub use self::settings::TargetSettings;
+pub use self::switches::HealthReport;
+pub use self::switches::LateAnswers;
+pub use self::switches::TargetSwitches;
+
+use self::control::Control;
+use crate::serve;
+
+/// Says in answers how many bytes the request's body had.
+pub const RECEIVED_BYTES_HEADER: HeaderName = HeaderName::from_static("x-received-bytes");
+
+/// Answers 200 if the target takes work, 503 if not, unless it lies.
+pub const HEALTH_PATH: &str = "/healthz";
+
+/// Answers with a [`Load`] as JSON, unless it lies.
+pub const LOAD_PATH: &str = "/load";
+
+/// A running target stand-in; it stops when dropped.
+///
+/// # Example
+///
+/// ```
+/// use sassafrasspool_standin::Target;
+/// use sassafrasspool_standin::TargetSettings;
+/// use tokio_util::sync::CancellationToken;
+///
+/// # #[tokio::main]
+/// # async fn main() -> sassafrasspool_core::Result<()> {
+/// let target = Target::start(TargetSettings::default(), CancellationToken::new()).await?;
+/// target.crash().await;
+/// target.restart().await?;
+/// assert!(target.ledger().runs.is_empty());
+/// target.stop().await;
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Target {
+    control: Arc<Control>,
+    admin_addr: SocketAddr,
+    tasks: TaskTracker,
+    guard: DropGuard,
+}
+
+impl Target {
+    /// Opens both ports and begins the first cold start.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a port can't be opened.
+    pub async fn start(cfg: TargetSettings, cancel: CancellationToken) -> Result<Target> {
+        let cancel = cancel.child_token();
+        let (admin, admin_addr) = serve::bind(cfg.admin).await?;
+        let control = Arc::new(Control::start(cfg, cancel.clone()).await?);
+        let tasks = TaskTracker::new();
+        let router = admin_api::router(Arc::clone(&control));
+        tasks.spawn(serve::serve(admin, router, cancel.clone()));
+        tasks.close();
+        let guard = cancel.drop_guard();
+        Ok(Target {
+            control,
+            admin_addr,
+            tasks,
+            guard,
+        })
+    }
+
+    /// Where the target serves.
+    pub fn addr(&self) -> SocketAddr {
+        self.control.addr()
+    }
+
+    /// Where the admin port listens.
+    pub fn admin_addr(&self) -> SocketAddr {
+        self.admin_addr
+    }
+
+    /// A copy of the ledger over all lives, also of runs that never finished.
+    pub fn ledger(&self) -> LedgerPages {
+        self.control.shared().ledger.copy()
+    }
+
+    /// What it did so far.
+    pub fn stats(&self) -> TargetStats {
+        self.control.shared().stats()
+    }
+
+    /// Turns switches, as the admin port does.
+    pub async fn switch(&self, switches: &TargetSwitches) {
+        self.control.switch(switches).await;
+    }
+
+    /// Drops all connections at once, with resets, and refuses new ones. What
+    /// ran is over when this returns.
+    pub async fn crash(&self) {
+        self.control.crash().await;
+    }
+
+    /// Starts again on the same port, with a cold start; crashes first if it
+    /// still runs. The switches and the ledger stay.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the port can't be opened again.
+    pub async fn restart(&self) -> Result<()> {
+        self.control.restart().await
+    }
+
+    /// Begins or ends refusing new work, finishing what runs.
+    pub async fn set_drain(&self, drain: bool) {
+        self.switch(&TargetSwitches {
+            drain: Some(drain),
+            ..TargetSwitches::default()
+        })
+        .await;
+    }
+
+    /// Makes each run take longer by `extra`, in whole milliseconds.
+    pub async fn set_slow(&self, extra: Duration) {
+        let slow_ms = Some(whole_ms(extra));
+        self.switch(&TargetSwitches {
+            slow_ms,
+            ..TargetSwitches::default()
+        })
+        .await;
+    }
+
+    /// Makes one answer in `every` late `by` so much, in whole milliseconds;
+    /// none if `every` is 0. The work is done in time.
+    pub async fn late_answers(&self, every: u64, by: Duration) {
+        let late = Some(LateAnswers {
+            every,
+            by_ms: whole_ms(by),
+        });
+        self.switch(&TargetSwitches {
+            late,
+            ..TargetSwitches::default()
+        })
+        .await;
+    }
+
+    /// Sets what the health and load endpoints say.
+    pub async fn lie_about_health(&self, report: HealthReport) {
+        let health = Some(report);
+        self.switch(&TargetSwitches {
+            health,
+            ..TargetSwitches::default()
+        })
+        .await;
+    }
+
+    /// Begins or ends doing the work and never answering.
+    pub async fn set_hang_after_run(&self, hang: bool) {
+        let hang_after_run = Some(hang);
+        self.switch(&TargetSwitches {
+            hang_after_run,
+            ..TargetSwitches::default()
+        })
+        .await;
+    }
+
+    /// Begins or ends breaking off in the middle of each answer.
+    pub async fn set_cut_body(&self, cut: bool) {
+        self.switch(&TargetSwitches {
+            cut_body: Some(cut),
+            ..TargetSwitches::default()
+        })
+        .await;
+    }
+
+    /// Stops: takes no more connections, finishes what runs and closes.
+    pub async fn stop(self) {
+        let Target {
+            control,
+            tasks,
+            guard,
+            ..
+        } = self;
+        drop(guard);
+        control.stopped().await;
+        tasks.wait().await;
+    }
+
+    /// Waits until it was stopped by the token that it was started with.
+    pub async fn stopped(&self) {
+        self.tasks.wait().await;
+        self.control.stopped().await;
+    }
+}
+
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/standin/src/target/answer.rs
@@ -0,0 +1,42 @@
+//! What an answer consists of, so that a caller can check that it got the
+//! whole answer to its own request.
+
+use blake3::Hasher;
+use bytes::Bytes;
+
+/// `len` bytes that follow from the request id alone. No two places of one
+/// pattern and no two ids share a run of bytes, so that a cut, crossed or
+/// repeated piece shows.
+///
+/// # Example
+///
+/// ```
+/// use sassafrasspool_standin::target::pattern;
+///
+/// let whole = pattern("r-1", 100);
+/// assert_eq!(pattern("r-1", 40), whole[..40]);
+/// assert_ne!(pattern("r-2", 100), whole);
+/// ```
+pub fn pattern(id: &str, len: usize) -> Vec<u8> {
+    let mut buf = vec![0; len];
+    fill_pattern(id, &mut buf);
+    buf
+}
+
+/// The whole body that answers request `id` when `len` bytes of pattern were
+/// asked for: the id, a line feed and the pattern.
+pub fn answer_body(id: &str, len: usize) -> Bytes {
+    let mut buf = Vec::with_capacity(id.len() + 1 + len);
+    buf.extend_from_slice(id.as_bytes());
+    buf.push(b'\n');
+    let head = buf.len();
+    buf.resize(head + len, 0);
+    fill_pattern(id, &mut buf[head..]);
+    Bytes::from(buf)
+}
+
+fn fill_pattern(id: &str, buf: &mut [u8]) {
+    let mut hasher = Hasher::new();
+    hasher.update(id.as_bytes());
+    hasher.finalize_xof().fill(buf);
+}
--- /dev/null
+++ b/crates/standin/src/target/life.rs
@@ -0,0 +1,64 @@
+//! One life of a target, from a start to the next crash.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::counters::get;
+use super::health::Health;
+use super::health::Load;
+use super::health::Readiness;
+use super::shared::Shared;
+
+/// What belongs to one start of the target.
+#[derive(Debug)]
+pub(super) struct Life {
+    pub(super) shared: Arc<Shared>,
+    /// Which start this is, from 1.
+    pub(super) incarnation: u32,
+    /// Cancelled when the target crashes.
+    pub(super) crash: CancellationToken,
+    /// Its listener, its connections and the work that outlives them.
+    pub(super) tasks: TaskTracker,
+    warm_at: Instant,
+}
+
+impl Life {
+    /// A life that begins now, with a cold start.
+    pub(super) fn new(shared: Arc<Shared>, incarnation: u32) -> Life {
+        let warm_at = Instant::now() + shared.cfg.cold_start();
+        Life {
+            shared,
+            incarnation,
+            crash: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            warm_at,
+        }
+    }
+
+    /// Whether work is taken now.
+    pub(super) fn readiness(&self) -> Readiness {
+        if self.shared.switched().drain {
+            return Readiness::Draining;
+        }
+        match Instant::now() < self.warm_at {
+            true => Readiness::Cold,
+            false => Readiness::Ready,
+        }
+    }
+
+    /// What is so, whatever is reported.
+    pub(super) fn health(&self) -> Health {
+        let load = Load {
+            inflight: self.shared.inflight(),
+            slots: self.shared.cfg.slots.get(),
+            connections: get(&self.shared.counters.connections),
+        };
+        Health {
+            readiness: self.readiness(),
+            load,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target/listener.rs
@@ -0,0 +1,122 @@
+//! Accepting and serving connections until a crash or the end.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use sassafrasspool_core::Result;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+
+use super::life::Life;
+use super::open_connection::OpenConnection;
+use super::work;
+use crate::serve::listen_error;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// How long to wait after a failure to accept, which is mostly a lack of file
+/// descriptors and would otherwise spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// A bound port that nobody listens on.
+///
+/// A crashed target must refuse connections and then come back on the same
+/// port. This socket keeps the port taken in between, so that no other
+/// process is given it; as it doesn't listen, connecting is refused.
+#[derive(Debug)]
+pub(super) struct Reservation {
+    _socket: TcpSocket,
+    addr: SocketAddr,
+}
+
+impl Reservation {
+    /// Takes the port of `addr`; any free one if it is 0.
+    pub(super) fn take(addr: SocketAddr) -> Result<Reservation> {
+        let bound = shared_socket(addr).and_then(|socket| Ok((socket.local_addr()?, socket)));
+        let (addr, socket) = bound.map_err(|e| listen_error(addr, e))?;
+        Ok(Reservation {
+            _socket: socket,
+            addr,
+        })
+    }
+
+    /// The address with its port.
+    pub(super) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Listens on the reserved port.
+    pub(super) fn listen(&self) -> Result<TcpListener> {
+        shared_socket(self.addr)
+            .and_then(|socket| socket.listen(BACKLOG))
+            .map_err(|e| listen_error(self.addr, e))
+    }
+}
+
+fn shared_socket(addr: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(addr)?;
+    Ok(socket)
+}
+
+/// Accepts connections and serves each in a task of its own.
+pub(super) async fn accept(listener: TcpListener, life: Arc<Life>) {
+    let cancel = life.shared.cancel.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = life.crash.cancelled() => return,
+            () = cancel.cancelled() => return,
+        };
+        match accepted {
+            Ok((io, _)) => take(io, &life),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+fn take(io: TcpStream, life: &Arc<Life>) {
+    match OpenConnection::open(&life.shared) {
+        Some(open) => {
+            life.tasks.spawn(serve(io, Arc::clone(life), open));
+        }
+        None => reset(io),
+    }
+}
+
+/// Closes so that the peer gets a reset, whatever is still to be sent.
+fn reset(io: TcpStream) {
+    let _ = io.set_zero_linger();
+}
+
+async fn serve(io: TcpStream, life: Arc<Life>, _open: OpenConnection) {
+    let _ = io.set_nodelay(true);
+    tokio::time::sleep(Duration::from_millis(life.shared.cfg.connect_ms)).await;
+    let cancel = life.shared.cancel.clone();
+    let crash = life.crash.clone();
+    let service = service_fn(move |req| work::serve(Arc::clone(&life), req));
+    let mut conn = http1::Builder::new().serve_connection(TokioIo::new(io), service);
+    tokio::select! {
+        _ = &mut conn => return,
+        () = crash.cancelled() => return reset(conn.into_parts().io.into_inner()),
+        () = cancel.cancelled() => {}
+    }
+    let mut conn = pin!(conn);
+    conn.as_mut().graceful_shutdown();
+    tokio::select! {
+        _ = conn => {}
+        () = crash.cancelled() => {}
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target/open_connection.rs
@@ -0,0 +1,32 @@
+//! Counting open connections against their limit.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use super::counters::count;
+use super::shared::Shared;
+
+/// A connection within the limit, counted until this is dropped.
+#[derive(Debug)]
+pub(super) struct OpenConnection(Arc<Shared>);
+
+impl OpenConnection {
+    /// Counts one more connection; `None` if there are too many.
+    pub(super) fn open(shared: &Arc<Shared>) -> Option<OpenConnection> {
+        let counters = &shared.counters;
+        let open = count(&counters.connections);
+        let connection = OpenConnection(Arc::clone(shared));
+        if open > u64::from(shared.cfg.connections.get()) {
+            count(&counters.connections_refused);
+            return None;
+        }
+        counters.connections_peak.fetch_max(open, Ordering::Relaxed);
+        Some(connection)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.counters.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target/order.rs
@@ -0,0 +1,123 @@
+//! What a request asks of the target.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::request::Parts;
+use sassafrasspool_core::Error;
+use sassafrasspool_core::KindName;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::Step;
+
+use super::life::Life;
+use super::run::Run;
+use super::run::RunEnd;
+
+/// Names the request in the ledger and in its answer.
+pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Names the request's kind, which decides its service time.
+pub const KIND_HEADER: HeaderName = HeaderName::from_static("x-kind");
+
+/// Asks for so many bytes of pattern in the answer.
+pub const ANSWER_BYTES_HEADER: HeaderName = HeaderName::from_static("x-answer-bytes");
+
+/// Milliseconds after which the caller no longer waits.
+const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("x-request-timeout-ms");
+
+/// Noted in the ledger, so that repeats under new request ids are found.
+const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The longest request id, key or kind in bytes.
+const MAX_TEXT_BYTES: usize = 256;
+
+/// The longest pattern in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// A request's wishes, checked.
+#[derive(Debug)]
+pub(super) struct Order {
+    pub(super) id: String,
+    pub(super) key: Option<String>,
+    pub(super) kind: Option<KindName>,
+    pub(super) path: String,
+    pub(super) answer_bytes: usize,
+    pub(super) timeout: Option<Duration>,
+    pub(super) service_time: Duration,
+}
+
+impl Order {
+    /// Reads a request's head; `n` makes up an id for one that has none.
+    pub(super) fn read(life: &Life, head: &Parts, n: u64) -> Result<Order> {
+        let headers = &head.headers;
+        let times = &life.shared.cfg.service;
+        let path = head.uri.path();
+        let kind = match text(headers, &KIND_HEADER)? {
+            Some(named) => Some(KindName::new(named)?),
+            None => times.kind_of_path(path).cloned(),
+        };
+        let id = text(headers, &REQUEST_ID_HEADER)?.map(str::to_owned);
+        Ok(Order {
+            id: id.unwrap_or_else(|| format!("unnamed-{n}")),
+            key: text(headers, &KEY_HEADER)?.map(str::to_owned),
+            path: path.to_owned(),
+            answer_bytes: answer_bytes(headers)?,
+            timeout: number(headers, &TIMEOUT_HEADER)?.map(Duration::from_millis),
+            service_time: times.time(kind.as_ref()) + life.shared.switched().slow,
+            kind,
+        })
+    }
+
+    /// The ledger's entry for this request, before its body has come.
+    pub(super) fn run(&self, life: &Life) -> Run {
+        Run {
+            id: self.id.clone(),
+            key: self.key.clone(),
+            path: self.path.clone(),
+            kind: self.kind.clone(),
+            incarnation: life.incarnation,
+            started_us: life.shared.ledger.clock.now_us(),
+            ended_us: None,
+            finished: false,
+            status: None,
+            received_bytes: 0,
+            end: RunEnd::Receiving,
+        }
+    }
+}
+
+fn answer_bytes(headers: &HeaderMap) -> Result<usize> {
+    let len = number(headers, &ANSWER_BYTES_HEADER)?.unwrap_or(0);
+    match usize::try_from(len) {
+        Ok(len) if len <= MAX_ANSWER_BYTES => Ok(len),
+        _ => Err(malformed(&ANSWER_BYTES_HEADER, "is at most 64 MiB")),
+    }
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>> {
+    let Some(text) = text(headers, name)? else {
+        return Ok(None);
+    };
+    let n = text
+        .parse()
+        .map_err(|_| malformed(name, "must be a whole number"))?;
+    Ok(Some(n))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| malformed(name, "must be visible ASCII"))?;
+    if text.is_empty() || text.len() > MAX_TEXT_BYTES {
+        return Err(malformed(name, "must have 1 to 256 bytes"));
+    }
+    Ok(Some(text))
+}
+
+fn malformed(name: &HeaderName, reason: &str) -> Error {
+    Error::new(Step::Check, format!("{name} {reason}"))
+}
--- /dev/null
+++ b/crates/standin/src/target/refusal.rs
@@ -0,0 +1,42 @@
+//! Why work was not taken.
+
+use std::sync::atomic::AtomicU64;
+
+use super::counters::Counters;
+use super::health::Readiness;
+
+/// Work that was refused with 503 before any of it was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// No slot is free.
+    Shed,
+    /// The target is starting.
+    Cold,
+    /// The target finishes what it has.
+    Draining,
+}
+
+impl Refusal {
+    /// The body of the answer.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Refusal::Shed => "shed",
+            Refusal::Cold => Readiness::Cold.as_str(),
+            Refusal::Draining => Readiness::Draining.as_str(),
+        }
+    }
+
+    /// Whether the caller should leave the connection.
+    pub(super) fn closes(self) -> bool {
+        self != Refusal::Shed
+    }
+
+    /// Where such refusals are counted.
+    pub(super) fn counter(self, counters: &Counters) -> &AtomicU64 {
+        match self {
+            Refusal::Shed => &counters.shed,
+            Refusal::Cold => &counters.cold_refused,
+            Refusal::Draining => &counters.drain_refused,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/standin/main.rs
@@ -0,0 +1,6 @@
+//! The stand-ins over real connections.
+
+mod ledger;
+mod process;
+mod support;
+mod target;
