--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,13 +4,16 @@
 //! Every verb ends with a [`Verdict`], so that a script can tell "no" from
 //! "couldn't be asked". A verb never leaves out a node silently.
 
+pub use self::client::AdminClient;
 pub use self::run::run;
 pub use self::verdict::Verdict;
 
 mod args;
 mod catalogue;
 mod check;
+mod client;
 mod diff;
+mod nodes;
 mod print;
 mod report;
 mod run;
