Ask nodes what they hold, wait for convergence and drain

Operators had no view of what is in force where, and scripts no way to wait for a change.

A node that gives no usable answer is listed with the step and the peer and makes the exit code 2.

--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -10,6 +10,7 @@
 
 use crate::Verdict;
 use crate::catalogue;
+use crate::print::Finding;
 use crate::report;
 
 /// What was found in a file.
@@ -57,15 +58,6 @@
         }
     }
 
-    /// Whether a node would apply it.
-    pub(crate) fn verdict(&self) -> Verdict {
-        if self.valid {
-            Verdict::Yes
-        } else {
-            Verdict::No
-        }
-    }
-
     fn valid(file: String, held: &Catalogue) -> Checked {
         Checked {
             file,
@@ -78,6 +70,17 @@
     }
 }
 
+impl Finding for Checked {
+    /// Whether a node would apply it.
+    fn verdict(&self) -> Verdict {
+        if self.valid {
+            Verdict::Yes
+        } else {
+            Verdict::No
+        }
+    }
+}
+
 impl FoundFault {
     fn of(fault: &Fault) -> FoundFault {
         FoundFault {
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -55,25 +55,20 @@
         decode(peer, &body)
     }
 
-    /// Reads text.
+    /// Posts JSON and reads JSON; an empty answer is `null`.
     ///
     /// # Errors
     ///
-    /// Fails as [`AdminClient::get`] does, or if the body isn't UTF-8.
-    pub async fn text(&self, peer: SocketAddr, path: &str) -> Result<String> {
-        let body = self.send(Method::GET, peer, path, Bytes::new()).await?;
-        String::from_utf8(body.into()).map_err(|cause| failed(peer, "isn't text").with_cause(cause))
-    }
-
-    /// Posts JSON and gives what was answered.
-    ///
-    /// # Errors
-    ///
-    /// Fails if `body` can't be encoded, there is no answer in time or its
-    /// status isn't success.
-    pub async fn post(&self, peer: SocketAddr, path: &str, body: &impl Serialize) -> Result<Bytes> {
+    /// Fails as [`AdminClient::get`] does, or if `body` can't be encoded.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T> {
         let body = encode(peer, body)?;
-        self.send(Method::POST, peer, path, body).await
+        let body = self.send(Method::POST, peer, path, body).await?;
+        decode(peer, if body.is_empty() { b"null" } else { &body })
     }
 
     /// Puts a body as it is and reads JSON.
--- a/crates/ctl/src/diff.rs
+++ b/crates/ctl/src/diff.rs
@@ -9,6 +9,8 @@
 use serde::Serialize;
 
 use self::fields::fields;
+use crate::Verdict;
+use crate::print::Finding;
 
 mod fields;
 #[cfg(test)]
@@ -67,6 +69,12 @@
     }
 }
 
+impl Finding for Difference {
+    fn verdict(&self) -> Verdict {
+        Verdict::Yes
+    }
+}
+
 impl EntryChange {
     fn between(old: Option<&CatalogueItem>, new: Option<&CatalogueItem>) -> EntryChange {
         let change = match (old, new) {
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,102 @@
+//! `route explain`: where requests go, as each node sees it.
+
+use std::fmt;
+
+use form_urlencoded::Serializer;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::ServiceName;
+use sassafrasspool_wire::admin::EXPLAIN_PATH;
+use sassafrasspool_wire::admin::EndpointInfo;
+use sassafrasspool_wire::admin::Explanation;
+use serde::Serialize;
+
+use crate::AdminClient;
+use crate::Verdict;
+use crate::nodes::Answers;
+use crate::nodes::Nodes;
+use crate::print::Finding;
+
+/// Every node's explanation.
+#[derive(Debug, Serialize)]
+#[serde(transparent)]
+pub(crate) struct Explanations(Answers<Explanation>);
+
+impl Explanations {
+    /// Asks every node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `service` isn't a name.
+    pub(crate) async fn ask(
+        client: &AdminClient,
+        nodes: &Nodes,
+        service: &str,
+        path: Option<&str>,
+    ) -> Result<Explanations> {
+        let service = ServiceName::new(service)?;
+        let query = query(&service, path);
+        let answers = nodes.ask(|node| {
+            let query = query.clone();
+            async move { client.get(node, &query).await }
+        });
+        Ok(Explanations(answers.await))
+    }
+}
+
+fn query(service: &ServiceName, path: Option<&str>) -> String {
+    let mut query = Serializer::new(format!("{EXPLAIN_PATH}?"));
+    query.append_pair("service", service.as_str());
+    if let Some(path) = path {
+        query.append_pair("path", path);
+    }
+    query.finish()
+}
+
+impl Finding for Explanations {
+    fn verdict(&self) -> Verdict {
+        self.0.verdict(Verdict::Yes)
+    }
+}
+
+impl fmt::Display for Explanations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for answer in &self.0.answered {
+            writeln!(f, "{}  {}", answer.node, answer.said.reason)?;
+            if let Some(route) = &answer.said.route {
+                writeln!(
+                    f,
+                    "    route {} -> {}  kind {} (weight {})  {}  {}",
+                    route.path,
+                    route.service,
+                    route.kind,
+                    route.weight,
+                    route.class,
+                    if route.idempotent {
+                        "idempotent"
+                    } else {
+                        "not idempotent"
+                    },
+                )?;
+            }
+            let endpoints = answer
+                .said
+                .service
+                .iter()
+                .flat_map(|found| &found.endpoints);
+            endpoints
+                .into_iter()
+                .try_for_each(|found| endpoint(f, found))?;
+        }
+        self.0.fmt_unreachable(f)
+    }
+}
+
+fn endpoint(f: &mut fmt::Formatter<'_>, found: &EndpointInfo) -> fmt::Result {
+    let phase = found.phase;
+    let phase = phase.map_or("not heard".to_owned(), |phase| phase.to_string());
+    writeln!(
+        f,
+        "    {}  {}  {}  slots {}  listed {:?}  phase {phase}",
+        found.instance, found.domain, found.traffic, found.slots, found.listed,
+    )
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,12 +9,18 @@
 pub use self::verdict::Verdict;
 
 mod args;
+mod audit;
 mod catalogue;
 mod check;
 mod client;
+mod converged;
 mod diff;
+mod drain;
+mod explain;
 mod nodes;
 mod print;
 mod report;
 mod run;
+mod status;
 mod verdict;
+mod versions;
--- a/crates/ctl/src/nodes.rs
+++ b/crates/ctl/src/nodes.rs
@@ -55,11 +55,6 @@
         Ok(Nodes(found))
     }
 
-    /// The addresses.
-    pub(crate) fn addrs(&self) -> &[SocketAddr] {
-        &self.0
-    }
-
     /// Asks every node, some at a time; answers come in the order of nodes.
     pub(crate) async fn ask<T, F>(&self, ask: impl Fn(SocketAddr) -> F) -> Answers<T>
     where
--- a/crates/ctl/src/nodes/answers.rs
+++ b/crates/ctl/src/nodes/answers.rs
@@ -44,6 +44,13 @@
             Verdict::Unanswered
         }
     }
+
+    /// Lists the nodes without an answer.
+    pub(crate) fn fmt_unreachable(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.unreachable
+            .iter()
+            .try_for_each(|node| write!(f, "{node}"))
+    }
 }
 
 impl<T> Default for Answers<T> {
@@ -71,6 +78,6 @@
 
 impl fmt::Display for Unreachable {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "{}  unreachable: {}", self.node, self.error)
+        writeln!(f, "{}  UNREACHABLE  {}", self.node, self.error)
     }
 }
--- a/crates/ctl/src/nodes/tests.rs
+++ b/crates/ctl/src/nodes/tests.rs
@@ -28,7 +28,7 @@
     }
     let file = case.file.map(|_| path.as_path());
     match (Nodes::of(case.list, file), case.found) {
-        (Ok(nodes), Ok(count)) => assert_eq!(nodes.addrs().len(), count),
+        (Ok(nodes), Ok(count)) => assert_eq!(nodes.0.len(), count),
         (Err(err), Err(told)) => assert!(err.to_string().contains(told), "{err}"),
         (found, wanted) => panic!("{found:?}, wanted {wanted:?}"),
     }
--- a/crates/ctl/src/print.rs
+++ b/crates/ctl/src/print.rs
@@ -6,15 +6,21 @@
 
 use serde::Serialize;
 
+use crate::Verdict;
+
+/// What a verb found.
+pub(crate) trait Finding: Serialize + fmt::Display {
+    /// What the exit code tells of it.
+    fn verdict(&self) -> Verdict;
+}
+
 /// Writes `found` as one JSON object on one line, or as text.
-pub(crate) fn print(
-    out: &mut dyn Write,
-    json: bool,
-    found: &(impl Serialize + fmt::Display),
-) -> io::Result<()> {
+pub(crate) fn print(out: &mut dyn Write, json: bool, found: &impl Finding) -> io::Result<Verdict> {
     if json {
         serde_json::to_writer(&mut *out, found)?;
-        return writeln!(out);
+        writeln!(out)?;
+    } else {
+        write!(out, "{found}")?;
     }
-    write!(out, "{found}")
+    Ok(found.verdict())
 }
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::io::Write;
 use std::path::Path;
+use std::time::Duration;
 
 use sassafrasspool_core::Catalogue;
 use sassafrasspool_core::Error;
@@ -18,6 +19,11 @@
 use crate::print::print;
 use crate::report;
 
+mod ask;
+
+/// What a verb came to: an error of its own, or of the output.
+type Ended = Result<io::Result<Verdict>, Error>;
+
 /// Runs one verb; `args` are the arguments after the program's name.
 ///
 /// Findings go to `out`, errors to `err`.
@@ -46,26 +52,33 @@
     }
 }
 
-fn verb(
-    flags: &Sassafrasspoolctl,
-    out: &mut dyn Write,
-    err: &mut dyn Write,
-) -> Result<io::Result<Verdict>, Error> {
+fn verb(flags: &Sassafrasspoolctl, out: &mut dyn Write, err: &mut dyn Write) -> Ended {
     match &flags.subcommand {
         SassafrasspoolctlCmd::Check(given) => {
             let checked = Checked::file(&given.file)?;
-            let printed = print(out, flags.json, &checked);
-            Ok(printed.map(|()| checked.verdict()))
+            Ok(print(out, flags.json, &checked))
         }
         SassafrasspoolctlCmd::Diff(given) => {
             let old = whole(&given.old, err)?;
             let new = whole(&given.new, err)?;
-            let printed = print(out, flags.json, &Difference::between(&old, &new));
-            Ok(printed.map(|()| Verdict::Yes))
+            Ok(print(out, flags.json, &Difference::between(&old, &new)))
         }
+        _ => on_runtime(ask::ask(flags, out)),
     }
 }
 
+/// Runs a verb that asks nodes; one thread is enough for waiting.
+fn on_runtime(asking: impl Future<Output = Ended>) -> Ended {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime
+        .map_err(|cause| Error::new(Step::Admin, "no runtime can be started").with_cause(cause))?;
+    let ended = runtime.block_on(asking);
+    runtime.shutdown_timeout(Duration::ZERO);
+    ended
+}
+
 /// Reads a catalogue that must be valid to be compared.
 fn whole(path: &Path, err: &mut dyn Write) -> Result<Catalogue, Error> {
     let text = catalogue::read_text(path)?;
--- a/crates/ctl/tests/files.rs
+++ b/crates/ctl/tests/files.rs
@@ -1,6 +1,8 @@
 //! The verbs that read files, run as an operator runs them.
 
-use std::ffi::OsString;
+#[path = "support/ran.rs"]
+mod ran;
+
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
@@ -8,25 +10,7 @@
 use rstest::rstest;
 use sassafrasspool_ctl::Verdict;
 
-/// What one run printed and how it ended.
-#[derive(Debug)]
-struct Ran {
-    out: String,
-    err: String,
-    verdict: Verdict,
-}
-
-fn ran(args: &[&str]) -> Ran {
-    let args = args.iter().map(OsString::from).collect();
-    let mut out = Vec::new();
-    let mut err = Vec::new();
-    let verdict = sassafrasspool_ctl::run(args, &mut out, &mut err).unwrap();
-    Ran {
-        out: String::from_utf8(out).unwrap(),
-        err: String::from_utf8(err).unwrap(),
-        verdict,
-    }
-}
+use crate::ran::ran;
 
 fn examples() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples")
