Read processor time and memory, and fit lines

Slopes need the time of the nodes' threads apart from that of the stand-ins in the same process, and a line with its spread through measured points.

--- /dev/null
+++ b/crates/bench/src/fit.rs
@@ -0,0 +1,115 @@
+//! Straight lines through measured points.
+
+use serde::Serialize;
+
+#[cfg(test)]
+mod tests;
+
+/// A measured point: what was set and what came of it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Point {
+    /// What was set, such as the number of nodes.
+    pub x: f64,
+    /// What was measured.
+    pub y: f64,
+}
+
+/// The line of least squares through some points.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Fit {
+    /// What one more of `x` adds.
+    pub slope: f64,
+    /// The line's value where `x` is zero.
+    pub intercept: f64,
+    /// The standard error of the slope; zero for fewer than three points.
+    pub slope_error: f64,
+    /// The share of the variation that the line explains, 0 to 1.
+    pub r2: f64,
+    /// The largest distance of a point from the line, in units of `y`.
+    pub worst: f64,
+}
+
+/// Sums over points, taken from their means.
+#[derive(Debug)]
+struct Moments {
+    mean_x: f64,
+    mean_y: f64,
+    xx: f64,
+    xy: f64,
+    yy: f64,
+}
+
+impl Fit {
+    /// Fits a line; absent if the points don't differ in `x`.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use sassafrasspool_bench::fit::Fit;
+    /// use sassafrasspool_bench::fit::Point;
+    ///
+    /// let points = [Point { x: 1.0, y: 5.0 }, Point { x: 3.0, y: 9.0 }];
+    /// let fit = Fit::through(&points).unwrap();
+    /// assert_eq!(fit.at(10.0), 23.0);
+    /// ```
+    pub fn through(points: &[Point]) -> Option<Fit> {
+        let moments = Moments::of(points);
+        if moments.xx <= 0.0 {
+            return None;
+        }
+        let slope = moments.xy / moments.xx;
+        let intercept = moments.mean_y - slope * moments.mean_x;
+        let residual = |p: &Point| p.y - (intercept + slope * p.x);
+        let squares: f64 = points.iter().map(|p| residual(p).powi(2)).sum();
+        Some(Fit {
+            slope,
+            intercept,
+            slope_error: slope_error(squares, points.len(), moments.xx),
+            r2: explained(squares, moments.yy),
+            worst: points.iter().map(|p| residual(p).abs()).fold(0.0, f64::max),
+        })
+    }
+
+    /// The line's value at `x`.
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+
+    /// Twice the slope's standard error over the distance to `x`: how far
+    /// the line may be off at `x` by the spread of the points alone.
+    pub fn spread_at(&self, x: f64) -> f64 {
+        2.0 * self.slope_error * x
+    }
+}
+
+impl Moments {
+    fn of(points: &[Point]) -> Moments {
+        let n = points.len().max(1) as f64;
+        let mean_x = points.iter().map(|p| p.x).sum::<f64>() / n;
+        let mean_y = points.iter().map(|p| p.y).sum::<f64>() / n;
+        let sum = |f: &dyn Fn(f64, f64) -> f64| -> f64 {
+            points.iter().map(|p| f(p.x - mean_x, p.y - mean_y)).sum()
+        };
+        Moments {
+            mean_x,
+            mean_y,
+            xx: sum(&|dx, _| dx * dx),
+            xy: sum(&|dx, dy| dx * dy),
+            yy: sum(&|_, dy| dy * dy),
+        }
+    }
+}
+
+fn slope_error(squares: f64, points: usize, xx: f64) -> f64 {
+    if points < 3 {
+        return 0.0;
+    }
+    (squares / (points - 2) as f64 / xx).sqrt()
+}
+
+fn explained(squares: f64, yy: f64) -> f64 {
+    if yy <= 0.0 {
+        return 1.0;
+    }
+    1.0 - squares / yy
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,8 @@
 //! of samples and the output.
 
 pub mod cli;
+pub mod fit;
 pub mod generate;
 pub mod output;
 pub mod summary;
+pub mod usage;
