Generate open-loop load and judge what became of it

Whether a request was lost, cut, doubled or falsely refused shows neither in the callers' records nor in the targets' ledgers alone. A fleet runs its nodes as processes, so that they can be killed and paused.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 pub mod fit;
 pub mod generate;
+pub mod load;
 pub mod output;
 pub mod summary;
 pub mod usage;
--- /dev/null
+++ b/crates/bench/src/load/fleet/member.rs
@@ -0,0 +1,50 @@
+//! One instance of a running fleet.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use sassafrasspool_core::Instance;
+use sassafrasspool_standin::Target;
+use tokio::sync::Mutex;
+
+use crate::load::LedgerRun;
+use crate::load::NodeProcess;
+
+/// A target with the node beside it.
+#[derive(Debug)]
+pub struct Member {
+    /// Its number.
+    pub n: usize,
+    /// As the platform lists it.
+    pub instance: Instance,
+    /// Where its node takes calls from outside.
+    pub ingress: SocketAddr,
+    /// Where its node answers operators.
+    pub admin: SocketAddr,
+    /// Its target.
+    pub target: Target,
+    /// Its node, unless that is down.
+    pub node: Mutex<Option<NodeProcess>>,
+    pub(super) settings: PathBuf,
+    pub(super) log: PathBuf,
+}
+
+impl Member {
+    /// Starts its node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be started.
+    pub async fn start_node(&self) -> std::io::Result<()> {
+        let node = NodeProcess::start(&self.settings, &self.log)?;
+        *self.node.lock().await = Some(node);
+        Ok(())
+    }
+
+    /// What its target ran.
+    pub fn runs(&self) -> Vec<LedgerRun> {
+        let runs = self.target.ledger().runs.into_iter();
+        let instance = self.n;
+        runs.map(|run| LedgerRun { instance, run }).collect()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/fleet/settings.rs
@@ -0,0 +1,47 @@
+//! The settings of a node's process.
+
+use std::net::SocketAddr;
+
+use sassafrasspool_core::Instance;
+
+/// Where a node listens, beside the addresses in the instance list.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Listen {
+    pub(super) ingress: SocketAddr,
+    pub(super) egress: SocketAddr,
+    pub(super) admin: SocketAddr,
+}
+
+/// The text of a node's settings.
+pub(super) fn text(
+    instance: &Instance,
+    listen: Listen,
+    target: SocketAddr,
+    platform: SocketAddr,
+) -> String {
+    let Instance {
+        id,
+        service,
+        region,
+        domain,
+        traffic,
+        control,
+        slots,
+        ..
+    } = instance;
+    let Listen {
+        ingress,
+        egress,
+        admin,
+    } = listen;
+    format!(
+        "instance: {id}\n\
+         service: {service}\n\
+         region: {region}\n\
+         domain: {domain}\n\
+         listen: {{ingress: \"{ingress}\", egress: \"{egress}\", traffic: \"{traffic}\", \
+         control: \"{control}\", admin: \"{admin}\"}}\n\
+         target: {{addr: \"{target}\", slots: {slots}, connections: {slots}, ready_path: /healthz}}\n\
+         platform: {{addr: \"{platform}\"}}\n"
+    )
+}
--- /dev/null
+++ b/crates/bench/src/load/fleet/whole.rs
@@ -0,0 +1,170 @@
+//! Starting a fleet.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use miette::IntoDiagnostic;
+use miette::miette;
+use sassafrasspool_core::DomainName;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::InstanceState;
+use sassafrasspool_core::RegionName;
+use sassafrasspool_core::ServiceName;
+use sassafrasspool_standin::Platform;
+use sassafrasspool_standin::PlatformSettings;
+use sassafrasspool_standin::Target;
+use tempfile::TempDir;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::layout::Layout;
+use super::layout::Place;
+use super::member::Member;
+use super::settings;
+use super::settings::Listen;
+use crate::load::LedgerRun;
+use crate::load::Ports;
+use crate::load::admin;
+
+/// The region that all instances stand in.
+const REGION: &str = "ulaanbaatar";
+
+/// How often a node that isn't ready is asked again.
+const POLL: Duration = Duration::from_millis(20);
+
+/// A running fleet; its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: Platform,
+    /// The instances in the order of their numbers.
+    pub members: Vec<Member>,
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// Starts the platform, all targets and nodes, and waits until each node
+    /// is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if something can't be started or isn't ready in time.
+    pub async fn start(layout: &Layout) -> miette::Result<Fleet> {
+        let cancel = CancellationToken::new();
+        let platform = Platform::start(PlatformSettings::default(), cancel.clone())
+            .await
+            .into_diagnostic()?;
+        let dir = tempfile::tempdir().into_diagnostic()?;
+        let mut ports = Ports::new();
+        let mut members = Vec::new();
+        for (n, place) in layout.places.iter().enumerate() {
+            let target = Target::start(place.target.clone(), cancel.clone());
+            let target = target.await.into_diagnostic()?;
+            let member = member(n, place, target, &mut ports, dir.path(), platform.addr())?;
+            members.push(member);
+        }
+        let fleet = Fleet {
+            platform,
+            members,
+            dir,
+        };
+        fleet.publish(layout)?;
+        if layout.nodes {
+            fleet.start_nodes().await?;
+            fleet.until_ready(layout.patience).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Where callers reach the nodes.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|member| member.ingress).collect()
+    }
+
+    /// What all targets ran.
+    pub fn runs(&self) -> Vec<LedgerRun> {
+        self.members.iter().flat_map(Member::runs).collect()
+    }
+
+    /// Waits until every node is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one isn't after `patience`, and says which.
+    pub async fn until_ready(&self, patience: Duration) -> miette::Result<()> {
+        let end = Instant::now() + patience;
+        for member in &self.members {
+            while !admin::is_ready(member.admin).await {
+                if Instant::now() >= end {
+                    let log = std::fs::read_to_string(&member.log).unwrap_or_default();
+                    return Err(miette!("{} isn't ready; {log}", member.instance.id));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Keeps the nodes' settings and logs after the end, and says where.
+    pub fn keep_logs(self) -> std::path::PathBuf {
+        self.dir.keep()
+    }
+
+    fn publish(&self, layout: &Layout) -> miette::Result<()> {
+        let list: Vec<Instance> = self.members.iter().map(|m| m.instance.clone()).collect();
+        let catalogue = self.platform.publish_catalogue(&layout.catalogue);
+        catalogue.into_diagnostic()?;
+        self.platform.publish_instances(&list).into_diagnostic()?;
+        Ok(())
+    }
+
+    async fn start_nodes(&self) -> miette::Result<()> {
+        for member in &self.members {
+            member.start_node().await.into_diagnostic()?;
+        }
+        Ok(())
+    }
+}
+
+fn member(
+    n: usize,
+    place: &Place,
+    target: Target,
+    ports: &mut Ports,
+    dir: &Path,
+    platform: SocketAddr,
+) -> miette::Result<Member> {
+    let mut take = || ports.take().into_diagnostic();
+    let listen = Listen {
+        ingress: take()?,
+        egress: take()?,
+        admin: take()?,
+    };
+    let instance = Instance {
+        id: InstanceId::new(&format!("{}-{n}", place.service)).into_diagnostic()?,
+        service: ServiceName::new(&place.service).into_diagnostic()?,
+        region: RegionName::new(REGION).into_diagnostic()?,
+        domain: DomainName::new(place.domain).into_diagnostic()?,
+        traffic: take()?,
+        control: take()?,
+        slots: place.target.slots.get(),
+        connections: place.target.connections.get(),
+        state: InstanceState::Live,
+    };
+    let settings = dir.join(format!("{}.yaml", instance.id));
+    let text = settings::text(&instance, listen, target.addr(), platform);
+    std::fs::write(&settings, text).into_diagnostic()?;
+    Ok(Member {
+        n,
+        log: dir.join(format!("{}.log", instance.id)),
+        instance,
+        ingress: listen.ingress,
+        admin: listen.admin,
+        target,
+        node: Mutex::new(None),
+        settings,
+    })
+}
--- /dev/null
+++ b/crates/bench/src/load/judge.rs
@@ -0,0 +1,14 @@
+//! What became of the calls, from callers' records and targets' ledgers.
+
+pub use self::evidence::Evidence;
+pub use self::evidence::judge;
+pub use self::ledger_run::LedgerRun;
+pub use self::outage::Outage;
+pub use self::outage::OutageKind;
+pub use self::verdict::KindCount;
+pub use self::verdict::Verdict;
+
+mod evidence;
+mod ledger_run;
+mod outage;
+mod verdict;
--- /dev/null
+++ b/crates/bench/src/load/open_loop.rs
@@ -0,0 +1,51 @@
+//! Sending a plan's calls when they are due, whatever became of earlier ones.
+
+use std::sync::Arc;
+
+use tokio::task::JoinSet;
+
+use super::pacer::Pacer;
+use super::plan::Plan;
+use super::record::CallRecord;
+use super::repeat::Caller;
+use crate::summary::Samples;
+
+/// Calls that may be under way at once; more would only measure this process.
+const MOST_UNDER_WAY: usize = 20_000;
+
+/// The records of a run.
+#[derive(Debug, Default)]
+pub struct OpenLoop {
+    /// One record for each attempt, in no order.
+    pub records: Vec<CallRecord>,
+    /// By how much calls were released late, which says whether the machine
+    /// kept up with the plan.
+    pub late: Samples,
+    /// Calls that were never made since too many were under way.
+    pub dropped: u64,
+}
+
+impl OpenLoop {
+    /// Makes all calls of `plan` and waits for their ends.
+    pub async fn run(plan: Plan, caller: Arc<Caller>) -> OpenLoop {
+        let mut done = OpenLoop::default();
+        let mut calls = JoinSet::new();
+        let mut pacer = Pacer::start(plan);
+        while let Some(due) = pacer.next().await {
+            done.late.add(due.late);
+            if calls.len() >= MOST_UNDER_WAY {
+                done.dropped += 1;
+                continue;
+            }
+            let caller = Arc::clone(&caller);
+            calls.spawn(async move { caller.call(due).await });
+            while let Some(Ok(records)) = calls.try_join_next() {
+                done.records.extend(records);
+            }
+        }
+        while let Some(Ok(records)) = calls.join_next().await {
+            done.records.extend(records);
+        }
+        done
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/record.rs
@@ -0,0 +1,41 @@
+//! What the caller knows of one attempt.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sassafrasspool_core::Class;
+
+use super::ending::Ending;
+
+/// One attempt of a call, as its caller saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallRecord {
+    /// The attempt's request id.
+    pub id: String,
+    /// The key that all attempts of its call share.
+    pub key: Option<String>,
+    /// Which attempt it is, from 1.
+    pub attempt: u32,
+    /// The name of its kind.
+    pub kind: &'static str,
+    /// Its class.
+    pub class: Class,
+    /// How much its answer counts.
+    pub weight: u32,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+    /// The node that it was sent to, if one took it.
+    pub entry: Option<SocketAddr>,
+    /// When it was sent, in microseconds since the Unix epoch.
+    pub sent_us: u64,
+    /// When its caller was done with it, on the same clock.
+    pub ended_us: u64,
+    /// From when it was due until its last byte came.
+    pub latency: Duration,
+    /// The status of its answer, if one began.
+    pub status: Option<u16>,
+    /// How it ended.
+    pub ending: Ending,
+    /// What went wrong, for a person; empty if nothing did.
+    pub detail: String,
+}
--- /dev/null
+++ b/crates/bench/src/load/request.rs
@@ -0,0 +1,94 @@
+//! One attempt as it goes over the connection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::header::HOST;
+use http_body_util::Full;
+use sassafrasspool_standin::target::ANSWER_BYTES_HEADER;
+use sassafrasspool_standin::target::KIND_HEADER;
+use sassafrasspool_wire::header::IDEMPOTENCY_KEY;
+use sassafrasspool_wire::header::REQUEST_ATTEMPT;
+use sassafrasspool_wire::header::REQUEST_ID;
+use sassafrasspool_wire::header::REQUEST_TIMEOUT_MS;
+
+use super::kind::CallKind;
+use super::plan::Call;
+
+/// One attempt of a call.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Attempt {
+    /// Its request id.
+    pub id: String,
+    /// The key of its call, if that has one.
+    pub key: Option<String>,
+    /// Which attempt it is, from 1.
+    pub number: u32,
+    /// Where it is sent.
+    pub path: &'static str,
+    /// The kind that the target is told.
+    pub kind: &'static str,
+    /// Bytes of pattern that it asks for.
+    pub answer_bytes: usize,
+    /// Bytes that it sends.
+    pub request_bytes: usize,
+    /// How long it wants an answer for.
+    pub timeout: Duration,
+}
+
+impl Attempt {
+    /// The `number`th attempt of `call`; `run` tells runs on one target apart.
+    pub fn new(run: &str, call: &Call, kind: &CallKind, number: u32, timeout: Duration) -> Attempt {
+        let key = format!("{run}-{}", call.n);
+        Attempt {
+            id: format!("{key}-{number}"),
+            key: call.keyed.then_some(key),
+            number,
+            path: kind.path,
+            kind: kind.name,
+            answer_bytes: call.answer_bytes,
+            request_bytes: call.request_bytes,
+            timeout,
+        }
+    }
+
+    /// Whether an answer that names `id` answers this attempt: with a key, an
+    /// answer to an earlier attempt of the same call does.
+    pub fn is_answered_by(&self, id: &str) -> bool {
+        let Some(key) = &self.key else {
+            return id == self.id;
+        };
+        let number = id
+            .strip_prefix(key.as_str())
+            .and_then(|rest| rest.strip_prefix('-'));
+        number.is_some_and(|number| number.parse::<u32>().is_ok())
+    }
+
+    /// The request that is sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a header or the path has a byte that HTTP doesn't take.
+    pub fn request(&self, host: &str) -> http::Result<Request<Full<Bytes>>> {
+        let method = match self.request_bytes {
+            0 => Method::GET,
+            _ => Method::POST,
+        };
+        let timeout_ms = u64::try_from(self.timeout.as_millis()).unwrap_or(u64::MAX);
+        let mut req = Request::builder()
+            .method(method)
+            .uri(self.path)
+            .header(HOST, host)
+            .header(REQUEST_ID, &self.id)
+            .header(KIND_HEADER, self.kind)
+            .header(ANSWER_BYTES_HEADER, self.answer_bytes)
+            .header(REQUEST_ATTEMPT, self.number)
+            .header(REQUEST_TIMEOUT_MS, timeout_ms);
+        if let Some(key) = &self.key {
+            req = req.header(IDEMPOTENCY_KEY, key);
+        }
+        req.body(Full::new(Bytes::from(vec![b'r'; self.request_bytes])))
+    }
+}
