--- /dev/null
+++ b/crates/bench/src/calls/pairs.rs
@@ -0,0 +1,122 @@
+//! Pairs of calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::task::JoinSet;
+
+use crate::load::Attempt;
+use crate::load::Call;
+use crate::load::Client;
+use crate::load::Due;
+use crate::load::Ending;
+use crate::load::Pacer;
+use crate::load::Plan;
+use crate::summary::Samples;
+
+/// How long a call may take.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Where the calls to one instance go.
+#[derive(Debug, Clone)]
+pub(super) struct Way {
+    /// The instance's target.
+    pub(super) target: SocketAddr,
+    /// Where another instance's node takes calls.
+    pub(super) entry: SocketAddr,
+    /// The path whose route leads to the instance's service.
+    pub(super) path: &'static str,
+}
+
+/// What is measured.
+#[derive(Debug, Default)]
+pub(super) struct Measured {
+    pub(super) direct: Samples,
+    pub(super) via: Samples,
+    pub(super) added: Samples,
+    pub(super) late: Samples,
+    pub(super) unanswered: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pair {
+    direct: Option<Duration>,
+    via: Option<Duration>,
+}
+
+impl Measured {
+    fn add(&mut self, pair: Pair) {
+        let (Some(direct), Some(via)) = (pair.direct, pair.via) else {
+            self.unanswered += 1;
+            return;
+        };
+        self.direct.add(direct);
+        self.via.add(via);
+        self.added.add(via.saturating_sub(direct));
+    }
+}
+
+/// Makes all pairs of `plan`, which are spread over `ways`.
+pub(super) async fn measure(run: &'static str, plan: Plan, ways: &[Way]) -> Measured {
+    let client = Arc::new(Client::default());
+    let mut measured = Measured::default();
+    let mut pairs = JoinSet::new();
+    let mut pacer = Pacer::start(plan);
+    while let Some(due) = pacer.next().await {
+        measured.late.add(due.late);
+        let len = u64::try_from(ways.len()).unwrap_or(1);
+        let at = usize::try_from(due.call.draw / 2 % len).unwrap_or(0);
+        let way = ways[at].clone();
+        let client = Arc::clone(&client);
+        pairs.spawn(async move { pair(run, &client, &way, due).await });
+        while let Some(Ok(pair)) = pairs.try_join_next() {
+            measured.add(pair);
+        }
+    }
+    while let Some(Ok(pair)) = pairs.join_next().await {
+        measured.add(pair);
+    }
+    measured
+}
+
+async fn pair(run: &str, client: &Client, way: &Way, due: Due) -> Pair {
+    let direct_first = due.call.draw.is_multiple_of(2);
+    let direct = || call(client, way.target, attempt(run, way, &due.call, "direct"));
+    let via = || call(client, way.entry, attempt(run, way, &due.call, "via"));
+    match direct_first {
+        true => Pair {
+            direct: direct().await,
+            via: via().await,
+        },
+        false => {
+            let via = via().await;
+            Pair {
+                direct: direct().await,
+                via,
+            }
+        }
+    }
+}
+
+fn attempt(run: &str, way: &Way, call: &Call, which: &str) -> Attempt {
+    Attempt {
+        id: format!("{run}-{}-{which}", call.n),
+        key: None,
+        number: 1,
+        path: way.path,
+        kind: "lookup",
+        answer_bytes: call.answer_bytes,
+        request_bytes: 0,
+        timeout: PATIENCE,
+    }
+}
+
+/// How long a call took; `None` if it wasn't answered.
+async fn call(client: &Client, addr: SocketAddr, attempt: Attempt) -> Option<Duration> {
+    let start = Instant::now();
+    let exchange = client.exchange(&[addr], &attempt, PATIENCE).await;
+    let took = start.elapsed();
+    (exchange.ending == Ending::Answered).then_some(took)
+}
--- /dev/null
+++ b/crates/bench/src/calls/process.rs
@@ -0,0 +1,59 @@
+//! What the system counts for a process.
+
+use std::fs;
+
+/// Nanoseconds in a microsecond.
+const NS_PER_US: u64 = 1_000;
+
+/// Processor time that all threads of `pid` took so far, in microseconds.
+///
+/// The scheduler's own count is read, since the usual one has steps of a
+/// hundredth of a second.
+pub(super) fn cpu_us(pid: u32) -> Option<u64> {
+    let mut ns = 0;
+    for task in fs::read_dir(format!("/proc/{pid}/task")).ok()? {
+        let file = task.ok()?.path().join("schedstat");
+        let text = fs::read_to_string(file).ok()?;
+        let on_cpu: u64 = text.split_whitespace().next()?.parse().ok()?;
+        ns += on_cpu;
+    }
+    Some(ns / NS_PER_US)
+}
+
+/// TCP connections that `pid` has open, listeners left out.
+pub(super) fn connections(pid: u32) -> Option<usize> {
+    let established = established_inodes(pid)?;
+    let mut open = 0;
+    for fd in fs::read_dir(format!("/proc/{pid}/fd")).ok()? {
+        let Ok(link) = fs::read_link(fd.ok()?.path()) else {
+            continue;
+        };
+        let link = link.to_string_lossy().into_owned();
+        let inode = link.strip_prefix("socket:[");
+        let inode = inode.and_then(|rest| rest.strip_suffix(']'));
+        if inode.is_some_and(|inode| established.iter().any(|known| known == inode)) {
+            open += 1;
+        }
+    }
+    Some(open)
+}
+
+/// The machine's load over one, five and fifteen minutes.
+pub(crate) fn load_average() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let parts: Vec<&str> = text.split_whitespace().take(3).collect();
+    parts.join(" ")
+}
+
+fn established_inodes(pid: u32) -> Option<Vec<String>> {
+    /// How the system writes the state of an open connection.
+    const ESTABLISHED: &str = "01";
+    let table = fs::read_to_string(format!("/proc/{pid}/net/tcp")).ok()?;
+    let rows = table.lines().skip(1);
+    let fields = rows.map(|row| row.split_whitespace().collect::<Vec<_>>());
+    let open = fields.filter(|fields| fields.get(3) == Some(&ESTABLISHED));
+    Some(
+        open.filter_map(|fields| fields.get(9).map(|inode| (*inode).to_owned()))
+            .collect(),
+    )
+}
--- /dev/null
+++ b/crates/bench/src/calls/run.rs
@@ -0,0 +1,152 @@
+//! One run.
+
+use std::time::Duration;
+
+use sassafrasspool_core::Class;
+use sassafrasspool_standin::TargetSettings;
+
+use super::Options;
+use super::Report;
+use super::pairs::Measured;
+use super::pairs::Way;
+use super::pairs::measure;
+use super::process;
+use crate::load::CallKind;
+use crate::load::Fleet;
+use crate::load::Keys;
+use crate::load::Layout;
+use crate::load::Place;
+use crate::load::Plan;
+use crate::summary::SummaryMs;
+
+/// Calls that open connections and warm caches, before any is measured.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// How long the fleet may take to be ready.
+const READY: Duration = Duration::from_secs(20);
+
+/// Runs the pairs and reports what the nodes added.
+///
+/// # Errors
+///
+/// Fails if the fleet can't be started.
+pub async fn run(opts: Options) -> miette::Result<Report> {
+    let load_average = process::load_average();
+    let fleet = Fleet::start(&layout(opts)).await?;
+    let ways = ways(&fleet);
+    measure("warm", plan(opts, WARM_UP), &ways).await;
+    let pids = pids(&fleet).await;
+    let cpu_before = cpu(&pids);
+    let measured = measure("calls", plan(opts, opts.length), &ways).await;
+    let cpu_us = cpu(&pids) - cpu_before;
+    let connections = pids.iter().filter_map(|pid| process::connections(*pid));
+    let connections = connections.max().unwrap_or(0);
+    Ok(report(opts, &measured, cpu_us, connections, load_average))
+}
+
+fn plan(opts: Options, length: Duration) -> Plan {
+    let kind = CallKind {
+        name: "lookup",
+        path: "/",
+        class: Class::Standard,
+        weight: 1,
+        idempotent: true,
+        keys: Keys::None,
+        share: 1,
+        answer_bytes: opts.answer_bytes,
+        request_bytes: 0,
+    };
+    let rate = opts.rate_per_node * opts.nodes as f64;
+    Plan::new(&[kind], rate, length, opts.seed)
+}
+
+fn layout(opts: Options) -> Layout {
+    let place = |n| Place::new(n, service(n), TargetSettings::default());
+    Layout {
+        places: (0..opts.nodes).map(place).collect(),
+        catalogue: catalogue(opts.nodes),
+        nodes: true,
+        patience: READY,
+    }
+}
+
+fn service(n: usize) -> String {
+    format!("desk-{n}")
+}
+
+fn path(n: usize) -> String {
+    format!("/desk-{n}")
+}
+
+fn catalogue(nodes: usize) -> String {
+    let mut text = String::from("kinds:\n  lookup: {weight: 1}\nservices:\n");
+    for n in 0..nodes {
+        let service = service(n);
+        let path = path(n);
+        text += &format!(
+            "  {service}:\n    owner: team\n    class: standard\n    \
+             limits: {{rate_per_s: 100000, concurrency: 1000, deadline_ms: 5000}}\n    \
+             routes:\n      - {{path: {path}, kind: lookup, idempotent: true}}\n"
+        );
+    }
+    text
+}
+
+/// To each instance by the node of the next one, so that every call has both
+/// hops. The paths live as long as the process: there are few.
+fn ways(fleet: &Fleet) -> Vec<Way> {
+    let members = &fleet.members;
+    let way = |n: usize| Way {
+        target: members[n].target.addr(),
+        entry: members[(n + 1) % members.len()].ingress,
+        path: path(n).leak(),
+    };
+    (0..members.len()).map(way).collect()
+}
+
+async fn pids(fleet: &Fleet) -> Vec<u32> {
+    let mut pids = Vec::new();
+    for member in &fleet.members {
+        let node = member.node.lock().await;
+        pids.extend(node.as_ref().and_then(|node| node.pid()));
+    }
+    pids
+}
+
+fn cpu(pids: &[u32]) -> u64 {
+    pids.iter().filter_map(|pid| process::cpu_us(*pid)).sum()
+}
+
+fn report(
+    opts: Options,
+    measured: &Measured,
+    cpu_us: u64,
+    connections: usize,
+    load_average: String,
+) -> Report {
+    let pairs = measured.via.len();
+    let seconds = opts.length.as_secs_f64();
+    let direct_ms = measured.direct.summary();
+    let via_ms = measured.via.summary();
+    Report {
+        verb: "calls",
+        nodes: opts.nodes,
+        rate_per_node: opts.rate_per_node,
+        seconds,
+        pairs,
+        unanswered: measured.unanswered,
+        added_ms: measured.added.summary(),
+        added_at_percentile_ms: SummaryMs {
+            p50: via_ms.p50 - direct_ms.p50,
+            p99: via_ms.p99 - direct_ms.p99,
+            max: via_ms.max - direct_ms.max,
+        },
+        direct_ms,
+        via_ms,
+        calls_per_s: pairs as f64 / seconds,
+        cpu_us_per_call: cpu_us as f64 / pairs.max(1) as f64,
+        connections_per_node: connections,
+        release_late_ms: measured.late.summary(),
+        load_average,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/chaos/driver.rs
@@ -0,0 +1,265 @@
+//! Doing what the script says.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use miette::IntoDiagnostic;
+use sassafrasspool_core::InstanceState;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::Stream;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_standin::target::HealthReport;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::events::Stopped;
+use super::fault::Fault;
+use super::log::Log;
+use super::log::now_us;
+use super::operators::Operators;
+use super::script::Script;
+use crate::load::Fleet;
+use crate::load::Member;
+use crate::load::Outage;
+use crate::load::OutageKind;
+
+/// One answer in so many is late while answers are.
+const LATE_EVERY: u64 = 3;
+
+/// What faults are done with.
+#[derive(Debug)]
+pub(super) struct Driver {
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) operators: Operators,
+    pub(super) log: Arc<Log>,
+    /// Whether there are nodes to hurt; else their faults hit the targets.
+    pub(super) nodes: bool,
+    pub(super) stops: Mutex<Vec<Stopped>>,
+}
+
+impl Driver {
+    /// Does every step when it is due and waits until all faults are over.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process can't be hurt or started as the script says.
+    pub(super) async fn play(self: &Arc<Driver>, script: &Script) -> miette::Result<()> {
+        let start = Instant::now();
+        let mut under_way = JoinSet::new();
+        for step in &script.steps {
+            tokio::time::sleep_until(start + step.at).await;
+            let driver = Arc::clone(self);
+            let fault = step.fault;
+            under_way.spawn(async move { driver.perform(fault).await });
+        }
+        while let Some(done) = under_way.join_next().await {
+            done.into_diagnostic()??;
+        }
+        Ok(())
+    }
+
+    async fn perform(&self, fault: Fault) -> miette::Result<()> {
+        match fault {
+            Fault::Stop { instance, down } => self.stop(instance, down).await,
+            Fault::Kill { instance, down } => self.kill(instance, down).await,
+            Fault::KillHerd { down } => self.kill_herd(down).await,
+            Fault::Pause { instance, length } => self.pause(instance, length).await,
+            Fault::CrashTarget { instance, down } => self.crash_target(instance, down).await,
+            Fault::Crash { instance, down } => {
+                let target = self.crash_target(instance, down);
+                let (node, target) = tokio::join!(self.kill(instance, down), target);
+                node.and(target)
+            }
+            Fault::PublishGood => self.operators.publish_good(&self.fleet.platform, &self.log),
+            Fault::PublishBad => self.operators.publish_bad(&self.fleet.platform, &self.log),
+            fault if fault.is_of_platform() => self.mislead(fault).await,
+            fault => {
+                self.hinder(fault).await;
+                Ok(())
+            }
+        }
+    }
+
+    fn member(&self, instance: usize) -> &Member {
+        &self.fleet.members[instance]
+    }
+
+    async fn stop(&self, instance: usize, down: Duration) -> miette::Result<()> {
+        let member = self.member(instance);
+        let target = member.instance.id.clone();
+        let platform = &self.fleet.platform;
+        self.log.record(Event::DrainBegan {
+            target: target.clone(),
+        });
+        self.operators
+            .list_as(instance, InstanceState::Leaving, platform, &self.log)?;
+        if !self.nodes {
+            member.target.set_drain(true).await;
+            member.target.crash().await;
+        }
+        if let Some(node) = member.node.lock().await.take() {
+            node.stop().await.into_diagnostic()?;
+        }
+        let stopped = Stopped {
+            instance,
+            at_us: now_us(),
+        };
+        self.stops
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(stopped);
+        self.log.record(Event::DrainEnded { target, cut: 0 });
+        self.lost(instance);
+        tokio::time::sleep(down).await;
+        if !self.nodes {
+            member.target.set_drain(false).await;
+            member.target.restart().await.into_diagnostic()?;
+        }
+        self.start(instance).await?;
+        self.operators
+            .list_as(instance, InstanceState::Live, platform, &self.log)
+    }
+
+    async fn kill(&self, instance: usize, down: Duration) -> miette::Result<()> {
+        let from_us = now_us();
+        if !self.nodes {
+            return self.crash_target(instance, down).await;
+        }
+        self.lost(instance);
+        if let Some(node) = self.member(instance).node.lock().await.take() {
+            node.kill().await.into_diagnostic()?;
+        }
+        tokio::time::sleep(down).await;
+        self.start(instance).await?;
+        self.note(instance, OutageKind::NodeKilled, from_us);
+        Ok(())
+    }
+
+    async fn kill_herd(&self, down: Duration) -> miette::Result<()> {
+        let herd = (0..self.fleet.members.len()).step_by(2);
+        let kills = herd.map(|instance| self.kill(instance, down));
+        let done = futures::future::join_all(kills).await;
+        done.into_iter().collect()
+    }
+
+    async fn pause(&self, instance: usize, length: Duration) -> miette::Result<()> {
+        let member = self.member(instance);
+        if !self.nodes {
+            member.target.set_slow(length).await;
+            tokio::time::sleep(length).await;
+            member.target.set_slow(Duration::ZERO).await;
+            return Ok(());
+        }
+        let from_us = now_us();
+        self.lost(instance);
+        let node = member.node.lock().await;
+        if let Some(node) = &*node {
+            node.pause().into_diagnostic()?;
+            tokio::time::sleep(length).await;
+            node.resume().into_diagnostic()?;
+        }
+        self.back(instance);
+        self.note(instance, OutageKind::NodePaused, from_us);
+        Ok(())
+    }
+
+    async fn crash_target(&self, instance: usize, down: Duration) -> miette::Result<()> {
+        let member = self.member(instance);
+        let from_us = now_us();
+        member.target.crash().await;
+        self.log.record(Event::Crashed {
+            target: member.instance.id.clone(),
+        });
+        tokio::time::sleep(down).await;
+        member.target.restart().await.into_diagnostic()?;
+        self.note(instance, OutageKind::TargetCrashed, from_us);
+        Ok(())
+    }
+
+    /// Faults of a target that end by themselves.
+    async fn hinder(&self, fault: Fault) {
+        let Some(instance) = fault.instance() else {
+            return;
+        };
+        let target = &self.member(instance).target;
+        match fault {
+            Fault::DrainTarget { .. } => target.set_drain(true).await,
+            Fault::SlowTarget { extra, .. } => target.set_slow(extra).await,
+            Fault::LateAnswers { by, .. } => target.late_answers(LATE_EVERY, by).await,
+            _ => target.lie_about_health(HealthReport::Ill).await,
+        }
+        tokio::time::sleep(fault.length()).await;
+        match fault {
+            Fault::DrainTarget { .. } => target.set_drain(false).await,
+            Fault::SlowTarget { .. } => target.set_slow(Duration::ZERO).await,
+            Fault::LateAnswers { .. } => target.late_answers(0, Duration::ZERO).await,
+            _ => target.lie_about_health(HealthReport::Truth).await,
+        }
+    }
+
+    /// Faults of the platform that end by themselves.
+    async fn mislead(&self, fault: Fault) -> miette::Result<()> {
+        let platform = &self.fleet.platform;
+        self.log.record(Event::SourceLost);
+        match fault {
+            Fault::Outage { .. } => platform.set_outage(true),
+            Fault::Stale { .. } => platform.set_stale(true),
+            Fault::StepBack { .. } => self.step_back()?,
+            Fault::ListLag { lag, .. } => platform.set_list_lag(lag),
+            Fault::SlowPlatform { delay, .. } => platform.set_answer_delay(delay),
+            _ => {}
+        }
+        tokio::time::sleep(fault.length()).await;
+        match fault {
+            Fault::Outage { .. } => platform.set_outage(false),
+            Fault::Stale { .. } | Fault::StepBack { .. } => platform.set_stale(false),
+            Fault::ListLag { lag, .. } => {
+                platform.set_list_lag(Duration::ZERO);
+                // A list of the last moment is still held back that long.
+                tokio::time::sleep(lag).await;
+            }
+            _ => platform.set_answer_delay(Duration::ZERO),
+        }
+        self.log.record(Event::SourceBack);
+        Ok(())
+    }
+
+    fn step_back(&self) -> miette::Result<()> {
+        let last = self.operators.last_revision(Stream::Catalogue);
+        let older = Revision::new(last.saturating_sub(1).max(1)).into_diagnostic()?;
+        let platform = &self.fleet.platform;
+        platform
+            .set_stale_at(Stream::Catalogue, older)
+            .into_diagnostic()
+    }
+
+    async fn start(&self, instance: usize) -> miette::Result<()> {
+        if self.nodes {
+            self.member(instance).start_node().await.into_diagnostic()?;
+        }
+        self.back(instance);
+        Ok(())
+    }
+
+    fn lost(&self, instance: usize) {
+        let node = self.member(instance).instance.id.clone();
+        self.log.record(Event::NodeLost { node });
+    }
+
+    fn back(&self, instance: usize) {
+        let node = self.member(instance).instance.id.clone();
+        self.log.record(Event::NodeBack { node });
+    }
+
+    fn note(&self, instance: usize, kind: OutageKind, from_us: u64) {
+        self.log.add(Outage {
+            instance,
+            entry: self.member(instance).ingress,
+            kind,
+            from_us,
+            to_us: now_us(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/bench/src/chaos/events.rs
@@ -0,0 +1,117 @@
+//! From records and ledgers to the events that the history checker judges.
+
+use std::collections::HashMap;
+
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::Tick;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_core::history::History;
+use sassafrasspool_core::history::OperationId;
+use sassafrasspool_core::history::RequestId;
+use sassafrasspool_standin::target::RunEnd;
+
+use super::log::Log;
+use crate::load::CallRecord;
+use crate::load::Ending;
+use crate::load::LedgerRun;
+
+/// How shortly before the end of a planned stop a run must have ended for its
+/// end to be laid at the stop's door, in microseconds.
+const STOP_CUTS_US: u64 = 50_000;
+
+/// Numbers for the ids that records and ledgers share.
+#[derive(Debug, Default)]
+struct Numbers<'a> {
+    by_text: HashMap<&'a str, u64>,
+}
+
+impl<'a> Numbers<'a> {
+    fn of(&mut self, text: &'a str) -> u64 {
+        let next = u64::try_from(self.by_text.len()).unwrap_or(u64::MAX);
+        *self.by_text.entry(text).or_insert(next)
+    }
+}
+
+/// When a planned stop ended.
+#[derive(Debug, Clone)]
+pub(super) struct Stopped {
+    /// Which instance.
+    pub(super) instance: usize,
+    /// When its node was gone, in microseconds since the Unix epoch.
+    pub(super) at_us: u64,
+}
+
+/// Adds what callers and targets saw to what the run recorded. An excused
+/// silence counts as told: the caller saw the connection end.
+pub(super) fn history(
+    log: &Log,
+    records: &[CallRecord],
+    runs: &[LedgerRun],
+    names: &[InstanceId],
+    stops: &[Stopped],
+    is_excused: impl Fn(&CallRecord) -> bool,
+) -> History {
+    let (mut history, _) = log.copy();
+    let mut ids = Numbers::default();
+    let mut calls = Numbers::default();
+    for record in records {
+        let request = RequestId(ids.of(&record.id));
+        let operation = OperationId(calls.of(record.key.as_deref().unwrap_or(&record.id)));
+        let repeatable = record.idempotent;
+        let sent = Event::Sent {
+            request,
+            operation,
+            repeatable,
+        };
+        history.record(Tick::from_micros(record.sent_us), sent);
+        if let Some(end) = end_of(record, request, is_excused(record)) {
+            history.record(Tick::from_micros(record.ended_us), end);
+        }
+    }
+    for run in runs.iter().filter(|run| run.run.began()) {
+        let request = RequestId(ids.of(&run.run.id));
+        let target = names[run.instance].clone();
+        let started = Event::RunStarted {
+            request,
+            target: target.clone(),
+        };
+        history.record(Tick::from_micros(run.run.started_us), started);
+        if let Some(ended_us) = run.run.ended_us {
+            let at = match is_cut_by_stop(run, ended_us, stops) {
+                true => ended_us + STOP_CUTS_US,
+                false => ended_us,
+            };
+            history.record(
+                Tick::from_micros(at),
+                Event::RunFinished { request, target },
+            );
+        }
+    }
+    history
+}
+
+fn end_of(record: &CallRecord, request: RequestId, is_excused: bool) -> Option<Event> {
+    let answered = |whole| Event::Answered {
+        request,
+        answers: request,
+        whole,
+    };
+    match record.ending {
+        Ending::Answered => Some(answered(true)),
+        Ending::Wrong => Some(answered(false)),
+        Ending::NotRun | Ending::NotSent => Some(Event::RefusedNotRun { request }),
+        Ending::Unknown | Ending::Failed => Some(Event::Unknown { request }),
+        Ending::Broken | Ending::Silence if is_excused => Some(Event::Unknown { request }),
+        Ending::Broken | Ending::Silence => None,
+    }
+}
+
+fn is_cut_by_stop(run: &LedgerRun, ended_us: u64, stops: &[Stopped]) -> bool {
+    let is_cut = matches!(run.run.end, RunEnd::Cancelled | RunEnd::AnswerCut);
+    is_cut
+        && stops.iter().any(|stop| {
+            stop.instance == run.instance
+                && ended_us <= stop.at_us
+                && stop.at_us - ended_us < STOP_CUTS_US
+        })
+}
--- /dev/null
+++ b/crates/bench/src/chaos/observer.rs
@@ -0,0 +1,83 @@
+//! Watching what each node has in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sassafrasspool_core::Digest;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::Version;
+use sassafrasspool_core::history::Dangling;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_core::history::Held;
+use sassafrasspool_wire::admin::SNAPSHOT_PATH;
+use sassafrasspool_wire::admin::SnapshotInfo;
+use sassafrasspool_wire::admin::VersionInfo;
+use tokio_util::sync::CancellationToken;
+
+use super::log::Log;
+use crate::load::Fleet;
+use crate::load::Member;
+use crate::load::admin;
+
+/// How often each node is asked.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Records each change of what the `n`th node has in force until `cancel`.
+pub(super) async fn observe(fleet: Arc<Fleet>, n: usize, log: Arc<Log>, cancel: CancellationToken) {
+    let member = &fleet.members[n];
+    let mut last = None;
+    while !cancel.is_cancelled() {
+        if let Some(held) = held_by(member).await
+            && last.as_ref() != Some(&held)
+        {
+            log.record(Event::InForce {
+                node: member.instance.id.clone(),
+                held: Arc::new(held.clone()),
+            });
+            last = Some(held);
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// What the node has in force; `None` if it has nothing or doesn't answer.
+async fn held_by(member: &Member) -> Option<Held> {
+    let value = admin::get(member.admin, SNAPSHOT_PATH).await?;
+    let info: SnapshotInfo = serde_json::from_value(value).ok()?;
+    Some(Held {
+        catalogue: version(info.held.catalogue.as_ref()?)?,
+        instances: version(info.held.instances.as_ref()?)?,
+        content: content(&info)?,
+        dangling: dangling(&info),
+    })
+}
+
+fn version(info: &VersionInfo) -> Option<Version> {
+    let revision = Revision::new(info.revision).ok()?;
+    Some(Version::new(revision, Digest::parse(&info.digest).ok()?))
+}
+
+/// The digest of what the versions decide. The phases that endpoints say of
+/// themselves come another way and are left out.
+fn content(info: &SnapshotInfo) -> Option<Digest> {
+    let mut info = info.clone();
+    for service in &mut info.services {
+        for endpoint in &mut service.endpoints {
+            endpoint.phase = None;
+        }
+    }
+    let text = serde_json::to_vec(&info).ok()?;
+    Some(Digest::of(&text))
+}
+
+fn dangling(info: &SnapshotInfo) -> Vec<Dangling> {
+    let is_held = |name| info.services.iter().any(|service| service.name == name);
+    let routes = info.routes.iter();
+    let loose = routes.filter(|route| !is_held(route.service.clone()));
+    loose
+        .map(|route| Dangling::Route {
+            path: route.path.clone(),
+            service: route.service.clone(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/bench/src/chaos/operators.rs
@@ -0,0 +1,130 @@
+//! What operators and the platform publish in a run.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use miette::IntoDiagnostic;
+use sassafrasspool_core::Catalogue;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceList;
+use sassafrasspool_core::InstanceState;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::Stream;
+use sassafrasspool_core::catalogue::parse;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_standin::Platform;
+
+use super::catalogue;
+use super::log::Log;
+
+/// Publishes, and records each version before it can be seen.
+#[derive(Debug)]
+pub(super) struct Operators {
+    published: Mutex<Published>,
+}
+
+#[derive(Debug)]
+struct Published {
+    changes: u64,
+    catalogue: u64,
+    instances: u64,
+    list: Vec<Instance>,
+}
+
+impl Operators {
+    /// Takes over after the first catalogue and list were published.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they don't parse.
+    pub(super) fn new(list: Vec<Instance>, log: &Log) -> miette::Result<Operators> {
+        log.record(good_catalogue(1, &catalogue::text(0))?);
+        log.record(good_list(1, &list)?);
+        Ok(Operators {
+            published: Mutex::new(Published {
+                changes: 0,
+                catalogue: 1,
+                instances: 1,
+                list,
+            }),
+        })
+    }
+
+    /// Publishes a change that binds.
+    pub(super) fn publish_good(&self, platform: &Platform, log: &Log) -> miette::Result<()> {
+        let mut published = self.published();
+        published.changes += 1;
+        published.catalogue += 1;
+        let text = catalogue::text(published.changes);
+        log.record(good_catalogue(published.catalogue, &text)?);
+        platform.publish_catalogue(&text).into_diagnostic()?;
+        Ok(())
+    }
+
+    /// Publishes a change that doesn't bind.
+    pub(super) fn publish_bad(&self, platform: &Platform, log: &Log) -> miette::Result<()> {
+        let mut published = self.published();
+        published.catalogue += 1;
+        let text = catalogue::bad_text(published.changes);
+        let version = catalogue_of(published.catalogue, &text)?.version();
+        let stream = Stream::Catalogue;
+        log.record(Event::PublishedBad { stream, version });
+        platform.publish_catalogue(&text).into_diagnostic()?;
+        Ok(())
+    }
+
+    /// Publishes that an instance is live or leaving.
+    pub(super) fn list_as(
+        &self,
+        n: usize,
+        state: InstanceState,
+        platform: &Platform,
+        log: &Log,
+    ) -> miette::Result<()> {
+        let mut published = self.published();
+        published.instances += 1;
+        published.list[n].state = state;
+        log.record(good_list(published.instances, &published.list)?);
+        platform
+            .publish_instances(&published.list)
+            .into_diagnostic()?;
+        Ok(())
+    }
+
+    /// The revisions that nodes should hold in the end: the last catalogue
+    /// that binds, and the last list.
+    pub(super) fn last_revision(&self, stream: Stream) -> u64 {
+        let published = self.published();
+        match stream {
+            Stream::Catalogue => published.catalogue,
+            Stream::Instances => published.instances,
+        }
+    }
+
+    fn published(&self) -> MutexGuard<'_, Published> {
+        self.published
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn catalogue_of(revision: u64, text: &str) -> miette::Result<Catalogue> {
+    let items = parse(text).into_diagnostic()?;
+    let revision = Revision::new(revision).into_diagnostic()?;
+    Catalogue::new(revision, items).into_diagnostic()
+}
+
+fn good_catalogue(revision: u64, text: &str) -> miette::Result<Event> {
+    let version = catalogue_of(revision, text)?.version();
+    let stream = Stream::Catalogue;
+    Ok(Event::PublishedGood { stream, version })
+}
+
+fn good_list(revision: u64, list: &[Instance]) -> miette::Result<Event> {
+    let revision = Revision::new(revision).into_diagnostic()?;
+    let list = InstanceList::new(revision, list.to_vec()).into_diagnostic()?;
+    let version = list.version();
+    let stream = Stream::Instances;
+    Ok(Event::PublishedGood { stream, version })
+}
--- /dev/null
+++ b/crates/bench/src/chaos/report.rs
@@ -0,0 +1,43 @@
+//! What a run prints.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::load::Verdict;
+use crate::summary::SummaryMs;
+
+/// The report of a run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// The verb.
+    pub verb: &'static str,
+    /// Instances.
+    pub nodes: usize,
+    /// How long calls were made, in seconds.
+    pub seconds: f64,
+    /// The seed.
+    pub seed: u64,
+    /// Whether callers used the naive version.
+    pub naive: bool,
+    /// Steps of the script.
+    pub faults: usize,
+    /// What became of the calls.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+    /// Violations by promise, as the history checker found them.
+    pub violations: BTreeMap<&'static str, u64>,
+    /// The first violations, for a person.
+    pub first_violations: Vec<String>,
+    /// The first attempts that were lost or cut, for a person.
+    pub first_faults: Vec<String>,
+    /// Latency of answered attempts.
+    pub latency_ms: SummaryMs,
+    /// By how much calls were released late.
+    pub release_late_ms: SummaryMs,
+    /// Calls that were never made since too many were under way.
+    pub dropped: u64,
+    /// Where the nodes' logs are, if they were kept.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub logs: Option<String>,
+}
--- /dev/null
+++ b/crates/bench/src/chaos/run.rs
@@ -0,0 +1,246 @@
+//! One run from start to verdict.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::num::NonZeroU32;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use miette::miette;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::KindName;
+use sassafrasspool_core::history::Bounds;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_core::history::Violation;
+use sassafrasspool_core::history::check;
+use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::ServiceTimes;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::Options;
+use super::Report;
+use super::catalogue;
+use super::catalogue::KINDS;
+use super::catalogue::SERVICES;
+use super::driver::Driver;
+use super::events;
+use super::log::Log;
+use super::observer::observe;
+use super::operators::Operators;
+use super::script::Script;
+use crate::load::CallRecord;
+use crate::load::Caller;
+use crate::load::Client;
+use crate::load::Ending;
+use crate::load::Entries;
+use crate::load::Evidence;
+use crate::load::Fleet;
+use crate::load::Layout;
+use crate::load::Naive;
+use crate::load::OpenLoop;
+use crate::load::Place;
+use crate::load::Plan;
+use crate::load::Repeats;
+use crate::load::Way;
+use crate::summary::Samples;
+
+/// Slots of each target.
+const SLOTS: NonZeroU32 = NonZeroU32::new(10).unwrap();
+
+/// Cold start of each target.
+const COLD_START_MS: u64 = 100;
+
+/// Service times by kind, in microseconds.
+const SERVICE_US: [(&str, u64); 4] = [
+    ("approval", 20_000),
+    ("claim", 15_000),
+    ("lookup", 5_000),
+    ("archive", 30_000),
+];
+
+/// How callers repeat themselves.
+const REPEATS: Repeats = Repeats {
+    attempts: 3,
+    pause: Duration::from_millis(150),
+    impatient_percent: 5,
+    impatient_after: Duration::from_millis(30),
+};
+
+/// How long callers want answers for.
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How much longer callers wait. A paused node may answer late, but it has
+/// to answer.
+const GRACE: Duration = Duration::from_millis(3_500);
+
+/// How long a version may take until it is in force on every node that runs,
+/// also when the source was back just before.
+const IN_FORCE: Duration = Duration::from_secs(8);
+
+/// How long the fleet may take to be ready before the run.
+const READY: Duration = Duration::from_secs(20);
+
+/// How long nodes are watched after the last call.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// How many violations and faults the report tells in words.
+const TOLD: usize = 5;
+
+/// Runs the load and the script of `opts.seed` and judges them.
+///
+/// # Errors
+///
+/// Fails if the fleet can't be started, or a process can't be hurt or started
+/// as the script says; what the judges find is no error.
+pub async fn run(opts: Options) -> miette::Result<Report> {
+    let layout = layout(opts);
+    let fleet = Arc::new(Fleet::start(&layout).await?);
+    let log = Arc::new(Log::default());
+    let list = fleet.members.iter().map(|m| m.instance.clone()).collect();
+    let driver = Arc::new(Driver {
+        fleet: Arc::clone(&fleet),
+        operators: Operators::new(list, &log)?,
+        log: Arc::clone(&log),
+        nodes: !opts.naive,
+        stops: Mutex::default(),
+    });
+    for member in &fleet.members {
+        let node = member.instance.id.clone();
+        log.record(Event::NodeBack { node });
+    }
+    let cancel = CancellationToken::new();
+    let mut observers = JoinSet::new();
+    if !opts.naive {
+        for n in 0..fleet.members.len() {
+            observers.spawn(observe(
+                Arc::clone(&fleet),
+                n,
+                Arc::clone(&log),
+                cancel.clone(),
+            ));
+        }
+    }
+    let script = Script::draw(opts.nodes, opts.length, opts.seed);
+    let rate = opts.rate_per_node * opts.nodes as f64;
+    let plan = Plan::new(&KINDS, rate, opts.length, opts.seed);
+    let load = OpenLoop::run(plan, Arc::new(caller(opts, &fleet)));
+    let (load, played) = tokio::join!(load, driver.play(&script));
+    played?;
+    tokio::time::sleep(SETTLE).await;
+    cancel.cancel();
+    while observers.join_next().await.is_some() {}
+    let report = judged(opts, &script, &load, &driver);
+    drop(driver);
+    with_logs(opts, report, fleet)
+}
+
+fn layout(opts: Options) -> Layout {
+    let kinds = SERVICE_US.iter();
+    let kinds = kinds.filter_map(|&(kind, us)| Some((KindName::new(kind).ok()?, us)));
+    let target = TargetSettings {
+        slots: SLOTS,
+        cold_start_ms: COLD_START_MS,
+        service: ServiceTimes {
+            kinds_us: kinds.collect(),
+            ..ServiceTimes::default()
+        },
+        ..TargetSettings::default()
+    };
+    let place = |n| Place::new(n, SERVICES[n % SERVICES.len()], target.clone());
+    Layout {
+        places: (0..opts.nodes).map(place).collect(),
+        catalogue: catalogue::text(0),
+        nodes: !opts.naive,
+        patience: READY,
+    }
+}
+
+fn caller(opts: Options, fleet: &Fleet) -> Caller {
+    let way = match opts.naive {
+        true => Way::Naive(naive(fleet)),
+        false => Way::Nodes(Entries::new(fleet.entries())),
+    };
+    Caller {
+        client: Client::default(),
+        way,
+        kinds: KINDS.to_vec(),
+        run: format!("c{}", opts.seed),
+        repeats: REPEATS,
+        timeout: TIMEOUT,
+        grace: GRACE,
+    }
+}
+
+fn naive(fleet: &Fleet) -> Naive {
+    let mut targets: HashMap<&'static str, Vec<_>> = HashMap::new();
+    for kind in &KINDS {
+        let service = SERVICES[catalogue::service_of(kind)];
+        let members = fleet.members.iter();
+        let serving = members.filter(|m| m.instance.service.as_str() == service);
+        targets.insert(kind.path, serving.map(|m| m.target.addr()).collect());
+    }
+    Naive {
+        targets,
+        tries: 3,
+        try_timeout: TIMEOUT / 3,
+    }
+}
+
+fn judged(opts: Options, script: &Script, load: &OpenLoop, driver: &Driver) -> Report {
+    let runs = driver.fleet.runs();
+    let (_, outages) = driver.log.copy();
+    let evidence = Evidence::new(&load.records, &runs, &outages);
+    let members = driver.fleet.members.iter();
+    let names: Vec<InstanceId> = members.map(|m| m.instance.id.clone()).collect();
+    let stops = driver.stops.lock().unwrap_or_else(PoisonError::into_inner);
+    let excused = |record: &CallRecord| evidence.is_excused(record);
+    let history = events::history(&driver.log, &load.records, &runs, &names, &stops, excused);
+    let bounds = Bounds {
+        in_force: IN_FORCE,
+        ..Bounds::default()
+    };
+    let violations = check(&history, &bounds);
+    let answered = load.records.iter();
+    let answered = answered.filter(|record| record.ending == Ending::Answered);
+    let latency: Samples = answered.map(|record| record.latency).collect();
+    Report {
+        verb: "chaos",
+        nodes: opts.nodes,
+        seconds: opts.length.as_secs_f64(),
+        seed: opts.seed,
+        naive: opts.naive,
+        faults: script.steps.len(),
+        verdict: evidence.verdict(),
+        violations: by_promise(&violations),
+        first_violations: first(violations.iter().map(ToString::to_string)),
+        first_faults: first(evidence.faults().map(|record| format!("{record:?}"))),
+        latency_ms: latency.summary(),
+        release_late_ms: load.late.summary(),
+        dropped: load.dropped,
+        logs: None,
+    }
+}
+
+fn by_promise(violations: &[Violation]) -> BTreeMap<&'static str, u64> {
+    let mut counts = BTreeMap::new();
+    for violation in violations {
+        *counts.entry(violation.promise().as_str()).or_default() += 1;
+    }
+    counts
+}
+
+fn first(told: impl Iterator<Item = String>) -> Vec<String> {
+    told.take(TOLD).collect()
+}
+
+fn with_logs(opts: Options, mut report: Report, fleet: Arc<Fleet>) -> miette::Result<Report> {
+    let is_broken = report.verdict.has_fault() || !report.violations.is_empty();
+    if opts.keep_logs && is_broken {
+        let fleet = Arc::into_inner(fleet).ok_or_else(|| miette!("the fleet is still in use"))?;
+        report.logs = Some(fleet.keep_logs().display().to_string());
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/bench/src/chaos/script.rs
@@ -0,0 +1,171 @@
+//! Which faults come when, drawn from a seed before the run.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::fault::Fault;
+
+/// The shortest time between two faults, in milliseconds.
+const LEAST_GAP_MS: u64 = 100;
+
+/// The longest time between two faults, in milliseconds.
+const MOST_GAP_MS: u64 = 500;
+
+/// Time before the first fault, in which every node has to become ready.
+const LEAD: Duration = Duration::from_millis(500);
+
+/// How long an instance is left alone after a fault of it, so that a node
+/// that starts anew also serves in the run.
+const REST: Duration = Duration::from_millis(1_000);
+
+/// Kinds of faults to draw from.
+const FAULTS: usize = 17;
+
+/// A fault and when it comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step {
+    /// After the start of the run.
+    pub at: Duration,
+    /// What comes.
+    pub fault: Fault,
+}
+
+/// The faults of a run in order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Script {
+    /// The steps, sorted by time.
+    pub steps: Vec<Step>,
+}
+
+impl Script {
+    /// Draws faults for a fleet of `instances` over `length`.
+    ///
+    /// An instance is hurt by one fault at a time, and fewer than half of all
+    /// are hurt at once beside a herd, so that there is always somebody who
+    /// could answer.
+    pub fn draw(instances: usize, length: Duration, seed: u64) -> Script {
+        let mut drawn = Drawn {
+            rng: SmallRng::seed_from_u64(seed),
+            hurt_until: vec![Duration::ZERO; instances],
+            platform_until: Duration::ZERO,
+            steps: Vec::new(),
+        };
+        let mut at = LEAD;
+        while at < length {
+            drawn.step(at);
+            at += drawn.millis(LEAST_GAP_MS, MOST_GAP_MS);
+        }
+        Script { steps: drawn.steps }
+    }
+}
+
+#[derive(Debug)]
+struct Drawn {
+    rng: SmallRng,
+    hurt_until: Vec<Duration>,
+    platform_until: Duration,
+    steps: Vec<Step>,
+}
+
+impl Drawn {
+    fn step(&mut self, at: Duration) {
+        let fault = self.draw();
+        let until = at + fault.length() + REST;
+        if fault.is_of_platform() {
+            if at < self.platform_until {
+                return;
+            }
+            self.platform_until = at + fault.length();
+        }
+        if let Some(instance) = fault.instance() {
+            let hurt = self.hurt_until.iter().filter(|until| at < **until).count();
+            if at < self.hurt_until[instance] || (hurt + 1) * 2 > self.hurt_until.len() {
+                return;
+            }
+            self.hurt_until[instance] = until;
+        }
+        if matches!(fault, Fault::KillHerd { .. }) {
+            if self.hurt_until.iter().any(|until| at < *until) {
+                return;
+            }
+            for until_of in self.hurt_until.iter_mut().step_by(2) {
+                *until_of = until;
+            }
+        }
+        self.steps.push(Step { at, fault });
+    }
+
+    fn draw(&mut self) -> Fault {
+        let instance = self.rng.random_range(0..self.hurt_until.len());
+        match self.rng.random_range(0..FAULTS) {
+            0 | 1 => Fault::Stop {
+                instance,
+                down: self.millis(200, 1_500),
+            },
+            2 | 3 => Fault::Kill {
+                instance,
+                down: self.millis(50, 1_500),
+            },
+            4 => Fault::KillHerd {
+                down: self.millis(100, 800),
+            },
+            5 | 6 => Fault::Pause {
+                instance,
+                length: self.millis(100, 3_000),
+            },
+            7 => Fault::CrashTarget {
+                instance,
+                down: self.millis(50, 1_000),
+            },
+            8 => Fault::DrainTarget {
+                instance,
+                length: self.millis(200, 1_500),
+            },
+            9 => Fault::SlowTarget {
+                instance,
+                extra: self.millis(20, 500),
+                length: self.millis(500, 2_000),
+            },
+            10 => Fault::LateAnswers {
+                instance,
+                by: self.millis(200, 2_500),
+                length: self.millis(300, 2_000),
+            },
+            11 => Fault::LyingHealth {
+                instance,
+                length: self.millis(500, 3_000),
+            },
+            12 | 13 => self.draw_of_platform(),
+            14 => Fault::PublishBad,
+            15 => Fault::Crash {
+                instance,
+                down: self.millis(100, 1_500),
+            },
+            _ => Fault::PublishGood,
+        }
+    }
+
+    fn draw_of_platform(&mut self) -> Fault {
+        let length = self.millis(300, 3_000);
+        match self.rng.random_range(0..5) {
+            0 => Fault::Outage { length },
+            1 => Fault::Stale { length },
+            2 => Fault::StepBack { length },
+            3 => Fault::ListLag {
+                lag: self.millis(200, 3_000),
+                length,
+            },
+            _ => Fault::SlowPlatform {
+                delay: self.millis(20, 500),
+                length,
+            },
+        }
+    }
+
+    fn millis(&mut self, least: u64, most: u64) -> Duration {
+        Duration::from_millis(self.rng.random_range(least..=most))
+    }
+}
--- a/crates/bench/src/cli/flags.rs
+++ b/crates/bench/src/cli/flags.rs
@@ -10,5 +10,44 @@
             /// What all random choices come from (1).
             optional --seed seed: u64
         }
+        /// Offer more calls than the slots can do, with and without admission.
+        cmd overload {
+            /// Instances, each with its node (4).
+            optional --nodes nodes: usize
+            /// Calls offered over what the slots can do (2).
+            optional --factor factor: f64
+            /// How long each of the two runs is (8).
+            optional --seconds seconds: f64
+            /// What the calls are drawn from (1).
+            optional --seed seed: u64
+        }
+        /// Compare calls through two nodes with direct ones to the same target.
+        cmd calls {
+            /// Instances, each with its node (4).
+            optional --nodes nodes: usize
+            /// Calls a second that enter at each node (210).
+            optional --rate rate: f64
+            /// How long calls are measured (10).
+            optional --seconds seconds: f64
+            /// What the calls are drawn from (1).
+            optional --seed seed: u64
+            /// The longest answer in bytes (1000).
+            optional --answer-bytes answer_bytes: usize
+        }
+        /// Make calls while everything fails, and judge what became of them.
+        cmd chaos {
+            /// Instances, each with its node (8).
+            optional --nodes nodes: usize
+            /// How long calls are made (10).
+            optional --seconds seconds: f64
+            /// What calls and faults are drawn from (1).
+            optional --seed seed: u64
+            /// Calls a second for each instance (50).
+            optional --rate rate: f64
+            /// Use the naive version instead of nodes.
+            optional --naive
+            /// Keep the nodes' logs if a promise was broken.
+            optional --keep-logs
+        }
     }
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,10 +5,13 @@
 //! What the verbs share stands beside them: generated catalogues, summaries
 //! of samples and the output.
 
+pub mod calls;
+pub mod chaos;
 pub mod cli;
 pub mod fit;
 pub mod generate;
 pub mod load;
 pub mod output;
+pub mod overload;
 pub mod summary;
 pub mod usage;
--- /dev/null
+++ b/crates/bench/src/overload/run.rs
@@ -0,0 +1,178 @@
+//! The two runs.
+
+use std::collections::HashMap;
+use std::num::NonZeroU32;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sassafrasspool_core::Class;
+use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::ServiceTimes;
+
+use super::Goodput;
+use super::Options;
+use super::Report;
+use crate::calls;
+use crate::load::CallKind;
+use crate::load::Caller;
+use crate::load::Client;
+use crate::load::Entries;
+use crate::load::Fleet;
+use crate::load::Keys;
+use crate::load::Layout;
+use crate::load::LedgerRun;
+use crate::load::Naive;
+use crate::load::OpenLoop;
+use crate::load::Place;
+use crate::load::Plan;
+use crate::load::Repeats;
+use crate::load::Way;
+
+/// Slots of each target.
+const SLOTS: NonZeroU32 = NonZeroU32::new(10).unwrap();
+
+/// How long each request runs, in microseconds.
+const SERVICE_US: u64 = 40_000;
+
+/// How long callers want answers for.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How much longer they wait to be told that the time is over.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// How long the fleet may take to be ready.
+const READY: Duration = Duration::from_secs(20);
+
+/// Tries of the naive version.
+const NAIVE_TRIES: u32 = 3;
+
+/// One kind for each class. At twice the slots, the critical calls alone ask
+/// for six tenths of them.
+const KINDS: [CallKind; 3] = [
+    kind("approval", "/approvals", Class::Critical, 3),
+    kind("lookup", "/lookups", Class::Standard, 4),
+    kind("archive", "/archive", Class::Background, 3),
+];
+
+const fn kind(name: &'static str, path: &'static str, class: Class, share: u32) -> CallKind {
+    CallKind {
+        name,
+        path,
+        class,
+        weight: 1,
+        idempotent: true,
+        keys: Keys::None,
+        share,
+        answer_bytes: 500,
+        request_bytes: 0,
+    }
+}
+
+/// Runs the same calls through the nodes and by the naive version.
+///
+/// # Errors
+///
+/// Fails if a fleet can't be started.
+pub async fn run(opts: Options) -> miette::Result<Report> {
+    let load_average = calls::load_average();
+    let with = goodput(opts, true).await?;
+    let without = goodput(opts, false).await?;
+    Ok(Report {
+        verb: "overload",
+        nodes: opts.nodes,
+        factor: opts.factor,
+        seconds: opts.length.as_secs_f64(),
+        with,
+        without,
+        load_average,
+    })
+}
+
+async fn goodput(opts: Options, nodes: bool) -> miette::Result<Goodput> {
+    let fleet = Fleet::start(&layout(opts, nodes)).await?;
+    let slots = SLOTS.get() * u32::try_from(opts.nodes).unwrap_or(u32::MAX);
+    let service = Duration::from_micros(SERVICE_US);
+    let rate = opts.factor * f64::from(slots) / service.as_secs_f64();
+    let plan = Plan::new(&KINDS, rate, opts.length, opts.seed);
+    let load = OpenLoop::run(plan, Arc::new(caller(&fleet, nodes))).await;
+    let runs = fleet.runs();
+    let run_time = mean_run_time(&runs).unwrap_or(service);
+    Ok(Goodput::new(
+        &load,
+        opts.length,
+        slots,
+        run_time,
+        runs.len(),
+    ))
+}
+
+fn layout(opts: Options, nodes: bool) -> Layout {
+    let target = TargetSettings {
+        slots: SLOTS,
+        service: ServiceTimes {
+            default_us: SERVICE_US,
+            ..ServiceTimes::default()
+        },
+        ..TargetSettings::default()
+    };
+    let place = |n| Place::new(n, "desk", target.clone());
+    Layout {
+        places: (0..opts.nodes).map(place).collect(),
+        catalogue: catalogue(),
+        nodes,
+        patience: READY,
+    }
+}
+
+fn catalogue() -> String {
+    let mut text = String::from("kinds:\n");
+    for kind in &KINDS {
+        let CallKind { name, weight, .. } = kind;
+        text += &format!("  {name}: {{weight: {weight}}}\n");
+    }
+    text += "services:\n  desk:\n    owner: team\n    class: standard\n    \
+             limits: {rate_per_s: 100000, concurrency: 1000, deadline_ms: 500}\n    routes:\n";
+    for kind in &KINDS {
+        let CallKind {
+            name, path, class, ..
+        } = kind;
+        text +=
+            &format!("      - {{path: {path}, kind: {name}, class: {class}, idempotent: true}}\n");
+    }
+    text
+}
+
+fn caller(fleet: &Fleet, nodes: bool) -> Caller {
+    let way = match nodes {
+        true => Way::Nodes(Entries::new(fleet.entries())),
+        false => Way::Naive(naive(fleet)),
+    };
+    Caller {
+        client: Client::default(),
+        way,
+        kinds: KINDS.to_vec(),
+        run: "o".to_owned(),
+        repeats: Repeats::NONE,
+        timeout: TIMEOUT,
+        grace: GRACE,
+    }
+}
+
+fn naive(fleet: &Fleet) -> Naive {
+    let targets: Vec<_> = fleet.members.iter().map(|m| m.target.addr()).collect();
+    let of_path = KINDS.iter().map(|kind| (kind.path, targets.clone()));
+    Naive {
+        targets: HashMap::from_iter(of_path),
+        tries: NAIVE_TRIES,
+        try_timeout: TIMEOUT,
+    }
+}
+
+/// How long a finished run held its slot.
+fn mean_run_time(runs: &[LedgerRun]) -> Option<Duration> {
+    let times = runs.iter().filter(|run| run.run.finished);
+    let times = times.filter_map(|run| Some(run.run.ended_us? - run.run.started_us));
+    let times: Vec<u64> = times.collect();
+    let count = u64::try_from(times.len()).ok().filter(|count| *count > 0)?;
+    Some(Duration::from_micros(times.iter().sum::<u64>() / count))
+}
