Name four more refusals and two headers between nodes

A node that passes a refusal on has to know its reason: whether another endpoint may take the request depends on it, and the text of the body is for people. The reason and the step travel in headers of their own.

A body over the bound, a call that passed too many nodes, a node without a configuration and a caller that broke off had no reason to be refused by. None of the four is worth a try elsewhere.

--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -38,11 +38,19 @@
     EarlierRunning,
     /// An earlier attempt with the same key may have run.
     EarlierUnknown,
+    /// Its body is larger than the bound.
+    TooLarge,
+    /// It has passed more nodes than a call may.
+    TooManyHops,
+    /// This node holds no configuration yet.
+    NoConfiguration,
+    /// Its caller broke off before it was whole.
+    CallerGone,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 16] = [
+    pub const ALL: [Reason; 20] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
@@ -59,6 +67,10 @@
         Reason::WindowFull,
         Reason::EarlierRunning,
         Reason::EarlierUnknown,
+        Reason::TooLarge,
+        Reason::TooManyHops,
+        Reason::NoConfiguration,
+        Reason::CallerGone,
     ];
 
     /// The reason's name in headers, metrics and logs.
@@ -80,6 +92,10 @@
             Reason::WindowFull => "window-full",
             Reason::EarlierRunning => "earlier-running",
             Reason::EarlierUnknown => "earlier-unknown",
+            Reason::TooLarge => "too-large",
+            Reason::TooManyHops => "too-many-hops",
+            Reason::NoConfiguration => "no-configuration",
+            Reason::CallerGone => "caller-gone",
         }
     }
 
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -117,5 +117,9 @@
             | Reason::WindowFull
             | Reason::EarlierRunning
             | Reason::EarlierUnknown
+            | Reason::TooLarge
+            | Reason::TooManyHops
+            | Reason::NoConfiguration
+            | Reason::CallerGone
     )
 }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -36,5 +36,11 @@
 /// Between nodes: 1 if this is the first attempt with its key.
 pub const FIRST: HeaderName = HeaderName::from_static("x-sassafrasspool-first");
 
+/// Between nodes: the step at which a request was refused or lost.
+pub const STEP: HeaderName = HeaderName::from_static("x-sassafrasspool-step");
+
+/// Between nodes: why a request was refused or lost.
+pub const REASON: HeaderName = HeaderName::from_static("x-sassafrasspool-reason");
+
 /// What all headers begin with that only nodes may set.
 pub const OWN_PREFIX: &str = "x-sassafrasspool-";
