--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -1,16 +1,58 @@
 //! Requests: the listeners for callers and for other nodes, and the way to
 //! the target.
+//!
+//! A request comes from a caller to the first hop ([`caller_side`]), which
+//! matches its route and chooses an endpoint. One [`attempt`] goes over HTTP/2
+//! to the node beside that endpoint ([`peer_side`]), which admits it, or
+//! straight on if that node is this one. [`beside`] hands it to the [`target`].
+//!
+//! [`caller_side`]: self::caller_side
+//! [`attempt`]: self::attempt
+//! [`peer_side`]: self::peer_side
+//! [`beside`]: self::beside
+//! [`target`]: self::target
 
-use std::net::SocketAddr;
+mod admission;
+mod answer;
+mod attempt;
+mod beside;
+mod bounds;
+mod caller_side;
+mod choice;
+mod head;
+mod hub;
+mod listeners;
+mod missed;
+mod parents;
+mod payload;
+mod peer;
+mod peer_side;
+mod refusal;
+mod running;
+mod serve;
+mod stall;
+mod target;
+mod threads;
+mod worker;
+
+use std::error;
 use std::sync::Arc;
 
 use sassafrasspool_core::Result;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
+pub use self::listeners::TrafficAddrs;
+pub use self::running::RunningTraffic;
+
+use self::hub::Hub;
+use self::listeners::Listeners;
 use crate::Settings;
 use crate::Shared;
 
+/// Why a body broke off.
+type BoxError = Box<dyn error::Error + Send + Sync>;
+
 /// Starts the traffic side of a node.
 #[derive(Debug)]
 pub struct Traffic;
@@ -20,14 +62,17 @@
     ///
     /// # Errors
     ///
-    /// Fails if a listener can't be bound.
+    /// Fails if a listener can't be bound or a thread can't be started.
     pub fn start(
         settings: &Settings,
         shared: Arc<Shared>,
         cancel: CancellationToken,
     ) -> Result<RunningTraffic> {
-        let _ = (shared, cancel);
-        Ok(RunningTraffic::unbound(settings))
+        let listeners = Listeners::bind(&settings.listen)?;
+        let addrs = listeners.addrs();
+        let hub = Arc::new(Hub::new(settings, shared, cancel));
+        let threads = threads::start(&hub, listeners, settings.traffic_threads)?;
+        Ok(RunningTraffic::new(addrs, hub, threads))
     }
 
     /// Binds the listeners and runs on `handle`, so that many nodes of one
@@ -42,45 +87,10 @@
         shared: Arc<Shared>,
         cancel: CancellationToken,
     ) -> Result<RunningTraffic> {
-        let _ = (handle, shared, cancel);
-        Ok(RunningTraffic::unbound(settings))
-    }
-}
-
-/// Where the traffic side listens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TrafficAddrs {
-    /// For callers from outside, such as clients.
-    pub ingress: SocketAddr,
-    /// For calls that the own target makes.
-    pub egress: SocketAddr,
-    /// For other nodes.
-    pub traffic: SocketAddr,
-}
-
-/// A traffic side that runs until its token is cancelled.
-#[derive(Debug)]
-pub struct RunningTraffic {
-    addrs: TrafficAddrs,
-}
-
-impl RunningTraffic {
-    /// The addresses that were bound.
-    pub fn addrs(&self) -> TrafficAddrs {
-        self.addrs
-    }
-
-    /// Waits, once its token is cancelled, until every connection was closed
-    /// gracefully and every thread has ended.
-    pub async fn stopped(self) {}
-
-    fn unbound(settings: &Settings) -> RunningTraffic {
-        RunningTraffic {
-            addrs: TrafficAddrs {
-                ingress: settings.listen.ingress,
-                egress: settings.listen.egress,
-                traffic: settings.listen.traffic,
-            },
-        }
+        let listeners = Listeners::bind(&settings.listen)?;
+        let addrs = listeners.addrs();
+        let hub = Arc::new(Hub::new(settings, shared, cancel));
+        handle.spawn(threads::work(Arc::clone(&hub), 0, listeners));
+        Ok(RunningTraffic::new(addrs, hub, Vec::new()))
     }
 }
--- /dev/null
+++ b/crates/node/src/traffic/answer.rs
@@ -0,0 +1,112 @@
+//! Bodies of answers on their way to a caller.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use hyper::body::Incoming;
+
+use super::BoxError;
+use super::stall::Stall;
+use super::target::TargetBody;
+use crate::InFlightGuard;
+
+/// The body of an answer, which holds its request in flight until it ends.
+///
+/// An error of a part ends the answer with an error too: over HTTP/1.1 the
+/// connection closes before the announced end, over HTTP/2 the stream is
+/// reset. A cut answer therefore never looks complete.
+#[derive(Debug)]
+pub(super) struct Answer {
+    source: Source,
+    stall: Stall,
+    _in_flight: Option<InFlightGuard>,
+}
+
+#[derive(Debug)]
+enum Source {
+    Text(Option<Bytes>),
+    Peer(Incoming),
+    Target(TargetBody),
+}
+
+impl Answer {
+    /// A text of the node's own.
+    pub(super) fn text(text: impl Into<Bytes>) -> Answer {
+        Answer::new(Source::Text(Some(text.into())))
+    }
+
+    /// What another node passes on.
+    pub(super) fn peer(body: Incoming) -> Answer {
+        Answer::new(Source::Peer(body))
+    }
+
+    /// What the own target answers.
+    pub(super) fn target(body: TargetBody) -> Answer {
+        Answer::new(Source::Target(body))
+    }
+
+    fn new(source: Source) -> Answer {
+        Answer {
+            source,
+            stall: Stall::new(),
+            _in_flight: None,
+        }
+    }
+
+    /// The same, which counts as in flight until it ends.
+    pub(super) fn held(mut self, guard: InFlightGuard) -> Answer {
+        self._in_flight = Some(guard);
+        self
+    }
+
+    fn poll_source(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        match &mut self.source {
+            Source::Text(text) => Poll::Ready(text.take().map(|text| Ok(Frame::data(text)))),
+            Source::Peer(body) => Pin::new(body).poll_frame(cx).map_err(BoxError::from),
+            Source::Target(body) => Pin::new(body).poll_frame(cx),
+        }
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        match self.poll_source(cx) {
+            Poll::Ready(frame) => {
+                self.stall.moved();
+                Poll::Ready(frame)
+            }
+            Poll::Pending => self.stall.poll(cx).map(|stalled| Some(Err(stalled))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            Source::Text(text) => text.is_none(),
+            Source::Peer(body) => body.is_end_stream(),
+            Source::Target(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Text(None) => SizeHint::with_exact(0),
+            Source::Text(Some(text)) => SizeHint::with_exact(text.len() as u64),
+            Source::Peer(body) => body.size_hint(),
+            Source::Target(body) => body.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/attempt.rs
@@ -0,0 +1,115 @@
+//! One attempt of a request at one endpoint.
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::Version;
+use http::uri::Authority;
+use http::uri::Scheme;
+use sassafrasspool_core::Deadline;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::Loss;
+use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Reason;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Step;
+use sassafrasspool_wire::header as names;
+
+use super::answer::Answer;
+use super::beside;
+use super::beside::Call;
+use super::head;
+use super::missed::Missed;
+use super::payload::Payload;
+use super::peer::LinkFailure;
+use super::refusal;
+use super::worker::Worker;
+
+/// One attempt.
+#[derive(Debug)]
+pub(super) struct Attempt<'a> {
+    pub(super) worker: &'a Worker,
+    /// Where it goes.
+    pub(super) instance: &'a Instance,
+    pub(super) deadline: Deadline,
+    pub(super) hop: u32,
+}
+
+impl Attempt<'_> {
+    /// Gets the answer of the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Says what is known of the request if there is none.
+    pub(super) async fn run(&self, req: Request<Payload>) -> Result<Response<Answer>, Missed> {
+        if self.instance.id == *self.worker.hub.shared.me() {
+            let call = Call {
+                deadline: self.deadline,
+                hop: self.hop,
+            };
+            return beside::run(self.worker, req, call).await;
+        }
+        self.run_at_peer(req).await
+    }
+
+    async fn run_at_peer(&self, req: Request<Payload>) -> Result<Response<Answer>, Missed> {
+        let clock = self.worker.hub.shared.clock();
+        let left = self.deadline.remaining_beyond(clock.now()).as_millis();
+        if left == 0 {
+            return Err(Refusal::not_run(Step::Forward, Reason::DeadlinePassed).into());
+        }
+        let req = self.for_peer(req, u64::try_from(left).unwrap_or(u64::MAX));
+        let link = self.worker.links.to(self.instance.traffic);
+        let until = clock.instant(self.deadline.tick());
+        let sent = tokio::time::timeout_at(until.into(), link.send(req)).await;
+        let res = match sent {
+            Ok(Ok(res)) => res,
+            Ok(Err(LinkFailure::NotSent(err, req))) => {
+                tracing::debug!(%err, "not passed on");
+                let refusal = Refusal::not_run(Step::Forward, Reason::Connect);
+                return Err(Missed::unsent(refusal, *req));
+            }
+            Ok(Err(LinkFailure::Sent(err))) => {
+                tracing::debug!(%err, "lost");
+                return Err(Loss::new(Step::Forward, LossCause::ConnectionLost).into());
+            }
+            Err(_) => return Err(Loss::new(Step::Forward, LossCause::Timeout).into()),
+        };
+        match refusal::failure_of(&res) {
+            Some(failure) => Err(failure.into()),
+            None => Ok(from_peer(res.map(Answer::peer))),
+        }
+    }
+
+    fn for_peer(&self, mut req: Request<Payload>, left_ms: u64) -> Request<Payload> {
+        let headers = req.headers_mut();
+        headers.insert(names::DEADLINE_MS, HeaderValue::from(left_ms));
+        headers.insert(names::HOP, HeaderValue::from(self.hop));
+        self.add_service(headers);
+        *req.version_mut() = Version::HTTP_2;
+        let mut uri = std::mem::take(req.uri_mut()).into_parts();
+        uri.scheme = Some(Scheme::HTTP);
+        if uri.authority.is_none() {
+            uri.authority = Some(Authority::from_static("node"));
+        }
+        // Scheme, authority and path are all there, so that it can't fail; a
+        // request for the root would be the worst case.
+        *req.uri_mut() = Uri::from_parts(uri).unwrap_or_default();
+        req
+    }
+
+    fn add_service(&self, headers: &mut HeaderMap) {
+        let name = self.instance.service.as_str();
+        if let Ok(value) = HeaderValue::from_str(name) {
+            headers.insert(names::SERVICE, value);
+        }
+    }
+}
+
+fn from_peer(mut res: Response<Answer>) -> Response<Answer> {
+    head::strip_connection(res.headers_mut());
+    *res.version_mut() = Version::HTTP_11;
+    res
+}
--- /dev/null
+++ b/crates/node/src/traffic/bounds.rs
@@ -0,0 +1,44 @@
+//! Bounds of the request path.
+
+use std::time::Duration;
+
+/// The largest body of a request, in bytes.
+pub(super) const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+
+/// The largest body that is held so that it can be sent again, in bytes.
+pub(super) const MAX_REPLAY_BYTES: u64 = 64 * 1024;
+
+/// The largest head of a request or an answer, in bytes.
+pub(super) const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// Nodes that a call may pass, from the outermost caller on.
+pub(super) const MAX_HOPS: u32 = 24;
+
+/// How long opening a connection may take.
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long an unused connection to the target is kept. Targets commonly
+/// close one after five seconds, and a request that meets that moment has an
+/// unknown outcome.
+pub(super) const MAX_IDLE: Duration = Duration::from_secs(4);
+
+/// How long a caller may take for the head of a request.
+pub(super) const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// How long a body may stand still before it is given up.
+pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Flow control window of one stream between nodes, in bytes.
+pub(super) const STREAM_WINDOW: u32 = 256 * 1024;
+
+/// Flow control window of one connection between nodes, in bytes.
+pub(super) const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+
+/// Requests that one connection carries at once.
+pub(super) const MAX_STREAMS: u32 = 1_024;
+
+/// How often a silent connection between nodes is probed.
+pub(super) const PING_INTERVAL: Duration = Duration::from_secs(5);
+
+/// How long the answer to a probe may take before the connection is dropped.
+pub(super) const PING_TIMEOUT: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/crates/node/src/traffic/listeners.rs
@@ -0,0 +1,82 @@
+//! The three listening sockets of a node's traffic side.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+
+use sassafrasspool_core::Error;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::Step;
+
+use super::serve::bind;
+use crate::settings::Listen;
+
+/// Where the traffic side listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TrafficAddrs {
+    /// For callers from outside, such as clients.
+    pub ingress: SocketAddr,
+    /// For calls that the own target makes.
+    pub egress: SocketAddr,
+    /// For other nodes.
+    pub traffic: SocketAddr,
+}
+
+/// The sockets.
+#[derive(Debug)]
+pub(super) struct Listeners {
+    pub(super) ingress: TcpListener,
+    pub(super) egress: TcpListener,
+    pub(super) traffic: TcpListener,
+    addrs: TrafficAddrs,
+}
+
+impl Listeners {
+    /// Opens all three.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub(super) fn bind(listen: &Listen) -> Result<Listeners> {
+        let ingress = bind(listen.ingress)?;
+        let egress = bind(listen.egress)?;
+        let traffic = bind(listen.traffic)?;
+        let addrs = TrafficAddrs {
+            ingress: addr_of(&ingress)?,
+            egress: addr_of(&egress)?,
+            traffic: addr_of(&traffic)?,
+        };
+        Ok(Listeners {
+            ingress,
+            egress,
+            traffic,
+            addrs,
+        })
+    }
+
+    /// The addresses that were bound.
+    pub(super) fn addrs(&self) -> TrafficAddrs {
+        self.addrs
+    }
+
+    /// The same sockets for one more thread: whichever thread is free accepts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are no file descriptors left.
+    pub(super) fn try_clone(&self) -> Result<Listeners> {
+        Ok(Listeners {
+            ingress: self.ingress.try_clone().map_err(failed)?,
+            egress: self.egress.try_clone().map_err(failed)?,
+            traffic: self.traffic.try_clone().map_err(failed)?,
+            addrs: self.addrs,
+        })
+    }
+}
+
+fn addr_of(listener: &TcpListener) -> Result<SocketAddr> {
+    listener.local_addr().map_err(failed)
+}
+
+fn failed(err: std::io::Error) -> Error {
+    Error::new(Step::Connect, "cannot use a listener").with_cause(err)
+}
--- /dev/null
+++ b/crates/node/src/traffic/payload.rs
@@ -0,0 +1,137 @@
+//! Bodies of requests on their way to a target.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Buf;
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::BoxError;
+use super::bounds::MAX_BODY_BYTES;
+use super::bounds::MAX_REPLAY_BYTES;
+
+/// The body of a request.
+#[derive(Debug)]
+pub(super) enum Payload {
+    /// Held whole, so that it can be sent again.
+    Held(Bytes),
+    /// Passed on as it comes, counted against the bound.
+    Stream {
+        /// What the caller sends.
+        body: Incoming,
+        /// Bytes that may still come.
+        left: u64,
+    },
+}
+
+impl Payload {
+    /// No body.
+    pub(super) fn empty() -> Payload {
+        Payload::Held(Bytes::new())
+    }
+
+    /// Takes what a caller sends as it comes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller says that it is larger than the bound.
+    pub(super) fn stream(body: Incoming) -> Result<Payload, TooLarge> {
+        if body.size_hint().lower() > MAX_BODY_BYTES {
+            return Err(TooLarge);
+        }
+        if body.is_end_stream() {
+            return Ok(Payload::empty());
+        }
+        Ok(Payload::Stream {
+            body,
+            left: MAX_BODY_BYTES,
+        })
+    }
+
+    /// Holds a body that is known to be small, so that it can be sent again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off.
+    pub(super) async fn hold_if_small(self) -> Result<Payload, hyper::Error> {
+        match self {
+            Payload::Stream { body, .. } if is_small(&body) => {
+                let whole = body.collect().await?.to_bytes();
+                Ok(Payload::Held(whole))
+            }
+            payload => Ok(payload),
+        }
+    }
+
+    /// The same body once more, if it is held.
+    pub(super) fn again(&self) -> Option<Payload> {
+        match self {
+            Payload::Held(bytes) => Some(Payload::Held(bytes.clone())),
+            Payload::Stream { .. } => None,
+        }
+    }
+}
+
+/// A body is larger than the bound.
+#[derive(Debug)]
+pub(super) struct TooLarge;
+
+fn is_small(body: &Incoming) -> bool {
+    let upper = body.size_hint().upper();
+    upper.is_some_and(|bytes| bytes <= MAX_REPLAY_BYTES)
+}
+
+impl Body for Payload {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        match self.get_mut() {
+            Payload::Held(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Payload::Held(bytes) => {
+                let whole = std::mem::take(bytes);
+                Poll::Ready(Some(Ok(Frame::data(whole))))
+            }
+            Payload::Stream { body, left } => {
+                let polled = Pin::new(body).poll_frame(cx);
+                polled.map(|frame| frame.map(|frame| count(frame?, left)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Payload::Held(bytes) => bytes.is_empty(),
+            Payload::Stream { body, .. } => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Payload::Held(bytes) => SizeHint::with_exact(bytes.remaining() as u64),
+            Payload::Stream { body, .. } => body.size_hint(),
+        }
+    }
+}
+
+fn count(frame: Frame<Bytes>, left: &mut u64) -> Result<Frame<Bytes>, BoxError> {
+    let len = frame.data_ref().map_or(0, |data| data.len() as u64);
+    match left.checked_sub(len) {
+        Some(rest) => {
+            *left = rest;
+            Ok(frame)
+        }
+        // An error here closes the target's connection, so that the part that
+        // was sent can't be taken for a whole body.
+        None => Err("the body is larger than the bound".into()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/peer.rs
@@ -0,0 +1,7 @@
+//! The way from a node to another: HTTP/2 over few lasting connections.
+
+mod link;
+mod links;
+
+pub(super) use self::link::LinkFailure;
+pub(super) use self::links::Links;
--- /dev/null
+++ b/crates/node/src/traffic/peer_side.rs
@@ -0,0 +1,81 @@
+//! Requests that other nodes pass on to the target beside this one.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use sassafrasspool_core::Deadline;
+use sassafrasspool_core::Failure;
+use sassafrasspool_core::Reason;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Step;
+use sassafrasspool_wire::header as names;
+
+use super::answer::Answer;
+use super::beside;
+use super::beside::Call;
+use super::bounds::MAX_HOPS;
+use super::head;
+use super::payload::Payload;
+use super::refusal;
+use super::worker::Worker;
+
+/// Answers a request of another node.
+pub(super) async fn serve(worker: &Worker, req: Request<Incoming>) -> Response<Answer> {
+    let guard = worker.hub.shared.in_flight().enter();
+    let res = match run(worker, req).await {
+        Ok(res) => res,
+        Err(failure) => {
+            let mut res = refusal::respond(&failure);
+            beside::add_load(worker, res.headers_mut());
+            res
+        }
+    };
+    res.map(|body| body.held(guard))
+}
+
+async fn run(worker: &Worker, req: Request<Incoming>) -> Result<Response<Answer>, Failure> {
+    let call = call_of(worker, req.headers())?;
+    let (parts, body) = req.into_parts();
+    let Ok(body) = Payload::stream(body) else {
+        return Err(refuse(Reason::TooLarge).into());
+    };
+    let ran = beside::run(worker, Request::from_parts(parts, body), call).await;
+    ran.map_err(|missed| missed.failure)
+}
+
+fn call_of(worker: &Worker, headers: &HeaderMap) -> Result<Call, Refusal> {
+    check_service(worker, headers)?;
+    let hop = head::number(headers, &names::HOP).unwrap_or(0);
+    let hop = u32::try_from(hop).unwrap_or(u32::MAX);
+    if hop > MAX_HOPS {
+        return Err(refuse(Reason::TooManyHops));
+    }
+    // Only nodes speak here, and each sends a deadline.
+    let Some(left) = head::number(headers, &names::DEADLINE_MS) else {
+        return Err(refuse(Reason::DeadlinePassed));
+    };
+    let now = worker.hub.shared.clock().now();
+    Ok(Call {
+        deadline: Deadline::within(now, Duration::from_millis(left)),
+        hop,
+    })
+}
+
+/// Refuses requests for another service.
+///
+/// Instances are replaced at any time and addresses given out again, so that
+/// an old instance list can lead to a target of another service.
+fn check_service(worker: &Worker, headers: &HeaderMap) -> Result<(), Refusal> {
+    let service = headers.get(names::SERVICE);
+    match service {
+        Some(name) if name == worker.hub.service.as_str() => Ok(()),
+        _ => Err(refuse(Reason::NoEndpoint)),
+    }
+}
+
+fn refuse(reason: Reason) -> Refusal {
+    Refusal::not_run(Step::Admission, reason)
+}
--- /dev/null
+++ b/crates/node/src/traffic/refusal.rs
@@ -0,0 +1,130 @@
+//! Answers of the node's own: refusals and losses as responses, and back.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use sassafrasspool_core::Failure;
+use sassafrasspool_core::Loss;
+use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Outcome;
+use sassafrasspool_core::Reason;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Step;
+use sassafrasspool_wire::header as names;
+use serde::Serialize;
+
+use super::answer::Answer;
+
+/// When callers are told to come back if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the body of such an answer says.
+#[derive(Debug, Serialize)]
+struct Told {
+    outcome: &'static str,
+    step: &'static str,
+    reason: &'static str,
+}
+
+/// The answer that says that a request has none of its target.
+pub(super) fn respond(failure: &Failure) -> Response<Answer> {
+    match failure {
+        Failure::Refused(refusal) => respond_refused(refusal),
+        Failure::Lost(loss) => respond_lost(loss),
+    }
+}
+
+fn respond_refused(refusal: &Refusal) -> Response<Answer> {
+    let told = Told {
+        outcome: refusal.outcome().as_str(),
+        step: refusal.step().as_str(),
+        reason: refusal.reason().as_str(),
+    };
+    let mut res = told_response(&told, refused_status(refusal));
+    let after = refusal.retry_after().unwrap_or(RETRY_AFTER);
+    set_retry_after(res.headers_mut(), after);
+    res
+}
+
+fn respond_lost(loss: &Loss) -> Response<Answer> {
+    let told = Told {
+        outcome: loss.outcome().as_str(),
+        step: loss.step().as_str(),
+        reason: loss.cause().as_str(),
+    };
+    let status = match loss.cause() {
+        LossCause::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    told_response(&told, status)
+}
+
+fn refused_status(refusal: &Refusal) -> StatusCode {
+    match (refusal.outcome(), refusal.reason()) {
+        (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
+        (_, Reason::NoRoute) => StatusCode::NOT_FOUND,
+        (_, Reason::RateLimited) => StatusCode::TOO_MANY_REQUESTS,
+        (_, Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+        (_, Reason::TooManyHops) => StatusCode::LOOP_DETECTED,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn told_response(told: &Told, status: StatusCode) -> Response<Answer> {
+    // Three short words can't fail to serialise; an empty body would still
+    // leave the outcome in its header.
+    let text = serde_json::to_string(told).unwrap_or_default();
+    let mut res = Response::new(Answer::text(text));
+    *res.status_mut() = status;
+    let headers = res.headers_mut();
+    let json = HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json);
+    headers.insert(names::OUTCOME, HeaderValue::from_static(told.outcome));
+    headers.insert(names::STEP, HeaderValue::from_static(told.step));
+    headers.insert(names::REASON, HeaderValue::from_static(told.reason));
+    res
+}
+
+/// Whole seconds, rounded up: a caller that comes back early meets the same.
+fn set_retry_after(headers: &mut HeaderMap, after: Duration) {
+    let secs = after.as_millis().div_ceil(1_000).max(1);
+    let secs = u64::try_from(secs).unwrap_or(u64::MAX);
+    headers.insert(header::RETRY_AFTER, HeaderValue::from(secs));
+}
+
+/// Reads what another node said instead of an answer of its target; nothing if
+/// the answer is the target's.
+pub(super) fn failure_of<B>(res: &Response<B>) -> Option<Failure> {
+    let headers = res.headers();
+    let outcome = Outcome::from_name(text(headers, &names::OUTCOME)?)?;
+    let reason = text(headers, &names::REASON).and_then(Reason::from_name);
+    // A reason that this version doesn't know proves nothing.
+    let Some(reason) = reason else {
+        return Some(Loss::new(Step::Forward, peer_cause(res.status())).into());
+    };
+    let refusal = match outcome {
+        Outcome::NotRun => Refusal::not_run(Step::Admission, reason),
+        Outcome::Unknown => Refusal::unknown(Step::Admission, reason),
+    };
+    let after = text(headers, &header::RETRY_AFTER).and_then(|secs| secs.parse().ok());
+    Some(match after {
+        Some(secs) => refusal.after(Duration::from_secs(secs)).into(),
+        None => refusal.into(),
+    })
+}
+
+fn peer_cause(status: StatusCode) -> LossCause {
+    match status {
+        StatusCode::GATEWAY_TIMEOUT => LossCause::Timeout,
+        _ => LossCause::Peer,
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/node/src/traffic/target.rs
@@ -0,0 +1,13 @@
+//! The way from a node to its own target: HTTP/1.1 over few connections.
+
+mod body;
+mod connection;
+mod counted;
+mod exchange;
+mod pool;
+
+pub(super) use self::body::TargetBody;
+pub(super) use self::exchange::Failure;
+pub(super) use self::exchange::exchange;
+pub(super) use self::pool::Pool;
+pub(super) use self::pool::WorkerIndex;
--- /dev/null
+++ b/crates/node/src/traffic/target/body.rs
@@ -0,0 +1,124 @@
+//! The body of a target's answer.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use hyper::body::Incoming;
+
+use super::connection::Connection;
+use super::pool::Pool;
+use super::pool::WorkerIndex;
+use crate::traffic::BoxError;
+use crate::traffic::admission::Permit;
+
+/// What the target answers, together with the connection that it comes by.
+///
+/// # Invariants
+///
+/// The connection goes back to the pool only if the answer has ended and the
+/// request was sent whole; else it is closed with this body.
+#[derive(Debug)]
+pub(in crate::traffic) struct TargetBody {
+    body: Incoming,
+    conn: Option<Connection>,
+    pool: Arc<Pool>,
+    worker: WorkerIndex,
+    ended: bool,
+    permit: Option<Permit>,
+}
+
+impl TargetBody {
+    pub(super) fn new(
+        body: Incoming,
+        conn: Connection,
+        pool: Arc<Pool>,
+        worker: WorkerIndex,
+    ) -> TargetBody {
+        TargetBody {
+            ended: body.is_end_stream(),
+            body,
+            conn: Some(conn),
+            pool,
+            worker,
+            permit: None,
+        }
+    }
+
+    /// The same, which holds a slot until it ends.
+    pub(in crate::traffic) fn holding(mut self, permit: Permit) -> TargetBody {
+        self.permit = Some(permit);
+        self
+    }
+
+    fn poll_body(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) {
+            return Poll::Ready(frame);
+        }
+        if let Some(conn) = &mut self.conn {
+            conn.drive(cx);
+        }
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    /// Gives the connection back, if it is fit for another exchange.
+    fn release(&mut self) {
+        let Some(mut conn) = self.conn.take() else {
+            return;
+        };
+        if !self.ended {
+            return;
+        }
+        // The connection has yet to notice that the exchange is over.
+        conn.drive(&mut Context::from_waker(Waker::noop()));
+        if conn.is_usable() {
+            // INVARIANT: Ended, and a connection that still has a request to
+            // send isn't usable.
+            self.pool.put(self.worker, conn);
+        }
+    }
+}
+
+impl Body for TargetBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let polled = self.poll_body(cx);
+        match &polled {
+            Poll::Ready(None) => self.ended = true,
+            Poll::Ready(Some(Ok(_))) => self.ended = self.body.is_end_stream(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+        polled.map_err(BoxError::from)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TargetBody {
+    fn drop(&mut self) {
+        self.release();
+        // The slot is free only once the connection is back or closed, so
+        // that its next holder finds a connection.
+        self.permit.take();
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/target/pool.rs
@@ -0,0 +1,169 @@
+//! The connections to the target, never more than it was set to have.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::task::Context;
+use std::task::Waker;
+use std::time::Instant;
+
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use sassafrasspool_core::Error;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::Step;
+use tokio::net::TcpStream;
+
+use super::connection::Connection;
+use super::counted::Counted;
+use crate::traffic::bounds::CONNECT_TIMEOUT;
+use crate::traffic::bounds::MAX_HEAD_BYTES;
+use crate::traffic::bounds::MAX_IDLE;
+
+/// Which traffic thread a connection was made on; using it there is cheapest.
+pub(in crate::traffic) type WorkerIndex = usize;
+
+/// The pool.
+///
+/// # Invariants
+///
+/// `open` counts the connections that exist, idle or in use, and is at most
+/// `limit`. A connection in `idle` has no exchange on it.
+#[derive(Debug)]
+pub(in crate::traffic) struct Pool {
+    addr: SocketAddr,
+    limit: u32,
+    held: Mutex<Held>,
+}
+
+#[derive(Debug, Default)]
+struct Held {
+    open: u32,
+    idle: Vec<Idle>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    worker: WorkerIndex,
+    conn: Connection,
+}
+
+impl Pool {
+    /// A pool of at most `limit` connections to `addr`; none is opened yet.
+    pub(in crate::traffic) fn new(addr: SocketAddr, limit: u32) -> Arc<Pool> {
+        Arc::new(Pool {
+            addr,
+            limit,
+            held: Mutex::default(),
+        })
+    }
+
+    /// An idle connection, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection may or can be opened; nothing was sent then.
+    pub(super) async fn take(self: &Arc<Pool>, worker: WorkerIndex) -> Result<Connection> {
+        while let Some(mut conn) = self.pop_idle(worker) {
+            // Sees whether the target has closed it meanwhile.
+            conn.drive(&mut Context::from_waker(Waker::noop()));
+            if conn.is_usable() {
+                return Ok(conn);
+            }
+        }
+        self.open().await
+    }
+
+    /// Takes back a connection whose exchange has ended on both sides.
+    pub(super) fn put(&self, worker: WorkerIndex, mut conn: Connection) {
+        conn.used = Instant::now();
+        self.lock().idle.push(Idle { worker, conn });
+    }
+
+    /// Closes what is idle.
+    pub(in crate::traffic) fn clear(&self) {
+        let idle = std::mem::take(&mut self.lock().idle);
+        drop(idle);
+    }
+
+    fn pop_idle(&self, worker: WorkerIndex) -> Option<Connection> {
+        let mut old = Vec::new();
+        let mut held = self.lock();
+        let now = Instant::now();
+        // The newest come last, so that the oldest stand in front.
+        while held.idle.first().is_some_and(|idle| is_old(idle, now)) {
+            old.push(held.idle.remove(0));
+        }
+        let own = held.idle.iter().rposition(|idle| idle.worker == worker);
+        let found = match own {
+            Some(at) => Some(held.idle.remove(at)),
+            None if held.open < self.limit => None,
+            None => held.idle.pop(),
+        };
+        drop(held);
+        // Closing takes the lock again to count down.
+        drop(old);
+        found.map(|idle| idle.conn)
+    }
+
+    async fn open(self: &Arc<Pool>) -> Result<Connection> {
+        let open = Open::try_new(self)?;
+        let fail = |e| self.error("cannot connect").with_cause(e);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
+        let stream = stream
+            .await
+            .map_err(|_| self.error("connecting took too long"))?
+            .map_err(fail)?;
+        stream.set_nodelay(true).map_err(fail)?;
+        let written = Arc::new(AtomicU64::new(0));
+        let io = TokioIo::new(Counted::new(stream, Arc::clone(&written)));
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io);
+        let (sender, driver) = handshake
+            .await
+            .map_err(|e| self.error("cannot connect").with_cause(e))?;
+        let mut conn = Connection::new(sender, driver, written, open);
+        // The first poll makes it ready to take a request.
+        conn.drive(&mut Context::from_waker(Waker::noop()));
+        Ok(conn)
+    }
+
+    fn error(&self, message: &str) -> Error {
+        Error::new(Step::Connect, message).at_peer(self.addr)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Held> {
+        // Nothing can panic halfway through a change of what is held.
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn is_old(idle: &Idle, now: Instant) -> bool {
+    now.duration_since(idle.conn.used) > MAX_IDLE
+}
+
+/// One connection that counts as open.
+#[derive(Debug)]
+pub(super) struct Open(Arc<Pool>);
+
+impl Open {
+    fn try_new(pool: &Arc<Pool>) -> Result<Open> {
+        let mut held = pool.lock();
+        if held.open >= pool.limit {
+            return Err(pool.error("all connections are in use"));
+        }
+        held.open += 1;
+        // INVARIANT: The count was below the limit.
+        Ok(Open(Arc::clone(pool)))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.lock().open -= 1;
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/threads.rs
@@ -0,0 +1,80 @@
+//! The traffic threads.
+
+use std::sync::Arc;
+use std::thread;
+
+use sassafrasspool_core::Error;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::Step;
+use tokio::runtime;
+use tokio::sync::oneshot;
+
+use super::caller_side::Side;
+use super::hub::Hub;
+use super::listeners::Listeners;
+use super::serve;
+use super::serve::Port;
+use super::target::WorkerIndex;
+use super::worker::Worker;
+
+/// Starts `count` threads, each with a runtime of its own: a request stays on
+/// the thread that accepted it, so that no wake-up crosses threads.
+///
+/// # Errors
+///
+/// Fails if a thread or its runtime can't be started.
+pub(super) fn start(
+    hub: &Arc<Hub>,
+    listeners: Listeners,
+    count: usize,
+) -> Result<Vec<oneshot::Receiver<()>>> {
+    let mut threads = Vec::with_capacity(count);
+    for index in 0..count.max(1) {
+        let listeners = listeners.try_clone()?;
+        threads.push(start_one(Arc::clone(hub), index, listeners)?);
+    }
+    Ok(threads)
+}
+
+fn start_one(
+    hub: Arc<Hub>,
+    index: WorkerIndex,
+    listeners: Listeners,
+) -> Result<oneshot::Receiver<()>> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(failed)?;
+    let (ended_tx, ended_rx) = oneshot::channel();
+    thread::Builder::new()
+        .name(format!("traffic-{index}"))
+        .spawn(move || {
+            runtime.block_on(async move {
+                work(Arc::clone(&hub), index, listeners).await;
+                hub.connections.wait().await;
+            });
+            drop(ended_tx);
+        })
+        .map_err(failed)?;
+    Ok(ended_rx)
+}
+
+fn failed(err: std::io::Error) -> Error {
+    Error::new(Step::Connect, "cannot start a traffic thread").with_cause(err)
+}
+
+/// Serves the three listeners until the node's token is cancelled.
+pub(super) async fn work(hub: Arc<Hub>, index: WorkerIndex, listeners: Listeners) {
+    let worker = Arc::new(Worker::new(hub, index));
+    let Listeners {
+        ingress,
+        egress,
+        traffic,
+        ..
+    } = listeners;
+    tokio::join!(
+        serve::accept(Arc::clone(&worker), ingress, Port::Caller(Side::Ingress)),
+        serve::accept(Arc::clone(&worker), egress, Port::Caller(Side::Egress)),
+        serve::accept(Arc::clone(&worker), traffic, Port::Peer),
+    );
+}
--- /dev/null
+++ b/crates/node/tests/requests/cut.rs
@@ -0,0 +1,66 @@
+//! Bodies that break off.
+
+use http::HeaderValue;
+use http::StatusCode;
+use http_body_util::BodyExt;
+
+use crate::client;
+use crate::fleet::ADJUSTER;
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+use crate::wait;
+
+/// Far more than fits into any buffer on the way.
+const LARGE: &str = "16000000";
+
+// An agent loads a report of photographs and the target dies halfway. Half a
+// report must not pass for a whole one: the caller gets an error, whatever the
+// size and whether one or two nodes stand in between.
+#[tokio::test]
+async fn an_answer_cut_short_is_an_error() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    fleet.members[1].target.set_cut_body(true).await;
+    for member in &fleet.members {
+        for size in ["10", "100000", LARGE] {
+            let mut req = client::get("/adjuster/approve", "r-1");
+            let bytes = HeaderValue::from_static(size);
+            req.headers_mut().insert("x-answer-bytes", bytes);
+            match client::call(member.addrs.ingress, req).await {
+                Err(_) => {}
+                // The connection broke before a node saw the answer's head.
+                Ok(res) => {
+                    assert_ne!(size, LARGE);
+                    assert_eq!(res.status(), StatusCode::BAD_GATEWAY);
+                    let outcome = client::header(&res, "x-sassafrasspool-outcome");
+                    assert_eq!(outcome, "unknown");
+                }
+            }
+        }
+    }
+}
+
+// A caller reads the beginning of a large answer and stops. The nodes must not
+// take the whole answer into memory meanwhile, so that the target can't have
+// handed it all over; once the caller is gone, so is the request.
+#[tokio::test]
+async fn a_caller_that_reads_slowly_holds_the_target_back() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let adjuster = &fleet.members[1];
+    let mut req = client::get("/adjuster/approve", "r-1");
+    let bytes = HeaderValue::from_static("60000000");
+    req.headers_mut().insert("x-answer-bytes", bytes);
+    let answer = client::begin(fleet.members[0].addrs.ingress, req).await;
+    let mut body = answer.expect("a head").into_body();
+    body.frame().await.expect("a frame").expect("no error");
+    assert_eq!(adjuster.target.stats().inflight, 1);
+    drop(body);
+    wait::until("a free slot", || adjuster.target.stats().inflight == 0).await;
+    let flying = || {
+        fleet
+            .members
+            .iter()
+            .map(|m| m.shared.in_flight().count())
+            .sum::<u64>()
+    };
+    wait::until("nothing in flight", || flying() == 0).await;
+}
--- /dev/null
+++ b/crates/node/tests/requests/drain.rs
@@ -0,0 +1,162 @@
+//! Planned stops.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::StatusCode;
+use sassafrasspool_core::Phase;
+
+use crate::client;
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+use crate::fleet::Member;
+use crate::fleet::Spec;
+use crate::wait;
+
+const SECOND: Spec = Spec {
+    id: "wd-2",
+    domain: "khan-uul",
+    ..DESK
+};
+
+const THIRD: Spec = Spec {
+    id: "wd-3",
+    domain: "sukhbaatar",
+    ..DESK
+};
+
+/// Far more than a drain takes here.
+const BOUND: Duration = Duration::from_secs(20);
+
+/// Stops a member as a node does; returns how many requests were cut.
+async fn stop(member: &mut Member) -> u64 {
+    member.shared.advance(Phase::Draining);
+    member.shared.in_flight().idle().await;
+    member.cancel.cancel();
+    let traffic = member.traffic.take().expect("a running node");
+    traffic.stopped_within(BOUND).await
+}
+
+// A node is told to leave and its peers don't know it yet. They still send it
+// work; it refuses at once, truthfully as not run, and they go elsewhere. Where
+// there is nowhere else, the caller hears that it wasn't run.
+#[tokio::test]
+async fn a_leaving_node_refuses_and_runs_nothing() {
+    let fleet = Fleet::start(&[DESK]).await;
+    let desk = &fleet.members[0];
+    desk.shared.advance(Phase::Draining);
+    for (port, addr) in [
+        ("ingress", desk.addrs.ingress),
+        ("egress", desk.addrs.egress),
+    ] {
+        let req = client::get("/desk/lodge", port);
+        let res = client::call(addr, req).await.expect("an answer");
+        assert_eq!(res.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "not-run");
+        let body = std::str::from_utf8(res.body()).expect("text");
+        assert!(body.contains("\"reason\":\"draining\""), "{body}");
+    }
+    assert!(desk.target.ledger().runs.is_empty());
+}
+
+/// Callers that go on until they are told to stop.
+struct Callers {
+    done: Arc<AtomicBool>,
+    tasks: Vec<tokio::task::JoinHandle<u64>>,
+}
+
+impl Callers {
+    fn start(fleet: &Fleet, via: usize) -> Callers {
+        let done = Arc::new(AtomicBool::new(false));
+        let ingress = fleet.members[via].addrs.ingress;
+        let one = |n: usize| {
+            let done = Arc::clone(&done);
+            tokio::spawn(async move {
+                let mut answered = 0;
+                while !done.load(Ordering::Relaxed) {
+                    let req = client::get("/desk/lodge", &format!("c-{n}-{answered}"));
+                    let res = client::call(ingress, req).await.expect("an answer");
+                    assert_eq!(res.status(), StatusCode::OK, "{:?}", res.body());
+                    answered += 1;
+                }
+                answered
+            })
+        };
+        let tasks = (0..4).map(one).collect();
+        Callers { done, tasks }
+    }
+
+    async fn finish(self) -> u64 {
+        self.done.store(true, Ordering::Relaxed);
+        let mut answered = 0;
+        for task in self.tasks {
+            answered += task.await.expect("no failed call");
+        }
+        answered
+    }
+}
+
+// Claims come in without a break while two of three nodes are stopped, the
+// second before the first has ended. Nothing is cut, refused or run twice.
+#[tokio::test]
+async fn two_stops_at_once_under_load_cut_nothing() {
+    let mut fleet = Fleet::start(&[DESK, SECOND, THIRD]).await;
+    for member in &fleet.members {
+        member.target.set_slow(Duration::from_millis(5)).await;
+    }
+    let callers = Callers::start(&fleet, 2);
+    let ran = |m: &Member| m.target.ledger().runs.len();
+    wait::until("load", || ran(&fleet.members[2]) > 20).await;
+    let mut leaving: Vec<Member> = fleet.members.drain(..2).collect();
+    let [first, second] = &mut leaving[..] else {
+        unreachable!("two members");
+    };
+    let (first, second) = tokio::join!(stop(first), stop(second));
+    assert_eq!((first, second), (0, 0));
+    let before = ran(&fleet.members[0]);
+    wait::until("more load", || ran(&fleet.members[0]) > before + 20).await;
+    let answered = callers.finish().await;
+    let members = leaving.iter().chain(&fleet.members);
+    let ran: usize = members.map(ran).sum();
+    assert_eq!(u64::try_from(ran).expect("few runs"), answered);
+}
+
+// A long answer is on its way when its node is told to stop. The stop waits
+// for the last byte.
+#[tokio::test]
+async fn a_stop_waits_for_the_answer_in_flight() {
+    let mut fleet = Fleet::start(&[DESK]).await;
+    fleet.members[0]
+        .target
+        .set_slow(Duration::from_millis(300))
+        .await;
+    let ingress = fleet.members[0].addrs.ingress;
+    let mut req = client::get("/desk/lodge", "r-1");
+    let bytes = "3000000".parse().expect("a value");
+    req.headers_mut().insert("x-answer-bytes", bytes);
+    let answer = tokio::spawn(client::call(ingress, req));
+    wait::until("a run", || fleet.runs_of("r-1") == 1).await;
+    assert_eq!(stop(&mut fleet.members[0]).await, 0);
+    let res = answer.await.expect("a task").expect("a whole answer");
+    assert_eq!(res.body().len(), 3_000_000 + "r-1\n".len());
+}
+
+// A target hangs and the operator's patience is at its end: the stop ends at
+// its bound and says how much it cut. The caller isn't left waiting.
+#[tokio::test]
+async fn a_stop_at_its_bound_says_what_it_cut() {
+    let mut fleet = Fleet::start(&[DESK]).await;
+    let desk = &mut fleet.members[0];
+    desk.target.set_hang_after_run(true).await;
+    let req = client::get("/desk/lodge", "r-1");
+    let answer = tokio::spawn(client::call(desk.addrs.ingress, req));
+    wait::until("a run", || desk.runs_of("r-1").len() == 1).await;
+    desk.shared.advance(Phase::Draining);
+    desk.cancel.cancel();
+    let traffic = desk.traffic.take().expect("a running node");
+    let cut = traffic.stopped_within(Duration::from_millis(200)).await;
+    assert_eq!(cut, 1);
+    answer.await.expect("a task").expect_err("a cut request");
+}
--- /dev/null
+++ b/crates/node/tests/requests/fleet.rs
@@ -0,0 +1,196 @@
+//! Some nodes with their targets, without a control side: the test puts the
+//! views in force.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::num::NonZeroU32;
+use std::sync::Arc;
+
+use sassafrasspool_core::Catalogue;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceList;
+use sassafrasspool_core::InstanceState;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::Snapshot;
+use sassafrasspool_core::catalogue;
+use sassafrasspool_node::RunningTraffic;
+use sassafrasspool_node::Settings;
+use sassafrasspool_node::Shared;
+use sassafrasspool_node::Traffic;
+use sassafrasspool_node::TrafficAddrs;
+use sassafrasspool_node::View;
+use sassafrasspool_standin::Target;
+use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::Run;
+use tokio_util::sync::CancellationToken;
+
+/// The catalogue of all these tests.
+const CATALOGUE: &str = include_str!("catalogue.yaml");
+
+/// Slots of each target.
+pub(crate) const SLOTS: u32 = 4;
+
+/// A node with the target beside it.
+#[derive(Debug)]
+pub(crate) struct Member {
+    pub(crate) id: &'static str,
+    pub(crate) service: &'static str,
+    pub(crate) target: Target,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) addrs: TrafficAddrs,
+    pub(crate) cancel: CancellationToken,
+    pub(crate) traffic: Option<RunningTraffic>,
+}
+
+/// What a member is started with.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Spec {
+    pub(crate) id: &'static str,
+    pub(crate) service: &'static str,
+    pub(crate) domain: &'static str,
+}
+
+/// A desk in one failure domain, which other specs vary.
+pub(crate) const DESK: Spec = Spec {
+    id: "wd-1",
+    service: "workshop-desk",
+    domain: "bayanzurkh",
+};
+
+/// The desk that adjusters use, in another failure domain.
+pub(crate) const ADJUSTER: Spec = Spec {
+    id: "ad-1",
+    service: "adjuster-desk",
+    domain: "khan-uul",
+};
+
+impl Member {
+    async fn start(spec: Spec, cfg: TargetSettings, other: Option<SocketAddr>) -> Member {
+        let target = Target::start(cfg, CancellationToken::new())
+            .await
+            .expect("a target");
+        let settings = settings(spec, other.unwrap_or_else(|| target.addr()));
+        let shared = Arc::new(Shared::new(settings.instance.clone(), 1));
+        shared.advance(Phase::Ready);
+        let cancel = CancellationToken::new();
+        let traffic = Traffic::start(&settings, Arc::clone(&shared), cancel.clone());
+        let traffic = traffic.expect("a node");
+        Member {
+            id: spec.id,
+            service: spec.service,
+            target,
+            shared,
+            addrs: traffic.addrs(),
+            cancel,
+            traffic: Some(traffic),
+        }
+    }
+
+    /// What the target ran under this request id.
+    pub(crate) fn runs_of(&self, id: &str) -> Vec<Run> {
+        let runs = self.target.ledger().runs;
+        runs.into_iter().filter(|run| run.id == id).collect()
+    }
+
+    fn instance(&self, domain: &str) -> Instance {
+        let control = "127.0.0.1:9".parse().expect("an address");
+        Instance {
+            id: name(self.id),
+            service: name(self.service),
+            region: name("ulaanbaatar"),
+            domain: name(domain),
+            traffic: self.addrs.traffic,
+            control,
+            slots: SLOTS,
+            connections: 2 * SLOTS,
+            state: InstanceState::Live,
+        }
+    }
+}
+
+fn name<T: TryFrom<Arc<str>, Error: std::fmt::Debug>>(text: &str) -> T {
+    T::try_from(Arc::from(text)).expect("a name")
+}
+
+fn settings(spec: Spec, target: SocketAddr) -> Settings {
+    let Spec {
+        id,
+        service,
+        domain,
+    } = spec;
+    let any = "127.0.0.1:0";
+    let text = format!(
+        "
+instance: {id}
+service: {service}
+region: ulaanbaatar
+domain: {domain}
+listen: {{ingress: {any}, egress: {any}, traffic: {any}, control: {any}, admin: {any}}}
+target: {{addr: {target}, slots: {SLOTS}, ready_path: /healthz}}
+platform: {{addr: 127.0.0.1:6000}}
+"
+    );
+    Settings::parse(&text).expect("settings")
+}
+
+/// All members, each of which knows the others.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) members: Vec<Member>,
+}
+
+impl Fleet {
+    /// Starts one member for each spec.
+    pub(crate) async fn start(specs: &[Spec]) -> Fleet {
+        let slots = NonZeroU32::new(SLOTS).expect("slots");
+        let cfg = TargetSettings {
+            slots,
+            ..TargetSettings::default()
+        };
+        Fleet::start_with(specs, cfg).await
+    }
+
+    /// Starts one member for each spec, all in front of another target.
+    pub(crate) async fn start_before(specs: &[Spec], target: SocketAddr) -> Fleet {
+        Fleet::start_all(specs, TargetSettings::default(), Some(target)).await
+    }
+
+    /// Starts one member for each spec, with targets of these settings.
+    pub(crate) async fn start_with(specs: &[Spec], cfg: TargetSettings) -> Fleet {
+        Fleet::start_all(specs, cfg, None).await
+    }
+
+    async fn start_all(specs: &[Spec], cfg: TargetSettings, other: Option<SocketAddr>) -> Fleet {
+        let mut members = Vec::new();
+        for &spec in specs {
+            members.push(Member::start(spec, cfg.clone(), other).await);
+        }
+        let fleet = Fleet { members };
+        fleet.publish(specs);
+        fleet
+    }
+
+    fn publish(&self, specs: &[Spec]) {
+        let revision = Revision::new(1).expect("a revision");
+        let items = catalogue::parse(CATALOGUE).expect("a catalogue");
+        let catalogue = Catalogue::new(revision, items).expect("a catalogue");
+        let members = self.members.iter().zip(specs);
+        let instances = members.map(|(member, spec)| member.instance(spec.domain));
+        let instances = InstanceList::new(revision, instances).expect("a list");
+        let snapshot = Snapshot::build(&catalogue, &instances).expect("a snapshot");
+        let view = View {
+            snapshot: Arc::new(snapshot),
+            states: Arc::new(HashMap::new()),
+        };
+        for member in &self.members {
+            member.shared.set_view(view.clone());
+        }
+    }
+
+    /// How often all targets together ran the request.
+    pub(crate) fn runs_of(&self, id: &str) -> usize {
+        let runs = self.members.iter().map(|member| member.runs_of(id).len());
+        runs.sum()
+    }
+}
--- /dev/null
+++ b/crates/node/tests/requests/forged.rs
@@ -0,0 +1,52 @@
+//! Headers that only nodes may set.
+
+use http::StatusCode;
+
+use crate::client;
+use crate::fleet::ADJUSTER;
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+use crate::nosy_target;
+
+// A fitter's client sends a deadline of 1 ms, a high hop count and an outcome
+// of its own, by mistake or to get ahead. Its request is treated like any
+// other, and none of the headers reaches the target.
+#[tokio::test]
+async fn a_caller_cannot_forge_headers_of_nodes() {
+    let target = nosy_target::start().await;
+    let fleet = Fleet::start_before(&[DESK, ADJUSTER], target).await;
+    for (via, name) in [(0, "two hops"), (1, "one hop")] {
+        let mut req = client::get("/adjuster/files", name);
+        for (name, value) in [
+            ("x-sassafrasspool-deadline-ms", "1"),
+            ("x-sassafrasspool-hop", "99"),
+            ("x-sassafrasspool-service", "archive"),
+            ("x-sassafrasspool-outcome", "not-run"),
+            ("x-sassafrasspool-anything", "1"),
+        ] {
+            let value = value.parse().expect("a value");
+            req.headers_mut().append(name, value);
+        }
+        let res = client::call(fleet.members[via].addrs.ingress, req).await;
+        let res = res.expect("an answer");
+        assert_eq!(res.status(), StatusCode::OK);
+        let seen = std::str::from_utf8(res.body()).expect("text");
+        assert!(seen.contains("x-request-id"), "{name}: {seen}");
+        assert!(!seen.contains("sassafrasspool"), "{name}: {seen}");
+    }
+}
+
+// A target runs an approval and claims in its answer that it didn't run. A
+// caller that believed this would send it again; the claim doesn't reach it.
+#[tokio::test]
+async fn a_target_cannot_forge_an_outcome() {
+    let target = nosy_target::start().await;
+    let fleet = Fleet::start_before(&[DESK, ADJUSTER], target).await;
+    for via in &fleet.members {
+        let req = client::get("/adjuster/approve", "r-1");
+        let res = client::call(via.addrs.ingress, req).await.expect("answer");
+        assert_eq!(res.status(), StatusCode::OK);
+        let ours = |name: &&http::HeaderName| name.as_str().contains("sassafrasspool");
+        assert_eq!(res.headers().keys().find(ours), None);
+    }
+}
--- /dev/null
+++ b/crates/node/tests/requests/limits.rs
@@ -0,0 +1,76 @@
+//! Targets and nodes at their limits.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use sassafrasspool_standin::TargetSettings;
+use tokio::net::TcpStream;
+
+use crate::client;
+use crate::fleet::ADJUSTER;
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+use crate::fleet::SLOTS;
+use crate::wait;
+
+// Others hold all connections that the target allows, and it closes each new
+// one on arrival. Requests fail at once, none is run twice, and when the others
+// have gone requests are answered again.
+#[tokio::test]
+async fn a_target_at_its_connection_limit_fails_fast() {
+    let cfg = TargetSettings {
+        connections: 2.try_into().expect("a number"),
+        ..TargetSettings::default()
+    };
+    let fleet = Fleet::start_with(&[DESK, ADJUSTER], cfg).await;
+    let adjuster = &fleet.members[1];
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        held.push(TcpStream::connect(adjuster.target.addr()).await);
+    }
+    wait::until("held", || adjuster.target.stats().connections == 2).await;
+    let ingress = fleet.members[0].addrs.ingress;
+    for n in 0..4 {
+        let id = format!("r-{n}");
+        let req = client::get("/adjuster/approve", &id);
+        let res = client::call(ingress, req).await.expect("an answer");
+        assert!(res.status().is_server_error());
+        assert_ne!(client::header(&res, "x-sassafrasspool-outcome"), "");
+        assert_eq!(fleet.runs_of(&id), 0);
+    }
+    drop(held);
+    wait::until("let go", || adjuster.target.stats().connections == 0).await;
+    let req = client::get("/adjuster/approve", "after");
+    let res = client::call(ingress, req).await.expect("an answer");
+    assert_eq!(res.status(), StatusCode::OK);
+}
+
+// More callers come at once than there are slots. Nothing but the slots' worth
+// runs at a time on few connections, and whoever isn't run is told so.
+#[tokio::test]
+async fn a_target_never_gets_more_than_its_slots() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let adjuster = &fleet.members[1];
+    adjuster.target.set_slow(Duration::from_millis(20)).await;
+    let mut calls = Vec::new();
+    for n in 0..10 * SLOTS {
+        let id = format!("r-{n}");
+        let req = client::get("/adjuster/approve", &id);
+        let call = client::call(fleet.members[0].addrs.ingress, req);
+        calls.push((id, tokio::spawn(call)));
+    }
+    for (id, call) in calls {
+        let res = call.await.expect("a task").expect("an answer");
+        match res.status() {
+            StatusCode::OK => assert_eq!(adjuster.runs_of(&id).len(), 1),
+            _ => {
+                assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "not-run");
+                assert_ne!(client::header(&res, "retry-after"), "");
+                assert!(adjuster.runs_of(&id).is_empty());
+            }
+        }
+    }
+    let stats = adjuster.target.stats();
+    assert_eq!(stats.shed, 0);
+    assert!(stats.connections_peak <= u64::from(SLOTS), "{stats:?}");
+}
--- /dev/null
+++ b/crates/node/tests/requests/lost.rs
@@ -0,0 +1,72 @@
+//! Targets that fail with requests on them.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+use crate::client;
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+use crate::fleet::Spec;
+use crate::wait;
+
+const SECOND: Spec = Spec {
+    id: "wd-2",
+    domain: "khan-uul",
+    ..DESK
+};
+
+/// Long enough that the crash comes in the middle of the run.
+const LONG: Duration = Duration::from_secs(10);
+
+// An adjuster approves a payment; the target takes it and crashes before it
+// answers. Nobody knows whether the money moved: the caller is told so, and
+// no other target gets the approval.
+#[tokio::test]
+async fn a_crash_after_hand_over_is_unknown_and_not_retried() {
+    let fleet = Fleet::start(&[DESK, SECOND]).await;
+    let [first, second] = &fleet.members[..] else {
+        unreachable!("two members");
+    };
+    first.target.set_slow(LONG).await;
+    let req = client::get("/desk/lodge", "r-1");
+    let answer = tokio::spawn(client::call(first.addrs.ingress, req));
+    wait::until("the run", || first.runs_of("r-1").len() == 1).await;
+    first.target.crash().await;
+    let res = answer.await.expect("a task").expect("an answer");
+    assert_eq!(res.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "unknown");
+    assert!(second.runs_of("r-1").is_empty());
+}
+
+// A fitter looks up a policy and the target crashes with the lookup on it.
+// Looking it up twice harms nobody, so that another target answers.
+#[tokio::test]
+async fn a_crash_under_an_idempotent_request_is_retried_elsewhere() {
+    let fleet = Fleet::start(&[DESK, SECOND]).await;
+    let [first, second] = &fleet.members[..] else {
+        unreachable!("two members");
+    };
+    first.target.set_slow(LONG).await;
+    let req = client::get("/desk/policy", "r-1");
+    let answer = tokio::spawn(client::call(first.addrs.ingress, req));
+    wait::until("the run", || first.runs_of("r-1").len() == 1).await;
+    first.target.crash().await;
+    let res = answer.await.expect("a task").expect("an answer");
+    assert_eq!(res.status(), StatusCode::OK);
+    assert_eq!(second.runs_of("r-1").len(), 1);
+}
+
+// A target crashed a moment ago and its node doesn't know it yet. A lodged
+// claim finds the port closed: not a byte of it was sent, so that it may go to
+// another target although it must not run twice.
+#[tokio::test]
+async fn a_request_that_was_never_sent_is_retried_elsewhere() {
+    let fleet = Fleet::start(&[DESK, SECOND]).await;
+    fleet.members[0].target.crash().await;
+    let ingress = fleet.members[0].addrs.ingress;
+    let req = client::get("/desk/lodge", "r-1");
+    let res = client::call(ingress, req).await.expect("an answer");
+    assert_eq!(res.status(), StatusCode::OK);
+    assert_eq!(fleet.runs_of("r-1"), 1);
+}
--- /dev/null
+++ b/crates/node/tests/requests/main.rs
@@ -0,0 +1,13 @@
+//! Requests end to end: real nodes and real sockets, with stand-in targets.
+
+mod cancel;
+mod client;
+mod cut;
+mod drain;
+mod fleet;
+mod forged;
+mod limits;
+mod lost;
+mod nosy_target;
+mod path;
+mod wait;
