Run the real node program in the bench, behind wires that can be held

A node's process is the program that operators run, with its signals and its exit code, which says whether a planned stop cut requests. In chaos runs the instance list has relays' addresses, so that what other nodes send to a node can be held and arrive late, as through a partition that heals. Processor time comes from the one place that reads it.

--- a/crates/bench/src/calls/process.rs
+++ b/crates/bench/src/calls/process.rs
@@ -2,24 +2,6 @@
 
 use std::fs;
 
-/// Nanoseconds in a microsecond.
-const NS_PER_US: u64 = 1_000;
-
-/// Processor time that all threads of `pid` took so far, in microseconds.
-///
-/// The scheduler's own count is read, since the usual one has steps of a
-/// hundredth of a second.
-pub(super) fn cpu_us(pid: u32) -> Option<u64> {
-    let mut ns = 0;
-    for task in fs::read_dir(format!("/proc/{pid}/task")).ok()? {
-        let file = task.ok()?.path().join("schedstat");
-        let text = fs::read_to_string(file).ok()?;
-        let on_cpu: u64 = text.split_whitespace().next()?.parse().ok()?;
-        ns += on_cpu;
-    }
-    Some(ns / NS_PER_US)
-}
-
 /// TCP connections that `pid` has open, listeners left out.
 pub(super) fn connections(pid: u32) -> Option<usize> {
     let established = established_inodes(pid)?;
--- a/crates/bench/src/calls/run.rs
+++ b/crates/bench/src/calls/run.rs
@@ -18,6 +18,7 @@
 use crate::load::Place;
 use crate::load::Plan;
 use crate::summary::SummaryMs;
+use crate::usage::ProcessUsage;
 
 /// Calls that open connections and warm caches, before any is measured.
 const WARM_UP: Duration = Duration::from_secs(1);
@@ -38,7 +39,7 @@
     let pids = pids(&fleet).await;
     let cpu_before = cpu(&pids);
     let measured = measure("calls", plan(opts, opts.length), &ways).await;
-    let cpu_us = cpu(&pids) - cpu_before;
+    let cpu_us = (cpu(&pids) - cpu_before).as_micros();
     let connections = pids.iter().filter_map(|pid| process::connections(*pid));
     let connections = connections.max().unwrap_or(0);
     Ok(report(opts, &measured, cpu_us, connections, load_average))
@@ -66,6 +67,7 @@
         places: (0..opts.nodes).map(place).collect(),
         catalogue: catalogue(opts.nodes),
         nodes: true,
+        relays: false,
         patience: READY,
     }
 }
@@ -113,14 +115,15 @@
     pids
 }
 
-fn cpu(pids: &[u32]) -> u64 {
-    pids.iter().filter_map(|pid| process::cpu_us(*pid)).sum()
+fn cpu(pids: &[u32]) -> Duration {
+    let usage = pids.iter().filter_map(|pid| ProcessUsage::of(*pid).ok());
+    usage.map(|usage| usage.cpu).sum()
 }
 
 fn report(
     opts: Options,
     measured: &Measured,
-    cpu_us: u64,
+    cpu_us: u128,
     connections: usize,
     load_average: String,
 ) -> Report {
--- a/crates/bench/src/chaos/driver.rs
+++ b/crates/bench/src/chaos/driver.rs
@@ -72,6 +72,10 @@
                 let (node, target) = tokio::join!(self.kill(instance, down), target);
                 node.and(target)
             }
+            Fault::Isolate { instance, length } => {
+                self.isolate(instance, length).await;
+                Ok(())
+            }
             Fault::PublishGood => self.operators.publish_good(&self.fleet.platform, &self.log),
             Fault::PublishBad => self.operators.publish_bad(&self.fleet.platform, &self.log),
             fault if fault.is_of_platform() => self.mislead(fault).await,
@@ -99,8 +103,10 @@
             member.target.set_drain(true).await;
             member.target.crash().await;
         }
+        let mut cut = 0;
         if let Some(node) = member.node.lock().await.take() {
-            node.stop().await.into_diagnostic()?;
+            let status = node.stop().await.into_diagnostic()?;
+            cut = u64::from(!status.success());
         }
         let stopped = Stopped {
             instance,
@@ -110,7 +116,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .push(stopped);
-        self.log.record(Event::DrainEnded { target, cut: 0 });
+        self.log.record(Event::DrainEnded { target, cut });
         self.lost(instance);
         tokio::time::sleep(down).await;
         if !self.nodes {
@@ -165,6 +171,17 @@
         Ok(())
     }
 
+    /// Holds the wires to a node. It excuses no silence: whoever took a call
+    /// must tell its caller that nobody knows.
+    async fn isolate(&self, instance: usize, length: Duration) {
+        let relays = &self.member(instance).relays;
+        self.lost(instance);
+        relays.iter().for_each(|relay| relay.hold(true));
+        tokio::time::sleep(length).await;
+        relays.iter().for_each(|relay| relay.hold(false));
+        self.back(instance);
+    }
+
     async fn crash_target(&self, instance: usize, down: Duration) -> miette::Result<()> {
         let member = self.member(instance);
         let from_us = now_us();
--- a/crates/bench/src/chaos/fault.rs
+++ b/crates/bench/src/chaos/fault.rs
@@ -46,6 +46,14 @@
         /// From the crash until the start.
         down: Duration,
     },
+    /// What other nodes send to a node, and what it answers, is held and
+    /// arrives late.
+    Isolate {
+        /// Which instance.
+        instance: usize,
+        /// How long.
+        length: Duration,
+    },
     /// A target refuses new work by itself.
     DrainTarget {
         /// Which instance.
@@ -122,6 +130,7 @@
             | Fault::Pause { instance, .. }
             | Fault::CrashTarget { instance, .. }
             | Fault::Crash { instance, .. }
+            | Fault::Isolate { instance, .. }
             | Fault::DrainTarget { instance, .. }
             | Fault::SlowTarget { instance, .. }
             | Fault::LateAnswers { instance, .. }
@@ -136,6 +145,7 @@
             Fault::Stop { down, .. } | Fault::Kill { down, .. } | Fault::KillHerd { down } => down,
             Fault::CrashTarget { down, .. } | Fault::Crash { down, .. } => down,
             Fault::Pause { length, .. }
+            | Fault::Isolate { length, .. }
             | Fault::DrainTarget { length, .. }
             | Fault::SlowTarget { length, .. }
             | Fault::LateAnswers { length, .. }
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -154,6 +154,7 @@
         places: (0..opts.nodes).map(place).collect(),
         catalogue: catalogue::text(0),
         nodes: !opts.naive,
+        relays: !opts.naive,
         patience: READY,
     }
 }
--- a/crates/bench/src/chaos/script.rs
+++ b/crates/bench/src/chaos/script.rs
@@ -22,7 +22,7 @@
 const REST: Duration = Duration::from_millis(1_000);
 
 /// Kinds of faults to draw from.
-const FAULTS: usize = 17;
+const FAULTS: usize = 18;
 
 /// A fault and when it comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -140,7 +140,11 @@
             },
             12 | 13 => self.draw_of_platform(),
             14 => Fault::PublishBad,
-            15 => Fault::Crash {
+            15 => Fault::Isolate {
+                instance,
+                length: self.millis(100, 2_500),
+            },
+            16 => Fault::Crash {
                 instance,
                 down: self.millis(100, 1_500),
             },
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -30,6 +30,7 @@
 pub use self::plan::Plan;
 pub use self::ports::Ports;
 pub use self::record::CallRecord;
+pub use self::relay::Relay;
 pub use self::repeat::Caller;
 pub use self::repeat::Repeats;
 pub use self::request::Attempt;
@@ -49,6 +50,7 @@
 mod plan;
 mod ports;
 mod record;
+mod relay;
 mod repeat;
 mod request;
 #[cfg(test)]
--- a/crates/bench/src/load/fleet/member.rs
+++ b/crates/bench/src/load/fleet/member.rs
@@ -9,6 +9,7 @@
 
 use crate::load::LedgerRun;
 use crate::load::NodeProcess;
+use crate::load::Relay;
 
 /// A target with the node beside it.
 #[derive(Debug)]
@@ -23,6 +24,8 @@
     pub admin: SocketAddr,
     /// Its target.
     pub target: Target,
+    /// The wires by which other nodes reach its node, if they can be held.
+    pub relays: Vec<Relay>,
     /// Its node, unless that is down.
     pub node: Mutex<Option<NodeProcess>>,
     pub(super) settings: PathBuf,
--- a/crates/bench/src/load/fleet/settings.rs
+++ b/crates/bench/src/load/fleet/settings.rs
@@ -4,11 +4,14 @@
 
 use sassafrasspool_core::Instance;
 
-/// Where a node listens, beside the addresses in the instance list.
+/// Where a node listens. The instance list may have other addresses, from
+/// which connections are passed on to these.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Listen {
     pub(super) ingress: SocketAddr,
     pub(super) egress: SocketAddr,
+    pub(super) traffic: SocketAddr,
+    pub(super) control: SocketAddr,
     pub(super) admin: SocketAddr,
 }
 
@@ -24,14 +27,14 @@
         service,
         region,
         domain,
-        traffic,
-        control,
         slots,
         ..
     } = instance;
     let Listen {
         ingress,
         egress,
+        traffic,
+        control,
         admin,
     } = listen;
     format!(
--- a/crates/bench/src/load/fleet/whole.rs
+++ b/crates/bench/src/load/fleet/whole.rs
@@ -1,7 +1,7 @@
 //! Starting a fleet.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use miette::IntoDiagnostic;
@@ -27,6 +27,7 @@
 use super::settings::Listen;
 use crate::load::LedgerRun;
 use crate::load::Ports;
+use crate::load::Relay;
 use crate::load::admin;
 
 /// The region that all instances stand in.
@@ -58,13 +59,17 @@
             .await
             .into_diagnostic()?;
         let dir = tempfile::tempdir().into_diagnostic()?;
-        let mut ports = Ports::new();
+        let mut maker = Maker {
+            ports: Ports::new(),
+            dir: dir.path().to_owned(),
+            platform: platform.addr(),
+            relays: layout.relays,
+        };
         let mut members = Vec::new();
         for (n, place) in layout.places.iter().enumerate() {
             let target = Target::start(place.target.clone(), cancel.clone());
             let target = target.await.into_diagnostic()?;
-            let member = member(n, place, target, &mut ports, dir.path(), platform.addr())?;
-            members.push(member);
+            members.push(maker.member(n, place, target).await?);
         }
         let fleet = Fleet {
             platform,
@@ -109,7 +114,7 @@
     }
 
     /// Keeps the nodes' settings and logs after the end, and says where.
-    pub fn keep_logs(self) -> std::path::PathBuf {
+    pub fn keep_logs(self) -> PathBuf {
         self.dir.keep()
     }
 
@@ -129,42 +134,64 @@
     }
 }
 
-fn member(
-    n: usize,
-    place: &Place,
-    target: Target,
-    ports: &mut Ports,
-    dir: &Path,
+/// What members are made with.
+#[derive(Debug)]
+struct Maker {
+    ports: Ports,
+    dir: PathBuf,
     platform: SocketAddr,
-) -> miette::Result<Member> {
-    let mut take = || ports.take().into_diagnostic();
-    let listen = Listen {
-        ingress: take()?,
-        egress: take()?,
-        admin: take()?,
-    };
-    let instance = Instance {
-        id: InstanceId::new(&format!("{}-{n}", place.service)).into_diagnostic()?,
-        service: ServiceName::new(&place.service).into_diagnostic()?,
-        region: RegionName::new(REGION).into_diagnostic()?,
-        domain: DomainName::new(place.domain).into_diagnostic()?,
-        traffic: take()?,
-        control: take()?,
+    relays: bool,
+}
+
+impl Maker {
+    async fn member(&mut self, n: usize, place: &Place, target: Target) -> miette::Result<Member> {
+        let listen = self.listen().into_diagnostic()?;
+        let mut instance = instance(n, place, listen).into_diagnostic()?;
+        let mut relays = Vec::new();
+        if self.relays {
+            for addr in [&mut instance.traffic, &mut instance.control] {
+                let relay = Relay::start(*addr).await.into_diagnostic()?;
+                *addr = relay.addr();
+                relays.push(relay);
+            }
+        }
+        let settings = self.dir.join(format!("{}.yaml", instance.id));
+        let text = settings::text(&instance, listen, target.addr(), self.platform);
+        std::fs::write(&settings, text).into_diagnostic()?;
+        Ok(Member {
+            n,
+            log: self.dir.join(format!("{}.log", instance.id)),
+            instance,
+            ingress: listen.ingress,
+            admin: listen.admin,
+            target,
+            relays,
+            node: Mutex::new(None),
+            settings,
+        })
+    }
+
+    fn listen(&mut self) -> std::io::Result<Listen> {
+        Ok(Listen {
+            ingress: self.ports.take()?,
+            egress: self.ports.take()?,
+            traffic: self.ports.take()?,
+            control: self.ports.take()?,
+            admin: self.ports.take()?,
+        })
+    }
+}
+
+fn instance(n: usize, place: &Place, listen: Listen) -> sassafrasspool_core::Result<Instance> {
+    Ok(Instance {
+        id: InstanceId::new(&format!("{}-{n}", place.service))?,
+        service: ServiceName::new(&place.service)?,
+        region: RegionName::new(REGION)?,
+        domain: DomainName::new(place.domain)?,
+        traffic: listen.traffic,
+        control: listen.control,
         slots: place.target.slots.get(),
         connections: place.target.connections.get(),
         state: InstanceState::Live,
-    };
-    let settings = dir.join(format!("{}.yaml", instance.id));
-    let text = settings::text(&instance, listen, target.addr(), platform);
-    std::fs::write(&settings, text).into_diagnostic()?;
-    Ok(Member {
-        n,
-        log: dir.join(format!("{}.log", instance.id)),
-        instance,
-        ingress: listen.ingress,
-        admin: listen.admin,
-        target,
-        node: Mutex::new(None),
-        settings,
     })
 }
--- a/crates/bench/src/load/node_process.rs
+++ b/crates/bench/src/load/node_process.rs
@@ -11,8 +11,8 @@
 use tokio::process::Child;
 use tokio::process::Command;
 
-/// The verb of this program that runs a node.
-const VERB: &str = "node-process";
+/// The node's program, which is built beside this one.
+const PROGRAM: &str = "sassafrasspool-node";
 
 /// A running node; killed when dropped.
 #[derive(Debug)]
@@ -25,15 +25,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if the process can't be started.
+    /// Fails if the process can't be started, such as when the program wasn't
+    /// built with `cargo build -p sassafrasspool-node`.
     pub fn start(file: &Path, log: &Path) -> std::io::Result<NodeProcess> {
         let log = std::fs::File::options()
             .create(true)
             .append(true)
             .open(log)?;
-        let exe: PathBuf = std::env::current_exe()?;
-        let child = Command::new(exe)
-            .arg(VERB)
+        let child = Command::new(program()?)
             .arg("--settings")
             .arg(file)
             .stdin(Stdio::null())
@@ -96,3 +95,14 @@
         Ok(kill_process(pid, signal)?)
     }
 }
+
+fn program() -> std::io::Result<PathBuf> {
+    let path = std::env::current_exe()?.with_file_name(PROGRAM);
+    match path.exists() {
+        true => Ok(path),
+        false => Err(std::io::Error::other(format!(
+            "{} isn't there: build {PROGRAM} with the same profile",
+            path.display()
+        ))),
+    }
+}
--- a/crates/bench/src/load/tests.rs
+++ b/crates/bench/src/load/tests.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use rstest::rstest;
 use sassafrasspool_core::Class;
@@ -14,6 +15,7 @@
 use super::CallRecord;
 use super::Caller;
 use super::Client;
+use super::Due;
 use super::Ending;
 use super::Entries;
 use super::Keys;
@@ -22,6 +24,7 @@
 use super::Outage;
 use super::OutageKind;
 use super::Plan;
+use super::Relay;
 use super::Repeats;
 use super::Verdict;
 use super::Way;
@@ -108,6 +111,29 @@
     assert_eq!(verdict.not_sent, verdict.sent, "{verdict:?}");
 }
 
+#[tokio::test]
+async fn a_held_wire_is_silent_and_delivers_late() {
+    let target = start_target().await;
+    let relay = Relay::start(target.addr()).await.unwrap();
+    relay.hold(true);
+    let one = || plan(1).take(1).last().unwrap();
+    let caller = caller(vec![relay.addr()]);
+    let late = {
+        let caller = Arc::clone(&caller);
+        let due = Due {
+            call: one(),
+            at: Instant::now(),
+            late: Duration::ZERO,
+        };
+        tokio::spawn(async move { caller.call(due).await })
+    };
+    assert!(target.ledger().runs.is_empty());
+    relay.hold(false);
+    let records = late.await.unwrap();
+    assert_eq!(records[0].ending, Ending::Answered);
+    assert_eq!(target.ledger().runs.len(), 1);
+}
+
 const ENTRY: &str = "127.0.0.1:1000";
 
 fn record(attempt: u32, ending: Ending) -> CallRecord {
