Take a request back with the proof that nothing was sent

A connection that fails before its socket took a byte of a request leaves the request not run, but there was no way to say so after the hand-over: such requests would have been reported as unknown and never tried elsewhere. The proof is a value that only equal byte counts give.

A target that has not started is a reason of its own, since another endpoint may take the request at once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -129,6 +129,7 @@
 pub use crate::request::Admitted;
 pub use crate::request::Answered;
 pub use crate::request::HandedOver;
+pub use crate::request::NothingSent;
 pub use crate::request::Received;
 pub use crate::request::Request;
 pub use crate::retry::Budget;
--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -14,6 +14,8 @@
     Connect,
     /// The node or its target takes no new work because it is leaving.
     Draining,
+    /// The target has not started yet.
+    Starting,
     /// The entry's rate is used up.
     RateLimited,
     /// All slots are taken and the queue is full.
@@ -50,11 +52,12 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 20] = [
+    pub const ALL: [Reason; 21] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
         Reason::Draining,
+        Reason::Starting,
         Reason::RateLimited,
         Reason::QueueFull,
         Reason::Displaced,
@@ -80,6 +83,7 @@
             Reason::NoEndpoint => "no-endpoint",
             Reason::Connect => "connect",
             Reason::Draining => "draining",
+            Reason::Starting => "starting",
             Reason::RateLimited => "rate-limited",
             Reason::QueueFull => "queue-full",
             Reason::Displaced => "displaced",
@@ -109,7 +113,10 @@
     /// Whether it says that this endpoint is the wrong one, and nothing of how
     /// loaded the service is: another endpoint may well take the request.
     pub const fn is_misplaced(self) -> bool {
-        matches!(self, Reason::Connect | Reason::Draining | Reason::NotOwner)
+        matches!(
+            self,
+            Reason::Connect | Reason::Draining | Reason::Starting | Reason::NotOwner
+        )
     }
 
     /// Whether the service as a whole may be short, so that trying again costs
--- a/crates/core/src/request/handed_over.rs
+++ b/crates/core/src/request/handed_over.rs
@@ -4,13 +4,16 @@
 use crate::Loss;
 use crate::LossCause;
 use crate::Permit;
+use crate::Reason;
+use crate::Refusal;
 use crate::Request;
 use crate::Step;
 use crate::Tick;
 
-/// The request was sent to the target, wholly or in part.
+/// The request was given to a connection to the target.
 ///
-/// It ends in an answer or a [`Loss`]. There is no way back to a refusal:
+/// It ends in an answer or a [`Loss`]. The one way back to a refusal asks for
+/// the proof that the connection took nothing:
 ///
 /// ```compile_fail
 /// use sassafrasspool_core::HandedOver;
@@ -27,6 +30,27 @@
     pub(super) permit: Permit,
 }
 
+/// The proof that a connection took no byte of a request.
+#[derive(Debug)]
+pub struct NothingSent(());
+
+impl NothingSent {
+    /// The proof by the count of all bytes that the connection's socket took,
+    /// before the request was given to it and after it failed.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use sassafrasspool_core::NothingSent;
+    ///
+    /// assert!(NothingSent::by_count(512, 512).is_some());
+    /// assert!(NothingSent::by_count(512, 513).is_none());
+    /// ```
+    pub fn by_count(before: u64, after: u64) -> Option<NothingSent> {
+        (before == after).then_some(NothingSent(()))
+    }
+}
+
 impl Request<HandedOver> {
     /// The target began its answer.
     pub fn answered(self) -> Request<Answered> {
@@ -38,6 +62,14 @@
         }
     }
 
+    /// The connection failed before it took a byte: the request was not run.
+    pub fn take_back(self, now: Tick, proof: NothingSent) -> Refusal {
+        let NothingSent(()) = proof;
+        self.state.permit.release(now);
+        // INVARIANT: The proof says that the target can't have seen any of it.
+        Refusal::not_run(Step::Forward, Reason::Connect)
+    }
+
     /// No answer came, and what became of the request is unknown.
     pub fn lost(self, now: Tick, cause: LossCause) -> Loss {
         self.state.permit.release(now);
