Let the core admit, choose and retry

The request path had a semaphore for its slots, a uniform choice and a retry count. It now asks the core: admission by class with a short queue, two choices by load with the reports that answers bring, ejection by what each try says of its endpoint, retries within a budget and moves after a refusal that only concerns one endpoint.

The picker is bound where a view is put in force, on the control side, so that a traffic thread never builds one. A connection is taken before the hand-over and the stages of the core's request type go along with it, up to the body of the answer, which gives the slot back when it ends.

A leaving endpoint refuses at once what waits for a slot.

--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -9,17 +9,22 @@
 use arc_swap::ArcSwapOption;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Phase;
+use sassafrasspool_core::Position;
 use tokio::sync::watch;
 
+use self::routing::Routing;
+
 pub use self::clock::Clock;
 pub use self::contact::ContactAge;
 pub use self::in_flight::InFlight;
 pub use self::in_flight::InFlightGuard;
+pub use self::routing::Routes;
 pub use self::view::View;
 
 mod clock;
 mod contact;
 mod in_flight;
+mod routing;
 #[cfg(test)]
 mod tests;
 mod view;
@@ -36,6 +41,7 @@
     incarnation: u64,
     clock: Clock,
     view: ArcSwapOption<View>,
+    routing: Routing,
     phase: watch::Sender<Phase>,
     in_flight: InFlight,
     contact: ContactAge,
@@ -49,6 +55,7 @@
             incarnation,
             clock: Clock::start(),
             view: ArcSwapOption::empty(),
+            routing: Routing::default(),
             phase: watch::Sender::new(Phase::Starting),
             in_flight: InFlight::new(),
             contact: ContactAge::new(),
@@ -79,7 +86,20 @@
 
     /// Puts another view in force, whole and at once.
     pub fn set_view(&self, view: View) {
-        self.view.store(Some(Arc::new(view)));
+        let view = Arc::new(view);
+        self.routing.bind(&view, self.clock.now());
+        self.view.store(Some(view));
+    }
+
+    /// Says where the node stands in the fleet, before the first view.
+    pub fn place(&self, position: Position) {
+        self.routing.place(position);
+    }
+
+    /// What is in force now together with what chooses among its endpoints, or
+    /// nothing before the first snapshot.
+    pub fn routes(&self) -> Option<Arc<Routes>> {
+        self.routing.routes()
     }
 
     /// The phase of this node's own endpoint.
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -18,7 +18,7 @@
 mod beside;
 mod bounds;
 mod caller_side;
-mod choice;
+mod first_hop;
 mod head;
 mod hub;
 mod listeners;
@@ -42,14 +42,14 @@
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
-pub use self::listeners::TrafficAddrs;
-pub use self::running::RunningTraffic;
-
 use self::hub::Hub;
 use self::listeners::Listeners;
 use crate::Settings;
 use crate::Shared;
 
+pub use self::listeners::TrafficAddrs;
+pub use self::running::RunningTraffic;
+
 /// Why a body broke off.
 type BoxError = Box<dyn error::Error + Send + Sync>;
 
@@ -70,7 +70,7 @@
     ) -> Result<RunningTraffic> {
         let listeners = Listeners::bind(&settings.listen)?;
         let addrs = listeners.addrs();
-        let hub = Arc::new(Hub::new(settings, shared, cancel));
+        let hub = Arc::new(Hub::new(settings, shared, cancel)?);
         let threads = threads::start(&hub, listeners, settings.traffic_threads)?;
         Ok(RunningTraffic::new(addrs, hub, threads))
     }
@@ -89,7 +89,7 @@
     ) -> Result<RunningTraffic> {
         let listeners = Listeners::bind(&settings.listen)?;
         let addrs = listeners.addrs();
-        let hub = Arc::new(Hub::new(settings, shared, cancel));
+        let hub = Arc::new(Hub::new(settings, shared, cancel)?);
         handle.spawn(threads::work(Arc::clone(&hub), 0, listeners));
         Ok(RunningTraffic::new(addrs, hub, Vec::new()))
     }
--- a/crates/node/src/traffic/admission.rs
+++ b/crates/node/src/traffic/admission.rs
@@ -1,91 +1,60 @@
-//! Slots beside the target.
+//! Waiting for a slot beside the target.
 
-use std::sync::Arc;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
-
-use sassafrasspool_core::LoadReport;
+use sassafrasspool_core::Admission;
+use sassafrasspool_core::Ask;
+use sassafrasspool_core::Offer;
+use sassafrasspool_core::Permit;
+use sassafrasspool_core::Queued;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Step;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
-
-/// Requests that wait for each slot at most.
-const QUEUE_PER_SLOT: u16 = 2;
-
-/// Gives out the slots of the target.
-#[derive(Debug)]
-pub(super) struct Admission {
-    slots: u16,
-    free: Arc<Semaphore>,
-    queued: AtomicU16,
-}
-
-impl Admission {
-    pub(super) fn new(slots: u32) -> Admission {
-        let slots = u16::try_from(slots).unwrap_or(u16::MAX);
-        Admission {
-            slots,
-            free: Arc::new(Semaphore::new(usize::from(slots))),
-            queued: AtomicU16::new(0),
-        }
-    }
-
-    /// Waits for a slot, at most for `patience`.
-    ///
-    /// # Errors
-    ///
-    /// Refuses at once if too many wait, and when the time is up.
-    pub(super) async fn admit(&self, patience: Duration) -> Result<Permit, Refusal> {
-        if let Ok(permit) = Arc::clone(&self.free).try_acquire_owned() {
-            return Ok(Permit(permit));
-        }
-        let _place = Place::try_new(self)?;
-        let acquire = Arc::clone(&self.free).acquire_owned();
-        match tokio::time::timeout(patience, acquire).await {
-            Ok(Ok(permit)) => Ok(Permit(permit)),
-            _ => Err(refuse(Reason::QueueTimeout)),
-        }
+use tokio::sync::oneshot;
+
+use crate::Clock;
+
+/// What a queued request is told.
+type Verdict = Result<Permit, Refusal>;
+
+/// Gets a slot, or waits for one as long as admission allows; dropping the
+/// future leaves the queue.
+///
+/// # Errors
+///
+/// Refuses as not run, at once if that can be known at once.
+pub(super) async fn admit(
+    admission: &Admission,
+    clock: &Clock,
+    ask: &Ask<'_>,
+) -> Result<Permit, Refusal> {
+    let mut told = None;
+    let offer = admission.offer(clock.now(), ask, || {
+        let (tx, rx) = oneshot::channel::<Verdict>();
+        told = Some(rx);
+        Box::new(move |verdict| {
+            // A receiver that is gone drops the permit, which frees the slot.
+            let _ = tx.send(verdict);
+        })
+    });
+    match (offer, told) {
+        (Offer::Admitted(permit), _) => Ok(permit),
+        (Offer::Refused(refusal), _) => Err(refusal),
+        (Offer::Queued(queued), Some(rx)) => wait(queued, rx, clock).await,
+        (Offer::Queued(_), None) => Err(time_out()),
     }
-
-    /// The load as it is now.
-    pub(super) fn load(&self) -> LoadReport {
-        let free = u16::try_from(self.free.available_permits()).unwrap_or(u16::MAX);
-        LoadReport {
-            in_flight: self.slots.saturating_sub(free),
-            slots: self.slots,
-            queued: self.queued.load(Ordering::Relaxed),
-        }
-    }
-}
-
-fn refuse(reason: Reason) -> Refusal {
-    Refusal::not_run(Step::Admission, reason)
 }
 
-/// A slot; it is free again when this is dropped.
-#[derive(Debug)]
-pub(super) struct Permit(#[expect(dead_code, reason = "held for its drop")] OwnedSemaphorePermit);
-
-/// A place in the queue.
-#[derive(Debug)]
-struct Place<'a>(&'a Admission);
-
-impl<'a> Place<'a> {
-    fn try_new(admission: &'a Admission) -> Result<Place<'a>, Refusal> {
-        let before = admission.queued.fetch_add(1, Ordering::Relaxed);
-        let place = Place(admission);
-        if before >= admission.slots.saturating_mul(QUEUE_PER_SLOT) {
-            return Err(refuse(Reason::QueueFull));
-        }
-        Ok(place)
+async fn wait(queued: Queued, mut rx: oneshot::Receiver<Verdict>, clock: &Clock) -> Verdict {
+    let until = clock.instant(queued.until());
+    match tokio::time::timeout_at(until.into(), &mut rx).await {
+        Ok(told) => told.unwrap_or_else(|_| Err(time_out())),
+        Err(_) => match queued.expire(clock.now()) {
+            Some(refusal) => Err(refusal),
+            // The verdict was on its way just when the time was up.
+            None => rx.await.unwrap_or_else(|_| Err(time_out())),
+        },
     }
 }
 
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        self.0.queued.fetch_sub(1, Ordering::Relaxed);
-    }
+fn time_out() -> Refusal {
+    Refusal::not_run(Step::Admission, Reason::QueueTimeout)
 }
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -9,12 +9,16 @@
 use http::uri::Authority;
 use http::uri::Scheme;
 use sassafrasspool_core::Deadline;
+use sassafrasspool_core::Failure;
 use sassafrasspool_core::Instance;
+use sassafrasspool_core::LoadReport;
 use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Picked;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Step;
+use sassafrasspool_core::Verdict;
 use sassafrasspool_wire::header as names;
 
 use super::answer::Answer;
@@ -26,11 +30,13 @@
 use super::peer::LinkFailure;
 use super::refusal;
 use super::worker::Worker;
+use crate::Routes;
 
 /// One attempt.
 #[derive(Debug)]
 pub(super) struct Attempt<'a> {
     pub(super) worker: &'a Worker,
+    pub(super) routes: &'a Routes,
     /// Where it goes.
     pub(super) instance: &'a Instance,
     pub(super) deadline: Deadline,
@@ -38,23 +44,43 @@
 }
 
 impl Attempt<'_> {
-    /// Gets the answer of the endpoint.
+    /// Gets the answer of the endpoint, and notes what it says of it.
     ///
     /// # Errors
     ///
     /// Says what is known of the request if there is none.
-    pub(super) async fn run(&self, req: Request<Payload>) -> Result<Response<Answer>, Missed> {
-        if self.instance.id == *self.worker.hub.shared.me() {
-            let call = Call {
-                deadline: self.deadline,
-                hop: self.hop,
-            };
-            return beside::run(self.worker, req, call).await;
+    pub(super) async fn run(
+        &self,
+        picked: Picked,
+        req: Request<Payload>,
+    ) -> Result<Response<Answer>, Missed> {
+        let result = if self.instance.id == *self.worker.hub.shared.me() {
+            beside::run(self.worker, req, self.call()).await
+        } else {
+            self.run_at_peer(&picked, req).await
+        };
+        let now = self.worker.hub.shared.clock().now();
+        let verdict = match &result {
+            Ok(_) => Verdict::Answered(now.since(picked.since())),
+            Err(missed) => verdict_of(&missed.failure),
+        };
+        picked.finish(now, verdict);
+        result
+    }
+
+    fn call(&self) -> Call<'_> {
+        Call {
+            routes: self.routes,
+            deadline: self.deadline,
+            hop: self.hop,
         }
-        self.run_at_peer(req).await
     }
 
-    async fn run_at_peer(&self, req: Request<Payload>) -> Result<Response<Answer>, Missed> {
+    async fn run_at_peer(
+        &self,
+        picked: &Picked,
+        req: Request<Payload>,
+    ) -> Result<Response<Answer>, Missed> {
         let clock = self.worker.hub.shared.clock();
         let left = self.deadline.remaining_beyond(clock.now()).as_millis();
         if left == 0 {
@@ -77,6 +103,9 @@
             }
             Err(_) => return Err(Loss::new(Step::Forward, LossCause::Timeout).into()),
         };
+        if let Some(load) = load_of(&res) {
+            picked.report(clock.now(), load);
+        }
         match refusal::failure_of(&res) {
             Some(failure) => Err(failure.into()),
             None => Ok(from_peer(res.map(Answer::peer))),
@@ -113,3 +142,21 @@
     *res.version_mut() = Version::HTTP_11;
     res
 }
+
+fn load_of<B>(res: &Response<B>) -> Option<LoadReport> {
+    let value = res.headers().get(names::LOAD)?;
+    LoadReport::parse(value.to_str().ok()?).ok()
+}
+
+/// What a failure says of the endpoint.
+fn verdict_of(failure: &Failure) -> Verdict {
+    match failure {
+        Failure::Lost(_) => Verdict::Failed,
+        Failure::Refused(refusal) => match refusal.reason() {
+            Reason::Connect => Verdict::NoConnection,
+            Reason::Draining | Reason::Starting => Verdict::Draining,
+            Reason::DeadlinePassed => Verdict::Cancelled,
+            _ => Verdict::Shed,
+        },
+    }
+}
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -5,26 +5,35 @@
 use http::Response;
 use http::Uri;
 use http::Version;
+use sassafrasspool_core::Admitted;
+use sassafrasspool_core::BoundService;
+use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
-use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Phase;
 use sassafrasspool_core::Reason;
+use sassafrasspool_core::Received;
 use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Request as Stage;
 use sassafrasspool_core::Step;
 use sassafrasspool_wire::header as names;
 
-use super::admission::Permit;
+use super::admission;
 use super::answer::Answer;
 use super::head;
 use super::missed::Missed;
 use super::parents::Parent;
 use super::payload::Payload;
 use super::target;
+use super::target::Connection;
 use super::worker::Worker;
+use crate::Routes;
 
 /// What is known of a call beside its head and body.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Call {
+pub(super) struct Call<'a> {
+    /// What is in force for it.
+    pub(super) routes: &'a Routes,
     /// When it is given up.
     pub(super) deadline: Deadline,
     /// How many nodes it has passed.
@@ -39,15 +48,38 @@
 pub(super) async fn run(
     worker: &Worker,
     req: Request<Payload>,
-    call: Call,
+    call: Call<'_>,
 ) -> Result<Response<Answer>, Missed> {
-    let waiting = Waiting { worker, req, call };
-    let admitted = waiting.admit().await?;
-    let mut res = admitted.hand_over().await?;
+    if let Some(reason) = closed(worker) {
+        return Err(Missed::unsent(refuse(reason), req));
+    }
+    let Some((_, service)) = call.routes.view.snapshot.find_service(&worker.hub.service) else {
+        return Err(Missed::unsent(refuse(Reason::NoConfiguration), req));
+    };
+    let stage = Stage::received(class_of(&req, service, &call), call.deadline);
+    let at_target = AtTarget { worker, req, call };
+    let mut res = at_target.run(stage, service).await?;
     add_load(worker, res.headers_mut());
     Ok(res)
 }
 
+/// Why the own endpoint takes no work, if it doesn't.
+fn closed(worker: &Worker) -> Option<Reason> {
+    match worker.hub.shared.phase() {
+        Phase::Starting => Some(Reason::Starting),
+        Phase::Ready => None,
+        Phase::Draining | Phase::Gone => Some(Reason::Draining),
+    }
+}
+
+/// The class by the own view. The first hop may have routed by another version
+/// of the catalogue, in which the path led to this service.
+fn class_of(req: &Request<Payload>, service: &BoundService, call: &Call<'_>) -> Class {
+    let route = call.routes.view.snapshot.match_route(req.uri().path());
+    let own = route.filter(|bound| bound.route.service == service.entry.name);
+    own.map_or(service.entry.class, |bound| bound.route.class)
+}
+
 /// Puts the load beside the target on an answer.
 pub(super) fn add_load(worker: &Worker, headers: &mut HeaderMap) {
     let load = worker.hub.admission.load().to_string();
@@ -56,76 +88,75 @@
     }
 }
 
-/// A request that waits beside the target.
-///
-/// It is used up by being refused or admitted, and an admitted one by being
-/// handed over: none can be both refused and handed over.
+/// A request on its way through the stages that the core keeps apart.
 #[derive(Debug)]
-struct Waiting<'a> {
+struct AtTarget<'a> {
     worker: &'a Worker,
     req: Request<Payload>,
-    call: Call,
-}
-
-/// A request that has a slot.
-#[derive(Debug)]
-struct Admitted<'a> {
-    waiting: Waiting<'a>,
-    permit: Permit,
+    call: Call<'a>,
 }
 
-impl<'a> Waiting<'a> {
-    async fn admit(self) -> Result<Admitted<'a>, Missed> {
+impl AtTarget<'_> {
+    async fn run(
+        self,
+        stage: Stage<Received>,
+        service: &BoundService,
+    ) -> Result<Response<Answer>, Missed> {
         let hub = &self.worker.hub;
-        if hub.is_leaving() {
-            return Err(Missed::unsent(refuse(Reason::Draining), self.req));
-        }
-        let now = hub.shared.clock().now();
-        let permit = hub.admission.admit(self.call.deadline.remaining(now));
-        match permit.await {
-            Ok(permit) => Ok(Admitted {
-                waiting: self,
-                permit,
-            }),
-            Err(refusal) => Err(Missed::unsent(refusal, self.req)),
+        let ask = stage.ask(&service.entry.limits);
+        let admitted = admission::admit(&hub.admission, hub.shared.clock(), &ask).await;
+        let permit = match admitted {
+            Ok(permit) => permit,
+            Err(refusal) => return Err(Missed::unsent(refusal, self.req)),
+        };
+        let stage = stage.admit(permit);
+        match target::take(&hub.pool, self.worker.index).await {
+            Ok(conn) => self.hand_over(stage, conn).await,
+            Err(err) => {
+                tracing::debug!(%err, "not handed over");
+                let now = hub.shared.clock().now();
+                let refusal = stage.refuse(now, Step::Connect, Reason::Connect);
+                Err(Missed::unsent(refusal, self.req))
+            }
         }
     }
-}
 
-impl Admitted<'_> {
-    async fn hand_over(self) -> Result<Response<Answer>, Missed> {
-        let Admitted { waiting, permit } = self;
-        let Waiting { worker, req, call } = waiting;
+    async fn hand_over(
+        self,
+        stage: Stage<Admitted>,
+        conn: Connection,
+    ) -> Result<Response<Answer>, Missed> {
+        let AtTarget { worker, req, call } = self;
         let hub = &worker.hub;
-        let now = hub.shared.clock().now();
-        // A process that was paused wakes up here with work that nobody waits
-        // for any more; the clock went on meanwhile, so that it shows.
-        if call.deadline.passed(now) {
-            return Err(Missed::unsent(refuse(Reason::DeadlinePassed), req));
-        }
+        let clock = *hub.shared.clock();
         let parent = Parent {
             hop: call.hop,
             deadline: call.deadline,
         };
         let _running = hub.parents.enter(req.headers(), parent);
-        let exchange = target::exchange(&hub.pool, worker.index, for_target(req));
-        let until = hub.shared.clock().instant(call.deadline.tick());
-        let res = match tokio::time::timeout_at(until.into(), exchange).await {
-            Ok(Ok(res)) => res,
-            Ok(Err(target::Failure::NotSent(err, unsent))) => {
+        let stage = match stage.hand_over(clock.now()) {
+            Ok(stage) => stage,
+            Err(refusal) => return Err(Missed::unsent(refusal, req)),
+        };
+        let until = clock.instant(call.deadline.tick());
+        let exchange = target::exchange(conn, for_target(req));
+        match tokio::time::timeout_at(until.into(), exchange).await {
+            Ok(Ok(res)) => {
+                let stage = stage.answered();
+                let body = |body: target::TargetBody| body.holding(stage, clock);
+                Ok(from_target(res.map(|raw| Answer::target(body(raw)))))
+            }
+            Ok(Err(target::Failure::NotSent(err, proof, unsent))) => {
                 tracing::debug!(%err, "not handed over");
-                let failure = refuse(Reason::Connect).into();
-                return Err(Missed { failure, unsent });
+                let failure = stage.take_back(clock.now(), proof).into();
+                Err(Missed { failure, unsent })
             }
             Ok(Err(target::Failure::Sent(err))) => {
                 tracing::debug!(%err, "lost");
-                return Err(Loss::new(Step::Forward, LossCause::ConnectionLost).into());
+                Err(stage.lost(clock.now(), LossCause::ConnectionLost).into())
             }
-            Err(_) => return Err(Loss::new(Step::Forward, LossCause::Timeout).into()),
-        };
-        Ok(from_target(
-            res.map(|body| Answer::target(body.holding(permit))),
-        ))
+            Err(_) => Err(stage.lost(clock.now(), LossCause::Timeout).into()),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/node/src/traffic/first_hop.rs
@@ -0,0 +1,184 @@
+//! The first hop of a request: where it goes, and whether it goes again.
+
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use sassafrasspool_core::BoundRoute;
+use sassafrasspool_core::BoundService;
+use sassafrasspool_core::Budget;
+use sassafrasspool_core::Deadline;
+use sassafrasspool_core::EndpointKey;
+use sassafrasspool_core::Failure;
+use sassafrasspool_core::Hop;
+use sassafrasspool_core::Next;
+use sassafrasspool_core::Picked;
+use sassafrasspool_core::Reason;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Step;
+use sassafrasspool_core::Tick;
+use sassafrasspool_core::Tries;
+use sassafrasspool_wire::header as names;
+
+use super::answer::Answer;
+use super::attempt::Attempt;
+use super::bounds::MAX_HOPS;
+use super::caller_side::Side;
+use super::head;
+use super::payload::Payload;
+use super::worker::Worker;
+use crate::Routes;
+
+/// A request that is routed.
+#[derive(Debug)]
+pub(super) struct FirstHop<'a> {
+    worker: &'a Worker,
+    routes: &'a Routes,
+    route: &'a BoundRoute,
+    service: &'a BoundService,
+    budget: &'a Budget,
+    deadline: Deadline,
+    hop: u32,
+}
+
+impl<'a> FirstHop<'a> {
+    /// Routes a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses it if no route takes its path or it has passed too many nodes.
+    pub(super) fn new<B>(
+        worker: &'a Worker,
+        side: Side,
+        routes: &'a Routes,
+        req: &Request<B>,
+    ) -> Result<FirstHop<'a>, Refusal> {
+        let snapshot = &routes.view.snapshot;
+        let no_route = || refuse(Reason::NoRoute);
+        let route = snapshot.match_route(req.uri().path());
+        let route = route.ok_or_else(no_route)?;
+        let service = snapshot.service(route.service).ok_or_else(no_route)?;
+        let budget = routes.picker.budget(route.service);
+        let mut first = FirstHop {
+            worker,
+            routes,
+            route,
+            service,
+            budget: budget.ok_or_else(no_route)?,
+            deadline: Deadline::within(now(worker), timeout(service, req)),
+            hop: 1,
+        };
+        if side == Side::Egress {
+            first.belong_to_parent(req);
+        }
+        match first.hop > MAX_HOPS {
+            true => Err(refuse(Reason::TooManyHops)),
+            false => Ok(first),
+        }
+    }
+
+    /// Goes on where the request that the own target runs has come to.
+    fn belong_to_parent<B>(&mut self, req: &Request<B>) {
+        if let Some(parent) = self.worker.hub.parents.of(req.headers()) {
+            self.deadline = self.deadline.min(parent.deadline);
+            self.hop = parent.hop + 1;
+        }
+    }
+
+    /// Tries until there is an answer or a failure that stands.
+    ///
+    /// # Errors
+    ///
+    /// Says what is known of the request if there is no answer.
+    pub(super) async fn run(&self, mut req: Request<Payload>) -> Result<Response<Answer>, Failure> {
+        let mut tries = self.tries();
+        let mut avoid = Vec::new();
+        let mut last: Option<Failure> = None;
+        loop {
+            let picked = match self.pick(&avoid) {
+                Ok(picked) => picked,
+                // What the last endpoint said tells more than that there is
+                // no other one.
+                Err(refusal) => return Err(last.unwrap_or(refusal.into())),
+            };
+            avoid.push(picked.endpoint());
+            let again = repeat(&req);
+            let missed = match self.attempt(picked, req).await {
+                Ok(res) => return Ok(res),
+                Err(missed) => missed,
+            };
+            let failure = match tries.after(now(self.worker), missed.failure, self.budget) {
+                Next::Again => missed.failure,
+                Next::Stop(failure) => return Err(failure),
+            };
+            req = match again.or(missed.unsent.map(|req| *req)) {
+                Some(same) => same,
+                // A part of the body is used up.
+                None => return Err(failure),
+            };
+            last = Some(failure);
+        }
+    }
+
+    fn tries(&self) -> Tries {
+        // A chain of nineteen calls in which each hop runs twice what may run
+        // twice would make half a million runs out of one. Calls that a target
+        // makes for a request are therefore only tried again on the proof that
+        // nothing ran, which multiplies nothing.
+        let idempotent = self.route.route.idempotent && self.hop == 1;
+        let limits = &self.service.entry.limits.retry;
+        Tries::first(Hop::First, idempotent, limits, self.deadline, self.budget)
+    }
+
+    fn pick(&self, avoid: &[EndpointKey]) -> Result<Picked, Refusal> {
+        let picker = &self.routes.picker;
+        let service = self.route.service;
+        picker.pick(service, now(self.worker), avoid, &mut rand::rng())
+    }
+
+    async fn attempt(
+        &self,
+        picked: Picked,
+        req: Request<Payload>,
+    ) -> Result<Response<Answer>, super::missed::Missed> {
+        let snapshot = &self.routes.view.snapshot;
+        let Some(endpoint) = snapshot.endpoint(picked.endpoint()) else {
+            // The picker was built from this snapshot.
+            return Err(refuse(Reason::NoEndpoint).into());
+        };
+        let attempt = Attempt {
+            worker: self.worker,
+            routes: self.routes,
+            instance: &endpoint.instance,
+            deadline: self.deadline,
+            hop: self.hop,
+        };
+        attempt.run(picked, req).await
+    }
+}
+
+fn now(worker: &Worker) -> Tick {
+    worker.hub.shared.clock().now()
+}
+
+fn refuse(reason: Reason) -> Refusal {
+    Refusal::not_run(Step::Route, reason)
+}
+
+/// How long the caller waits, at most what the entry allows.
+fn timeout<B>(service: &BoundService, req: &Request<B>) -> Duration {
+    let limit = service.entry.limits.deadline;
+    let asked = head::number(req.headers(), &names::REQUEST_TIMEOUT_MS);
+    asked.map_or(limit, |ms| limit.min(Duration::from_millis(ms)))
+}
+
+/// The same request once more, if its body is held.
+fn repeat(req: &Request<Payload>) -> Option<Request<Payload>> {
+    let body = req.body().again()?;
+    let mut same = Request::new(body);
+    *same.method_mut() = req.method().clone();
+    *same.uri_mut() = req.uri().clone();
+    *same.version_mut() = req.version();
+    *same.headers_mut() = req.headers().clone();
+    Some(same)
+}
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use sassafrasspool_core::DomainName;
+use sassafrasspool_core::Admission;
+use sassafrasspool_core::AdmissionSettings;
 use sassafrasspool_core::Phase;
+use sassafrasspool_core::Position;
+use sassafrasspool_core::Result;
 use sassafrasspool_core::ServiceName;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::admission::Admission;
 use super::parents::Parents;
 use super::target::Pool;
 use crate::Settings;
@@ -20,8 +22,6 @@
     pub(super) shared: Arc<Shared>,
     /// The service of the own target.
     pub(super) service: ServiceName,
-    /// The failure domain of the node.
-    pub(super) domain: DomainName,
     pub(super) pool: Arc<Pool>,
     pub(super) admission: Admission,
     pub(super) parents: Parents,
@@ -34,19 +34,33 @@
 }
 
 impl Hub {
-    pub(super) fn new(cfg: &Settings, shared: Arc<Shared>, cancel: CancellationToken) -> Hub {
+    /// Puts the parts together and says where the node stands.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target has no slots or too many.
+    pub(super) fn new(
+        cfg: &Settings,
+        shared: Arc<Shared>,
+        cancel: CancellationToken,
+    ) -> Result<Hub> {
+        shared.place(Position {
+            instance: cfg.instance.clone(),
+            domain: cfg.domain.clone(),
+            region: cfg.region.clone(),
+        });
+        let admission = Admission::new(AdmissionSettings::default(), cfg.target.slots)?;
         let limit = cfg.target.slots.min(cfg.target.connections);
-        Hub {
+        Ok(Hub {
             shared,
             service: cfg.service.clone(),
-            domain: cfg.domain.clone(),
             pool: Pool::new(cfg.target.addr, limit),
-            admission: Admission::new(cfg.target.slots),
+            admission,
             parents: Parents::default(),
             cancel,
             cut: CancellationToken::new(),
             connections: TaskTracker::new(),
-        }
+        })
     }
 
     /// Whether the own endpoint takes no new work any more.
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -21,6 +21,7 @@
 use super::payload::Payload;
 use super::refusal;
 use super::worker::Worker;
+use crate::Routes;
 
 /// Answers a request of another node.
 pub(super) async fn serve(worker: &Worker, req: Request<Incoming>) -> Response<Answer> {
@@ -37,7 +38,11 @@
 }
 
 async fn run(worker: &Worker, req: Request<Incoming>) -> Result<Response<Answer>, Failure> {
-    let call = call_of(worker, req.headers())?;
+    // INVARIANT: These are the only routes that the request ever sees here.
+    let Some(routes) = worker.hub.shared.routes() else {
+        return Err(refuse(Reason::NoConfiguration).into());
+    };
+    let call = call_of(worker, &routes, req.headers())?;
     let (parts, body) = req.into_parts();
     let Ok(body) = Payload::stream(body) else {
         return Err(refuse(Reason::TooLarge).into());
@@ -46,7 +51,11 @@
     ran.map_err(|missed| missed.failure)
 }
 
-fn call_of(worker: &Worker, headers: &HeaderMap) -> Result<Call, Refusal> {
+fn call_of<'a>(
+    worker: &Worker,
+    routes: &'a Routes,
+    headers: &HeaderMap,
+) -> Result<Call<'a>, Refusal> {
     check_service(worker, headers)?;
     let hop = head::number(headers, &names::HOP).unwrap_or(0);
     let hop = u32::try_from(hop).unwrap_or(u32::MAX);
@@ -59,6 +68,7 @@
     };
     let now = worker.hub.shared.clock().now();
     Ok(Call {
+        routes,
         deadline: Deadline::within(now, Duration::from_millis(left)),
         hop,
     })
--- a/crates/node/src/traffic/target.rs
+++ b/crates/node/src/traffic/target.rs
@@ -7,7 +7,9 @@
 mod pool;
 
 pub(super) use self::body::TargetBody;
+pub(super) use self::connection::Connection;
 pub(super) use self::exchange::Failure;
 pub(super) use self::exchange::exchange;
 pub(super) use self::pool::Pool;
 pub(super) use self::pool::WorkerIndex;
+pub(super) use self::pool::take;
--- a/crates/node/src/traffic/target/body.rs
+++ b/crates/node/src/traffic/target/body.rs
@@ -1,7 +1,6 @@
 //! The body of a target's answer.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
@@ -11,12 +10,14 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::body::Incoming;
+use sassafrasspool_core::Answered;
+use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Request as Stage;
 
 use super::connection::Connection;
-use super::pool::Pool;
-use super::pool::WorkerIndex;
+use super::pool::put_back;
+use crate::Clock;
 use crate::traffic::BoxError;
-use crate::traffic::admission::Permit;
 
 /// What the target answers, together with the connection that it comes by.
 ///
@@ -28,32 +29,34 @@
 pub(in crate::traffic) struct TargetBody {
     body: Incoming,
     conn: Option<Connection>,
-    pool: Arc<Pool>,
-    worker: WorkerIndex,
     ended: bool,
-    permit: Option<Permit>,
+    held: Option<Held>,
+}
+
+/// The request's last stage, which holds its slot.
+#[derive(Debug)]
+struct Held {
+    stage: Stage<Answered>,
+    clock: Clock,
 }
 
 impl TargetBody {
-    pub(super) fn new(
-        body: Incoming,
-        conn: Connection,
-        pool: Arc<Pool>,
-        worker: WorkerIndex,
-    ) -> TargetBody {
+    pub(super) fn new(body: Incoming, conn: Connection) -> TargetBody {
         TargetBody {
             ended: body.is_end_stream(),
             body,
             conn: Some(conn),
-            pool,
-            worker,
-            permit: None,
+            held: None,
         }
     }
 
     /// The same, which holds a slot until it ends.
-    pub(in crate::traffic) fn holding(mut self, permit: Permit) -> TargetBody {
-        self.permit = Some(permit);
+    pub(in crate::traffic) fn holding(
+        mut self,
+        stage: Stage<Answered>,
+        clock: Clock,
+    ) -> TargetBody {
+        self.held = Some(Held { stage, clock });
         self
     }
 
@@ -83,7 +86,7 @@
         if conn.is_usable() {
             // INVARIANT: Ended, and a connection that still has a request to
             // send isn't usable.
-            self.pool.put(self.worker, conn);
+            put_back(conn);
         }
     }
 }
@@ -119,6 +122,14 @@
         self.release();
         // The slot is free only once the connection is back or closed, so
         // that its next holder finds a connection.
-        self.permit.take();
+        let Some(Held { stage, clock }) = self.held.take() else {
+            return;
+        };
+        if self.ended {
+            stage.finish(clock.now());
+        } else {
+            // The connection or stream that this body is of fails by itself.
+            let _ = stage.cut(clock.now(), LossCause::AnswerCut);
+        }
     }
 }
--- a/crates/node/src/traffic/target/connection.rs
+++ b/crates/node/src/traffic/target/connection.rs
@@ -14,19 +14,20 @@
 
 use super::counted::Counted;
 use super::pool::Open;
+use super::pool::WorkerIndex;
 use crate::traffic::payload::Payload;
 
 /// A connection that is driven by whoever holds it: no task of its own stands
 /// between a request and its bytes, and dropping it closes the socket.
 #[derive(Debug)]
-pub(super) struct Connection {
+pub(in crate::traffic) struct Connection {
     pub(super) sender: http1::SendRequest<Payload>,
     driver: Pin<Box<http1::Connection<TokioIo<Counted>, Payload>>>,
     ended: bool,
     written: Arc<AtomicU64>,
     /// When it was last used.
     pub(super) used: Instant,
-    _open: Open,
+    open: Open,
 }
 
 impl Connection {
@@ -42,10 +43,20 @@
             ended: false,
             written,
             used: Instant::now(),
-            _open: open,
+            open,
         }
     }
 
+    /// The thread on which it was opened.
+    pub(super) fn worker(&self) -> WorkerIndex {
+        self.open.worker()
+    }
+
+    /// What counts it as open.
+    pub(super) fn open(&self) -> &Open {
+        &self.open
+    }
+
     /// Bytes that the socket has taken so far.
     pub(super) fn written(&self) -> u64 {
         self.written.load(Ordering::Relaxed)
--- a/crates/node/src/traffic/target/exchange.rs
+++ b/crates/node/src/traffic/target/exchange.rs
@@ -3,23 +3,22 @@
 use std::future::Future;
 use std::future::poll_fn;
 use std::pin::pin;
-use std::sync::Arc;
 
 use http::Request;
 use http::Response;
 use sassafrasspool_core::Error;
+use sassafrasspool_core::NothingSent;
 use sassafrasspool_core::Step;
 
 use super::body::TargetBody;
-use super::pool::Pool;
-use super::pool::WorkerIndex;
+use super::connection::Connection;
 use crate::traffic::payload::Payload;
 
 /// How an exchange failed.
 #[derive(Debug)]
 pub(in crate::traffic) enum Failure {
     /// Not a byte of the request was sent; it may come back.
-    NotSent(Error, Option<Box<Request<Payload>>>),
+    NotSent(Error, NothingSent, Option<Box<Request<Payload>>>),
     /// The target may have the request.
     Sent(Error),
 }
@@ -34,14 +33,9 @@
 ///
 /// Says whether anything of the request was sent.
 pub(in crate::traffic) async fn exchange(
-    pool: &Arc<Pool>,
-    worker: WorkerIndex,
+    mut conn: Connection,
     req: Request<Payload>,
 ) -> Result<Response<TargetBody>, Failure> {
-    let mut conn = match pool.take(worker).await {
-        Ok(conn) => conn,
-        Err(err) => return Err(Failure::NotSent(err, Some(Box::new(req)))),
-    };
     let before = conn.written();
     let mut response = pin!(conn.sender.try_send_request(req));
     let result = poll_fn(|cx| {
@@ -50,15 +44,14 @@
     })
     .await;
     match result {
-        Ok(res) => Ok(res.map(|body| TargetBody::new(body, conn, Arc::clone(pool), worker))),
+        Ok(res) => Ok(res.map(|body| TargetBody::new(body, conn))),
         Err(mut failed) => {
             let unsent = failed.take_message().map(Box::new);
-            let sent = unsent.is_none() && conn.written() != before;
             let error = Error::new(Step::Forward, "the exchange with the target failed");
             let error = error.with_cause(failed.into_error());
-            Err(match sent {
-                true => Failure::Sent(error),
-                false => Failure::NotSent(error, unsent),
+            Err(match NothingSent::by_count(before, conn.written()) {
+                Some(proof) => Failure::NotSent(error, proof, unsent),
+                None => Failure::Sent(error),
             })
         }
     }
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -42,13 +42,7 @@
 #[derive(Debug, Default)]
 struct Held {
     open: u32,
-    idle: Vec<Idle>,
-}
-
-#[derive(Debug)]
-struct Idle {
-    worker: WorkerIndex,
-    conn: Connection,
+    idle: Vec<Connection>,
 }
 
 impl Pool {
@@ -61,26 +55,9 @@
         })
     }
 
-    /// An idle connection, or a new one.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no connection may or can be opened; nothing was sent then.
-    pub(super) async fn take(self: &Arc<Pool>, worker: WorkerIndex) -> Result<Connection> {
-        while let Some(mut conn) = self.pop_idle(worker) {
-            // Sees whether the target has closed it meanwhile.
-            conn.drive(&mut Context::from_waker(Waker::noop()));
-            if conn.is_usable() {
-                return Ok(conn);
-            }
-        }
-        self.open().await
-    }
-
-    /// Takes back a connection whose exchange has ended on both sides.
-    pub(super) fn put(&self, worker: WorkerIndex, mut conn: Connection) {
+    fn put(&self, mut conn: Connection) {
         conn.used = Instant::now();
-        self.lock().idle.push(Idle { worker, conn });
+        self.lock().idle.push(conn);
     }
 
     /// Closes what is idle.
@@ -97,7 +74,7 @@
         while held.idle.first().is_some_and(|idle| is_old(idle, now)) {
             old.push(held.idle.remove(0));
         }
-        let own = held.idle.iter().rposition(|idle| idle.worker == worker);
+        let own = held.idle.iter().rposition(|idle| idle.worker() == worker);
         let found = match own {
             Some(at) => Some(held.idle.remove(at)),
             None if held.open < self.limit => None,
@@ -106,11 +83,11 @@
         drop(held);
         // Closing takes the lock again to count down.
         drop(old);
-        found.map(|idle| idle.conn)
+        found
     }
 
-    async fn open(self: &Arc<Pool>) -> Result<Connection> {
-        let open = Open::try_new(self)?;
+    async fn open(self: &Arc<Pool>, worker: WorkerIndex) -> Result<Connection> {
+        let open = Open::try_new(self, worker)?;
         let fail = |e| self.error("cannot connect").with_cause(e);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
         let stream = stream
@@ -142,28 +119,63 @@
     }
 }
 
-fn is_old(idle: &Idle, now: Instant) -> bool {
-    now.duration_since(idle.conn.used) > MAX_IDLE
+/// An idle connection, or a new one.
+///
+/// # Errors
+///
+/// Fails if no connection may or can be opened; nothing was sent then.
+pub(in crate::traffic) async fn take(pool: &Arc<Pool>, worker: WorkerIndex) -> Result<Connection> {
+    while let Some(mut conn) = pool.pop_idle(worker) {
+        // Sees whether the target has closed it meanwhile.
+        conn.drive(&mut Context::from_waker(Waker::noop()));
+        if conn.is_usable() {
+            return Ok(conn);
+        }
+    }
+    pool.open(worker).await
+}
+
+fn is_old(idle: &Connection, now: Instant) -> bool {
+    now.duration_since(idle.used) > MAX_IDLE
 }
 
 /// One connection that counts as open.
 #[derive(Debug)]
-pub(super) struct Open(Arc<Pool>);
+pub(super) struct Open {
+    pool: Arc<Pool>,
+    worker: WorkerIndex,
+}
 
 impl Open {
-    fn try_new(pool: &Arc<Pool>) -> Result<Open> {
+    fn try_new(pool: &Arc<Pool>, worker: WorkerIndex) -> Result<Open> {
         let mut held = pool.lock();
         if held.open >= pool.limit {
             return Err(pool.error("all connections are in use"));
         }
         held.open += 1;
         // INVARIANT: The count was below the limit.
-        Ok(Open(Arc::clone(pool)))
+        let pool = Arc::clone(pool);
+        Ok(Open { pool, worker })
+    }
+
+    /// The thread on which it was opened.
+    pub(super) fn worker(&self) -> WorkerIndex {
+        self.worker
+    }
+
+    /// The pool that it belongs to.
+    fn pool(&self) -> Arc<Pool> {
+        Arc::clone(&self.pool)
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.lock().open -= 1;
+        self.pool.lock().open -= 1;
     }
 }
+
+/// Gives a connection back whose exchange has ended on both sides.
+pub(super) fn put_back(conn: Connection) {
+    conn.open().pool().put(conn);
+}
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/threads.rs
@@ -4,6 +4,8 @@
 use std::thread;
 
 use sassafrasspool_core::Error;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::Reason;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
 use tokio::runtime;
@@ -65,7 +67,7 @@
 
 /// Serves the three listeners until the node's token is cancelled.
 pub(super) async fn work(hub: Arc<Hub>, index: WorkerIndex, listeners: Listeners) {
-    let worker = Arc::new(Worker::new(hub, index));
+    let worker = Arc::new(Worker::new(Arc::clone(&hub), index));
     let Listeners {
         ingress,
         egress,
@@ -76,5 +78,18 @@
         serve::accept(Arc::clone(&worker), ingress, Port::Caller(Side::Ingress)),
         serve::accept(Arc::clone(&worker), egress, Port::Caller(Side::Egress)),
         serve::accept(Arc::clone(&worker), traffic, Port::Peer),
+        close_admission(&hub),
     );
 }
+
+/// Refuses what waits for a slot as soon as the own endpoint leaves: others
+/// may take it while there is time.
+async fn close_admission(hub: &Hub) {
+    let mut phase = hub.shared.watch_phase();
+    tokio::select! {
+        _ = phase.wait_for(|phase| *phase >= Phase::Draining) => {
+            hub.admission.close(Reason::Draining);
+        }
+        () = hub.cancel.cancelled() => {}
+    }
+}
--- a/crates/node/tests/requests/drain.rs
+++ b/crates/node/tests/requests/drain.rs
@@ -15,17 +15,9 @@
 use crate::fleet::Spec;
 use crate::wait;
 
-const SECOND: Spec = Spec {
-    id: "wd-2",
-    domain: "khan-uul",
-    ..DESK
-};
+const SECOND: Spec = Spec { id: "wd-2", ..DESK };
 
-const THIRD: Spec = Spec {
-    id: "wd-3",
-    domain: "sukhbaatar",
-    ..DESK
-};
+const THIRD: Spec = Spec { id: "wd-3", ..DESK };
 
 /// Far more than a drain takes here.
 const BOUND: Duration = Duration::from_secs(20);
@@ -108,7 +100,7 @@
     }
     let callers = Callers::start(&fleet, 2);
     let ran = |m: &Member| m.target.ledger().runs.len();
-    wait::until("load", || ran(&fleet.members[2]) > 20).await;
+    wait::until("load", || fleet.members.iter().all(|m| ran(m) > 20)).await;
     let mut leaving: Vec<Member> = fleet.members.drain(..2).collect();
     let [first, second] = &mut leaving[..] else {
         unreachable!("two members");
