Tell repeats of an unproved key that their outcome is unknown

An attempt that was refused before the hand-over says nothing of earlier attempts with its key. A caller that was told that its repeat was not run could take that for the whole request and ask anew under another key. The first hop now turns such a refusal into an unknown outcome, unless the owner had proved that the key was never used. The window reads the instance list itself, so that it owns by the same endpoints as the first hop chooses from, whatever the catalogue holds.

--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -119,6 +119,13 @@
         )
     }
 
+    /// Whether the owner of the request's key gave it after it had proved that
+    /// the key was never used: nothing of the request has run then, whichever
+    /// attempt this was.
+    pub const fn is_after_proof(self) -> bool {
+        self.is_overload() || matches!(self, Reason::WindowFull)
+    }
+
     /// Whether the service as a whole may be short, so that trying again costs
     /// others their place.
     pub const fn is_overload(self) -> bool {
--- a/crates/core/src/outcome/refusal.rs
+++ b/crates/core/src/outcome/refusal.rs
@@ -50,6 +50,19 @@
         self
     }
 
+    /// The same refusal as the caller of a keyed request gets it, when earlier
+    /// attempts with the key may have been sent.
+    ///
+    /// That this attempt wasn't run says nothing of those: unless the key's
+    /// owner proved that it was never used, the outcome is unknown. A caller
+    /// that was told otherwise might ask anew under another key.
+    pub const fn of_repeat(mut self) -> Refusal {
+        if !self.reason.is_after_proof() {
+            self.outcome = Outcome::Unknown;
+        }
+        self
+    }
+
     /// What is known of the request.
     pub const fn outcome(&self) -> Outcome {
         self.outcome
--- a/crates/core/src/repeat/window.rs
+++ b/crates/core/src/repeat/window.rs
@@ -12,13 +12,17 @@
 use super::tenure::Tenure;
 use crate::Attempt;
 use crate::Begin;
+use crate::Instance;
 use crate::InstanceId;
+use crate::InstanceList;
+use crate::InstanceState;
 use crate::Refusal;
 use crate::RepeatSettings;
 use crate::RequestKey;
 use crate::Result;
 use crate::Revision;
 use crate::Running;
+use crate::ServiceName;
 use crate::StoredAnswer;
 use crate::Tick;
 
@@ -29,30 +33,36 @@
 pub struct RepeatWindow(Arc<Shared>);
 
 /// What the window and those that run share.
-pub(super) struct Shared(Mutex<State>);
+pub(super) struct Shared {
+    service: ServiceName,
+    state: Mutex<State>,
+}
 
 impl RepeatWindow {
-    /// The empty window of a node that just started.
+    /// The empty window of a node that just started beside instance `me` of
+    /// `service`.
     ///
     /// # Errors
     ///
     /// Fails if a time or bound of the settings is zero.
-    pub fn new(cfg: RepeatSettings, me: InstanceId) -> Result<RepeatWindow> {
+    pub fn new(cfg: RepeatSettings, me: InstanceId, service: ServiceName) -> Result<RepeatWindow> {
         let cfg = cfg.checked()?;
         let tenure = Tenure::new(me, cfg.lease);
         let state = State::new(cfg, tenure);
-        Ok(RepeatWindow(Arc::new(Shared(Mutex::new(state)))))
+        Ok(RepeatWindow(Arc::new(Shared {
+            service,
+            state: Mutex::new(state),
+        })))
     }
 
-    /// Takes over a newer instance list: the live endpoints of the service of
-    /// this node's target.
-    pub fn list_changed<'a>(
-        &self,
-        now: Tick,
-        revision: Revision,
-        live: impl IntoIterator<Item = &'a InstanceId>,
-    ) {
-        let members = Members::new(live);
+    /// Takes over a newer instance list.
+    ///
+    /// Call it before requests are routed by that list: an owner must not learn
+    /// of its keys later than those who send them.
+    pub fn list_changed(&self, now: Tick, list: &InstanceList) {
+        let mine = |i: &&Instance| i.service == self.0.service && i.state == InstanceState::Live;
+        let members = Members::new(list.iter().filter(mine).map(|i| &i.id));
+        let revision = list.version().revision();
         self.0.lock().tenure.change(now, revision, members);
     }
 
@@ -88,7 +98,7 @@
     fn lock(&self) -> MutexGuard<'_, State> {
         // A panic under the lock would leave a key running, which is refused as
         // unknown from then on: never run again, which is the safe side.
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(super) fn check(&self, now: Tick, key: &RequestKey, attempt: Attempt) -> Option<Refusal> {
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -1,5 +1,6 @@
 //! The tries of one request.
 
+use crate::Attempt;
 use crate::Budget;
 use crate::Deadline;
 use crate::Failure;
@@ -42,6 +43,7 @@
     hop: Hop,
     idempotent: bool,
     deadline: Deadline,
+    attempt: Option<Attempt>,
     tries: u32,
     moves: u32,
 }
@@ -60,11 +62,19 @@
             hop,
             idempotent,
             deadline,
+            attempt: None,
             tries: limits.attempts.saturating_sub(1),
             moves: MAX_MOVES,
         }
     }
 
+    /// The same for a request with a key, which only the key's owner may run.
+    #[must_use]
+    pub const fn keyed(mut self, attempt: Attempt) -> Tries {
+        self.attempt = Some(attempt);
+        self
+    }
+
     /// What to do after `failure`.
     pub fn after(&mut self, now: Tick, failure: Failure, budget: &Budget) -> Next {
         let again = self.hop == Hop::First
@@ -74,13 +84,22 @@
         if again {
             return Next::Again;
         }
-        Next::Stop(failure)
+        Next::Stop(self.for_caller(failure))
+    }
+
+    fn for_caller(&self, failure: Failure) -> Failure {
+        match (failure, self.attempt) {
+            (Failure::Refused(refusal), Some(Attempt::MayRepeat)) => {
+                Failure::Refused(refusal.of_repeat())
+            }
+            (failure, _) => failure,
+        }
     }
 
     fn may_repeat(&self, failure: &Failure) -> bool {
         match failure {
             Failure::Refused(refusal) => {
-                refusal.outcome() == Outcome::NotRun && !is_final(refusal.reason())
+                refusal.outcome() == Outcome::NotRun && !self.is_final(refusal.reason())
             }
             // After the hand-over nothing proves that it didn't run.
             Failure::Lost(_) => self.idempotent,
@@ -103,13 +122,12 @@
         *left -= 1;
         true
     }
-}
 
-/// Whether another endpoint would refuse just the same.
-const fn is_final(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::NoRoute
+    /// Whether trying again would bring the same refusal.
+    fn is_final(&self, reason: Reason) -> bool {
+        let keyed = self.attempt.is_some();
+        match reason {
+            Reason::NoRoute
             | Reason::NoEndpoint
             | Reason::DeadlinePassed
             | Reason::LeaseLapsed
@@ -120,6 +138,10 @@
             | Reason::TooLarge
             | Reason::TooManyHops
             | Reason::NoConfiguration
-            | Reason::CallerGone
-    )
+            | Reason::CallerGone => true,
+            // A key has one owner, and no other endpoint stands in for it.
+            Reason::Connect | Reason::Draining | Reason::Starting => keyed,
+            _ => false,
+        }
+    }
 }
