Show a whole deployment on loopback and judge it

There was no run in which one could see the promises kept end to end.

sassafrasspool-demo starts a process for the platform, each target and each node of a deployment directory, sends its calls, changes the catalogue (once badly), stops one node as planned, kills another with its target and brings it back, and judges callers' records, ledgers and what the nodes had in force by the same code as the chaos runs. Children end with the demo, also when it is killed.

--- a/crates/bench/src/chaos.rs
+++ b/crates/bench/src/chaos.rs
@@ -14,10 +14,10 @@
 
 mod catalogue;
 mod driver;
-mod events;
+pub(crate) mod events;
 mod fault;
-mod log;
-mod observer;
+pub(crate) mod log;
+pub(crate) mod observer;
 mod operators;
 mod options;
 mod report;
--- a/crates/bench/src/chaos/events.rs
+++ b/crates/bench/src/chaos/events.rs
@@ -34,16 +34,16 @@
 
 /// When a planned stop ended.
 #[derive(Debug, Clone)]
-pub(super) struct Stopped {
+pub(crate) struct Stopped {
     /// Which instance.
-    pub(super) instance: usize,
+    pub(crate) instance: usize,
     /// When its node was gone, in microseconds since the Unix epoch.
-    pub(super) at_us: u64,
+    pub(crate) at_us: u64,
 }
 
 /// Adds what callers and targets saw to what the run recorded. An excused
 /// silence counts as told: the caller saw the connection end.
-pub(super) fn history(
+pub(crate) fn history(
     log: &Log,
     records: &[CallRecord],
     runs: &[LedgerRun],
--- a/crates/bench/src/chaos/observer.rs
+++ b/crates/bench/src/chaos/observer.rs
@@ -1,5 +1,6 @@
 //! Watching what each node has in force.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,6 @@
 
 use super::log::Log;
 use crate::load::Fleet;
-use crate::load::Member;
 use crate::load::admin;
 
 /// How often each node is asked.
@@ -27,7 +27,7 @@
     let member = &fleet.members[n];
     let mut last = None;
     while !cancel.is_cancelled() {
-        if let Some(held) = held_by(member).await
+        if let Some(held) = held_by(member.admin).await
             && last.as_ref() != Some(&held)
         {
             log.record(Event::InForce {
@@ -41,8 +41,8 @@
 }
 
 /// What the node has in force; `None` if it has nothing or doesn't answer.
-async fn held_by(member: &Member) -> Option<Held> {
-    let value = admin::get(member.admin, SNAPSHOT_PATH).await?;
+pub(crate) async fn held_by(node: SocketAddr) -> Option<Held> {
+    let value = admin::get(node, SNAPSHOT_PATH).await?;
     let info: SnapshotInfo = serde_json::from_value(value).ok()?;
     Some(Held {
         catalogue: version(info.held.catalogue.as_ref()?)?,
--- a/crates/bench/src/demo_main.rs
+++ b/crates/bench/src/demo_main.rs
@@ -1,3 +1,7 @@
-//! Start.
+//! The demo's program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sassafrasspool_bench::demo::main()
+}
--- a/crates/bench/src/generate.rs
+++ b/crates/bench/src/generate.rs
@@ -3,6 +3,7 @@
 pub use self::catalogue::GeneratedCatalogue;
 pub use self::fleet::GeneratedFleet;
 pub use self::shape::Shape;
+pub use self::text::render;
 
 mod catalogue;
 mod fleet;
--- a/crates/bench/src/generate/text.rs
+++ b/crates/bench/src/generate/text.rs
@@ -7,7 +7,7 @@
 use sassafrasspool_core::ServiceEntry;
 
 /// Writes a catalogue in the form that operators publish.
-pub(super) fn render(kinds: &[Kind], services: &[ServiceEntry]) -> String {
+pub fn render(kinds: &[Kind], services: &[ServiceEntry]) -> String {
     let mut text = String::from("kinds:\n");
     for kind in kinds {
         line(
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod chaos;
 pub mod cli;
+pub mod demo;
 pub mod fit;
 pub mod generate;
 pub mod load;
--- a/crates/bench/src/load/open_loop.rs
+++ b/crates/bench/src/load/open_loop.rs
@@ -5,7 +5,7 @@
 use tokio::task::JoinSet;
 
 use super::pacer::Pacer;
-use super::plan::Plan;
+use super::plan::Call;
 use super::record::CallRecord;
 use super::repeat::Caller;
 use crate::summary::Samples;
@@ -27,7 +27,10 @@
 
 impl OpenLoop {
     /// Makes all calls of `plan` and waits for their ends.
-    pub async fn run(plan: Plan, caller: Arc<Caller>) -> OpenLoop {
+    pub async fn run(
+        plan: impl Iterator<Item = Call> + Send + 'static,
+        caller: Arc<Caller>,
+    ) -> OpenLoop {
         let mut done = OpenLoop::default();
         let mut calls = JoinSet::new();
         let mut pacer = Pacer::start(plan);
