Let nobody wait for a stand-in that stops

An answer held back for an hour also held up the stop of its stand-in for that long. Held-back answers are now given at once when the token is cancelled.

--- a/crates/standin/src/platform/read_api.rs
+++ b/crates/standin/src/platform/read_api.rs
@@ -59,8 +59,7 @@
         return (StatusCode::BAD_REQUEST, text).into_response();
     }
     let found = shared.watch(stream, query.after, wait).await;
-    let delay = shared.state().answer_delay;
-    tokio::time::sleep(delay).await;
+    shared.hold_back().await;
     answer(stream, found)
 }
 
--- a/crates/standin/src/platform/shared.rs
+++ b/crates/standin/src/platform/shared.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Holds an answer back for the delay that is set, but not beyond the end.
+    pub(super) async fn hold_back(&self) {
+        let delay = self.state().answer_delay;
+        let sleep = tokio::time::sleep(delay);
+        self.cancel.run_until_cancelled(sleep).await;
+    }
+
     /// Turns switches.
     pub(super) fn switch(&self, switches: &PlatformSwitches) {
         self.change(|state, now| {
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -40,7 +40,6 @@
 pub use self::order::ANSWER_BYTES_HEADER;
 pub use self::order::KIND_HEADER;
 pub use self::order::MAX_ANSWER_BYTES;
-pub use self::order::REQUEST_ID_HEADER;
 pub use self::run::Run;
 pub use self::run::RunEnd;
 pub use self::service_times::ServiceTimes;
--- a/crates/standin/src/target/order.rs
+++ b/crates/standin/src/target/order.rs
@@ -9,26 +9,18 @@
 use sassafrasspool_core::KindName;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::header;
 
 use super::life::Life;
 use super::run::Run;
 use super::run::RunEnd;
 
-/// Names the request in the ledger and in its answer.
-pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
-
 /// Names the request's kind, which decides its service time.
 pub const KIND_HEADER: HeaderName = HeaderName::from_static("x-kind");
 
 /// Asks for so many bytes of pattern in the answer.
 pub const ANSWER_BYTES_HEADER: HeaderName = HeaderName::from_static("x-answer-bytes");
 
-/// Milliseconds after which the caller no longer waits.
-const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("x-request-timeout-ms");
-
-/// Noted in the ledger, so that repeats under new request ids are found.
-const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
-
 /// The longest request id, key or kind in bytes.
 const MAX_TEXT_BYTES: usize = 256;
 
@@ -57,13 +49,13 @@
             Some(named) => Some(KindName::new(named)?),
             None => times.kind_of_path(path).cloned(),
         };
-        let id = text(headers, &REQUEST_ID_HEADER)?.map(str::to_owned);
+        let id = text(headers, &header::REQUEST_ID)?.map(str::to_owned);
         Ok(Order {
             id: id.unwrap_or_else(|| format!("unnamed-{n}")),
-            key: text(headers, &KEY_HEADER)?.map(str::to_owned),
+            key: text(headers, &header::IDEMPOTENCY_KEY)?.map(str::to_owned),
             path: path.to_owned(),
             answer_bytes: answer_bytes(headers)?,
-            timeout: number(headers, &TIMEOUT_HEADER)?.map(Duration::from_millis),
+            timeout: number(headers, &header::REQUEST_TIMEOUT_MS)?.map(Duration::from_millis),
             service_time: times.time(kind.as_ref()) + life.shared.switched().slow,
             kind,
         })
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sassafrasspool_core::Error;
+use sassafrasspool_wire::header::REQUEST_ID;
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::HEALTH_PATH;
@@ -24,7 +25,6 @@
 use super::health::Readiness;
 use super::life::Life;
 use super::order::Order;
-use super::order::REQUEST_ID_HEADER;
 use super::refusal::Refusal;
 use super::run_guard::RunGuard;
 use super::switches::Switched;
@@ -174,11 +174,13 @@
         }
         self.guard.worked();
         let switched = self.life.shared.switched();
+        let cancel = self.life.shared.cancel.clone();
         if switched.hang_after_run {
             self.guard.hang();
-            self.life.shared.cancel.cancelled().await;
+            cancel.cancelled().await;
         }
-        tokio::time::sleep(switched.late.delay(self.n)).await;
+        let late = tokio::time::sleep(switched.late.delay(self.n));
+        cancel.run_until_cancelled(late).await;
         self.answer(switched)
     }
 
@@ -195,7 +197,7 @@
         let headers = answer.headers_mut();
         headers.insert(RECEIVED_BYTES_HEADER, HeaderValue::from(self.received));
         if let Ok(id) = HeaderValue::from_str(&self.order.id) {
-            headers.insert(REQUEST_ID_HEADER, id);
+            headers.insert(REQUEST_ID, id);
         }
         answer
     }
--- a/crates/standin/tests/standin/ledger.rs
+++ b/crates/standin/tests/standin/ledger.rs
@@ -19,13 +19,19 @@
 use tokio::task::JoinHandle;
 
 use crate::support::Caller;
+use crate::support::keep_busy;
 use crate::support::request;
 use crate::support::start;
 use crate::support::until;
+use crate::support::working_for;
 
 /// Longer than any test runs, in microseconds.
 const HOUR_US: u64 = 3_600_000_000;
 
+const LATE: &str = r#"{"late":{"every":1,"by_ms":3600000}}"#;
+const HANG: &str = r#"{"hang_after_run":true}"#;
+const CUT: &str = r#"{"cut_body":true}"#;
+
 /// What brings a run to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Deed {
@@ -77,41 +83,16 @@
         }
     }
 
-    /// A run whose work is done but whose answer is an hour late.
-    fn unanswered(deed: Deed) -> EndCase {
-        let late = serde_json::from_str(r#"{"late":{"every":1,"by_ms":3600000}}"#).unwrap();
+    /// A run whose work is done under a fault, and that is at `at` then.
+    fn faulty(switches: &str, at: RunEnd, deed: Deed, end: RunEnd) -> EndCase {
+        let switches = serde_json::from_str(switches).unwrap();
+        let status = (at == end && end == RunEnd::AnswerCut).then_some(200);
         EndCase {
-            switches: late,
-            at: RunEnd::Answering,
+            switches,
+            at,
             deed,
-            end: RunEnd::AnswerCut,
-            status: None,
-            ..EndCase::plain()
-        }
-    }
-
-    fn hung() -> EndCase {
-        EndCase {
-            switches: TargetSwitches {
-                hang_after_run: Some(true),
-                ..Default::default()
-            },
-            at: RunEnd::Hung,
-            deed: Deed::HangUp,
-            end: RunEnd::Hung,
-            status: None,
-            ..EndCase::plain()
-        }
-    }
-
-    fn cut() -> EndCase {
-        EndCase {
-            switches: TargetSwitches {
-                cut_body: Some(true),
-                ..Default::default()
-            },
-            at: RunEnd::AnswerCut,
-            end: RunEnd::AnswerCut,
+            end,
+            status,
             ..EndCase::plain()
         }
     }
@@ -129,15 +110,7 @@
     }
 
     async fn start(&self) -> Target {
-        let service = ServiceTimes {
-            default_us: self.service_us,
-            ..ServiceTimes::default()
-        };
-        let target = start(TargetSettings {
-            service,
-            ..TargetSettings::default()
-        })
-        .await;
+        let target = start(working_for(self.service_us)).await;
         target.switch(&self.switches).await;
         target
     }
@@ -167,10 +140,10 @@
 #[case::finished(EndCase::plain())]
 #[case::cancelled(EndCase::broken(Deed::HangUp, RunEnd::Cancelled))]
 #[case::crashed(EndCase::broken(Deed::Crash, RunEnd::Crashed))]
-#[case::late_and_left(EndCase::unanswered(Deed::HangUp))]
-#[case::late_and_crashed(EndCase::unanswered(Deed::Crash))]
-#[case::hung(EndCase::hung())]
-#[case::cut(EndCase::cut())]
+#[case::late_and_left(EndCase::faulty(LATE, RunEnd::Answering, Deed::HangUp, RunEnd::AnswerCut))]
+#[case::late_and_crashed(EndCase::faulty(LATE, RunEnd::Answering, Deed::Crash, RunEnd::AnswerCut))]
+#[case::hung(EndCase::faulty(HANG, RunEnd::Hung, Deed::HangUp, RunEnd::Hung))]
+#[case::cut(EndCase::faulty(CUT, RunEnd::AnswerCut, Deed::Wait, RunEnd::AnswerCut))]
 #[case::timed_out(EndCase::timed_out())]
 #[tokio::test]
 async fn every_run_ends_in_the_ledger(#[case] case: EndCase) {
@@ -228,19 +201,12 @@
 /// the effect is in force although nobody got an answer.
 #[tokio::test]
 async fn work_goes_on_where_cancellation_is_not_honoured() {
-    let service = ServiceTimes {
-        default_us: 100_000,
-        ..ServiceTimes::default()
-    };
     let cfg = TargetSettings {
-        service,
         honours_cancellation: false,
-        ..Default::default()
+        ..working_for(100_000)
     };
     let target = start(cfg).await;
-    let req = request("/a").body(Full::default()).unwrap();
-    let caller = Caller::connect(target.addr()).await.send_apart(req);
-    run_at(&target, RunEnd::Running).await;
+    let caller = keep_busy(&target).await;
     caller.abort();
     until(|| only_run(&target).is_some_and(|run| run.finished)).await;
 }
--- a/crates/standin/tests/standin/support.rs
+++ b/crates/standin/tests/standin/support.rs
@@ -13,6 +13,8 @@
 use hyper_util::rt::TokioIo;
 use sassafrasspool_standin::Target;
 use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::Run;
+use sassafrasspool_standin::target::ServiceTimes;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -29,6 +31,26 @@
     Target::start(cfg, CancellationToken::new()).await.unwrap()
 }
 
+/// The settings of a target whose runs take `us` microseconds.
+pub(crate) fn working_for(us: u64) -> TargetSettings {
+    let service = ServiceTimes {
+        default_us: us,
+        ..ServiceTimes::default()
+    };
+    TargetSettings {
+        service,
+        ..TargetSettings::default()
+    }
+}
+
+/// Sends a request that `target` has begun to work on when this returns.
+pub(crate) async fn keep_busy(target: &Target) -> JoinHandle<hyper::Result<Response<Bytes>>> {
+    let req = request("/a").body(Full::default()).unwrap();
+    let answer = Caller::connect(target.addr()).await.send_apart(req);
+    until(|| target.ledger().runs.iter().any(Run::began)).await;
+    answer
+}
+
 /// Waits until `condition` is true.
 pub(crate) async fn until(mut condition: impl FnMut() -> bool) {
     let wait = async {
--- a/crates/standin/tests/standin/target.rs
+++ b/crates/standin/tests/standin/target.rs
@@ -11,15 +11,16 @@
 use sassafrasspool_standin::target::HealthReport;
 use sassafrasspool_standin::target::Load;
 use sassafrasspool_standin::target::RunEnd;
-use sassafrasspool_standin::target::ServiceTimes;
 use sassafrasspool_standin::target::answer_body;
 use tokio::net::TcpStream;
 
 use crate::support::Caller;
 use crate::support::is_closed_on_arrival;
+use crate::support::keep_busy;
 use crate::support::request;
 use crate::support::start;
 use crate::support::until;
+use crate::support::working_for;
 
 /// Longer than any test runs, in milliseconds.
 const HOUR_MS: u64 = 3_600_000;
@@ -159,24 +160,9 @@
 /// what comes after is refused and doesn't run.
 #[tokio::test]
 async fn a_draining_target_finishes_what_it_has() {
-    let service = ServiceTimes {
-        default_us: 200_000,
-        ..ServiceTimes::default()
-    };
-    let target = start(TargetSettings {
-        service,
-        ..TargetSettings::default()
-    })
-    .await;
-    let under_way = Caller::connect(target.addr()).await.send_apart(plain("/a"));
-    until(|| {
-        target
-            .ledger()
-            .runs
-            .iter()
-            .any(|run| run.end == RunEnd::Running)
-    })
-    .await;
+    let target = start(working_for(200_000)).await;
+    let under_way = keep_busy(&target).await;
+
     target.set_drain(true).await;
     let mut late = Caller::connect(target.addr()).await;
     let refused = late.get("/b").await.unwrap();
@@ -195,24 +181,9 @@
 /// connection breaks, new ones are refused, and the next life serves again.
 #[tokio::test]
 async fn a_crashed_target_refuses_until_it_is_restarted() {
-    let service = ServiceTimes {
-        default_us: HOUR_MS * 1_000,
-        ..ServiceTimes::default()
-    };
-    let target = start(TargetSettings {
-        service,
-        ..TargetSettings::default()
-    })
-    .await;
-    let lost = Caller::connect(target.addr()).await.send_apart(plain("/a"));
-    until(|| {
-        target
-            .ledger()
-            .runs
-            .iter()
-            .any(|run| run.end == RunEnd::Running)
-    })
-    .await;
+    let target = start(working_for(HOUR_MS * 1_000)).await;
+    let lost = keep_busy(&target).await;
+
     target.crash().await;
     assert!(lost.await.unwrap().is_err());
     assert!(TcpStream::connect(target.addr()).await.is_err());
@@ -230,26 +201,10 @@
 /// The target is stopped as planned while it works: the answer still comes.
 #[tokio::test]
 async fn a_planned_stop_cuts_nothing() {
-    let service = ServiceTimes {
-        default_us: 200_000,
-        ..ServiceTimes::default()
-    };
-    let target = start(TargetSettings {
-        service,
-        ..TargetSettings::default()
-    })
-    .await;
+    let target = start(working_for(200_000)).await;
     let addr = target.addr();
-    let under_way = Caller::connect(addr).await.send_apart(plain("/a"));
+    let under_way = keep_busy(&target).await;
     let _idle = Caller::connect(addr).await;
-    until(|| {
-        target
-            .ledger()
-            .runs
-            .iter()
-            .any(|run| run.end == RunEnd::Running)
-    })
-    .await;
     target.stop().await;
     assert_eq!(under_way.await.unwrap().unwrap().status(), StatusCode::OK);
     assert!(TcpStream::connect(addr).await.is_err());
