--- a/crates/standin/tests/standin/target.rs
+++ b/crates/standin/tests/standin/target.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
 use rstest::rstest;
@@ -37,6 +38,11 @@
     request(path).body(Full::default()).unwrap()
 }
 
+fn assert_refused(answer: &Response<Bytes>, reason: &str) {
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.body(), reason);
+}
+
 struct AnswerCase {
     sent: usize,
     asked: Option<&'static str>,
@@ -88,10 +94,7 @@
     until(|| target.stats().inflight == 2).await;
     let mut third = Caller::connect(target.addr()).await;
     let shed = third.get("/c").await.unwrap();
-    assert_eq!(
-        (shed.status(), shed.body().as_ref()),
-        (StatusCode::SERVICE_UNAVAILABLE, &b"shed"[..])
-    );
+    assert_refused(&shed, "shed");
     assert_eq!(target.stats().shed, 1);
     assert!(target.ledger().runs.iter().all(|run| run.path != "/c"));
 
@@ -132,19 +135,11 @@
     let target = start(cfg).await;
     let mut caller = Caller::connect(target.addr()).await;
     let refused = caller.get("/a").await.unwrap();
-    assert_eq!(
-        (refused.status(), refused.body().as_ref()),
-        (StatusCode::SERVICE_UNAVAILABLE, &b"cold"[..])
-    );
+    assert_refused(&refused, "cold");
     let mut caller = Caller::connect(target.addr()).await;
-    assert_eq!(
-        caller.get("/healthz").await.unwrap().status(),
-        StatusCode::SERVICE_UNAVAILABLE
-    );
-    assert_eq!(
-        (target.stats().cold_refused, target.ledger().runs.len()),
-        (1, 0)
-    );
+    assert_refused(&caller.get("/healthz").await.unwrap(), "cold");
+    assert_eq!(target.stats().cold_refused, 1);
+    assert_eq!(target.ledger().runs.len(), 0);
 
     let cfg = TargetSettings {
         cold_start_ms: 30,
@@ -166,15 +161,10 @@
     target.set_drain(true).await;
     let mut late = Caller::connect(target.addr()).await;
     let refused = late.get("/b").await.unwrap();
-    assert_eq!(
-        (refused.status(), refused.body().as_ref()),
-        (StatusCode::SERVICE_UNAVAILABLE, &b"draining"[..])
-    );
+    assert_refused(&refused, "draining");
     assert_eq!(under_way.await.unwrap().unwrap().status(), StatusCode::OK);
-    assert_eq!(
-        (target.stats().drain_refused, target.ledger().runs.len()),
-        (1, 1)
-    );
+    assert_eq!(target.stats().drain_refused, 1);
+    assert_eq!(target.ledger().runs.len(), 1);
 }
 
 /// A target dies amid its work and is replaced on the same port. Its caller's
