Tell a caller that nobody knows once a try was lost

The tries now remember the first loss, and whatever ends the request is told as that. The test of a lookup whose target crashes while the only other endpoint drains got not-run before, and gets unknown now.

--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -4,6 +4,7 @@
 use crate::Budget;
 use crate::Deadline;
 use crate::Failure;
+use crate::Loss;
 use crate::Outcome;
 use crate::Reason;
 use crate::RetryLimits;
@@ -37,7 +38,8 @@
 /// # Invariants
 ///
 /// [`Next::Again`] only follows a try that is proved not to have run, unless
-/// the route is idempotent.
+/// the route is idempotent. Once a try was lost, no failure that is told says
+/// that the request wasn't run.
 #[derive(Debug)]
 pub struct Tries {
     hop: Hop,
@@ -46,6 +48,8 @@
     attempt: Option<Attempt>,
     tries: u32,
     moves: u32,
+    /// The first try that may have run.
+    lost: Option<Loss>,
 }
 
 impl Tries {
@@ -65,6 +69,7 @@
             attempt: None,
             tries: limits.attempts.saturating_sub(1),
             moves: MAX_MOVES,
+            lost: None,
         }
     }
 
@@ -77,6 +82,9 @@
 
     /// What to do after `failure`.
     pub fn after(&mut self, now: Tick, failure: Failure, budget: &Budget) -> Next {
+        if let Failure::Lost(loss) = failure {
+            self.lost.get_or_insert(loss);
+        }
         let again = self.hop == Hop::First
             && !self.deadline.passed(now)
             && self.may_repeat(&failure)
@@ -84,10 +92,19 @@
         if again {
             return Next::Again;
         }
-        Next::Stop(self.for_caller(failure))
+        Next::Stop(self.told(failure))
     }
 
-    fn for_caller(&self, failure: Failure) -> Failure {
+    /// What the caller is told if `failure` ends the request.
+    ///
+    /// A lookup whose first try was lost may have run, although the second
+    /// was refused; the refusal is true of the second alone. Passed on, it
+    /// would tell the caller that nothing ran. The same goes for a refused
+    /// repeat, whose earlier attempt may have run.
+    pub fn told(&self, failure: Failure) -> Failure {
+        if let Some(loss) = self.lost {
+            return Failure::Lost(loss);
+        }
         match (failure, self.attempt) {
             (Failure::Refused(refusal), Some(Attempt::MayRepeat)) => {
                 Failure::Refused(refusal.of_repeat())
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -99,7 +99,7 @@
                 Ok(picked) => picked,
                 // What the last endpoint said tells more than that there is
                 // no other one.
-                Err(refusal) => return Err(last.unwrap_or(refusal.into())),
+                Err(refusal) => return Err(tries.told(last.unwrap_or(refusal.into()))),
             };
             avoid.push(picked.endpoint());
             let again = repeat(&req);
@@ -114,7 +114,7 @@
             req = match again.or(missed.unsent.map(|req| *req)) {
                 Some(same) => same,
                 // A part of the body is used up.
-                None => return Err(failure),
+                None => return Err(tries.told(failure)),
             };
             last = Some(failure);
         }
--- a/crates/node/tests/requests/lost.rs
+++ b/crates/node/tests/requests/lost.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use sassafrasspool_core::Phase;
 
 use crate::client;
 use crate::fleet::DESK;
@@ -70,3 +71,22 @@
     assert_eq!(res.status(), StatusCode::OK);
     assert_eq!(fleet.runs_of("r-1"), 1);
 }
+
+// A fitter looks up a policy and the target crashes with the lookup on it. The
+// only other endpoint is leaving and refuses. That refusal is of the second try
+// alone: as the first may have run, the caller is told that nobody knows.
+#[tokio::test]
+async fn a_refusal_after_a_loss_does_not_say_that_nothing_ran() {
+    let fleet = Fleet::start(&[DESK, SECOND]).await;
+    let [first, second] = &fleet.members[..] else {
+        unreachable!("two members");
+    };
+    first.target.set_slow(LONG).await;
+    let req = client::get("/desk/policy", "r-1");
+    let answer = tokio::spawn(client::call(first.addrs.ingress, req));
+    wait::until("the run", || first.runs_of("r-1").len() == 1).await;
+    second.shared.advance(Phase::Draining);
+    first.target.crash().await;
+    let res = answer.await.expect("a task").expect("an answer");
+    assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "unknown");
+}
