Add the spread machine's types and the naive way of spreading

The naive way (each node reads and watches the platform) comes first behind the same trait, and Spread uses it for now.

Every version is judged by one holder: revisions only grow, one revision with two digests is a conflict and the first stays, and a bad version is remembered and refused whole.

--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,9 @@
+//! What nodes say of the endpoints beside them.
+//!
+//! Only the node beside a target speaks for it. The platform's list lags, so
+//! that a leaving instance is known by its own word: a record that travels
+//! from node to node, of which the highest wins.
+
+pub use self::incarnation::Incarnation;
+
+mod incarnation;
--- /dev/null
+++ b/crates/core/src/spread/holder.rs
@@ -0,0 +1,317 @@
+//! What a node holds of both streams, and the judgement of what is offered.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::Action;
+use crate::Applied;
+use crate::AuditEvent;
+use crate::Catalogue;
+use crate::Digest;
+use crate::Document;
+use crate::Faults;
+use crate::Heads;
+use crate::InstanceList;
+use crate::Item;
+use crate::Origin;
+use crate::Revision;
+use crate::Snapshot;
+use crate::Stream;
+use crate::Version;
+use crate::catalogue;
+
+/// Refused and conflicting versions that are remembered, each.
+const MAX_REMEMBERED: usize = 64;
+
+/// What became of an offered version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// It is held now.
+    Taken,
+    /// It was held already.
+    Same,
+    /// Something newer is held.
+    Older,
+    /// The same revision is held with another digest.
+    Conflict,
+    /// It is bad, and remembered as such.
+    Refused,
+}
+
+/// The documents that a node holds and the snapshot bound from them.
+///
+/// # Invariants
+///
+/// The revision of each stream only grows, and the snapshot is bound from
+/// exactly the two documents held. What is held was judged good.
+#[derive(Debug, Default)]
+pub(super) struct Holder {
+    catalogue: Option<Arc<Catalogue>>,
+    instances: Option<Arc<InstanceList>>,
+    snapshot: Option<Arc<Snapshot>>,
+    refused: VecDeque<Version>,
+    conflicting: VecDeque<Version>,
+    older: [Option<Revision>; 2],
+    conflicts: u64,
+    refusals: u64,
+}
+
+impl Holder {
+    pub(super) fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    pub(super) fn conflicts(&self) -> u64 {
+        self.conflicts
+    }
+
+    pub(super) fn refusals(&self) -> u64 {
+        self.refusals
+    }
+
+    /// The newest version of the catalogue that was refused.
+    pub(super) fn last_refused(&self) -> Option<Version> {
+        self.refused.back().copied()
+    }
+
+    pub(super) fn heads(&self) -> Heads {
+        Heads {
+            catalogue: self.catalogue.as_ref().map(|held| held.version()),
+            instances: self.instances.as_ref().map(|held| held.version()),
+        }
+    }
+
+    /// Whether that version was judged bad before.
+    pub(super) fn is_refused(&self, version: Version) -> bool {
+        self.refused.contains(&version)
+    }
+
+    /// The text of a catalogue as the platform gave it.
+    pub(super) fn offer_text(
+        &mut self,
+        revision: Revision,
+        text: &str,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let unread = Version::new(revision, Digest::of(text.as_bytes()));
+        if self.is_refused(unread) {
+            return Verdict::Refused;
+        }
+        let read = catalogue::parse(text).map_err(|faults| faults.to_string());
+        let read = read
+            .and_then(|items| Catalogue::new(revision, items).map_err(|cause| cause.to_string()));
+        match read {
+            Ok(offered) => self.offer_catalogue(offered, &Origin::Source, out),
+            Err(reason) => {
+                self.refuse(Stream::Catalogue, unread, &Origin::Source, reason, out);
+                Verdict::Refused
+            }
+        }
+    }
+
+    /// A catalogue, from wherever.
+    pub(super) fn offer_catalogue(
+        &mut self,
+        offered: Catalogue,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let version = offered.version();
+        let verdict = self.weigh(Stream::Catalogue, version, origin, out);
+        if verdict != Verdict::Taken {
+            return verdict;
+        }
+        match judge(&offered, self.instances.as_deref()) {
+            Ok(snapshot) => {
+                // INVARIANT: The revision was found higher than the one held.
+                self.catalogue = Some(Arc::new(offered));
+                self.bind(snapshot);
+                Verdict::Taken
+            }
+            Err(faults) => {
+                let reason = faults.to_string();
+                self.refuse(Stream::Catalogue, version, origin, reason, out);
+                Verdict::Refused
+            }
+        }
+    }
+
+    /// An instance list, from wherever.
+    pub(super) fn offer_instances(
+        &mut self,
+        offered: InstanceList,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let version = offered.version();
+        let verdict = self.weigh(Stream::Instances, version, origin, out);
+        if verdict != Verdict::Taken {
+            return verdict;
+        }
+        let bound = match self.catalogue.as_deref() {
+            Some(catalogue) => Snapshot::build(catalogue, &offered).map(Some),
+            None => Ok(None),
+        };
+        match bound {
+            Ok(snapshot) => {
+                // INVARIANT: The revision was found higher than the one held.
+                self.instances = Some(Arc::new(offered));
+                self.bind(snapshot);
+                Verdict::Taken
+            }
+            Err(faults) => {
+                let reason = faults.to_string();
+                self.refuse(Stream::Instances, version, origin, reason, out);
+                Verdict::Refused
+            }
+        }
+    }
+
+    /// Notes that a version is bad.
+    pub(super) fn refuse(
+        &mut self,
+        stream: Stream,
+        version: Version,
+        origin: &Origin,
+        reason: String,
+        out: &mut Vec<Action>,
+    ) {
+        self.refusals += 1;
+        remember(&mut self.refused, version);
+        out.push(Action::Audit(AuditEvent::Refused {
+            stream,
+            version,
+            origin: origin.clone(),
+            reason,
+        }));
+    }
+
+    /// Notes that the platform's newest is older than what is held.
+    pub(super) fn note_older(
+        &mut self,
+        stream: Stream,
+        offered: Revision,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(held) = self.heads().of(stream) else {
+            return;
+        };
+        let told = &mut self.older[stream as usize];
+        if *told == Some(offered) {
+            return;
+        }
+        *told = Some(offered);
+        out.push(Action::Audit(AuditEvent::OlderIgnored {
+            stream,
+            held,
+            offered,
+            origin: origin.clone(),
+        }));
+    }
+
+    /// Notes that another content of the held revision exists.
+    pub(super) fn note_conflict(
+        &mut self,
+        stream: Stream,
+        held: Version,
+        offered: Version,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) {
+        if self.conflicting.contains(&offered) {
+            return;
+        }
+        self.conflicts += 1;
+        remember(&mut self.conflicting, offered);
+        out.push(Action::Audit(AuditEvent::Conflict {
+            stream,
+            held,
+            offered,
+            origin: origin.clone(),
+        }));
+    }
+
+    /// The actions that put the held snapshot in force.
+    pub(super) fn apply(&self, stream: Stream, origin: &Origin, out: &mut Vec<Action>) {
+        let (Some(snapshot), Some(version)) = (&self.snapshot, self.heads().of(stream)) else {
+            return;
+        };
+        out.push(Action::Apply(Applied {
+            snapshot: Arc::clone(snapshot),
+            stream,
+            version,
+            origin: origin.clone(),
+        }));
+        out.push(Action::Audit(AuditEvent::Applied {
+            stream,
+            version,
+            origin: origin.clone(),
+        }));
+    }
+
+    /// Compares an offered version with what is held; `Taken` means that it
+    /// may be, if it is good.
+    ///
+    /// A stale platform, a crossed message and a process that slept all offer
+    /// old versions as new. Revisions are compared and never clocks or the
+    /// order of arrival, so that none of them can step a node back.
+    fn weigh(
+        &mut self,
+        stream: Stream,
+        offered: Version,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        if self.is_refused(offered) {
+            return Verdict::Refused;
+        }
+        let Some(held) = self.heads().of(stream) else {
+            return Verdict::Taken;
+        };
+        if held == offered {
+            return Verdict::Same;
+        }
+        if held.revision() == offered.revision() {
+            self.note_conflict(stream, held, offered, origin, out);
+            return Verdict::Conflict;
+        }
+        if held.revision() > offered.revision() {
+            if *origin == Origin::Source {
+                self.note_older(stream, offered.revision(), origin, out);
+            }
+            return Verdict::Older;
+        }
+        Verdict::Taken
+    }
+
+    fn bind(&mut self, snapshot: Option<Snapshot>) {
+        if let Some(snapshot) = snapshot {
+            self.snapshot = Some(Arc::new(snapshot));
+        }
+    }
+}
+
+/// Judges a catalogue. Whether it is good depends on nothing but its content,
+/// so that every node judges the same, with or without an instance list.
+fn judge(
+    offered: &Catalogue,
+    instances: Option<&InstanceList>,
+) -> Result<Option<Snapshot>, Faults> {
+    match instances {
+        Some(instances) => Snapshot::build(offered, instances).map(Some),
+        None => Snapshot::build(offered, &empty_list(offered)).map(|_| None),
+    }
+}
+
+fn empty_list<T: Item>(like: &Document<T>) -> InstanceList {
+    let empty = InstanceList::new(like.version().revision(), []);
+    empty.expect("a list without instances has no key that stands twice")
+}
+
+fn remember(list: &mut VecDeque<Version>, version: Version) {
+    if list.len() == MAX_REMEMBERED {
+        list.pop_front();
+    }
+    list.push_back(version);
+}
--- /dev/null
+++ b/crates/core/src/spread/source.rs
@@ -0,0 +1,95 @@
+//! Reads of the platform that are under way or due.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+
+use crate::Action;
+use crate::Revision;
+use crate::SpreadConfig;
+use crate::Stream;
+use crate::Tick;
+use crate::reader::Backoff;
+
+/// The state of reading one stream.
+#[derive(Debug)]
+pub(super) struct SourceReads {
+    stream: Stream,
+    backoff: Backoff,
+    /// A read is under way since then.
+    under_way: Option<Tick>,
+    /// No read before this.
+    not_before: Tick,
+    /// The newest revision that the platform gave, good or bad.
+    seen: Option<Revision>,
+    /// Reads asked for so far.
+    count: u64,
+}
+
+impl SourceReads {
+    pub(super) fn new(stream: Stream, cfg: &SpreadConfig) -> SourceReads {
+        SourceReads {
+            stream,
+            backoff: Backoff::new(cfg.backoff_base, cfg.backoff_cap),
+            under_way: None,
+            not_before: Tick::ZERO,
+            seen: None,
+            count: 0,
+        }
+    }
+
+    pub(super) fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// When a read is due; never while one is under way.
+    pub(super) fn due(&self) -> Option<Tick> {
+        match self.under_way {
+            Some(_) => None,
+            None => Some(self.not_before),
+        }
+    }
+
+    /// Asks for a read. It waits for something newer than what is held and
+    /// than what was seen: a bad version must not be handed out for ever.
+    pub(super) fn read(
+        &mut self,
+        now: Tick,
+        held: Option<Revision>,
+        watch: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        self.under_way = Some(now);
+        self.count += 1;
+        let after = held.max(self.seen);
+        let wait = match after {
+            Some(_) => watch,
+            None => Duration::ZERO,
+        };
+        out.push(Action::ReadSource {
+            stream: self.stream,
+            after,
+            wait,
+        });
+    }
+
+    /// Notes that the platform answered, with its newest revision if it gave
+    /// a value.
+    pub(super) fn succeed(&mut self, seen: Option<Revision>) {
+        self.under_way = None;
+        self.seen = self.seen.max(seen);
+        self.backoff.succeed();
+    }
+
+    /// Notes that the read failed; the next waits at least `at_least`.
+    pub(super) fn fail(&mut self, now: Tick, at_least: Duration, rng: &mut SmallRng) {
+        self.under_way = None;
+        let wait = self.backoff.fail(rng);
+        self.not_before = now + at_least + wait;
+    }
+
+    /// Puts the next read off.
+    pub(super) fn hold_back(&mut self, until: Tick) {
+        self.not_before = self.not_before.max(until);
+    }
+}
