Carry messages between nodes and read the platform

Nodes had decisions to exchange but no way to do so. The wire crate now has the one-method tarpc service over TCP with its frames, packed messages, a bounded pool of connections and a bounded server, and the client of the platform's reads over HTTP/1.1.

What comes in is bounded before it is stored: frames by their length, bodies while they unfold. A peer's fault costs it an answer or its connection and names the step and the peer. A peer that can't be reached is left alone for a wait that doubles and is half random, so that a restarted fleet doesn't come back all at once. Bytes are counted at the socket, since tarpc's envelopes would not show in the messages.

Tested with bombs, garbage, cut frames, forged names, hostile deadlines, silent and restarted peers, and thirteen answers of the platform.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,4 +7,11 @@
 //! peer.
 
 pub mod admin;
+mod chain;
 pub mod header;
+pub mod peer;
+pub mod platform;
+mod socket;
+
+pub use crate::socket::Counted;
+pub use crate::socket::SocketBytes;
--- /dev/null
+++ b/crates/wire/src/peer/connection.rs
@@ -0,0 +1,104 @@
+//! One connection to another node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::FutureExt;
+use sassafrasspool_core::Error;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::PeerMessage;
+use sassafrasspool_core::PeerReply;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::Step;
+use tarpc::client::Config;
+use tarpc::client::NewClient;
+use tarpc::client::RpcError;
+use tarpc::context;
+use tokio::net::TcpStream;
+
+use super::Packed;
+use super::PeerClient;
+use super::transport::framed;
+use crate::SocketBytes;
+use crate::chain::told;
+
+/// Calls that wait on one connection at most.
+const MAX_IN_FLIGHT: usize = 32;
+
+/// An open connection to another node; it closes with the last clone.
+#[derive(Debug, Clone)]
+pub struct PeerConnection {
+    addr: SocketAddr,
+    client: PeerClient,
+}
+
+impl PeerConnection {
+    /// Opens a connection, whose bytes are counted in `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails, naming the peer, if it isn't open within `limit`.
+    pub async fn open(
+        addr: SocketAddr,
+        bytes: Arc<SocketBytes>,
+        limit: Duration,
+    ) -> Result<PeerConnection> {
+        let failed = |reason: &str| Error::new(Step::Connect, reason).at_peer(addr);
+        let io = tokio::time::timeout(limit, TcpStream::connect(addr))
+            .await
+            .map_err(|_| failed("not open in time"))?
+            .map_err(|cause| failed("refused").with_cause(cause))?;
+        let transport = framed(io, bytes).map_err(|err| err.at_peer(addr))?;
+        let mut config = Config::default();
+        config.max_in_flight_requests = MAX_IN_FLIGHT;
+        config.pending_request_buffer = MAX_IN_FLIGHT;
+        let NewClient { client, dispatch } = PeerClient::new(config, transport);
+        // How it ended reaches whoever waits for an answer.
+        tokio::spawn(dispatch.map(drop));
+        Ok(PeerConnection { addr, client })
+    }
+
+    /// Sends a message of the instance `from` and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails, naming the peer, if the message is too large, the connection
+    /// breaks, no answer comes within `limit` or it doesn't decode.
+    pub async fn exchange(
+        &self,
+        from: &InstanceId,
+        message: &PeerMessage,
+        limit: Duration,
+    ) -> Result<PeerReply, ExchangeError> {
+        let packed = Packed::pack(message).map_err(|err| self.failed(err, false))?;
+        let mut cx = context::current();
+        cx.deadline = Instant::now() + limit;
+        let call = self.client.exchange(cx, from.clone(), packed);
+        let answer = call.await.map_err(|cause| self.broken(cause))?;
+        answer.unpack().map_err(|err| self.failed(err, false))
+    }
+
+    fn broken(&self, cause: RpcError) -> ExchangeError {
+        let closed = !matches!(cause, RpcError::DeadlineExceeded);
+        let err = Error::new(Step::Exchange, told(&cause));
+        self.failed(err, closed)
+    }
+
+    fn failed(&self, err: Error, closed: bool) -> ExchangeError {
+        ExchangeError {
+            error: err.at_peer(self.addr),
+            closed,
+        }
+    }
+}
+
+/// Why an exchange failed.
+#[derive(Debug)]
+pub struct ExchangeError {
+    /// The step, the peer and the reason.
+    pub error: Error,
+    /// Whether the connection had ended, so that another may do better.
+    pub closed: bool,
+}
--- /dev/null
+++ b/crates/wire/src/peer/pool.rs
@@ -0,0 +1,234 @@
+//! The few connections that a node keeps open to others.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use sassafrasspool_core::Error;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::PeerMessage;
+use sassafrasspool_core::PeerReply;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::Step;
+use tokio::sync::Mutex as AsyncMutex;
+
+use super::Backoff;
+use super::ExchangeError;
+use super::PeerConnection;
+use super::PeerLimits;
+use crate::SocketBytes;
+
+/// Open connections by address, of which the least recently used go first.
+///
+/// # Invariants
+///
+/// At most `limits.open` addresses are held, with a connection or with the
+/// time until which they are left alone.
+#[derive(Debug)]
+pub struct PeerPool {
+    limits: PeerLimits,
+    bytes: Arc<SocketBytes>,
+    held: Mutex<Held>,
+}
+
+#[derive(Debug)]
+struct Held {
+    rng: SmallRng,
+    uses: u64,
+    slots: HashMap<SocketAddr, Slot>,
+}
+
+#[derive(Debug)]
+struct Slot {
+    used: u64,
+    shared: Arc<AsyncMutex<Link>>,
+}
+
+/// What is held for one address.
+#[derive(Debug)]
+struct Link {
+    open: Option<PeerConnection>,
+    /// Counts the connections opened, so that a caller whose connection broke
+    /// doesn't close the one that another caller has opened since.
+    opened: u64,
+    backoff: Backoff,
+    closed_until: Option<Instant>,
+}
+
+/// A connection and its number in its link.
+#[derive(Debug)]
+struct Opened {
+    connection: PeerConnection,
+    number: u64,
+}
+
+/// What is sent.
+#[derive(Debug, Clone, Copy)]
+struct Ask<'a> {
+    from: &'a InstanceId,
+    message: &'a PeerMessage,
+    limit: Duration,
+}
+
+impl Ask<'_> {
+    async fn over(self, connection: &PeerConnection) -> Result<PeerReply, ExchangeError> {
+        connection
+            .exchange(self.from, self.message, self.limit)
+            .await
+    }
+}
+
+impl PeerPool {
+    /// A pool without connections; `seed` decides how waits vary.
+    pub fn new(limits: PeerLimits, bytes: Arc<SocketBytes>, seed: u64) -> PeerPool {
+        PeerPool {
+            limits,
+            bytes,
+            held: Mutex::new(Held {
+                rng: SmallRng::seed_from_u64(seed),
+                uses: 0,
+                slots: HashMap::new(),
+            }),
+        }
+    }
+
+    /// Sends a message over a connection that is open or is opened now.
+    ///
+    /// A kept connection may have ended unseen, as when its peer restarted;
+    /// the message is then sent once more over a fresh one. Nodes' messages
+    /// are idempotent, so that it doesn't matter whether the first arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails, naming the step and the peer, if there is no answer within
+    /// `limit` or the peer is left alone after it couldn't be reached.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        from: &InstanceId,
+        message: &PeerMessage,
+        limit: Duration,
+    ) -> Result<PeerReply> {
+        let ask = Ask {
+            from,
+            message,
+            limit,
+        };
+        let tries = self.try_twice(addr, ask);
+        match tokio::time::timeout(limit, tries).await {
+            Ok(result) => result,
+            Err(_) => {
+                let reason = format!("no answer within {} ms", limit.as_millis());
+                Err(Error::new(Step::Exchange, reason).at_peer(addr))
+            }
+        }
+    }
+
+    /// How many addresses are held.
+    pub fn held(&self) -> usize {
+        self.lock().slots.len()
+    }
+
+    async fn try_twice(&self, addr: SocketAddr, ask: Ask<'_>) -> Result<PeerReply> {
+        let link = self.link(addr);
+        let mut fresh_at = link.lock().await.opened;
+        loop {
+            let opened = self.open(addr, &link).await?;
+            let was_kept = opened.number == fresh_at;
+            let result = ask.over(&opened.connection).await;
+            let failure = match result {
+                Ok(reply) => return Ok(reply),
+                Err(failure) => failure,
+            };
+            forget(&link, opened.number).await;
+            if !(failure.closed && was_kept) {
+                return Err(failure.error);
+            }
+            fresh_at = u64::MAX;
+        }
+    }
+
+    /// What is held for `addr`, which counts as used now.
+    fn link(&self, addr: SocketAddr) -> Arc<AsyncMutex<Link>> {
+        let mut held = self.lock();
+        held.uses += 1;
+        let used = held.uses;
+        if !held.slots.contains_key(&addr) && held.slots.len() >= self.limits.open {
+            held.drop_oldest();
+        }
+        let slot = held.slots.entry(addr).or_insert_with(|| Slot {
+            used,
+            shared: Arc::new(AsyncMutex::new(Link {
+                open: None,
+                opened: 0,
+                backoff: self.backoff(),
+                closed_until: None,
+            })),
+        });
+        slot.used = used;
+        Arc::clone(&slot.shared)
+    }
+
+    async fn open(&self, addr: SocketAddr, link: &AsyncMutex<Link>) -> Result<Opened> {
+        let mut link = link.lock().await;
+        if let Some(connection) = link.open.clone() {
+            let number = link.opened;
+            return Ok(Opened { connection, number });
+        }
+        if link
+            .closed_until
+            .is_some_and(|until| Instant::now() < until)
+        {
+            let reason = "left alone for a moment after it couldn't be reached";
+            return Err(Error::new(Step::Connect, reason).at_peer(addr));
+        }
+        let bytes = Arc::clone(&self.bytes);
+        match PeerConnection::open(addr, bytes, self.limits.connect).await {
+            Ok(connection) => {
+                link.opened += 1;
+                link.open = Some(connection.clone());
+                link.backoff = self.backoff();
+                link.closed_until = None;
+                let number = link.opened;
+                Ok(Opened { connection, number })
+            }
+            Err(err) => {
+                let wait = link.backoff.fail(&mut self.lock().rng);
+                link.closed_until = Some(Instant::now() + wait);
+                Err(err)
+            }
+        }
+    }
+
+    fn backoff(&self) -> Backoff {
+        Backoff::new(self.limits.backoff_base, self.limits.backoff_cap)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Held {
+    fn drop_oldest(&mut self) {
+        let oldest = self.slots.iter().min_by_key(|(_, slot)| slot.used);
+        if let Some(addr) = oldest.map(|(addr, _)| *addr) {
+            self.slots.remove(&addr);
+        }
+    }
+}
+
+/// Closes connection number `number` of a link, if it is still that one.
+async fn forget(link: &AsyncMutex<Link>, number: u64) {
+    let mut link = link.lock().await;
+    if link.opened == number {
+        link.open = None;
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peer/tests.rs
@@ -0,0 +1,4 @@
+mod packed;
+mod pool;
+mod server;
+mod support;
--- /dev/null
+++ b/crates/wire/src/peer/tests/pool.rs
@@ -0,0 +1,116 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sassafrasspool_core::PeerReply;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::Step;
+use tokio::net::TcpListener;
+
+use super::support::Served;
+use super::support::me;
+use super::support::pull;
+use crate::SocketBytes;
+use crate::peer::PeerLimits;
+use crate::peer::PeerPool;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+fn pool(limits: PeerLimits) -> PeerPool {
+    PeerPool::new(limits, Arc::new(SocketBytes::default()), 1)
+}
+
+async fn ask(pool: &PeerPool, addr: SocketAddr) -> Result<PeerReply> {
+    pool.exchange(addr, &me(), &pull(), LIMIT).await
+}
+
+#[tokio::test]
+async fn connection_is_kept_and_its_bytes_are_counted() {
+    let served = Served::start(PeerLimits::default()).await;
+    let bytes = Arc::new(SocketBytes::default());
+    let pool = PeerPool::new(PeerLimits::default(), Arc::clone(&bytes), 1);
+    for _ in 0..3 {
+        ask(&pool, served.addr).await.expect("an answer");
+    }
+    assert_eq!(served.seen.messages(), 3);
+    assert_eq!(pool.held(), 1);
+    assert_eq!(bytes.written(), served.bytes.read());
+    assert_eq!(bytes.read(), served.bytes.written());
+    assert!(bytes.written() > 0);
+}
+
+#[tokio::test]
+async fn least_recently_used_connection_goes_first() {
+    let limits = PeerLimits {
+        open: 2,
+        ..PeerLimits::default()
+    };
+    let pool = pool(limits);
+    for _ in 0..5 {
+        let served = Served::start(PeerLimits::default()).await;
+        ask(&pool, served.addr).await.expect("an answer");
+        assert!(pool.held() <= 2);
+    }
+}
+
+// A peer restarts while a connection to it is kept. Whoever sends it the next
+// message would see that fail, although the peer is up again. The message is
+// sent once more over a fresh connection.
+#[tokio::test]
+async fn restarted_peer_is_reached_at_once() {
+    let pool = pool(PeerLimits::default());
+    let served = Served::start(PeerLimits::default()).await;
+    let addr = served.addr;
+    ask(&pool, addr).await.expect("an answer");
+    drop(served);
+    let again = loop {
+        // Its predecessor's listener may take a moment to close.
+        match TcpListener::bind(addr).await {
+            Ok(free) => {
+                drop(free);
+                break Served::start_at(addr, PeerLimits::default()).await;
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    };
+    ask(&pool, addr)
+        .await
+        .expect("an answer of the new process");
+    assert_eq!(again.seen.messages(), 1);
+}
+
+// A peer is gone. Every node that has something to say to it would open a
+// connection each time, and all would come back together once it returns.
+// After a failure it is left alone for a time that is partly random.
+#[tokio::test]
+async fn unreachable_peer_is_left_alone() {
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let addr = closed.local_addr().expect("its address");
+    drop(closed);
+    let limits = PeerLimits {
+        backoff_base: Duration::from_secs(60),
+        backoff_cap: Duration::from_secs(60),
+        ..PeerLimits::default()
+    };
+    let pool = pool(limits);
+    let first = ask(&pool, addr).await.expect_err("nobody listens");
+    assert_eq!(first.step(), Step::Connect);
+    assert_eq!(first.peer(), Some(addr.to_string().as_str()));
+    assert!(first.to_string().contains("refused"), "{first}");
+    let second = ask(&pool, addr).await.expect_err("left alone");
+    assert!(second.to_string().contains("left alone"), "{second}");
+}
+
+// A peer takes connections but never answers, as a stopped process does: its
+// kernel goes on to accept. The call ends at its limit with the peer's name.
+#[tokio::test]
+async fn silent_peer_costs_no_more_than_the_limit() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let addr = silent.local_addr().expect("its address");
+    let limit = Duration::from_millis(50);
+    let pool = pool(PeerLimits::default());
+    let err = pool.exchange(addr, &me(), &pull(), limit).await;
+    let err = err.expect_err("no answer");
+    assert_eq!(err.step(), Step::Exchange);
+    assert_eq!(err.peer(), Some(addr.to_string().as_str()));
+}
--- /dev/null
+++ b/crates/wire/src/platform/answer.rs
@@ -0,0 +1,111 @@
+//! What the platform answered.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use sassafrasspool_core::Error;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::SourceResult;
+use sassafrasspool_core::Step;
+use sassafrasspool_core::Stream;
+use serde::Deserialize;
+
+use super::MAX_INSTANCES;
+use super::MAX_VALUE_BYTES;
+use super::client::Body;
+
+/// The largest head of an answer, in bytes.
+pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// The header that carries the revision.
+const REVISION: &str = "x-revision";
+
+/// An instance list as published.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Listed {
+    instances: Vec<Instance>,
+}
+
+/// Reads an answer to its end.
+///
+/// # Errors
+///
+/// Fails if it breaks off, is too large, or has a status or revision that the
+/// protocol doesn't know.
+pub(super) async fn read(stream: Stream, res: Response<Body>) -> Result<SourceResult> {
+    let (head, body) = res.into_parts();
+    let body = collect(body).await?;
+    match head.status {
+        StatusCode::OK => Ok(value(stream, revision(&head.headers)?, &body)),
+        StatusCode::NOT_MODIFIED => Ok(SourceResult::Unchanged {
+            newest: revision(&head.headers).ok(),
+        }),
+        StatusCode::NOT_FOUND => Ok(SourceResult::Nothing),
+        StatusCode::TOO_MANY_REQUESTS => Ok(SourceResult::Busy {
+            retry_after: retry_after(&head.headers),
+        }),
+        status => Err(failed(format!("answered {status}"))),
+    }
+}
+
+async fn collect(body: Body) -> Result<Bytes> {
+    let limited = Limited::new(body, MAX_VALUE_BYTES);
+    let collected = limited.collect().await;
+    let collected = collected.map_err(|cause| failed("answer not whole").with_cause(cause))?;
+    Ok(collected.to_bytes())
+}
+
+fn value(stream: Stream, revision: Revision, body: &[u8]) -> SourceResult {
+    let read = match stream {
+        Stream::Catalogue => catalogue(revision, body),
+        Stream::Instances => instances(revision, body),
+    };
+    read.unwrap_or_else(|reason| SourceResult::Malformed { revision, reason })
+}
+
+fn catalogue(revision: Revision, body: &[u8]) -> Result<SourceResult, String> {
+    let text = std::str::from_utf8(body).map_err(|err| format!("not text: {err}"))?;
+    Ok(SourceResult::Catalogue {
+        revision,
+        text: text.to_owned(),
+    })
+}
+
+fn instances(revision: Revision, body: &[u8]) -> Result<SourceResult, String> {
+    let listed: Listed =
+        serde_json::from_slice(body).map_err(|err| format!("not an instance list: {err}"))?;
+    let instances = listed.instances;
+    if instances.len() > MAX_INSTANCES {
+        let n = instances.len();
+        return Err(format!("{n} instances, at most {MAX_INSTANCES}"));
+    }
+    Ok(SourceResult::Instances {
+        revision,
+        instances,
+    })
+}
+
+fn revision(headers: &HeaderMap) -> Result<Revision> {
+    let value = headers.get(REVISION).and_then(|value| value.to_str().ok());
+    let number = value.and_then(|value| value.parse().ok());
+    let number = number.ok_or_else(|| failed("answered without a revision"))?;
+    Revision::new(number)
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    value.parse().ok().map(Duration::from_secs)
+}
+
+fn failed(reason: impl Into<String>) -> Error {
+    Error::new(Step::Source, reason)
+}
