Run a whole node: control task, admin address, program

The control task drives the decisions of spreading and carries out their actions; calls, reads and probes run beside it and come back as events, so that nothing that takes time stands in the way of a decision. A planned stop refuses new work first, finishes what is in flight, closes connections, says that it is gone and ends; a second signal or the bound ends it with a count of what that cut.

Changes of state go to a bounded audit trail and to log lines, figures to metrics. Many nodes of one process can share a runtime; a test starts 40 of them at once.

Words on the own endpoint and the age of contact with the platform reach other nodes once the spreading machine sends them.

--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,7 @@
+//! The admin address: HTTP on loopback for operators.
+
+pub(crate) use self::server::Admin;
+
+mod answers;
+mod explain;
+mod server;
--- /dev/null
+++ b/crates/node/src/admin/answers.rs
@@ -0,0 +1,121 @@
+//! Answers put together from what the node knows.
+
+use sassafrasspool_core::BoundRoute;
+use sassafrasspool_core::BoundService;
+use sassafrasspool_core::Endpoint;
+use sassafrasspool_core::Heads;
+use sassafrasspool_core::SpreadStatus;
+use sassafrasspool_core::Tick;
+use sassafrasspool_wire::admin::EndpointInfo;
+use sassafrasspool_wire::admin::Held;
+use sassafrasspool_wire::admin::RouteInfo;
+use sassafrasspool_wire::admin::ServiceInfo;
+use sassafrasspool_wire::admin::SnapshotInfo;
+use sassafrasspool_wire::admin::Status;
+use sassafrasspool_wire::admin::Versions;
+
+use super::Admin;
+use crate::View;
+
+/// The node in short.
+pub(super) fn status(admin: &Admin, spread: &SpreadStatus) -> Status {
+    let settings = &admin.settings;
+    let shared = &admin.outside.shared;
+    let uptime = shared.clock().now().since(Tick::ZERO);
+    Status {
+        instance: settings.instance.clone(),
+        service: settings.service.clone(),
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        incarnation: shared.incarnation().get(),
+        phase: shared.phase(),
+        joined: spread.joined,
+        reading: spread.reading,
+        held: in_force(admin),
+        in_flight: shared.in_flight().count(),
+        peers: spread.peers as u64,
+        source_age_ms: spread.source_age.map(|age| age.as_millis() as u64),
+        uptime_ms: uptime.as_millis() as u64,
+        control: admin.outside.counts.stats(),
+    }
+}
+
+/// What the node holds and what it heard of.
+pub(super) fn versions(admin: &Admin, spread: &SpreadStatus) -> Versions {
+    Versions {
+        instance: admin.settings.instance.clone(),
+        held: in_force(admin),
+        heard: heads(&spread.heard),
+        refused: spread.refused.map(Into::into),
+        refusals: spread.refusals,
+        conflicts: spread.conflicts,
+    }
+}
+
+/// All that is in force.
+pub(super) fn snapshot(view: &View) -> SnapshotInfo {
+    let services = view.snapshot.services();
+    SnapshotInfo {
+        held: held(view),
+        services: services.map(|(_, it)| service(view, it)).collect(),
+        routes: view.snapshot.routes().map(route).collect(),
+    }
+}
+
+/// The versions that a view was built from.
+pub(super) fn held(view: &View) -> Held {
+    Held {
+        catalogue: Some(view.snapshot.catalogue().into()),
+        instances: Some(view.snapshot.instances().into()),
+    }
+}
+
+/// A route of the snapshot.
+pub(super) fn route(bound: &BoundRoute) -> RouteInfo {
+    let route = &bound.route;
+    RouteInfo {
+        path: route.path.clone(),
+        service: route.service.clone(),
+        kind: route.kind.clone(),
+        weight: bound.weight,
+        class: route.class,
+        idempotent: route.idempotent,
+    }
+}
+
+/// A service of the snapshot with what is known of its endpoints.
+pub(super) fn service(view: &View, bound: &BoundService) -> ServiceInfo {
+    let endpoints = view.snapshot.endpoints_of(bound);
+    ServiceInfo {
+        name: bound.entry.name.clone(),
+        owner: bound.entry.owner.clone(),
+        class: bound.entry.class,
+        endpoints: endpoints.map(|(_, it)| endpoint(view, it)).collect(),
+    }
+}
+
+fn endpoint(view: &View, endpoint: &Endpoint) -> EndpointInfo {
+    let instance = &endpoint.instance;
+    EndpointInfo {
+        instance: instance.id.clone(),
+        region: instance.region.clone(),
+        domain: instance.domain.clone(),
+        traffic: instance.traffic,
+        slots: instance.slots,
+        listed: instance.state,
+        phase: view.phase(&instance.id),
+    }
+}
+
+/// What requests are routed by now, which is what operators ask for.
+fn in_force(admin: &Admin) -> Held {
+    let view = admin.outside.shared.view();
+    view.map(|view| held(&view)).unwrap_or_default()
+}
+
+fn heads(heads: &Heads) -> Held {
+    Held {
+        catalogue: heads.catalogue.map(Into::into),
+        instances: heads.instances.map(Into::into),
+    }
+}
--- /dev/null
+++ b/crates/node/src/admin/server.rs
@@ -0,0 +1,184 @@
+//! Routes and handlers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::post;
+use sassafrasspool_core::Error;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::ServiceName;
+use sassafrasspool_wire::admin;
+use sassafrasspool_wire::admin::DrainAnswer;
+use sassafrasspool_wire::admin::Status;
+use sassafrasspool_wire::admin::Versions;
+use serde::Deserialize;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use super::answers;
+use super::explain;
+use crate::Settings;
+use crate::View;
+use crate::control::ControlEvent;
+use crate::control::Outside;
+use crate::metrics;
+use crate::metrics::Report;
+
+/// How long a node that ends waits for the last answers to operators.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// The content type of the metrics page.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+
+/// What the admin address answers from.
+#[derive(Debug)]
+pub(crate) struct Admin {
+    pub(super) settings: Arc<Settings>,
+    pub(super) outside: Outside,
+}
+
+/// What the audit trail is asked for.
+#[derive(Debug, Deserialize)]
+struct AuditQuery {
+    #[serde(default)]
+    after: u64,
+}
+
+/// What is to be explained.
+#[derive(Debug, Deserialize)]
+struct ExplainQuery {
+    service: Option<String>,
+    path: Option<String>,
+}
+
+/// An error as operators get it.
+#[derive(Debug)]
+struct Refused {
+    status: StatusCode,
+    reason: String,
+}
+
+impl Admin {
+    pub(crate) fn new(settings: Arc<Settings>, outside: Outside) -> Admin {
+        Admin { settings, outside }
+    }
+
+    /// Answers until `cancel` is cancelled.
+    pub(crate) async fn serve(self, listener: TcpListener, cancel: CancellationToken) {
+        let stop = cancel.clone();
+        let serving = axum::serve(listener, self.router())
+            .with_graceful_shutdown(async move { stop.cancelled().await });
+        let serving = serving.into_future();
+        tokio::pin!(serving);
+        tokio::select! {
+            _ = &mut serving => return,
+            () = cancel.cancelled() => {}
+        }
+        // A client that keeps its connection open must not hold the node up.
+        let _ = timeout(CLOSE_LIMIT, serving).await;
+    }
+
+    fn router(self) -> Router {
+        Router::new()
+            .route(admin::STATUS_PATH, get(status))
+            .route(admin::VERSIONS_PATH, get(versions))
+            .route(admin::EXPLAIN_PATH, get(explain_route))
+            .route(admin::AUDIT_PATH, get(audit))
+            .route(admin::METRICS_PATH, get(metrics_page))
+            .route(admin::SNAPSHOT_PATH, get(snapshot))
+            .route(admin::DRAIN_PATH, post(drain))
+            .with_state(Arc::new(self))
+    }
+
+    /// What is in force.
+    fn view(&self) -> Result<Arc<View>, Refused> {
+        self.outside.shared.view().ok_or_else(|| Refused {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "nothing is in force yet".to_owned(),
+        })
+    }
+}
+
+async fn status(State(admin): State<Arc<Admin>>) -> Result<Json<Status>, Refused> {
+    let spread = admin.outside.control.status().await?;
+    Ok(Json(answers::status(&admin, &spread)))
+}
+
+async fn versions(State(admin): State<Arc<Admin>>) -> Result<Json<Versions>, Refused> {
+    let spread = admin.outside.control.status().await?;
+    Ok(Json(answers::versions(&admin, &spread)))
+}
+
+async fn explain_route(
+    State(admin): State<Arc<Admin>>,
+    Query(query): Query<ExplainQuery>,
+) -> Result<Response, Refused> {
+    let service = query.service.as_deref().map(ServiceName::new).transpose();
+    let service = service.map_err(|err| Refused {
+        status: StatusCode::BAD_REQUEST,
+        reason: err.to_string(),
+    })?;
+    let view = admin.view()?;
+    let answer = explain::explain(&view, service.as_ref(), query.path.as_deref());
+    Ok(Json(answer).into_response())
+}
+
+async fn audit(State(admin): State<Arc<Admin>>, Query(query): Query<AuditQuery>) -> Response {
+    Json(admin.outside.audit.page(query.after)).into_response()
+}
+
+async fn metrics_page(State(admin): State<Arc<Admin>>) -> Result<Response, Refused> {
+    let spread = admin.outside.control.status().await?;
+    let report = Report {
+        shared: &admin.outside.shared,
+        spread: &spread,
+        control: admin.outside.counts.stats(),
+    };
+    report.publish();
+    let headers = [(CONTENT_TYPE, METRICS_TYPE)];
+    Ok((headers, metrics::render()).into_response())
+}
+
+async fn snapshot(State(admin): State<Arc<Admin>>) -> Result<Response, Refused> {
+    let view = admin.view()?;
+    Ok(Json(answers::snapshot(&view)).into_response())
+}
+
+async fn drain(State(admin): State<Arc<Admin>>) -> Json<DrainAnswer> {
+    let shared = &admin.outside.shared;
+    admin.outside.control.send(ControlEvent::Drain).await;
+    let mut phase = shared.watch_phase();
+    // It ends with the node at the latest, which drops this handler.
+    let _ = phase.wait_for(|phase| *phase >= Phase::Draining).await;
+    Json(DrainAnswer {
+        instance: shared.me().clone(),
+        phase: shared.phase(),
+        in_flight: shared.in_flight().count(),
+    })
+}
+
+impl From<Error> for Refused {
+    fn from(err: Error) -> Refused {
+        Refused {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: err.to_string(),
+        }
+    }
+}
+
+impl IntoResponse for Refused {
+    fn into_response(self) -> Response {
+        (self.status, self.reason).into_response()
+    }
+}
--- /dev/null
+++ b/crates/node/src/audit/record.rs
@@ -0,0 +1,117 @@
+//! From the core's events to records.
+
+use sassafrasspool_core::AuditEvent;
+use sassafrasspool_core::Origin;
+use sassafrasspool_core::Stream;
+use sassafrasspool_core::Version;
+use sassafrasspool_wire::admin::AuditRecord;
+
+/// The longest reason that is kept, in characters.
+const MAX_REASON_CHARS: usize = 2_000;
+
+/// The record of an event, without number and time.
+pub(super) fn of(event: &AuditEvent) -> AuditRecord {
+    match event {
+        AuditEvent::Applied {
+            stream,
+            version,
+            origin,
+        } => versioned("applied", *stream, *version, origin),
+        AuditEvent::Refused {
+            stream,
+            version,
+            origin,
+            reason,
+        } => because(versioned("refused", *stream, *version, origin), reason),
+        AuditEvent::BodyRefused {
+            stream,
+            version,
+            origin,
+            reason,
+        } => because(versioned("body-refused", *stream, *version, origin), reason),
+        AuditEvent::Conflict {
+            stream,
+            held,
+            offered,
+            origin,
+        } => AuditRecord {
+            kept: Some((*held).into()),
+            ..versioned("conflict", *stream, *offered, origin)
+        },
+        AuditEvent::OlderIgnored {
+            stream,
+            held,
+            offered,
+            origin,
+        } => AuditRecord {
+            stream: Some(*stream),
+            kept: Some((*held).into()),
+            reason: Some(format!("revision {offered} was offered")),
+            ..named("older-ignored", origin)
+        },
+        AuditEvent::Endpoint {
+            state,
+            before,
+            origin,
+        } => AuditRecord {
+            instance: Some(state.instance.clone()),
+            phase: Some(state.phase),
+            reason: before.map(|before| format!("was {before}")),
+            ..named("endpoint", origin)
+        },
+        other => own(other),
+    }
+}
+
+/// Events of the node itself, which came from nobody.
+fn own(event: &AuditEvent) -> AuditRecord {
+    let (name, reason) = match event {
+        AuditEvent::Joined {
+            peers,
+            source,
+            took,
+        } => {
+            let platform = if *source { "and" } else { "without" };
+            let ms = took.as_millis();
+            let reason = format!("after {ms} ms with {peers} peers {platform} the platform");
+            ("joined", reason)
+        }
+        AuditEvent::Reading { reading, rank } => {
+            let verb = if *reading { "began" } else { "ended" };
+            ("reading", format!("{verb} at rank {rank}"))
+        }
+        AuditEvent::Paused { pause } => ("paused", format!("for {} ms", pause.as_millis())),
+        other => ("other", format!("{other:?}")),
+    };
+    AuditRecord {
+        event: name.to_owned(),
+        reason: Some(reason),
+        ..AuditRecord::default()
+    }
+}
+
+/// A record of a version of a stream.
+fn versioned(event: &str, stream: Stream, version: Version, origin: &Origin) -> AuditRecord {
+    AuditRecord {
+        stream: Some(stream),
+        version: Some(version.into()),
+        ..named(event, origin)
+    }
+}
+
+/// A record of something that came from somewhere.
+fn named(event: &str, origin: &Origin) -> AuditRecord {
+    AuditRecord {
+        event: event.to_owned(),
+        from: Some(origin.to_string()),
+        ..AuditRecord::default()
+    }
+}
+
+/// A record with its reason, which is cut if it is long.
+fn because(record: AuditRecord, reason: &str) -> AuditRecord {
+    AuditRecord {
+        reason: Some(reason.chars().take(MAX_REASON_CHARS).collect()),
+        ..record
+    }
+}
--- /dev/null
+++ b/crates/node/src/audit/trail.rs
@@ -0,0 +1,113 @@
+//! The ring of records.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use sassafrasspool_core::AuditEvent;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::Phase;
+use sassafrasspool_wire::admin::AuditPage;
+use sassafrasspool_wire::admin::AuditRecord;
+
+use super::record;
+
+/// Records that are kept.
+const KEPT: usize = 1_024;
+
+/// One node's trail.
+///
+/// # Invariants
+///
+/// Records are numbered from 1 without gaps and the newest 1,024 are held.
+#[derive(Debug)]
+pub struct AuditTrail {
+    me: InstanceId,
+    ring: Mutex<Ring>,
+}
+
+#[derive(Debug, Default)]
+struct Ring {
+    records: VecDeque<AuditRecord>,
+    written: u64,
+}
+
+impl AuditTrail {
+    /// A trail without records.
+    pub(crate) fn new(me: InstanceId) -> AuditTrail {
+        AuditTrail {
+            me,
+            ring: Mutex::default(),
+        }
+    }
+
+    /// Writes what the spreading of versions reports.
+    pub(crate) fn write(&self, event: &AuditEvent) {
+        self.put(record::of(event));
+    }
+
+    /// Writes a phase of this node's own endpoint.
+    pub(crate) fn write_phase(&self, phase: Phase, reason: &str) {
+        self.put(AuditRecord {
+            event: "phase".to_owned(),
+            instance: Some(self.me.clone()),
+            phase: Some(phase),
+            reason: Some(reason.to_owned()),
+            ..AuditRecord::default()
+        });
+    }
+
+    /// The records after number `after` that are still kept, oldest first.
+    pub fn page(&self, after: u64) -> AuditPage {
+        let ring = self.lock();
+        let wanted = ring.records.iter().filter(|record| record.number > after);
+        AuditPage {
+            instance: self.me.clone(),
+            records: wanted.cloned().collect(),
+            dropped: ring.written - ring.records.len() as u64,
+        }
+    }
+
+    fn put(&self, mut record: AuditRecord) {
+        let mut ring = self.lock();
+        ring.written += 1;
+        record.number = ring.written;
+        record.unix_ms = unix_ms();
+        self.log(&record);
+        if ring.records.len() == KEPT {
+            ring.records.pop_front();
+        }
+        // INVARIANT: Room was made above, and the number is the next one.
+        ring.records.push_back(record);
+    }
+
+    fn log(&self, record: &AuditRecord) {
+        tracing::info!(
+            target: "audit",
+            node = %self.me,
+            number = record.number,
+            event = %record.event,
+            stream = record.stream.map(tracing::field::display),
+            version = record.version.as_ref().map(tracing::field::display),
+            kept = record.kept.as_ref().map(tracing::field::display),
+            from = record.from.as_deref(),
+            instance = record.instance.as_ref().map(tracing::field::display),
+            phase = record.phase.map(tracing::field::display),
+            reason = record.reason.as_deref(),
+        );
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Ring> {
+        self.ring.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The wall clock, for people alone: nothing is decided by it.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since.map_or(0, |since| since.as_millis());
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/control/handle.rs
@@ -0,0 +1,44 @@
+//! Talking to the control task.
+
+use sassafrasspool_core::Error;
+use sassafrasspool_core::Result;
+use sassafrasspool_core::SpreadStatus;
+use sassafrasspool_core::Step;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::ControlEvent;
+
+/// A way to the control task, which may have ended.
+#[derive(Debug, Clone)]
+pub(crate) struct ControlHandle {
+    tx: mpsc::Sender<ControlEvent>,
+}
+
+impl ControlHandle {
+    pub(crate) fn new(tx: mpsc::Sender<ControlEvent>) -> ControlHandle {
+        ControlHandle { tx }
+    }
+
+    /// Hands over an event; false if the task has ended.
+    pub(crate) async fn send(&self, event: ControlEvent) -> bool {
+        self.tx.send(event).await.is_ok()
+    }
+
+    /// Hands over an event if there is room for it at once.
+    pub(crate) fn try_send(&self, event: ControlEvent) -> bool {
+        self.tx.try_send(event).is_ok()
+    }
+
+    /// How the spreading of versions is.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the control task has ended.
+    pub(crate) async fn status(&self) -> Result<SpreadStatus> {
+        let (tx, rx) = oneshot::channel();
+        self.send(ControlEvent::Status(tx)).await;
+        rx.await
+            .map_err(|_| Error::new(Step::Admin, "the node has ended"))
+    }
+}
--- /dev/null
+++ b/crates/node/src/flags.rs
@@ -0,0 +1,11 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Runs the node beside one target instance.
+    cmd sassafrasspool-node {
+        /// The YAML file with the node's settings.
+        required --settings settings: PathBuf
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,10 +4,21 @@
 //! move requests. They share [`Shared`] alone, which the traffic path reads
 //! without ever waiting on the control thread.
 
+mod admin;
+mod audit;
+mod control;
+mod lifecycle;
+mod metrics;
+mod node;
 pub mod settings;
 mod shared;
 mod traffic;
 
+pub use crate::audit::AuditTrail;
+pub use crate::control::StopReport;
+pub use crate::node::Node;
+pub use crate::node::NodeAddrs;
+pub use crate::node::RunningNode;
 pub use crate::settings::Settings;
 pub use crate::shared::Clock;
 pub use crate::shared::ContactAge;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,43 @@
+//! Counters and gauges for operators, under names that begin with
+//! `sassafrasspool_`.
+//!
+//! They go through the process's one recorder. Where many nodes run in one
+//! process, as in tests, their figures add up there; each node's own are in
+//! its status.
+
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+pub(crate) use self::report::Report;
+
+pub(crate) mod names;
+mod report;
+
+static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Installs the recorder, unless the process has one.
+pub(crate) fn install() {
+    let _ = recorder();
+}
+
+/// The page of all metrics, or nothing if another recorder was installed.
+pub(crate) fn render() -> String {
+    match recorder() {
+        Some(handle) => {
+            handle.run_upkeep();
+            handle.render()
+        }
+        None => String::new(),
+    }
+}
+
+fn recorder() -> Option<&'static PrometheusHandle> {
+    let made = RECORDER.get_or_init(|| {
+        let handle = PrometheusBuilder::new().install_recorder().ok()?;
+        names::describe();
+        Some(handle)
+    });
+    made.as_ref()
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,7 @@
 use sassafrasspool_core::RegionName;
 use sassafrasspool_core::ServiceName;
 
+pub use self::control::ControlSettings;
 pub use self::drain::DrainSettings;
 pub use self::fault::SettingsError;
 pub use self::listen::Listen;
@@ -18,8 +19,10 @@
 pub use self::log::LogSettings;
 pub use self::platform::PlatformSettings;
 pub use self::spread::SpreadSettings;
+pub use self::spread::Strategy;
 pub use self::target::TargetSettings;
 
+mod control;
 mod drain;
 mod fault;
 mod listen;
@@ -51,6 +54,8 @@
     pub platform: PlatformSettings,
     /// Control addresses to ask before the instance list is known.
     pub seeds: Vec<SocketAddr>,
+    /// Connections for control messages.
+    pub control: ControlSettings,
     /// How versions travel between nodes.
     pub spread: SpreadSettings,
     /// Threads that move requests.
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -14,6 +14,7 @@
 use sassafrasspool_core::yaml::Table;
 use sassafrasspool_core::yaml::Tree;
 
+use super::ControlSettings;
 use super::DrainSettings;
 use super::Listen;
 use super::LogSettings;
@@ -60,6 +61,7 @@
     let target = required(&mut top, "target", faults, TargetSettings::read);
     let platform = required(&mut top, "platform", faults, PlatformSettings::read);
     let seeds = read_seeds(&mut top, faults);
+    let control = or_default(&mut top, "control", faults, ControlSettings::read);
     let spread = or_default(&mut top, "spread", faults, SpreadSettings::read);
     let threads = top.number_or(
         "traffic_threads",
@@ -70,6 +72,7 @@
     let log = or_default(&mut top, "log", faults, LogSettings::read);
     let drain = or_default(&mut top, "drain", faults, DrainSettings::read);
     top.finish(faults);
+    let platform = platform?;
     Some(Settings {
         instance: instance?,
         service: service?,
@@ -77,9 +80,10 @@
         domain: domain?,
         listen: listen?,
         target: target?,
-        platform: platform?,
+        platform,
         seeds,
-        spread: spread?,
+        control: control?,
+        spread: spread?.with_platform(&platform),
         traffic_threads: usize::try_from(threads?).ok()?,
         log: log?,
         drain: drain?,
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -18,7 +18,7 @@
     assert_eq!(settings.target.probe, Duration::from_millis(200));
     assert_eq!(settings.platform.reads_per_s, 2_000);
     assert_eq!(settings.platform.share_percent, 25);
-    assert_eq!(settings.spread.interval, Duration::from_secs(2));
+    assert_eq!(settings.spread.config.interval, Duration::from_secs(2));
     assert_eq!(settings.traffic_threads, 2);
     assert_eq!(settings.log.format, LogFormat::Text);
     assert_eq!(settings.log.level, LogLevel::Info);
@@ -100,6 +100,19 @@
         "5:25: seeds[2]: must be an IP number with a port, is \"nowhere\"",
     ],
 })]
+#[case::spread(Fault {
+    line: "domain: bayanzurkh\n",
+    by: "domain: bayanzurkh\nspread: {strategy: loud, fanout: 99}\n",
+    faults: &[
+        "5:20: spread: strategy: must be spread or naive, is \"loud\"",
+        "5:34: spread: fanout: must be 1 to 16, is 99",
+    ],
+})]
+#[case::ranges_that_depend_on_others(Fault {
+    line: "domain: bayanzurkh\n",
+    by: "domain: bayanzurkh\nspread: {backoff_base_ms: 5000, backoff_cap_ms: 1000}\n",
+    faults: &["5:9: spread: settings: backoff_cap is 1s, must be 5s to 600s"],
+})]
 #[case::wrong_shape(Fault {
     line: "domain: bayanzurkh\n",
     by: "domain: bayanzurkh\ndrain: 30\nspread: [1]\n",
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -60,3 +60,15 @@
     let n = table.number_or(key, range, default, faults)?;
     Some(Duration::from_millis(n))
 }
+
+/// Takes a size, or `default` if it is missing.
+pub(super) fn usize_or(
+    table: &mut Table<'_>,
+    key: &str,
+    range: RangeInclusive<u64>,
+    default: usize,
+    faults: &mut Faults,
+) -> Option<usize> {
+    let n = table.number_or(key, range, default as u64, faults)?;
+    usize::try_from(n).ok()
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
+use sassafrasspool_core::Incarnation;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Position;
@@ -38,7 +39,7 @@
 #[derive(Debug)]
 pub struct Shared {
     me: InstanceId,
-    incarnation: u64,
+    incarnation: Incarnation,
     clock: Clock,
     view: ArcSwapOption<View>,
     routing: Routing,
@@ -49,7 +50,7 @@
 
 impl Shared {
     /// The state of a node that holds nothing yet and is starting.
-    pub fn new(me: InstanceId, incarnation: u64) -> Shared {
+    pub fn new(me: InstanceId, incarnation: Incarnation) -> Shared {
         Shared {
             me,
             incarnation,
@@ -68,7 +69,7 @@
     }
 
     /// Which life of this instance's node this is; a later one is higher.
-    pub fn incarnation(&self) -> u64 {
+    pub fn incarnation(&self) -> Incarnation {
         self.incarnation
     }
 
--- a/crates/node/src/shared/tests.rs
+++ b/crates/node/src/shared/tests.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use sassafrasspool_core::Incarnation;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Tick;
@@ -8,7 +9,10 @@
 use super::Shared;
 
 fn shared() -> Shared {
-    Shared::new(InstanceId::new("wd-1").expect("a name"), 1)
+    Shared::new(
+        InstanceId::new("wd-1").expect("a name"),
+        Incarnation::from_start_millis(1),
+    )
 }
 
 #[derive(Debug)]
--- /dev/null
+++ b/crates/node/tests/control/herd.rs
@@ -0,0 +1,31 @@
+//! Many nodes at once, on the threads of one runtime.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::CATALOGUE;
+use crate::support::Fleet;
+
+/// Nodes of the herd.
+const HERD: usize = 40;
+
+// All nodes of a fleet start at the same moment, as after a power cut. Each
+// knows nobody and wants to read the platform. They must all become ready,
+// and the platform must not see more than the fleet's share of its budget.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn herd_start_becomes_ready_within_the_read_budget() {
+    let begun = Instant::now();
+    let fleet = Fleet::start(HERD).await;
+    let first = fleet.publish(CATALOGUE);
+    fleet.until_in_force(first).await;
+    fleet.until_ready().await;
+    let stats = fleet.platform.stats();
+    assert_eq!(stats.refused, 0, "{stats:?}");
+    let next = fleet.publish(&CATALOGUE.replace("weight: 1", "weight: 2"));
+    fleet.until_in_force(next).await;
+    assert!(begun.elapsed() < Duration::from_secs(60));
+    fleet.cancel.cancel();
+    for node in &fleet.nodes {
+        node.ended().await.expect("a report");
+    }
+}
--- /dev/null
+++ b/crates/node/tests/control/main.rs
@@ -0,0 +1,10 @@
+//! Whole nodes over loopback: what is published comes into force, what is bad
+//! doesn't, and a planned stop ends well.
+
+mod admin;
+mod apply;
+mod herd;
+mod hostile;
+mod process;
+mod stop;
+mod support;
--- /dev/null
+++ b/crates/node/tests/control/stop.rs
@@ -0,0 +1,81 @@
+//! Planned stops with requests in flight.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use sassafrasspool_node::settings::DrainSettings;
+use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::ServiceTimes;
+
+use crate::support::CATALOGUE;
+use crate::support::Fleet;
+use crate::support::http_text;
+use crate::support::try_http_text;
+use crate::support::until;
+
+/// A node whose target takes `service` for each request.
+async fn slow_fleet(service: Duration, bound: Duration) -> Fleet {
+    let us = u64::try_from(service.as_micros()).expect("a service time");
+    let target = TargetSettings {
+        service: ServiceTimes {
+            default_us: us,
+            ..ServiceTimes::default()
+        },
+        ..TargetSettings::default()
+    };
+    let fleet = Fleet::start_with(1, &target, DrainSettings { bound }).await;
+    let first = fleet.publish(&CATALOGUE.replace("deadline_ms: 2000", "deadline_ms: 60000"));
+    fleet.until_in_force(first).await;
+    fleet.until_ready().await;
+    fleet
+}
+
+// A request is running when the node is told to stop. Its caller gets the
+// whole answer, and only then does the node end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_in_flight_is_finished_before_the_end() {
+    let fleet = slow_fleet(Duration::from_millis(700), Duration::from_secs(30)).await;
+    let node = fleet.nodes[0].clone();
+    let ingress = node.addrs().ingress;
+    let answer = tokio::spawn(http_text("GET", ingress, "/workshop/1"));
+    until(|| node.shared().in_flight().count() > 0).await;
+    let report = node.stop().await.expect("a report");
+    assert_eq!(report.cut, 0);
+    let (status, _) = answer.await.expect("an answer");
+    assert_eq!(status, StatusCode::OK);
+    fleet.cancel.cancel();
+}
+
+// A draining node gets another request. It must refuse it at once and say
+// that it wasn't run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_node_refuses_as_not_run() {
+    let fleet = slow_fleet(Duration::ZERO, Duration::from_secs(30)).await;
+    let node = &fleet.nodes[0];
+    let ingress = node.addrs().ingress;
+    let (status, _) = http_text("GET", ingress, "/workshop/1").await;
+    assert_eq!(status, StatusCode::OK);
+    node.drain().await;
+    let runs = fleet.targets[0].ledger().runs.len();
+    let (status, text) = http_text("GET", ingress, "/workshop/2").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(text.contains("not-run"), "{text}");
+    assert_eq!(fleet.targets[0].ledger().runs.len(), runs);
+    fleet.cancel.cancel();
+}
+
+// A target hangs. The node waits for it no longer than it was told, and its
+// report says that a request was cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bound_ends_what_does_not_finish() {
+    let fleet = slow_fleet(Duration::from_secs(50), Duration::from_millis(500)).await;
+    let node = fleet.nodes[0].clone();
+    let ingress = node.addrs().ingress;
+    let answer = tokio::spawn(try_http_text("GET", ingress, "/workshop/1"));
+    until(|| node.shared().in_flight().count() > 0).await;
+    let report = node.stop().await.expect("a report");
+    assert!(report.cut > 0);
+    let answer = answer.await.expect("no panic");
+    assert!(answer.is_none_or(|(status, _)| status != StatusCode::OK));
+    fleet.cancel.cancel();
+}
--- /dev/null
+++ b/crates/node/tests/control/support.rs
@@ -0,0 +1,206 @@
+//! A few nodes with a platform and targets, all in this process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceState;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::Revision;
+use sassafrasspool_node::Node;
+use sassafrasspool_node::RunningNode;
+use sassafrasspool_node::Settings;
+use sassafrasspool_node::settings::DrainSettings;
+use sassafrasspool_standin::Platform;
+use sassafrasspool_standin::PlatformSettings;
+use sassafrasspool_standin::Target;
+use sassafrasspool_standin::TargetSettings;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio_util::sync::CancellationToken;
+
+/// A catalogue whose one service is that of all nodes.
+pub(crate) const CATALOGUE: &str = "
+kinds:
+  lookup: {weight: 1}
+services:
+  workshop-desk:
+    owner: fitters
+    class: standard
+    limits: {rate_per_s: 100, concurrency: 10, deadline_ms: 2000}
+    routes:
+      - {path: /workshop, kind: lookup, idempotent: true}
+";
+
+/// The same with its route to a service that it doesn't have.
+pub(crate) fn broken() -> String {
+    CATALOGUE.replace("kind: lookup,", "kind: lookup, service: gone-desk,")
+}
+
+/// How long anything may take before a test gives up.
+const BOUND: Duration = Duration::from_secs(30);
+
+/// A platform with nodes that know of one another.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) platform: Platform,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) nodes: Vec<RunningNode>,
+    pub(crate) cancel: CancellationToken,
+}
+
+impl Fleet {
+    /// Starts nodes and publishes the list of them, but no catalogue.
+    pub(crate) async fn start(count: usize) -> Fleet {
+        Fleet::start_with(count, &TargetSettings::default(), DrainSettings::default()).await
+    }
+
+    /// The same with targets and a bound on planned stops that matter.
+    pub(crate) async fn start_with(
+        count: usize,
+        target: &TargetSettings,
+        drain: DrainSettings,
+    ) -> Fleet {
+        let cancel = CancellationToken::new();
+        let platform = Platform::start(PlatformSettings::default(), cancel.clone());
+        let platform = platform.await.expect("a platform");
+        let mut fleet = Fleet {
+            platform,
+            targets: Vec::new(),
+            nodes: Vec::new(),
+            cancel,
+        };
+        for n in 0..count {
+            fleet.add(n, target.clone(), drain).await;
+        }
+        let list: Vec<Instance> = fleet.nodes.iter().map(instance).collect();
+        let published = fleet.platform.publish_instances(&list);
+        published.expect("an instance list");
+        fleet
+    }
+
+    async fn add(&mut self, n: usize, target: TargetSettings, drain: DrainSettings) {
+        let target = Target::start(target, self.cancel.clone());
+        let target = target.await.expect("a target");
+        let mut settings = settings(n, target.addr(), self.platform.addr());
+        settings.drain = drain;
+        let node = Node::start_on(&Handle::current(), settings, self.cancel.clone());
+        self.targets.push(target);
+        self.nodes.push(node.expect("a node"));
+    }
+
+    /// Publishes a catalogue.
+    pub(crate) fn publish(&self, text: &str) -> Revision {
+        self.platform.publish_catalogue(text).expect("published")
+    }
+
+    /// Waits until a catalogue is in force on every node.
+    pub(crate) async fn until_in_force(&self, revision: Revision) {
+        for node in &self.nodes {
+            until(|| in_force(node) == Some(revision)).await;
+        }
+    }
+
+    /// Waits until every node is ready.
+    pub(crate) async fn until_ready(&self) {
+        for node in &self.nodes {
+            until(|| node.shared().phase() == Phase::Ready).await;
+        }
+    }
+}
+
+/// The revision of the catalogue that is in force on a node.
+pub(crate) fn in_force(node: &RunningNode) -> Option<Revision> {
+    let snapshot = node.snapshot()?;
+    Some(snapshot.catalogue().revision())
+}
+
+/// The settings of node number `n`, whose ports are any free ones.
+pub(crate) fn settings(n: usize, target: SocketAddr, platform: SocketAddr) -> Settings {
+    Settings::parse(&settings_text(n, target, platform)).expect("settings")
+}
+
+/// The same as text.
+pub(crate) fn settings_text(n: usize, target: SocketAddr, platform: SocketAddr) -> String {
+    let domain = ["bayanzurkh", "khan-uul", "sukhbaatar"][n % 3];
+    format!(
+        "
+instance: wd-{n}
+service: workshop-desk
+region: ulaanbaatar
+domain: {domain}
+listen:
+  ingress: 127.0.0.1:0
+  egress: 127.0.0.1:0
+  traffic: 127.0.0.1:0
+  control: 127.0.0.1:0
+  admin: 127.0.0.1:0
+target: {{addr: '{target}', slots: 10, ready_path: /healthz, probe_ms: 20}}
+platform: {{addr: '{platform}'}}
+spread: {{interval_ms: 100, assumed_fleet: 3, backoff_base_ms: 20, backoff_cap_ms: 200}}
+log: {{format: json}}
+"
+    )
+}
+
+/// A node as the platform lists it.
+pub(crate) fn instance(node: &RunningNode) -> Instance {
+    let settings = node.settings();
+    Instance {
+        id: settings.instance.clone(),
+        service: settings.service.clone(),
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        traffic: node.addrs().traffic,
+        control: node.addrs().control,
+        slots: settings.target.slots,
+        connections: 120,
+        state: InstanceState::Live,
+    }
+}
+
+/// Waits until `reached` holds.
+pub(crate) async fn until(reached: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !reached() {
+        assert!(begun.elapsed() < BOUND, "it didn't come true in time");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Asks an HTTP address once; gives the status and the body.
+pub(crate) async fn http_text(method: &str, addr: SocketAddr, path: &str) -> (StatusCode, String) {
+    let answer = try_http_text(method, addr, path).await;
+    answer.expect("a whole answer")
+}
+
+/// The same, or nothing if the answer didn't come whole.
+pub(crate) async fn try_http_text(
+    method: &str,
+    addr: SocketAddr,
+    path: &str,
+) -> Option<(StatusCode, String)> {
+    let io = TcpStream::connect(addr).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(io)).await.ok()?;
+    tokio::spawn(connection);
+    let req = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, addr.to_string())
+        .body(Empty::<Bytes>::new())
+        .expect("a request");
+    let res = sender.send_request(req).await.ok()?;
+    let status = res.status();
+    let body = res.into_body().collect().await.ok()?;
+    let text = String::from_utf8(body.to_bytes().to_vec()).expect("text");
+    Some((status, text))
+}
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use sassafrasspool_core::Catalogue;
+use sassafrasspool_core::Incarnation;
 use sassafrasspool_core::Instance;
 use sassafrasspool_core::InstanceList;
 use sassafrasspool_core::InstanceState;
@@ -71,7 +72,10 @@
             .await
             .expect("a target");
         let settings = settings(spec, other.unwrap_or_else(|| target.addr()));
-        let shared = Arc::new(Shared::new(settings.instance.clone(), 1));
+        let shared = Arc::new(Shared::new(
+            settings.instance.clone(),
+            Incarnation::from_start_millis(1),
+        ));
         shared.advance(Phase::Ready);
         let cancel = CancellationToken::new();
         let traffic = Traffic::start(&settings, Arc::clone(&shared), cancel.clone());
