Test that a second signal ends a node at once

An operator without time sends a second signal while a request hangs in the target. The process then ends with exit code 3, which tells a script that something was cut.

--- a/crates/node/tests/control/process.rs
+++ b/crates/node/tests/control/process.rs
@@ -3,7 +3,6 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
-use std::net::SocketAddr;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
@@ -15,6 +14,8 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 use sassafrasspool_core::Phase;
+use sassafrasspool_node::NodeAddrs;
+use sassafrasspool_node::Settings;
 use sassafrasspool_standin::Platform;
 use sassafrasspool_standin::PlatformSettings;
 use sassafrasspool_standin::Target;
@@ -25,13 +26,17 @@
 
 use crate::support::CATALOGUE;
 use crate::support::http_text;
+use crate::support::instance;
+use crate::support::patient;
 use crate::support::settings_text;
+use crate::support::slow_target;
+use crate::support::try_http_text;
 
 /// A node's process, which is ended with its handle.
 #[derive(Debug)]
 struct Process {
     child: Child,
-    admin: SocketAddr,
+    addrs: NodeAddrs,
     _settings: NamedTempFile,
 }
 
@@ -48,17 +53,17 @@
             .expect("a process");
         let log = child.stderr.take().expect("its log");
         let mut lines = BufReader::new(log).lines();
-        let admin = loop {
+        let addrs = loop {
             let line = lines.next().expect("a line that tells").expect("text");
-            if let Some(admin) = admin_of(&line) {
-                break admin;
+            if let Some(addrs) = addrs_of(&line) {
+                break addrs;
             }
         };
         // The log is read to its end, so that the process never waits for it.
         std::thread::spawn(move || lines.for_each(drop));
         Process {
             child,
-            admin,
+            addrs,
             _settings: file,
         }
     }
@@ -70,15 +75,19 @@
     }
 
     async fn until_phase(&self, phase: Phase) {
+        self.until(|status| status.phase == phase).await;
+    }
+
+    async fn until(&self, reached: impl Fn(&Status) -> bool) {
         for _ in 0..6_000 {
-            let (_, text) = http_text("GET", self.admin, "/status").await;
+            let (_, text) = http_text("GET", self.addrs.admin, "/status").await;
             let status: Option<Status> = serde_json::from_str(&text).ok();
-            if status.is_some_and(|status| status.phase == phase) {
+            if status.is_some_and(|status| reached(&status)) {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        panic!("the node isn't {phase} within 30 s");
+        panic!("the node's status isn't so within 30 s");
     }
 
     async fn ended(&mut self) -> ExitStatus {
@@ -100,9 +109,16 @@
     }
 }
 
-fn admin_of(line: &str) -> Option<SocketAddr> {
+fn addrs_of(line: &str) -> Option<NodeAddrs> {
     let line: serde_json::Value = serde_json::from_str(line).ok()?;
-    line["fields"]["admin"].as_str()?.parse().ok()
+    let addr = |name: &str| line["fields"][name].as_str()?.parse().ok();
+    Some(NodeAddrs {
+        ingress: addr("ingress")?,
+        egress: addr("egress")?,
+        traffic: addr("traffic")?,
+        control: addr("control")?,
+        admin: addr("admin")?,
+    })
 }
 
 #[rstest]
@@ -134,6 +150,35 @@
     assert_eq!(node.ended().await.code(), Some(0));
 }
 
+// A request hangs in the target while the node drains, and the operator has no
+// time: a second signal ends the process at once, and its exit code says that
+// something was cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn second_signal_ends_the_node_at_once() {
+    let cancel = CancellationToken::new();
+    let platform = Platform::start(PlatformSettings::default(), cancel.clone());
+    let platform = platform.await.expect("a platform");
+    let target = Target::start(slow_target(Duration::from_secs(50)), cancel.clone());
+    let target = target.await.expect("a target");
+    let settings = settings_text(0, target.addr(), platform.addr());
+    let mut node = Process::start(&settings);
+    let settings = Settings::parse(&settings).expect("settings");
+    let list = [instance(&settings, node.addrs)];
+    platform.publish_instances(&list).expect("a list");
+    platform.publish_catalogue(&patient()).expect("a catalogue");
+    node.until_phase(Phase::Ready).await;
+    let ingress = node.addrs.ingress;
+    let answer = tokio::spawn(async move {
+        try_http_text("GET", ingress, "/workshop/1").await;
+    });
+    node.until(|status| status.in_flight > 0).await;
+    node.signal(Signal::TERM);
+    node.until_phase(Phase::Draining).await;
+    node.signal(Signal::TERM);
+    assert_eq!(node.ended().await.code(), Some(3));
+    answer.await.expect("no panic");
+}
+
 #[test]
 fn faulty_settings_end_the_program_with_every_fault() {
     let mut file = NamedTempFile::new().expect("a file");
--- a/crates/node/tests/control/stop.rs
+++ b/crates/node/tests/control/stop.rs
@@ -4,27 +4,18 @@
 
 use http::StatusCode;
 use sassafrasspool_node::settings::DrainSettings;
-use sassafrasspool_standin::TargetSettings;
-use sassafrasspool_standin::target::ServiceTimes;
 
-use crate::support::CATALOGUE;
 use crate::support::Fleet;
 use crate::support::http_text;
+use crate::support::patient;
+use crate::support::slow_target;
 use crate::support::try_http_text;
 use crate::support::until;
 
 /// A node whose target takes `service` for each request.
 async fn slow_fleet(service: Duration, bound: Duration) -> Fleet {
-    let us = u64::try_from(service.as_micros()).expect("a service time");
-    let target = TargetSettings {
-        service: ServiceTimes {
-            default_us: us,
-            ..ServiceTimes::default()
-        },
-        ..TargetSettings::default()
-    };
-    let fleet = Fleet::start_with(1, &target, DrainSettings { bound }).await;
-    let first = fleet.publish(&CATALOGUE.replace("deadline_ms: 2000", "deadline_ms: 60000"));
+    let fleet = Fleet::start_with(1, &slow_target(service), DrainSettings { bound }).await;
+    let first = fleet.publish(&patient());
     fleet.until_in_force(first).await;
     fleet.until_ready().await;
     fleet
--- a/crates/node/tests/control/support.rs
+++ b/crates/node/tests/control/support.rs
@@ -17,6 +17,7 @@
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Revision;
 use sassafrasspool_node::Node;
+use sassafrasspool_node::NodeAddrs;
 use sassafrasspool_node::RunningNode;
 use sassafrasspool_node::Settings;
 use sassafrasspool_node::settings::DrainSettings;
@@ -24,6 +25,7 @@
 use sassafrasspool_standin::PlatformSettings;
 use sassafrasspool_standin::Target;
 use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::ServiceTimes;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
@@ -82,7 +84,8 @@
         for n in 0..count {
             fleet.add(n, target.clone(), drain).await;
         }
-        let list: Vec<Instance> = fleet.nodes.iter().map(instance).collect();
+        let listed = |node: &RunningNode| instance(node.settings(), node.addrs());
+        let list: Vec<Instance> = fleet.nodes.iter().map(listed).collect();
         let published = fleet.platform.publish_instances(&list);
         published.expect("an instance list");
         fleet
@@ -153,21 +156,37 @@
 }
 
 /// A node as the platform lists it.
-pub(crate) fn instance(node: &RunningNode) -> Instance {
-    let settings = node.settings();
+pub(crate) fn instance(settings: &Settings, addrs: NodeAddrs) -> Instance {
     Instance {
         id: settings.instance.clone(),
         service: settings.service.clone(),
         region: settings.region.clone(),
         domain: settings.domain.clone(),
-        traffic: node.addrs().traffic,
-        control: node.addrs().control,
+        traffic: addrs.traffic,
+        control: addrs.control,
         slots: settings.target.slots,
         connections: 120,
         state: InstanceState::Live,
     }
 }
 
+/// A target that takes `service` for each request.
+pub(crate) fn slow_target(service: Duration) -> TargetSettings {
+    let us = u64::try_from(service.as_micros()).expect("a service time");
+    TargetSettings {
+        service: ServiceTimes {
+            default_us: us,
+            ..ServiceTimes::default()
+        },
+        ..TargetSettings::default()
+    }
+}
+
+/// The catalogue with a deadline that no test outlasts.
+pub(crate) fn patient() -> String {
+    CATALOGUE.replace("deadline_ms: 2000", "deadline_ms: 60000")
+}
+
 /// Waits until `reached` holds.
 pub(crate) async fn until(reached: impl Fn() -> bool) {
     let begun = Instant::now();
