Count the bytes of both kinds of connections by one socket

The connections to the target and the control connections each had a counting socket of their own, alike but for the counter. One in the wire crate serves both.

--- a/crates/node/src/traffic/target.rs
+++ b/crates/node/src/traffic/target.rs
@@ -2,7 +2,6 @@
 
 mod body;
 mod connection;
-mod counted;
 mod exchange;
 mod pool;
 
--- a/crates/node/src/traffic/target/connection.rs
+++ b/crates/node/src/traffic/target/connection.rs
@@ -3,16 +3,15 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Instant;
 
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use sassafrasspool_wire::Counted;
+use sassafrasspool_wire::SocketBytes;
 
-use super::counted::Counted;
 use super::pool::Open;
 use super::pool::WorkerIndex;
 use crate::traffic::payload::Payload;
@@ -24,7 +23,7 @@
     pub(super) sender: http1::SendRequest<Payload>,
     driver: Pin<Box<http1::Connection<TokioIo<Counted>, Payload>>>,
     ended: bool,
-    written: Arc<AtomicU64>,
+    written: Arc<SocketBytes>,
     /// When it was last used.
     pub(super) used: Instant,
     open: Open,
@@ -34,7 +33,7 @@
     pub(super) fn new(
         sender: http1::SendRequest<Payload>,
         driver: http1::Connection<TokioIo<Counted>, Payload>,
-        written: Arc<AtomicU64>,
+        written: Arc<SocketBytes>,
         open: Open,
     ) -> Connection {
         Connection {
@@ -59,7 +58,7 @@
 
     /// Bytes that the socket has taken so far.
     pub(super) fn written(&self) -> u64 {
-        self.written.load(Ordering::Relaxed)
+        self.written.written()
     }
 
     /// Moves bytes; nothing to do once the connection has ended.
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
 use std::task::Context;
 use std::task::Waker;
 use std::time::Instant;
@@ -15,10 +14,11 @@
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::Counted;
+use sassafrasspool_wire::SocketBytes;
 use tokio::net::TcpStream;
 
 use super::connection::Connection;
-use super::counted::Counted;
 use crate::traffic::bounds::CONNECT_TIMEOUT;
 use crate::traffic::bounds::MAX_HEAD_BYTES;
 use crate::traffic::bounds::MAX_IDLE;
@@ -95,7 +95,7 @@
             .map_err(|_| self.error("connecting took too long"))?
             .map_err(fail)?;
         stream.set_nodelay(true).map_err(fail)?;
-        let written = Arc::new(AtomicU64::new(0));
+        let written = Arc::new(SocketBytes::default());
         let io = TokioIo::new(Counted::new(stream, Arc::clone(&written)));
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
--- a/crates/wire/src/socket/counted.rs
+++ b/crates/wire/src/socket/counted.rs
@@ -14,6 +14,9 @@
 use super::SocketBytes;
 
 /// A TCP connection whose bytes are counted.
+///
+/// A count of written bytes that didn't move proves that the other side has seen
+/// nothing of what was to be sent.
 #[derive(Debug)]
 pub struct Counted {
     io: TcpStream,
