Close a connection between nodes that stays silent

A partition leaves connections that look open, whose packets the kernel sends again up to two minutes apart. Calls over such a one went on to fail after the partition had healed, since the outer time limit ended a call before the pool had put its connection aside. Now a call without an answer in time closes its connection, and the next opens a fresh one.

A node no longer calls itself where all nodes are given one list of seeds, and its traffic side ends if its control side is dropped.

--- a/crates/node/src/node/spread.rs
+++ b/crates/node/src/node/spread.rs
@@ -34,7 +34,7 @@
         domain: settings.domain.clone(),
         control,
         incarnation,
-        seeds: settings.seeds.clone(),
+        seeds: other_seeds(settings, control),
     };
     let cfg = settings.spread.config.clone();
     match settings.spread.strategy {
@@ -42,3 +42,9 @@
         Strategy::Naive => Box::new(Naive::new(cfg, local, seed, now)),
     }
 }
+
+/// The seeds without the node itself: all nodes may be given one list.
+fn other_seeds(settings: &Settings, control: SocketAddr) -> Vec<SocketAddr> {
+    let others = settings.seeds.iter().filter(|seed| **seed != control);
+    others.copied().collect()
+}
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
 use tokio_util::task::TaskTracker;
 
 use super::NodeAddrs;
@@ -101,6 +102,9 @@
     peers: TcpListener,
     admin: TcpListener,
     addrs: NodeAddrs,
+    /// Ends the traffic side if the control side never runs, or if its
+    /// runtime is shut down under it.
+    guard: DropGuard,
 }
 
 impl Plan {
@@ -134,7 +138,9 @@
             spread::decisions(&settings, addrs.control, incarnation, rand::random(), now);
         let machine = Machine::new(decisions, outside.clone());
         let control = Control::new(machine, rx, Arc::clone(&settings), traffic, stop_traffic);
+        let guard = outside.cancel.clone().drop_guard();
         Ok(Plan {
+            guard,
             settings,
             outside,
             control,
@@ -177,7 +183,7 @@
             .tasks
             .spawn(admin.serve(self.admin, outside.cancel.clone()));
         let report = self.control.run().await;
-        outside.cancel.cancel();
+        drop(self.guard);
         outside.tasks.close();
         outside.tasks.wait().await;
         report
--- a/crates/wire/src/peer/pool.rs
+++ b/crates/wire/src/peer/pool.rs
@@ -125,6 +125,7 @@
         match tokio::time::timeout(limit, tries).await {
             Ok(result) => result,
             Err(_) => {
+                self.drop_silent(addr);
                 let reason = format!("no answer within {} ms", limit.as_millis());
                 Err(Error::new(Step::Exchange, reason).at_peer(addr))
             }
@@ -207,6 +208,16 @@
         }
     }
 
+    /// Closes a connection on which no answer came in time.
+    ///
+    /// A partition leaves connections that look open but whose packets are
+    /// sent again ever more seldom, up to minutes apart: over such a one,
+    /// calls would go on to fail long after the partition has healed. The next
+    /// call opens a fresh one.
+    fn drop_silent(&self, addr: SocketAddr) {
+        self.lock().slots.remove(&addr);
+    }
+
     fn backoff(&self) -> Backoff {
         Backoff::new(self.limits.backoff_base, self.limits.backoff_cap)
     }
--- a/crates/wire/src/peer/tests/pool.rs
+++ b/crates/wire/src/peer/tests/pool.rs
@@ -103,14 +103,20 @@
 
 // A peer takes connections but never answers, as a stopped process does: its
 // kernel goes on to accept. The call ends at its limit with the peer's name.
+// The next call opens another connection: after a partition the first one may
+// stay silent for minutes although the peer is back.
 #[tokio::test]
-async fn silent_peer_costs_no_more_than_the_limit() {
+async fn silent_peer_costs_a_call_and_its_connection() {
     let silent = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let addr = silent.local_addr().expect("its address");
     let limit = Duration::from_millis(50);
     let pool = pool(PeerLimits::default());
-    let err = pool.exchange(addr, &me(), &pull(), limit).await;
-    let err = err.expect_err("no answer");
-    assert_eq!(err.step(), Step::Exchange);
-    assert_eq!(err.peer(), Some(addr.to_string().as_str()));
+    for _ in 0..2 {
+        let err = pool.exchange(addr, &me(), &pull(), limit).await;
+        let err = err.expect_err("no answer");
+        assert_eq!(err.step(), Step::Exchange);
+        assert_eq!(err.peer(), Some(addr.to_string().as_str()));
+        let accepted = tokio::time::timeout(LIMIT, silent.accept()).await;
+        accepted.expect("in time").expect("a fresh connection");
+    }
 }
