--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -5,5 +5,10 @@
 //! from node to node, of which the highest wins.
 
 pub use self::incarnation::Incarnation;
+pub(crate) use self::table::Members;
+pub(crate) use self::table::Merged;
 
 mod incarnation;
+mod table;
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -6,5 +6,15 @@
 //! when nobody reads any more.
 
 pub(crate) use self::backoff::Backoff;
+pub(crate) use self::budget::ReadBudget;
+pub(crate) use self::choice::Place;
+pub(crate) use self::contact::ContactClock;
+pub(crate) use self::role::Role;
 
 mod backoff;
+mod budget;
+mod choice;
+mod contact;
+mod role;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/spread/gossip.rs
@@ -0,0 +1,82 @@
+//! News that waits to be told, and when to compare with a peer next.
+
+use crate::EndpointState;
+use crate::Heads;
+use crate::InstanceId;
+use crate::Tick;
+
+/// Endpoint states that wait to be told; more are left to comparing.
+const MAX_NEWS: usize = 4_096;
+
+/// What a node is about to tell.
+#[derive(Debug)]
+pub(super) struct Gossip {
+    /// When the next comparison with a peer is due.
+    pub(super) next_sync: Tick,
+    /// When the heads are to be announced.
+    pub(super) heads_due: Option<Tick>,
+    /// When the endpoint states are to be announced.
+    pub(super) states_due: Option<Tick>,
+    /// What was announced last.
+    pub(super) announced: Heads,
+    /// Who told the news; it needn't hear them again.
+    pub(super) teller: Option<InstanceId>,
+    /// Counts comparisons.
+    pub(super) syncs: u64,
+    news: Vec<EndpointState>,
+}
+
+impl Gossip {
+    pub(super) fn new(now: Tick) -> Gossip {
+        Gossip {
+            next_sync: now,
+            heads_due: None,
+            states_due: None,
+            announced: Heads::default(),
+            teller: None,
+            syncs: 0,
+            news: Vec::new(),
+        }
+    }
+
+    /// Notes that heads changed; they are told at `due` or before.
+    pub(super) fn heads_changed(&mut self, due: Tick) {
+        self.heads_due = Some(self.heads_due.map_or(due, |already| already.min(due)));
+    }
+
+    /// Notes a state that is news; it is told at `due` or before.
+    pub(super) fn add_state(&mut self, state: EndpointState, due: Tick) {
+        if self.news.len() == MAX_NEWS {
+            return;
+        }
+        self.news.push(state);
+        self.states_due = Some(self.states_due.map_or(due, |already| already.min(due)));
+    }
+
+    /// Takes at most `n` states that wait to be told.
+    pub(super) fn take_states(&mut self, n: usize) -> Vec<EndpointState> {
+        let n = n.min(self.news.len());
+        self.news.drain(..n).collect()
+    }
+
+    /// Whether states still wait.
+    pub(super) fn has_states(&self) -> bool {
+        !self.news.is_empty()
+    }
+
+    /// When something is to be announced.
+    pub(super) fn announce_due(&self) -> Option<Tick> {
+        [self.heads_due, self.states_due]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Drops what waits: after a pause it is old, and comparing tells what
+    /// peers lack.
+    pub(super) fn drop_news(&mut self) {
+        self.news.clear();
+        self.heads_due = None;
+        self.states_due = None;
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/history.rs
@@ -0,0 +1,132 @@
+//! Changes kept for peers that are behind.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::Body;
+use crate::Delta;
+use crate::Document;
+use crate::Item;
+use crate::Result;
+use crate::Stream;
+use crate::Version;
+
+/// Encoded bodies that are kept for the newest version.
+const MAX_CACHED: usize = 8;
+
+/// The last changes of a stream, bounded by count and size.
+///
+/// # Invariants
+///
+/// Each change leads to the base of the next, and the last one to the version
+/// held. Cached bodies lead to the version held.
+#[derive(Debug)]
+pub(super) struct History<T: Item> {
+    stream: Stream,
+    max_count: usize,
+    max_bytes: usize,
+    changes: VecDeque<Change<T>>,
+    bytes: usize,
+    cached: Vec<Body>,
+}
+
+#[derive(Debug)]
+struct Change<T: Item> {
+    delta: Delta<T>,
+    bytes: usize,
+}
+
+impl<T: Item> History<T> {
+    pub(super) fn new(stream: Stream, max_count: usize, max_bytes: usize) -> History<T> {
+        History {
+            stream,
+            max_count,
+            max_bytes,
+            changes: VecDeque::new(),
+            bytes: 0,
+            cached: Vec::new(),
+        }
+    }
+
+    /// Notes the step from what was held to what is held now.
+    pub(super) fn advance(&mut self, old: Option<&Document<T>>, new: &Document<T>) -> Result<()> {
+        self.cached.clear();
+        let Some(old) = old else {
+            return Ok(());
+        };
+        let delta = old.delta_to(new);
+        let body = Body::delta(self.stream, delta.clone())?;
+        let bytes = body.bytes.len();
+        // INVARIANT: The delta leads from what was held to what is held.
+        self.changes.push_back(Change { delta, bytes });
+        self.bytes += bytes;
+        self.cached.push(body);
+        self.shrink();
+        Ok(())
+    }
+
+    /// What leads from `base` to what is held: a delta where the history goes
+    /// back that far and the delta is worth it, else the whole.
+    pub(super) fn body(&mut self, base: Option<Version>, held: &Document<T>) -> Result<Body> {
+        if let Some(found) = self.cached.iter().find(|body| body.base == base) {
+            return Ok(found.clone());
+        }
+        let delta = base.and_then(|base| self.composed(base));
+        let body = match delta {
+            Some(delta) if delta.put.len() <= held.len() / 2 => Body::delta(self.stream, delta)?,
+            _ => self.whole(held)?,
+        };
+        self.cache(&body);
+        Ok(body)
+    }
+
+    fn whole(&self, held: &Document<T>) -> Result<Body> {
+        match self.cached.iter().find(|body| body.base.is_none()) {
+            Some(found) => Ok(found.clone()),
+            None => Body::whole(self.stream, held),
+        }
+    }
+
+    fn cache(&mut self, body: &Body) {
+        if self.cached.iter().any(|cached| cached.base == body.base) {
+            return;
+        }
+        if self.cached.len() == MAX_CACHED {
+            self.cached.remove(0);
+        }
+        self.cached.push(body.clone());
+    }
+
+    /// All changes since `base` as one; the last word on a key counts.
+    fn composed(&self, base: Version) -> Option<Delta<T>> {
+        let from = |change: &Change<T>| change.delta.base == base;
+        let start = self.changes.iter().position(from)?;
+        let target = self.changes.back()?.delta.target;
+        let mut last = BTreeMap::new();
+        for change in self.changes.iter().skip(start) {
+            for key in &change.delta.remove {
+                last.insert(key.clone(), None);
+            }
+            for item in &change.delta.put {
+                last.insert(item.key(), Some(item));
+            }
+        }
+        let put = last.values().copied().flatten().cloned().collect();
+        let removed = last.into_iter().filter(|(_, item)| item.is_none());
+        Some(Delta {
+            base,
+            target,
+            put,
+            remove: removed.map(|(key, _)| key).collect(),
+        })
+    }
+
+    fn shrink(&mut self) {
+        while self.changes.len() > self.max_count || self.bytes > self.max_bytes {
+            match self.changes.pop_front() {
+                Some(oldest) => self.bytes -= oldest.bytes,
+                None => return,
+            }
+        }
+    }
+}
--- a/crates/core/src/spread/holder.rs
+++ b/crates/core/src/spread/holder.rs
@@ -57,6 +57,14 @@
 }
 
 impl Holder {
+    pub(super) fn catalogue(&self) -> Option<&Arc<Catalogue>> {
+        self.catalogue.as_ref()
+    }
+
+    pub(super) fn instances(&self) -> Option<&Arc<InstanceList>> {
+        self.instances.as_ref()
+    }
+
     pub(super) fn snapshot(&self) -> Option<&Arc<Snapshot>> {
         self.snapshot.as_ref()
     }
@@ -86,6 +94,12 @@
         self.refused.contains(&version)
     }
 
+    /// Whether `version` is newer than what is held.
+    pub(super) fn lacks(&self, stream: Stream, version: Version) -> bool {
+        let held = self.heads().of(stream);
+        held.is_none_or(|held| held.revision() < version.revision())
+    }
+
     /// The text of a catalogue as the platform gave it.
     pub(super) fn offer_text(
         &mut self,
--- /dev/null
+++ b/crates/core/src/spread/machine/announce.rs
@@ -0,0 +1,101 @@
+//! Telling news at once.
+
+use super::Spread;
+use crate::Action;
+use crate::Announce;
+use crate::Body;
+use crate::PeerMessage;
+use crate::Phase;
+use crate::Stream;
+use crate::Tick;
+use crate::membership::Members;
+use crate::spread::calls::Address;
+use crate::spread::calls::Purpose;
+
+/// Endpoint states in one message.
+const MAX_STATES: usize = 256;
+
+impl Spread {
+    pub(super) fn announce_what_is_due(&mut self, now: Tick, out: &mut Vec<Action>) {
+        if self.gossip.announce_due().is_none_or(|due| due > now) {
+            return;
+        }
+        if self.peers.len() == 0 && self.peers.strangers().is_empty() {
+            // Nobody is known yet: the news wait until somebody is.
+            self.gossip.heads_due = None;
+            self.gossip.states_due = None;
+            return;
+        }
+        let message = self.announcement(now);
+        for to in self.listeners(now) {
+            let message = PeerMessage::Announce(message.clone());
+            self.calls.send(now, &to, Purpose::Announce, message, out);
+        }
+        self.gossip.heads_due = None;
+        self.gossip.teller = None;
+        self.gossip.states_due = match self.gossip.has_states() {
+            true => Some(now + self.cfg.state_linger),
+            false => None,
+        };
+    }
+
+    fn announcement(&mut self, now: Tick) -> Announce {
+        let body = match self.gossip.heads_due {
+            Some(_) => self.eager_body(),
+            None => None,
+        };
+        let heads = self.holder.heads();
+        self.gossip.announced = heads;
+        Announce {
+            control: self.local.control,
+            heads,
+            contact: self.contact.tell(now),
+            body,
+            states: self.gossip.take_states(MAX_STATES),
+        }
+    }
+
+    /// The change since the last announcement, if it is small.
+    fn eager_body(&mut self) -> Option<Body> {
+        let heads = self.holder.heads();
+        let before = self.gossip.announced;
+        let changed = Stream::ALL
+            .into_iter()
+            .find(|stream| heads.of(*stream) != before.of(*stream))?;
+        before.of(changed)?;
+        let body = self.body_since(changed, before.of(changed))?;
+        let fits = body.base.is_some() && body.bytes.len() <= self.cfg.eager_bytes;
+        fits.then_some(body)
+    }
+
+    /// Different peers that hear the news.
+    fn listeners(&mut self, now: Tick) -> Vec<Address> {
+        let fanout = usize::try_from(self.cfg.fanout).unwrap_or(usize::MAX);
+        if self.peers.len() == 0 {
+            let strangers = self.peers.strangers().iter().take(fanout);
+            return strangers.cloned().collect();
+        }
+        let mut drawn: Vec<Address> = Vec::with_capacity(fanout);
+        let cross = self.cfg.cross_domain_percent;
+        for _ in 0..2 * fanout {
+            if drawn.len() == fanout {
+                break;
+            }
+            let (gossip, members) = (&self.gossip, &self.members);
+            let fits = |peer: &Address| {
+                !drawn.contains(peer) && peer.id != gossip.teller && !is_gone(members, peer)
+            };
+            let Some(peer) = self.peers.draw(now, cross, &mut self.rng, fits) else {
+                continue;
+            };
+            drawn.push(peer);
+        }
+        drawn
+    }
+}
+
+/// Whether a peer said that it has ended.
+pub(super) fn is_gone(members: &Members, peer: &Address) -> bool {
+    let state = peer.id.as_ref().and_then(|id| members.get(id));
+    state.is_some_and(|state| state.phase == Phase::Gone)
+}
--- /dev/null
+++ b/crates/core/src/spread/machine/pull.rs
@@ -0,0 +1,191 @@
+//! Getting bodies from peers.
+
+use std::sync::Arc;
+
+use super::Spread;
+use crate::Action;
+use crate::AuditEvent;
+use crate::Body;
+use crate::Error;
+use crate::Heads;
+use crate::InstanceId;
+use crate::Origin;
+use crate::PeerMessage;
+use crate::Pull;
+use crate::Stream;
+use crate::Tick;
+use crate::spread::calls::Address;
+use crate::spread::calls::Purpose;
+use crate::spread::holder::Verdict;
+
+impl Spread {
+    /// Takes in what a peer holds, and gets what is lacked here.
+    pub(super) fn hear_heads(
+        &mut self,
+        now: Tick,
+        heads: Heads,
+        holder: &Address,
+        out: &mut Vec<Action>,
+    ) {
+        for head in heads.iter() {
+            if self.holder.is_refused(head.version) {
+                // A peer of another program version may hold what was found
+                // bad here; asking for it again would never end.
+                continue;
+            }
+            if self.holder.lacks(head.stream, head.version) {
+                self.pulls[head.stream as usize].hear(head.version, holder);
+                if !self.calls.has(Purpose::Pull(head.stream)) {
+                    self.pull_next(now, head.stream, out);
+                }
+                continue;
+            }
+            let held = self.holder.heads().of(head.stream);
+            let (Some(held), Some(id)) = (held, &holder.id) else {
+                continue;
+            };
+            if held.revision() == head.version.revision() && held != head.version {
+                let origin = Origin::Peer(id.clone());
+                self.holder
+                    .note_conflict(head.stream, held, head.version, &origin, out);
+            }
+        }
+    }
+
+    /// Asks the next peer that holds something newer, if one is known. One
+    /// call for each stream is under way at most.
+    pub(super) fn pull_next(&mut self, now: Tick, stream: Stream, out: &mut Vec<Action>) {
+        let held = self.holder.heads().of(stream);
+        let pulls = &mut self.pulls[stream as usize];
+        let Some(to) = pulls.next() else {
+            return;
+        };
+        let base = match pulls.whole {
+            true => None,
+            false => held,
+        };
+        let message = PeerMessage::Pull(Pull { stream, held: base });
+        self.calls
+            .send(now, &to, Purpose::Pull(stream), message, out);
+    }
+
+    /// Takes in the answer to a pull.
+    pub(super) fn pulled(
+        &mut self,
+        now: Tick,
+        stream: Stream,
+        from: &Address,
+        body: Option<&Body>,
+        out: &mut Vec<Action>,
+    ) {
+        if let (Some(body), Some(id)) = (body, &from.id)
+            && body.stream == stream
+        {
+            self.open(now, body, id, out);
+        }
+        let pulls = &self.pulls[stream as usize];
+        let lacks = pulls
+            .heard
+            .is_some_and(|heard| self.holder.lacks(stream, heard));
+        if lacks {
+            self.pull_next(now, stream, out);
+        }
+    }
+
+    /// Takes a body that came with an announcement, if it fits what is held.
+    /// Often it doesn't, or came before; then there is nothing wrong.
+    pub(super) fn open_eagerly(
+        &mut self,
+        now: Tick,
+        body: &Body,
+        from: &InstanceId,
+        out: &mut Vec<Action>,
+    ) {
+        if body.base.is_some() && body.base == self.holder.heads().of(body.stream) {
+            self.open(now, body, from, out);
+        }
+    }
+
+    /// Takes a body in if it is newer, fits and is what it claims to be.
+    ///
+    /// Deltas cross each other and come twice. One that was made from another
+    /// base than what is held by now can't be applied by the document's own
+    /// check, and one that leads nowhere newer isn't looked at.
+    fn open(&mut self, now: Tick, body: &Body, from: &InstanceId, out: &mut Vec<Action>) {
+        let stream = body.stream;
+        let lacks = self.holder.lacks(stream, body.version);
+        if !lacks || self.holder.is_refused(body.version) {
+            return;
+        }
+        let origin = Origin::Peer(from.clone());
+        let opened = match stream {
+            Stream::Catalogue => body
+                .open(self.holder.catalogue().map(Arc::as_ref))
+                .map(|offered| self.offer_catalogue(now, offered, &origin, out)),
+            Stream::Instances => body
+                .open(self.holder.instances().map(Arc::as_ref))
+                .map(|offered| self.offer_instances(now, offered, &origin, out)),
+        };
+        if let Err(cause) = opened {
+            self.refuse_body(body, &cause, origin, out);
+        }
+    }
+
+    /// A body that doesn't fit is dropped whole, and the next asked for whole.
+    fn refuse_body(&mut self, body: &Body, cause: &Error, origin: Origin, out: &mut Vec<Action>) {
+        self.pulls[body.stream as usize].whole = true;
+        let crossed = body.base.is_some() && body.base != self.holder.heads().of(body.stream);
+        if crossed {
+            return;
+        }
+        out.push(Action::Audit(AuditEvent::BodyRefused {
+            stream: body.stream,
+            version: body.version,
+            origin,
+            reason: cause.to_string(),
+        }));
+    }
+
+    /// What leads from `base` to what is held of a stream.
+    pub(super) fn body_since(
+        &mut self,
+        stream: Stream,
+        base: Option<crate::Version>,
+    ) -> Option<Body> {
+        let made = match stream {
+            Stream::Catalogue => self.catalogues.body(base, self.holder.catalogue()?),
+            Stream::Instances => self.lists.body(base, self.holder.instances()?),
+        };
+        made.ok()
+    }
+
+    pub(super) fn offer_catalogue(
+        &mut self,
+        now: Tick,
+        offered: crate::Catalogue,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let before = self.holder.catalogue().cloned();
+        let verdict = self.holder.offer_catalogue(offered, origin, out);
+        if verdict == Verdict::Taken {
+            self.catalogue_taken(now, before.as_deref(), origin, out);
+        }
+        verdict
+    }
+
+    pub(super) fn offer_instances(
+        &mut self,
+        now: Tick,
+        offered: crate::InstanceList,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let before = self.holder.instances().cloned();
+        let verdict = self.holder.offer_instances(offered, origin, out);
+        if verdict == Verdict::Taken {
+            self.instances_taken(now, before.as_deref(), origin, out);
+        }
+        verdict
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/machine/read.rs
@@ -0,0 +1,218 @@
+//! Reading the platform.
+
+use std::time::Duration;
+
+use super::Spread;
+use crate::Action;
+use crate::AuditEvent;
+use crate::Digest;
+use crate::InstanceList;
+use crate::Origin;
+use crate::Revision;
+use crate::SourceResult;
+use crate::Stream;
+use crate::Tick;
+use crate::Version;
+use crate::reader::Place;
+use crate::spread::holder::Verdict;
+use crate::spread::life::Life;
+
+/// The wait after an answer that came at once with nothing new, as a platform
+/// gives it that doesn't hold watches back; else it would be asked in a loop.
+const EMPTY_WAIT: Duration = Duration::from_millis(500);
+
+impl Spread {
+    /// Decides whether this node reads, and reads what is due.
+    pub(super) fn read_what_is_due(&mut self, now: Tick, out: &mut Vec<Action>) {
+        let age = self.contact_age(now);
+        if self.role.step_in(age) {
+            self.tell_reading(out);
+        }
+        for stream in Stream::ALL {
+            self.give_up_late_read(now, stream);
+            if self.read_due(now, stream).is_none_or(|due| due > now) {
+                continue;
+            }
+            if !self.budget.allows(now) {
+                continue;
+            }
+            self.budget.take(now);
+            let held = self.holder.heads().of(stream);
+            let held = held.map(|version| version.revision());
+            self.reads[stream as usize].read(now, held, self.cfg.watch, out);
+        }
+    }
+
+    /// When this node reads a stream next, if it wants to at all.
+    pub(super) fn read_due(&self, now: Tick, stream: Stream) -> Option<Tick> {
+        if !self.wants(now, stream) {
+            return None;
+        }
+        let due = self.reads[stream as usize].due()?.max(now);
+        Some(due.max(self.budget.next(now)))
+    }
+
+    /// Whether this node reads a stream: as a reader, or to join.
+    fn wants(&self, now: Tick, stream: Stream) -> bool {
+        if self.role.reads() {
+            return true;
+        }
+        if matches!(self.life, Life::Joined(_)) || self.reads[stream as usize].answered() {
+            return false;
+        }
+        match stream {
+            // The list comes first: with it a node knows whom to ask for the
+            // rest, and how many share the budget.
+            Stream::Catalogue => self.holder.instances().is_some() && !self.is_current(now),
+            Stream::Instances => !self.is_current(now) || self.holder.instances().is_none(),
+        }
+    }
+
+    /// The age of the newest proof of contact, counted from this node's start
+    /// if there is none.
+    pub(super) fn contact_age(&self, now: Tick) -> Duration {
+        let age = self.contact.age(now);
+        age.unwrap_or_else(|| now.since(self.started))
+    }
+
+    /// Whether the fleet, as far as this node knows, was in contact lately.
+    pub(super) fn is_current(&self, now: Tick) -> bool {
+        let age = self.contact.age(now);
+        age.is_some_and(|age| age < self.cfg.contact_bound)
+    }
+
+    pub(super) fn source_read(
+        &mut self,
+        now: Tick,
+        stream: Stream,
+        result: SourceResult,
+        out: &mut Vec<Action>,
+    ) {
+        if self.reads[stream as usize].drop_outdated() {
+            return;
+        }
+        match result {
+            SourceResult::Catalogue { revision, text } => {
+                self.source_answered(now, stream, Some(revision));
+                self.read_catalogue(now, revision, &text, out);
+            }
+            SourceResult::Instances {
+                revision,
+                instances,
+            } => {
+                self.source_answered(now, stream, Some(revision));
+                match InstanceList::new(revision, instances) {
+                    Ok(list) => {
+                        let verdict = self.offer_instances(now, list, &Origin::Source, out);
+                        self.slow_down(now, stream, verdict);
+                    }
+                    Err(cause) => self.read_malformed(stream, revision, &cause.to_string(), out),
+                }
+            }
+            SourceResult::Malformed { revision, reason } => {
+                self.source_answered(now, stream, Some(revision));
+                self.read_malformed(stream, revision, &reason, out);
+            }
+            SourceResult::Unchanged { newest } => self.read_unchanged(now, stream, newest, out),
+            SourceResult::Nothing => {
+                self.contact.prove(now, self.role.turn());
+                self.reads[stream as usize].fail(now, Duration::ZERO, &mut self.rng);
+            }
+            SourceResult::Busy { retry_after } => {
+                // It answered: others who step in would only make it busier.
+                self.contact.prove(now, self.role.turn());
+                let wait = retry_after.unwrap_or_default();
+                self.reads[stream as usize].fail(now, wait, &mut self.rng);
+            }
+            SourceResult::Failed { .. } => {
+                self.reads[stream as usize].fail(now, Duration::ZERO, &mut self.rng);
+            }
+        }
+    }
+
+    fn source_answered(&mut self, now: Tick, stream: Stream, seen: Option<Revision>) {
+        self.contact.prove(now, self.role.turn());
+        self.reads[stream as usize].succeed(seen);
+    }
+
+    fn read_catalogue(&mut self, now: Tick, revision: Revision, text: &str, out: &mut Vec<Action>) {
+        let before = self.holder.catalogue().cloned();
+        let verdict = self.holder.offer_text(revision, text, out);
+        if verdict == Verdict::Taken {
+            self.catalogue_taken(now, before.as_deref(), &Origin::Source, out);
+        }
+        self.slow_down(now, Stream::Catalogue, verdict);
+    }
+
+    fn read_malformed(
+        &mut self,
+        stream: Stream,
+        revision: Revision,
+        reason: &str,
+        out: &mut Vec<Action>,
+    ) {
+        let version = Version::new(revision, Digest::of(reason.as_bytes()));
+        if !self.holder.is_refused(version) {
+            let reason = reason.to_owned();
+            self.holder
+                .refuse(stream, version, &Origin::Source, reason, out);
+        }
+    }
+
+    fn read_unchanged(
+        &mut self,
+        now: Tick,
+        stream: Stream,
+        newest: Option<Revision>,
+        out: &mut Vec<Action>,
+    ) {
+        let took = self.reads[stream as usize].elapsed(now);
+        self.source_answered(now, stream, None);
+        if took < EMPTY_WAIT {
+            self.reads[stream as usize].hold_back(now + EMPTY_WAIT);
+        }
+        let held = self.holder.heads().of(stream);
+        if let (Some(newest), Some(held)) = (newest, held)
+            && newest < held.revision()
+        {
+            self.holder.note_older(stream, newest, &Origin::Source, out);
+        }
+    }
+
+    fn slow_down(&mut self, now: Tick, stream: Stream, verdict: Verdict) {
+        if verdict != Verdict::Taken {
+            self.reads[stream as usize].hold_back(now + EMPTY_WAIT);
+        }
+    }
+
+    /// A read whose end was never told would keep this node from reading for
+    /// ever, as when the process slept and its connection died meanwhile.
+    fn give_up_late_read(&mut self, now: Tick, stream: Stream) {
+        let bound = self.cfg.watch + self.cfg.call_timeout.saturating_mul(4);
+        let reads = &mut self.reads[stream as usize];
+        if reads.elapsed(now) > bound {
+            reads.fail(now, Duration::ZERO, &mut self.rng);
+        }
+    }
+
+    /// Takes in this node's place in the list held.
+    pub(super) fn find_place(&mut self, now: Tick, out: &mut Vec<Action>) {
+        let Some(list) = self.holder.instances() else {
+            return;
+        };
+        let place = Place::find(list, &self.local.id, &self.local.domain);
+        self.budget.place(now, &place, self.cfg.readers);
+        let before = self.role.reads();
+        self.role.set_place(place);
+        if self.role.reads() != before {
+            self.tell_reading(out);
+        }
+    }
+
+    pub(super) fn tell_reading(&self, out: &mut Vec<Action>) {
+        out.push(Action::Audit(AuditEvent::Reading {
+            reading: self.role.reads(),
+            rank: self.role.turn(),
+        }));
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/machine/states.rs
@@ -0,0 +1,86 @@
+//! Endpoint states: this node's own, and what others say of theirs.
+
+use super::Spread;
+use crate::Action;
+use crate::AuditEvent;
+use crate::EndpointState;
+use crate::Origin;
+use crate::Phase;
+use crate::Tick;
+use crate::membership::Merged;
+
+impl Spread {
+    /// The endpoint beside this node entered a phase.
+    pub(super) fn enter_phase(&mut self, now: Tick, phase: Phase, out: &mut Vec<Action>) {
+        if self.own.phase == phase {
+            return;
+        }
+        self.own.phase = phase;
+        self.own.sequence += 1;
+        self.tell_own(now, out);
+    }
+
+    /// Takes in what others say.
+    pub(super) fn hear_states(
+        &mut self,
+        now: Tick,
+        states: &[EndpointState],
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) {
+        for state in states {
+            if state.instance == self.local.id {
+                self.hear_of_self(now, state, out);
+                continue;
+            }
+            let list = self.holder.instances().map(AsRef::as_ref);
+            if let Merged::News(before) = self.members.merge(now, state, list) {
+                self.spread_state(now, state, before, origin, out);
+            }
+        }
+    }
+
+    /// Peers may remember a higher incarnation than this one's, if the clock
+    /// was set back between two starts. All that this process says would be
+    /// taken for old; so it steps above what they remember.
+    fn hear_of_self(&mut self, now: Tick, heard: &EndpointState, out: &mut Vec<Action>) {
+        if heard.is_newer_than(&self.own) {
+            self.own.incarnation = heard.incarnation.saturating_add(1);
+            self.own.sequence = 0;
+            self.tell_own(now, out);
+        }
+    }
+
+    fn tell_own(&mut self, now: Tick, out: &mut Vec<Action>) {
+        let own = self.own.clone();
+        let list = self.holder.instances().map(AsRef::as_ref);
+        if let Merged::News(before) = self.members.merge(now, &own, list) {
+            let origin = Origin::Peer(self.local.id.clone());
+            self.spread_state(now, &own, before, &origin, out);
+        }
+    }
+
+    fn spread_state(
+        &mut self,
+        now: Tick,
+        state: &EndpointState,
+        before: Option<Phase>,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) {
+        // Those that leave are sent work until everybody knows: no linger.
+        let due = match state.phase {
+            Phase::Draining | Phase::Gone => now,
+            Phase::Starting | Phase::Ready => now + self.cfg.state_linger,
+        };
+        self.gossip.add_state(state.clone(), due);
+        out.push(Action::Endpoint(state.clone()));
+        if before != Some(state.phase) {
+            out.push(Action::Audit(AuditEvent::Endpoint {
+                state: state.clone(),
+                before,
+                origin: origin.clone(),
+            }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/machine/sync.rs
@@ -0,0 +1,146 @@
+//! Comparing with one peer now and then.
+//!
+//! Announcements reach most nodes at once and some not at all: messages are
+//! lost, a node sleeps, a partition lasts. Comparing heads with a random peer
+//! finds whatever was missed, at the cost of two heads.
+
+use super::Spread;
+use super::announce::is_gone;
+use crate::Action;
+use crate::CallId;
+use crate::Contact;
+use crate::Origin;
+use crate::PeerMessage;
+use crate::PeerReply;
+use crate::Reconcile;
+use crate::Sync;
+use crate::SyncReply;
+use crate::Tick;
+use crate::spread::calls::Address;
+use crate::spread::calls::Purpose;
+use crate::spread::calls::Waiting;
+use crate::spread::life::Life;
+
+impl Spread {
+    pub(super) fn sync_what_is_due(&mut self, now: Tick, out: &mut Vec<Action>) {
+        if self.gossip.next_sync > now {
+            return;
+        }
+        self.members.forget(now);
+        if let Life::Joining(_) = self.life {
+            self.ask_to_join(now, out);
+            return;
+        }
+        let interval = self.jittered(self.cfg.interval);
+        self.gossip.next_sync = now + interval;
+        self.gossip.syncs += 1;
+        if let Some(peer) = self.partner(now) {
+            self.send_sync(now, &peer, out);
+        }
+    }
+
+    pub(super) fn send_sync(&mut self, now: Tick, to: &Address, out: &mut Vec<Action>) {
+        let message = PeerMessage::Sync(Sync {
+            control: self.local.control,
+            heads: self.holder.heads(),
+            contact: self.contact.tell(now),
+            states: self.members.root(),
+        });
+        self.calls.send(now, to, Purpose::Sync, message, out);
+    }
+
+    /// The peer to compare with. Those next behind the readers ask a reader
+    /// every second time: they are to notice first that none reads any more.
+    pub(super) fn partner(&mut self, now: Tick) -> Option<Address> {
+        if self.role.is_backup() && self.gossip.syncs.is_multiple_of(2) {
+            let before = self.role.place().map(|place| place.before.as_slice());
+            let turn = usize::try_from(self.gossip.syncs / 2).unwrap_or(0);
+            let readers = usize::try_from(self.cfg.readers).unwrap_or(1);
+            let reader = before.and_then(|before| before.get(turn % readers));
+            if let Some(address) = reader.and_then(|id| self.peers.find(id)) {
+                return Some(address);
+            }
+        }
+        let cross = self.cfg.cross_domain_percent;
+        let members = &self.members;
+        let fits = |peer: &Address| !is_gone(members, peer);
+        self.peers.draw(now, cross, &mut self.rng, fits)
+    }
+
+    pub(super) fn replied(
+        &mut self,
+        now: Tick,
+        call: CallId,
+        reply: PeerReply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(waiting) = self.calls.finish(call) else {
+            return;
+        };
+        self.peers.note_answered(&waiting.to);
+        match (waiting.purpose, reply) {
+            (Purpose::Announce, PeerReply::Heads(Some(heads))) => {
+                self.hear_heads(now, heads, &waiting.to, out);
+            }
+            (Purpose::Sync, PeerReply::Sync(told)) => {
+                self.synced(now, &waiting.to, &told, out);
+            }
+            (Purpose::Pull(stream), PeerReply::Body(body)) => {
+                self.pulled(now, stream, &waiting.to, body.as_ref(), out);
+            }
+            (Purpose::Reconcile, PeerReply::States(states)) => {
+                if let Some(id) = waiting.to.id {
+                    self.hear_states(now, &states, &Origin::Peer(id), out);
+                }
+            }
+            (Purpose::Pull(stream), _) => self.pull_next(now, stream, out),
+            _ => {}
+        }
+    }
+
+    fn synced(&mut self, now: Tick, to: &Address, told: &SyncReply, out: &mut Vec<Action>) {
+        let holder = Address {
+            id: Some(told.from.clone()),
+            control: to.control,
+        };
+        self.hear_contact(now, told.contact, out);
+        if let Life::Joining(joining) = &mut self.life {
+            joining.note_answer(&told.from);
+        }
+        let origin = Origin::Peer(told.from.clone());
+        if let Some(state) = &told.about_you {
+            self.hear_states(now, std::slice::from_ref(state), &origin, out);
+        }
+        self.hear_heads(now, told.heads, &holder, out);
+        let differing = match told.buckets.is_empty() {
+            true => 0,
+            false => self.members.differing(&told.buckets),
+        };
+        if differing != 0 {
+            let states = self.members.in_buckets(differing).cloned().collect();
+            let message = PeerMessage::Reconcile(Reconcile {
+                buckets: differing,
+                states,
+            });
+            self.calls
+                .send(now, &holder, Purpose::Reconcile, message, out);
+        }
+    }
+
+    pub(super) fn call_failed(&mut self, now: Tick, waiting: &Waiting, out: &mut Vec<Action>) {
+        self.peers.note_failed(now, &waiting.to);
+        if let Purpose::Pull(stream) = waiting.purpose {
+            self.pull_next(now, stream, out);
+        }
+    }
+
+    pub(super) fn hear_contact(&mut self, now: Tick, told: Option<Contact>, out: &mut Vec<Action>) {
+        self.contact.hear(now, told);
+        if let Some(told) = told {
+            let age = std::time::Duration::from_millis(u64::from(told.age_ms));
+            if self.role.step_back(told.rank, age) {
+                self.tell_reading(out);
+            }
+        }
+    }
+}
--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -18,10 +18,14 @@
     backoff: Backoff,
     /// A read is under way since then.
     under_way: Option<Tick>,
+    /// The answer to the read under way is old and not to be used.
+    outdated: bool,
     /// No read before this.
     not_before: Tick,
     /// The newest revision that the platform gave, good or bad.
     seen: Option<Revision>,
+    /// Whether the platform ever answered.
+    answered: bool,
     /// Reads asked for so far.
     count: u64,
 }
@@ -32,8 +36,10 @@
             stream,
             backoff: Backoff::new(cfg.backoff_base, cfg.backoff_cap),
             under_way: None,
+            outdated: false,
             not_before: Tick::ZERO,
             seen: None,
+            answered: false,
             count: 0,
         }
     }
@@ -42,6 +48,16 @@
         self.count
     }
 
+    pub(super) fn answered(&self) -> bool {
+        self.answered
+    }
+
+    /// How long the read under way has taken; zero if none is.
+    pub(super) fn elapsed(&self, now: Tick) -> Duration {
+        self.under_way
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// When a read is due; never while one is under way.
     pub(super) fn due(&self) -> Option<Tick> {
         match self.under_way {
@@ -73,16 +89,31 @@
         });
     }
 
+    /// Notes that the answer to the read under way will be old.
+    pub(super) fn outdate(&mut self) {
+        self.outdated = self.under_way.is_some();
+    }
+
+    /// Whether an answer is to be dropped; the read is then due again.
+    pub(super) fn drop_outdated(&mut self) -> bool {
+        if self.outdated {
+            self.under_way = None;
+        }
+        std::mem::take(&mut self.outdated)
+    }
+
     /// Notes that the platform answered, with its newest revision if it gave
     /// a value.
     pub(super) fn succeed(&mut self, seen: Option<Revision>) {
         self.under_way = None;
+        self.answered = true;
         self.seen = self.seen.max(seen);
         self.backoff.succeed();
     }
 
     /// Notes that the read failed; the next waits at least `at_least`.
     pub(super) fn fail(&mut self, now: Tick, at_least: Duration, rng: &mut SmallRng) {
+        self.outdated = false;
         self.under_way = None;
         let wait = self.backoff.fail(rng);
         self.not_before = now + at_least + wait;
--- /dev/null
+++ b/crates/core/src/spread/tests.rs
@@ -0,0 +1,11 @@
+//! Failures, each brought about on a small fake of the network.
+
+mod basics;
+mod costs;
+mod endpoints;
+mod net;
+mod node;
+mod outages;
+mod partitions;
+mod platform;
+mod versions;
--- /dev/null
+++ b/crates/core/src/spread/tests/basics.rs
@@ -0,0 +1,59 @@
+use std::time::Duration;
+
+use super::net::Net;
+use super::net::good;
+use super::net::joined_net;
+use crate::SpreadConfig;
+
+#[test]
+fn every_node_joins_and_follows_each_version() {
+    let mut net = joined_net(30, 1);
+    for revision in 2..12 {
+        net.publish(revision, &good(revision));
+        net.run_until(Duration::from_secs(10), |net| net.all_at(revision));
+    }
+    net.assert_no_step_back();
+}
+
+#[test]
+fn only_the_readers_of_each_domain_read() {
+    let mut net = joined_net(60, 2);
+    net.run_for(Duration::from_secs(120));
+    assert_eq!(net.readers().len(), 2 * 3);
+    for node in net.readers() {
+        let rank = net.node(node).machine.status(net.now).rank;
+        assert!(rank.is_some_and(|rank| rank < 2), "{rank:?}");
+    }
+}
+
+#[test]
+fn a_node_that_is_alone_joins_by_the_platform() {
+    let mut net = Net::new(1, 3, SpreadConfig::default());
+    net.run_until(Duration::from_secs(10), |net| net.node(0).joined);
+    assert!(net.all_at(1));
+}
+
+#[test]
+fn a_node_joins_by_its_seeds_while_the_platform_is_out() {
+    let mut net = joined_net(6, 4);
+    net.stop(5);
+    net.set_outage(true);
+    net.seeds = vec![super::node::addr(0), super::node::addr(1)];
+    net.start(5);
+    net.run_until(Duration::from_secs(10), |net| net.node(5).joined);
+    assert_eq!(net.node(5).revision(), 1);
+}
+
+#[test]
+fn naive_nodes_all_read_and_watch() {
+    let mut net = Net::idle(20, 5, SpreadConfig::default());
+    net.naive = true;
+    for node in 0..20 {
+        net.start(node);
+    }
+    net.run_until(Duration::from_secs(5), |net| net.all_at(1));
+    net.publish(2, &good(2));
+    net.run_until(Duration::from_secs(5), |net| net.all_at(2));
+    assert!(net.messages.is_empty());
+    assert!(net.platform.reads.len() >= 20 * 4);
+}
--- /dev/null
+++ b/crates/core/src/spread/tests/net.rs
@@ -0,0 +1,445 @@
+//! A tiny fake of message passing: nodes, the platform and what goes wrong
+//! between them, in simulated time and with seeded randomness.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::node;
+use super::node::Arrival;
+use super::node::Node;
+use super::platform::Platform;
+use crate::Action;
+use crate::Call;
+use crate::Event;
+use crate::Naive;
+use crate::PeerReply;
+use crate::Phase;
+use crate::Revision;
+use crate::Spread;
+use crate::SpreadConfig;
+use crate::Stream;
+use crate::Tick;
+
+/// A catalogue that differs by `n`.
+pub(super) fn good(n: u64) -> String {
+    format!(
+        "
+kinds: {{lookup: {{weight: 1}}}}
+services:
+  workshop-desk:
+    owner: fitting
+    class: standard
+    limits: {{rate_per_s: {}, concurrency: 10, deadline_ms: 1000}}
+    routes:
+      - {{path: /, kind: lookup, idempotent: true}}
+",
+        100 + n
+    )
+}
+
+/// Nodes that have started and joined.
+pub(super) fn joined_net(n: usize, seed: u64) -> Net {
+    let mut net = Net::new(n, seed, SpreadConfig::default());
+    net.run_until(Duration::from_secs(20), |net| {
+        net.up().all(|node| node.joined) && net.all_at(1)
+    });
+    net
+}
+
+#[derive(Debug)]
+enum Due {
+    Wake,
+    Arrive(Box<Arrival>),
+    Watch {
+        stream: Stream,
+        after: Option<Revision>,
+        until: Tick,
+    },
+}
+
+#[derive(Debug)]
+pub(super) struct Net {
+    pub(super) now: Tick,
+    pub(super) cfg: SpreadConfig,
+    pub(super) nodes: Vec<Option<Node>>,
+    pub(super) platform: Platform,
+    /// Nodes of different groups can't reach each other.
+    pub(super) group: Vec<u32>,
+    /// Nodes of these groups can't reach the platform.
+    pub(super) cut_off: Vec<u32>,
+    pub(super) loss_percent: u32,
+    pub(super) double_percent: u32,
+    pub(super) naive: bool,
+    pub(super) seeds: Vec<std::net::SocketAddr>,
+    /// Counts messages by kind.
+    pub(super) messages: BTreeMap<&'static str, u64>,
+    rng: SmallRng,
+    queue: BinaryHeap<Reverse<(Tick, u64)>>,
+    due: BTreeMap<u64, (usize, u32, Due)>,
+    next: u64,
+    generation: u32,
+    /// When each node is woken next.
+    wakes: Vec<Tick>,
+    seed: u64,
+}
+
+impl Net {
+    /// `n` nodes that start together, all of them listed.
+    pub(super) fn new(n: usize, seed: u64, cfg: SpreadConfig) -> Net {
+        let mut net = Net::idle(n, seed, cfg);
+        for node in 0..n {
+            net.start(node);
+        }
+        net
+    }
+
+    /// `n` listed nodes of which none has started.
+    pub(super) fn idle(n: usize, seed: u64, cfg: SpreadConfig) -> Net {
+        let mut platform = Platform::default();
+        platform.publish(1, &good(1));
+        platform.list((0..n).map(node::instance).collect());
+        Net {
+            now: Tick::ZERO,
+            cfg: cfg.checked().unwrap(),
+            nodes: (0..n).map(|_| None).collect(),
+            platform,
+            group: vec![0; n],
+            cut_off: Vec::new(),
+            loss_percent: 0,
+            double_percent: 0,
+            naive: false,
+            seeds: Vec::new(),
+            messages: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            due: BTreeMap::new(),
+            next: 0,
+            generation: 0,
+            wakes: vec![Tick::from_micros(u64::MAX); n],
+            seed,
+        }
+    }
+
+    pub(super) fn start(&mut self, n: usize) {
+        let started_ms = 1_700_000_000_000 + self.now.as_micros() / 1_000;
+        self.start_at(n, started_ms);
+    }
+
+    /// Starts a node whose clock shows that time.
+    pub(super) fn start_at(&mut self, n: usize, started_ms: u64) {
+        self.generation += 1;
+        let seed = self.seed * 1_000_003 + u64::from(self.generation);
+        let local = node::local(n, started_ms, self.seeds.clone());
+        let cfg = self.cfg.clone();
+        let machine: Box<dyn crate::Disseminate> = match self.naive {
+            true => Box::new(Naive::new(cfg, local, seed, self.now)),
+            false => Box::new(Spread::new(cfg, local, seed, self.now)),
+        };
+        self.nodes[n] = Some(Node::new(machine, self.generation));
+        self.wakes[n] = Tick::from_micros(u64::MAX);
+        self.event(n, Event::Wakeup);
+    }
+
+    pub(super) fn stop(&mut self, n: usize) {
+        self.nodes[n] = None;
+    }
+
+    pub(super) fn publish(&mut self, revision: u64, text: &str) {
+        self.platform.publish(revision, text);
+        self.answer_watches();
+    }
+
+    pub(super) fn list(&mut self, instances: Vec<crate::Instance>) {
+        self.platform.list(instances);
+        self.answer_watches();
+    }
+
+    /// Turns the platform's outage on or off; watches end with it.
+    pub(super) fn set_outage(&mut self, outage: bool) {
+        self.platform.outage = outage;
+        self.answer_watches();
+    }
+
+    pub(super) fn pause(&mut self, n: usize) {
+        if let Some(node) = &mut self.nodes[n] {
+            node.paused = true;
+        }
+    }
+
+    /// A paused node goes on; what came meanwhile comes at once.
+    pub(super) fn resume(&mut self, n: usize) {
+        let Some(node) = &mut self.nodes[n] else {
+            return;
+        };
+        node.paused = false;
+        let backlog = std::mem::take(&mut node.backlog);
+        for arrival in backlog {
+            self.arrive(n, arrival);
+        }
+        self.event(n, Event::Wakeup);
+    }
+
+    pub(super) fn phase(&mut self, n: usize, phase: Phase) {
+        self.event(n, Event::LocalPhase(phase));
+    }
+
+    pub(super) fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.step(end) {}
+        self.now = end;
+    }
+
+    /// Runs until `done` holds; fails the test after `bound`.
+    pub(super) fn run_until(&mut self, bound: Duration, done: impl Fn(&Net) -> bool) -> Duration {
+        let start = self.now;
+        let end = start + bound;
+        while !done(self) {
+            if !self.step(end) {
+                let heads: Vec<_> = self.up().map(|node| node.applied.last()).collect();
+                panic!("not within {bound:?}: in force are {heads:?}");
+            }
+        }
+        self.now.since(start)
+    }
+
+    pub(super) fn up(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.iter().flatten()
+    }
+
+    pub(super) fn node(&self, n: usize) -> &Node {
+        self.nodes[n].as_ref().unwrap()
+    }
+
+    /// Whether every node has that revision of the catalogue in force.
+    pub(super) fn all_at(&self, revision: u64) -> bool {
+        self.up().all(|node| node.revision() == revision)
+    }
+
+    pub(super) fn assert_no_step_back(&self) {
+        for (n, node) in self.nodes.iter().enumerate() {
+            let back = node.as_ref().is_some_and(Node::stepped_back);
+            assert!(!back, "node {n} stepped back");
+        }
+    }
+
+    /// The nodes that read the platform as they see it.
+    pub(super) fn readers(&self) -> Vec<usize> {
+        let reads = |n: &usize| {
+            let node = self.nodes[*n].as_ref();
+            node.is_some_and(|node| node.machine.status(self.now).reading)
+        };
+        (0..self.nodes.len()).filter(reads).collect()
+    }
+
+    fn step(&mut self, end: Tick) -> bool {
+        let Some(Reverse((at, key))) = self.queue.peek().copied() else {
+            return false;
+        };
+        if at > end {
+            return false;
+        }
+        self.queue.pop();
+        self.now = self.now.max(at);
+        let Some((n, generation, due)) = self.due.remove(&key) else {
+            return true;
+        };
+        let Some(node) = &self.nodes[n] else {
+            return true;
+        };
+        if node.generation != generation {
+            return true;
+        }
+        match due {
+            Due::Wake if node.paused || self.wakes[n] != at => {}
+            Due::Wake => self.event(n, Event::Wakeup),
+            Due::Arrive(arrival) => self.arrive(n, *arrival),
+            Due::Watch { stream, .. } => {
+                let result = self.platform.unchanged(stream);
+                self.arrive(n, Arrival::Event(Event::SourceRead { stream, result }));
+            }
+        }
+        true
+    }
+
+    fn arrive(&mut self, n: usize, arrival: Arrival) {
+        let Some(node) = &mut self.nodes[n] else {
+            return;
+        };
+        if node.paused {
+            node.backlog.push(arrival);
+            return;
+        }
+        match arrival {
+            Arrival::Event(event) => self.event(n, event),
+            Arrival::Request {
+                from,
+                call,
+                generation,
+                message,
+            } => {
+                let mut out = Vec::new();
+                let reply = node
+                    .machine
+                    .answer(self.now, &node::id(from), message, &mut out);
+                node.bytes += postcard::to_stdvec(&reply).unwrap().len();
+                self.carry_out(n, out);
+                self.deliver_reply(n, from, generation, call, reply);
+            }
+        }
+    }
+
+    fn deliver_reply(
+        &mut self,
+        from: usize,
+        to: usize,
+        generation: u32,
+        call: crate::CallId,
+        reply: PeerReply,
+    ) {
+        if self.group[from] != self.group[to] || self.drawn(self.loss_percent) {
+            return;
+        }
+        if matches!(reply, PeerReply::Body(Some(_)))
+            && let Some(node) = &mut self.nodes[to]
+        {
+            node.bodies += 1;
+        }
+        let arrival = Arrival::Event(Event::Reply { call, reply });
+        let at = self.now + self.delay();
+        self.push(at, to, generation, Due::Arrive(Box::new(arrival)));
+    }
+
+    fn event(&mut self, n: usize, event: Event) {
+        let mut out = Vec::new();
+        if let Some(node) = &mut self.nodes[n] {
+            node.machine.handle(self.now, event, &mut out);
+        }
+        self.carry_out(n, out);
+    }
+
+    fn carry_out(&mut self, n: usize, out: Vec<Action>) {
+        for action in out {
+            match action {
+                Action::Send(call) => self.send(n, *call),
+                Action::ReadSource {
+                    stream,
+                    after,
+                    wait,
+                } => self.read(n, stream, after, wait),
+                other => self.nodes[n].as_mut().unwrap().note(other),
+            }
+        }
+        let node = self.nodes[n].as_ref().unwrap();
+        let (wake, generation) = (node.machine.next_wakeup(), node.generation);
+        if wake != self.wakes[n] {
+            self.wakes[n] = wake;
+            self.push(wake, n, generation, Due::Wake);
+        }
+    }
+
+    fn send(&mut self, from: usize, call: Call) {
+        *self.messages.entry(call.message.kind()).or_default() += 1;
+        let sender = self.nodes[from].as_mut().unwrap();
+        sender.bytes += postcard::to_stdvec(&call.message).unwrap().len();
+        let generation = sender.generation;
+        let to = node::index(call.addr);
+        let reached = self.nodes.get(to).is_some_and(Option::is_some)
+            && self.group[from] == self.group[to]
+            && !self.drawn(self.loss_percent);
+        if !reached {
+            let failed = Event::CallFailed { call: call.id };
+            let at = self.now + Duration::from_millis(20);
+            self.push(
+                at,
+                from,
+                generation,
+                Due::Arrive(Box::new(Arrival::Event(failed))),
+            );
+            return;
+        }
+        let copies = 1 + usize::from(self.drawn(self.double_percent));
+        let receiver = self.nodes[to].as_ref().unwrap().generation;
+        for _ in 0..copies {
+            let arrival = Arrival::Request {
+                from,
+                call: call.id,
+                generation,
+                message: call.message.clone(),
+            };
+            let at = self.now + self.delay();
+            self.push(at, to, receiver, Due::Arrive(Box::new(arrival)));
+        }
+    }
+
+    fn read(&mut self, n: usize, stream: Stream, after: Option<Revision>, wait: Duration) {
+        self.platform.reads.push(self.now);
+        let generation = self.nodes[n].as_ref().unwrap().generation;
+        let reached = !self.cut_off.contains(&self.group[n]);
+        let result = match reached {
+            true => self.platform.read(stream, after),
+            false => Some(crate::SourceResult::Failed {
+                reason: "cut off".to_owned(),
+            }),
+        };
+        let Some(result) = result else {
+            let until = self.now + wait;
+            let due = Due::Watch {
+                stream,
+                after,
+                until,
+            };
+            self.push(until, n, generation, due);
+            return;
+        };
+        let arrival = Arrival::Event(Event::SourceRead { stream, result });
+        let at = self.now + Duration::from_millis(2);
+        self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
+    }
+
+    /// Answers the watches for which there is something now.
+    fn answer_watches(&mut self) {
+        let waiting: Vec<u64> = self.due.keys().copied().collect();
+        for key in waiting {
+            let (n, generation, due) = &self.due[&key];
+            let Due::Watch {
+                stream,
+                after,
+                until,
+            } = due
+            else {
+                continue;
+            };
+            if *until < self.now || self.cut_off.contains(&self.group[*n]) {
+                continue;
+            }
+            let (n, generation, stream) = (*n, *generation, *stream);
+            let Some(result) = self.platform.read(stream, *after) else {
+                continue;
+            };
+            self.due.remove(&key);
+            let arrival = Arrival::Event(Event::SourceRead { stream, result });
+            let at = self.now + Duration::from_millis(2);
+            self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
+        }
+    }
+
+    fn push(&mut self, at: Tick, n: usize, generation: u32, due: Due) {
+        self.next += 1;
+        self.due.insert(self.next, (n, generation, due));
+        self.queue.push(Reverse((at, self.next)));
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_micros(self.rng.random_range(200..3_000))
+    }
+
+    fn drawn(&mut self, percent: u32) -> bool {
+        percent > 0 && self.rng.random_range(0..100) < percent
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/tests/node.rs
@@ -0,0 +1,136 @@
+//! A node of the fake network: the machine under test and what it did.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::Action;
+use crate::AuditEvent;
+use crate::Disseminate;
+use crate::DomainName;
+use crate::EndpointState;
+use crate::Event;
+use crate::Incarnation;
+use crate::Instance;
+use crate::InstanceId;
+use crate::InstanceState;
+use crate::LocalNode;
+use crate::PeerMessage;
+use crate::RegionName;
+use crate::ServiceName;
+use crate::Snapshot;
+
+/// What waits for a node to wake.
+#[derive(Debug, Clone)]
+pub(super) enum Arrival {
+    Event(Event),
+    Request {
+        from: usize,
+        call: crate::CallId,
+        generation: u32,
+        message: PeerMessage,
+    },
+}
+
+#[derive(Debug)]
+pub(super) struct Node {
+    pub(super) machine: Box<dyn Disseminate>,
+    pub(super) generation: u32,
+    pub(super) paused: bool,
+    pub(super) backlog: Vec<Arrival>,
+    pub(super) joined: bool,
+    pub(super) snapshot: Option<Arc<Snapshot>>,
+    /// Revisions in force, catalogue and list, in the order of coming so.
+    pub(super) applied: Vec<(u64, u64)>,
+    pub(super) audit: Vec<AuditEvent>,
+    pub(super) states: Vec<EndpointState>,
+    /// Encoded bytes of messages sent and answers given.
+    pub(super) bytes: usize,
+    /// Bodies that it was sent.
+    pub(super) bodies: usize,
+}
+
+impl Node {
+    pub(super) fn new(machine: Box<dyn Disseminate>, generation: u32) -> Node {
+        Node {
+            machine,
+            generation,
+            paused: false,
+            backlog: Vec::new(),
+            joined: false,
+            snapshot: None,
+            applied: Vec::new(),
+            audit: Vec::new(),
+            states: Vec::new(),
+            bytes: 0,
+            bodies: 0,
+        }
+    }
+
+    /// Notes what concerns only this node.
+    pub(super) fn note(&mut self, action: Action) {
+        match action {
+            Action::Apply(applied) => {
+                let catalogue = applied.snapshot.catalogue().revision().get();
+                let instances = applied.snapshot.instances().revision().get();
+                self.applied.push((catalogue, instances));
+                self.snapshot = Some(applied.snapshot);
+            }
+            Action::Joined => self.joined = true,
+            Action::Audit(event) => self.audit.push(event),
+            Action::Endpoint(state) => self.states.push(state),
+            Action::Send(_) | Action::ReadSource { .. } => {}
+        }
+    }
+
+    /// The catalogue's revision in force; 0 if none is.
+    pub(super) fn revision(&self) -> u64 {
+        self.applied.last().map_or(0, |applied| applied.0)
+    }
+
+    /// Whether a revision in force was ever followed by a lower one.
+    pub(super) fn stepped_back(&self) -> bool {
+        let back = |pair: &[(u64, u64)]| pair[1].0 < pair[0].0 || pair[1].1 < pair[0].1;
+        self.applied.windows(2).any(back)
+    }
+}
+
+pub(super) fn id(n: usize) -> InstanceId {
+    InstanceId::new(&format!("wd-{n}")).unwrap()
+}
+
+pub(super) fn domain(n: usize) -> DomainName {
+    let names = ["bayanzurkh", "khan-uul", "sukhbaatar"];
+    DomainName::new(names[n % names.len()]).unwrap()
+}
+
+pub(super) fn addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + u16::try_from(n).unwrap()))
+}
+
+pub(super) fn index(addr: SocketAddr) -> usize {
+    usize::from(addr.port() - 10_000)
+}
+
+pub(super) fn instance(n: usize) -> Instance {
+    Instance {
+        id: id(n),
+        service: ServiceName::new("workshop-desk").unwrap(),
+        region: RegionName::new("ulaanbaatar").unwrap(),
+        domain: domain(n),
+        traffic: addr(n),
+        control: addr(n),
+        slots: 10,
+        connections: 120,
+        state: InstanceState::Live,
+    }
+}
+
+pub(super) fn local(n: usize, started_ms: u64, seeds: Vec<SocketAddr>) -> LocalNode {
+    LocalNode {
+        id: id(n),
+        domain: domain(n),
+        control: addr(n),
+        incarnation: Incarnation::from_start_millis(started_ms),
+        seeds,
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/tests/outages.rs
@@ -0,0 +1,116 @@
+use std::time::Duration;
+
+use super::net::Net;
+use super::net::good;
+use super::net::joined_net;
+use crate::SpreadConfig;
+use crate::Tick;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// A budget that is small for a fleet of 400.
+fn small_budget() -> SpreadConfig {
+    SpreadConfig {
+        reads_per_s: 200,
+        share_percent: 50,
+        assumed_fleet: 400,
+        takeover_step: Duration::from_millis(10),
+        contact_bound: Duration::from_secs(6),
+        ..SpreadConfig::default()
+    }
+}
+
+// All nodes are replaced in one moment and come back together, with nothing.
+// Were each to read the platform at once, it would refuse most of them, and
+// the refused would come again. They stay within their share of the budget,
+// and are back within seconds all the same.
+#[test]
+fn a_herd_that_restarts_stays_within_its_share() {
+    let mut net = Net::new(400, 1, small_budget());
+    net.run_until(Duration::from_secs(20), |net| {
+        net.up().all(|node| node.joined) && net.all_at(1)
+    });
+    assert!(net.platform.peak_per_s(Tick::ZERO) <= 100);
+    let again = net.now;
+    for n in 0..400 {
+        net.start(n);
+    }
+    net.run_until(Duration::from_secs(20), |net| {
+        net.up().all(|node| node.joined) && net.all_at(1)
+    });
+    assert!(net.platform.peak_per_s(again) <= 100);
+}
+
+// A switch breaks down: no node reaches another, and each one hears of nobody
+// who reads the platform. All step in, one after the other, and then all
+// read. Together they still stay within the fleet's share.
+#[test]
+fn the_fleet_stays_within_its_share_though_each_node_believes_itself_alone() {
+    let mut net = Net::new(400, 2, small_budget());
+    net.run_until(Duration::from_secs(20), |net| net.all_at(1));
+    let split = net.now;
+    net.group = (0..400).collect();
+    net.run_for(2 * MINUTE);
+    assert!(net.readers().len() > 390, "{}", net.readers().len());
+    let peak = net.platform.peak_per_s(split);
+    assert!(peak <= 100, "{peak} reads in a second");
+    net.publish(2, &good(2));
+    net.run_until(MINUTE, |net| net.all_at(2));
+}
+
+// The platform is out, comes back, and is out again. What is in force stays,
+// nobody comes back in step with the others, and the version that was
+// published between the outages arrives.
+#[test]
+fn two_outages_change_nothing_in_force() {
+    let mut net = joined_net(30, 3);
+    net.set_outage(true);
+    net.run_for(10 * MINUTE);
+    assert!(net.all_at(1));
+    net.set_outage(false);
+    net.publish(2, &good(2));
+    net.run_until(Duration::from_secs(30), |net| net.all_at(2));
+    net.set_outage(true);
+    net.publish(3, &good(3));
+    let back = net.now;
+    net.run_for(60 * MINUTE);
+    assert!(net.all_at(2));
+    net.set_outage(false);
+    net.run_until(Duration::from_secs(30), |net| net.all_at(3));
+    assert!(net.platform.peak_per_s(back) <= 500);
+    net.assert_no_step_back();
+}
+
+// Every reader of the fleet dies in the moment in which a version is
+// published. Others step in, and the version arrives; it is one for each
+// domain that steps in, not a herd.
+#[test]
+fn a_version_arrives_though_all_readers_die_as_it_is_published() {
+    let mut net = joined_net(60, 4);
+    net.run_for(Duration::from_secs(30));
+    for n in net.readers() {
+        net.stop(n);
+    }
+    net.publish(2, &good(2));
+    net.run_until(Duration::from_secs(30), |net| net.all_at(2));
+    net.run_for(Duration::from_secs(30));
+    let reading = net.readers().len();
+    assert!((1..=12).contains(&reading), "{reading} nodes read");
+}
+
+// Readers that were replaced come back; those that stepped in cease to read.
+#[test]
+fn who_stepped_in_goes_back_when_the_readers_return() {
+    let mut net = joined_net(30, 5);
+    let readers = net.readers();
+    for n in &readers {
+        net.stop(*n);
+    }
+    net.run_for(2 * MINUTE);
+    assert!(!net.readers().is_empty());
+    for n in &readers {
+        net.start(*n);
+    }
+    net.run_for(2 * MINUTE);
+    assert_eq!(net.readers(), readers);
+}
--- /dev/null
+++ b/crates/core/src/spread/tests/partitions.rs
@@ -0,0 +1,122 @@
+use std::time::Duration;
+
+use super::net::Net;
+use super::net::good;
+use super::net::joined_net;
+use crate::AuditEvent;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Cuts the nodes of one failure domain off from the others.
+fn cut(net: &mut Net) {
+    for n in (0..net.group.len()).filter(|n| n % 3 == 0) {
+        net.group[n] = 1;
+    }
+}
+
+fn heal(net: &mut Net) {
+    net.group.fill(0);
+    net.cut_off.clear();
+}
+
+// A failure domain loses the others and the platform for an hour, while
+// versions are published. It stays at what it has, and is at the newest some
+// seconds after the healing.
+#[test]
+fn a_domain_that_was_cut_off_for_an_hour_catches_up() {
+    let mut net = joined_net(30, 1);
+    cut(&mut net);
+    net.cut_off = vec![1];
+    for revision in 2..12 {
+        net.publish(revision, &good(revision));
+        net.run_for(6 * MINUTE);
+    }
+    assert_eq!(net.node(0).revision(), 1);
+    assert_eq!(net.node(1).revision(), 11);
+    heal(&mut net);
+    net.run_until(Duration::from_secs(20), |net| net.all_at(11));
+    net.assert_no_step_back();
+}
+
+// Failure domains lose each other, but each reaches the platform: each has
+// readers of its own and follows.
+#[test]
+fn domains_that_lost_each_other_follow_by_their_own_readers() {
+    let mut net = joined_net(30, 2);
+    cut(&mut net);
+    for revision in 2..6 {
+        net.publish(revision, &good(revision));
+        net.run_until(Duration::from_secs(10), |net| net.all_at(revision));
+    }
+}
+
+// A process is stopped for five minutes, and wakes with answers and messages
+// from before in its buffers. It must tell nobody of old versions as news,
+// and is at the newest at once.
+#[test]
+fn a_process_that_slept_wakes_to_the_newest_version() {
+    for sleeper in 0..12 {
+        let mut net = joined_net(12, 3);
+        net.run_for(Duration::from_secs(10));
+        net.pause(sleeper);
+        for revision in 2..6 {
+            net.publish(revision, &good(revision));
+            net.run_for(MINUTE);
+        }
+        assert_eq!(net.node(sleeper).revision(), 1);
+        net.resume(sleeper);
+        net.run_until(Duration::from_secs(3), |net| net.all_at(5));
+        net.assert_no_step_back();
+        let slept = |event: &AuditEvent| matches!(event, AuditEvent::Paused { .. });
+        assert!(net.node(sleeper).audit.iter().any(slept));
+    }
+}
+
+// All readers are stopped, a version is published, and they wake after the
+// others stepped in. The answers to their watches, which came meanwhile, are
+// old; nothing steps back.
+#[test]
+fn readers_that_slept_bring_nothing_old() {
+    let mut net = joined_net(30, 4);
+    net.run_for(Duration::from_secs(10));
+    let readers = net.readers();
+    for n in &readers {
+        net.pause(*n);
+    }
+    for revision in 2..5 {
+        net.publish(revision, &good(revision));
+        net.run_for(2 * MINUTE);
+    }
+    let awake = |net: &Net, n: usize| !net.node(n).paused;
+    assert!(
+        (0..30)
+            .filter(|n| awake(&net, *n))
+            .all(|n| net.node(n).revision() == 4)
+    );
+    for n in &readers {
+        net.resume(*n);
+        net.run_for(Duration::from_millis(20));
+    }
+    net.run_until(Duration::from_secs(5), |net| net.all_at(4));
+    net.assert_no_step_back();
+}
+
+// A third of all messages is lost and a third comes twice, in any order, while
+// versions are published quickly: deltas cross and come doubled.
+#[test]
+fn crossed_and_doubled_deltas_lead_to_the_same_version() {
+    for seed in 1..6 {
+        let mut net = joined_net(20, seed);
+        net.loss_percent = 33;
+        net.double_percent = 33;
+        for revision in 2..60 {
+            net.publish(revision, &good(revision));
+            net.run_for(Duration::from_millis(3));
+        }
+        net.loss_percent = 0;
+        net.run_until(Duration::from_secs(20), |net| net.all_at(59));
+        net.assert_no_step_back();
+        let damaged = |event: &AuditEvent| matches!(event, AuditEvent::BodyRefused { .. });
+        assert!(!net.up().any(|node| node.audit.iter().any(damaged)));
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/tests/platform.rs
@@ -0,0 +1,109 @@
+//! A fake of the platform: what it published, its switches and its readers.
+
+use std::time::Duration;
+
+use crate::Instance;
+use crate::Revision;
+use crate::SourceResult;
+use crate::Stream;
+use crate::Tick;
+
+#[derive(Debug, Clone, Default)]
+pub(super) struct Platform {
+    catalogues: Vec<(u64, String)>,
+    lists: Vec<(u64, Vec<Instance>)>,
+    pub(super) outage: bool,
+    /// Serve only the first so many values of each stream.
+    pub(super) stale: Option<usize>,
+    /// When each read began.
+    pub(super) reads: Vec<Tick>,
+}
+
+impl Platform {
+    pub(super) fn publish(&mut self, revision: u64, text: &str) {
+        self.catalogues.push((revision, text.to_owned()));
+    }
+
+    /// Gives a published revision another content.
+    pub(super) fn replace(&mut self, revision: u64, text: &str) {
+        self.catalogues.retain(|it| it.0 != revision);
+        self.publish(revision, text);
+    }
+
+    pub(super) fn list(&mut self, instances: Vec<Instance>) {
+        let revision = self.lists.len() as u64 + 1;
+        self.lists.push((revision, instances));
+    }
+
+    pub(super) fn newest_list(&self) -> Vec<Instance> {
+        self.lists.last().unwrap().1.clone()
+    }
+
+    pub(super) fn newest(&self, stream: Stream) -> u64 {
+        match stream {
+            Stream::Catalogue => newest(&self.catalogues, self.stale),
+            Stream::Instances => newest(&self.lists, self.stale),
+        }
+    }
+
+    /// The answer, if there is one at this moment; else the read waits.
+    pub(super) fn read(&self, stream: Stream, after: Option<Revision>) -> Option<SourceResult> {
+        if self.outage {
+            return Some(SourceResult::Failed {
+                reason: "outage".to_owned(),
+            });
+        }
+        let newest = self.newest(stream);
+        if newest == 0 {
+            return Some(SourceResult::Nothing);
+        }
+        if after.is_some_and(|after| after.get() >= newest) {
+            return None;
+        }
+        let revision = Revision::new(newest).unwrap();
+        let result = match stream {
+            Stream::Catalogue => SourceResult::Catalogue {
+                revision,
+                text: find(&self.catalogues, newest),
+            },
+            Stream::Instances => SourceResult::Instances {
+                revision,
+                instances: find(&self.lists, newest),
+            },
+        };
+        Some(result)
+    }
+
+    /// The answer to a watch whose time is over.
+    pub(super) fn unchanged(&self, stream: Stream) -> SourceResult {
+        SourceResult::Unchanged {
+            newest: Revision::new(self.newest(stream)).ok(),
+        }
+    }
+
+    /// The most reads that began within any second from `since` on.
+    pub(super) fn peak_per_s(&self, since: Tick) -> usize {
+        let mut times: Vec<Tick> = self.reads.clone();
+        times.retain(|at| *at >= since);
+        times.sort_unstable();
+        let mut first = 0;
+        let mut peak = 0;
+        for (n, at) in times.iter().enumerate() {
+            while times[first] + Duration::from_secs(1) <= *at {
+                first += 1;
+            }
+            peak = peak.max(n + 1 - first);
+        }
+        peak
+    }
+}
+
+fn newest<V>(values: &[(u64, V)], stale: Option<usize>) -> u64 {
+    let served = stale.unwrap_or(values.len()).min(values.len());
+    values[..served].iter().map(|it| it.0).max().unwrap_or(0)
+}
+
+fn find<V: Clone>(values: &[(u64, V)], revision: u64) -> V {
+    let found = values.iter().find(|it| it.0 == revision);
+    found.unwrap().1.clone()
+}
