--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -1,1 +1,98 @@
+use std::time::Duration;
 
+use super::Members;
+use super::Merged;
+use crate::EndpointState;
+use crate::InstanceId;
+use crate::InstanceList;
+use crate::Phase;
+use crate::Revision;
+use crate::Tick;
+use crate::testing;
+
+fn list(n: usize) -> InstanceList {
+    let listed = |n| testing::instance(&format!("wd-{n}"), "workshop-desk", "khan-uul");
+    let instances = (0..n).map(listed);
+    InstanceList::new(Revision::new(1).unwrap(), instances).unwrap()
+}
+
+fn state(n: usize, incarnation: u64, sequence: u64, phase: Phase) -> EndpointState {
+    EndpointState {
+        instance: InstanceId::new(&format!("wd-{n}")).unwrap(),
+        incarnation,
+        sequence,
+        phase,
+    }
+}
+
+#[test]
+fn the_highest_record_wins_whatever_the_order() {
+    let told = [
+        state(1, 5, 0, Phase::Starting),
+        state(1, 5, 1, Phase::Ready),
+        state(1, 4, 9, Phase::Gone),
+        state(1, 6, 0, Phase::Starting),
+    ];
+    let list = list(4);
+    let mut forward = Members::new();
+    let mut backward = Members::new();
+    for n in 0..told.len() {
+        forward.merge(Tick::ZERO, &told[n], Some(&list));
+        backward.merge(Tick::ZERO, &told[told.len() - 1 - n], Some(&list));
+    }
+    assert_eq!(forward.get(&told[0].instance), Some(&told[3]));
+    assert_eq!(forward.root(), backward.root());
+    assert_eq!(
+        forward.merge(Tick::ZERO, &told[3], Some(&list)),
+        Merged::Known
+    );
+}
+
+#[test]
+fn differing_buckets_lead_to_the_differing_records() {
+    let list = list(200);
+    let mut one = Members::new();
+    let mut other = Members::new();
+    for n in 0..200 {
+        let said = state(n, 1, 1, Phase::Ready);
+        one.merge(Tick::ZERO, &said, Some(&list));
+        other.merge(Tick::ZERO, &said, Some(&list));
+    }
+    assert_eq!(one.differing(&other.digests()), 0);
+    let news = state(77, 1, 2, Phase::Draining);
+    one.merge(Tick::ZERO, &news, Some(&list));
+    assert_ne!(one.root(), other.root());
+    let differing = one.differing(&other.digests());
+    assert_eq!(differing.count_ones(), 1);
+    let found: Vec<_> = one.in_buckets(differing).collect();
+    assert!(found.contains(&&news) && found.len() < 20);
+    for state in found {
+        other.merge(Tick::ZERO, state, Some(&list));
+    }
+    assert_eq!(one.root(), other.root());
+}
+
+// An instance is dropped from the list while some node still tells of it. Its
+// record must neither be compared nor stay for ever, or the table would grow
+// with every replaced instance.
+#[test]
+fn a_dropped_record_is_kept_a_while_and_then_goes() {
+    let mut members = Members::new();
+    let before = list(3);
+    let gone = state(2, 1, 3, Phase::Gone);
+    members.merge(Tick::ZERO, &gone, Some(&before));
+    members.relist(Tick::ZERO, &list(2));
+    assert_eq!(members.root(), Members::new().root());
+    assert_eq!(members.get(&gone.instance), Some(&gone));
+    let later = Tick::ZERO + Duration::from_secs(61);
+    members.forget(later);
+    assert_eq!(members.get(&gone.instance), None);
+}
+
+#[test]
+fn unlisted_records_are_bounded() {
+    let mut members = Members::new();
+    let merged = (0..2_000).map(|n| members.merge(Tick::ZERO, &state(n, 1, 0, Phase::Ready), None));
+    let full = merged.filter(|merged| *merged == Merged::Full).count();
+    assert_eq!(full, 2_000 - 1_024);
+}
--- a/crates/core/src/reader/budget.rs
+++ b/crates/core/src/reader/budget.rs
@@ -39,8 +39,10 @@
     /// Part of the period at which this node's moment lies.
     phase: f64,
     period: Duration,
-    /// The last period in which this node read.
-    used: Option<u64>,
+    /// The moment at which the next read is allowed, once one was asked for.
+    booked: Option<Tick>,
+    /// No moment before this is given: the last one is used.
+    free_from: Tick,
 }
 
 impl ReadBudget {
@@ -57,7 +59,8 @@
             filled: now,
             phase: rng.random::<f64>(),
             period: period(cfg.assumed_fleet, half),
-            used: None,
+            booked: None,
+            free_from: now,
         }
     }
 
@@ -77,22 +80,34 @@
         let changed = period(fleet, self.half);
         if changed != self.period {
             self.period = changed;
-            // The numbers of periods have another length now.
-            self.used = Some(self.period_at(now));
+            self.booked = None;
         }
     }
 
-    /// The earliest moment, not before `now`, at which a read is allowed.
-    pub(crate) fn next(&self, now: Tick) -> Tick {
+    /// Asks for a read and returns the moment at which it is allowed.
+    ///
+    /// A moment that passed before it was asked for isn't given: many nodes
+    /// begin to want a read together, and for half of them it has passed. One
+    /// that was booked stays good, so that a late wakeup doesn't lose it.
+    pub(crate) fn book(&mut self, now: Tick) -> Tick {
         if self.chosen {
             let missing = (1.0 - self.tokens_at(now)).max(0.0);
             return now + Duration::from_secs_f64(missing / self.rate);
         }
-        let mut n = self.period_at(now);
-        if self.used.is_some_and(|used| used >= n) || self.moment(n) < now {
-            n += 1;
-        }
-        self.moment(n)
+        let from = now.max(self.free_from);
+        let next = self.moment_from(from);
+        *self.booked.get_or_insert(next)
+    }
+
+    /// The moment that was booked, if one was.
+    pub(crate) fn booked(&self) -> Option<Tick> {
+        self.booked
+    }
+
+    /// Takes back what was asked for: a moment that is kept for later would
+    /// be given to all nodes at once when something happens to all of them.
+    pub(crate) fn cancel(&mut self) {
+        self.booked = None;
     }
 
     /// Uses the read that is allowed now.
@@ -101,17 +116,9 @@
         if self.chosen {
             self.tokens -= 1.0;
         }
-        self.used = Some(self.period_at(now));
-    }
-
-    /// Whether a read is allowed now. A moment counts as reached for as long
-    /// as its period lasts, so that a late wakeup doesn't lose it.
-    pub(crate) fn allows(&self, now: Tick) -> bool {
-        if self.chosen {
-            return self.tokens_at(now) >= 1.0;
+        if let Some(moment) = self.booked.take() {
+            self.free_from = moment + self.period.mul_f64(0.5);
         }
-        let n = self.period_at(now);
-        self.used.is_none_or(|used| used < n) && self.moment(n) <= now
     }
 
     fn fill(&mut self, now: Tick) {
@@ -124,13 +131,16 @@
         (self.tokens + more).min(self.burst)
     }
 
-    fn period_at(&self, now: Tick) -> u64 {
-        now.as_micros() / period_us(self.period)
-    }
-
-    fn moment(&self, n: u64) -> Tick {
-        let start = Tick::from_micros(n.saturating_mul(period_us(self.period)));
-        start + self.period.mul_f64(self.phase)
+    /// This node's first moment that isn't before `from`.
+    fn moment_from(&self, from: Tick) -> Tick {
+        let length = period_us(self.period);
+        let offset = self.period.mul_f64(self.phase);
+        let n = from.as_micros() / length;
+        let moment = Tick::from_micros(n.saturating_mul(length)) + offset;
+        match moment < from {
+            true => moment + Duration::from_micros(length),
+            false => moment,
+        }
     }
 }
 
--- a/crates/core/src/reader/role.rs
+++ b/crates/core/src/reader/role.rs
@@ -83,15 +83,21 @@
         self.place.as_ref()
     }
 
+    /// The age up to which a proof of contact, heard by any node of the fleet,
+    /// says that all is well.
+    pub(crate) fn usual_age(&self) -> Duration {
+        self.bound.saturating_mul(OTHERS_WAIT)
+    }
+
     /// The age of the newest proof of contact at which it steps in.
     pub(crate) fn patience(&self) -> Duration {
         let behind = self.turn().saturating_sub(self.readers);
         let steps = self.step.saturating_mul(behind);
-        if self.is_backup() {
-            self.bound + steps
-        } else {
-            self.bound.saturating_mul(OTHERS_WAIT) + steps
-        }
+        let bound = match self.is_backup() {
+            true => self.bound,
+            false => self.usual_age(),
+        };
+        bound + steps
     }
 
     /// Decides again whether it reads, by the age of the newest proof.
--- a/crates/core/src/reader/tests.rs
+++ b/crates/core/src/reader/tests.rs
@@ -1,1 +1,174 @@
+use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::Backoff;
+use super::ContactClock;
+use super::Place;
+use super::ReadBudget;
+use super::Role;
+use crate::Contact;
+use crate::DomainName;
+use crate::InstanceId;
+use crate::InstanceList;
+use crate::Revision;
+use crate::SpreadConfig;
+use crate::Tick;
+use crate::testing;
+
+fn id(n: usize) -> InstanceId {
+    InstanceId::new(&format!("rd-{n}")).unwrap()
+}
+
+fn domain(n: usize) -> DomainName {
+    DomainName::new(["kakkanad", "edappally", "vyttila"][n % 3]).unwrap()
+}
+
+fn list(ids: impl Iterator<Item = usize>) -> InstanceList {
+    let instances = ids.map(|n| {
+        let id = format!("rd-{n}");
+        testing::instance(&id, "report-desk", domain(n).as_str())
+    });
+    InstanceList::new(Revision::new(1).unwrap(), instances).unwrap()
+}
+
+fn rank(list: &InstanceList, n: usize) -> Option<u32> {
+    Place::find(list, &id(n), &domain(n)).rank
+}
+
+#[test]
+fn ranks_are_unique_in_a_domain_and_move_little() {
+    let all = list(0..60);
+    let mut ranks: Vec<_> = (0..60).step_by(3).map(|n| rank(&all, n).unwrap()).collect();
+    let without = list((0..60).filter(|n| *n != 30));
+    for n in (0..60).step_by(3).filter(|n| *n != 30) {
+        let (before, after) = (rank(&all, n).unwrap(), rank(&without, n).unwrap());
+        assert!(after == before || after + 1 == before);
+    }
+    assert_eq!(rank(&without, 30), None);
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..20).collect::<Vec<u32>>());
+}
+
+#[test]
+fn an_old_proof_isnt_fresh_to_a_node_that_has_just_started() {
+    let mut contact = ContactClock::default();
+    let now = Tick::from_millis(10);
+    let told = Contact {
+        age_ms: 60_000,
+        rank: 0,
+    };
+    contact.hear(now, Some(told));
+    assert_eq!(contact.age(now), Some(Duration::from_secs(60)));
+    contact.prove(now, 1);
+    contact.hear(now + Duration::from_secs(1), Some(told));
+    let later = now + Duration::from_secs(2);
+    assert_eq!(contact.age(later), Some(Duration::from_secs(2)));
+}
+
+#[test]
+fn waits_after_failures_are_spread_and_bounded() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let cap = Duration::from_secs(10);
+    let mut longest = Duration::ZERO;
+    let mut below_half = 0;
+    for _ in 0..200 {
+        let mut backoff = Backoff::new(Duration::from_millis(200), cap);
+        let waits: Vec<_> = (0..40).map(|_| backoff.fail(&mut rng)).collect();
+        assert!(waits[0] <= Duration::from_millis(200));
+        longest = longest.max(*waits.iter().max().unwrap());
+        below_half += usize::from(waits[39] < cap / 2);
+    }
+    assert!(longest <= cap && longest > cap / 2);
+    assert!((60..140).contains(&below_half), "{below_half}");
+}
+
+/// Reads in each second by `fleet` nodes that all want to read all the time
+/// from `start` on, and to which each read is answered at once.
+fn reads_by_second(fleet: usize, start: Tick, place: Option<Place>) -> Vec<usize> {
+    let cfg = SpreadConfig {
+        assumed_fleet: u32::try_from(fleet).unwrap(),
+        ..SpreadConfig::default()
+    };
+    let mut reads = vec![0; 30];
+    for seed in 0..fleet {
+        let mut rng = SmallRng::seed_from_u64(seed as u64);
+        let mut budget = ReadBudget::new(&cfg, &mut rng, Tick::ZERO);
+        if let Some(place) = &place {
+            budget.place(Tick::ZERO, place, cfg.readers);
+        }
+        let mut now = start;
+        loop {
+            now = budget.book(now);
+            let second = usize::try_from(now.since(start).as_secs()).unwrap();
+            if second >= reads.len() {
+                break;
+            }
+            budget.take(now);
+            reads[second] += 1;
+        }
+    }
+    reads
+}
+
+// All 4,100 nodes lose each other and the platform in one moment, and all want
+// to read from the same moment on. The platform answers 2,000 reads a second,
+// and a quarter of that is the fleet's.
+#[test]
+fn the_whole_fleet_stays_within_its_share() {
+    let fleet = 4_100;
+    let place = Place {
+        rank: Some(9),
+        before: Vec::new(),
+        domains: 4,
+        fleet: 4_100,
+    };
+    for place in [None, Some(place)] {
+        let reads = reads_by_second(fleet, Tick::from_millis(61_234), place);
+        let most = reads.iter().max().unwrap();
+        assert!(*most <= 250, "{reads:?}");
+        let total: usize = reads.iter().sum();
+        assert!(total > fleet, "each reads in its turn: {total}");
+    }
+}
+
+#[test]
+fn chosen_readers_have_their_part_of_the_share() {
+    let place = Place {
+        rank: Some(1),
+        before: Vec::new(),
+        domains: 4,
+        fleet: 4_100,
+    };
+    let reads = reads_by_second(8, Tick::from_millis(5_000), Some(place));
+    assert!(
+        reads.iter().all(|reads| (100..=250).contains(reads)),
+        "{reads:?}"
+    );
+}
+
+fn role(list: &InstanceList, n: usize) -> Role {
+    let mut rng = SmallRng::seed_from_u64(n as u64);
+    let mut role = Role::new(&SpreadConfig::default(), &mut rng);
+    role.set_place(Place::find(list, &id(n), &domain(n)));
+    role
+}
+
+#[test]
+fn ranks_step_in_one_after_the_other() {
+    let all = list(0..60);
+    let mut roles: Vec<Role> = (0..60).step_by(3).map(|n| role(&all, n)).collect();
+    roles.sort_by_key(Role::rank);
+    let step = SpreadConfig::default().takeover_step;
+    for pair in roles[2..].windows(2) {
+        assert!(pair[1].patience() >= pair[0].patience() + step);
+    }
+    assert!(roles[0].is_chosen() && roles[1].is_chosen() && !roles[2].is_chosen());
+    let patience = roles[2].patience();
+    assert!(roles[2].step_in(patience) && roles[2].reads());
+    assert!(!roles[3].step_in(patience));
+    // It goes back for one that ranks before it, not for one behind.
+    assert!(!roles[2].step_back(3, Duration::ZERO));
+    assert!(roles[2].step_back(1, Duration::ZERO) && !roles[2].reads());
+}
--- a/crates/core/src/spread/audit.rs
+++ b/crates/core/src/spread/audit.rs
@@ -101,6 +101,12 @@
         /// Who told it.
         origin: Origin,
     },
+    /// Another process speaks for this node's endpoint, with a higher
+    /// incarnation: this one was taken for dead and replaced.
+    Replaced {
+        /// What it said.
+        state: EndpointState,
+    },
     /// The node has joined: it compared its first snapshot with others.
     Joined {
         /// How many peers had answered.
--- a/crates/core/src/spread/config.rs
+++ b/crates/core/src/spread/config.rs
@@ -94,7 +94,7 @@
             share_percent: 25,
             assumed_fleet: 1_000,
             watch: Duration::from_secs(5),
-            contact_bound: Duration::from_secs(10),
+            contact_bound: Duration::from_secs(12),
             takeover_step: Duration::from_secs(1),
             backoff_base: Duration::from_millis(200),
             backoff_cap: Duration::from_secs(10),
--- a/crates/core/src/spread/history.rs
+++ b/crates/core/src/spread/history.rs
@@ -49,20 +49,30 @@
     }
 
     /// Notes the step from what was held to what is held now.
-    pub(super) fn advance(&mut self, old: Option<&Document<T>>, new: &Document<T>) -> Result<()> {
+    pub(super) fn advance(&mut self, old: Option<&Document<T>>, new: &Document<T>) {
         self.cached.clear();
         let Some(old) = old else {
-            return Ok(());
+            return;
         };
         let delta = old.delta_to(new);
-        let body = Body::delta(self.stream, delta.clone())?;
+        match Body::delta(self.stream, delta.clone()) {
+            Ok(body) => self.add(delta, body),
+            // It is too large to be a delta: peers get the whole, and the
+            // history begins anew behind it.
+            Err(_) => {
+                self.changes.clear();
+                self.bytes = 0;
+            }
+        }
+    }
+
+    fn add(&mut self, delta: Delta<T>, body: Body) {
         let bytes = body.bytes.len();
         // INVARIANT: The delta leads from what was held to what is held.
         self.changes.push_back(Change { delta, bytes });
         self.bytes += bytes;
         self.cached.push(body);
         self.shrink();
-        Ok(())
     }
 
     /// What leads from `base` to what is held: a delta where the history goes
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -71,6 +71,8 @@
     gossip: Gossip,
     members: Members,
     own: EndpointState,
+    /// The incarnation of another process with this node's name.
+    replaced_by: Option<u64>,
     role: Role,
     contact: ContactClock,
     budget: ReadBudget,
@@ -104,6 +106,7 @@
             gossip: Gossip::new(now),
             members,
             own,
+            replaced_by: None,
             role: Role::new(&cfg, &mut rng),
             contact: ContactClock::default(),
             budget: ReadBudget::new(&cfg, &mut rng, now),
--- a/crates/core/src/spread/machine/announce.rs
+++ b/crates/core/src/spread/machine/announce.rs
@@ -12,8 +12,8 @@
 use crate::spread::calls::Address;
 use crate::spread::calls::Purpose;
 
-/// Endpoint states in one message.
-const MAX_STATES: usize = 256;
+/// Endpoint states in one announcement.
+pub(super) const MAX_STATES: usize = 64;
 
 impl Spread {
     pub(super) fn announce_what_is_due(&mut self, now: Tick, out: &mut Vec<Action>) {
--- a/crates/core/src/spread/machine/join.rs
+++ b/crates/core/src/spread/machine/join.rs
@@ -112,8 +112,7 @@
         out: &mut Vec<Action>,
     ) {
         if let Some(held) = self.holder.catalogue() {
-            // A change that can't be encoded isn't kept; peers get the whole.
-            let _ = self.catalogues.advance(before, held);
+            self.catalogues.advance(before, held);
         }
         self.taken(now, Stream::Catalogue, origin, out);
     }
@@ -129,11 +128,11 @@
         let Some(held) = self.holder.instances().cloned() else {
             return;
         };
-        // A change that can't be encoded isn't kept; peers get the whole.
-        let _ = self.lists.advance(before, &held);
+        self.lists.advance(before, &held);
         self.peers
             .rebuild(&held, &self.local.id, &self.local.domain);
         self.members.relist(now, &held);
+        self.members.merge(now, &self.own, Some(&held));
         self.find_place(now, out);
         self.taken(now, Stream::Instances, origin, out);
         if before.is_none() {
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -30,26 +30,41 @@
         }
         for stream in Stream::ALL {
             self.give_up_late_read(now, stream);
-            if self.read_due(now, stream).is_none_or(|due| due > now) {
-                continue;
-            }
-            if !self.budget.allows(now) {
-                continue;
+        }
+        while let Some(stream) = self.wanted(now) {
+            if self.budget.book(now) > now {
+                return;
             }
             self.budget.take(now);
             let held = self.holder.heads().of(stream);
             let held = held.map(|version| version.revision());
             self.reads[stream as usize].read(now, held, self.cfg.watch, out);
         }
+        self.budget.cancel();
+    }
+
+    /// A stream that this node wants to read now: the one that was read less,
+    /// so that neither starves where reads are scarce, and the list first.
+    fn wanted(&self, now: Tick) -> Option<Stream> {
+        let streams = [Stream::Instances, Stream::Catalogue];
+        let due = |stream: &Stream| {
+            let due = self.reads[*stream as usize].due();
+            self.wants(now, *stream) && due.is_some_and(|due| due <= now)
+        };
+        let due = streams.into_iter().filter(due);
+        due.min_by_key(|stream| self.reads[*stream as usize].count())
     }
 
-    /// When this node reads a stream next, if it wants to at all.
+    /// When there is something to do about reading a stream.
     pub(super) fn read_due(&self, now: Tick, stream: Stream) -> Option<Tick> {
         if !self.wants(now, stream) {
             return None;
         }
-        let due = self.reads[stream as usize].due()?.max(now);
-        Some(due.max(self.budget.next(now)))
+        let due = self.reads[stream as usize].due()?;
+        match self.budget.booked() {
+            Some(moment) if due <= now => Some(moment),
+            _ => Some(due),
+        }
     }
 
     /// Whether this node reads a stream: as a reader, or to join.
@@ -78,7 +93,7 @@
     /// Whether the fleet, as far as this node knows, was in contact lately.
     pub(super) fn is_current(&self, now: Tick) -> bool {
         let age = self.contact.age(now);
-        age.is_some_and(|age| age < self.cfg.contact_bound)
+        age.is_some_and(|age| age < self.role.usual_age())
     }
 
     pub(super) fn source_read(
--- a/crates/core/src/spread/machine/states.rs
+++ b/crates/core/src/spread/machine/states.rs
@@ -1,6 +1,9 @@
 //! Endpoint states: this node's own, and what others say of theirs.
 
+use std::time::Duration;
+
 use super::Spread;
+use super::announce::MAX_STATES;
 use crate::Action;
 use crate::AuditEvent;
 use crate::EndpointState;
@@ -9,6 +12,9 @@
 use crate::Tick;
 use crate::membership::Merged;
 
+/// A node that started at most so long ago steps above former incarnations.
+const CLAIMS_FOR: Duration = Duration::from_secs(60);
+
 impl Spread {
     /// The endpoint beside this node entered a phase.
     pub(super) fn enter_phase(&mut self, now: Tick, phase: Phase, out: &mut Vec<Action>) {
@@ -20,7 +26,11 @@
         self.tell_own(now, out);
     }
 
-    /// Takes in what others say.
+    /// Takes in what others say of their endpoints.
+    ///
+    /// A few are news and told on. Many at once come from a comparison, as
+    /// when this node has just joined: were they told on, each node that
+    /// joins would make the whole fleet send all it knows.
     pub(super) fn hear_states(
         &mut self,
         now: Tick,
@@ -28,14 +38,17 @@
         origin: &Origin,
         out: &mut Vec<Action>,
     ) {
+        let many = states.len() > MAX_STATES;
         for state in states {
             if state.instance == self.local.id {
                 self.hear_of_self(now, state, out);
                 continue;
             }
             let list = self.holder.instances().map(AsRef::as_ref);
-            if let Merged::News(before) = self.members.merge(now, state, list) {
-                self.spread_state(now, state, before, origin, out);
+            match self.members.merge(now, state, list) {
+                Merged::News(_) if many => out.push(Action::Endpoint(state.clone())),
+                Merged::News(before) => self.spread_state(now, state, before, origin, out),
+                Merged::Known | Merged::Full => {}
             }
         }
     }
@@ -43,11 +56,25 @@
     /// Peers may remember a higher incarnation than this one's, if the clock
     /// was set back between two starts. All that this process says would be
     /// taken for old; so it steps above what they remember.
+    ///
+    /// Later in its life a higher incarnation means that another process took
+    /// its place, as when this one was stopped and taken for dead. Were both
+    /// to step above each other, they would never stop.
     fn hear_of_self(&mut self, now: Tick, heard: &EndpointState, out: &mut Vec<Action>) {
-        if heard.is_newer_than(&self.own) {
+        if !heard.is_newer_than(&self.own) {
+            return;
+        }
+        if now.since(self.started) < CLAIMS_FOR {
             self.own.incarnation = heard.incarnation.saturating_add(1);
             self.own.sequence = 0;
             self.tell_own(now, out);
+            return;
+        }
+        if self.replaced_by != Some(heard.incarnation) {
+            self.replaced_by = Some(heard.incarnation);
+            out.push(Action::Audit(AuditEvent::Replaced {
+                state: heard.clone(),
+            }));
         }
     }
 
--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -7,5 +7,7 @@
 mod node;
 mod outages;
 mod partitions;
+mod parts;
 mod platform;
+mod random;
 mod versions;
--- a/crates/core/src/spread/tests/basics.rs
+++ b/crates/core/src/spread/tests/basics.rs
@@ -3,6 +3,7 @@
 use super::net::Net;
 use super::net::good;
 use super::net::joined_net;
+use crate::AuditEvent;
 use crate::SpreadConfig;
 
 #[test]
@@ -18,8 +19,13 @@
 #[test]
 fn only_the_readers_of_each_domain_read() {
     let mut net = joined_net(60, 2);
-    net.run_for(Duration::from_secs(120));
+    net.run_for(Duration::from_secs(600));
     assert_eq!(net.readers().len(), 2 * 3);
+    for (n, node) in net.nodes.iter().flatten().enumerate() {
+        let acts = |event: &&AuditEvent| matches!(event, AuditEvent::Reading { .. });
+        let changes = node.audit.iter().filter(acts).count();
+        assert!(changes <= 1, "node {n}: {:?}", node.audit);
+    }
     for node in net.readers() {
         let rank = net.node(node).machine.status(net.now).rank;
         assert!(rank.is_some_and(|rank| rank < 2), "{rank:?}");
--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -54,7 +54,7 @@
 
 #[derive(Debug)]
 enum Due {
-    Wake,
+    Wake(Tick),
     Arrive(Box<Arrival>),
     Watch {
         stream: Stream,
@@ -201,8 +201,11 @@
         let end = start + bound;
         while !done(self) {
             if !self.step(end) {
-                let heads: Vec<_> = self.up().map(|node| node.applied.last()).collect();
-                panic!("not within {bound:?}: in force are {heads:?}");
+                let mut counts = BTreeMap::new();
+                for node in self.up() {
+                    *counts.entry(node.applied.last()).or_insert(0) += 1;
+                }
+                panic!("not within {bound:?}: in force are {counts:?}");
             }
         }
         self.now.since(start)
@@ -256,8 +259,8 @@
             return true;
         }
         match due {
-            Due::Wake if node.paused || self.wakes[n] != at => {}
-            Due::Wake => self.event(n, Event::Wakeup),
+            Due::Wake(wake) if node.paused || self.wakes[n] != wake => {}
+            Due::Wake(_) => self.event(n, Event::Wakeup),
             Due::Arrive(arrival) => self.arrive(n, *arrival),
             Due::Watch { stream, .. } => {
                 let result = self.platform.unchanged(stream);
@@ -339,7 +342,9 @@
         let (wake, generation) = (node.machine.next_wakeup(), node.generation);
         if wake != self.wakes[n] {
             self.wakes[n] = wake;
-            self.push(wake, n, generation, Due::Wake);
+            // Timers are late.
+            let at = wake.max(self.now) + self.delay();
+            self.push(at, n, generation, Due::Wake(wake));
         }
     }
 
--- a/crates/core/src/spread/tests/node.rs
+++ b/crates/core/src/spread/tests/node.rs
@@ -12,12 +12,10 @@
 use crate::Incarnation;
 use crate::Instance;
 use crate::InstanceId;
-use crate::InstanceState;
 use crate::LocalNode;
 use crate::PeerMessage;
-use crate::RegionName;
-use crate::ServiceName;
 use crate::Snapshot;
+use crate::testing;
 
 /// What waits for a node to wake.
 #[derive(Debug, Clone)]
@@ -112,16 +110,11 @@
 }
 
 pub(super) fn instance(n: usize) -> Instance {
+    let id = format!("wd-{n}");
     Instance {
-        id: id(n),
-        service: ServiceName::new("workshop-desk").unwrap(),
-        region: RegionName::new("ulaanbaatar").unwrap(),
-        domain: domain(n),
         traffic: addr(n),
         control: addr(n),
-        slots: 10,
-        connections: 120,
-        state: InstanceState::Live,
+        ..testing::instance(&id, "workshop-desk", domain(n).as_str())
     }
 }
 
--- a/crates/core/src/spread/tests/versions.rs
+++ b/crates/core/src/spread/tests/versions.rs
@@ -9,7 +9,7 @@
 const MINUTE: Duration = Duration::from_secs(60);
 
 /// A catalogue whose route names a service that isn't in it.
-const WITHOUT_SERVICE: &str = "
+pub(super) const WITHOUT_SERVICE: &str = "
 kinds: {lookup: {weight: 1}}
 services:
   workshop-desk:
