Pass over instances that have no node

While a fleet is moved over, the list names instances beside which no node runs yet. They were drawn as peers and ranked as readers, so that calls to them failed and a failure domain could wait for a reader that isn't there. A control port of 0 now says that there is no node.

--- a/crates/core/src/instance/entry.rs
+++ b/crates/core/src/instance/entry.rs
@@ -26,7 +26,8 @@
     pub domain: DomainName,
     /// Where its node takes requests from other nodes.
     pub traffic: SocketAddr,
-    /// Where its node takes control messages.
+    /// Where its node takes control messages; port 0 if no node runs beside
+    /// it yet, as in a fleet that is being moved over.
     pub control: SocketAddr,
     /// Requests that its target runs at once.
     pub slots: u32,
@@ -36,6 +37,13 @@
     pub state: InstanceState,
 }
 
+impl Instance {
+    /// Whether a node runs beside it, which can be a peer and a reader.
+    pub fn has_node(&self) -> bool {
+        self.control.port() != 0
+    }
+}
+
 impl Item for Instance {
     type Key = InstanceId;
 
--- a/crates/core/src/reader/choice.rs
+++ b/crates/core/src/reader/choice.rs
@@ -13,6 +13,9 @@
 use crate::InstanceList;
 use crate::InstanceState;
 
+#[cfg(test)]
+mod tests;
+
 /// A node's place among those that may read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Place {
@@ -22,7 +25,7 @@
     pub(crate) before: Vec<InstanceId>,
     /// Failure domains in the list, at least 1.
     pub(crate) domains: u32,
-    /// Instances in the list.
+    /// Instances in the list that have a node.
     pub(crate) fleet: u32,
 }
 
@@ -42,17 +45,19 @@
         let position = ranked.iter().position(|(_, other)| *other == id);
         let before = ranked.iter().take(position.unwrap_or(ranked.len()));
         let before = before.take(MAX_BEFORE).map(|(_, id)| (*id).clone());
+        let nodes = list.iter().filter(|instance| instance.has_node()).count();
         Place {
             rank: position.map(|n| u32::try_from(n).unwrap_or(u32::MAX)),
             before: before.collect(),
             domains: u32::try_from(domains.len().max(1)).unwrap_or(u32::MAX),
-            fleet: u32::try_from(list.len()).unwrap_or(u32::MAX),
+            fleet: u32::try_from(nodes).unwrap_or(u32::MAX),
         }
     }
 }
 
 fn is_candidate(instance: &Instance, domain: &DomainName) -> bool {
-    instance.domain == *domain && instance.state == InstanceState::Live
+    let live = instance.state == InstanceState::Live;
+    instance.has_node() && instance.domain == *domain && live
 }
 
 fn weight(id: &InstanceId) -> Digest {
--- a/crates/core/src/spread/peers.rs
+++ b/crates/core/src/spread/peers.rs
@@ -45,7 +45,8 @@
         self.far.clear();
         self.by_id.clear();
         self.strangers.clear();
-        for instance in list.iter().filter(|instance| instance.id != *id) {
+        let others = list.iter().filter(|instance| instance.id != *id);
+        for instance in others.filter(|instance| instance.has_node()) {
             let address = Address {
                 id: Some(instance.id.clone()),
                 control: instance.control,
