--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -9,10 +9,13 @@
 use self::flags::SassafrasspoolBenchCmd;
 use crate::calls;
 use crate::chaos;
+use crate::control_fleet::FleetOptions;
+use crate::control_fleet::Tuning;
 use crate::generate::GeneratedCatalogue;
 use crate::generate::Shape;
 use crate::output;
 use crate::overload;
+use crate::spread;
 
 mod flags;
 
@@ -24,6 +27,7 @@
 pub fn run() -> miette::Result<()> {
     match SassafrasspoolBench::from_env_or_exit().subcommand {
         SassafrasspoolBenchCmd::Generate(opts) => generate(&opts),
+        SassafrasspoolBenchCmd::Spread(opts) => spread(&opts),
         SassafrasspoolBenchCmd::Overload(opts) => overload(&opts),
         SassafrasspoolBenchCmd::Calls(opts) => calls(&opts),
         SassafrasspoolBenchCmd::Chaos(opts) => chaos(&opts),
@@ -41,6 +45,35 @@
     Ok(())
 }
 
+fn spread(opts: &flags::Spread) -> miette::Result<()> {
+    let target = Shape::target(opts.seed.unwrap_or(1));
+    let fleet = FleetOptions {
+        nodes: opts.nodes.unwrap_or(50),
+        shape: Shape {
+            services: opts.services.unwrap_or(target.services),
+            endpoints: opts.endpoints.unwrap_or(target.endpoints),
+            ..target
+        },
+        naive: opts.naive,
+        tuning: Tuning {
+            fanout: opts.fanout,
+            interval_ms: opts.interval_ms,
+            linger_ms: opts.linger_ms,
+            eager_bytes: opts.eager_bytes,
+            readers: opts.readers,
+            cross_domain_percent: opts.cross_percent,
+            watch_ms: opts.watch_ms,
+        },
+    };
+    let opts = spread::Options {
+        fleet,
+        changes: opts.changes.unwrap_or(10),
+        pace: Duration::from_millis(opts.pace_ms.unwrap_or(1_000)),
+        idle: Duration::from_secs_f64(opts.idle_s.unwrap_or(6.0)),
+    };
+    output::print(&spread::run(&opts)?)
+}
+
 fn overload(opts: &flags::Overload) -> miette::Result<()> {
     let opts = overload::Options {
         nodes: opts.nodes.unwrap_or(4),
--- a/crates/bench/src/cli/flags.rs
+++ b/crates/bench/src/cli/flags.rs
@@ -10,6 +10,39 @@
             /// What all random choices come from (1).
             optional --seed seed: u64
         }
+        /// Publish changes and measure how fast and at what cost they spread.
+        cmd spread {
+            /// Nodes that run, all in this process (50).
+            optional --nodes nodes: usize
+            /// Changes to publish (10).
+            optional --changes changes: usize
+            /// What all random choices come from (1).
+            optional --seed seed: u64
+            /// Let every node read the platform for itself.
+            optional --naive
+            /// Services in the catalogue (690).
+            optional --services services: usize
+            /// Endpoints in the list, those beyond the nodes without one (4100).
+            optional --endpoints endpoints: usize
+            /// Milliseconds from one change to the next (1000).
+            optional --pace-ms pace_ms: u64
+            /// Seconds that the idle fleet is measured (6).
+            optional --idle-s idle_s: f64
+            /// Peers that hear of news at once.
+            optional --fanout fanout: u32
+            /// Milliseconds between regular comparisons.
+            optional --interval-ms interval_ms: u64
+            /// Milliseconds that news is held back.
+            optional --linger-ms linger_ms: u64
+            /// The largest change that goes with its announcement, in bytes.
+            optional --eager-bytes eager_bytes: u64
+            /// Readers in each failure domain.
+            optional --readers readers: u32
+            /// Percent of peers outside of the failure domain.
+            optional --cross-percent cross_percent: u32
+            /// Milliseconds that the platform may hold a watching read.
+            optional --watch-ms watch_ms: u64
+        }
         /// Offer more calls than the slots can do, with and without admission.
         cmd overload {
             /// Instances, each with its node (4).
--- /dev/null
+++ b/crates/bench/src/control_fleet/fleet.rs
@@ -0,0 +1,194 @@
+//! The fleet itself.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use miette::IntoDiagnostic;
+use miette::miette;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::Version;
+use sassafrasspool_standin::Platform;
+use sassafrasspool_standin::PlatformSettings;
+use sassafrasspool_standin::Target;
+use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_wire::admin::ControlStats;
+use tokio::runtime::Builder;
+use tokio::runtime::Handle;
+use tokio::runtime::Runtime;
+use tokio_util::sync::CancellationToken;
+
+use super::FleetOptions;
+use super::Member;
+use super::Publisher;
+use super::settings::Common;
+use crate::generate::GeneratedCatalogue;
+use crate::generate::GeneratedFleet;
+use crate::generate::Shape;
+use crate::usage::ThreadUsage;
+
+/// Threads that the nodes share.
+const NODE_THREADS: usize = 8;
+
+/// Name of those threads.
+const NODE_THREAD_NAME: &str = "node";
+
+/// Threads of the stand-ins.
+const STANDIN_THREADS: usize = 2;
+
+/// How often a condition is looked at.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// Connections that the one target takes: every node probes it.
+const TARGET_CONNECTIONS: u32 = 4_096;
+
+/// Nodes, a platform and a target in this process.
+#[derive(Debug)]
+pub struct ControlFleet {
+    members: Arc<Vec<Member>>,
+    platform: Platform,
+    _target: Target,
+    nodes: Runtime,
+    _standins: Runtime,
+}
+
+impl ControlFleet {
+    /// Starts everything and publishes the list and the first catalogue.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be listened on or a value is too large.
+    pub fn start(opts: &FleetOptions) -> miette::Result<(ControlFleet, Publisher)> {
+        let nodes = runtime(NODE_THREAD_NAME, NODE_THREADS)?;
+        let standins = runtime("standin", STANDIN_THREADS)?;
+        let platform = Platform::start(PlatformSettings::default(), CancellationToken::new());
+        let platform = standins.block_on(platform).into_diagnostic()?;
+        let target = Target::start(target_settings()?, CancellationToken::new());
+        let target = standins.block_on(target).into_diagnostic()?;
+        let common = Common {
+            platform: platform.addr(),
+            target: target.addr(),
+            naive: opts.naive,
+            tuning: opts.tuning,
+        };
+        let shape = Shape {
+            endpoints: opts.shape.endpoints.max(opts.nodes),
+            ..opts.shape
+        };
+        let mut listed = GeneratedFleet::new(shape)
+            .into_diagnostic()?
+            .into_instances();
+        let members = start_members(nodes.handle(), &common, &mut listed[..opts.nodes])?;
+        let generated = GeneratedCatalogue::new(shape).into_diagnostic()?;
+        let publisher = Publisher::start(&platform, generated, &listed)?;
+        let fleet = ControlFleet {
+            members: Arc::new(members),
+            platform,
+            _target: target,
+            nodes,
+            _standins: standins,
+        };
+        Ok((fleet, publisher))
+    }
+
+    /// The nodes.
+    pub fn members(&self) -> &Arc<Vec<Member>> {
+        &self.members
+    }
+
+    /// The platform.
+    pub fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    /// Where the nodes run.
+    pub fn handle(&self) -> &Handle {
+        self.nodes.handle()
+    }
+
+    /// Waits until a catalogue of at least that revision is in force on all
+    /// members that run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes longer than `bound`.
+    pub fn until_in_force(&self, version: Version, bound: Duration) -> miette::Result<()> {
+        let since = Instant::now();
+        loop {
+            let behind = self.behind(version);
+            if behind == 0 {
+                return Ok(());
+            }
+            if since.elapsed() > bound {
+                return Err(miette!(
+                    "{behind} nodes don't hold {version} after {bound:?}"
+                ));
+            }
+            thread::sleep(LOOK);
+        }
+    }
+
+    /// How many running members don't hold that revision yet.
+    pub fn behind(&self, version: Version) -> usize {
+        let holds = |member: &&Member| match member.in_force() {
+            Some(held) => held.catalogue().revision() >= version.revision(),
+            None => member.node().is_none(),
+        };
+        self.members.len() - self.members.iter().filter(holds).count()
+    }
+
+    /// Control traffic of all members that run, added up.
+    pub fn control_stats(&self) -> ControlStats {
+        let mut sum = ControlStats::default();
+        for node in self.members.iter().filter_map(Member::node) {
+            let stats = node.control_stats();
+            sum.bytes_in += stats.bytes_in;
+            sum.bytes_out += stats.bytes_out;
+            sum.messages += stats.messages;
+            sum.pulls += stats.pulls;
+            sum.reads += stats.reads;
+        }
+        sum
+    }
+
+    /// Processor time of all nodes so far.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the system keeps no such accounts.
+    pub fn cpu(&self) -> miette::Result<Duration> {
+        Ok(ThreadUsage::now()?.of(NODE_THREAD_NAME))
+    }
+}
+
+fn start_members(
+    handle: &Handle,
+    common: &Common,
+    listed: &mut [Instance],
+) -> miette::Result<Vec<Member>> {
+    let mut members = Vec::new();
+    for instance in listed {
+        let member = Member::start(handle, common, instance.clone())?;
+        *instance = member.instance().clone();
+        members.push(member);
+    }
+    Ok(members)
+}
+
+fn runtime(name: &str, threads: usize) -> miette::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build()
+        .into_diagnostic()
+}
+
+fn target_settings() -> miette::Result<TargetSettings> {
+    let connections = TARGET_CONNECTIONS.try_into().into_diagnostic()?;
+    Ok(TargetSettings {
+        connections,
+        ..TargetSettings::default()
+    })
+}
--- /dev/null
+++ b/crates/bench/src/control_fleet/member.rs
@@ -0,0 +1,111 @@
+//! One node of the fleet.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use miette::IntoDiagnostic;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::Snapshot;
+use sassafrasspool_node::Node;
+use sassafrasspool_node::NodeAddrs;
+use sassafrasspool_node::RunningNode;
+use tokio::runtime::Handle;
+use tokio_util::sync::CancellationToken;
+
+use super::settings::Common;
+
+/// A node that can be crashed and started again under its addresses.
+#[derive(Debug)]
+pub struct Member {
+    instance: Instance,
+    addrs: NodeAddrs,
+    common: Common,
+    life: Mutex<Option<Life>>,
+}
+
+#[derive(Debug)]
+struct Life {
+    node: RunningNode,
+    cancel: CancellationToken,
+}
+
+impl Member {
+    /// Starts a node beside `instance` on any ports.
+    pub(super) fn start(
+        handle: &Handle,
+        common: &Common,
+        mut instance: Instance,
+    ) -> miette::Result<Member> {
+        let cancel = CancellationToken::new();
+        let settings = common.settings(&instance, None, &[])?;
+        let node = Node::start_on(handle, settings, cancel.clone()).into_diagnostic()?;
+        let addrs = node.addrs();
+        instance.traffic = addrs.traffic;
+        instance.control = addrs.control;
+        Ok(Member {
+            instance,
+            addrs,
+            common: common.clone(),
+            life: Mutex::new(Some(Life { node, cancel })),
+        })
+    }
+
+    /// The instance as the list has it.
+    pub fn instance(&self) -> &Instance {
+        &self.instance
+    }
+
+    /// The running node, if it runs.
+    pub fn node(&self) -> Option<RunningNode> {
+        self.lock().as_ref().map(|life| life.node.clone())
+    }
+
+    /// What the node serves by, once it takes requests.
+    pub fn in_force(&self) -> Option<Arc<Snapshot>> {
+        let life = self.lock();
+        let node = &life.as_ref()?.node;
+        // A node that hasn't joined holds a snapshot that nobody is served by.
+        if node.shared().phase() < Phase::Ready {
+            return None;
+        }
+        node.snapshot()
+    }
+
+    /// Ends the node at once, as a crash does, and waits until its ports are
+    /// free.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node's task ended without a report.
+    pub fn crash(&self, handle: &Handle) -> miette::Result<()> {
+        let Some(life) = self.lock().take() else {
+            return Ok(());
+        };
+        life.cancel.cancel();
+        handle.block_on(life.node.ended()).into_diagnostic()?;
+        Ok(())
+    }
+
+    /// Starts the node again under its addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of its addresses can't be listened on.
+    pub fn restart(&self, handle: &Handle, seeds: &[SocketAddr]) -> miette::Result<()> {
+        let cancel = CancellationToken::new();
+        let settings = self
+            .common
+            .settings(&self.instance, Some(self.addrs), seeds)?;
+        let node = Node::start_on(handle, settings, cancel.clone()).into_diagnostic()?;
+        *self.lock() = Some(Life { node, cancel });
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Life>> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/control_fleet/settings.rs
@@ -0,0 +1,73 @@
+//! Settings of the fleet's nodes.
+
+use std::net::SocketAddr;
+
+use miette::miette;
+use sassafrasspool_core::Instance;
+use sassafrasspool_node::NodeAddrs;
+use sassafrasspool_node::Settings;
+
+use super::Tuning;
+
+/// What all nodes of a fleet are told alike.
+#[derive(Debug, Clone)]
+pub(super) struct Common {
+    pub(super) platform: SocketAddr,
+    pub(super) target: SocketAddr,
+    pub(super) naive: bool,
+    pub(super) tuning: Tuning,
+}
+
+impl Common {
+    /// Settings of the node beside `instance`; at its first start it takes
+    /// any ports, and later those that it had.
+    pub(super) fn settings(
+        &self,
+        instance: &Instance,
+        addrs: Option<NodeAddrs>,
+        seeds: &[SocketAddr],
+    ) -> miette::Result<Settings> {
+        let text = self.text(instance, addrs, seeds);
+        Settings::parse(&text).map_err(|faults| miette!("settings of a node: {faults}"))
+    }
+
+    fn text(&self, instance: &Instance, addrs: Option<NodeAddrs>, seeds: &[SocketAddr]) -> String {
+        let mut spread = self.tuning.entries();
+        if self.naive {
+            spread.push("strategy: naive".to_owned());
+        }
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        [
+            format!("instance: {}", instance.id),
+            format!("service: {}", instance.service),
+            format!("region: {}", instance.region),
+            format!("domain: {}", instance.domain),
+            format!("listen: {{{}}}", listen(addrs)),
+            format!(
+                "target: {{addr: {}, slots: {}, ready_path: /healthz}}",
+                self.target, instance.slots
+            ),
+            format!("platform: {{addr: {}}}", self.platform),
+            format!("seeds: [{}]", seeds.join(", ")),
+            format!("spread: {{{}}}", spread.join(", ")),
+            "traffic_threads: 1".to_owned(),
+            "log: {level: error}".to_owned(),
+        ]
+        .join("\n")
+    }
+}
+
+fn listen(addrs: Option<NodeAddrs>) -> String {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let addrs = addrs.unwrap_or(NodeAddrs {
+        ingress: any,
+        egress: any,
+        traffic: any,
+        control: any,
+        admin: any,
+    });
+    format!(
+        "ingress: {}, egress: {}, traffic: {}, control: {}, admin: {}",
+        addrs.ingress, addrs.egress, addrs.traffic, addrs.control, addrs.admin
+    )
+}
--- /dev/null
+++ b/crates/bench/src/control_fleet/watcher.rs
@@ -0,0 +1,118 @@
+//! Watching when each member puts a snapshot in force.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use sassafrasspool_core::Snapshot;
+use sassafrasspool_core::Tick;
+
+use super::Member;
+use super::Seen;
+
+/// How often all members are looked at. It bounds the error of a convergence
+/// time, and is far below the times that are measured.
+const LOOK: Duration = Duration::from_millis(1);
+
+/// A thread that looks at all members, on the run's clock.
+#[derive(Debug)]
+pub struct Watcher {
+    shared: Arc<Shared>,
+    thread: Option<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    origin: Instant,
+    members: Arc<Vec<Member>>,
+    facts: bool,
+    seen: Mutex<Vec<Seen>>,
+    stop: AtomicBool,
+}
+
+impl Watcher {
+    /// Begins to watch; with `facts`, every snapshot is followed through.
+    pub fn start(members: Arc<Vec<Member>>, facts: bool) -> Watcher {
+        let shared = Arc::new(Shared {
+            origin: Instant::now(),
+            members,
+            facts,
+            seen: Mutex::default(),
+            stop: AtomicBool::new(false),
+        });
+        let looks = Arc::clone(&shared);
+        Watcher {
+            shared,
+            thread: Some(thread::spawn(move || looks.run())),
+        }
+    }
+
+    /// The present tick of the run's clock.
+    pub fn now(&self) -> Tick {
+        self.shared.now()
+    }
+
+    /// All that was seen so far, in the order of seeing.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.shared.lock().clone()
+    }
+
+    /// Takes what was seen so far.
+    pub fn take(&self) -> Vec<Seen> {
+        std::mem::take(&mut *self.shared.lock())
+    }
+}
+
+impl Drop for Watcher {
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread has been printed already.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Shared {
+    fn now(&self) -> Tick {
+        Tick::ZERO + self.origin.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Seen>> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn run(&self) {
+        let mut last: Vec<Option<Arc<Snapshot>>> = vec![None; self.members.len()];
+        while !self.stop.load(Ordering::Relaxed) {
+            for (i, last) in last.iter_mut().enumerate() {
+                self.look(i, last);
+            }
+            thread::sleep(LOOK);
+        }
+    }
+
+    fn look(&self, i: usize, last: &mut Option<Arc<Snapshot>>) {
+        let Some(snapshot) = self.members[i].in_force() else {
+            *last = None;
+            return;
+        };
+        // The last snapshot is kept, so that its address can't be reused.
+        if last
+            .as_ref()
+            .is_some_and(|last| Arc::ptr_eq(last, &snapshot))
+        {
+            return;
+        }
+        let seen = Seen::of(self.now(), i, &snapshot, self.facts);
+        self.lock().push(seen);
+        *last = Some(snapshot);
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod calls;
 pub mod chaos;
 pub mod cli;
+pub mod control_fleet;
 pub mod demo;
 pub mod fit;
 pub mod generate;
 pub mod load;
 pub mod output;
 pub mod overload;
+pub mod spread;
 pub mod summary;
 pub mod usage;
--- /dev/null
+++ b/crates/bench/src/spread/baseline.rs
@@ -0,0 +1,75 @@
+//! Costs over a stretch of time.
+
+use std::ops::AddAssign;
+use std::time::Duration;
+use std::time::Instant;
+
+use sassafrasspool_wire::admin::ControlStats;
+
+use crate::control_fleet::ControlFleet;
+
+/// Counters of a fleet at one moment.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Mark {
+    at: Instant,
+    stats: ControlStats,
+    cpu: Duration,
+    source_reads: u64,
+}
+
+/// What was spent between two marks.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Spent {
+    /// How long it took, in seconds.
+    pub(super) seconds: f64,
+    /// Control bytes of all nodes, read and written.
+    pub(super) bytes: f64,
+    /// Messages of all nodes, sent and received.
+    pub(super) messages: f64,
+    /// Processor time of all nodes in microseconds.
+    pub(super) cpu_us: f64,
+    /// Reads of the platform as the platform counts them.
+    pub(super) source_reads: u64,
+}
+
+impl Mark {
+    pub(super) fn now(fleet: &ControlFleet) -> miette::Result<Mark> {
+        Ok(Mark {
+            at: Instant::now(),
+            stats: fleet.control_stats(),
+            cpu: fleet.cpu()?,
+            source_reads: fleet.platform().stats().reads,
+        })
+    }
+
+    /// What was spent from this mark to a later one.
+    pub(super) fn to(&self, later: &Mark) -> Spent {
+        let bytes = |stats: &ControlStats| stats.bytes_in + stats.bytes_out;
+        let cpu = later.cpu.saturating_sub(self.cpu);
+        Spent {
+            seconds: later.at.duration_since(self.at).as_secs_f64(),
+            bytes: (bytes(&later.stats) - bytes(&self.stats)) as f64,
+            messages: (later.stats.messages - self.stats.messages) as f64,
+            cpu_us: cpu.as_secs_f64() * 1e6,
+            source_reads: later.source_reads - self.source_reads,
+        }
+    }
+}
+
+impl Spent {
+    /// What of `figure` is left after an idle fleet's part over the same time.
+    pub(super) fn beyond(&self, idle: &Spent, figure: impl Fn(&Spent) -> f64) -> f64 {
+        let idle_part = figure(idle) / idle.seconds * self.seconds;
+        (figure(self) - idle_part).max(0.0)
+    }
+}
+
+impl AddAssign for Spent {
+    fn add_assign(&mut self, rhs: Spent) {
+        self.seconds += rhs.seconds;
+        self.bytes += rhs.bytes;
+        self.messages += rhs.messages;
+        self.cpu_us += rhs.cpu_us;
+        self.source_reads += rhs.source_reads;
+    }
+}
