Drive routing, admission and retries beside a naive version

A small simulation on injected time sends the same load through the decisions of this crate and through a naive version (any endpoint, no queue, no retry), while instances crash, drain heard and unheard, come back, slow down and lie about their load. Five rules left out one at a time are each found. At twice the capacity the critical class has at least 95% served and the whole at least 90% of capacity, which the test asserts.

--- /dev/null
+++ b/crates/core/tests/requests/main.rs
@@ -0,0 +1,163 @@
+//! Routing, admission and retries together, driven by a small simulation on
+//! injected time, beside a naive version: any endpoint, no queue, no retry.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use sassafrasspool_core::Class;
+use sassafrasspool_core::history::Promise;
+
+use self::load::Load;
+use self::policy::Policy;
+use self::sim::Fault;
+use self::sim::FaultKind;
+use self::sim::Sim;
+use self::tally::Tally;
+
+mod endpoint;
+mod load;
+mod policy;
+mod sim;
+mod tally;
+
+/// The slots of all endpoints over the time that a request takes on average.
+const CAPACITY_PER_S: f64 = 1_000.0;
+
+fn run(policy: Policy, load: Load, faults: &[Fault], seed: u64) -> Tally {
+    let mut sim = Sim::new(policy, seed);
+    for fault in faults {
+        sim.plan(*fault);
+    }
+    sim.offer(&load);
+    sim.run()
+}
+
+fn at(ms: u64, kind: FaultKind) -> Fault {
+    Fault { ms, kind }
+}
+
+// Instances crash, drain, come back cold, slow down and lie about their load,
+// all at random. Whoever routes, nothing may be lost, doubled or called not
+// run when it ran, and no drain may cut a request or take new ones for long.
+#[test]
+fn neither_version_breaks_a_promise_and_ours_serves_more() {
+    let mut served = [0, 0];
+    for seed in 1..=20 {
+        let load = Load::mixed(0.6 * CAPACITY_PER_S, Duration::from_secs(10));
+        let faults = Fault::draw(seed);
+        let ours = run(Policy::Full, load, &faults, seed);
+        let naive = run(Policy::Naive, load, &faults, seed);
+        assert_eq!(ours.violations, [], "seed {seed}");
+        assert_eq!(naive.violations, [], "seed {seed}");
+        assert_eq!(ours.offered, naive.offered, "the load is the same");
+        served[0] += ours.served();
+        served[1] += naive.served();
+    }
+    assert!(served[0] > served[1], "{served:?}");
+}
+
+#[derive(Debug)]
+struct LeftOut {
+    policy: Policy,
+    breaks: Promise,
+}
+
+// The same runs with a rule left out must be found to break its promise.
+#[rstest]
+#[case(LeftOut { policy: Policy::RetryUnknown, breaks: Promise::AtMostOnce })]
+#[case(LeftOut { policy: Policy::UnknownAsNotRun, breaks: Promise::TrueRefusal })]
+#[case(LeftOut { policy: Policy::DrainTakesWork, breaks: Promise::LeavingRests })]
+#[case(LeftOut { policy: Policy::StopAtOnce, breaks: Promise::GracefulStop })]
+#[case(LeftOut { policy: Policy::RefusalDropped, breaks: Promise::WholeAnswer })]
+fn a_rule_left_out_is_found(#[case] case: LeftOut) {
+    let found = (1..=20).any(|seed| {
+        let load = Load::mixed(CAPACITY_PER_S, Duration::from_secs(10));
+        let tally = run(case.policy, load, &Fault::draw(seed), seed);
+        tally.violations.iter().any(|v| v.promise() == case.breaks)
+    });
+    assert!(found, "{case:?} goes unseen");
+}
+
+// Twice as much work arrives as the targets can do, a third of it approvals.
+// The approvals must get through, and the targets must not be kept busy with
+// work whose callers have given up.
+#[test]
+fn at_twice_the_capacity_critical_work_gets_through() {
+    let load = Load::mixed(2.0 * CAPACITY_PER_S, Duration::from_secs(10));
+    let tally = run(Policy::Full, load, &[], 1);
+    let critical = tally.share_served(Class::Critical);
+    assert!(critical >= 0.95, "{critical}");
+    let rate = tally.served() as f64 / 10.0;
+    assert!(rate >= 0.9 * CAPACITY_PER_S, "{rate}");
+    assert_eq!(tally.violations, []);
+}
+
+// An archive sends retrievals without pause while lookups and approvals come
+// in at half the capacity. The interactive work must not wait for the archive,
+// and the archive must not stop for good.
+#[test]
+fn background_work_yields_and_goes_on() {
+    let load = Load {
+        per_s: [200.0, 300.0, 2_000.0],
+        time: Duration::from_secs(10),
+    };
+    let tally = run(Policy::Full, load, &[], 1);
+    assert!(tally.share_served(Class::Critical) > 0.99);
+    assert!(tally.share_served(Class::Standard) > 0.97);
+    assert!(tally.share_served(Class::Background) > 0.15);
+}
+
+// An instance crashes. Callers nearby keep choosing it until enough connections
+// failed; none of them should notice, since what couldn't connect wasn't run.
+#[test]
+fn a_crashed_endpoint_costs_only_what_it_ran() {
+    let load = Load::mixed(0.5 * CAPACITY_PER_S, Duration::from_secs(5));
+    let faults = [at(1_000, FaultKind::Crash(0))];
+    let tally = run(Policy::Full, load, &faults, 3);
+    assert_eq!(tally.refused(), 0, "{tally:?}");
+    assert!(tally.unknown() <= 10, "at most what its slots held");
+}
+
+// An instance is told to leave while it works, and a second stop comes during
+// the first. Of another instance no node hears that it leaves. Nobody notices: what runs ends, what waits goes elsewhere.
+#[test]
+fn a_drain_is_not_noticed() {
+    let load = Load::mixed(0.5 * CAPACITY_PER_S, Duration::from_secs(5));
+    let drains = [
+        FaultKind::Drain(0),
+        FaultKind::Drain(1),
+        FaultKind::Drain(0),
+    ];
+    let faults = [1_000, 1_000, 1_010].into_iter().zip(drains);
+    let faults: Vec<_> = faults.map(|(ms, kind)| at(ms, kind)).collect();
+    let tally = run(Policy::Full, load, &faults, 4);
+    assert_eq!((tally.refused(), tally.unknown()), (0, 0), "{tally:?}");
+    assert_eq!(tally.violations, []);
+}
+
+// An instance says that it is idle, whatever it does. Callers believe it over
+// others, but count their own requests there and go on when it refuses.
+#[test]
+fn a_lying_load_report_starves_nobody() {
+    let load = Load::mixed(0.7 * CAPACITY_PER_S, Duration::from_secs(5));
+    let lie = [at(0, FaultKind::Lie(0))];
+    let honest = run(Policy::Full, load, &[], 5);
+    let lied = run(Policy::Full, load, &lie, 5);
+    let share = |tally: &Tally| tally.served() as f64 / tally.offered as f64;
+    assert!(
+        share(&lied) > share(&honest) - 0.02,
+        "{} {}",
+        share(&lied),
+        share(&honest)
+    );
+}
+
+// An instance answers twenty times slower than the others. It is left out
+// after some answers, so that the rest of the work keeps its pace.
+#[test]
+fn a_slow_endpoint_is_left_out() {
+    let load = Load::mixed(0.5 * CAPACITY_PER_S, Duration::from_secs(10));
+    let slow = [at(1_000, FaultKind::Slow(0, 20))];
+    let tally = run(Policy::Full, load, &slow, 6);
+    assert!(tally.runs_at(0) * 12 < tally.served() as usize, "{tally:?}");
+}
--- /dev/null
+++ b/crates/core/tests/requests/sim/call.rs
@@ -0,0 +1,28 @@
+//! A request and where it stands.
+
+use sassafrasspool_core::Class;
+use sassafrasspool_core::Deadline;
+use sassafrasspool_core::EndpointKey;
+use sassafrasspool_core::HandedOver;
+use sassafrasspool_core::Pass;
+use sassafrasspool_core::Picked;
+use sassafrasspool_core::Queued;
+use sassafrasspool_core::Received;
+use sassafrasspool_core::Request;
+use sassafrasspool_core::Tries;
+
+/// A request and where it stands.
+pub(super) struct Call {
+    pub(super) class: Class,
+    pub(super) caller: usize,
+    pub(super) deadline: Deadline,
+    pub(super) tries: Tries,
+    pub(super) avoid: Vec<EndpointKey>,
+    pub(super) picked: Option<Picked>,
+    pub(super) endpoint: usize,
+    pub(super) incarnation: u64,
+    pub(super) waits: Option<(Queued, Request<Received>)>,
+    pub(super) runs: Option<(Request<HandedOver>, Pass)>,
+    pub(super) naive_run: bool,
+    pub(super) ended: bool,
+}
--- /dev/null
+++ b/crates/core/tests/requests/sim/calls.rs
@@ -0,0 +1,297 @@
+//! What happens to requests.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use sassafrasspool_core::Class;
+use sassafrasspool_core::Deadline;
+use sassafrasspool_core::Failure;
+use sassafrasspool_core::Hop;
+use sassafrasspool_core::Loss;
+use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Next;
+use sassafrasspool_core::Offer;
+use sassafrasspool_core::Outcome;
+use sassafrasspool_core::Permit;
+use sassafrasspool_core::Reason;
+use sassafrasspool_core::Received;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Request;
+use sassafrasspool_core::Step;
+use sassafrasspool_core::Tries;
+use sassafrasspool_core::Verdict;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_core::history::OperationId;
+use sassafrasspool_core::history::RequestId;
+
+use super::DEADLINE;
+use super::ENDPOINTS;
+use super::MEAN_US;
+use super::ONE_WAY;
+use super::Sim;
+use super::Work;
+use super::call::Call;
+use crate::endpoint::Stage;
+use crate::policy::Policy;
+
+impl Sim {
+    pub(super) fn arrive(&mut self, id: u64, class: Class) {
+        let event = Event::Sent {
+            request: RequestId(id),
+            operation: OperationId(id),
+            repeatable: false,
+        };
+        self.record(event);
+        let caller = self.rng.random_range(0..self.callers.len());
+        let deadline = Deadline::within(self.now, DEADLINE);
+        let budget = self.callers[caller].1.budget(self.service).unwrap();
+        let again = self.policy == Policy::RetryUnknown;
+        let tries = Tries::first(Hop::First, again, &self.limits.retry, deadline, budget);
+        let call = Call {
+            class,
+            caller,
+            deadline,
+            tries,
+            avoid: Vec::new(),
+            picked: None,
+            endpoint: 0,
+            incarnation: 0,
+            waits: None,
+            runs: None,
+            naive_run: false,
+            ended: false,
+        };
+        self.calls.insert(id, call);
+        self.at(deadline.tick(), Work::GiveUp(id));
+        self.send(id, Refusal::not_run(Step::Route, Reason::NoEndpoint).into());
+    }
+
+    /// Sends a request to an endpoint, or ends it with `last` if there is none.
+    pub(super) fn send(&mut self, id: u64, last: Failure) {
+        let call = self.calls.get_mut(&id).unwrap();
+        if self.policy == Policy::Naive {
+            call.endpoint = self.rng.random_range(0..ENDPOINTS);
+        } else {
+            let picker = &self.callers[call.caller].1;
+            match picker.pick(self.service, self.now, &call.avoid, &mut self.rng) {
+                Ok(picked) => {
+                    call.avoid.push(picked.endpoint());
+                    let chosen = self.snapshot.endpoint(picked.endpoint()).unwrap();
+                    let found = self.endpoints.iter();
+                    let mut found = found.map(|e| &e.instance.id);
+                    call.endpoint = found.position(|i| *i == chosen.instance.id).unwrap();
+                    call.picked = Some(picked);
+                }
+                Err(_) => return self.end(id, last),
+            }
+        }
+        self.after(ONE_WAY, Work::Reach(id));
+    }
+
+    pub(super) fn reach(&mut self, id: u64) {
+        let call = self.calls.get_mut(&id).unwrap();
+        let endpoint = &mut self.endpoints[call.endpoint];
+        call.incarnation = endpoint.incarnation;
+        if matches!(endpoint.stage, Stage::Down) {
+            let refusal = Refusal::not_run(Step::Connect, Reason::Connect);
+            return self.miss(id, refusal.into(), Verdict::NoConnection);
+        }
+        if self.policy == Policy::Naive {
+            let busy = endpoint.running >= endpoint.instance.slots;
+            if busy || matches!(endpoint.stage, Stage::Draining(_)) {
+                let refusal = Refusal::not_run(Step::Admission, Reason::QueueFull);
+                return self.miss(id, refusal.into(), Verdict::Shed);
+            }
+            endpoint.running += 1;
+            call.naive_run = true;
+            return self.start(id);
+        }
+        let request = Request::received(call.class, call.deadline);
+        let wakes = self.wakes.clone();
+        let waker = move || -> sassafrasspool_core::Waker {
+            Box::new(move |verdict| wakes.lock().unwrap().push((id, verdict)))
+        };
+        let ask = request.ask(&self.limits);
+        match endpoint.admission.offer(self.now, &ask, waker) {
+            Offer::Admitted(permit) => self.hand_over(id, request, permit),
+            Offer::Queued(queued) => {
+                let until = queued.until();
+                call.waits = Some((queued, request));
+                self.at(until, Work::Expire(id));
+            }
+            Offer::Refused(refusal) => self.refused(id, refusal),
+        }
+    }
+
+    pub(super) fn wake(&mut self) {
+        loop {
+            let wakes = std::mem::take(&mut *self.wakes.lock().unwrap());
+            if wakes.is_empty() {
+                return;
+            }
+            for (id, verdict) in wakes {
+                let waits = self.calls.get_mut(&id).and_then(|call| call.waits.take());
+                let Some((_, request)) = waits else { continue };
+                match verdict {
+                    Ok(permit) => self.hand_over(id, request, permit),
+                    Err(refusal) => self.refused(id, refusal),
+                }
+            }
+        }
+    }
+
+    pub(super) fn expire(&mut self, id: u64) {
+        let waits = self.calls.get_mut(&id).and_then(|call| call.waits.take());
+        let Some((queued, request)) = waits else {
+            return;
+        };
+        match queued.expire(self.now) {
+            Some(refusal) => self.refused(id, refusal),
+            // Its waker was called and is looked at next.
+            None => panic!("a wake was missed: {request:?}"),
+        }
+    }
+
+    pub(super) fn refused(&mut self, id: u64, refusal: Refusal) {
+        let verdict = match refusal.reason() {
+            Reason::Draining => Verdict::Draining,
+            _ => Verdict::Shed,
+        };
+        self.miss(id, refusal.into(), verdict);
+    }
+
+    pub(super) fn hand_over(&mut self, id: u64, request: Request<Received>, permit: Permit) {
+        let call = self.calls.get_mut(&id).unwrap();
+        let gate = match &self.endpoints[call.endpoint].stage {
+            Stage::Up(drain) => Some(drain.gate()),
+            Stage::Draining(drain) => Some(drain.gate()),
+            Stage::Down => None,
+        };
+        let pass = match gate.map(|gate| gate.enter()) {
+            Some(Ok(pass)) => pass,
+            // The naive drain takes work through a gate of nobody's.
+            Some(Err(_)) if self.policy == Policy::DrainTakesWork => {
+                sassafrasspool_core::Gate::open().enter().unwrap()
+            }
+            Some(Err(refusal)) => return self.refused(id, refusal),
+            None => return self.refused(id, request.refuse(Step::Connect, Reason::Connect)),
+        };
+        match request.admit(permit).hand_over(self.now) {
+            Ok(request) => {
+                call.runs = Some((request, pass));
+                self.start(id);
+            }
+            Err(refusal) => self.refused(id, refusal),
+        }
+    }
+
+    pub(super) fn start(&mut self, id: u64) {
+        let endpoint = self.calls[&id].endpoint;
+        self.tally.runs[endpoint] += 1;
+        let target = self.endpoints[endpoint].instance.id.clone();
+        let request = RequestId(id);
+        self.record(Event::RunStarted { request, target });
+        let slowness = self.endpoints[endpoint].slowness;
+        let took = self.rng.random_range(MEAN_US / 2..MEAN_US * 3 / 2) * slowness;
+        self.after(Duration::from_micros(took), Work::Finish(id));
+    }
+
+    pub(super) fn finish(&mut self, id: u64) {
+        let call = self.calls.get_mut(&id).unwrap();
+        let endpoint = &mut self.endpoints[call.endpoint];
+        let crashed = endpoint.incarnation != call.incarnation;
+        let runs = call.runs.take();
+        if call.naive_run && !crashed {
+            endpoint.running -= 1;
+        }
+        if crashed || (runs.is_none() && !call.naive_run) {
+            return;
+        }
+        if let Some((request, pass)) = runs {
+            request.answered().finish(self.now);
+            drop(pass);
+        }
+        let target = endpoint.instance.id.clone();
+        let load = endpoint.load();
+        if let Some(picked) = call.picked.take() {
+            let took = self.now.since(picked.since());
+            picked.report(self.now, load);
+            picked.finish(self.now, Verdict::Answered(took));
+        }
+        let ended = std::mem::replace(&mut call.ended, true);
+        let class = call.class;
+        let request = RequestId(id);
+        self.record(Event::RunFinished { request, target });
+        if !ended {
+            self.tally.by_class[class.index()].served += 1;
+            self.record(Event::Answered {
+                request,
+                answers: request,
+                whole: true,
+            });
+        }
+    }
+
+    /// The deadline passes: what runs goes on, but nobody waits for it.
+    pub(super) fn give_up(&mut self, id: u64) {
+        let call = self.calls.get_mut(&id).unwrap();
+        if call.ended {
+            return;
+        }
+        if let Some(picked) = call.picked.take() {
+            picked.finish(self.now, Verdict::Failed);
+        }
+        // Leaving the queue proves that it wasn't run.
+        let failure = match call.waits.take() {
+            Some((queued, request)) => {
+                drop(queued);
+                request
+                    .refuse(Step::Admission, Reason::DeadlinePassed)
+                    .into()
+            }
+            None => Loss::new(Step::Forward, LossCause::Timeout).into(),
+        };
+        self.end(id, failure);
+    }
+
+    /// A try brought no answer.
+    pub(super) fn miss(&mut self, id: u64, failure: Failure, verdict: Verdict) {
+        let call = self.calls.get_mut(&id).unwrap();
+        if call.ended {
+            return;
+        }
+        let Some(picked) = call.picked.take() else {
+            return self.end(id, failure);
+        };
+        picked.finish(self.now, verdict);
+        let budget = self.callers[call.caller].1.budget(self.service).unwrap();
+        match call.tries.after(self.now, failure, budget) {
+            Next::Again => self.send(id, failure),
+            Next::Stop(failure) => self.end(id, failure),
+        }
+    }
+
+    pub(super) fn end(&mut self, id: u64, failure: Failure) {
+        let call = self.calls.get_mut(&id).unwrap();
+        if std::mem::replace(&mut call.ended, true) {
+            return;
+        }
+        let ends = &mut self.tally.by_class[call.class.index()];
+        let request = RequestId(id);
+        let outcome = match self.policy {
+            Policy::UnknownAsNotRun => Outcome::NotRun,
+            _ => failure.outcome(),
+        };
+        match outcome {
+            Outcome::NotRun if self.policy == Policy::RefusalDropped && id.is_multiple_of(2) => {}
+            Outcome::NotRun => {
+                ends.refused += 1;
+                self.record(Event::RefusedNotRun { request });
+            }
+            Outcome::Unknown => {
+                ends.unknown += 1;
+                self.record(Event::Unknown { request });
+            }
+        }
+    }
+}
