Tell in a chaos report why attempts weren't answered

Refusals were counted without their reasons, which hid that most of them came from nodes that had started without a configuration. The fleet's settings also name some other nodes to ask, as an operator's would.

--- a/crates/bench/src/chaos/report.rs
+++ b/crates/bench/src/chaos/report.rs
@@ -25,6 +25,8 @@
     /// What became of the calls.
     #[serde(flatten)]
     pub verdict: Verdict,
+    /// Attempts that weren't answered, by what their answers gave as reason.
+    pub reasons: BTreeMap<String, u64>,
     /// Violations by promise, as the history checker found them.
     pub violations: BTreeMap<&'static str, u64>,
     /// The first violations, for a person.
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -17,6 +17,7 @@
 use sassafrasspool_core::history::check;
 use sassafrasspool_standin::TargetSettings;
 use sassafrasspool_standin::target::ServiceTimes;
+use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -215,6 +216,7 @@
         naive: opts.naive,
         faults: script.steps.len(),
         verdict: evidence.verdict(),
+        reasons: reasons(&load.records),
         violations: by_promise(&violations),
         first_violations: first(violations.iter().map(ToString::to_string)),
         first_faults: first(evidence.faults().map(|record| format!("{record:?}"))),
@@ -225,6 +227,23 @@
     }
 }
 
+/// Counts what the bodies of refusals and losses say, or else what the caller
+/// saw.
+fn reasons(records: &[CallRecord]) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for record in records {
+        if record.ending == Ending::Answered {
+            continue;
+        }
+        let told: Option<Value> = serde_json::from_str(&record.detail).ok();
+        let reason = told.as_ref().and_then(|told| told["reason"].as_str());
+        let reason = reason.unwrap_or(&record.detail);
+        let ending = record.ending;
+        *counts.entry(format!("{ending:?}: {reason}")).or_default() += 1;
+    }
+    counts
+}
+
 fn by_promise(violations: &[Violation]) -> BTreeMap<&'static str, u64> {
     let mut counts = BTreeMap::new();
     for violation in violations {
--- a/crates/bench/src/load/fleet/member.rs
+++ b/crates/bench/src/load/fleet/member.rs
@@ -7,6 +7,8 @@
 use sassafrasspool_standin::Target;
 use tokio::sync::Mutex;
 
+use super::settings;
+use super::settings::Listen;
 use crate::load::LedgerRun;
 use crate::load::NodeProcess;
 use crate::load::Relay;
@@ -28,11 +30,23 @@
     pub relays: Vec<Relay>,
     /// Its node, unless that is down.
     pub node: Mutex<Option<NodeProcess>>,
+    pub(super) listen: Listen,
     pub(super) settings: PathBuf,
     pub(super) log: PathBuf,
 }
 
 impl Member {
+    /// Writes its node's settings.
+    pub(super) fn write_settings(
+        &self,
+        platform: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> std::io::Result<()> {
+        let target = self.target.addr();
+        let text = settings::text(&self.instance, self.listen, target, platform, seeds);
+        std::fs::write(&self.settings, text)
+    }
+
     /// Starts its node.
     ///
     /// # Errors
--- a/crates/bench/src/load/fleet/settings.rs
+++ b/crates/bench/src/load/fleet/settings.rs
@@ -21,7 +21,10 @@
     listen: Listen,
     target: SocketAddr,
     platform: SocketAddr,
+    seeds: &[SocketAddr],
 ) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let seeds = seeds.join(", ");
     let Instance {
         id,
         service,
@@ -45,6 +48,7 @@
          listen: {{ingress: \"{ingress}\", egress: \"{egress}\", traffic: \"{traffic}\", \
          control: \"{control}\", admin: \"{admin}\"}}\n\
          target: {{addr: \"{target}\", slots: {slots}, connections: {slots}, ready_path: /healthz}}\n\
-         platform: {{addr: \"{platform}\"}}\n"
+         platform: {{addr: \"{platform}\"}}\n\
+         seeds: [{seeds}]\n"
     )
 }
--- a/crates/bench/src/load/fleet/whole.rs
+++ b/crates/bench/src/load/fleet/whole.rs
@@ -23,7 +23,6 @@
 use super::layout::Layout;
 use super::layout::Place;
 use super::member::Member;
-use super::settings;
 use super::settings::Listen;
 use crate::load::LedgerRun;
 use crate::load::Ports;
@@ -33,6 +32,9 @@
 /// The region that all instances stand in.
 const REGION: &str = "ulaanbaatar";
 
+/// Other nodes that each node's settings name.
+const SEEDS: usize = 3;
+
 /// How often a node that isn't ready is asked again.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -62,7 +64,6 @@
         let mut maker = Maker {
             ports: Ports::new(),
             dir: dir.path().to_owned(),
-            platform: platform.addr(),
             relays: layout.relays,
         };
         let mut members = Vec::new();
@@ -76,6 +77,7 @@
             members,
             dir,
         };
+        fleet.write_settings().into_diagnostic()?;
         fleet.publish(layout)?;
         if layout.nodes {
             fleet.start_nodes().await?;
@@ -118,6 +120,18 @@
         self.dir.keep()
     }
 
+    /// Gives each node some others to ask before it knows the instance list,
+    /// without which a node that starts in an outage would stay empty.
+    fn write_settings(&self) -> std::io::Result<()> {
+        for member in &self.members {
+            let others = self.members.iter().filter(|other| other.n != member.n);
+            let controls = others.map(|other| other.instance.control);
+            let seeds: Vec<SocketAddr> = controls.take(SEEDS).collect();
+            member.write_settings(self.platform.addr(), &seeds)?;
+        }
+        Ok(())
+    }
+
     fn publish(&self, layout: &Layout) -> miette::Result<()> {
         let list: Vec<Instance> = self.members.iter().map(|m| m.instance.clone()).collect();
         let catalogue = self.platform.publish_catalogue(&layout.catalogue);
@@ -139,7 +153,6 @@
 struct Maker {
     ports: Ports,
     dir: PathBuf,
-    platform: SocketAddr,
     relays: bool,
 }
 
@@ -155,11 +168,9 @@
                 relays.push(relay);
             }
         }
-        let settings = self.dir.join(format!("{}.yaml", instance.id));
-        let text = settings::text(&instance, listen, target.addr(), self.platform);
-        std::fs::write(&settings, text).into_diagnostic()?;
         Ok(Member {
             n,
+            settings: self.dir.join(format!("{}.yaml", instance.id)),
             log: self.dir.join(format!("{}.log", instance.id)),
             instance,
             ingress: listen.ingress,
@@ -167,7 +178,7 @@
             target,
             relays,
             node: Mutex::new(None),
-            settings,
+            listen,
         })
     }
 
