Catch the naive version by a target that is late each time

Whether four seconds of drawn faults hit requests in the act depends on how busy the machine is: one of five runs under a load of 24 failed. A target whose every answer is late makes each call run three times and be refused falsely, whatever the machine does, and all of them are counted.

--- a/crates/bench/src/chaos/tests.rs
+++ b/crates/bench/src/chaos/tests.rs
@@ -58,15 +58,14 @@
     assert!(!binds(&catalogue::bad_text(7)));
 }
 
-/// What callers of a hastily written proxy see when targets fail: approvals
-/// that were paid twice, since it tried again after a failure, and refusals
-/// of requests that ran, since it calls every failure a refusal. A judge that
-/// passes it would pass anything.
+// What callers of a hastily written proxy see: an impatient adjuster sends an
+// approval again with its key, and it is paid twice, since nothing knows the
+// key. A judge that passes this would pass anything.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_naive_version_is_caught() {
     let report = run(Options {
         nodes: 4,
-        length: Duration::from_secs(4),
+        length: Duration::from_secs(2),
         seed: 1,
         rate_per_node: 100.0,
         naive: true,
@@ -74,7 +73,5 @@
     });
     let report = report.await.unwrap();
     assert!(report.verdict.doubled > 0, "{report:?}");
-    assert!(report.verdict.false_refusals > 0, "{report:?}");
     assert!(report.violations.contains_key("at-most-once"), "{report:?}");
-    assert!(report.violations.contains_key("true-refusal"), "{report:?}");
 }
--- a/crates/bench/src/load/tests.rs
+++ b/crates/bench/src/load/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use super::Entries;
 use super::Keys;
 use super::LedgerRun;
+use super::Naive;
 use super::OpenLoop;
 use super::Outage;
 use super::OutageKind;
@@ -134,6 +136,30 @@
     assert_eq!(target.ledger().runs.len(), 1);
 }
 
+// A target does the work and answers late. A hastily written proxy takes that
+// for a failure: it sends the approval again, twice, and then tells the caller
+// that it wasn't run.
+#[tokio::test]
+async fn the_naive_version_doubles_and_refuses_falsely() {
+    let target = start_target().await;
+    target.late_answers(1, Duration::from_secs(60)).await;
+    let naive = Naive {
+        targets: HashMap::from([(KIND.path, vec![target.addr()])]),
+        tries: 3,
+        try_timeout: Duration::from_millis(100),
+    };
+    let caller = Caller {
+        way: Way::Naive(naive),
+        ..Arc::into_inner(caller(Vec::new())).unwrap()
+    };
+    let plan = Plan::new(&[KIND], RATE, Duration::from_millis(20), 1);
+    let calls = u64::try_from(plan.clone().count()).unwrap();
+    let done = OpenLoop::run(plan, Arc::new(caller)).await;
+    let verdict = judge(&done.records, &ledger_of(&target), &[]);
+    assert_eq!(verdict.doubled, calls, "{verdict:?}");
+    assert_eq!(verdict.false_refusals, calls, "{verdict:?}");
+}
+
 const ENTRY: &str = "127.0.0.1:1000";
 
 fn record(attempt: u32, ending: Ending) -> CallRecord {
