Test whole nodes with every kind of bad catalogue, and their last words

Six kinds of bad catalogues stand between two good ones on three nodes: none comes into force, the next one does. A planned stop is heard by the others as draining and then gone, and the age of contact with the platform is told.

--- a/crates/node/tests/control/admin.rs
+++ b/crates/node/tests/control/admin.rs
@@ -37,6 +37,7 @@
     let status: Status = json(node, "/status").await;
     assert_eq!(status.phase, Phase::Ready);
     assert!(status.joined);
+    assert!(status.source_age_ms.is_some());
     assert_eq!(status.held.catalogue.map(|it| it.revision), Some(1));
 
     let versions: Versions = json(node, "/versions").await;
--- a/crates/node/tests/control/apply.rs
+++ b/crates/node/tests/control/apply.rs
@@ -1,5 +1,7 @@
 //! What is published, on three nodes.
 
+use rstest::rstest;
+use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Stream;
 use sassafrasspool_node::RunningNode;
@@ -19,24 +21,26 @@
     records
 }
 
-// An operator publishes a good catalogue, then one with a route to a service
-// that it doesn't have, then a good one. The second must not come into force
-// anywhere, not even in part, and must not stand in the way of the third.
+// An operator publishes a good catalogue, then a bad one, then a good one. The
+// second must not come into force anywhere, not even in part, and must not
+// stand in the way of the third.
+#[rstest]
+#[case::route_without_its_service(broken())]
+#[case::no_yaml("kinds: [".to_owned())]
+#[case::empty(String::new())]
+#[case::key_twice(format!("{CATALOGUE}kinds: {{}}\n"))]
+#[case::out_of_range(CATALOGUE.replace("weight: 1", "weight: 0"))]
+#[case::undeclared_kind(CATALOGUE.replace("lookup: {weight: 1}", "look: {weight: 1}"))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn bad_version_between_two_good_ones_is_passed_over() {
+async fn bad_version_between_two_good_ones_is_passed_over(#[case] bad: String) {
     let fleet = Fleet::start(3).await;
     let first = fleet.publish(CATALOGUE);
     fleet.until_in_force(first).await;
     fleet.until_ready().await;
 
-    let second = fleet.publish(&broken());
-    let refused = || {
-        fleet
-            .nodes
-            .iter()
-            .any(|it| !records(it, "refused").is_empty())
-    };
-    until(refused).await;
+    let second = fleet.publish(&bad);
+    let refused = |node: &RunningNode| !records(node, "refused").is_empty();
+    until(|| fleet.nodes.iter().any(refused)).await;
     for node in &fleet.nodes {
         assert_eq!(in_force(node), Some(first));
     }
@@ -85,6 +89,34 @@
     fleet.cancel.cancel();
 }
 
+// A node is stopped as planned. The others hear from it that it drains and
+// that it is gone, whatever the platform's list still says.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn planned_stop_is_told_to_the_others() {
+    let fleet = Fleet::start(3).await;
+    let first = fleet.publish(CATALOGUE);
+    fleet.until_in_force(first).await;
+    fleet.until_ready().await;
+    let leaving = InstanceId::new("wd-0").expect("a name");
+    let phase_at = |node: &RunningNode| {
+        let view = node.shared().view()?;
+        view.phase(&leaving)
+    };
+    for other in &fleet.nodes[1..] {
+        until(|| phase_at(other) == Some(Phase::Ready)).await;
+    }
+    fleet.nodes[0].drain().await;
+    for other in &fleet.nodes[1..] {
+        until(|| phase_at(other) == Some(Phase::Draining)).await;
+    }
+    let report = fleet.nodes[0].stop().await.expect("a report");
+    assert_eq!(report.cut, 0);
+    for other in &fleet.nodes[1..] {
+        until(|| phase_at(other) == Some(Phase::Gone)).await;
+    }
+    fleet.cancel.cancel();
+}
+
 // The caller's token ends a node at once, as a crash does: nothing is told to
 // the others and nothing goes on to run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
