Let nodes read for themselves while the list names nobody

A fleet that starts while the platform's list lags reads one that names no node. Each node took its own read for a sign that all is well and asked nobody for the catalogue.

A node whose list gives it nobody to hear from now reads both streams, within its part of the budget. The six are ready, and find each other once the list has caught up, within the 20 s that the test allows.

--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -69,7 +69,7 @@
 
     /// Whether this node reads a stream: as a reader, or to join.
     fn wants(&self, now: Tick, stream: Stream) -> bool {
-        if self.role.reads() {
+        if self.role.reads() || self.hears_nobody() {
             return true;
         }
         if matches!(self.life, Life::Joined(_)) || self.reads[stream as usize].answered() {
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Whether the list that it holds gives it nobody to hear from.
+    ///
+    /// The list lags: a fleet that starts may read one that names no node yet.
+    /// Each node took its own read for a sign that all is well, asked nobody
+    /// for the catalogue, and was ready only after a minute or more. A node
+    /// alone reads for itself, within its part of the budget.
+    fn hears_nobody(&self) -> bool {
+        self.holder.instances().is_some() && self.peers.len() == 0
+    }
+
     /// The age of the newest proof of contact, counted from this node's start
     /// if there is none.
     pub(super) fn contact_age(&self, now: Tick) -> Duration {
--- a/crates/core/src/spread/tests/basics.rs
+++ b/crates/core/src/spread/tests/basics.rs
@@ -39,6 +39,29 @@
     assert!(net.all_at(1));
 }
 
+// A fleet starts while the platform's list, which lags, names none of it. Each
+// node must be ready soon, although it knows nobody, and must find the others
+// soon after the list has caught up.
+#[test]
+fn nodes_that_nobody_lists_yet_join_and_find_each_other() {
+    let mut net = Net::idle(6, 12, SpreadConfig::default());
+    let listed = net.platform.newest_list();
+    net.list(Vec::new());
+    for node in 0..6 {
+        net.start(node);
+    }
+    let soon = Duration::from_secs(20);
+    net.run_until(soon, |net| net.up().all(|node| node.joined));
+    assert!(net.all_at(1));
+    net.list(listed);
+    net.run_until(soon, |net| {
+        net.up().all(|node| node.machine.status(net.now).peers == 5)
+    });
+    net.publish(2, &good(2));
+    net.run_until(soon, |net| net.all_at(2));
+    net.assert_no_step_back();
+}
+
 #[test]
 fn a_node_joins_by_its_seeds_while_the_platform_is_out() {
     let mut net = joined_net(6, 4);
