Test routing, admission, retries and drain part by part

A gate of two steps is found by the same exploration.

One fault came out: a nearer endpoint that was just full kept work from the next tier, which went two tiers on instead, since the margin between tiers was asked for although the further one had room.

--- a/crates/core/src/drain/tests.rs
+++ b/crates/core/src/drain/tests.rs
@@ -1,1 +1,144 @@
+use std::sync::Arc;
+use std::time::Duration;
 
+use shuttle::sync::atomic::AtomicU64;
+use shuttle::sync::atomic::Ordering;
+use shuttle::thread;
+
+use crate::Drain;
+use crate::Draining;
+use crate::Gate;
+use crate::Progress;
+use crate::Reason;
+use crate::Serving;
+use crate::Tick;
+use crate::Word;
+
+const BOUND: Duration = Duration::from_secs(30);
+const NOW: Tick = Tick::from_millis(1_000);
+
+impl Word for AtomicU64 {
+    fn zero() -> AtomicU64 {
+        AtomicU64::new(0)
+    }
+
+    fn load(&self) -> u64 {
+        AtomicU64::load(self, Ordering::SeqCst)
+    }
+
+    fn swap_if(&self, current: u64, new: u64) -> bool {
+        self.compare_exchange(current, new, Ordering::SeqCst, Ordering::SeqCst)
+            .is_ok()
+    }
+}
+
+fn waiting(progress: Progress) -> Drain<Draining> {
+    match progress {
+        Progress::Waiting(drain) => drain,
+        Progress::Over(over) => panic!("over with {} cut", over.cut()),
+    }
+}
+
+// A target is told to leave while requests arrive on every traffic thread. If
+// one could slip in after the drain saw nothing in flight, the stop would cut
+// it. Every interleaving that the explorer draws must end with none inside.
+#[test]
+fn nothing_enters_once_a_closed_gate_is_empty() {
+    shuttle::check_random(race::<AtomicU64>, 2_000);
+}
+
+// The same with a word whose compare and write are two steps.
+#[test]
+#[should_panic]
+fn a_gate_of_two_steps_is_found() {
+    shuttle::check_random(race::<TwoSteps>, 2_000);
+}
+
+struct TwoSteps(AtomicU64);
+
+impl Word for TwoSteps {
+    fn zero() -> TwoSteps {
+        TwoSteps(AtomicU64::new(0))
+    }
+
+    fn load(&self) -> u64 {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    fn swap_if(&self, current: u64, new: u64) -> bool {
+        let same = Word::load(self) == current;
+        if same {
+            self.0.store(new, Ordering::SeqCst);
+        }
+        same
+    }
+}
+
+fn race<W: Word + 'static>() {
+    let drain = Drain::<Serving, W>::serving();
+    let gate = drain.gate().clone();
+    let inside = Arc::new(AtomicU64::new(0));
+    let threads = [(); 3].map(|()| thread::spawn(enter(gate.clone(), inside.clone())));
+    let mut drain = drain.begin(NOW, BOUND);
+    loop {
+        match drain.poll(NOW) {
+            Progress::Waiting(same) => drain = same,
+            Progress::Over(over) => {
+                assert_eq!(over.cut(), 0);
+                break;
+            }
+        }
+        thread::yield_now();
+    }
+    assert_eq!(inside.load(Ordering::SeqCst), 0, "one runs after the stop");
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    assert_eq!(gate.in_flight(), 0);
+}
+
+fn enter<W: Word>(gate: Gate<W>, inside: Arc<AtomicU64>) -> impl FnOnce() {
+    move || {
+        let Ok(pass) = gate.enter() else { return };
+        inside.fetch_add(1, Ordering::SeqCst);
+        inside.fetch_sub(1, Ordering::SeqCst);
+        drop(pass);
+    }
+}
+
+// An operator stops an instance, and while it drains an orchestrator stops it
+// again with a shorter bound. The request that was in flight still finishes.
+#[test]
+fn a_second_planned_stop_cuts_nothing() {
+    let serving = Drain::<Serving>::serving();
+    let pass = serving.gate().enter().unwrap();
+    let drain = serving.begin(NOW, BOUND);
+    let refusal = drain.gate().enter().unwrap_err();
+    assert_eq!(refusal.reason(), Reason::Draining);
+    let later = NOW + Duration::from_secs(5);
+    let drain = waiting(drain.poll(later));
+    let drain = drain.begin_again(later, Duration::ZERO);
+    let drain = waiting(drain.poll(NOW + Duration::from_secs(29)));
+    drop(pass);
+    let Progress::Over(over) = drain.poll(NOW + Duration::from_secs(29)) else {
+        panic!("nothing is in flight");
+    };
+    assert_eq!(over.cut(), 0);
+}
+
+#[test]
+fn the_bound_ends_a_drain_and_counts_what_it_cut() {
+    let serving = Drain::<Serving>::serving();
+    let passes = [(); 2].map(|()| serving.gate().enter().unwrap());
+    let Progress::Over(over) = serving.begin(NOW, BOUND).poll(NOW + BOUND) else {
+        panic!("the bound has passed");
+    };
+    assert_eq!(over.cut(), 2);
+    drop(passes);
+}
+
+#[test]
+fn a_target_that_comes_back_takes_work_again() {
+    let drain = Drain::<Serving>::serving().begin(NOW, BOUND).reopen();
+    assert!(drain.gate().enter().is_ok());
+}
--- a/crates/core/src/request/tests.rs
+++ b/crates/core/src/request/tests.rs
@@ -1,1 +1,64 @@
+use std::time::Duration;
 
+use crate::Admission;
+use crate::AdmissionSettings;
+use crate::Class;
+use crate::Deadline;
+use crate::LossCause;
+use crate::Offer;
+use crate::Outcome;
+use crate::Reason;
+use crate::Request;
+use crate::Step;
+use crate::Tick;
+use crate::testing::LIMITS;
+
+const NOW: Tick = Tick::from_millis(1_000);
+
+fn admitted(admission: &Admission) -> Request<crate::Admitted> {
+    let deadline = Deadline::within(NOW, Duration::from_millis(500));
+    let request = Request::received(Class::Critical, deadline);
+    let offer = admission.offer(NOW, &request.ask(&LIMITS), || Box::new(drop));
+    let Offer::Admitted(permit) = offer else {
+        panic!("a slot is free");
+    };
+    request.admit(permit)
+}
+
+// A node is paused (a full host, a debugger, a live migration) right after it
+// admitted an approval, and wakes up ten seconds later. Its caller has given
+// up by then; run now, the approval would come on top of what the caller did
+// instead.
+#[test]
+fn a_pause_before_the_hand_over_ends_the_request() {
+    let admission = Admission::new(AdmissionSettings::default(), 1).unwrap();
+    let woken = NOW + Duration::from_secs(10);
+    let refusal = admitted(&admission).hand_over(woken).unwrap_err();
+    assert_eq!(refusal.outcome(), Outcome::NotRun);
+    assert_eq!(refusal.reason(), Reason::DeadlinePassed);
+    assert_eq!(admission.load().in_flight, 0, "the slot is free again");
+}
+
+#[test]
+fn every_end_gives_the_slot_back() {
+    let admission = Admission::new(AdmissionSettings::default(), 1).unwrap();
+    let later = NOW + Duration::from_millis(10);
+    let _ = admitted(&admission).refuse(later, Step::Admission, Reason::Draining);
+    admitted(&admission)
+        .hand_over(NOW)
+        .unwrap()
+        .answered()
+        .finish(later);
+    let sent = admitted(&admission).hand_over(NOW).unwrap();
+    assert_eq!(
+        sent.lost(later, LossCause::Timeout).outcome(),
+        Outcome::Unknown
+    );
+    let answered = admitted(&admission).hand_over(NOW).unwrap().answered();
+    assert_eq!(
+        answered.cut(later, LossCause::AnswerCut).outcome(),
+        Outcome::Unknown
+    );
+    drop(admitted(&admission).hand_over(NOW).unwrap());
+    assert_eq!(admission.load().in_flight, 0);
+}
--- a/crates/core/src/retry/tests.rs
+++ b/crates/core/src/retry/tests.rs
@@ -1,39 +1,125 @@
 use std::time::Duration;
 
-use super::Budget;
-use super::Hop;
-use super::Next;
-use super::Tries;
+use rstest::rstest;
+
+use crate::Attempt;
+use crate::Budget;
 use crate::Deadline;
 use crate::Failure;
+use crate::Hop;
 use crate::Loss;
 use crate::LossCause;
+use crate::Next;
 use crate::Outcome;
 use crate::Reason;
 use crate::Refusal;
 use crate::RetryLimits;
 use crate::Step;
 use crate::Tick;
+use crate::Tries;
+
+const NOW: Tick = Tick::from_millis(1_000);
+const LIMITS: RetryLimits = RetryLimits {
+    attempts: 2,
+    budget_percent: 10,
+};
+
+fn refused(reason: Reason) -> Failure {
+    Refusal::not_run(Step::Admission, reason).into()
+}
+
+fn lost() -> Failure {
+    Loss::new(Step::Forward, LossCause::ConnectionLost).into()
+}
+
+fn tries(hop: Hop, idempotent: bool, budget: &Budget) -> Tries {
+    let deadline = Deadline::within(NOW, Duration::from_secs(1));
+    Tries::first(hop, idempotent, &LIMITS, deadline, budget)
+}
+
+#[derive(Debug)]
+struct Case {
+    hop: Hop,
+    idempotent: bool,
+    failure: Failure,
+    again: bool,
+}
+
+#[rstest]
+#[case(Case { hop: Hop::First, idempotent: false, failure: refused(Reason::QueueFull), again: true })]
+#[case(Case { hop: Hop::First, idempotent: false, failure: refused(Reason::Draining), again: true })]
+#[case(Case { hop: Hop::First, idempotent: false, failure: refused(Reason::Connect), again: true })]
+#[case(Case { hop: Hop::First, idempotent: false, failure: lost(), again: false })]
+#[case(Case { hop: Hop::First, idempotent: true, failure: lost(), again: true })]
+#[case(Case { hop: Hop::First, idempotent: true, failure: refused(Reason::DeadlinePassed), again: false })]
+#[case(Case { hop: Hop::Later, idempotent: true, failure: lost(), again: false })]
+#[case(Case { hop: Hop::Later, idempotent: false, failure: refused(Reason::QueueFull), again: false })]
+fn only_the_first_hop_tries_what_may_run_again(#[case] case: Case) {
+    let budget = Budget::new();
+    let next = tries(case.hop, case.idempotent, &budget).after(NOW, case.failure, &budget);
+    assert_eq!(next == Next::Again, case.again, "{case:?}");
+}
+
+#[test]
+fn nothing_is_tried_after_the_deadline_or_the_last_attempt() {
+    let budget = Budget::new();
+    let late = NOW + Duration::from_secs(1);
+    let stop = tries(Hop::First, true, &budget).after(late, lost(), &budget);
+    assert_eq!(stop, Next::Stop(lost()));
+    let mut tries = tries(Hop::First, true, &budget);
+    assert_eq!(tries.after(NOW, lost(), &budget), Next::Again);
+    assert_eq!(tries.after(NOW, lost(), &budget), Next::Stop(lost()));
+}
 
-// A fitter looks up a policy. The first target crashes with the lookup on it,
-// and the second endpoint refuses it as its queue is full. The refusal is true
-// of the second try alone: the caller must hear that nobody knows.
+// A service is down. Without a budget every call would be sent twice, and the
+// service would come back under double load.
 #[test]
-fn a_refusal_after_a_loss_is_told_as_a_loss() {
-    let budget = Budget::default();
-    let deadline = Deadline::within(Tick::ZERO, Duration::from_secs(1));
-    let limits = RetryLimits {
-        attempts: 2,
-        budget_percent: 100,
+fn a_budget_bounds_the_retries_of_a_service() {
+    let budget = Budget::new();
+    let again = |_: &u32| {
+        let mut tries = tries(Hop::First, true, &budget);
+        tries.after(NOW, lost(), &budget) == Next::Again
     };
-    let mut tries = Tries::first(Hop::First, true, &limits, deadline, &budget);
-    let lost = Loss::new(Step::Forward, LossCause::ConnectionLost);
-    let next = tries.after(Tick::ZERO, lost.into(), &budget);
-    assert_eq!(next, Next::Again);
-    let refused = Refusal::not_run(Step::Admission, Reason::QueueFull);
-    let Next::Stop(told) = tries.after(Tick::ZERO, refused.into(), &budget) else {
-        panic!("there were two tries");
+    let retried = (0..1_000).filter(again).count();
+    assert!((100..=120).contains(&retried), "{retried}");
+}
+
+// Several endpoints leave at once, and their nodes refuse what still reaches
+// them. Moving on is no retry: nothing was run, and the budget is hardly used.
+#[test]
+fn moving_on_from_a_leaving_endpoint_is_cheap_and_bounded() {
+    let budget = Budget::new();
+    let mut tries = tries(Hop::First, false, &budget);
+    let draining = refused(Reason::Draining);
+    let moves = (0..9).take_while(|_| tries.after(NOW, draining, &budget) == Next::Again);
+    assert_eq!(moves.count(), 4);
+    assert_eq!(
+        tries.after(NOW, refused(Reason::QueueFull), &budget),
+        Next::Again
+    );
+}
+
+#[derive(Debug)]
+struct Told {
+    attempt: Attempt,
+    reason: Reason,
+    outcome: Outcome,
+}
+
+// A caller repeats a payment after it got no answer, and the repeat finds the
+// owner of its key leaving. Were it told "not run", it would take that for the
+// payment and make a new one, while the first attempt may have paid.
+#[rstest]
+#[case(Told { attempt: Attempt::MayRepeat, reason: Reason::Draining, outcome: Outcome::Unknown })]
+#[case(Told { attempt: Attempt::MayRepeat, reason: Reason::Connect, outcome: Outcome::Unknown })]
+#[case(Told { attempt: Attempt::MayRepeat, reason: Reason::NoEndpoint, outcome: Outcome::Unknown })]
+#[case(Told { attempt: Attempt::MayRepeat, reason: Reason::WindowFull, outcome: Outcome::NotRun })]
+#[case(Told { attempt: Attempt::First, reason: Reason::Draining, outcome: Outcome::NotRun })]
+fn a_repeat_is_told_not_run_only_with_proof(#[case] case: Told) {
+    let budget = Budget::new();
+    let mut tries = tries(Hop::First, false, &budget).keyed(case.attempt);
+    let Next::Stop(failure) = tries.after(NOW, refused(case.reason), &budget) else {
+        panic!("a key has one owner: {case:?}");
     };
-    assert_eq!(told, Failure::Lost(lost));
-    assert_eq!(tries.told(refused.into()).outcome(), Outcome::Unknown);
+    assert_eq!(failure.outcome(), case.outcome, "{case:?}");
 }
--- a/crates/core/src/route/picker.rs
+++ b/crates/core/src/route/picker.rs
@@ -172,7 +172,9 @@
             let Some((load, found)) = self.less_loaded(among, now, in_tier, rng) else {
                 continue;
             };
-            if best.is_none_or(|(held, _)| load + margin < held) {
+            // What was found so far is full, or this tier wouldn't be looked at.
+            let better = |held: f32| load <= full || load + margin < held;
+            if best.is_none_or(|(held, _)| better(held)) {
                 best = Some((load, found));
             }
             if best.is_some_and(|(held, _)| held <= full) {
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -19,7 +19,7 @@
     /// the next tier.
     pub spill_percent: u32,
     /// How much less loaded, in percent of its slots, an endpoint of a further
-    /// tier must be to be preferred.
+    /// tier must be to be preferred if it is full as well.
     pub spill_margin_percent: u32,
     /// How long an endpoint that refused because it drains is left out, until
     /// its own word arrives by the control path.
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -1,10 +1,14 @@
 //! What the tests of several modules need.
 
+use std::time::Duration;
+
 use crate::DomainName;
 use crate::Instance;
 use crate::InstanceId;
 use crate::InstanceState;
+use crate::Limits;
 use crate::RegionName;
+use crate::RetryLimits;
 use crate::ServiceName;
 
 /// A live instance with ten slots.
@@ -22,3 +26,14 @@
         state: InstanceState::Live,
     }
 }
+
+/// Limits that no test reaches by chance.
+pub(crate) const LIMITS: Limits = Limits {
+    rate_per_s: 100_000,
+    concurrency: 100,
+    deadline: Duration::from_secs(2),
+    retry: RetryLimits {
+        attempts: 2,
+        budget_percent: 10,
+    },
+};
