Run a node's program from the library, and show it in the demo

The demo and the benchmark start nodes as processes of their own program, but the node's signals, logs and exit code were only in its binary.

They move to sassafrasspool_node::program; the demo's node role calls it. Waiting for a child no longer closes its standard input, which made each node end at once instead of draining.

--- a/crates/bench/src/demo/process.rs
+++ b/crates/bench/src/demo/process.rs
@@ -14,6 +14,7 @@
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
 use tokio::process::Child;
+use tokio::process::ChildStdin;
 use tokio::process::Command;
 use tokio::time::timeout;
 
@@ -25,6 +26,9 @@
 pub(super) struct Process {
     name: String,
     child: Child,
+    // Held here since waiting for the child would close it, upon which the
+    // child would end at once instead of finishing what it has.
+    _lifeline: Option<ChildStdin>,
 }
 
 impl Process {
@@ -41,7 +45,7 @@
             .append(true)
             .open(log)
             .map_err(failed)?;
-        let child = Command::new(program)
+        let mut child = Command::new(program)
             .arg(role.as_str())
             .arg("--settings")
             .arg(settings)
@@ -53,6 +57,7 @@
             .map_err(failed)?;
         Ok(Process {
             name: name.to_owned(),
+            _lifeline: child.stdin.take(),
             child,
         })
     }
--- a/crates/bench/src/demo/role.rs
+++ b/crates/bench/src/demo/role.rs
@@ -61,7 +61,7 @@
             target.stopped().await;
             Ok(ExitCode::SUCCESS)
         }),
-        Role::Node => Err(Error::new(Step::Settings, "this build has no node yet")),
+        Role::Node => Ok(sassafrasspool_node::program::run(settings)),
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 mod metrics;
 mod node;
+pub mod program;
 pub mod settings;
 mod shared;
 mod traffic;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,133 +1,14 @@
-//! The node's program: settings, logs, signals and the exit code.
+//! The node as a program.
 
 mod flags;
 
 use std::process::ExitCode;
 
-use miette::Report;
-use sassafrasspool_node::Node;
-use sassafrasspool_node::RunningNode;
-use sassafrasspool_node::Settings;
-use sassafrasspool_node::settings::LogFormat;
-use sassafrasspool_node::settings::LogSettings;
-use tokio::runtime::Builder;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
-use tokio_util::sync::CancellationToken;
-use tracing_subscriber::EnvFilter;
+use sassafrasspool_node::program;
 
 use crate::flags::SassafrasspoolNode;
 
-/// The exit code of a node that ended on a signal but cut requests.
-const EXIT_CUT: u8 = 3;
-
 fn main() -> ExitCode {
     let flags = SassafrasspoolNode::from_env_or_exit();
-    match run(flags) {
-        Ok(0) => ExitCode::SUCCESS,
-        Ok(_) => ExitCode::from(EXIT_CUT),
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-/// Runs a node to its end; returns how many requests that cut.
-fn run(flags: SassafrasspoolNode) -> miette::Result<u64> {
-    let settings = Settings::load(&flags.settings)?;
-    start_log(settings.log);
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|err| miette::miette!("no runtime for signals: {err}"))?;
-    runtime.block_on(async {
-        // Before the node starts, so that a signal that comes early is kept.
-        let signals = Signals::new().map_err(|err| miette::miette!("no signals: {err}"))?;
-        let cancel = CancellationToken::new();
-        let node = Node::start(settings, cancel.clone()).map_err(report)?;
-        log_start(&node);
-        until_end(&node, signals, cancel).await.map_err(report)
-    })
-}
-
-/// Tells where the node listens, with the ports that port 0 became.
-fn log_start(node: &RunningNode) {
-    let addrs = node.addrs();
-    tracing::info!(
-        node = %node.settings().instance,
-        ingress = %addrs.ingress,
-        egress = %addrs.egress,
-        traffic = %addrs.traffic,
-        control = %addrs.control,
-        admin = %addrs.admin,
-        "started",
-    );
-}
-
-/// Waits for a signal, then for a stop without a cut; a second signal ends
-/// the node at once.
-async fn until_end(
-    node: &RunningNode,
-    mut signals: Signals,
-    cancel: CancellationToken,
-) -> sassafrasspool_core::Result<u64> {
-    tokio::select! {
-        () = signals.next() => tracing::info!("told to stop: draining"),
-        ended = node.ended() => return ended.map(|report| report.cut),
-    }
-    let stopping = node.stop();
-    tokio::pin!(stopping);
-    let report = tokio::select! {
-        report = &mut stopping => report?,
-        () = signals.next() => {
-            tracing::warn!("told to stop again: ending at once");
-            cancel.cancel();
-            stopping.await?
-        }
-    };
-    tracing::info!(cut = report.cut, "stopped");
-    Ok(report.cut)
-}
-
-/// The signals that ask a process to stop.
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl Signals {
-    fn new() -> std::io::Result<Signals> {
-        Ok(Signals {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-        })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
-/// Writes log lines to stderr.
-fn start_log(log: LogSettings) {
-    // The library of the messages between nodes writes a line for each
-    // connection that ends; these are counted instead.
-    let level = log.level.as_str();
-    let filter = EnvFilter::new(format!("{level},tarpc=off"));
-    let lines = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr);
-    match log.format {
-        LogFormat::Text => lines.init(),
-        LogFormat::Json => lines.json().init(),
-    }
-}
-
-fn report(err: sassafrasspool_core::Error) -> Report {
-    miette::miette!("{err}")
+    program::run(&flags.settings)
 }
