Test herds that die and come back

Both failed at first with an address in use: a node on a shared runtime ended before its accepting tasks had closed their listeners. Its end now waits for them.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -90,7 +90,7 @@
         let listeners = Listeners::bind(&settings.listen)?;
         let addrs = listeners.addrs();
         let hub = Arc::new(Hub::new(settings, shared, cancel)?);
-        handle.spawn(threads::work(Arc::clone(&hub), 0, listeners));
-        Ok(RunningTraffic::new(addrs, hub, Vec::new()))
+        let ended = threads::start_on(handle, &hub, listeners);
+        Ok(RunningTraffic::new(addrs, hub, vec![ended]))
     }
 }
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/threads.rs
@@ -9,6 +9,7 @@
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
 use tokio::runtime;
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
 use super::caller_side::Side;
@@ -38,6 +39,22 @@
     Ok(threads)
 }
 
+/// Does a thread's work as a task on `handle`. What is returned is closed once
+/// the listeners are, so that a node that ends leaves its ports free.
+pub(super) fn start_on(
+    handle: &Handle,
+    hub: &Arc<Hub>,
+    listeners: Listeners,
+) -> oneshot::Receiver<()> {
+    let (ended_tx, ended_rx) = oneshot::channel();
+    let work = work(Arc::clone(hub), 0, listeners);
+    handle.spawn(async move {
+        work.await;
+        drop(ended_tx);
+    });
+    ended_rx
+}
+
 fn start_one(
     hub: Arc<Hub>,
     index: WorkerIndex,
--- a/crates/node/tests/control/herd.rs
+++ b/crates/node/tests/control/herd.rs
@@ -29,3 +29,40 @@
         node.ended().await.expect("a report");
     }
 }
+
+// All nodes die at one moment and come back at once, each with every
+// connection broken. They must all be ready again with the newest version, and
+// the platform must not see more than the fleet's share of its budget.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn herd_restart_comes_back_within_the_read_budget() {
+    let mut fleet = Fleet::start(HERD).await;
+    let first = fleet.publish(CATALOGUE);
+    fleet.until_in_force(first).await;
+    fleet.until_ready().await;
+    let next = fleet.publish(&CATALOGUE.replace("weight: 1", "weight: 2"));
+    fleet.crash_and_restart(0..HERD).await;
+    fleet.until_in_force(next).await;
+    fleet.until_ready().await;
+    let stats = fleet.platform.stats();
+    assert_eq!(stats.refused, 0, "{stats:?}");
+    fleet.cancel.cancel();
+}
+
+// Half of the nodes die while the platform is out. They remember nothing and
+// can't read it. They must come back with the version that the other half has
+// in force, which they hear from their seeds.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restart_during_an_outage_takes_what_peers_hold() {
+    let mut fleet = Fleet::start(6).await;
+    let first = fleet.publish(CATALOGUE);
+    fleet.until_in_force(first).await;
+    fleet.until_ready().await;
+    fleet.platform.set_outage(true);
+    fleet.crash_and_restart(0..3).await;
+    fleet.until_in_force(first).await;
+    fleet.until_ready().await;
+    fleet.platform.set_outage(false);
+    let next = fleet.publish(&CATALOGUE.replace("weight: 1", "weight: 2"));
+    fleet.until_in_force(next).await;
+    fleet.cancel.cancel();
+}
--- a/crates/node/tests/control/support.rs
+++ b/crates/node/tests/control/support.rs
@@ -1,6 +1,10 @@
 //! A few nodes with a platform and targets, all in this process.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +25,7 @@
 use sassafrasspool_node::RunningNode;
 use sassafrasspool_node::Settings;
 use sassafrasspool_node::settings::DrainSettings;
+use sassafrasspool_node::settings::Listen;
 use sassafrasspool_standin::Platform;
 use sassafrasspool_standin::PlatformSettings;
 use sassafrasspool_standin::Target;
@@ -58,6 +63,11 @@
     pub(crate) targets: Vec<Target>,
     pub(crate) nodes: Vec<RunningNode>,
     pub(crate) cancel: CancellationToken,
+    /// Where its nodes listen. No other fleet does, so that a port that a node
+    /// has left is still free when it restarts.
+    ip: Ipv4Addr,
+    /// Ends each node as a crash does.
+    crash: Vec<CancellationToken>,
 }
 
 impl Fleet {
@@ -80,6 +90,8 @@
             targets: Vec::new(),
             nodes: Vec::new(),
             cancel,
+            ip: next_ip(),
+            crash: Vec::new(),
         };
         for n in 0..count {
             fleet.add(n, target.clone(), drain).await;
@@ -96,9 +108,45 @@
         let target = target.await.expect("a target");
         let mut settings = settings(n, target.addr(), self.platform.addr());
         settings.drain = drain;
-        let node = Node::start_on(&Handle::current(), settings, self.cancel.clone());
+        let any_port = SocketAddr::from((self.ip, 0));
+        settings.listen = Listen {
+            ingress: any_port,
+            egress: any_port,
+            traffic: any_port,
+            control: any_port,
+            admin: any_port,
+        };
+        let crash = self.cancel.child_token();
+        let node = Node::start_on(&Handle::current(), settings, crash.clone());
         self.targets.push(target);
         self.nodes.push(node.expect("a node"));
+        self.crash.push(crash);
+    }
+
+    /// Ends some nodes at one moment, without a word to the others, and then
+    /// starts them again where they were.
+    pub(crate) async fn crash_and_restart(&mut self, which: Range<usize>) {
+        for n in which.clone() {
+            self.crash[n].cancel();
+        }
+        for n in which {
+            let node = &self.nodes[n];
+            node.ended().await.expect("a report");
+            let mut settings = node.settings().clone();
+            let addrs = node.addrs();
+            settings.listen = Listen {
+                ingress: addrs.ingress,
+                egress: addrs.egress,
+                traffic: addrs.traffic,
+                control: addrs.control,
+                admin: addrs.admin,
+            };
+            settings.seeds = self.nodes.iter().map(|it| it.addrs().control).collect();
+            let crash = self.cancel.child_token();
+            let node = Node::start_on(&Handle::current(), settings, crash.clone());
+            self.nodes[n] = node.expect("a node");
+            self.crash[n] = crash;
+        }
     }
 
     /// Publishes a catalogue.
@@ -121,6 +169,12 @@
     }
 }
 
+/// A loopback address that no fleet has used.
+fn next_ip() -> Ipv4Addr {
+    static USED: AtomicU8 = AtomicU8::new(0);
+    Ipv4Addr::new(127, 0, 7, USED.fetch_add(1, Ordering::Relaxed) + 1)
+}
+
 /// The revision of the catalogue that is in force on a node.
 pub(crate) fn in_force(node: &RunningNode) -> Option<Revision> {
     let snapshot = node.snapshot()?;
