Test a paused process and a restart beside a stale platform

A process that is stopped for a second wakes, notices, and has what was published meanwhile in force. A node that restarts while the platform serves an old catalogue never puts that in force: it compares with its peers first.

--- a/crates/node/tests/control/apply.rs
+++ b/crates/node/tests/control/apply.rs
@@ -3,24 +3,15 @@
 use rstest::rstest;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Phase;
-use sassafrasspool_core::Stream;
 use sassafrasspool_node::RunningNode;
-use sassafrasspool_wire::admin::AuditRecord;
 
 use crate::support::CATALOGUE;
 use crate::support::Fleet;
 use crate::support::broken;
 use crate::support::in_force;
+use crate::support::revisions;
 use crate::support::until;
 
-/// The node's records of one kind about the catalogue.
-fn records(node: &RunningNode, event: &str) -> Vec<AuditRecord> {
-    let page = node.audit(0);
-    let mut records = page.records;
-    records.retain(|it| it.event == event && it.stream == Some(Stream::Catalogue));
-    records
-}
-
 // An operator publishes a good catalogue, then a bad one, then a good one. The
 // second must not come into force anywhere, not even in part, and must not
 // stand in the way of the third.
@@ -39,7 +30,7 @@
     fleet.until_ready().await;
 
     let second = fleet.publish(&bad);
-    let refused = |node: &RunningNode| !records(node, "refused").is_empty();
+    let refused = |node: &RunningNode| !revisions(node, "refused").is_empty();
     until(|| fleet.nodes.iter().any(refused)).await;
     for node in &fleet.nodes {
         assert_eq!(in_force(node), Some(first));
@@ -48,9 +39,7 @@
     let third = fleet.publish(&CATALOGUE.replace("/workshop,", "/workshop/desk,"));
     fleet.until_in_force(third).await;
     for node in &fleet.nodes {
-        let applied = records(node, "applied");
-        let told = |record: &AuditRecord| record.version.as_ref().map(|it| it.revision);
-        assert!(!applied.iter().any(|it| told(it) == Some(second.get())));
+        assert!(!revisions(node, "applied").contains(&second.get()));
         let snapshot = node.snapshot().expect("a snapshot");
         assert!(snapshot.match_route("/workshop/desk/1").is_some());
         assert!(snapshot.match_route("/workshop/1").is_none());
--- a/crates/node/tests/control/herd.rs
+++ b/crates/node/tests/control/herd.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sassafrasspool_core::Stream;
+
 use crate::support::CATALOGUE;
 use crate::support::Fleet;
+use crate::support::revisions;
 
 /// Nodes of the herd.
 const HERD: usize = 40;
@@ -66,3 +69,26 @@
     fleet.until_in_force(next).await;
     fleet.cancel.cancel();
 }
+
+// The platform serves an old catalogue for a long time, and a node dies and
+// comes back meanwhile. What it reads is older than what the others have in
+// force; it must compare and never put the old one in force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restart_beside_a_stale_platform_never_goes_back() {
+    let mut fleet = Fleet::start(3).await;
+    let first = fleet.publish(CATALOGUE);
+    fleet.until_in_force(first).await;
+    let next = fleet.publish(&CATALOGUE.replace("weight: 1", "weight: 2"));
+    fleet.until_in_force(next).await;
+    fleet.until_ready().await;
+    let stale = fleet.platform.set_stale_at(Stream::Catalogue, first);
+    stale.expect("an older revision");
+    fleet.crash_and_restart(0..1).await;
+    fleet.until_in_force(next).await;
+    fleet.until_ready().await;
+    assert_eq!(revisions(&fleet.nodes[0], "applied"), [next.get()]);
+    for node in &fleet.nodes[1..] {
+        assert_eq!(revisions(node, "applied"), [first.get(), next.get()]);
+    }
+    fleet.cancel.cancel();
+}
--- a/crates/node/tests/control/process.rs
+++ b/crates/node/tests/control/process.rs
@@ -20,6 +20,7 @@
 use sassafrasspool_standin::PlatformSettings;
 use sassafrasspool_standin::Target;
 use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_wire::admin::AuditPage;
 use sassafrasspool_wire::admin::Status;
 use tempfile::NamedTempFile;
 use tokio_util::sync::CancellationToken;
@@ -179,6 +180,38 @@
     answer.await.expect("no panic");
 }
 
+// The instance stops the process for a while, and a catalogue is published
+// meanwhile. The node wakes with old beliefs; it must notice, and must have
+// the new catalogue in force soon, as everybody else has.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_process_wakes_and_catches_up() {
+    let cancel = CancellationToken::new();
+    let platform = Platform::start(PlatformSettings::default(), cancel.clone());
+    let platform = platform.await.expect("a platform");
+    let target = Target::start(TargetSettings::default(), cancel.clone());
+    let target = target.await.expect("a target");
+    platform.publish_instances(&[]).expect("a list");
+    platform.publish_catalogue(CATALOGUE).expect("a catalogue");
+    let text = settings_text(0, target.addr(), platform.addr());
+    let text = text.replace("spread: {", "spread: {pause_bound_ms: 500, ");
+    let node = Process::start(&text);
+    node.until_phase(Phase::Ready).await;
+
+    node.signal(Signal::STOP);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let next = CATALOGUE.replace("weight: 1", "weight: 2");
+    let next = platform.publish_catalogue(&next).expect("a catalogue");
+    node.signal(Signal::CONT);
+    node.until(|status| {
+        let held = status.held.catalogue.as_ref();
+        held.is_some_and(|version| version.revision == next.get())
+    })
+    .await;
+    let (_, text) = http_text("GET", node.addrs.admin, "/audit").await;
+    let page: AuditPage = serde_json::from_str(&text).expect("a page");
+    assert!(page.records.iter().any(|it| it.event == "paused"));
+}
+
 #[test]
 fn faulty_settings_end_the_program_with_every_fault() {
     let mut file = NamedTempFile::new().expect("a file");
--- a/crates/node/tests/control/support.rs
+++ b/crates/node/tests/control/support.rs
@@ -20,6 +20,7 @@
 use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Revision;
+use sassafrasspool_core::Stream;
 use sassafrasspool_node::Node;
 use sassafrasspool_node::NodeAddrs;
 use sassafrasspool_node::RunningNode;
@@ -181,6 +182,14 @@
     Some(snapshot.catalogue().revision())
 }
 
+/// The catalogue's revisions that a node's audit trail tells of, by event.
+pub(crate) fn revisions(node: &RunningNode, event: &str) -> Vec<u64> {
+    let mut records = node.audit(0).records;
+    records.retain(|it| it.event == event && it.stream == Some(Stream::Catalogue));
+    let told = records.iter().filter_map(|it| it.version.as_ref());
+    told.map(|version| version.revision).collect()
+}
+
 /// The settings of node number `n`, whose ports are any free ones.
 pub(crate) fn settings(n: usize, target: SocketAddr, platform: SocketAddr) -> Settings {
     Settings::parse(&settings_text(n, target, platform)).expect("settings")
