Close connections a moment after a stop begins

A stopping node closed idle connections and its listeners at once. A caller that had just sent a request on such a connection saw it closed and couldn't tell that its request was not run. For 200 ms the node now goes on to accept and to refuse as not run, with the connection's end announced; then it closes what is idle and finishes the rest.

The bytes of a small body are waited for until the deadline at most.

--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -65,11 +65,11 @@
 
 /// Why the own endpoint takes no work, if it doesn't.
 fn closed(worker: &Worker) -> Option<Reason> {
-    match worker.hub.shared.phase() {
-        Phase::Starting => Some(Reason::Starting),
-        Phase::Ready => None,
-        Phase::Draining | Phase::Gone => Some(Reason::Draining),
+    if worker.hub.is_leaving() {
+        return Some(Reason::Draining);
     }
+    let starting = worker.hub.shared.phase() == Phase::Starting;
+    starting.then_some(Reason::Starting)
 }
 
 /// The class by the own view. The first hop may have routed by another version
--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -42,3 +42,8 @@
 
 /// How long the answer to a probe may take before the connection is dropped.
 pub(super) const PING_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How long a stopping node still refuses before it closes idle connections.
+/// A caller that just sent a request on one would otherwise see it closed and
+/// couldn't tell that its request was not run.
+pub(super) const LINGER: Duration = Duration::from_millis(200);
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -1,7 +1,9 @@
 //! Requests of callers: the first hop, which routes and may try again.
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header;
 use hyper::body::Incoming;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::Reason;
@@ -32,7 +34,13 @@
         Ok(res) => res,
         Err(failure) => refusal::respond(&failure),
     };
-    for_caller(res).map(|body| body.held(guard))
+    let mut res = for_caller(res);
+    if worker.hub.is_leaving() {
+        // Over HTTP/2 the header is left out and the connection told by itself.
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res.map(|body| body.held(guard))
 }
 
 /// Takes off what concerns nodes alone, but for the outcome.
@@ -64,9 +72,12 @@
     let Ok(body) = Payload::stream(body) else {
         return Err(refuse(Reason::TooLarge).into());
     };
-    let Ok(body) = body.hold_if_small().await else {
+    let until = worker.hub.shared.clock().instant(first.deadline().tick());
+    let body = match tokio::time::timeout_at(until.into(), body.hold_if_small()).await {
+        Ok(Ok(body)) => body,
         // The caller broke off; nobody reads this answer.
-        return Err(refuse(Reason::CallerGone).into());
+        Ok(Err(_)) => return Err(refuse(Reason::CallerGone).into()),
+        Err(_) => return Err(refuse(Reason::DeadlinePassed).into()),
     };
     let mut req = Request::from_parts(parts, body);
     let uri = req.uri().clone();
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -25,6 +25,7 @@
 use super::bounds::MAX_HOPS;
 use super::caller_side::Side;
 use super::head;
+use super::missed::Missed;
 use super::payload::Payload;
 use super::worker::Worker;
 use crate::Routes;
@@ -77,6 +78,11 @@
         }
     }
 
+    /// When the request is given up.
+    pub(super) fn deadline(&self) -> Deadline {
+        self.deadline
+    }
+
     /// Goes on where the request that the own target runs has come to.
     fn belong_to_parent<B>(&mut self, req: &Request<B>) {
         if let Some(parent) = self.worker.hub.parents.of(req.headers()) {
@@ -140,7 +146,7 @@
         &self,
         picked: Picked,
         req: Request<Payload>,
-    ) -> Result<Response<Answer>, super::missed::Missed> {
+    ) -> Result<Response<Answer>, Missed> {
         let snapshot = &self.routes.view.snapshot;
         let Some(endpoint) = snapshot.endpoint(picked.endpoint()) else {
             // The picker was built from this snapshot.
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -25,8 +25,10 @@
     pub(super) pool: Arc<Pool>,
     pub(super) admission: Admission,
     pub(super) parents: Parents,
-    /// Cancelled when connections are to close.
+    /// Cancelled when the node is to stop.
     pub(super) cancel: CancellationToken,
+    /// Cancelled when connections are to close, each once it is idle.
+    pub(super) closing: CancellationToken,
     /// Cancelled when connections are to be cut.
     pub(super) cut: CancellationToken,
     /// The connections that are served.
@@ -58,6 +60,7 @@
             admission,
             parents: Parents::default(),
             cancel,
+            closing: CancellationToken::new(),
             cut: CancellationToken::new(),
             connections: TaskTracker::new(),
         })
@@ -65,6 +68,6 @@
 
     /// Whether the own endpoint takes no new work any more.
     pub(super) fn is_leaving(&self) -> bool {
-        self.shared.phase() >= Phase::Draining
+        self.shared.phase() >= Phase::Draining || self.cancel.is_cancelled()
     }
 }
--- a/crates/node/src/traffic/running.rs
+++ b/crates/node/src/traffic/running.rs
@@ -38,7 +38,7 @@
     /// Waits, once its token is cancelled, until every connection was closed
     /// gracefully and every thread has ended.
     pub async fn stopped(self) {
-        self.hub.cancel.cancelled().await;
+        self.hub.closing.cancelled().await;
         self.hub.connections.close();
         self.hub.connections.wait().await;
         self.hub.pool.clear();
--- /dev/null
+++ b/crates/node/src/traffic/serve/peer.rs
@@ -0,0 +1,32 @@
+//! Connections of other nodes.
+
+use std::sync::Arc;
+
+use hyper::server::conn::http2;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpStream;
+
+use super::Port;
+use super::service::Requests;
+use super::until_closed::until_closed;
+use crate::traffic::bounds::CONNECTION_WINDOW;
+use crate::traffic::bounds::MAX_HEAD_BYTES;
+use crate::traffic::bounds::MAX_STREAMS;
+use crate::traffic::bounds::STREAM_WINDOW;
+use crate::traffic::worker::Worker;
+
+/// Serves a connection of another node.
+pub(super) async fn serve(worker: Arc<Worker>, stream: TcpStream) {
+    let hub = Arc::clone(&worker.hub);
+    let requests = Requests::new(worker, Port::Peer);
+    let conn = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX))
+        .serve_connection(TokioIo::new(stream), requests);
+    until_closed(hub, conn).await;
+}
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/threads.rs
@@ -12,6 +12,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
+use super::bounds::LINGER;
 use super::caller_side::Side;
 use super::hub::Hub;
 use super::listeners::Listeners;
@@ -82,7 +83,7 @@
     Error::new(Step::Connect, "cannot start a traffic thread").with_cause(err)
 }
 
-/// Serves the three listeners until the node's token is cancelled.
+/// Serves the three listeners until the node closes.
 pub(super) async fn work(hub: Arc<Hub>, index: WorkerIndex, listeners: Listeners) {
     let worker = Arc::new(Worker::new(Arc::clone(&hub), index));
     let Listeners {
@@ -96,9 +97,19 @@
         serve::accept(Arc::clone(&worker), egress, Port::Caller(Side::Egress)),
         serve::accept(Arc::clone(&worker), traffic, Port::Peer),
         close_admission(&hub),
+        close(&hub),
     );
 }
 
+/// Closes connections some time after the node was told to stop.
+async fn close(hub: &Hub) {
+    hub.cancel.cancelled().await;
+    if !hub.connections.is_empty() {
+        tokio::time::sleep(LINGER).await;
+    }
+    hub.closing.cancel();
+}
+
 /// Refuses what waits for a slot as soon as the own endpoint leaves: others
 /// may take it while there is time.
 async fn close_admission(hub: &Hub) {
