Keep values that never come again out of the header table

Of the instructions that a request costs on its first node, a tenth went into the header table of the connection to the next node: the deadline and the request id differ each time, pushed out what does come again, and were looked for in vain. They are now sent as values that aren't indexed.

--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -114,7 +114,10 @@
 
     fn for_peer(&self, mut req: Request<Payload>, left_ms: u64) -> Request<Payload> {
         let headers = req.headers_mut();
-        headers.insert(names::DEADLINE_MS, HeaderValue::from(left_ms));
+        headers.insert(names::DEADLINE_MS, once(HeaderValue::from(left_ms)));
+        if let Some(id) = headers.get_mut(names::REQUEST_ID) {
+            id.set_sensitive(true);
+        }
         headers.insert(names::HOP, HeaderValue::from(self.hop));
         self.add_service(headers);
         *req.version_mut() = Version::HTTP_2;
@@ -160,3 +163,10 @@
         },
     }
 }
+
+/// Keeps a value that doesn't come again out of the table of the connection's
+/// headers, where looking for it and putting it in costs more than it saves.
+fn once(mut value: HeaderValue) -> HeaderValue {
+    value.set_sensitive(true);
+    value
+}
