Run a request with a key once

Keyed requests on routes that aren't idempotent went to any endpoint and could run again with each repeat. They now go to the owner of the key alone, whose window decides: run, give the stored answer, or refuse. Until the hand-over the key stays unused whatever happens, also when the caller goes away while the request waits; after it, a lost answer is remembered as unknown. An answer is collected for repeats while it passes, up to the bound of the window.

The owner's proof that its instance list is in force comes from the control side with each contact to the platform, unless a newer list was heard of. The times of the window are settings.

Tests: repeats through other nodes, twelve crossed attempts, a crash under the first attempt, an owner without proof, an empty key.

--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -42,6 +42,8 @@
     EarlierUnknown,
     /// Its body is larger than the bound.
     TooLarge,
+    /// Its key is empty or too long.
+    BadKey,
     /// It has passed more nodes than a call may.
     TooManyHops,
     /// This node holds no configuration yet.
@@ -52,7 +54,7 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 21] = [
+    pub const ALL: [Reason; 22] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
@@ -71,6 +73,7 @@
         Reason::EarlierRunning,
         Reason::EarlierUnknown,
         Reason::TooLarge,
+        Reason::BadKey,
         Reason::TooManyHops,
         Reason::NoConfiguration,
         Reason::CallerGone,
@@ -97,6 +100,7 @@
             Reason::EarlierRunning => "earlier-running",
             Reason::EarlierUnknown => "earlier-unknown",
             Reason::TooLarge => "too-large",
+            Reason::BadKey => "bad-key",
             Reason::TooManyHops => "too-many-hops",
             Reason::NoConfiguration => "no-configuration",
             Reason::CallerGone => "caller-gone",
--- a/crates/core/src/repeat/window.rs
+++ b/crates/core/src/repeat/window.rs
@@ -23,6 +23,7 @@
 use crate::Revision;
 use crate::Running;
 use crate::ServiceName;
+use crate::Snapshot;
 use crate::StoredAnswer;
 use crate::Tick;
 
@@ -69,6 +70,23 @@
         self.0.lock().tenure.change(now, revision, members);
     }
 
+    /// Takes over the instance list that a snapshot was built from.
+    ///
+    /// It says the same as [`RepeatWindow::list_changed`], but says nothing if
+    /// the catalogue doesn't have the service: the list is then taken over as
+    /// if it were new once it does, which only makes the owner wait.
+    pub fn snapshot_changed(&self, now: Tick, snapshot: &Snapshot) {
+        let revision = snapshot.instances().revision();
+        let Some((_, service)) = snapshot.find_service(&self.0.service) else {
+            return;
+        };
+        let endpoints = snapshot.endpoints_of(service);
+        let instances = endpoints.map(|(_, endpoint)| &endpoint.instance);
+        let live = instances.filter(|i| i.state == InstanceState::Live);
+        let members = Members::new(live.map(|i| &i.id));
+        self.0.lock().tenure.change(now, revision, members);
+    }
+
     /// Takes over a proof that the list of `revision` was the platform's newest
     /// at `at`: a read of the source by this node, or by a peer whose word
     /// carries the age of its own proof.
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -153,6 +153,7 @@
             | Reason::EarlierRunning
             | Reason::EarlierUnknown
             | Reason::TooLarge
+            | Reason::BadKey
             | Reason::TooManyHops
             | Reason::NoConfiguration
             | Reason::CallerGone => true,
--- a/crates/node/src/control/machine.rs
+++ b/crates/node/src/control/machine.rs
@@ -7,6 +7,7 @@
 use sassafrasspool_core::Event;
 use sassafrasspool_core::Origin;
 use sassafrasspool_core::Phase;
+use sassafrasspool_core::SpreadStatus;
 use sassafrasspool_core::Tick;
 
 use super::ControlEvent;
@@ -139,10 +140,28 @@
     pub(super) fn publish(&mut self) {
         self.views.publish(&self.outside.shared);
         let now = self.now();
-        let age = self.spread.status(now).source_age;
-        let reached = age.map(|age| now.since(Tick::ZERO).saturating_sub(age));
-        if let Some(since_start) = reached {
-            self.outside.shared.contact().note(Tick::ZERO + since_start);
+        let status = self.spread.status(now);
+        let since_start = |age| now.since(Tick::ZERO).saturating_sub(age);
+        if let Some(since_start) = status.source_age.map(since_start) {
+            let reached = Tick::ZERO + since_start;
+            self.outside.shared.contact().note(reached);
+            self.prove_instances(reached, &status);
+        }
+    }
+
+    /// Passes on that the list in force was the newest when the platform was
+    /// last reached, unless this node has heard of a newer one since.
+    ///
+    /// The word of a contact can overtake the head of a list that the same
+    /// contact brought, by as long as a head takes to get around. An owner of
+    /// keys waits for twice the lease, which is long against that.
+    fn prove_instances(&self, reached: Tick, status: &SpreadStatus) {
+        let held = status.held.instances.map(|version| version.revision());
+        let heard = status.heard.instances.map(|version| version.revision());
+        if let Some(held) = held
+            && heard <= Some(held)
+        {
+            self.outside.shared.prove_instances(reached, held);
         }
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,7 @@
 use sassafrasspool_core::Faults;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::RegionName;
+use sassafrasspool_core::RepeatSettings;
 use sassafrasspool_core::ServiceName;
 
 pub use self::control::ControlSettings;
@@ -29,6 +30,7 @@
 mod log;
 mod platform;
 mod read;
+mod repeat;
 mod spread;
 mod target;
 #[cfg(test)]
@@ -60,6 +62,8 @@
     pub spread: SpreadSettings,
     /// Threads that move requests.
     pub traffic_threads: usize,
+    /// How repeats of a request are recognised; the same on every node.
+    pub repeat: RepeatSettings,
     /// How the node logs.
     pub log: LogSettings,
     /// How the node stops.
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -22,6 +22,7 @@
 use super::Settings;
 use super::SpreadSettings;
 use super::TargetSettings;
+use super::repeat;
 use super::value::addr;
 
 /// The largest text of settings, in bytes.
@@ -69,6 +70,7 @@
         DEFAULT_TRAFFIC_THREADS,
         faults,
     );
+    let repeat = or_default(&mut top, "repeat", faults, repeat::read);
     let log = or_default(&mut top, "log", faults, LogSettings::read);
     let drain = or_default(&mut top, "drain", faults, DrainSettings::read);
     top.finish(faults);
@@ -85,6 +87,7 @@
         control: control?,
         spread: spread?.with_platform(&platform),
         traffic_threads: usize::try_from(threads?).ok()?,
+        repeat: repeat?,
         log: log?,
         drain: drain?,
     })
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,6 +11,9 @@
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Position;
+use sassafrasspool_core::RepeatWindow;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::Tick;
 use tokio::sync::watch;
 
 use self::routing::Routing;
@@ -92,9 +95,17 @@
         self.view.store(Some(view));
     }
 
-    /// Says where the node stands in the fleet, before the first view.
-    pub fn place(&self, position: Position) {
-        self.routing.place(position);
+    /// Says where the node stands in the fleet, before the first view, and
+    /// which window remembers the requests with a key that it runs.
+    pub fn place(&self, position: Position, repeat: RepeatWindow) {
+        self.routing.place(position, repeat);
+    }
+
+    /// Passes on a proof that the instance list of `revision` was the newest
+    /// that the platform had at `at`. Without one that is recent enough no
+    /// request with a key is run here.
+    pub fn prove_instances(&self, at: Tick, revision: Revision) {
+        self.routing.prove(at, revision);
     }
 
     /// What is in force now together with what chooses among its endpoints, or
--- a/crates/node/src/shared/routing.rs
+++ b/crates/node/src/shared/routing.rs
@@ -14,6 +14,8 @@
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Picker;
 use sassafrasspool_core::Position;
+use sassafrasspool_core::RepeatWindow;
+use sassafrasspool_core::Revision;
 use sassafrasspool_core::RouteSettings;
 use sassafrasspool_core::Tick;
 
@@ -30,10 +32,17 @@
     pub picker: Picker,
 }
 
+/// Where a node stands, and the requests with a key that it has run there.
+#[derive(Debug)]
+struct Place {
+    position: Position,
+    repeat: RepeatWindow,
+}
+
 /// Binds views, on the control thread, for the traffic threads to read.
 #[derive(Debug, Default)]
 pub(super) struct Routing {
-    position: OnceLock<Position>,
+    place: OnceLock<Place>,
     meters: Arc<Meters>,
     /// The states that the meters know of.
     marked: Mutex<Arc<States>>,
@@ -42,17 +51,27 @@
 
 impl Routing {
     /// Says where the node stands; what is said first counts.
-    pub(super) fn place(&self, position: Position) {
+    pub(super) fn place(&self, position: Position, repeat: RepeatWindow) {
         // A node is placed once, by its settings.
-        let _ = self.position.set(position);
+        let _ = self.place.set(Place { position, repeat });
+    }
+
+    /// Passes on a proof that the instance list of `revision` was the newest.
+    pub(super) fn prove(&self, at: Tick, revision: Revision) {
+        if let Some(place) = self.place.get() {
+            place.repeat.prove(at, revision);
+        }
     }
 
     /// Binds a view and puts it in force; nothing to bind before the node was
     /// placed.
     pub(super) fn bind(&self, view: &Arc<View>, now: Tick) {
-        let Some(position) = self.position.get() else {
+        let Some(Place { position, repeat }) = self.place.get() else {
             return;
         };
+        // INVARIANT: Before requests are routed by it, so that the owner of a
+        // key doesn't learn of it later than those who send it.
+        repeat.snapshot_changed(now, &view.snapshot);
         self.meters.retain(&view.snapshot);
         self.mark(&view.states, now);
         let cfg = RouteSettings::default();
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,6 +14,7 @@
 
 mod admission;
 mod answer;
+mod at_target;
 mod attempt;
 mod beside;
 mod bounds;
@@ -21,6 +22,7 @@
 mod first_hop;
 mod head;
 mod hub;
+mod keyed;
 mod listeners;
 mod missed;
 mod parents;
@@ -31,8 +33,10 @@
 mod running;
 mod serve;
 mod stall;
+mod stored;
 mod target;
 mod threads;
+mod unsent_key;
 mod worker;
 
 use std::error;
--- /dev/null
+++ b/crates/node/src/traffic/at_target.rs
@@ -0,0 +1,181 @@
+//! From a request's arrival beside its target to the head of the answer.
+
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::Version;
+use sassafrasspool_core::Admitted;
+use sassafrasspool_core::Class;
+use sassafrasspool_core::HandedOver;
+use sassafrasspool_core::Limits;
+use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Permit;
+use sassafrasspool_core::Reason;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Request as Stage;
+use sassafrasspool_core::Running;
+use sassafrasspool_core::Step;
+
+use super::admission;
+use super::answer::Answer;
+use super::beside::Call;
+use super::head;
+use super::missed::Missed;
+use super::parents::Parent;
+use super::payload::Payload;
+use super::stored::Recorder;
+use super::target;
+use super::target::Connection;
+use super::target::TargetBody;
+use super::unsent_key::UnsentKey;
+use super::worker::Worker;
+
+/// A request on its way through the stages that the core keeps apart.
+#[derive(Debug)]
+pub(super) struct AtTarget<'a> {
+    pub(super) worker: &'a Worker,
+    pub(super) req: Request<Payload>,
+    pub(super) call: Call<'a>,
+    pub(super) key: UnsentKey,
+}
+
+impl AtTarget<'_> {
+    /// Gets a slot and a connection, then hands over.
+    ///
+    /// # Errors
+    ///
+    /// A refusal was not handed over; anything later is a loss.
+    pub(super) async fn run(
+        self,
+        class: Class,
+        limits: &Limits,
+    ) -> Result<Response<Answer>, Missed> {
+        let hub = &self.worker.hub;
+        let stage = Stage::received(class, self.call.deadline);
+        let ask = stage.ask(limits);
+        let admitted = admission::admit(&hub.admission, hub.shared.clock(), &ask).await;
+        let permit: Permit = match admitted {
+            Ok(permit) => permit,
+            Err(refusal) => return Err(Missed::unsent(refusal, self.req)),
+        };
+        let stage = stage.admit(permit);
+        match target::take(&hub.pool, self.worker.index).await {
+            Ok(conn) => self.hand_over(stage, conn).await,
+            Err(err) => {
+                tracing::debug!(%err, "not handed over");
+                let now = hub.shared.clock().now();
+                let refusal = stage.refuse(now, Step::Connect, Reason::Connect);
+                Err(Missed::unsent(refusal, self.req))
+            }
+        }
+    }
+
+    async fn hand_over(
+        self,
+        stage: Stage<Admitted>,
+        conn: Connection,
+    ) -> Result<Response<Answer>, Missed> {
+        let AtTarget {
+            worker,
+            req,
+            call,
+            key,
+        } = self;
+        let hub = &worker.hub;
+        let parent = Parent {
+            hop: call.hop,
+            deadline: call.deadline,
+        };
+        let _parent = hub.parents.enter(req.headers(), parent);
+        let now = hub.shared.clock().now();
+        let running = match key.hand_over(now) {
+            Ok(running) => running,
+            Err(refusal) => return Err(Missed::unsent(refusal, req)),
+        };
+        match stage.hand_over(now) {
+            Ok(stage) => {
+                let sent = Sent {
+                    worker,
+                    stage,
+                    running,
+                };
+                sent.exchange(call, conn, for_target(req)).await
+            }
+            Err(refusal) => Err(Missed::unsent(take_back(running, refusal), req)),
+        }
+    }
+}
+
+/// A request that is handed over.
+#[derive(Debug)]
+struct Sent<'a> {
+    worker: &'a Worker,
+    stage: Stage<HandedOver>,
+    running: Option<Running>,
+}
+
+impl Sent<'_> {
+    async fn exchange(
+        self,
+        call: Call<'_>,
+        conn: Connection,
+        req: Request<Payload>,
+    ) -> Result<Response<Answer>, Missed> {
+        let clock = *self.worker.hub.shared.clock();
+        let until = clock.instant(call.deadline.tick());
+        let exchange = target::exchange(conn, req);
+        match tokio::time::timeout_at(until.into(), exchange).await {
+            Ok(Ok(res)) => Ok(self.answered(res)),
+            Ok(Err(target::Failure::NotSent(err, proof, unsent))) => {
+                tracing::debug!(%err, "not handed over");
+                let refusal = self.stage.take_back(clock.now(), proof);
+                let failure = take_back(self.running, refusal).into();
+                Err(Missed { failure, unsent })
+            }
+            Ok(Err(target::Failure::Sent(err))) => {
+                tracing::debug!(%err, "lost");
+                Err(self.lost(LossCause::ConnectionLost))
+            }
+            Err(_) => Err(self.lost(LossCause::Timeout)),
+        }
+    }
+
+    fn answered(self, res: Response<TargetBody>) -> Response<Answer> {
+        let hub = &self.worker.hub;
+        let clock = *hub.shared.clock();
+        let stage = self.stage.answered();
+        let mut res = res.map(|body| body.holding(stage, clock));
+        head::strip_own(res.headers_mut());
+        head::strip_connection(res.headers_mut());
+        *res.version_mut() = Version::HTTP_11;
+        let recorder = self
+            .running
+            .map(|running| Box::new(Recorder::new(running, &res, hub.max_stored)));
+        res.map(|body| Answer::target(body.recorded(recorder)))
+    }
+
+    fn lost(self, cause: LossCause) -> Missed {
+        let now = self.worker.hub.shared.clock().now();
+        if let Some(running) = self.running {
+            running.lost(now);
+        }
+        self.stage.lost(now, cause).into()
+    }
+}
+
+/// Leaves the key unused after a refusal.
+fn take_back(running: Option<Running>, refusal: Refusal) -> Refusal {
+    match running {
+        Some(running) => running.refused(refusal),
+        None => refusal,
+    }
+}
+
+/// Takes off what concerns nodes alone and makes it an HTTP/1.1 request.
+fn for_target(mut req: Request<Payload>) -> Request<Payload> {
+    head::strip_own(req.headers_mut());
+    let path = req.uri().path_and_query().cloned();
+    *req.uri_mut() = path.map_or_else(Uri::default, Uri::from);
+    *req.version_mut() = Version::HTTP_11;
+    req
+}
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -25,6 +25,7 @@
 use super::bounds::MAX_HOPS;
 use super::caller_side::Side;
 use super::head;
+use super::keyed::Keyed;
 use super::missed::Missed;
 use super::payload::Payload;
 use super::worker::Worker;
@@ -38,6 +39,7 @@
     route: &'a BoundRoute,
     service: &'a BoundService,
     budget: &'a Budget,
+    keyed: Option<Keyed>,
     deadline: Deadline,
     hop: u32,
 }
@@ -60,12 +62,17 @@
         let route = route.ok_or_else(no_route)?;
         let service = snapshot.service(route.service).ok_or_else(no_route)?;
         let budget = routes.picker.budget(route.service);
+        let keyed = match route.route.idempotent {
+            true => None,
+            false => Keyed::of(&service.entry.name, req)?,
+        };
         let mut first = FirstHop {
             worker,
             routes,
             route,
             service,
             budget: budget.ok_or_else(no_route)?,
+            keyed,
             deadline: Deadline::within(now(worker), timeout(service, req)),
             hop: 1,
         };
@@ -139,7 +146,17 @@
     fn pick(&self, avoid: &[EndpointKey]) -> Result<Picked, Refusal> {
         let picker = &self.routes.picker;
         let service = self.route.service;
-        picker.pick(service, now(self.worker), avoid, &mut rand::rng())
+        let now = now(self.worker);
+        let Some(keyed) = &self.keyed else {
+            return picker.pick(service, now, avoid, &mut rand::rng());
+        };
+        // Only the owner can tell whether it ran before: there is nowhere else
+        // to try.
+        let owner = picker.pick_owner(service, now, &keyed.key)?;
+        match avoid.contains(&owner.endpoint()) {
+            true => Err(refuse(Reason::NoEndpoint)),
+            false => Ok(owner),
+        }
     }
 
     async fn attempt(
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -6,6 +6,7 @@
 use sassafrasspool_core::AdmissionSettings;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Position;
+use sassafrasspool_core::RepeatWindow;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::ServiceName;
 use tokio_util::sync::CancellationToken;
@@ -25,6 +26,10 @@
     pub(super) pool: Arc<Pool>,
     pub(super) admission: Admission,
     pub(super) parents: Parents,
+    /// The requests with a key that the own target has run.
+    pub(super) repeat: RepeatWindow,
+    /// Bytes of an answer that are kept for repeats.
+    pub(super) max_stored: usize,
     /// Cancelled when the node is to stop.
     pub(super) cancel: CancellationToken,
     /// Cancelled when connections are to close, each once it is idle.
@@ -40,17 +45,20 @@
     ///
     /// # Errors
     ///
-    /// Fails if the target has no slots or too many.
+    /// Fails if the target has no slots or too many, or if the window of
+    /// request keys has no bounds.
     pub(super) fn new(
         cfg: &Settings,
         shared: Arc<Shared>,
         cancel: CancellationToken,
     ) -> Result<Hub> {
-        shared.place(Position {
+        let position = Position {
             instance: cfg.instance.clone(),
             domain: cfg.domain.clone(),
             region: cfg.region.clone(),
-        });
+        };
+        let repeat = RepeatWindow::new(cfg.repeat, cfg.instance.clone(), cfg.service.clone())?;
+        shared.place(position, repeat.clone());
         let admission = Admission::new(AdmissionSettings::default(), cfg.target.slots)?;
         let limit = cfg.target.slots.min(cfg.target.connections);
         Ok(Hub {
@@ -59,6 +67,8 @@
             pool: Pool::new(cfg.target.addr, limit),
             admission,
             parents: Parents::default(),
+            repeat,
+            max_stored: cfg.repeat.max_answer_bytes,
             cancel,
             closing: CancellationToken::new(),
             cut: CancellationToken::new(),
--- a/crates/node/src/traffic/refusal.rs
+++ b/crates/node/src/traffic/refusal.rs
@@ -69,6 +69,7 @@
         (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
         (_, Reason::NoRoute) => StatusCode::NOT_FOUND,
         (_, Reason::RateLimited) => StatusCode::TOO_MANY_REQUESTS,
+        (_, Reason::BadKey) => StatusCode::BAD_REQUEST,
         (_, Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         (_, Reason::TooManyHops) => StatusCode::LOOP_DETECTED,
         _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/node/src/traffic/target/body.rs
+++ b/crates/node/src/traffic/target/body.rs
@@ -18,6 +18,7 @@
 use super::pool::put_back;
 use crate::Clock;
 use crate::traffic::BoxError;
+use crate::traffic::stored::Recorder;
 
 /// What the target answers, together with the connection that it comes by.
 ///
@@ -31,6 +32,7 @@
     conn: Option<Connection>,
     ended: bool,
     held: Option<Held>,
+    recorder: Option<Box<Recorder>>,
 }
 
 /// The request's last stage, which holds its slot.
@@ -47,6 +49,7 @@
             body,
             conn: Some(conn),
             held: None,
+            recorder: None,
         }
     }
 
@@ -60,6 +63,12 @@
         self
     }
 
+    /// The same, which is kept for repeats when it has ended.
+    pub(in crate::traffic) fn recorded(mut self, recorder: Option<Box<Recorder>>) -> TargetBody {
+        self.recorder = recorder;
+        self
+    }
+
     fn poll_body(
         &mut self,
         cx: &mut Context<'_>,
@@ -102,7 +111,12 @@
         let polled = self.poll_body(cx);
         match &polled {
             Poll::Ready(None) => self.ended = true,
-            Poll::Ready(Some(Ok(_))) => self.ended = self.body.is_end_stream(),
+            Poll::Ready(Some(Ok(frame))) => {
+                self.ended = self.body.is_end_stream();
+                if let Some(recorder) = &mut self.recorder {
+                    recorder.take(frame);
+                }
+            }
             Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
         polled.map_err(BoxError::from)
@@ -126,6 +140,9 @@
             return;
         };
         if self.ended {
+            if let Some(recorder) = self.recorder.take() {
+                recorder.finish(clock.now());
+            }
             stage.finish(clock.now());
         } else {
             // The connection or stream that this body is of fails by itself.
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sassafrasspool_core::Catalogue;
 use sassafrasspool_core::Incarnation;
@@ -133,6 +134,7 @@
 listen: {{ingress: {any}, egress: {any}, traffic: {any}, control: {any}, admin: {any}}}
 target: {{addr: {target}, slots: {SLOTS}, ready_path: /healthz}}
 platform: {{addr: 127.0.0.1:6000}}
+repeat: {{lease_ms: 500}}
 "
     );
     Settings::parse(&text).expect("settings")
@@ -192,6 +194,22 @@
         }
     }
 
+    /// Proves from now on, for as long as the test runs, that the list in force
+    /// is the newest.
+    pub(crate) fn keep_proving(&self) {
+        let nodes = self.members.iter().map(|member| Arc::clone(&member.shared));
+        let nodes: Vec<Arc<Shared>> = nodes.collect();
+        let revision = Revision::new(1).expect("a revision");
+        tokio::spawn(async move {
+            loop {
+                for node in &nodes {
+                    node.prove_instances(node.clock().now(), revision);
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+    }
+
     /// How often all targets together ran the request.
     pub(crate) fn runs_of(&self, id: &str) -> usize {
         let runs = self.members.iter().map(|member| member.runs_of(id).len());
--- /dev/null
+++ b/crates/node/tests/requests/keyed.rs
@@ -0,0 +1,142 @@
+//! Requests that their caller may send again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use sassafrasspool_standin::target::answer_body;
+
+use crate::client;
+use crate::fleet::ADJUSTER;
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+use crate::fleet::Spec;
+use crate::wait;
+
+const SECOND: Spec = Spec {
+    id: "ad-2",
+    ..ADJUSTER
+};
+
+fn approve(key: &str, id: &str, first: bool) -> Request<client::Body> {
+    let mut req = client::get("/adjuster/approve", id);
+    let headers = req.headers_mut();
+    headers.insert("idempotency-key", key.parse().expect("a value"));
+    if first {
+        headers.insert("x-request-attempt", "1".parse().expect("a value"));
+    }
+    req
+}
+
+/// Sends a first attempt until its owner has waited long enough to run it.
+async fn run_first(addr: SocketAddr, key: &str, id: &str) -> Response<Bytes> {
+    loop {
+        let res = client::call(addr, approve(key, id, true)).await;
+        let res = res.expect("an answer");
+        if client::header(&res, "x-sassafrasspool-outcome") != "not-run" {
+            return res;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+// An adjuster's approval is answered, but the answer is lost on the way to the
+// browser, which sends it again through another node. The approval isn't run a
+// second time: the second answer is that of the first attempt.
+#[tokio::test]
+async fn a_repeat_gets_the_answer_of_the_first_attempt() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER, SECOND]).await;
+    fleet.keep_proving();
+    let first = run_first(fleet.members[0].addrs.ingress, "k-1", "r-1").await;
+    assert_eq!(first.status(), StatusCode::OK);
+    for member in &fleet.members {
+        let repeat = approve("k-1", "r-2", false);
+        let res = client::call(member.addrs.ingress, repeat).await;
+        let res = res.expect("an answer");
+        assert_eq!(res.status(), StatusCode::OK);
+        assert_eq!(*res.body(), answer_body("r-1", 0));
+    }
+    assert_eq!((fleet.runs_of("r-1"), fleet.runs_of("r-2")), (1, 0));
+}
+
+// A browser sends one approval many times at once, through all nodes, and the
+// attempts cross. One is run; the others get its answer or hear that nothing is
+// known yet.
+#[tokio::test]
+async fn crossed_attempts_run_once() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER, SECOND]).await;
+    fleet.keep_proving();
+    let ready = run_first(fleet.members[0].addrs.ingress, "k-0", "r-0").await;
+    assert_eq!(ready.status(), StatusCode::OK);
+    for member in &fleet.members {
+        member.target.set_slow(Duration::from_millis(30)).await;
+    }
+    let mut calls = Vec::new();
+    for n in 0..12 {
+        let addr = fleet.members[n % 3].addrs.ingress;
+        let req = approve("k-0b", &format!("x-{n}"), true);
+        calls.push(tokio::spawn(client::call(addr, req)));
+    }
+    let mut answered = 0;
+    for call in calls {
+        let res = call.await.expect("a task").expect("an answer");
+        match client::header(&res, "x-sassafrasspool-outcome") {
+            "" => answered += 1,
+            outcome => assert_eq!(outcome, "unknown"),
+        }
+    }
+    assert!(answered >= 1);
+    let ran: usize = (0..12).map(|n| fleet.runs_of(&format!("x-{n}"))).sum();
+    assert_eq!(ran, 1);
+}
+
+// The target crashes with an approval on it. Nobody knows whether it ran, and
+// the repeat hears just that, although another target could run it.
+#[tokio::test]
+async fn a_repeat_of_a_lost_attempt_is_unknown() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    fleet.keep_proving();
+    let ingress = fleet.members[0].addrs.ingress;
+    let adjuster = &fleet.members[1];
+    adjuster.target.set_slow(Duration::from_secs(60)).await;
+    let first = tokio::spawn(async move { run_first(ingress, "k-1", "r-1").await });
+    wait::until("the run", || adjuster.runs_of("r-1").len() == 1).await;
+    adjuster.target.crash().await;
+    let first = first.await.expect("a task");
+    adjuster.target.restart().await.expect("a target");
+    let again = client::call(ingress, approve("k-1", "r-2", false)).await;
+    for res in [first, again.expect("an answer")] {
+        assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "unknown");
+    }
+    assert_eq!((fleet.runs_of("r-1"), fleet.runs_of("r-2")), (1, 0));
+}
+
+// A node is cut off and can't tell whether its instance list is still in force:
+// another may own the key by now. It runs nothing. A first attempt is told that
+// it wasn't run, one that may be a repeat that nothing is known.
+#[tokio::test]
+async fn an_owner_without_proof_runs_nothing() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let ingress = fleet.members[0].addrs.ingress;
+    for (first, outcome) in [(true, "not-run"), (false, "unknown")] {
+        let req = approve("k-1", "r-1", first);
+        let res = client::call(ingress, req).await.expect("an answer");
+        assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), outcome);
+        assert_ne!(client::header(&res, "retry-after"), "");
+    }
+    assert!(fleet.members[1].target.ledger().runs.is_empty());
+}
+
+// A client sends an empty key. To run its request as if it had none would run
+// it again with each repeat.
+#[tokio::test]
+async fn an_empty_key_is_refused() {
+    let fleet = Fleet::start(&[ADJUSTER]).await;
+    let ingress = fleet.members[0].addrs.ingress;
+    let res = client::call(ingress, approve("", "r-1", true)).await;
+    assert_eq!(res.expect("an answer").status(), StatusCode::BAD_REQUEST);
+    assert_eq!(fleet.runs_of("r-1"), 0);
+}
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod fleet;
 mod forged;
+mod keyed;
 mod limits;
 mod lost;
 mod nosy_target;
