Prove the instance list by answers to one's own questions

The owner of a request key runs it while it has a fresh proof that its instance list is in force. The contact with the platform that nodes tell each other can't serve as that proof: an answer about the catalogue, or one that the platform is busy, renews it too, and so does a message that lay in a buffer while its reader was paused. An owner whose list had moved on could hold its lease by any of these.

A proof now names the list's revision and is dated by the question: a node's own read of the list, or its own comparison with a peer, of which the answer can only be younger. Unasked messages carry none.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -166,6 +166,7 @@
 pub use crate::spread::Event;
 pub use crate::spread::Head;
 pub use crate::spread::Heads;
+pub use crate::spread::ListProof;
 pub use crate::spread::LocalNode;
 pub use crate::spread::MAX_BODY_BYTES;
 pub use crate::spread::Naive;
--- a/crates/core/src/repeat/settings.rs
+++ b/crates/core/src/repeat/settings.rs
@@ -12,7 +12,9 @@
     /// How long a caller may use a key after its first attempt.
     pub hold: Duration,
     /// How old the proof may be that the instance list is in force. It must be
-    /// the same on every node, and longer than a proof takes to get around.
+    /// the same on every node, and longer than a proof takes to get around:
+    /// two watches of the platform and some rounds of comparing with a peer,
+    /// one more for each doubling of the fleet.
     pub lease: Duration,
     /// Keys that are remembered at most.
     pub max_keys: usize,
@@ -57,7 +59,7 @@
     fn default() -> RepeatSettings {
         RepeatSettings {
             hold: Duration::from_secs(300),
-            lease: Duration::from_secs(15),
+            lease: Duration::from_secs(30),
             max_keys: 50_000,
             max_bytes: 16 << 20,
             max_answer_bytes: 64 << 10,
--- a/crates/core/src/spread/calls.rs
+++ b/crates/core/src/spread/calls.rs
@@ -35,6 +35,7 @@
 pub(super) struct Waiting {
     pub(super) to: Address,
     pub(super) purpose: Purpose,
+    pub(super) asked: Tick,
     deadline: Tick,
 }
 
@@ -74,6 +75,7 @@
         let waiting = Waiting {
             to: to.clone(),
             purpose,
+            asked: now,
             deadline: now + self.timeout,
         };
         self.waiting.insert(id, waiting);
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -16,6 +16,7 @@
 use super::holder::Holder;
 use super::life::Joining;
 use super::life::Life;
+use super::list_proof::ListClock;
 use super::peers::Peers;
 use super::pulls::Pulls;
 use super::source::SourceReads;
@@ -75,6 +76,7 @@
     replaced_by: Option<u64>,
     role: Role,
     contact: ContactClock,
+    list: ListClock,
     budget: ReadBudget,
     reads: [SourceReads; 2],
     /// Who gave the catalogue that is held.
@@ -109,6 +111,7 @@
             replaced_by: None,
             role: Role::new(&cfg, &mut rng),
             contact: ContactClock::default(),
+            list: ListClock::default(),
             budget: ReadBudget::new(&cfg, &mut rng, now),
             reads: Stream::ALL.map(|stream| SourceReads::new(stream, &cfg)),
             giver: Origin::Source,
@@ -172,6 +175,7 @@
             refused: self.holder.last_refused(),
             peers: self.peers.len(),
             source_age: self.contact.age(now),
+            list: self.list.tell(now),
             conflicts: self.holder.conflicts(),
             refusals: self.holder.refusals(),
             reads: self.reads.iter().map(SourceReads::count).sum(),
--- a/crates/core/src/spread/machine/answer.rs
+++ b/crates/core/src/spread/machine/answer.rs
@@ -72,6 +72,7 @@
             joined: matches!(self.life, Life::Joined(_)),
             heads: self.holder.heads(),
             contact: self.contact.tell(now),
+            list: self.list.tell(now),
             buckets,
             about_you: self.members.get(from).cloned(),
         })
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -116,6 +116,7 @@
         if self.reads[stream as usize].drop_outdated() {
             return;
         }
+        self.prove_list(stream, &result);
         match result {
             SourceResult::Catalogue { revision, text } => {
                 self.source_answered(now, stream, Some(revision));
@@ -155,6 +156,20 @@
         }
     }
 
+    /// Takes an answer of the platform for a proof of which list is the newest;
+    /// an answer without a revision, or of the catalogue, proves nothing of it.
+    fn prove_list(&mut self, stream: Stream, result: &SourceResult) {
+        let newest = match result {
+            SourceResult::Instances { revision, .. } => Some(*revision),
+            SourceResult::Unchanged { newest } if stream == Stream::Instances => *newest,
+            _ => None,
+        };
+        let asked = self.reads[stream as usize].asked();
+        if let (Some(asked), Some(newest)) = (asked, newest) {
+            self.list.prove(asked, newest);
+        }
+    }
+
     fn source_answered(&mut self, now: Tick, stream: Stream, seen: Option<Revision>) {
         self.contact.prove(now, self.role.turn());
         self.reads[stream as usize].succeed(seen);
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -83,6 +83,7 @@
                 self.hear_heads(now, heads, &waiting.to, out);
             }
             (Purpose::Sync, PeerReply::Sync(told)) => {
+                self.list.hear(waiting.asked, told.list);
                 self.synced(now, &waiting.to, &told, out);
             }
             (Purpose::Pull(stream), PeerReply::Body(body)) => {
--- a/crates/core/src/spread/reply.rs
+++ b/crates/core/src/spread/reply.rs
@@ -8,6 +8,7 @@
 use crate::EndpointState;
 use crate::Heads;
 use crate::InstanceId;
+use crate::ListProof;
 
 /// The answer to a [`PeerMessage`](crate::PeerMessage).
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -38,6 +39,8 @@
     pub heads: Heads,
     /// Its newest proof of contact with the platform.
     pub contact: Option<Contact>,
+    /// Up to when nothing newer than the list that it names was published.
+    pub list: Option<ListProof>,
     /// Digests of its endpoint states by bucket, if they differ in all.
     pub buckets: Vec<u32>,
     /// What it remembers of the asking node itself.
--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -52,6 +52,11 @@
         self.answered
     }
 
+    /// Since when a read is under way.
+    pub(super) fn asked(&self) -> Option<Tick> {
+        self.under_way
+    }
+
     /// How long the read under way has taken; zero if none is.
     pub(super) fn elapsed(&self, now: Tick) -> Duration {
         self.under_way
--- a/crates/core/src/spread/status.rs
+++ b/crates/core/src/spread/status.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::Heads;
+use crate::ListProof;
 use crate::Version;
 
 /// A node's view, for its admin address and metrics.
@@ -24,6 +25,8 @@
     pub peers: usize,
     /// Age of the newest proof of contact with the platform, by any node.
     pub source_age: Option<Duration>,
+    /// Up to when nothing newer than the list that it names was published.
+    pub list: Option<ListProof>,
     /// Conflicts seen so far.
     pub conflicts: u64,
     /// Versions refused so far.
--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -9,5 +9,6 @@
 mod partitions;
 mod parts;
 mod platform;
+mod proofs;
 mod random;
 mod versions;
