Keep the script and the records of a chaos run with the logs

Finding what a refusal came from needed the time of each fault and the record of each attempt: the report now has the script, and the records stand beside the nodes' logs if those are kept.

--- a/crates/bench/src/chaos/report.rs
+++ b/crates/bench/src/chaos/report.rs
@@ -20,8 +20,8 @@
     pub seed: u64,
     /// Whether callers used the naive version.
     pub naive: bool,
-    /// Steps of the script.
-    pub faults: usize,
+    /// What was done, with milliseconds from the start of the calls.
+    pub faults: Vec<String>,
     /// What became of the calls.
     #[serde(flatten)]
     pub verdict: Verdict,
@@ -37,6 +37,8 @@
     pub latency_ms: SummaryMs,
     /// By how much calls were released late.
     pub release_late_ms: SummaryMs,
+    /// When the calls began, in microseconds since the Unix epoch.
+    pub began_us: u64,
     /// Calls that were never made since too many were under way.
     pub dropped: u64,
     /// Where the nodes' logs are, if they were kept.
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use miette::IntoDiagnostic;
 use miette::miette;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::KindName;
@@ -135,7 +136,7 @@
     while observers.join_next().await.is_some() {}
     let report = judged(opts, &script, &load, &driver);
     drop(driver);
-    with_logs(opts, report, fleet)
+    with_logs(opts, report, fleet, &load.records)
 }
 
 fn layout(opts: Options) -> Layout {
@@ -214,7 +215,7 @@
         seconds: opts.length.as_secs_f64(),
         seed: opts.seed,
         naive: opts.naive,
-        faults: script.steps.len(),
+        faults: script.steps.iter().map(ToString::to_string).collect(),
         verdict: evidence.verdict(),
         reasons: reasons(&load.records),
         violations: by_promise(&violations),
@@ -222,6 +223,7 @@
         first_faults: first(evidence.faults().map(|record| format!("{record:?}"))),
         latency_ms: latency.summary(),
         release_late_ms: load.late.summary(),
+        began_us: load.records.iter().map(|r| r.sent_us).min().unwrap_or(0),
         dropped: load.dropped,
         logs: None,
     }
@@ -256,9 +258,15 @@
     told.take(TOLD).collect()
 }
 
-fn with_logs(opts: Options, mut report: Report, fleet: Arc<Fleet>) -> miette::Result<Report> {
+fn with_logs(
+    opts: Options,
+    mut report: Report,
+    fleet: Arc<Fleet>,
+    records: &[CallRecord],
+) -> miette::Result<Report> {
     let is_broken = report.verdict.has_fault() || !report.violations.is_empty();
     if opts.keep_logs && is_broken {
+        fleet.write("records.json", records).into_diagnostic()?;
         let fleet = Arc::into_inner(fleet).ok_or_else(|| miette!("the fleet is still in use"))?;
         report.logs = Some(fleet.keep_logs().display().to_string());
     }
--- a/crates/bench/src/chaos/script.rs
+++ b/crates/bench/src/chaos/script.rs
@@ -1,5 +1,6 @@
 //! Which faults come when, drawn from a seed before the run.
 
+use std::fmt;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -33,6 +34,12 @@
     pub fault: Fault,
 }
 
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {:?}", self.at.as_millis(), self.fault)
+    }
+}
+
 /// The faults of a run in order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Script {
--- a/crates/bench/src/load/fleet/whole.rs
+++ b/crates/bench/src/load/fleet/whole.rs
@@ -15,6 +15,7 @@
 use sassafrasspool_standin::Platform;
 use sassafrasspool_standin::PlatformSettings;
 use sassafrasspool_standin::Target;
+use serde::Serialize;
 use tempfile::TempDir;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
@@ -115,6 +116,20 @@
         Ok(())
     }
 
+    /// Puts something beside the nodes' logs, one line of JSON for each item.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be written.
+    pub fn write<T: Serialize>(&self, name: &str, items: &[T]) -> std::io::Result<()> {
+        let mut text = Vec::new();
+        for item in items {
+            serde_json::to_writer(&mut text, item)?;
+            text.push(b'\n');
+        }
+        std::fs::write(self.dir.path().join(name), text)
+    }
+
     /// Keeps the nodes' settings and logs after the end, and says where.
     pub fn keep_logs(self) -> PathBuf {
         self.dir.keep()
--- a/crates/bench/src/load/record.rs
+++ b/crates/bench/src/load/record.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use sassafrasspool_core::Class;
+use serde::Serialize;
 
 use super::ending::Ending;
 
 /// One attempt of a call, as its caller saw it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct CallRecord {
     /// The attempt's request id.
     pub id: String,
