Count a target's own 503 as a failure of its endpoint

A target that drains by itself answers 503 at once, which passed for a good answer: its endpoint had the least load and the shortest time, and drew nearly all requests of its service. A 503 of the target now counts towards ejection like a broken connection.

--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -4,6 +4,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::Uri;
 use http::Version;
 use http::uri::Authority;
@@ -61,6 +62,7 @@
         };
         let now = self.worker.hub.shared.clock().now();
         let verdict = match &result {
+            Ok(res) if is_unavailable(res) => Verdict::Failed,
             Ok(_) => Verdict::Answered(now.since(picked.since())),
             Err(missed) => verdict_of(&missed.failure),
         };
@@ -151,6 +153,15 @@
     LoadReport::parse(value.to_str().ok()?).ok()
 }
 
+/// Whether the target itself says that it takes no work.
+///
+/// A target that drains or starts cold by itself answers 503 in no time. As a
+/// good answer that would make its endpoint the least loaded and the fastest
+/// of its service, and draw nearly all requests to it, to fail.
+fn is_unavailable<B>(res: &Response<B>) -> bool {
+    res.status() == StatusCode::SERVICE_UNAVAILABLE
+}
+
 /// What a failure says of the endpoint.
 fn verdict_of(failure: &Failure) -> Verdict {
     match failure {
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -11,4 +11,5 @@
 mod lost;
 mod nosy_target;
 mod path;
+mod shedding;
 mod wait;
