Bind endpoints' states without building the choice again

A node that said that it isn't ready before the list named its instance was sent requests once the list did: the meters forgot it, and its word was only told where it differed from the last one.

--- a/crates/node/src/control/machine.rs
+++ b/crates/node/src/control/machine.rs
@@ -57,7 +57,8 @@
 
     /// When the machine is to be woken up.
     pub(super) fn next_wakeup(&self) -> Tick {
-        self.spread.next_wakeup()
+        let due = self.spread.next_wakeup();
+        self.views.due().map_or(due, |views| views.min(due))
     }
 
     /// Whether the endpoint can take requests: a snapshot is in force that was
@@ -138,8 +139,8 @@
 
     /// Puts in force what has changed since the last time.
     pub(super) fn publish(&mut self) {
-        self.views.publish(&self.outside.shared);
         let now = self.now();
+        self.views.publish(now, &self.outside.shared);
         let status = self.spread.status(now);
         let since_start = |age| now.since(Tick::ZERO).saturating_sub(age);
         if let Some(since_start) = status.source_age.map(since_start) {
--- a/crates/node/src/shared/routing.rs
+++ b/crates/node/src/shared/routing.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 
@@ -21,6 +22,9 @@
 
 use super::View;
 
+#[cfg(test)]
+mod tests;
+
 type States = HashMap<InstanceId, EndpointState>;
 
 /// A view and what chooses among its endpoints; a request pins both together.
@@ -29,7 +33,7 @@
     /// The view.
     pub view: Arc<View>,
     /// Chooses endpoints by the keys of the view's snapshot.
-    pub picker: Picker,
+    pub picker: Arc<Picker>,
 }
 
 /// Where a node stands, and the requests with a key that it has run there.
@@ -65,17 +69,32 @@
 
     /// Binds a view and puts it in force; nothing to bind before the node was
     /// placed.
+    ///
+    /// A fleet that restarts changes states all the time. Only another
+    /// snapshot is bound anew, which takes time in proportion to all endpoints.
     pub(super) fn bind(&self, view: &Arc<View>, now: Tick) {
         let Some(Place { position, repeat }) = self.place.get() else {
             return;
         };
-        // INVARIANT: Before requests are routed by it, so that the owner of a
-        // key doesn't learn of it later than those who send it.
-        repeat.snapshot_changed(now, &view.snapshot);
-        self.meters.retain(&view.snapshot);
-        self.mark(&view.states, now);
-        let cfg = RouteSettings::default();
-        let picker = Picker::build(&view.snapshot, position, cfg, &self.meters, now);
+        let held = self.routes.load_full();
+        let same = held.filter(|held| Arc::ptr_eq(&held.view.snapshot, &view.snapshot));
+        let picker = match same {
+            Some(held) => {
+                self.mark_changed(&view.states, now);
+                Arc::clone(&held.picker)
+            }
+            None => {
+                // INVARIANT: Before requests are routed by it, so that the
+                // owner of a key doesn't learn of it later than those who
+                // send it.
+                repeat.snapshot_changed(now, &view.snapshot);
+                self.meters.retain(&view.snapshot);
+                self.mark_all(&view.states, now);
+                let cfg = RouteSettings::default();
+                let picker = Picker::build(&view.snapshot, position, cfg, &self.meters, now);
+                Arc::new(picker)
+            }
+        };
         let view = Arc::clone(view);
         self.routes.store(Some(Arc::new(Routes { view, picker })));
     }
@@ -85,20 +104,33 @@
         self.routes.load_full()
     }
 
-    /// Tells the meters of the states that have changed.
-    fn mark(&self, states: &Arc<States>, now: Tick) {
-        let mut marked = self.marked.lock().unwrap_or_else(PoisonError::into_inner);
-        if Arc::ptr_eq(&marked, states) {
-            return;
-        }
-        for (id, state) in &**states {
-            let before = marked.get(id).map(|state| state.phase);
-            if before != Some(state.phase) {
-                self.meters.mark(id, intake(state.phase), now);
-            }
+    /// Tells the meters of the states that have changed: a picker reads the
+    /// meters, so that it need not be built again for them.
+    fn mark_changed(&self, states: &Arc<States>, now: Tick) {
+        let mut marked = self.marked();
+        let changed = states.iter().filter(|(id, state)| {
+            let before = marked.get(*id).map(|state| state.phase);
+            before != Some(state.phase)
+        });
+        for (id, state) in changed {
+            self.meters.mark(id, intake(state.phase), now);
         }
         *marked = Arc::clone(states);
     }
+
+    /// Tells the meters of all states, when the list has changed: a node may
+    /// have spoken for its endpoint before the list named it, and no meter was
+    /// kept for it then.
+    fn mark_all(&self, states: &Arc<States>, now: Tick) {
+        for (id, state) in states.iter() {
+            self.meters.mark(id, intake(state.phase), now);
+        }
+        *self.marked() = Arc::clone(states);
+    }
+
+    fn marked(&self) -> MutexGuard<'_, Arc<States>> {
+        self.marked.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 fn intake(phase: Phase) -> Intake {
--- /dev/null
+++ b/crates/node/src/shared/routing/tests.rs
@@ -0,0 +1,136 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+use sassafrasspool_core::Catalogue;
+use sassafrasspool_core::EndpointState;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceList;
+use sassafrasspool_core::InstanceState;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::Position;
+use sassafrasspool_core::RepeatSettings;
+use sassafrasspool_core::RepeatWindow;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::Snapshot;
+use sassafrasspool_core::Tick;
+use sassafrasspool_core::catalogue;
+
+use super::Routing;
+use crate::View;
+
+const CATALOGUE: &str = "
+kinds: {lookup: {weight: 1}}
+services:
+  workshop-desk:
+    owner: fitters
+    class: standard
+    limits: {rate_per_s: 100, concurrency: 10, deadline_ms: 2000}
+    routes: [{path: /, kind: lookup, idempotent: true}]
+";
+
+fn name<T: TryFrom<Arc<str>, Error: std::fmt::Debug>>(text: &str) -> T {
+    T::try_from(Arc::from(text)).expect("a name")
+}
+
+fn placed() -> Routing {
+    let routing = Routing::default();
+    let position = Position {
+        instance: name("wd-0"),
+        domain: name("bayanzurkh"),
+        region: name("ulaanbaatar"),
+    };
+    let repeat = RepeatWindow::new(
+        RepeatSettings::default(),
+        name("wd-0"),
+        name("workshop-desk"),
+    );
+    routing.place(position, repeat.expect("a window"));
+    routing
+}
+
+fn instance(id: &str) -> Instance {
+    let addr = "127.0.0.1:9".parse().expect("an address");
+    Instance {
+        id: name(id),
+        service: name("workshop-desk"),
+        region: name("ulaanbaatar"),
+        domain: name("bayanzurkh"),
+        traffic: addr,
+        control: addr,
+        slots: 10,
+        connections: 20,
+        state: InstanceState::Live,
+    }
+}
+
+/// A snapshot whose list names these instances.
+fn snapshot(revision: u64, listed: &[&str]) -> Arc<Snapshot> {
+    let revision = Revision::new(revision).expect("a revision");
+    let items = catalogue::parse(CATALOGUE).expect("a catalogue");
+    let catalogue = Catalogue::new(revision, items).expect("a catalogue");
+    let list = InstanceList::new(revision, listed.iter().map(|id| instance(id)));
+    let snapshot = Snapshot::build(&catalogue, &list.expect("a list"));
+    Arc::new(snapshot.expect("a snapshot"))
+}
+
+/// What wd-1 said last, if it said anything.
+fn view(snapshot: &Arc<Snapshot>, said: Option<Phase>) -> Arc<View> {
+    let states = said.map(|phase| EndpointState {
+        instance: name("wd-1"),
+        incarnation: 1,
+        sequence: u64::from(phase as u8),
+        phase,
+    });
+    let states: HashMap<_, _> = states
+        .map(|it| (it.instance.clone(), it))
+        .into_iter()
+        .collect();
+    Arc::new(View {
+        snapshot: Arc::clone(snapshot),
+        states: Arc::new(states),
+    })
+}
+
+/// Whether a request finds an endpoint.
+fn picks(routing: &Routing) -> bool {
+    let routes = routing.routes().expect("routes");
+    let route = routes.view.snapshot.match_route("/").expect("a route");
+    let mut rng = SmallRng::seed_from_u64(1);
+    let picked = routes.picker.pick(route.service, Tick::ZERO, &[], &mut rng);
+    picked.is_ok()
+}
+
+// A node starts and says that it isn't ready, before the platform's list names
+// its instance. Once the list does, requests must still not be sent there.
+#[rstest]
+#[case::starting(Phase::Starting, false)]
+#[case::ready(Phase::Ready, true)]
+#[case::draining(Phase::Draining, false)]
+fn word_that_came_before_the_list_counts(#[case] said: Phase, #[case] picked: bool) {
+    let routing = placed();
+    let now = Tick::from_millis(1);
+    let before = snapshot(1, &[]);
+    routing.bind(&view(&before, Some(said)), now);
+    routing.bind(&view(&snapshot(2, &[]), Some(said)), now);
+    routing.bind(&view(&snapshot(3, &["wd-1"]), Some(said)), now);
+    assert_eq!(picks(&routing), picked);
+}
+
+// Only states change. The picker is kept, since building it costs time for
+// every endpoint there is, and it must go by the new states.
+#[test]
+fn change_of_states_keeps_the_picker() {
+    let routing = placed();
+    let now = Tick::from_millis(1);
+    let snapshot = snapshot(1, &["wd-1"]);
+    routing.bind(&view(&snapshot, Some(Phase::Ready)), now);
+    assert!(picks(&routing));
+    let before = routing.routes().expect("routes");
+    routing.bind(&view(&snapshot, Some(Phase::Draining)), now);
+    assert!(!picks(&routing));
+    let after = routing.routes().expect("routes");
+    assert!(Arc::ptr_eq(&before.picker, &after.picker));
+}
