Tell in the demo what became of the bad change and of the killed node

The table gave only how many nodes refused the bad change, and a broken promise filled the screen.

It now tells by how many nodes the bad change was applied, how long the killed node took to be ready again, and at most ten broken promises.

--- a/crates/bench/src/demo/report.rs
+++ b/crates/bench/src/demo/report.rs
@@ -7,6 +7,9 @@
 use super::evidence::Evidence;
 use super::scenario::Played;
 
+/// How many broken promises are told in words.
+const TOLD: usize = 10;
+
 /// What a demo came to.
 #[derive(Debug)]
 pub(super) struct Report {
@@ -80,11 +83,16 @@
         } = self;
         let summary = played.convergence.summary();
         row(f, "changes in force everywhere", played.changes)?;
-        let refused = format!("refused by {} of {} nodes", played.refused, played.judges);
-        row(f, "bad change", refused)?;
+        let bad = format!(
+            "applied by {} of {} nodes, fetched and refused by {}",
+            played.misled, played.judges, played.refused
+        );
+        row(f, "bad change", bad)?;
         let times = format!("p50 {:.0} ms, max {:.0} ms", summary.p50, summary.max);
         row(f, "convergence", times)?;
-        row(f, "planned stops", evidence.stops)
+        row(f, "planned stops", evidence.stops)?;
+        let back = format!("ready {} ms after its start", played.returned.as_millis());
+        row(f, "killed node", back)
     }
 
     fn costs(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -116,9 +124,13 @@
 
     fn promises(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         row(f, "promises held", if self.held() { "yes" } else { "NO" })?;
-        for violation in &self.evidence.violations {
+        let violations = &self.evidence.violations;
+        for violation in violations.iter().take(TOLD) {
             writeln!(f, "  {violation}")?;
         }
+        if violations.len() > TOLD {
+            writeln!(f, "  and {} more", violations.len() - TOLD)?;
+        }
         for fault in &self.evidence.faults {
             writeln!(f, "  {fault}")?;
         }
--- a/crates/bench/src/demo/scenario/play.rs
+++ b/crates/bench/src/demo/scenario/play.rs
@@ -14,6 +14,7 @@
 use sassafrasspool_wire::admin::VERSIONS_PATH;
 use sassafrasspool_wire::admin::VersionInfo;
 use sassafrasspool_wire::admin::Versions;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::demo::changes::WorkingCopy;
@@ -45,8 +46,13 @@
     pub(in crate::demo) changes: u32,
     /// Nodes that ran when the bad version was published.
     pub(in crate::demo) judges: usize,
-    /// Nodes that say that they refused it.
+    /// Nodes that fetched it and say that they refused it; the others didn't
+    /// fetch it from anybody.
     pub(in crate::demo) refused: usize,
+    /// Nodes that had it in force.
+    pub(in crate::demo) misled: usize,
+    /// How long a killed node took from its new start until it was ready.
+    pub(in crate::demo) returned: Duration,
 }
 
 /// A play under way.
@@ -115,11 +121,10 @@
         for id in self.fleet.running() {
             let admin = self.fleet.member(&id)?.listen.admin;
             let versions: Versions = self.fleet.client.get(admin, VERSIONS_PATH).await?;
-            let refused = versions
-                .refused
-                .is_some_and(|refused| is_from(&refused, bad));
+            let is_bad = |version: &VersionInfo| version.revision == bad.revision.get();
             self.played.judges += 1;
-            self.played.refused += usize::from(refused);
+            self.played.refused += usize::from(versions.refused.as_ref().is_some_and(is_bad));
+            self.played.misled += usize::from(versions.held.catalogue.as_ref().is_some_and(is_bad));
         }
         Ok(())
     }
@@ -138,7 +143,10 @@
         self.fleet.kill(id).await?;
         self.change().await?;
         sleep(AWAY).await;
-        self.fleet.restart(id).await
+        let began = Instant::now();
+        self.fleet.restart(id).await?;
+        self.played.returned = began.elapsed();
+        Ok(())
     }
 
     async fn in_force(&self, stream: Stream, published: Published) -> Result<()> {
@@ -180,10 +188,6 @@
     }
 }
 
-fn is_from(version: &VersionInfo, published: Published) -> bool {
-    version.revision == published.revision.get()
-}
-
 fn held_of(held: &Held, stream: Stream) -> Option<&VersionInfo> {
     match stream {
         Stream::Catalogue => held.catalogue.as_ref(),
