Let a test part a node's control side or stop it

Many nodes of one process can't be parted by the network or stopped by a signal. A gate on the control side does what these do as seen from its decisions: calls to parted peers get no answer, reads of the platform fail, and a stopped control task does nothing and answers nobody. It is open unless somebody closes it.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,6 +7,7 @@
 
 pub(crate) use self::counts::ControlCounts;
 pub(crate) use self::event::ControlEvent;
+pub use self::gate::Gate;
 pub(crate) use self::handle::ControlHandle;
 pub(crate) use self::inbound::Inbound;
 pub(crate) use self::life::Control;
@@ -16,6 +17,7 @@
 
 mod counts;
 mod event;
+mod gate;
 mod handle;
 mod inbound;
 mod life;
--- a/crates/node/src/control/outside.rs
+++ b/crates/node/src/control/outside.rs
@@ -18,6 +18,7 @@
 use super::ControlCounts;
 use super::ControlEvent;
 use super::ControlHandle;
+use super::gate::Gate;
 use crate::AuditTrail;
 use crate::Shared;
 use crate::metrics::names;
@@ -41,6 +42,8 @@
     pub(crate) tasks: TaskTracker,
     /// Ends what runs beside the control task.
     pub(crate) cancel: CancellationToken,
+    /// Holds the control side back.
+    pub(crate) gate: Gate,
 }
 
 impl Outside {
@@ -62,7 +65,7 @@
         self.counts.add_read();
         let outside = self.clone();
         self.spawn(async move {
-            let result = outside.platform.read(stream, after, wait).await;
+            let result = outside.read_platform(stream, after, wait).await;
             let name = result_name(&result);
             counter!(names::READS, "stream" => stream.as_str(), "result" => name).increment(1);
             if let SourceResult::Failed { reason } = &result {
@@ -73,6 +76,27 @@
         });
     }
 
+    async fn read_platform(
+        &self,
+        stream: Stream,
+        after: Option<Revision>,
+        wait: Duration,
+    ) -> SourceResult {
+        let result = match self.gate.cuts_platform() {
+            true => {
+                tokio::time::sleep(wait).await;
+                None
+            }
+            false => Some(self.platform.read(stream, after, wait).await),
+        };
+        match result {
+            Some(result) if !self.gate.cuts_platform() => result,
+            _ => SourceResult::Failed {
+                reason: "cut from the platform".to_owned(),
+            },
+        }
+    }
+
     /// Runs something beside the control task until the node ends.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let cancel = self.cancel.clone();
@@ -85,11 +109,17 @@
         let kind = call.message.kind();
         counter!(names::MESSAGES, "kind" => kind, "direction" => "out").increment(1);
         self.counts.add_sent(&call.message);
+        if self.gate.parts_from(call.addr) {
+            tokio::time::sleep(call.timeout).await;
+            return None;
+        }
         let me = self.shared.me();
         let answer = self
             .pool
             .exchange(call.addr, me, &call.message, call.timeout);
         match answer.await {
+            // What was under way when the peers were parted is lost as well.
+            Ok(_) if self.gate.parts_from(call.addr) => None,
             Ok(reply) => Some(reply),
             Err(err) => {
                 counter!(names::CALLS_FAILED, "step" => err.step().as_str()).increment(1);
--- a/crates/node/src/control/pump.rs
+++ b/crates/node/src/control/pump.rs
@@ -71,6 +71,8 @@
     /// Runs until `reached` says so.
     pub(super) async fn run(&mut self, until: Until, reached: impl Fn(&Machine) -> bool) -> Rest {
         loop {
+            let gate = self.machine.outside().gate.clone();
+            self.cancel.run_until_cancelled(gate.pass()).await;
             if reached(&self.machine) {
                 return Rest::Reached;
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod traffic;
 
 pub use crate::audit::AuditTrail;
+pub use crate::control::Gate;
 pub use crate::control::StopReport;
 pub use crate::node::Node;
 pub use crate::node::NodeAddrs;
--- a/crates/node/src/node/running.rs
+++ b/crates/node/src/node/running.rs
@@ -15,6 +15,7 @@
 use crate::Settings;
 use crate::Shared;
 use crate::control::ControlEvent;
+use crate::control::Gate;
 use crate::control::Outside;
 use crate::control::StopReport;
 
@@ -71,6 +72,11 @@
         self.outside.counts.stats()
     }
 
+    /// Holds its control side back, for tests and benchmarks.
+    pub fn gate(&self) -> &Gate {
+        &self.outside.gate
+    }
+
     /// The records of its audit trail after number `after`.
     pub fn audit(&self, after: u64) -> AuditPage {
         self.outside.audit.page(after)
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -31,6 +31,7 @@
 use crate::control::Control;
 use crate::control::ControlCounts;
 use crate::control::ControlHandle;
+use crate::control::Gate;
 use crate::control::Inbound;
 use crate::control::Machine;
 use crate::control::Outside;
@@ -209,5 +210,6 @@
         control,
         tasks: TaskTracker::new(),
         cancel,
+        gate: Gate::default(),
     }
 }
