Let everything fail and judge what was in force

The verb fault runs eight cases on real nodes in one process: herd restart, outage, stale source, pause, partition, reader loss, a bad version, and several at once drawn from the seed.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use miette::IntoDiagnostic;
+use miette::miette;
 
 use self::flags::SassafrasspoolBench;
 use self::flags::SassafrasspoolBenchCmd;
@@ -11,6 +12,8 @@
 use crate::chaos;
 use crate::control_fleet::FleetOptions;
 use crate::control_fleet::Tuning;
+use crate::fault;
+use crate::fault::Case;
 use crate::generate::GeneratedCatalogue;
 use crate::generate::Shape;
 use crate::output;
@@ -28,6 +31,7 @@
     match SassafrasspoolBench::from_env_or_exit().subcommand {
         SassafrasspoolBenchCmd::Generate(opts) => generate(&opts),
         SassafrasspoolBenchCmd::Spread(opts) => spread(&opts),
+        SassafrasspoolBenchCmd::Fault(opts) => fault(&opts),
         SassafrasspoolBenchCmd::Overload(opts) => overload(&opts),
         SassafrasspoolBenchCmd::Calls(opts) => calls(&opts),
         SassafrasspoolBenchCmd::Chaos(opts) => chaos(&opts),
@@ -74,6 +78,22 @@
     output::print(&spread::run(&opts)?)
 }
 
+fn fault(opts: &flags::Fault) -> miette::Result<()> {
+    let name = opts.case.as_deref().unwrap_or("all");
+    let cases = Case::named(name).ok_or_else(|| miette!("there is no case {name}"))?;
+    let fleet = FleetOptions {
+        nodes: opts.nodes.unwrap_or(24),
+        shape: Shape {
+            services: opts.services.unwrap_or(40),
+            endpoints: opts.endpoints.unwrap_or(60),
+            seed: opts.seed.unwrap_or(1),
+        },
+        naive: opts.naive,
+        tuning: Tuning::default(),
+    };
+    output::print(&fault::run(&fault::Options { cases, fleet })?)
+}
+
 fn overload(opts: &flags::Overload) -> miette::Result<()> {
     let opts = overload::Options {
         nodes: opts.nodes.unwrap_or(4),
--- a/crates/bench/src/cli/flags.rs
+++ b/crates/bench/src/cli/flags.rs
@@ -43,6 +43,21 @@
             /// Milliseconds that the platform may hold a watching read.
             optional --watch-ms watch_ms: u64
         }
+        /// Let nodes, network and source fail, and judge what was in force.
+        cmd fault {
+            /// The case, or `all` (all).
+            optional --case case: String
+            /// Nodes that run, all in this process (24).
+            optional --nodes nodes: usize
+            /// What all random choices come from (1).
+            optional --seed seed: u64
+            /// Services in the catalogue (40).
+            optional --services services: usize
+            /// Endpoints in the list, those beyond the nodes without one (60).
+            optional --endpoints endpoints: usize
+            /// Let every node read the platform for itself.
+            optional --naive
+        }
         /// Offer more calls than the slots can do, with and without admission.
         cmd overload {
             /// Instances, each with its node (4).
--- a/crates/bench/src/control_fleet.rs
+++ b/crates/bench/src/control_fleet.rs
@@ -16,6 +16,7 @@
 pub use self::seen::Seen;
 pub use self::watcher::Watcher;
 
+mod addrs;
 mod fleet;
 mod member;
 mod options;
--- a/crates/bench/src/control_fleet/member.rs
+++ b/crates/bench/src/control_fleet/member.rs
@@ -16,6 +16,7 @@
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
+use super::addrs;
 use super::settings::Common;
 
 /// A node that can be crashed and started again under its addresses.
@@ -34,16 +35,16 @@
 }
 
 impl Member {
-    /// Starts a node beside `instance` on any ports.
+    /// Starts a node beside `instance` on free ports.
     pub(super) fn start(
         handle: &Handle,
         common: &Common,
         mut instance: Instance,
     ) -> miette::Result<Member> {
         let cancel = CancellationToken::new();
-        let settings = common.settings(&instance, None, &[])?;
+        let addrs = addrs::draw()?;
+        let settings = common.settings(&instance, addrs, &[])?;
         let node = Node::start_on(handle, settings, cancel.clone()).into_diagnostic()?;
-        let addrs = node.addrs();
         instance.traffic = addrs.traffic;
         instance.control = addrs.control;
         Ok(Member {
@@ -75,6 +76,13 @@
         node.snapshot()
     }
 
+    /// Begins to end the node at once, as a crash does.
+    pub fn begin_crash(&self) {
+        if let Some(life) = self.lock().as_ref() {
+            life.cancel.cancel();
+        }
+    }
+
     /// Ends the node at once, as a crash does, and waits until its ports are
     /// free.
     ///
@@ -97,9 +105,7 @@
     /// Fails if one of its addresses can't be listened on.
     pub fn restart(&self, handle: &Handle, seeds: &[SocketAddr]) -> miette::Result<()> {
         let cancel = CancellationToken::new();
-        let settings = self
-            .common
-            .settings(&self.instance, Some(self.addrs), seeds)?;
+        let settings = self.common.settings(&self.instance, self.addrs, seeds)?;
         let node = Node::start_on(handle, settings, cancel.clone()).into_diagnostic()?;
         *self.lock() = Some(Life { node, cancel });
         Ok(())
--- a/crates/bench/src/control_fleet/settings.rs
+++ b/crates/bench/src/control_fleet/settings.rs
@@ -19,19 +19,18 @@
 }
 
 impl Common {
-    /// Settings of the node beside `instance`; at its first start it takes
-    /// any ports, and later those that it had.
+    /// Settings of the node beside `instance`.
     pub(super) fn settings(
         &self,
         instance: &Instance,
-        addrs: Option<NodeAddrs>,
+        addrs: NodeAddrs,
         seeds: &[SocketAddr],
     ) -> miette::Result<Settings> {
         let text = self.text(instance, addrs, seeds);
         Settings::parse(&text).map_err(|faults| miette!("settings of a node: {faults}"))
     }
 
-    fn text(&self, instance: &Instance, addrs: Option<NodeAddrs>, seeds: &[SocketAddr]) -> String {
+    fn text(&self, instance: &Instance, addrs: NodeAddrs, seeds: &[SocketAddr]) -> String {
         let mut spread = self.tuning.entries();
         if self.naive {
             spread.push("strategy: naive".to_owned());
@@ -57,15 +56,7 @@
     }
 }
 
-fn listen(addrs: Option<NodeAddrs>) -> String {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let addrs = addrs.unwrap_or(NodeAddrs {
-        ingress: any,
-        egress: any,
-        traffic: any,
-        control: any,
-        admin: any,
-    });
+fn listen(addrs: NodeAddrs) -> String {
     format!(
         "ingress: {}, egress: {}, traffic: {}, control: {}, admin: {}",
         addrs.ingress, addrs.egress, addrs.traffic, addrs.control, addrs.admin
--- /dev/null
+++ b/crates/bench/src/fault.rs
@@ -0,0 +1,17 @@
+//! The verb `fault`: what the fleet's configuration does while nodes, network
+//! and source fail, judged by the history checker.
+
+pub use self::case::Case;
+pub use self::options::Options;
+pub use self::report::CaseReport;
+pub use self::report::Report;
+pub use self::run::run;
+
+mod case;
+mod disturbance;
+mod options;
+mod report;
+mod run;
+mod script;
+mod stage;
+mod timing;
--- /dev/null
+++ b/crates/bench/src/fault/stage.rs
@@ -0,0 +1,377 @@
+//! The fleet of one case, with its history.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use miette::IntoDiagnostic;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::Stream;
+use sassafrasspool_core::Version;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_core::history::History;
+use sassafrasspool_standin::platform::PlatformStats;
+
+use super::timing::Timing;
+use crate::control_fleet::ControlFleet;
+use crate::control_fleet::FleetOptions;
+use crate::control_fleet::Member;
+use crate::control_fleet::Publisher;
+use crate::control_fleet::Seen;
+use crate::control_fleet::Watcher;
+
+/// How long the fleet may take to start.
+const START_BOUND: Duration = Duration::from_secs(60);
+
+/// How long a healed fleet may take at most, so that a run ends. It is above
+/// what the checker allows, so that lateness is found and not waited for.
+const HEAL_BOUND: Duration = Duration::from_secs(25);
+
+/// Control addresses that a restarted node is told.
+const SEEDS: usize = 3;
+
+/// A running fleet that records what is done to it.
+#[derive(Debug)]
+pub(super) struct Stage {
+    pub(super) rng: SmallRng,
+    fleet: ControlFleet,
+    publisher: Publisher,
+    watcher: Watcher,
+    history: History,
+    timing: Timing,
+    /// How many disturbances take each node away at the moment.
+    lost: Vec<u32>,
+    source_lost: u32,
+    parted: Option<Parted>,
+}
+
+/// A partition: some nodes on one side, the rest on the other.
+#[derive(Debug, Clone)]
+struct Parted {
+    side: HashSet<usize>,
+    from_platform: bool,
+}
+
+/// What is left of a stage.
+#[derive(Debug)]
+pub(super) struct Finished {
+    pub(super) history: History,
+    pub(super) timing: Timing,
+    pub(super) seen: Vec<Seen>,
+    pub(super) stats: PlatformStats,
+}
+
+impl Stage {
+    /// Starts a fleet and waits until the first version is in force.
+    pub(super) fn start(opts: &FleetOptions, salt: u64) -> miette::Result<Stage> {
+        let (fleet, publisher) = ControlFleet::start(opts)?;
+        let first = publisher.expected()?;
+        let watcher = Watcher::start(fleet.members().clone(), true);
+        let mut stage = Stage {
+            rng: SmallRng::seed_from_u64(opts.shape.seed ^ (salt << 32)),
+            lost: vec![0; fleet.members().len()],
+            fleet,
+            publisher,
+            watcher,
+            history: History::new(),
+            timing: Timing::default(),
+            source_lost: 0,
+            parted: None,
+        };
+        stage.published(Stream::Instances, first.instances);
+        stage.published(Stream::Catalogue, first.catalogue);
+        stage.record_reference()?;
+        stage.fleet.until_in_force(first.catalogue, START_BOUND)?;
+        for i in 0..stage.lost.len() {
+            let node = stage.id(i);
+            stage.record(Event::NodeBack { node });
+        }
+        stage.fleet.platform().reset_stats();
+        Ok(stage)
+    }
+
+    /// How many nodes there are.
+    pub(super) fn len(&self) -> usize {
+        self.lost.len()
+    }
+
+    /// The nodes of a failure domain; domains are numbered from 0.
+    pub(super) fn domain(&self, number: usize) -> Vec<usize> {
+        let members = self.fleet.members();
+        let mut names: Vec<_> = members.iter().map(|m| &m.instance().domain).collect();
+        names.sort();
+        names.dedup();
+        let name = names[number % names.len()];
+        let of = |i: &usize| members[*i].instance().domain == *name;
+        (0..members.len()).filter(of).collect()
+    }
+
+    /// Publishes a good change.
+    pub(super) fn change(&mut self) -> miette::Result<Version> {
+        let at = self.watcher.now();
+        let version = self.publisher.change(self.fleet.platform())?;
+        let stream = Stream::Catalogue;
+        self.history
+            .record(at, Event::PublishedGood { stream, version });
+        self.timing.published(at, version.revision());
+        self.record_reference_at(at)?;
+        Ok(version)
+    }
+
+    /// Publishes a version that doesn't bind.
+    pub(super) fn publish_bad(&mut self) -> miette::Result<()> {
+        let at = self.watcher.now();
+        let version = self.publisher.publish_bad(self.fleet.platform())?;
+        let stream = Stream::Catalogue;
+        self.history
+            .record(at, Event::PublishedBad { stream, version });
+        Ok(())
+    }
+
+    /// Waits until the newest good version is in force on all that run, or
+    /// long enough for the checker to find the lateness.
+    pub(super) fn settle(&self) {
+        if let Some(newest) = self.publisher.catalogue() {
+            // A version that comes too late is the checker's to tell.
+            let _ = self.fleet.until_in_force(newest, HEAL_BOUND);
+        }
+    }
+
+    /// Lets time pass.
+    pub(super) fn wait(&self, ms: u64) {
+        thread::sleep(Duration::from_millis(ms));
+    }
+
+    /// Crashes nodes at once.
+    pub(super) fn crash(&mut self, nodes: &[usize]) -> miette::Result<()> {
+        for &i in nodes {
+            self.lose(i);
+        }
+        let members = Arc::clone(self.fleet.members());
+        for &i in nodes {
+            members[i].begin_crash();
+        }
+        for &i in nodes {
+            members[i].crash(self.fleet.handle())?;
+        }
+        Ok(())
+    }
+
+    /// Starts crashed nodes again.
+    pub(super) fn restart(&mut self, nodes: &[usize]) -> miette::Result<()> {
+        let members = Arc::clone(self.fleet.members());
+        for &i in nodes {
+            let seeds = self.seeds(i);
+            members[i].restart(self.fleet.handle(), &seeds)?;
+            self.apply_partition(i);
+            self.timing.restarted(self.watcher.now(), i);
+            self.find(i);
+        }
+        Ok(())
+    }
+
+    /// Stops nodes' control sides.
+    pub(super) fn pause(&mut self, nodes: &[usize]) {
+        for &i in nodes {
+            self.lose(i);
+            if let Some(node) = self.member(i).node() {
+                node.gate().pause(true);
+            }
+        }
+    }
+
+    /// Lets stopped control sides go on.
+    pub(super) fn resume(&mut self, nodes: &[usize]) {
+        for &i in nodes {
+            if let Some(node) = self.member(i).node() {
+                node.gate().pause(false);
+            }
+            self.find(i);
+        }
+    }
+
+    /// Parts some nodes from the others. If also from the platform, they can
+    /// get nothing new; else each side has its own readers.
+    pub(super) fn part(&mut self, side: &[usize], from_platform: bool) {
+        self.parted = Some(Parted {
+            side: side.iter().copied().collect(),
+            from_platform,
+        });
+        for i in 0..self.len() {
+            if from_platform && side.contains(&i) {
+                self.lose(i);
+            }
+            self.apply_partition(i);
+        }
+    }
+
+    /// Ends the partition.
+    pub(super) fn heal(&mut self) {
+        let Some(parted) = self.parted.take() else {
+            return;
+        };
+        for i in 0..self.len() {
+            self.apply_partition(i);
+            if parted.from_platform && parted.side.contains(&i) {
+                self.find(i);
+            }
+        }
+    }
+
+    /// Begins an outage of the source.
+    pub(super) fn begin_outage(&mut self) {
+        self.lose_source();
+        self.fleet.platform().set_outage(true);
+    }
+
+    /// Ends the outage.
+    pub(super) fn end_outage(&mut self) {
+        self.fleet.platform().set_outage(false);
+        self.find_source();
+    }
+
+    /// Makes the source go back to an old version.
+    pub(super) fn begin_stale(&mut self, at: Version) -> miette::Result<()> {
+        self.lose_source();
+        let platform = self.fleet.platform();
+        platform
+            .set_stale_at(Stream::Catalogue, at.revision())
+            .into_diagnostic()
+    }
+
+    /// Makes the source serve the newest version again.
+    pub(super) fn end_stale(&mut self) {
+        self.fleet.platform().set_stale(false);
+        self.find_source();
+    }
+
+    /// Some nodes, drawn at random.
+    pub(super) fn some(&mut self, count: usize) -> Vec<usize> {
+        let all: Vec<usize> = (0..self.len()).collect();
+        all.sample(&mut self.rng, count).copied().collect()
+    }
+
+    /// The nodes that read the platform at the moment.
+    pub(super) fn readers(&self) -> Vec<usize> {
+        let reads = |i: &usize| {
+            let Some(node) = self.member(*i).node() else {
+                return false;
+            };
+            let status = self.fleet.handle().block_on(node.spread_status());
+            status.is_ok_and(|status| status.reading)
+        };
+        (0..self.len()).filter(reads).collect()
+    }
+
+    /// Ends the run and gives out what was recorded.
+    pub(super) fn finish(mut self) -> Finished {
+        let seen = self.watcher.take();
+        for seen in &seen {
+            if let Some(held) = &seen.held {
+                let node = self.id(seen.member);
+                let held = Arc::clone(held);
+                self.history.record(seen.at, Event::InForce { node, held });
+            }
+        }
+        // The last event tells the checker how late it is.
+        self.record(Event::SourceBack);
+        Finished {
+            stats: self.fleet.platform().stats(),
+            history: self.history,
+            timing: self.timing,
+            seen,
+        }
+    }
+
+    fn member(&self, i: usize) -> &Member {
+        &self.fleet.members()[i]
+    }
+
+    fn id(&self, i: usize) -> InstanceId {
+        self.member(i).instance().id.clone()
+    }
+
+    fn record(&mut self, event: Event) {
+        self.history.record(self.watcher.now(), event);
+    }
+
+    fn published(&mut self, stream: Stream, version: Version) {
+        let at = sassafrasspool_core::Tick::ZERO;
+        self.history
+            .record(at, Event::PublishedGood { stream, version });
+    }
+
+    fn record_reference(&mut self) -> miette::Result<()> {
+        self.record_reference_at(sassafrasspool_core::Tick::ZERO)
+    }
+
+    /// Records what a node that holds the newest versions must hold, before
+    /// any node can: content that differs from it is held in part.
+    fn record_reference_at(&mut self, at: sassafrasspool_core::Tick) -> miette::Result<()> {
+        let node = InstanceId::new("reference").into_diagnostic()?;
+        let held = Arc::new(self.publisher.expected()?);
+        self.history.record(at, Event::InForce { node, held });
+        Ok(())
+    }
+
+    fn lose(&mut self, i: usize) {
+        self.lost[i] += 1;
+        if self.lost[i] == 1 {
+            let node = self.id(i);
+            self.record(Event::NodeLost { node });
+        }
+    }
+
+    fn find(&mut self, i: usize) {
+        self.lost[i] = self.lost[i].saturating_sub(1);
+        if self.lost[i] == 0 {
+            let node = self.id(i);
+            self.record(Event::NodeBack { node });
+            self.timing.found(self.watcher.now(), i);
+        }
+    }
+
+    fn lose_source(&mut self) {
+        self.source_lost += 1;
+        if self.source_lost == 1 {
+            self.record(Event::SourceLost);
+        }
+    }
+
+    fn find_source(&mut self) {
+        self.source_lost = self.source_lost.saturating_sub(1);
+        if self.source_lost == 0 {
+            self.record(Event::SourceBack);
+            self.timing.source_found(self.watcher.now());
+        }
+    }
+
+    fn seeds(&mut self, i: usize) -> Vec<SocketAddr> {
+        let others = self.some(SEEDS + 1);
+        let others = others.into_iter().filter(|other| *other != i).take(SEEDS);
+        others
+            .map(|other| self.member(other).instance().control)
+            .collect()
+    }
+
+    fn apply_partition(&self, i: usize) {
+        let Some(node) = self.member(i).node() else {
+            return;
+        };
+        let Some(parted) = &self.parted else {
+            node.gate().part(HashSet::new());
+            node.gate().cut_platform(false);
+            return;
+        };
+        let inside = parted.side.contains(&i);
+        let others = (0..self.len()).filter(|other| parted.side.contains(other) != inside);
+        let others = others.map(|other| self.member(other).instance().control);
+        node.gate().part(others.collect());
+        node.gate().cut_platform(inside && parted.from_platform);
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 pub mod control_fleet;
 pub mod demo;
+pub mod fault;
 pub mod fit;
 pub mod generate;
 pub mod load;
