Hold the lease on request keys by proofs of the list alone

The node renewed the lease with every contact of anybody with the platform, also with answers about the catalogue or that it was busy. It now passes on the proof of the list itself.

--- a/crates/core/src/repeat/window.rs
+++ b/crates/core/src/repeat/window.rs
@@ -87,9 +87,9 @@
         self.0.lock().tenure.change(now, revision, members);
     }
 
-    /// Takes over a proof that the list of `revision` was the platform's newest
-    /// at `at`: a read of the source by this node, or by a peer whose word
-    /// carries the age of its own proof.
+    /// Takes over a proof that nothing newer than the list of `revision` was
+    /// published until `at`. It must not be dated later than the question that
+    /// it answers, to the platform or a peer: see [`crate::ListProof`].
     pub fn prove(&self, at: Tick, revision: Revision) {
         self.0.lock().tenure.prove(at, revision);
     }
--- a/crates/node/src/control/machine.rs
+++ b/crates/node/src/control/machine.rs
@@ -1,5 +1,7 @@
 //! Driving the decisions: events in, actions carried out.
 
+use std::time::Duration;
+
 use metrics::counter;
 use sassafrasspool_core::Action;
 use sassafrasspool_core::AuditEvent;
@@ -146,23 +148,24 @@
         if let Some(since_start) = status.source_age.map(since_start) {
             let reached = Tick::ZERO + since_start;
             self.outside.shared.contact().note(reached);
-            self.prove_instances(reached, &status);
         }
+        self.prove_instances(now, &status);
     }
 
-    /// Passes on that the list in force was the newest when the platform was
-    /// last reached, unless this node has heard of a newer one since.
+    /// Passes on up to when nothing newer than a list was published.
     ///
-    /// The word of a contact can overtake the head of a list that the same
-    /// contact brought, by as long as a head takes to get around. An owner of
-    /// keys waits for twice the lease, which is long against that.
-    fn prove_instances(&self, reached: Tick, status: &SpreadStatus) {
-        let held = status.held.instances.map(|version| version.revision());
-        let heard = status.heard.instances.map(|version| version.revision());
-        if let Some(held) = held
-            && heard <= Some(held)
-        {
-            self.outside.shared.prove_instances(reached, held);
+    /// The age of the contact with the platform would not do: it is renewed by
+    /// answers that say nothing of the list.
+    fn prove_instances(&self, now: Tick, status: &SpreadStatus) {
+        let Some(proof) = status.list else {
+            return;
+        };
+        let age = Duration::from_millis(proof.age_ms.into());
+        // A proof from before this process began is not used: ticks begin with
+        // it.
+        if let Some(since_start) = now.since(Tick::ZERO).checked_sub(age) {
+            let at = Tick::ZERO + since_start;
+            self.outside.shared.prove_instances(at, proof.revision);
         }
     }
 
