Keep records of versions apart from those of endpoints

A fleet that restarts writes thousands of records of endpoints, which pushed out of the bounded trail why a version had been refused. Endpoints have a ring of their own now. The settings on the operators' page are read by a test.

--- a/crates/node/src/audit/record.rs
+++ b/crates/node/src/audit/record.rs
@@ -6,6 +6,9 @@
 use sassafrasspool_core::Version;
 use sassafrasspool_wire::admin::AuditRecord;
 
+/// The event of records that tell of endpoints.
+pub(super) const ENDPOINT: &str = "endpoint";
+
 /// The longest reason that is kept, in characters.
 const MAX_REASON_CHARS: usize = 2_000;
 
@@ -57,7 +60,7 @@
             instance: Some(state.instance.clone()),
             phase: Some(state.phase),
             reason: before.map(|before| format!("was {before}")),
-            ..named("endpoint", origin)
+            ..named(ENDPOINT, origin)
         },
         other => own(other),
     }
--- a/crates/node/src/audit/tests.rs
+++ b/crates/node/src/audit/tests.rs
@@ -1,6 +1,7 @@
 use rstest::rstest;
 use sassafrasspool_core::AuditEvent;
 use sassafrasspool_core::Digest;
+use sassafrasspool_core::EndpointState;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Origin;
 use sassafrasspool_core::Phase;
@@ -43,6 +44,36 @@
     assert_eq!(page.records[0].number, 7);
 }
 
+// An operator looks for the reason of a refusal after a fleet has restarted,
+// which wrote more records of endpoints than are kept.
+#[test]
+fn endpoints_do_not_push_out_versions() {
+    let trail = trail();
+    trail.write(&AuditEvent::Refused {
+        stream: Stream::Catalogue,
+        version: version(8),
+        origin: Origin::Source,
+        reason: "no service b".to_owned(),
+    });
+    for sequence in 0..2_000 {
+        trail.write(&AuditEvent::Endpoint {
+            state: EndpointState {
+                instance: InstanceId::new("wd-2").expect("a name"),
+                incarnation: 1,
+                sequence,
+                phase: Phase::Ready,
+            },
+            before: None,
+            origin: Origin::Source,
+        });
+    }
+    let page = trail.page(0);
+    assert_eq!(page.records[0].event, "refused");
+    assert_eq!(page.records.len(), 1 + 1_024);
+    assert_eq!(page.dropped, 2_000 - 1_024);
+    assert!(page.records.is_sorted_by_key(|record| record.number));
+}
+
 #[derive(Debug)]
 struct Written {
     event: AuditEvent,
--- a/crates/node/src/audit/trail.rs
+++ b/crates/node/src/audit/trail.rs
@@ -15,23 +15,29 @@
 
 use super::record;
 
-/// Records that are kept.
+/// Records that are kept of endpoints, and as many of all else.
 const KEPT: usize = 1_024;
 
 /// One node's trail.
 ///
+/// A fleet that restarts changes thousands of endpoints within seconds.
+/// Records of endpoints have a ring of their own, so that they don't push out
+/// what tells which version came into force or was refused, and why.
+///
 /// # Invariants
 ///
-/// Records are numbered from 1 without gaps and the newest 1,024 are held.
+/// Records are numbered from 1 in the order of writing, across both rings. In
+/// each the newest 1,024 are held.
 #[derive(Debug)]
 pub struct AuditTrail {
     me: InstanceId,
-    ring: Mutex<Ring>,
+    rings: Mutex<Rings>,
 }
 
 #[derive(Debug, Default)]
-struct Ring {
-    records: VecDeque<AuditRecord>,
+struct Rings {
+    endpoints: VecDeque<AuditRecord>,
+    others: VecDeque<AuditRecord>,
     written: u64,
 }
 
@@ -40,7 +46,7 @@
     pub(crate) fn new(me: InstanceId) -> AuditTrail {
         AuditTrail {
             me,
-            ring: Mutex::default(),
+            rings: Mutex::default(),
         }
     }
 
@@ -62,26 +68,33 @@
 
     /// The records after number `after` that are still kept, oldest first.
     pub fn page(&self, after: u64) -> AuditPage {
-        let ring = self.lock();
-        let wanted = ring.records.iter().filter(|record| record.number > after);
+        let rings = self.lock();
+        let kept = rings.endpoints.iter().chain(&rings.others);
+        let mut records: Vec<_> = kept.filter(|it| it.number > after).cloned().collect();
+        records.sort_unstable_by_key(|record| record.number);
+        let held = rings.endpoints.len() + rings.others.len();
         AuditPage {
             instance: self.me.clone(),
-            records: wanted.cloned().collect(),
-            dropped: ring.written - ring.records.len() as u64,
+            records,
+            dropped: rings.written - held as u64,
         }
     }
 
     fn put(&self, mut record: AuditRecord) {
-        let mut ring = self.lock();
-        ring.written += 1;
-        record.number = ring.written;
+        let mut rings = self.lock();
+        rings.written += 1;
+        record.number = rings.written;
         record.unix_ms = unix_ms();
         self.log(&record);
-        if ring.records.len() == KEPT {
-            ring.records.pop_front();
+        let ring = match record.event.as_str() {
+            record::ENDPOINT => &mut rings.endpoints,
+            _ => &mut rings.others,
+        };
+        if ring.len() == KEPT {
+            ring.pop_front();
         }
         // INVARIANT: Room was made above, and the number is the next one.
-        ring.records.push_back(record);
+        ring.push_back(record);
     }
 
     fn log(&self, record: &AuditRecord) {
@@ -100,8 +113,8 @@
         );
     }
 
-    fn lock(&self) -> MutexGuard<'_, Ring> {
-        self.ring.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Rings> {
+        self.rings.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -26,6 +26,18 @@
     assert!(settings.seeds.is_empty());
 }
 
+/// The operators' page, whose first YAML is a node's settings.
+const PAGE: &str = include_str!("../../../../docs/OPERATIONS.md");
+
+#[test]
+fn settings_on_the_operators_page_are_read() {
+    let begun = PAGE.split("```yaml\n").nth(1).expect("settings");
+    let text = begun.split("```").next().expect("their end");
+    let settings = Settings::parse(text).expect("whole settings");
+    assert_eq!(settings.log.format, LogFormat::Json);
+    assert_eq!(settings.seeds.len(), 2);
+}
+
 /// One line of the whole settings replaced, and the faults that this brings.
 #[derive(Debug)]
 struct Fault {
