--- a/crates/core/src/spread/tests/random.rs
+++ b/crates/core/src/spread/tests/random.rs
@@ -189,6 +189,8 @@
     net.platform.stale = None;
     net.set_outage(false);
     (0..NODES).for_each(|n| net.resume(n));
+    // What is still under way arrives.
+    net.run_for(Duration::from_secs(5));
     let reachable = match state.newest_good == state.revision {
         true => state.newest_good,
         false => net.up().map(Node::revision).max().unwrap_or(0),
