Let a process that was replaced leave

A process that is stopped for long is taken for dead, and another may be started for its instance. When the first wakes, both believe that they own the instance's request keys. The first was only noted in the audit trail; now it drains, and says why.

--- a/crates/node/src/audit/record.rs
+++ b/crates/node/src/audit/record.rs
@@ -62,6 +62,13 @@
             reason: before.map(|before| format!("was {before}")),
             ..named(ENDPOINT, origin)
         },
+        AuditEvent::Replaced { state } => AuditRecord {
+            event: "replaced".to_owned(),
+            instance: Some(state.instance.clone()),
+            phase: Some(state.phase),
+            reason: Some(format!("by incarnation {}", state.incarnation)),
+            ..AuditRecord::default()
+        },
         other => own(other),
     }
 }
--- a/crates/node/src/control/life.rs
+++ b/crates/node/src/control/life.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::ControlEvent;
+use super::Leaving;
 use super::Machine;
 use super::probe;
 use super::pump::Pump;
@@ -95,22 +96,23 @@
         &mut self,
         starting: LocalEndpoint<Starting>,
     ) -> Option<LocalEndpoint<Draining>> {
-        let ready_or_leaving = |m: &Machine| m.may_serve() || m.drain_asked();
+        let ready_or_leaving = |m: &Machine| m.may_serve() || m.is_leaving();
         if self.pump.run(Until::EVER, ready_or_leaving).await == Rest::Cancelled {
             return None;
         }
-        let draining = if self.pump.machine.drain_asked() {
+        let draining = if self.pump.machine.is_leaving() {
             starting.drain()
         } else {
             let ready = starting.ready();
             let reason = "joined, and the target has started";
             self.pump.machine.enter(Phase::Ready, reason);
-            if self.pump.run(Until::EVER, Machine::drain_asked).await == Rest::Cancelled {
+            if self.pump.run(Until::EVER, Machine::is_leaving).await == Rest::Cancelled {
                 return None;
             }
             ready.drain()
         };
-        self.pump.machine.enter(Phase::Draining, "told to leave");
+        let why = self.pump.machine.leaving().unwrap_or(Leaving::Told);
+        self.pump.machine.enter(Phase::Draining, why.reason());
         Some(draining)
     }
 
--- a/crates/node/src/control/machine.rs
+++ b/crates/node/src/control/machine.rs
@@ -13,6 +13,7 @@
 use sassafrasspool_core::Tick;
 
 use super::ControlEvent;
+use super::Leaving;
 use super::Outside;
 use super::views::Views;
 use crate::metrics::names;
@@ -26,7 +27,7 @@
     calls: usize,
     joined: bool,
     target_ready: bool,
-    drain: bool,
+    leaving: Option<Leaving>,
     stop: bool,
     traffic_cut: Option<u64>,
 }
@@ -41,7 +42,7 @@
             calls: 0,
             joined: false,
             target_ready: false,
-            drain: false,
+            leaving: None,
             stop: false,
             traffic_cut: None,
         }
@@ -70,8 +71,13 @@
     }
 
     /// Whether the endpoint is to take nothing new.
-    pub(super) fn drain_asked(&self) -> bool {
-        self.drain || self.stop
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Why it isn't, once it is so.
+    pub(super) fn leaving(&self) -> Option<Leaving> {
+        self.leaving
     }
 
     /// Whether the node is to end.
@@ -112,8 +118,11 @@
                 self.carry_out(actions);
             }
             ControlEvent::TargetReady => self.target_ready = true,
-            ControlEvent::Drain => self.drain = true,
-            ControlEvent::Stop => self.stop = true,
+            ControlEvent::Drain => self.leave(Leaving::Told),
+            ControlEvent::Stop => {
+                self.stop = true;
+                self.leave(Leaving::Told);
+            }
             ControlEvent::TrafficStopped { cut } => self.traffic_cut = Some(cut),
             ControlEvent::Status(reply) => {
                 let _ = reply.send(self.spread.status(self.now()));
@@ -169,6 +178,25 @@
         }
     }
 
+    /// Takes nothing new from now on; the first reason counts.
+    fn leave(&mut self, why: Leaving) {
+        self.leaving.get_or_insert(why);
+    }
+
+    /// Writes a change of state.
+    ///
+    /// A process that was stopped for long is taken for dead, and another may
+    /// be started for its instance. When it wakes, both believe that they own
+    /// the instance's part of the request keys, and one request could run
+    /// beside each. The one that hears of the other leaves.
+    fn write(&mut self, event: &AuditEvent) {
+        count(event);
+        self.outside.audit.write(event);
+        if matches!(event, AuditEvent::Replaced { .. }) {
+            self.leave(Leaving::Replaced);
+        }
+    }
+
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -184,10 +212,7 @@
                 Action::Apply(applied) => self.views.apply(applied.snapshot),
                 Action::Joined => self.joined = true,
                 Action::Endpoint(state) => self.views.put(state),
-                Action::Audit(event) => {
-                    count(&event);
-                    self.outside.audit.write(&event);
-                }
+                Action::Audit(event) => self.write(&event),
                 other => tracing::debug!(?other, "an action that this node doesn't know"),
             }
         }
@@ -216,6 +241,7 @@
         AuditEvent::BodyRefused { stream, .. } => {
             counter!(names::BODIES_REFUSED, "stream" => stream.as_str()).increment(1);
         }
+        AuditEvent::Replaced { .. } => counter!(names::REPLACED).increment(1),
         AuditEvent::Paused { .. } => counter!(names::PAUSES).increment(1),
         _ => {}
     }
--- /dev/null
+++ b/crates/node/src/control/tests.rs
@@ -0,0 +1,134 @@
+use std::sync::Arc;
+
+use rstest::rstest;
+use sassafrasspool_core::Action;
+use sassafrasspool_core::AuditEvent;
+use sassafrasspool_core::Disseminate;
+use sassafrasspool_core::EndpointState;
+use sassafrasspool_core::Event;
+use sassafrasspool_core::Incarnation;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::PeerMessage;
+use sassafrasspool_core::PeerReply;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::SpreadStatus;
+use sassafrasspool_core::Tick;
+use sassafrasspool_wire::peer::PeerLimits;
+use sassafrasspool_wire::peer::PeerPool;
+use sassafrasspool_wire::platform::PlatformClient;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::ControlCounts;
+use super::ControlEvent;
+use super::ControlHandle;
+use super::Gate;
+use super::Leaving;
+use super::Machine;
+use super::Outside;
+use crate::AuditTrail;
+use crate::Shared;
+
+/// Decisions that were taken before the test.
+#[derive(Debug)]
+struct Scripted(Vec<Action>);
+
+impl Disseminate for Scripted {
+    fn handle(&mut self, _: Tick, _: Event, out: &mut Vec<Action>) {
+        out.append(&mut self.0);
+    }
+
+    fn answer(
+        &mut self,
+        _: Tick,
+        _: &InstanceId,
+        _: PeerMessage,
+        out: &mut Vec<Action>,
+    ) -> PeerReply {
+        out.append(&mut self.0);
+        PeerReply::Refused
+    }
+
+    fn next_wakeup(&self) -> Tick {
+        Tick::ZERO
+    }
+
+    fn status(&self, _: Tick) -> SpreadStatus {
+        SpreadStatus::default()
+    }
+}
+
+fn me() -> InstanceId {
+    InstanceId::new("wd-1").expect("a name")
+}
+
+fn machine(actions: Vec<Action>) -> Machine {
+    let counts = ControlCounts::default();
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    let (tx, _) = mpsc::channel(1);
+    let outside = Outside {
+        shared: Arc::new(Shared::new(me(), Incarnation::from_start_millis(1))),
+        audit: Arc::new(AuditTrail::new(me())),
+        pool: Arc::new(PeerPool::new(PeerLimits::default(), counts.bytes(), 1)),
+        platform: Arc::new(PlatformClient::new(nowhere, counts.bytes())),
+        counts,
+        control: ControlHandle::new(tx),
+        tasks: TaskTracker::new(),
+        cancel: CancellationToken::new(),
+        gate: Gate::default(),
+    };
+    Machine::new(Box::new(Scripted(actions)), outside)
+}
+
+fn replaced() -> Action {
+    Action::Audit(AuditEvent::Replaced {
+        state: EndpointState {
+            instance: me(),
+            incarnation: 2,
+            sequence: 1,
+            phase: Phase::Ready,
+        },
+    })
+}
+
+// A process is stopped for minutes and taken for dead; another is started for
+// its instance. When it wakes, both believe that they own the same request
+// keys. The one that hears of the other must take nothing new, and say why.
+#[test]
+fn replaced_process_leaves() {
+    let mut machine = machine(vec![replaced()]);
+    assert!(!machine.is_leaving());
+    machine.tell(Event::Wakeup);
+    assert_eq!(machine.leaving(), Some(Leaving::Replaced));
+    machine.take(ControlEvent::Drain);
+    assert_eq!(machine.leaving(), Some(Leaving::Replaced));
+    let records = machine.outside().audit.page(0).records;
+    assert_eq!(records[0].event, "replaced");
+}
+
+/// What happened, and whether requests may be taken then.
+#[derive(Debug)]
+struct Start {
+    actions: Vec<Action>,
+    target_ready: bool,
+    serves: bool,
+}
+
+#[rstest]
+#[case::nothing(Start { actions: vec![], target_ready: false, serves: false })]
+#[case::target_alone(Start { actions: vec![], target_ready: true, serves: false })]
+#[case::joined_alone(Start {
+    actions: vec![Action::Joined],
+    target_ready: false,
+    serves: false,
+})]
+#[case::both(Start { actions: vec![Action::Joined], target_ready: true, serves: true })]
+fn requests_are_taken_once_joined_and_started(#[case] case: Start) {
+    let mut machine = machine(case.actions);
+    machine.tell(Event::Wakeup);
+    if case.target_ready {
+        machine.take(ControlEvent::TargetReady);
+    }
+    assert_eq!(machine.may_serve(), case.serves);
+}
--- a/crates/node/src/metrics/names.rs
+++ b/crates/node/src/metrics/names.rs
@@ -36,6 +36,8 @@
 pub(crate) const PHASE: &str = "sassafrasspool_phase";
 /// Whether the node reads the platform for its failure domain.
 pub(crate) const READING: &str = "sassafrasspool_reading";
+/// Times that another process was found in this one's place.
+pub(crate) const REPLACED: &str = "sassafrasspool_replaced_total";
 /// Times that the process was found to have been paused.
 pub(crate) const PAUSES: &str = "sassafrasspool_pauses_total";
 
@@ -61,5 +63,6 @@
     describe_gauge!(PEERS, "Nodes that this one may talk to");
     describe_gauge!(PHASE, "Phase of the endpoint, 0 starting to 3 gone");
     describe_gauge!(READING, "Whether the node reads the platform");
+    describe_counter!(REPLACED, "Times another process took this one's place");
     describe_counter!(PAUSES, "Times that the process had been paused");
 }
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -38,6 +38,26 @@
     assert_eq!(settings.seeds.len(), 2);
 }
 
+// Defaults are changed where a measurement says so. The page must follow.
+#[test]
+fn defaults_of_spread_on_the_operators_page_are_true() {
+    let table = PAGE.split("| field of `spread` |").nth(1).expect("a table");
+    let rows = table.lines().skip(2).take_while(|row| row.starts_with('|'));
+    let fields = rows.map(|row| {
+        let cells: Vec<&str> = row
+            .split('|')
+            .map(|cell| cell.trim().trim_matches('`'))
+            .collect();
+        format!("{}: {}", cells[1], cells[3].replace(',', ""))
+    });
+    let fields: Vec<String> = fields.collect();
+    assert_eq!(fields.len(), 20);
+    let text = format!("{WHOLE}spread: {{{}}}\n", fields.join(", "));
+    let told = Settings::parse(&text).expect("settings");
+    let default = Settings::parse(WHOLE).expect("settings");
+    assert_eq!(told.spread, default.spread);
+}
+
 /// One line of the whole settings replaced, and the faults that this brings.
 #[derive(Debug)]
 struct Fault {
