Keep one type for what is known of a request

The core and the wire crate each had one, alike but for the reading of an unknown word. The core's stays; a header that isn't a clear not-run is read as unknown everywhere, also in answers of other nodes.

--- a/crates/bench/src/load/client.rs
+++ b/crates/bench/src/load/client.rs
@@ -17,10 +17,10 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use sassafrasspool_core::Outcome;
 use sassafrasspool_standin::target::RECEIVED_BYTES_HEADER;
 use sassafrasspool_standin::target::answer_body;
-use sassafrasspool_wire::header::OUTCOME;
-use sassafrasspool_wire::header::Outcome;
+use sassafrasspool_wire::header;
 use tokio::net::TcpStream;
 
 use super::ending::Ending;
@@ -131,8 +131,7 @@
             }
         };
         self.keep(addr, sender);
-        let outcome = head.headers.get(OUTCOME);
-        begun.ending = match outcome.map(|value| Outcome::from_value(value.as_bytes())) {
+        begun.ending = match header::outcome(&head.headers) {
             Some(Outcome::NotRun) => Ending::NotRun,
             Some(Outcome::Unknown) => Ending::Unknown,
             None if head.status != StatusCode::OK => Ending::Failed,
--- a/crates/node/src/traffic/refusal.rs
+++ b/crates/node/src/traffic/refusal.rs
@@ -102,7 +102,7 @@
 /// the answer is the target's.
 pub(super) fn failure_of<B>(res: &Response<B>) -> Option<Failure> {
     let headers = res.headers();
-    let outcome = Outcome::from_name(text(headers, &names::OUTCOME)?)?;
+    let outcome = names::outcome(headers)?;
     let reason = text(headers, &names::REASON).and_then(Reason::from_name);
     // A reason that this version doesn't know proves nothing.
     let Some(reason) = reason else {
--- a/crates/node/tests/control/process.rs
+++ b/crates/node/tests/control/process.rs
@@ -33,6 +33,37 @@
 use crate::support::slow_target;
 use crate::support::try_http_text;
 
+/// What a node's process needs around it.
+#[derive(Debug)]
+struct Around {
+    platform: Platform,
+    target: Target,
+}
+
+impl Around {
+    async fn start(target: TargetSettings) -> Around {
+        let cancel = CancellationToken::new();
+        let platform = Platform::start(PlatformSettings::default(), cancel.clone());
+        let target = Target::start(target, cancel);
+        Around {
+            platform: platform.await.expect("a platform"),
+            target: target.await.expect("a target"),
+        }
+    }
+
+    /// Publishes a catalogue and a list that doesn't name the node yet.
+    fn publish_without_nodes(&self) {
+        self.platform.publish_instances(&[]).expect("a list");
+        let published = self.platform.publish_catalogue(CATALOGUE);
+        published.expect("a catalogue");
+    }
+
+    /// The settings of a node here.
+    fn settings(&self) -> String {
+        settings_text(0, self.target.addr(), self.platform.addr())
+    }
+}
+
 /// A node's process, which is ended with its handle.
 #[derive(Debug)]
 struct Process {
@@ -127,14 +158,9 @@
 #[case::interrupt(Signal::INT)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn signal_ends_the_node_without_a_cut(#[case] signal: Signal) {
-    let cancel = CancellationToken::new();
-    let platform = Platform::start(PlatformSettings::default(), cancel.clone());
-    let platform = platform.await.expect("a platform");
-    let target = Target::start(TargetSettings::default(), cancel.clone());
-    let target = target.await.expect("a target");
-    platform.publish_instances(&[]).expect("a list");
-    platform.publish_catalogue(CATALOGUE).expect("a catalogue");
-    let mut node = Process::start(&settings_text(0, target.addr(), platform.addr()));
+    let around = Around::start(TargetSettings::default()).await;
+    around.publish_without_nodes();
+    let mut node = Process::start(&around.settings());
     node.until_phase(Phase::Ready).await;
     node.signal(signal);
     assert_eq!(node.ended().await.code(), Some(0));
@@ -156,15 +182,12 @@
 // something was cut.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn second_signal_ends_the_node_at_once() {
-    let cancel = CancellationToken::new();
-    let platform = Platform::start(PlatformSettings::default(), cancel.clone());
-    let platform = platform.await.expect("a platform");
-    let target = Target::start(slow_target(Duration::from_secs(50)), cancel.clone());
-    let target = target.await.expect("a target");
-    let settings = settings_text(0, target.addr(), platform.addr());
+    let around = Around::start(slow_target(Duration::from_secs(50))).await;
+    let settings = around.settings();
     let mut node = Process::start(&settings);
     let settings = Settings::parse(&settings).expect("settings");
     let list = [instance(&settings, node.addrs)];
+    let platform = &around.platform;
     platform.publish_instances(&list).expect("a list");
     platform.publish_catalogue(&patient()).expect("a catalogue");
     node.until_phase(Phase::Ready).await;
@@ -185,22 +208,21 @@
 // the new catalogue in force soon, as everybody else has.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn paused_process_wakes_and_catches_up() {
-    let cancel = CancellationToken::new();
-    let platform = Platform::start(PlatformSettings::default(), cancel.clone());
-    let platform = platform.await.expect("a platform");
-    let target = Target::start(TargetSettings::default(), cancel.clone());
-    let target = target.await.expect("a target");
-    platform.publish_instances(&[]).expect("a list");
-    platform.publish_catalogue(CATALOGUE).expect("a catalogue");
-    let text = settings_text(0, target.addr(), platform.addr());
-    let text = text.replace("spread: {", "spread: {pause_bound_ms: 500, ");
+    let around = Around::start(TargetSettings::default()).await;
+    around.publish_without_nodes();
+    let text = around
+        .settings()
+        .replace("spread: {", "spread: {pause_bound_ms: 500, ");
     let node = Process::start(&text);
     node.until_phase(Phase::Ready).await;
 
     node.signal(Signal::STOP);
     tokio::time::sleep(Duration::from_secs(1)).await;
     let next = CATALOGUE.replace("weight: 1", "weight: 2");
-    let next = platform.publish_catalogue(&next).expect("a catalogue");
+    let next = around
+        .platform
+        .publish_catalogue(&next)
+        .expect("a catalogue");
     node.signal(Signal::CONT);
     node.until(|status| {
         let held = status.held.catalogue.as_ref();
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -1,10 +1,8 @@
 //! Names of the headers that mean something to nodes.
 
+use http::HeaderMap;
 use http::HeaderName;
-
-pub use self::outcome::Outcome;
-
-mod outcome;
+use sassafrasspool_core::Outcome;
 
 /// From callers: names a request that may be repeated, so that it runs once.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -44,3 +42,11 @@
 
 /// What all headers begin with that only nodes may set.
 pub const OWN_PREFIX: &str = "x-sassafrasspool-";
+
+/// What an answer says of a request that no target answered, if it says so;
+/// whatever isn't a clear `not-run` is unknown.
+pub fn outcome(headers: &HeaderMap) -> Option<Outcome> {
+    let told = headers.get(OUTCOME)?.to_str().ok();
+    let told = told.and_then(Outcome::from_name);
+    Some(told.unwrap_or(Outcome::Unknown))
+}
