Judge random runs of spreading by the history checker

The random runs only compared where both fleets ended and that no node stepped back. What was published and what came into force is recorded now, and the checker judges the whole run: no bad or unpublished version in force, no reference that leads nowhere.

The judgement of catalogues and the memory of judged versions move out of the holder, and the fake network into files of their own; the module tells what is kept and what is traded.

--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -6,6 +6,25 @@
 returns. [`Naive`] does the same job the obvious way (each node reads and
 watches the platform) and serves for comparison; both are [`Disseminate`].
 
+# What is kept, and what is traded
+
+- Revisions only grow, per stream and process. Of one revision with two
+  digests the first is kept; the next revision brings all together.
+- Whether a version is good depends on its content alone. A bad one is refused
+  whole by whoever reads it from the platform, remembered, and its head is
+  never told to peers: a node's head is always of a version that it holds and
+  judged good. So nobody is made to fetch a bad version, and a node that joins
+  while the platform's newest is bad gets the last good one from its peers. If
+  the whole fleet restarts at that moment, nobody has the last good one any
+  more, and the platform doesn't give it: nodes wait for the next good version.
+- A node joins once it compared itself with some peers and either the platform
+  or a peer that lately heard of it. If nobody answers, it joins after a
+  bounded wait with what the platform gave, which a stale platform may have put
+  behind what the former process had in force.
+- Reads by nodes that aren't chosen readers wait for a moment of their own in a
+  period that grows with the fleet. It is what keeps the whole fleet within its
+  share; the price is that a node without any peer waits up to one period.
+
 The node's side of the bargain:
 
 - It calls [`Disseminate::handle`] with [`Event::Wakeup`] when
--- a/crates/core/src/spread/holder.rs
+++ b/crates/core/src/spread/holder.rs
@@ -1,18 +1,16 @@
 //! What a node holds of both streams, and the judgement of what is offered.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
+use self::judge::judge;
+use self::remembered::Remembered;
 use crate::Action;
 use crate::Applied;
 use crate::AuditEvent;
 use crate::Catalogue;
 use crate::Digest;
-use crate::Document;
-use crate::Faults;
 use crate::Heads;
 use crate::InstanceList;
-use crate::Item;
 use crate::Origin;
 use crate::Revision;
 use crate::Snapshot;
@@ -20,8 +18,8 @@
 use crate::Version;
 use crate::catalogue;
 
-/// Refused and conflicting versions that are remembered, each.
-const MAX_REMEMBERED: usize = 64;
+mod judge;
+mod remembered;
 
 /// What became of an offered version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,8 +47,8 @@
     catalogue: Option<Arc<Catalogue>>,
     instances: Option<Arc<InstanceList>>,
     snapshot: Option<Arc<Snapshot>>,
-    refused: VecDeque<Version>,
-    conflicting: VecDeque<Version>,
+    refused: Remembered,
+    conflicting: Remembered,
     older: [Option<Revision>; 2],
     conflicts: u64,
     refusals: u64,
@@ -79,7 +77,7 @@
 
     /// The newest version of the catalogue that was refused.
     pub(super) fn last_refused(&self) -> Option<Version> {
-        self.refused.back().copied()
+        self.refused.newest()
     }
 
     pub(super) fn heads(&self) -> Heads {
@@ -91,7 +89,7 @@
 
     /// Whether that version was judged bad before.
     pub(super) fn is_refused(&self, version: Version) -> bool {
-        self.refused.contains(&version)
+        self.refused.contains(version)
     }
 
     /// Whether `version` is newer than what is held.
@@ -191,7 +189,7 @@
         out: &mut Vec<Action>,
     ) {
         self.refusals += 1;
-        remember(&mut self.refused, version);
+        self.refused.add(version);
         out.push(Action::Audit(AuditEvent::Refused {
             stream,
             version,
@@ -233,11 +231,11 @@
         origin: &Origin,
         out: &mut Vec<Action>,
     ) {
-        if self.conflicting.contains(&offered) {
+        if self.conflicting.contains(offered) {
             return;
         }
         self.conflicts += 1;
-        remember(&mut self.conflicting, offered);
+        self.conflicting.add(offered);
         out.push(Action::Audit(AuditEvent::Conflict {
             stream,
             held,
@@ -305,27 +303,3 @@
         }
     }
 }
-
-/// Judges a catalogue. Whether it is good depends on nothing but its content,
-/// so that every node judges the same, with or without an instance list.
-fn judge(
-    offered: &Catalogue,
-    instances: Option<&InstanceList>,
-) -> Result<Option<Snapshot>, Faults> {
-    match instances {
-        Some(instances) => Snapshot::build(offered, instances).map(Some),
-        None => Snapshot::build(offered, &empty_list(offered)).map(|_| None),
-    }
-}
-
-fn empty_list<T: Item>(like: &Document<T>) -> InstanceList {
-    let empty = InstanceList::new(like.version().revision(), []);
-    empty.expect("a list without instances has no key that stands twice")
-}
-
-fn remember(list: &mut VecDeque<Version>, version: Version) {
-    if list.len() == MAX_REMEMBERED {
-        list.pop_front();
-    }
-    list.push_back(version);
-}
--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -15,16 +15,17 @@
 use super::node::Node;
 use super::platform::Platform;
 use crate::Action;
-use crate::Call;
 use crate::Event;
-use crate::Naive;
 use crate::PeerReply;
-use crate::Phase;
 use crate::Revision;
-use crate::Spread;
 use crate::SpreadConfig;
 use crate::Stream;
 use crate::Tick;
+use crate::history::History;
+
+mod carry;
+mod meddle;
+mod record;
 
 /// A catalogue that differs by `n`.
 pub(super) fn good(n: u64) -> String {
@@ -79,6 +80,8 @@
     pub(super) seeds: Vec<std::net::SocketAddr>,
     /// Counts messages by kind.
     pub(super) messages: BTreeMap<&'static str, u64>,
+    /// What was published and what came into force.
+    pub(super) history: History,
     rng: SmallRng,
     queue: BinaryHeap<Reverse<(Tick, u64)>>,
     due: BTreeMap<u64, (usize, u32, Due)>,
@@ -102,9 +105,8 @@
     /// `n` listed nodes of which none has started.
     pub(super) fn idle(n: usize, seed: u64, cfg: SpreadConfig) -> Net {
         let mut platform = Platform::default();
-        platform.publish(1, &good(1));
         platform.list((0..n).map(node::instance).collect());
-        Net {
+        let mut net = Net {
             now: Tick::ZERO,
             cfg: cfg.checked().unwrap(),
             nodes: (0..n).map(|_| None).collect(),
@@ -116,6 +118,7 @@
             naive: false,
             seeds: Vec::new(),
             messages: BTreeMap::new(),
+            history: History::new(),
             rng: SmallRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             due: BTreeMap::new(),
@@ -123,70 +126,10 @@
             generation: 0,
             wakes: vec![Tick::from_micros(u64::MAX); n],
             seed,
-        }
-    }
-
-    pub(super) fn start(&mut self, n: usize) {
-        let started_ms = 1_700_000_000_000 + self.now.as_micros() / 1_000;
-        self.start_at(n, started_ms);
-    }
-
-    /// Starts a node whose clock shows that time.
-    pub(super) fn start_at(&mut self, n: usize, started_ms: u64) {
-        self.generation += 1;
-        let seed = self.seed * 1_000_003 + u64::from(self.generation);
-        let local = node::local(n, started_ms, self.seeds.clone());
-        let cfg = self.cfg.clone();
-        let machine: Box<dyn crate::Disseminate> = match self.naive {
-            true => Box::new(Naive::new(cfg, local, seed, self.now)),
-            false => Box::new(Spread::new(cfg, local, seed, self.now)),
-        };
-        self.nodes[n] = Some(Node::new(machine, self.generation));
-        self.wakes[n] = Tick::from_micros(u64::MAX);
-        self.event(n, Event::Wakeup);
-    }
-
-    pub(super) fn stop(&mut self, n: usize) {
-        self.nodes[n] = None;
-    }
-
-    pub(super) fn publish(&mut self, revision: u64, text: &str) {
-        self.platform.publish(revision, text);
-        self.answer_watches();
-    }
-
-    pub(super) fn list(&mut self, instances: Vec<crate::Instance>) {
-        self.platform.list(instances);
-        self.answer_watches();
-    }
-
-    /// Turns the platform's outage on or off; watches end with it.
-    pub(super) fn set_outage(&mut self, outage: bool) {
-        self.platform.outage = outage;
-        self.answer_watches();
-    }
-
-    pub(super) fn pause(&mut self, n: usize) {
-        if let Some(node) = &mut self.nodes[n] {
-            node.paused = true;
-        }
-    }
-
-    /// A paused node goes on; what came meanwhile comes at once.
-    pub(super) fn resume(&mut self, n: usize) {
-        let Some(node) = &mut self.nodes[n] else {
-            return;
         };
-        node.paused = false;
-        let backlog = std::mem::take(&mut node.backlog);
-        for arrival in backlog {
-            self.arrive(n, arrival);
-        }
-        self.event(n, Event::Wakeup);
-    }
-
-    pub(super) fn phase(&mut self, n: usize, phase: Phase) {
-        self.event(n, Event::LocalPhase(phase));
+        net.publish(1, &good(1));
+        net.record_list();
+        net
     }
 
     pub(super) fn run_for(&mut self, span: Duration) {
@@ -335,7 +278,10 @@
                     after,
                     wait,
                 } => self.read(n, stream, after, wait),
-                other => self.nodes[n].as_mut().unwrap().note(other),
+                other => {
+                    self.record(n, &other);
+                    self.nodes[n].as_mut().unwrap().note(other);
+                }
             }
         }
         let node = self.nodes[n].as_ref().unwrap();
@@ -348,92 +294,6 @@
         }
     }
 
-    fn send(&mut self, from: usize, call: Call) {
-        *self.messages.entry(call.message.kind()).or_default() += 1;
-        let sender = self.nodes[from].as_mut().unwrap();
-        sender.bytes += postcard::to_stdvec(&call.message).unwrap().len();
-        let generation = sender.generation;
-        let to = node::index(call.addr);
-        let reached = self.nodes.get(to).is_some_and(Option::is_some)
-            && self.group[from] == self.group[to]
-            && !self.drawn(self.loss_percent);
-        if !reached {
-            let failed = Event::CallFailed { call: call.id };
-            let at = self.now + Duration::from_millis(20);
-            self.push(
-                at,
-                from,
-                generation,
-                Due::Arrive(Box::new(Arrival::Event(failed))),
-            );
-            return;
-        }
-        let copies = 1 + usize::from(self.drawn(self.double_percent));
-        let receiver = self.nodes[to].as_ref().unwrap().generation;
-        for _ in 0..copies {
-            let arrival = Arrival::Request {
-                from,
-                call: call.id,
-                generation,
-                message: call.message.clone(),
-            };
-            let at = self.now + self.delay();
-            self.push(at, to, receiver, Due::Arrive(Box::new(arrival)));
-        }
-    }
-
-    fn read(&mut self, n: usize, stream: Stream, after: Option<Revision>, wait: Duration) {
-        self.platform.reads.push(self.now);
-        let generation = self.nodes[n].as_ref().unwrap().generation;
-        let reached = !self.cut_off.contains(&self.group[n]);
-        let result = match reached {
-            true => self.platform.read(stream, after),
-            false => Some(crate::SourceResult::Failed {
-                reason: "cut off".to_owned(),
-            }),
-        };
-        let Some(result) = result else {
-            let until = self.now + wait;
-            let due = Due::Watch {
-                stream,
-                after,
-                until,
-            };
-            self.push(until, n, generation, due);
-            return;
-        };
-        let arrival = Arrival::Event(Event::SourceRead { stream, result });
-        let at = self.now + Duration::from_millis(2);
-        self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
-    }
-
-    /// Answers the watches for which there is something now.
-    fn answer_watches(&mut self) {
-        let waiting: Vec<u64> = self.due.keys().copied().collect();
-        for key in waiting {
-            let (n, generation, due) = &self.due[&key];
-            let Due::Watch {
-                stream,
-                after,
-                until,
-            } = due
-            else {
-                continue;
-            };
-            if *until < self.now || self.cut_off.contains(&self.group[*n]) {
-                continue;
-            }
-            let (n, generation, stream) = (*n, *generation, *stream);
-            let Some(result) = self.platform.read(stream, *after) else {
-                continue;
-            };
-            self.due.remove(&key);
-            let arrival = Arrival::Event(Event::SourceRead { stream, result });
-            let at = self.now + Duration::from_millis(2);
-            self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
-        }
-    }
-
     fn push(&mut self, at: Tick, n: usize, generation: u32, due: Due) {
         self.next += 1;
         self.due.insert(self.next, (n, generation, due));
--- /dev/null
+++ b/crates/core/src/spread/tests/net/carry.rs
@@ -0,0 +1,106 @@
+//! Carrying messages and reads, with what goes wrong on the way.
+
+use std::time::Duration;
+
+use super::Due;
+use super::Net;
+use super::node;
+use super::node::Arrival;
+use crate::Call;
+use crate::Event;
+use crate::Revision;
+use crate::Stream;
+
+impl Net {
+    pub(super) fn send(&mut self, from: usize, call: Call) {
+        *self.messages.entry(call.message.kind()).or_default() += 1;
+        let sender = self.nodes[from].as_mut().unwrap();
+        sender.bytes += postcard::to_stdvec(&call.message).unwrap().len();
+        let generation = sender.generation;
+        let to = node::index(call.addr);
+        let reached = self.nodes.get(to).is_some_and(Option::is_some)
+            && self.group[from] == self.group[to]
+            && !self.drawn(self.loss_percent);
+        if !reached {
+            let failed = Event::CallFailed { call: call.id };
+            let at = self.now + Duration::from_millis(20);
+            self.push(
+                at,
+                from,
+                generation,
+                Due::Arrive(Box::new(Arrival::Event(failed))),
+            );
+            return;
+        }
+        let copies = 1 + usize::from(self.drawn(self.double_percent));
+        let receiver = self.nodes[to].as_ref().unwrap().generation;
+        for _ in 0..copies {
+            let arrival = Arrival::Request {
+                from,
+                call: call.id,
+                generation,
+                message: call.message.clone(),
+            };
+            let at = self.now + self.delay();
+            self.push(at, to, receiver, Due::Arrive(Box::new(arrival)));
+        }
+    }
+
+    pub(super) fn read(
+        &mut self,
+        n: usize,
+        stream: Stream,
+        after: Option<Revision>,
+        wait: Duration,
+    ) {
+        self.platform.reads.push(self.now);
+        let generation = self.nodes[n].as_ref().unwrap().generation;
+        let reached = !self.cut_off.contains(&self.group[n]);
+        let result = match reached {
+            true => self.platform.read(stream, after),
+            false => Some(crate::SourceResult::Failed {
+                reason: "cut off".to_owned(),
+            }),
+        };
+        let Some(result) = result else {
+            let until = self.now + wait;
+            let due = Due::Watch {
+                stream,
+                after,
+                until,
+            };
+            self.push(until, n, generation, due);
+            return;
+        };
+        let arrival = Arrival::Event(Event::SourceRead { stream, result });
+        let at = self.now + Duration::from_millis(2);
+        self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
+    }
+
+    /// Answers the watches for which there is something now.
+    pub(super) fn answer_watches(&mut self) {
+        let waiting: Vec<u64> = self.due.keys().copied().collect();
+        for key in waiting {
+            let (n, generation, due) = &self.due[&key];
+            let Due::Watch {
+                stream,
+                after,
+                until,
+            } = due
+            else {
+                continue;
+            };
+            if *until < self.now || self.cut_off.contains(&self.group[*n]) {
+                continue;
+            }
+            let (n, generation, stream) = (*n, *generation, *stream);
+            let Some(result) = self.platform.read(stream, *after) else {
+                continue;
+            };
+            self.due.remove(&key);
+            let arrival = Arrival::Event(Event::SourceRead { stream, result });
+            let at = self.now + Duration::from_millis(2);
+            self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/tests/net/meddle.rs
@@ -0,0 +1,78 @@
+//! What a test does to the fleet and to the platform.
+
+use super::Net;
+use super::node;
+use super::node::Node;
+use super::record::published;
+use crate::Event;
+use crate::Naive;
+use crate::Phase;
+use crate::Spread;
+use crate::Tick;
+
+impl Net {
+    pub(in crate::spread::tests) fn start(&mut self, n: usize) {
+        let started_ms = 1_700_000_000_000 + self.now.as_micros() / 1_000;
+        self.start_at(n, started_ms);
+    }
+
+    /// Starts a node whose clock shows that time.
+    pub(in crate::spread::tests) fn start_at(&mut self, n: usize, started_ms: u64) {
+        self.generation += 1;
+        let seed = self.seed * 1_000_003 + u64::from(self.generation);
+        let local = node::local(n, started_ms, self.seeds.clone());
+        let cfg = self.cfg.clone();
+        let machine: Box<dyn crate::Disseminate> = match self.naive {
+            true => Box::new(Naive::new(cfg, local, seed, self.now)),
+            false => Box::new(Spread::new(cfg, local, seed, self.now)),
+        };
+        self.nodes[n] = Some(Node::new(machine, self.generation));
+        self.wakes[n] = Tick::from_micros(u64::MAX);
+        self.event(n, Event::Wakeup);
+    }
+
+    pub(in crate::spread::tests) fn stop(&mut self, n: usize) {
+        self.nodes[n] = None;
+    }
+
+    pub(in crate::spread::tests) fn publish(&mut self, revision: u64, text: &str) {
+        self.platform.publish(revision, text);
+        self.history.record(self.now, published(revision, text));
+        self.answer_watches();
+    }
+
+    pub(in crate::spread::tests) fn list(&mut self, instances: Vec<crate::Instance>) {
+        self.platform.list(instances);
+        self.record_list();
+        self.answer_watches();
+    }
+
+    /// Turns the platform's outage on or off; watches end with it.
+    pub(in crate::spread::tests) fn set_outage(&mut self, outage: bool) {
+        self.platform.outage = outage;
+        self.answer_watches();
+    }
+
+    pub(in crate::spread::tests) fn pause(&mut self, n: usize) {
+        if let Some(node) = &mut self.nodes[n] {
+            node.paused = true;
+        }
+    }
+
+    /// A paused node goes on; what came meanwhile comes at once.
+    pub(in crate::spread::tests) fn resume(&mut self, n: usize) {
+        let Some(node) = &mut self.nodes[n] else {
+            return;
+        };
+        node.paused = false;
+        let backlog = std::mem::take(&mut node.backlog);
+        for arrival in backlog {
+            self.arrive(n, arrival);
+        }
+        self.event(n, Event::Wakeup);
+    }
+
+    pub(in crate::spread::tests) fn phase(&mut self, n: usize, phase: Phase) {
+        self.event(n, Event::LocalPhase(phase));
+    }
+}
--- /dev/null
+++ b/crates/core/src/spread/tests/net/record.rs
@@ -0,0 +1,54 @@
+//! Recording a run, to be judged afterwards.
+
+use std::sync::Arc;
+
+use super::Net;
+use crate::Action;
+use crate::Catalogue;
+use crate::InstanceId;
+use crate::InstanceList;
+use crate::Revision;
+use crate::Snapshot;
+use crate::Stream;
+use crate::catalogue;
+use crate::history;
+use crate::history::Held;
+
+impl Net {
+    pub(super) fn record_list(&mut self) {
+        let revision = Revision::new(self.platform.lists()).unwrap();
+        let list = InstanceList::new(revision, self.platform.newest_list()).unwrap();
+        let published = history::Event::PublishedGood {
+            stream: Stream::Instances,
+            version: list.version(),
+        };
+        self.history.record(self.now, published);
+    }
+
+    /// Records a snapshot that comes into force. A process that took another's
+    /// place is a node of its own: what it knows begins with it.
+    pub(super) fn record(&mut self, n: usize, action: &Action) {
+        let Action::Apply(applied) = action else {
+            return;
+        };
+        let generation = self.nodes[n].as_ref().unwrap().generation;
+        let node = InstanceId::new(&format!("wd-{n}.{generation}")).unwrap();
+        let held = Arc::new(Held::of(&applied.snapshot).unwrap());
+        self.history
+            .record(self.now, history::Event::InForce { node, held });
+    }
+}
+
+/// What the platform did when it published that text.
+pub(super) fn published(revision: u64, text: &str) -> history::Event {
+    let stream = Stream::Catalogue;
+    let revision = Revision::new(revision).unwrap();
+    let items = catalogue::parse(text).unwrap_or_default();
+    let published = Catalogue::new(revision, items).unwrap();
+    let version = published.version();
+    let list = InstanceList::new(revision, []).unwrap();
+    match Snapshot::build(&published, &list) {
+        Ok(_) => history::Event::PublishedGood { stream, version },
+        Err(_) => history::Event::PublishedBad { stream, version },
+    }
+}
--- a/crates/core/src/spread/tests/platform.rs
+++ b/crates/core/src/spread/tests/platform.rs
@@ -35,6 +35,11 @@
         self.lists.push((revision, instances));
     }
 
+    /// How many lists were published, whatever is served.
+    pub(super) fn lists(&self) -> u64 {
+        self.lists.len() as u64
+    }
+
     pub(super) fn newest_list(&self) -> Vec<Instance> {
         self.lists.last().unwrap().1.clone()
     }
--- a/crates/core/src/spread/tests/random.rs
+++ b/crates/core/src/spread/tests/random.rs
@@ -14,6 +14,8 @@
 use super::versions::WITHOUT_SERVICE;
 use crate::SpreadConfig;
 use crate::Version;
+use crate::history::Bounds;
+use crate::history::check;
 
 /// Nodes of each fleet.
 const NODES: usize = 8;
@@ -201,6 +203,12 @@
     net.publish(state.revision + 1, &good(state.revision + 1));
     settle(net, state.revision + 1, state.lists);
     net.assert_no_step_back();
+    let bounds = Bounds {
+        in_force: Duration::from_secs(3_600),
+        ..Bounds::default()
+    };
+    let found = check(&net.history, &bounds);
+    assert!(found.is_empty(), "{found:?}");
     let held = net.up().map(|node| {
         let snapshot = node.snapshot.as_ref().unwrap();
         (snapshot.catalogue(), snapshot.instances())
