Give chaos runs refusing wires, held ports and short leases

A relay took connections for a node that was down and broke them afterwards, so that nodes could prove nothing: it now refuses while its node is down. A herd takes half of each service, not all of one. The test of a port where nobody listens got an answer when another test was given that port; it holds the port now.

--- a/crates/bench/src/calls/run.rs
+++ b/crates/bench/src/calls/run.rs
@@ -67,6 +67,7 @@
         places: (0..opts.nodes).map(place).collect(),
         catalogue: catalogue(opts.nodes),
         nodes: true,
+        settings: "",
         relays: false,
         patience: READY,
     }
--- a/crates/bench/src/chaos/fault.rs
+++ b/crates/bench/src/chaos/fault.rs
@@ -20,7 +20,8 @@
         /// From the kill until the start.
         down: Duration,
     },
-    /// Every other node is killed at once, and all come back at once.
+    /// Half of each service's nodes are killed at once, and all come back at
+    /// once.
     KillHerd {
         /// From the kills until the starts.
         down: Duration,
@@ -172,3 +173,9 @@
         )
     }
 }
+
+/// Whether an instance is hurt when a herd is. The services take turns, so
+/// that pairs of instances do.
+pub(super) fn in_herd(instance: usize) -> bool {
+    (instance / 2).is_multiple_of(2)
+}
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -82,6 +82,17 @@
 /// also when the source was back just before.
 const IN_FORCE: Duration = Duration::from_secs(8);
 
+/// Leases short enough to end and to be taken up again within a run, and
+/// proofs of the instance list that come around within a lease. No call and no
+/// pause is as long as a lease, as the nodes assume.
+const SETTINGS: &str = "\
+repeat: {lease_ms: 2500, hold_ms: 20000}
+spread: {interval_ms: 200, watch_ms: 500, contact_bound_ms: 1000, takeover_step_ms: 100}
+";
+
+/// How long the owners of keys wait before they run any.
+const OWNERS_SETTLE: Duration = Duration::from_millis(6_000);
+
 /// How long the fleet may take to be ready before the run.
 const READY: Duration = Duration::from_secs(20);
 
@@ -100,6 +111,9 @@
 pub async fn run(opts: Options) -> miette::Result<Report> {
     let layout = layout(opts);
     let fleet = Arc::new(Fleet::start(&layout).await?);
+    if !opts.naive {
+        tokio::time::sleep(OWNERS_SETTLE).await;
+    }
     let log = Arc::new(Log::default());
     let list = fleet.members.iter().map(|m| m.instance.clone()).collect();
     let driver = Arc::new(Driver {
@@ -156,6 +170,7 @@
         places: (0..opts.nodes).map(place).collect(),
         catalogue: catalogue::text(0),
         nodes: !opts.naive,
+        settings: SETTINGS,
         relays: !opts.naive,
         patience: READY,
     }
--- a/crates/bench/src/load/fleet/layout.rs
+++ b/crates/bench/src/load/fleet/layout.rs
@@ -24,6 +24,8 @@
     pub catalogue: String,
     /// Whether there are nodes; the naive version has none.
     pub nodes: bool,
+    /// More lines of each node's settings.
+    pub settings: &'static str,
     /// Whether nodes reach each other through wires that can be held.
     pub relays: bool,
     /// How long nodes may take until all are ready.
--- a/crates/bench/src/load/relay.rs
+++ b/crates/bench/src/load/relay.rs
@@ -1,7 +1,9 @@
 //! A wire that can be held.
 
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -10,6 +12,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
@@ -20,32 +23,38 @@
 ///
 /// While it is held, bytes in both directions wait, as they do in a network
 /// that loses its packets: nothing is reset, new connections open and stay
-/// silent, and what was sent before arrives late.
+/// silent, and what was sent before arrives late. While it is closed,
+/// connections are refused, as those to a process that ended are.
 #[derive(Debug)]
 pub struct Relay {
     addr: SocketAddr,
+    to: SocketAddr,
     held: watch::Sender<bool>,
-    _guard: DropGuard,
+    open: Mutex<Option<Open>>,
+}
+
+/// What accepts and passes on while a relay is open.
+#[derive(Debug)]
+struct Open {
+    accepting: JoinHandle<Option<()>>,
+    guard: DropGuard,
 }
 
 impl Relay {
-    /// Begins to pass connections on to `to`.
+    /// Begins to pass connections to `addr` on to `to`.
     ///
     /// # Errors
     ///
-    /// Fails if no port can be bound.
-    pub async fn start(to: SocketAddr) -> std::io::Result<Relay> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-        let addr = listener.local_addr()?;
-        let held = watch::Sender::new(false);
-        let cancel = CancellationToken::new();
-        let accepting = accept(listener, to, held.subscribe(), cancel.clone());
-        tokio::spawn(cancel.clone().run_until_cancelled_owned(accepting));
-        Ok(Relay {
+    /// Fails if `addr` can't be bound.
+    pub async fn start(addr: SocketAddr, to: SocketAddr) -> std::io::Result<Relay> {
+        let relay = Relay {
             addr,
-            held,
-            _guard: cancel.drop_guard(),
-        })
+            to,
+            held: watch::Sender::new(false),
+            open: Mutex::new(None),
+        };
+        relay.open().await?;
+        Ok(relay)
     }
 
     /// Where it takes connections.
@@ -57,6 +66,40 @@
     pub fn hold(&self, held: bool) {
         self.held.send_replace(held);
     }
+
+    /// Ends all connections and refuses new ones.
+    pub async fn close(&self) {
+        let open = self.lock().take();
+        if let Some(Open { accepting, guard }) = open {
+            drop(guard);
+            // The address is free again only when the listener is gone.
+            let _ = accepting.await;
+        }
+    }
+
+    /// Takes connections again; nothing to do if it wasn't closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its address can't be bound.
+    pub async fn open(&self) -> std::io::Result<()> {
+        if self.lock().is_some() {
+            return Ok(());
+        }
+        let listener = TcpListener::bind(self.addr).await?;
+        let cancel = CancellationToken::new();
+        let accepting = accept(listener, self.to, self.held.subscribe(), cancel.clone());
+        let accepting = tokio::spawn(cancel.clone().run_until_cancelled_owned(accepting));
+        *self.lock() = Some(Open {
+            accepting,
+            guard: cancel.drop_guard(),
+        });
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Open>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 async fn accept(
--- a/crates/bench/src/load/tests.rs
+++ b/crates/bench/src/load/tests.rs
@@ -10,6 +10,7 @@
 use sassafrasspool_standin::TargetSettings;
 use sassafrasspool_standin::target::Run;
 use sassafrasspool_standin::target::RunEnd;
+use tokio::net::TcpSocket;
 use tokio_util::sync::CancellationToken;
 
 use super::CallKind;
@@ -26,6 +27,7 @@
 use super::Outage;
 use super::OutageKind;
 use super::Plan;
+use super::Ports;
 use super::Relay;
 use super::Repeats;
 use super::Verdict;
@@ -105,9 +107,10 @@
 
 #[tokio::test]
 async fn a_node_that_takes_no_connection_got_nothing() {
-    let target = start_target().await;
-    let addr = target.addr();
-    target.stop().await;
+    // Bound, so that nobody else gets the port, and not listening.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
     let done = OpenLoop::run(plan(1), caller(vec![addr])).await;
     let verdict = judge(&done.records, &[], &[]);
     assert_eq!(verdict.not_sent, verdict.sent, "{verdict:?}");
@@ -116,7 +119,9 @@
 #[tokio::test]
 async fn a_held_wire_is_silent_and_delivers_late() {
     let target = start_target().await;
-    let relay = Relay::start(target.addr()).await.unwrap();
+    let mut ports = Ports::new();
+    let addr = ports.take().unwrap();
+    let relay = Relay::start(addr, target.addr()).await.unwrap();
     relay.hold(true);
     let one = || plan(1).take(1).last().unwrap();
     let caller = caller(vec![relay.addr()]);
@@ -134,6 +139,8 @@
     let records = late.await.unwrap();
     assert_eq!(records[0].ending, Ending::Answered);
     assert_eq!(target.ledger().runs.len(), 1);
+    relay.close().await;
+    relay.open().await.unwrap();
 }
 
 // A target does the work and answers late. A hastily written proxy takes that
--- a/crates/bench/src/overload/run.rs
+++ b/crates/bench/src/overload/run.rs
@@ -120,6 +120,7 @@
         places: (0..opts.nodes).map(place).collect(),
         catalogue: catalogue(),
         nodes,
+        settings: "",
         relays: false,
         patience: READY,
     }
