--- a/crates/bench/src/demo/callers.rs
+++ b/crates/bench/src/demo/callers.rs
@@ -106,7 +106,7 @@
 
 fn kind(call: &Call, bound: &BoundRoute) -> CallKind {
     let route = &bound.route;
-    let keyed = !route.idempotent;
+    let once = !route.idempotent;
     CallKind {
         // A handful of names that live as long as the demo does.
         name: String::leak(route.kind.to_string()),
@@ -114,9 +114,9 @@
         class: route.class,
         weight: bound.weight,
         idempotent: route.idempotent,
-        keys: if keyed { Keys::All } else { Keys::None },
+        keys: if once { Keys::Half } else { Keys::None },
         share: call.share,
         answer_bytes: call.answer_bytes,
-        request_bytes: if keyed { REQUEST_BYTES } else { 0 },
+        request_bytes: if once { REQUEST_BYTES } else { 0 },
     }
 }
--- a/crates/bench/src/demo/evidence.rs
+++ b/crates/bench/src/demo/evidence.rs
@@ -1,5 +1,6 @@
 //! What is left of a demo to be judged.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sassafrasspool_core::InstanceId;
@@ -8,6 +9,7 @@
 use sassafrasspool_core::history::Violation;
 use sassafrasspool_core::history::check;
 use sassafrasspool_standin::platform::PlatformStats;
+use serde::Deserialize;
 
 use self::control::Control;
 use super::fleet::Fleet;
@@ -36,6 +38,8 @@
     pub(super) verdict: Verdict,
     /// Promises that were broken.
     pub(super) violations: Vec<Violation>,
+    /// Why requests were refused or their outcome was unknown, and how often.
+    pub(super) reasons: BTreeMap<String, u64>,
     /// Some of the attempts that went wrong, in words.
     pub(super) faults: Vec<String>,
     /// What keeping the nodes current cost.
@@ -69,6 +73,7 @@
         Ok(Evidence {
             verdict: joined.verdict(),
             violations: check(&history, &BOUNDS),
+            reasons: reasons(records),
             faults: faults.map(|record| format!("{record:?}")).collect(),
             control,
             platform,
@@ -81,3 +86,21 @@
         self.violations.is_empty() && !self.verdict.has_fault()
     }
 }
+
+/// The body of an answer that no target gave, in part.
+#[derive(Debug, Deserialize)]
+struct RefusalBody {
+    outcome: String,
+    reason: String,
+}
+
+fn reasons(records: &[CallRecord]) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for record in records {
+        let body: serde_json::Result<RefusalBody> = serde_json::from_str(&record.detail);
+        if let Ok(RefusalBody { outcome, reason }) = body {
+            *counts.entry(format!("{outcome}: {reason}")).or_default() += 1;
+        }
+    }
+    counts
+}
--- a/crates/bench/src/demo/member/settings.rs
+++ b/crates/bench/src/demo/member/settings.rs
@@ -22,7 +22,24 @@
 /// How long a new connection to a target takes, in milliseconds.
 const CONNECT_MS: u64 = 1;
 
+/// How long the platform may hold a read, in milliseconds.
+const WATCH_MS: u64 = 500;
+/// Time between two comparisons with a peer, in milliseconds.
+const INTERVAL_MS: u64 = 300;
+/// Age of the newest contact at which others begin to read, in milliseconds.
+const CONTACT_BOUND_MS: u64 = 1_500;
+/// How old the proof may be that the instance list is in force, in
+/// milliseconds: two watches and some comparisons.
+const LEASE_MS: u64 = 2_000;
+/// How long callers may use a key, in milliseconds; they use none for longer
+/// than two of their timeouts.
+const HOLD_MS: u64 = 12_000;
+
 /// A node's settings.
+///
+/// The times are shorter than the defaults. A node that became the owner of a
+/// key waits for two leases before it runs the first request with it, which
+/// by default is longer than the whole demo. The price is in the control bytes.
 #[derive(Debug, Serialize)]
 pub(super) struct NodeFile<'a> {
     instance: &'a InstanceId,
@@ -32,6 +49,8 @@
     listen: Listen,
     target: NodeTarget,
     platform: NodePlatform,
+    spread: NodeSpread,
+    repeat: NodeRepeat,
     traffic_threads: u32,
     log: NodeLog,
     drain: NodeDrain,
@@ -66,6 +85,19 @@
     addr: SocketAddr,
 }
 
+#[derive(Debug, Serialize)]
+struct NodeSpread {
+    interval_ms: u64,
+    watch_ms: u64,
+    contact_bound_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct NodeRepeat {
+    hold_ms: u64,
+    lease_ms: u64,
+}
+
 #[derive(Debug, Serialize)]
 struct NodeLog {
     format: &'static str,
@@ -99,6 +131,15 @@
                 probe_ms: 50,
             },
             platform: NodePlatform { addr: platform },
+            spread: NodeSpread {
+                interval_ms: INTERVAL_MS,
+                watch_ms: WATCH_MS,
+                contact_bound_ms: CONTACT_BOUND_MS,
+            },
+            repeat: NodeRepeat {
+                hold_ms: HOLD_MS,
+                lease_ms: LEASE_MS,
+            },
             traffic_threads: TRAFFIC_THREADS,
             log: NodeLog { format: "text" },
             drain: NodeDrain {
--- a/crates/bench/src/demo/report.rs
+++ b/crates/bench/src/demo/report.rs
@@ -114,6 +114,9 @@
         row(f, "  answered", verdict.answered)?;
         row(f, "  refused, not run", verdict.refused_not_run)?;
         row(f, "  unknown", verdict.unknown)?;
+        for (reason, count) in &self.evidence.reasons {
+            row(f, &format!("    {reason}"), count)?;
+        }
         row(f, "  failed by the target", verdict.failed)?;
         row(f, "  met no node", verdict.not_sent)?;
         row(f, "lost", verdict.lost)?;
@@ -142,5 +145,5 @@
 }
 
 fn row(f: &mut fmt::Formatter<'_>, name: &str, value: impl fmt::Display) -> fmt::Result {
-    writeln!(f, "{name:<28} {value}")
+    writeln!(f, "{name:<30} {value}")
 }
--- /dev/null
+++ b/crates/core/src/admit/tests/cases.rs
@@ -0,0 +1,198 @@
+//! Case by case.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::bench::Bench;
+use super::bench::NOW;
+use super::bench::SETTINGS;
+use super::bench::Verdicts;
+use crate::Admission;
+use crate::Ask;
+use crate::Class;
+use crate::Deadline;
+use crate::Limits;
+use crate::Offer;
+use crate::Reason;
+use crate::testing::LIMITS;
+
+#[test]
+fn urgent_work_goes_first_and_the_background_by_its_weight() {
+    use Class::Background as B;
+    use Class::Critical as C;
+    use Class::Standard as S;
+    let mut bench = Bench::new(3);
+    let held = [C, C, C].map(|class| {
+        bench.offer(NOW, class, &LIMITS);
+        bench.take_permit()
+    });
+    let classes = [B, B, S, S, S, S, C, C];
+    let first = bench.waits.len();
+    for class in classes {
+        bench.offer(NOW, class, &LIMITS);
+    }
+    let [mut permit, other, third] = held;
+    let mut order = Vec::new();
+    for _ in classes {
+        permit.release(NOW);
+        let (id, next) = bench.verdicts().pop().unwrap();
+        order.push(classes[id - first]);
+        permit = next.unwrap();
+    }
+    assert_eq!(order, [C, C, S, S, B, S, S, B]);
+    drop((permit, other, third));
+}
+
+// Archive retrievals fill the queue. A sign-off that arrives then takes the
+// place of the youngest of them, which is refused at once and not run.
+#[test]
+fn urgent_work_displaces_the_youngest_of_the_least_urgent() {
+    let mut bench = Bench::new(1);
+    bench.offer(NOW, Class::Standard, &LIMITS);
+    let permit = bench.take_permit();
+    for _ in 0..4 {
+        bench.offer(NOW, Class::Background, &LIMITS);
+    }
+    bench.offer(NOW, Class::Background, &LIMITS);
+    assert_eq!(bench.refused(), [(5, Reason::QueueFull)]);
+    bench.offer(NOW, Class::Critical, &LIMITS);
+    assert_eq!(bench.refused(), [(4, Reason::Displaced)]);
+    permit.release(NOW);
+    assert_eq!(bench.verdicts()[0].0, 6, "the sign-off runs next");
+}
+
+#[test]
+fn a_rate_is_refused_with_the_time_to_come_back() {
+    let limits = Limits {
+        rate_per_s: 10,
+        ..LIMITS
+    };
+    let mut bench = Bench::new(5);
+    bench.offer(NOW, Class::Standard, &limits);
+    bench.take_permit().release(NOW);
+    bench.offer(NOW + Duration::from_millis(40), Class::Standard, &limits);
+    let (_, verdict) = bench.verdicts().pop().unwrap();
+    let refusal = verdict.unwrap_err();
+    assert_eq!(refusal.reason(), Reason::RateLimited);
+    assert_eq!(refusal.retry_after(), Some(Duration::from_millis(60)));
+    bench.offer(NOW + Duration::from_millis(100), Class::Standard, &limits);
+    bench.take_permit().release(NOW);
+}
+
+#[test]
+fn the_entry_s_concurrency_bounds_the_slots() {
+    let limits = Limits {
+        concurrency: 2,
+        ..LIMITS
+    };
+    let mut bench = Bench::new(5);
+    for _ in 0..3 {
+        bench.offer(NOW, Class::Standard, &limits);
+    }
+    assert_eq!(bench.verdicts().len(), 2);
+    assert!(bench.waits[2].is_some());
+}
+
+// A target needs 300 ms for a request and one waits already. A caller that has
+// 400 ms left would wait in vain: it is told at once, while it can still act.
+#[test]
+fn what_can_t_be_served_in_time_is_refused_at_once() {
+    let mut bench = Bench::new(1);
+    let mut now = NOW;
+    for _ in 0..60 {
+        bench.offer(now, Class::Standard, &LIMITS);
+        now = now + Duration::from_millis(300);
+        bench.take_permit().release(now);
+    }
+    bench.offer(now, Class::Standard, &LIMITS);
+    bench.offer(now, Class::Standard, &LIMITS);
+    let permit = bench.take_permit();
+    let short = Limits {
+        deadline: Duration::from_millis(400),
+        ..LIMITS
+    };
+    bench.offer(now, Class::Standard, &short);
+    assert_eq!(bench.refused(), [(62, Reason::DeadlineTooShort)]);
+    drop(permit);
+}
+
+#[derive(Debug)]
+enum End {
+    Timer,
+    Drop,
+    Sweep,
+}
+
+// A request waits and its time is over, or its caller goes away. It gets its
+// refusal at once, and the slot that frees up goes to the next that waits.
+#[rstest]
+#[case(End::Timer)]
+#[case(End::Drop)]
+#[case(End::Sweep)]
+fn who_leaves_the_queue_is_passed_over(#[case] end: End) {
+    let mut bench = Bench::new(1);
+    bench.offer(NOW, Class::Standard, &LIMITS);
+    let permit = bench.take_permit();
+    bench.offer(NOW, Class::Standard, &LIMITS);
+    bench.offer(NOW + Duration::from_millis(400), Class::Standard, &LIMITS);
+    let over = NOW + SETTINGS.max_wait;
+    let wait = bench.waits[1].take().unwrap();
+    match end {
+        End::Timer => {
+            let refusal = wait.expire(over).unwrap();
+            assert_eq!(refusal.reason(), Reason::QueueTimeout);
+            assert!(refusal.retry_after().is_some());
+        }
+        End::Drop => drop(wait),
+        End::Sweep => bench.waits[1] = Some(wait),
+    }
+    permit.release(over);
+    let mut verdicts = bench.verdicts();
+    let (next, permit) = verdicts.pop().unwrap();
+    assert_eq!(next, 2, "{end:?}");
+    assert!(permit.is_ok());
+    assert_eq!(verdicts.len(), usize::from(matches!(end, End::Sweep)));
+}
+
+// A caller goes away just after its request got a slot: the permit that nobody
+// wants any more is dropped, and the slot must not be lost with it.
+#[test]
+fn a_permit_that_nobody_takes_goes_to_the_next() {
+    let admission = Admission::new(SETTINGS, 1).unwrap();
+    let ask = Ask {
+        class: Class::Standard,
+        deadline: Deadline::within(NOW, LIMITS.deadline),
+        limits: &LIMITS,
+    };
+    let Offer::Admitted(permit) = admission.offer(NOW, &ask, || Box::new(drop)) else {
+        panic!("the slot is free");
+    };
+    let gone = admission.offer(NOW, &ask, || Box::new(drop));
+    let verdicts = Verdicts::default();
+    let sent = verdicts.clone();
+    let next = admission.offer(NOW, &ask, || {
+        Box::new(move |verdict| sent.lock().unwrap().push((2, verdict)))
+    });
+    permit.release(NOW);
+    assert!(verdicts.lock().unwrap()[0].1.is_ok());
+    drop((gone, next));
+}
+
+#[test]
+fn a_closed_target_refuses_what_waits_and_what_comes() {
+    let mut bench = Bench::new(1);
+    bench.offer(NOW, Class::Critical, &LIMITS);
+    let permit = bench.take_permit();
+    bench.offer(NOW, Class::Critical, &LIMITS);
+    bench.admission.close(Reason::Draining);
+    bench.offer(NOW, Class::Critical, &LIMITS);
+    assert_eq!(
+        bench.refused(),
+        [(1, Reason::Draining), (2, Reason::Draining)]
+    );
+    permit.release(NOW);
+    bench.admission.open();
+    bench.offer(NOW, Class::Critical, &LIMITS);
+    bench.take_permit().release(NOW);
+}
--- a/crates/core/src/deadline.rs
+++ b/crates/core/src/deadline.rs
@@ -7,6 +7,9 @@
 
 use crate::Tick;
 
+#[cfg(test)]
+mod tests;
+
 /// The part of the remaining time that each hop keeps for itself, as one part
 /// in so many.
 const HOP_SHARE: u32 = 50;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -6,6 +6,9 @@
 use crate::Result;
 use crate::Step;
 
+#[cfg(test)]
+mod tests;
+
 /// The load beside a target when an answer left it.
 ///
 /// It is a hint: it steers the choice of an endpoint and proves nothing.
--- /dev/null
+++ b/crates/core/src/load/tests.rs
@@ -0,0 +1,25 @@
+use rstest::rstest;
+
+use crate::LoadReport;
+
+#[test]
+fn a_report_reads_as_it_is_written() {
+    let load = LoadReport {
+        in_flight: 7,
+        slots: 10,
+        queued: 65_535,
+    };
+    assert_eq!(load.to_string(), "7/10/65535");
+    assert_eq!(LoadReport::parse("7/10/65535").unwrap(), load);
+}
+
+#[rstest]
+#[case("")]
+#[case("7/10")]
+#[case("7/10/0/1")]
+#[case("7/10/65536")]
+#[case("-1/10/0")]
+#[case("7/10/x")]
+fn anything_else_is_refused(#[case] text: &str) {
+    assert!(LoadReport::parse(text).is_err());
+}
--- /dev/null
+++ b/crates/core/src/route/tests/bench.rs
@@ -0,0 +1,138 @@
+//! A node with its picker.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::Catalogue;
+use crate::DomainName;
+use crate::EndpointKey;
+use crate::Instance;
+use crate::InstanceId;
+use crate::InstanceList;
+use crate::Intake;
+use crate::Meters;
+use crate::Picked;
+use crate::Picker;
+use crate::Position;
+use crate::Reason;
+use crate::RegionName;
+use crate::Revision;
+use crate::RouteSettings;
+use crate::ServiceKey;
+use crate::ServiceName;
+use crate::Snapshot;
+use crate::Tick;
+use crate::Verdict;
+use crate::catalogue;
+use crate::testing::instance;
+
+pub(super) const NOW: Tick = Tick::from_millis(60_000);
+pub(super) const SERVICE: &str = "adjuster-desk";
+const NEAR: &str = "khan-uul";
+const FAR: &str = "sukhbaatar";
+const CATALOGUE: &str = "
+services:
+  adjuster-desk:
+    owner: claims-review
+    class: critical
+    limits: {rate_per_s: 100, concurrency: 10, deadline_ms: 1000}
+";
+
+/// A node with its picker over some instances.
+pub(super) struct Bench {
+    pub(super) snapshot: Snapshot,
+    pub(super) service: ServiceKey,
+    pub(super) meters: Arc<Meters>,
+    pub(super) picker: Picker,
+    pub(super) rng: SmallRng,
+}
+
+impl Bench {
+    pub(super) fn new(node: &str, instances: Vec<Instance>) -> Bench {
+        let first = Revision::new(1).unwrap();
+        let items = catalogue::parse(CATALOGUE).unwrap();
+        let held = Catalogue::new(first, items).unwrap();
+        let list = InstanceList::new(first, instances).unwrap();
+        let snapshot = Snapshot::build(&held, &list).unwrap();
+        let name = ServiceName::new(SERVICE).unwrap();
+        let (service, _) = snapshot.find_service(&name).unwrap();
+        let meters = Arc::new(Meters::new());
+        let position = Position {
+            instance: InstanceId::new(node).unwrap(),
+            domain: DomainName::new(NEAR).unwrap(),
+            region: RegionName::new("ulaanbaatar").unwrap(),
+        };
+        let cfg = RouteSettings::default();
+        let picker = Picker::build(&snapshot, &position, cfg, &meters, NOW);
+        Bench {
+            snapshot,
+            service,
+            meters,
+            picker,
+            rng: SmallRng::seed_from_u64(1),
+        }
+    }
+
+    pub(super) fn pick(&mut self, now: Tick) -> Picked {
+        self.pick_but(now, &[]).unwrap()
+    }
+
+    pub(super) fn pick_but(&mut self, now: Tick, avoid: &[EndpointKey]) -> Result<Picked, Reason> {
+        let picked = self.picker.pick(self.service, now, avoid, &mut self.rng);
+        picked.map_err(|refusal| refusal.reason())
+    }
+
+    pub(super) fn id(&self, endpoint: EndpointKey) -> &InstanceId {
+        &self.snapshot.endpoint(endpoint).unwrap().instance.id
+    }
+
+    /// How often each endpoint is picked, none of them being kept busy.
+    pub(super) fn counts(&mut self, now: Tick, picks: usize) -> HashMap<String, usize> {
+        let mut counts = HashMap::new();
+        for _ in 0..picks {
+            let endpoint = self.pick(now).endpoint();
+            *counts.entry(self.id(endpoint).to_string()).or_default() += 1;
+        }
+        counts
+    }
+
+    pub(super) fn mark(&self, id: &str, intake: Intake, now: Tick) {
+        self.meters.mark(&InstanceId::new(id).unwrap(), intake, now);
+    }
+
+    /// Ends picks of an endpoint with a verdict, as often as it takes.
+    pub(super) fn judge(&mut self, id: &str, now: Tick, verdict: Verdict, times: usize) {
+        let mut left = times;
+        for _ in 0..1_000 * times {
+            let picked = self.pick(now);
+            if left > 0 && self.id(picked.endpoint()).as_str() == id {
+                picked.finish(now, verdict);
+                left -= 1;
+            }
+        }
+    }
+}
+
+pub(super) fn near(ids: &[&str]) -> Vec<Instance> {
+    ids.iter().map(|id| instance(id, SERVICE, NEAR)).collect()
+}
+
+pub(super) fn far(ids: &[&str]) -> Vec<Instance> {
+    ids.iter().map(|id| instance(id, SERVICE, FAR)).collect()
+}
+
+pub(super) fn elsewhere(id: &str) -> Instance {
+    Instance {
+        region: RegionName::new("ernakulam").unwrap(),
+        ..instance(id, SERVICE, FAR)
+    }
+}
+
+pub(super) fn fleet_of(near: usize, far: usize) -> Vec<Instance> {
+    let n = (0..near).map(|i| instance(&format!("n{i}"), SERVICE, NEAR));
+    let f = (0..far).map(|i| instance(&format!("f{i}"), SERVICE, FAR));
+    n.chain(f).collect()
+}
--- /dev/null
+++ b/crates/core/src/route/tests/choice.rs
@@ -0,0 +1,154 @@
+//! Which endpoint a request goes to.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::bench::Bench;
+use super::bench::NOW;
+use super::bench::elsewhere;
+use super::bench::far;
+use super::bench::near;
+use crate::InstanceState;
+use crate::Intake;
+use crate::LoadReport;
+use crate::Reason;
+use crate::Verdict;
+
+#[test]
+fn the_nearest_tier_is_used_until_it_is_full() {
+    let all = [near(&["n"]), far(&["d"]), vec![elsewhere("r")]].concat();
+    let mut bench = Bench::new("caller", all);
+    let picks: Vec<_> = (0..27).map(|_| bench.pick(NOW)).collect();
+    let ids: Vec<_> = picks
+        .iter()
+        .map(|p| bench.id(p.endpoint()).as_str())
+        .collect();
+    let all_of = |range: &[&str], id| range.iter().all(|picked| *picked == id);
+    assert!(all_of(&ids[..9], "n"), "{ids:?}");
+    assert!(!ids[..18].contains(&"r"), "{ids:?}");
+    assert!(ids[18..].contains(&"r"), "{ids:?}");
+    drop(picks);
+    assert_eq!(bench.counts(NOW, 10), HashMap::from([("n".to_owned(), 10)]));
+}
+
+#[test]
+fn the_less_loaded_of_two_is_chosen() {
+    let mut bench = Bench::new("caller", near(&["a", "b"]));
+    let busy = LoadReport {
+        in_flight: 8,
+        slots: 10,
+        queued: 3,
+    };
+    let picked = bench.pick(NOW);
+    let id = bench.id(picked.endpoint()).to_string();
+    picked.report(NOW, busy);
+    drop(picked);
+    assert!(!bench.counts(NOW, 50).contains_key(&id));
+    let old = NOW + Duration::from_secs(2);
+    assert!(bench.counts(old, 50).contains_key(&id), "a report fades");
+}
+
+#[test]
+fn own_requests_spread_before_any_answer() {
+    let mut bench = Bench::new("caller", near(&["a", "b", "c", "d"]));
+    let picks: Vec<_> = (0..24).map(|_| bench.pick(NOW)).collect();
+    let mut counts = HashMap::new();
+    for picked in &picks {
+        *counts.entry(picked.endpoint()).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|n| (4..=8).contains(n)), "{counts:?}");
+}
+
+#[derive(Debug)]
+enum Out {
+    Closed,
+    ListedAsLeaving,
+    Draining,
+    Avoided,
+}
+
+// An endpoint leaves, and this node hears of it in one way or another. No new
+// request goes there, and when it was the last one the request is refused.
+#[rstest]
+#[case(Out::Closed)]
+#[case(Out::ListedAsLeaving)]
+#[case(Out::Draining)]
+#[case(Out::Avoided)]
+fn what_leaves_gets_nothing_new(#[case] out: Out) {
+    let mut all = near(&["a", "b"]);
+    if let Out::ListedAsLeaving = out {
+        all.iter_mut()
+            .for_each(|i| i.state = InstanceState::Leaving);
+    }
+    let mut bench = Bench::new("caller", all);
+    let mut avoid = Vec::new();
+    match out {
+        Out::Closed => ["a", "b"].map(|id| bench.mark(id, Intake::Closed, NOW)),
+        Out::Draining => ["a", "b"].map(|_| bench.pick(NOW).finish(NOW, Verdict::Draining)),
+        Out::Avoided => {
+            ["a", "b"].map(|_| avoid.push(bench.pick_but(NOW, &avoid).unwrap().endpoint()))
+        }
+        Out::ListedAsLeaving => [(); 2],
+    };
+    assert_eq!(
+        bench.pick_but(NOW, &avoid).unwrap_err(),
+        Reason::NoEndpoint,
+        "{out:?}"
+    );
+}
+
+// An instance is replaced under its name and comes back cold: its caches are
+// empty, and its full share at once would be answered late.
+#[test]
+fn a_cold_endpoint_gets_its_share_slowly() {
+    let mut bench = Bench::new("caller", near(&["a", "b"]));
+    bench.mark("a", Intake::Closed, NOW);
+    assert!(!bench.counts(NOW, 50).contains_key("a"));
+    bench.mark("a", Intake::Open, NOW);
+    let cold = NOW + Duration::from_millis(100);
+    let warm = NOW + Duration::from_secs(10);
+    let held = |bench: &mut Bench, now| {
+        let picks: Vec<_> = (0..11).map(|_| bench.pick(now)).collect();
+        let ids = picks.iter().map(|p| bench.id(p.endpoint()).as_str());
+        ids.filter(|id| *id == "a").count()
+    };
+    assert!(held(&mut bench, cold) <= 1);
+    assert!(held(&mut bench, warm) >= 4);
+}
+
+// The node's own network fails, and every endpoint looks broken from here.
+// At most half of them are left out, and if all are, they are tried anyway.
+#[test]
+fn never_more_than_a_share_is_ejected() {
+    let mut bench = Bench::new("caller", near(&["a", "b", "c", "d"]));
+    for _ in 0..400 {
+        bench.pick(NOW).finish(NOW, Verdict::NoConnection);
+    }
+    assert_eq!(bench.counts(NOW, 200).len(), 2);
+    let mut single = Bench::new("caller", near(&["a"]));
+    single.judge("a", NOW, Verdict::Failed, 9);
+    assert_eq!(single.counts(NOW, 5).len(), 1);
+    let mut pair = Bench::new("caller", near(&["a", "b"]));
+    pair.judge("a", NOW, Verdict::Failed, 5);
+    pair.mark("b", Intake::Closed, NOW);
+    assert!(
+        pair.counts(NOW, 5).contains_key("a"),
+        "ejected, but all there is"
+    );
+}
+
+#[test]
+fn slow_answers_are_judged_by_the_service_s_average() {
+    let mut bench = Bench::new("caller", near(&["a", "b", "c"]));
+    let answer = |ms| Verdict::Answered(Duration::from_millis(ms));
+    bench.judge("a", NOW, answer(30), 20);
+    bench.judge("b", NOW, answer(300), 7);
+    assert!(
+        bench.counts(NOW, 200).contains_key("b"),
+        "seven are too few"
+    );
+    bench.judge("b", NOW, answer(300), 1);
+    assert!(!bench.counts(NOW, 200).contains_key("b"));
+}
--- a/crates/core/tests/at_most_once/world.rs
+++ b/crates/core/tests/at_most_once/world.rs
@@ -2,39 +2,20 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use sassafrasspool_core::Attempt;
 use sassafrasspool_core::Begin;
-use sassafrasspool_core::Budget;
-use sassafrasspool_core::Catalogue;
-use sassafrasspool_core::Deadline;
-use sassafrasspool_core::Failure;
-use sassafrasspool_core::Hop;
-use sassafrasspool_core::Instance;
-use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::InstanceList;
-use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
-use sassafrasspool_core::Meters;
-use sassafrasspool_core::Next;
 use sassafrasspool_core::Outcome;
-use sassafrasspool_core::Picker;
-use sassafrasspool_core::Position;
 use sassafrasspool_core::Refusal;
-use sassafrasspool_core::RequestKey;
-use sassafrasspool_core::RetryLimits;
 use sassafrasspool_core::Revision;
-use sassafrasspool_core::RouteSettings;
 use sassafrasspool_core::Running;
 use sassafrasspool_core::ServiceName;
-use sassafrasspool_core::Snapshot;
 use sassafrasspool_core::StoredAnswer;
 use sassafrasspool_core::Tick;
-use sassafrasspool_core::Tries;
-use sassafrasspool_core::catalogue;
 use sassafrasspool_core::history::Bounds;
 use sassafrasspool_core::history::Event;
 use sassafrasspool_core::history::History;
@@ -43,6 +24,11 @@
 use sassafrasspool_core::history::RequestId;
 use sassafrasspool_core::history::check;
 
+use self::setup::Routing;
+use self::setup::id;
+use self::setup::key;
+use self::setup::list;
+use self::setup::routing;
 use super::fault::Fault;
 use super::node::HOLD;
 use super::node::Known;
@@ -50,16 +36,12 @@
 use super::node::Node;
 use super::step::Step;
 
+mod setup;
+mod told;
+
 const NODES: usize = 4;
 /// All nodes, a bit each.
 const ALL: u8 = (1 << NODES) - 1;
-const CATALOGUE: &str = "
-services:
-  adjuster-desk:
-    owner: claims-review
-    class: critical
-    limits: {rate_per_s: 100, concurrency: 10, deadline_ms: 5000}
-";
 
 /// A request on its way from a first hop to an owner.
 struct Sent {
@@ -385,105 +367,4 @@
             _ => running.lost(self.now),
         }
     }
-
-    /// The first hop decides over a refusal: it isn't tried again here, since
-    /// the caller's own repeats do the same.
-    fn refuse(&mut self, request: RequestId, attempt: Attempt, refusal: Refusal) {
-        let limits = RetryLimits {
-            attempts: 1,
-            budget_percent: 0,
-        };
-        let budget = Budget::new();
-        let deadline = Deadline::at(self.now);
-        let tries = Tries::first(Hop::First, false, &limits, deadline, &budget);
-        let Next::Stop(failure) = tries
-            .keyed(attempt)
-            .after(self.now, refusal.into(), &budget)
-        else {
-            panic!("the deadline has passed");
-        };
-        let outcome = match (self.fault, failure) {
-            (Fault::RepeatToldNotRun, Failure::Refused(_)) => refusal.outcome(),
-            (_, failure) => failure.outcome(),
-        };
-        match outcome {
-            Outcome::NotRun => self.tell_not_run(request),
-            Outcome::Unknown => self.tell_unknown(request),
-        }
-    }
-
-    fn tell_not_run(&mut self, request: RequestId) {
-        if self.sent_after_run.contains(&request) {
-            let told = format!("{request} was told not run, though an earlier one ran");
-            self.false_not_run.push(told);
-        }
-        self.history
-            .record(self.now, Event::RefusedNotRun { request });
-    }
-
-    fn tell_unknown(&mut self, request: RequestId) {
-        self.history.record(self.now, Event::Unknown { request });
-    }
-
-    fn tell_answer(&mut self, request: RequestId) {
-        let operation = self.requests[&request];
-        self.operations[operation.0 as usize].ended = true;
-        let event = Event::Answered {
-            request,
-            answers: request,
-            whole: true,
-        };
-        self.history.record(self.now, event);
-    }
-}
-
-fn id(i: usize) -> InstanceId {
-    InstanceId::new(&format!("ad-{i}")).unwrap()
-}
-
-fn key(operation: OperationId) -> RequestKey {
-    let service = ServiceName::new("adjuster-desk").unwrap();
-    RequestKey::new(&service, "POST /approvals", &operation.to_string()).unwrap()
-}
-
-fn list(revision: u64, mask: u8) -> InstanceList {
-    let listed = (0..NODES).filter(|i| mask & (1 << i) != 0);
-    InstanceList::new(Revision::new(revision).unwrap(), listed.map(instance)).unwrap()
-}
-
-fn instance(i: usize) -> Instance {
-    let addr = "127.0.0.1:9001".parse().unwrap();
-    Instance {
-        id: id(i),
-        service: ServiceName::new("adjuster-desk").unwrap(),
-        region: sassafrasspool_core::RegionName::new("ulaanbaatar").unwrap(),
-        domain: sassafrasspool_core::DomainName::new("khan-uul").unwrap(),
-        traffic: addr,
-        control: addr,
-        slots: 10,
-        connections: 120,
-        state: InstanceState::Live,
-    }
-}
-
-/// A snapshot with its picker, as a first hop holds them.
-struct Routing {
-    snapshot: Snapshot,
-    picker: Picker,
-}
-
-fn routing(list: &InstanceList) -> Routing {
-    let items = catalogue::parse(CATALOGUE).unwrap();
-    let held = Catalogue::new(Revision::new(1).unwrap(), items).unwrap();
-    let snapshot = Snapshot::build(&held, list).unwrap();
-    let at = instance(0);
-    let position = Position {
-        instance: at.id,
-        domain: at.domain,
-        region: at.region,
-    };
-    let meters = Arc::new(Meters::new());
-    let cfg = RouteSettings::default();
-    let picker = Picker::build(&snapshot, &position, cfg, &meters, Tick::ZERO);
-    Routing { snapshot, picker }
 }
--- /dev/null
+++ b/crates/core/tests/at_most_once/world/told.rs
@@ -0,0 +1,69 @@
+//! What callers are told.
+
+use sassafrasspool_core::Attempt;
+use sassafrasspool_core::Budget;
+use sassafrasspool_core::Deadline;
+use sassafrasspool_core::Failure;
+use sassafrasspool_core::Hop;
+use sassafrasspool_core::Next;
+use sassafrasspool_core::Outcome;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::RetryLimits;
+use sassafrasspool_core::Tries;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_core::history::RequestId;
+
+use super::World;
+use crate::fault::Fault;
+
+impl World {
+    /// The first hop decides over a refusal: it isn't tried again here, since
+    /// the caller's own repeats do the same.
+    pub(super) fn refuse(&mut self, request: RequestId, attempt: Attempt, refusal: Refusal) {
+        let limits = RetryLimits {
+            attempts: 1,
+            budget_percent: 0,
+        };
+        let budget = Budget::new();
+        let deadline = Deadline::at(self.now);
+        let tries = Tries::first(Hop::First, false, &limits, deadline, &budget);
+        let Next::Stop(failure) = tries
+            .keyed(attempt)
+            .after(self.now, refusal.into(), &budget)
+        else {
+            panic!("the deadline has passed");
+        };
+        let outcome = match (self.fault, failure) {
+            (Fault::RepeatToldNotRun, Failure::Refused(_)) => refusal.outcome(),
+            (_, failure) => failure.outcome(),
+        };
+        match outcome {
+            Outcome::NotRun => self.tell_not_run(request),
+            Outcome::Unknown => self.tell_unknown(request),
+        }
+    }
+
+    pub(super) fn tell_not_run(&mut self, request: RequestId) {
+        if self.sent_after_run.contains(&request) {
+            let told = format!("{request} was told not run, though an earlier one ran");
+            self.false_not_run.push(told);
+        }
+        self.history
+            .record(self.now, Event::RefusedNotRun { request });
+    }
+
+    pub(super) fn tell_unknown(&mut self, request: RequestId) {
+        self.history.record(self.now, Event::Unknown { request });
+    }
+
+    pub(super) fn tell_answer(&mut self, request: RequestId) {
+        let operation = self.requests[&request];
+        self.operations[operation.0 as usize].ended = true;
+        let event = Event::Answered {
+            request,
+            answers: request,
+            whole: true,
+        };
+        self.history.record(self.now, event);
+    }
+}
--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -161,3 +161,21 @@
     let tally = run(Policy::Full, load, &slow, 6);
     assert!(tally.runs_at(0) * 12 < tally.served() as usize, "{tally:?}");
 }
+
+// One instance crashes while two others begin to leave, one of them unheard. A
+// request that can't connect to the first is tried again, and meets the next
+// just as that drains. It goes on until it finds one that takes it.
+#[test]
+fn a_drain_during_a_retry_is_not_noticed() {
+    let load = Load::mixed(0.25 * CAPACITY_PER_S, Duration::from_secs(3));
+    let kinds = [
+        FaultKind::Crash(0),
+        FaultKind::Drain(1),
+        FaultKind::DrainUnheard(2),
+    ];
+    let faults = kinds.map(|kind| at(1_000, kind));
+    let tally = run(Policy::Full, load, &faults, 7);
+    assert_eq!(tally.refused(), 0, "{tally:?}");
+    assert!(tally.unknown() <= 10, "at most what the crash cut off");
+    assert_eq!(tally.violations, []);
+}
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -14,6 +14,7 @@
 use super::answer::Answer;
 use super::first_hop::FirstHop;
 use super::head;
+use super::keyed;
 use super::payload::Payload;
 use super::refusal;
 use super::worker::Worker;
@@ -30,8 +31,10 @@
 /// Answers a request of a caller.
 pub(super) async fn serve(worker: &Worker, side: Side, req: Request<Incoming>) -> Response<Answer> {
     let guard = worker.hub.shared.in_flight().enter();
+    let may_follow = keyed::may_follow_another(req.headers());
     let res = match run(worker, side, req).await {
         Ok(res) => res,
+        Err(failure) if may_follow => refusal::respond(&keyed::unknown(failure)),
         Err(failure) => refusal::respond(&failure),
     };
     let mut res = for_caller(res);
--- a/crates/node/src/traffic/keyed.rs
+++ b/crates/node/src/traffic/keyed.rs
@@ -1,8 +1,10 @@
 //! Requests that their caller may send again.
 
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use sassafrasspool_core::Attempt;
+use sassafrasspool_core::Failure;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
 use sassafrasspool_core::RequestKey;
@@ -39,6 +41,27 @@
     }
 }
 
+/// Whether an attempt before this one may have run, by the caller's own word.
+pub(super) fn may_follow_another(headers: &HeaderMap) -> bool {
+    let keyed = headers.contains_key(IDEMPOTENCY_KEY);
+    keyed && attempt(headers.get(REQUEST_ATTEMPT)) == Attempt::MayRepeat
+}
+
+/// What a failure of such an attempt says of the caller's request.
+///
+/// That this attempt was not run says nothing of those before, and a caller
+/// who heard `not-run` would believe that the request never happened.
+pub(super) fn unknown(failure: Failure) -> Failure {
+    let Failure::Refused(refusal) = failure else {
+        return failure;
+    };
+    let unknown = Refusal::unknown(refusal.step(), refusal.reason());
+    match refusal.retry_after() {
+        Some(wait) => unknown.after(wait).into(),
+        None => unknown.into(),
+    }
+}
+
 fn attempt(value: Option<&HeaderValue>) -> Attempt {
     match value.map(HeaderValue::as_bytes) {
         Some(b"1") => Attempt::First,
--- a/crates/node/src/traffic/refusal.rs
+++ b/crates/node/src/traffic/refusal.rs
@@ -66,13 +66,13 @@
 
 fn refused_status(refusal: &Refusal) -> StatusCode {
     match (refusal.outcome(), refusal.reason()) {
-        (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
         (_, Reason::NoRoute) => StatusCode::NOT_FOUND,
         (_, Reason::RateLimited) => StatusCode::TOO_MANY_REQUESTS,
         (_, Reason::BadKey) => StatusCode::BAD_REQUEST,
         (_, Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         (_, Reason::TooManyHops) => StatusCode::LOOP_DETECTED,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
+        (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/node/src/traffic/serve/accept.rs
+++ b/crates/node/src/traffic/serve/accept.rs
@@ -36,13 +36,16 @@
 
 /// Accepts until the node closes.
 pub(in crate::traffic) async fn accept(worker: Arc<Worker>, listener: StdListener, port: Port) {
-    let listener = match TcpListener::from_std(listener) {
-        Ok(listener) => listener,
-        Err(err) => {
-            tracing::error!(%err, ?port, "cannot listen");
-            return;
+    match TcpListener::from_std(listener) {
+        Ok(listener) => {
+            accept_until_closed(&worker, &listener, port).await;
+            accept_rest(&worker, listener, port);
         }
-    };
+        Err(err) => tracing::error!(%err, ?port, "cannot listen"),
+    }
+}
+
+async fn accept_until_closed(worker: &Arc<Worker>, listener: &TcpListener, port: Port) {
     let closing = worker.hub.closing.clone();
     let mut closed = pin!(closing.cancelled());
     loop {
@@ -51,7 +54,7 @@
             () = &mut closed => return,
         };
         match accepted {
-            Ok((stream, _)) => serve(&worker, stream, port),
+            Ok((stream, _)) => serve(worker, stream, port),
             Err(err) => {
                 tracing::debug!(%err, "cannot accept");
                 tokio::time::sleep(ACCEPT_REST).await;
@@ -60,6 +63,22 @@
     }
 }
 
+/// Accepts what has connected before the listener closes.
+///
+/// The kernel resets connections that it holds for a listener that closes,
+/// whatever their callers have sent. They couldn't tell that it was not run.
+fn accept_rest(worker: &Arc<Worker>, listener: TcpListener, port: Port) {
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        if let Ok(stream) = stream.and_then(TcpStream::from_std) {
+            serve(worker, stream, port);
+        }
+    }
+}
+
 fn serve(worker: &Arc<Worker>, stream: TcpStream, port: Port) {
     // Without it the kernel may hold back small answers.
     let _ = stream.set_nodelay(true);
--- a/crates/node/tests/requests/client.rs
+++ b/crates/node/tests/requests/client.rs
@@ -24,15 +24,35 @@
         .expect("a request")
 }
 
+/// A connection that is kept.
+pub(crate) struct Kept(http1::SendRequest<Body>);
+
+/// Opens a connection.
+pub(crate) async fn connect(addr: SocketAddr) -> Kept {
+    let stream = TcpStream::connect(addr).await.expect("a connection");
+    stream.set_nodelay(true).expect("a socket option");
+    let handshake = http1::handshake(TokioIo::new(stream));
+    let (sender, conn) = handshake.await.expect("a connection");
+    tokio::spawn(conn);
+    Kept(sender)
+}
+
+impl Kept {
+    /// Gets the whole answer.
+    pub(crate) async fn call(&mut self, req: Request<Body>) -> hyper::Result<Response<Bytes>> {
+        self.0.ready().await?;
+        let (head, body) = self.0.send_request(req).await?.into_parts();
+        let whole = body.collect().await?.to_bytes();
+        Ok(Response::from_parts(head, whole))
+    }
+}
+
 /// Gets the head of the answer and a body that may still come.
 pub(crate) async fn begin(
     addr: SocketAddr,
     req: Request<Body>,
 ) -> hyper::Result<Response<Incoming>> {
-    let stream = TcpStream::connect(addr).await.expect("a connection");
-    stream.set_nodelay(true).expect("a socket option");
-    let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(conn);
+    let Kept(mut sender) = connect(addr).await;
     sender.send_request(req).await
 }
 
--- a/crates/node/tests/requests/drain.rs
+++ b/crates/node/tests/requests/drain.rs
@@ -135,6 +135,27 @@
     assert_eq!(res.body().len(), 3_000_000 + "r-1\n".len());
 }
 
+// A node is told to stop just when a caller's request is on its way, on a
+// connection that was idle. The caller hears that it was not run and that the
+// connection ends, rather than to find it closed and know nothing.
+#[tokio::test]
+async fn a_request_that_meets_the_stop_is_refused() {
+    let mut fleet = Fleet::start(&[DESK]).await;
+    let desk = &mut fleet.members[0];
+    let mut caller = client::connect(desk.addrs.ingress).await;
+    let res = caller.call(client::get("/desk/policy", "r-1")).await;
+    assert_eq!(res.expect("an answer").status(), StatusCode::OK);
+    desk.shared.advance(Phase::Draining);
+    desk.cancel.cancel();
+    let res = caller.call(client::get("/desk/policy", "r-2")).await;
+    let res = res.expect("an answer");
+    assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "not-run");
+    assert_eq!(client::header(&res, "connection"), "close");
+    let traffic = desk.traffic.take().expect("a running node");
+    assert_eq!(traffic.stopped_within(BOUND).await, 0);
+    assert_eq!(fleet.runs_of("r-2"), 0);
+}
+
 // A target hangs and the operator's patience is at its end: the stop ends at
 // its bound and says how much it cut. The caller isn't left waiting.
 #[tokio::test]
--- a/crates/node/tests/requests/keyed.rs
+++ b/crates/node/tests/requests/keyed.rs
@@ -7,6 +7,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use sassafrasspool_core::Phase;
 use sassafrasspool_standin::target::answer_body;
 
 use crate::client;
@@ -130,6 +131,22 @@
     assert!(fleet.members[1].target.ledger().runs.is_empty());
 }
 
+// The first attempt of an approval ran and its answer got lost. The node that
+// the repeat comes to is about to stop and refuses it. To say that it was not
+// run would be true of this attempt and false of the approval.
+#[tokio::test]
+async fn a_refused_repeat_is_not_called_not_run() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let desk = &fleet.members[0];
+    desk.shared.advance(Phase::Draining);
+    for (first, outcome) in [(true, "not-run"), (false, "unknown")] {
+        let req = approve("k-1", "r-1", first);
+        let res = client::call(desk.addrs.ingress, req).await;
+        let res = res.expect("an answer");
+        assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), outcome);
+    }
+}
+
 // A client sends an empty key. To run its request as if it had none would run
 // it again with each repeat.
 #[tokio::test]
