Count requests, retries and connections of the traffic side

An operator saw the requests in flight and nothing of what became of them. Counters by port and result are made once for each node; those by reason are only touched on requests without an answer.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -14,6 +14,7 @@
 
 pub(crate) mod names;
 mod report;
+pub(crate) mod traffic;
 
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
@@ -37,6 +38,7 @@
     let made = RECORDER.get_or_init(|| {
         let handle = PrometheusBuilder::new().install_recorder().ok()?;
         names::describe();
+        traffic::describe();
         Some(handle)
     });
     made.as_ref()
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -19,6 +19,7 @@
 mod beside;
 mod bounds;
 mod caller_side;
+mod counters;
 mod first_hop;
 mod head;
 mod hub;
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -32,11 +32,15 @@
 pub(super) async fn serve(worker: &Worker, side: Side, req: Request<Incoming>) -> Response<Answer> {
     let guard = worker.hub.shared.in_flight().enter();
     let may_follow = keyed::may_follow_another(req.headers());
-    let res = match run(worker, side, req).await {
-        Ok(res) => res,
-        Err(failure) if may_follow => refusal::respond(&keyed::unknown(failure)),
-        Err(failure) => refusal::respond(&failure),
-    };
+    let mut result = run(worker, side, req).await;
+    if may_follow {
+        result = result.map_err(keyed::unknown);
+    }
+    match side {
+        Side::Ingress => worker.hub.ingress.count(&result),
+        Side::Egress => worker.hub.egress.count(&result),
+    }
+    let res = result.unwrap_or_else(|failure| refusal::respond(&failure));
     let mut res = for_caller(res);
     if worker.hub.is_leaving() {
         // Over HTTP/2 the header is left out and the connection told by itself.
--- /dev/null
+++ b/crates/node/src/traffic/counters.rs
@@ -0,0 +1,78 @@
+//! Counting what became of requests.
+
+use std::fmt;
+
+use metrics::Counter;
+use metrics::counter;
+use sassafrasspool_core::Failure;
+use sassafrasspool_core::Outcome;
+
+use crate::metrics::traffic;
+
+/// The counts of one kind of listener; made once, since looking a counter up by
+/// its name costs more than counting.
+pub(super) struct Counters {
+    port: &'static str,
+    answered: Counter,
+    not_run: Counter,
+    unknown: Counter,
+}
+
+impl Counters {
+    pub(super) fn new(port: &'static str) -> Counters {
+        let result =
+            |result: &'static str| counter!(traffic::REQUESTS, "port" => port, "result" => result);
+        Counters {
+            port,
+            answered: result("answered"),
+            not_run: result(Outcome::NotRun.as_str()),
+            unknown: result(Outcome::Unknown.as_str()),
+        }
+    }
+
+    /// Counts a request.
+    pub(super) fn count<T>(&self, result: &Result<T, Failure>) {
+        let failure = match result {
+            Ok(_) => return self.answered.increment(1),
+            Err(failure) => failure,
+        };
+        match failure.outcome() {
+            Outcome::NotRun => self.not_run.increment(1),
+            Outcome::Unknown => self.unknown.increment(1),
+        }
+        let labels = [
+            ("port", self.port),
+            ("step", failure_step(failure)),
+            ("reason", reason_of(failure)),
+        ];
+        counter!(traffic::MISSED, &labels).increment(1);
+    }
+}
+
+impl fmt::Debug for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Counters")
+            .field("port", &self.port)
+            .finish()
+    }
+}
+
+/// Counts an attempt after which the request is tried again.
+pub(super) fn count_retry(failure: &Failure) {
+    counter!(traffic::RETRIES, "reason" => reason_of(failure)).increment(1);
+}
+
+/// Why a request got no answer, in one word.
+fn reason_of(failure: &Failure) -> &'static str {
+    match failure {
+        Failure::Refused(refusal) => refusal.reason().as_str(),
+        Failure::Lost(loss) => loss.cause().as_str(),
+    }
+}
+
+fn failure_step(failure: &Failure) -> &'static str {
+    match failure {
+        Failure::Refused(refusal) => refusal.step().as_str(),
+        Failure::Lost(loss) => loss.step().as_str(),
+    }
+}
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -24,6 +24,7 @@
 use super::attempt::Attempt;
 use super::bounds::MAX_HOPS;
 use super::caller_side::Side;
+use super::counters::count_retry;
 use super::head;
 use super::keyed::Keyed;
 use super::missed::Missed;
@@ -129,6 +130,7 @@
                 // A part of the body is used up.
                 None => return Err(tries.told(failure)),
             };
+            count_retry(&failure);
             last = Some(failure);
         }
     }
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::counters::Counters;
 use super::parents::Parents;
 use super::target::Pool;
 use crate::Settings;
@@ -26,6 +27,9 @@
     pub(super) pool: Arc<Pool>,
     pub(super) admission: Admission,
     pub(super) parents: Parents,
+    pub(super) ingress: Counters,
+    pub(super) egress: Counters,
+    pub(super) peers: Counters,
     /// The requests with a key that the own target has run.
     pub(super) repeat: RepeatWindow,
     /// Bytes of an answer that are kept for repeats.
@@ -67,6 +71,9 @@
             pool: Pool::new(cfg.target.addr, limit),
             admission,
             parents: Parents::default(),
+            ingress: Counters::new("ingress"),
+            egress: Counters::new("egress"),
+            peers: Counters::new("peers"),
             repeat,
             max_stored: cfg.repeat.max_answer_bytes,
             cancel,
--- a/crates/node/src/traffic/peer/link.rs
+++ b/crates/node/src/traffic/peer/link.rs
@@ -11,11 +11,13 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use metrics::counter;
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
 use tokio::net::TcpStream;
 
+use crate::metrics::traffic;
 use crate::traffic::bounds::CONNECT_TIMEOUT;
 use crate::traffic::bounds::CONNECTION_WINDOW;
 use crate::traffic::bounds::MAX_HEAD_BYTES;
@@ -121,6 +123,7 @@
         let (sender, connection) = handshake
             .await
             .map_err(|e| self.error("cannot connect").with_cause(e))?;
+        counter!(traffic::PEER_CONNECTIONS).increment(1);
         tokio::spawn(async move {
             // Requests on it learn of a failure by themselves.
             let _ = connection.await;
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -26,14 +26,13 @@
 /// Answers a request of another node.
 pub(super) async fn serve(worker: &Worker, req: Request<Incoming>) -> Response<Answer> {
     let guard = worker.hub.shared.in_flight().enter();
-    let res = match run(worker, req).await {
-        Ok(res) => res,
-        Err(failure) => {
-            let mut res = refusal::respond(&failure);
-            beside::add_load(worker, res.headers_mut());
-            res
-        }
-    };
+    let result = run(worker, req).await;
+    worker.hub.peers.count(&result);
+    let res = result.unwrap_or_else(|failure| {
+        let mut res = refusal::respond(&failure);
+        beside::add_load(worker, res.headers_mut());
+        res
+    });
     res.map(|body| body.held(guard))
 }
 
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -11,6 +11,7 @@
 
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use metrics::counter;
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
@@ -19,6 +20,7 @@
 use tokio::net::TcpStream;
 
 use super::connection::Connection;
+use crate::metrics::traffic;
 use crate::traffic::bounds::CONNECT_TIMEOUT;
 use crate::traffic::bounds::MAX_HEAD_BYTES;
 use crate::traffic::bounds::MAX_IDLE;
@@ -95,6 +97,7 @@
             .map_err(|_| self.error("connecting took too long"))?
             .map_err(fail)?;
         stream.set_nodelay(true).map_err(fail)?;
+        counter!(traffic::TARGET_CONNECTIONS).increment(1);
         let written = Arc::new(SocketBytes::default());
         let io = TokioIo::new(Counted::new(stream, Arc::clone(&written)));
         let handshake = http1::Builder::new()
