--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -51,6 +51,8 @@
     pub(crate) id: &'static str,
     pub(crate) service: &'static str,
     pub(crate) domain: &'static str,
+    /// Slots that the node believes its target to have.
+    pub(crate) slots: u32,
 }
 
 /// A desk in one failure domain, which other specs vary.
@@ -58,6 +60,7 @@
     id: "wd-1",
     service: "workshop-desk",
     domain: "bayanzurkh",
+    slots: SLOTS,
 };
 
 /// The desk that adjusters use, in another failure domain.
@@ -65,6 +68,7 @@
     id: "ad-1",
     service: "adjuster-desk",
     domain: "khan-uul",
+    slots: SLOTS,
 };
 
 impl Member {
@@ -98,17 +102,17 @@
         runs.into_iter().filter(|run| run.id == id).collect()
     }
 
-    fn instance(&self, domain: &str) -> Instance {
+    fn instance(&self, spec: &Spec) -> Instance {
         let control = "127.0.0.1:9".parse().expect("an address");
         Instance {
             id: name(self.id),
             service: name(self.service),
             region: name("ulaanbaatar"),
-            domain: name(domain),
+            domain: name(spec.domain),
             traffic: self.addrs.traffic,
             control,
-            slots: SLOTS,
-            connections: 2 * SLOTS,
+            slots: spec.slots,
+            connections: 2 * spec.slots,
             state: InstanceState::Live,
         }
     }
@@ -123,6 +127,7 @@
         id,
         service,
         domain,
+        slots,
     } = spec;
     let any = "127.0.0.1:0";
     let text = format!(
@@ -132,7 +137,7 @@
 region: ulaanbaatar
 domain: {domain}
 listen: {{ingress: {any}, egress: {any}, traffic: {any}, control: {any}, admin: {any}}}
-target: {{addr: {target}, slots: {SLOTS}, ready_path: /healthz}}
+target: {{addr: {target}, slots: {slots}, ready_path: /healthz}}
 platform: {{addr: 127.0.0.1:6000}}
 repeat: {{lease_ms: 500}}
 "
@@ -182,7 +187,7 @@
         let items = catalogue::parse(CATALOGUE).expect("a catalogue");
         let catalogue = Catalogue::new(revision, items).expect("a catalogue");
         let members = self.members.iter().zip(specs);
-        let instances = members.map(|(member, spec)| member.instance(spec.domain));
+        let instances = members.map(|(member, spec)| member.instance(spec));
         let instances = InstanceList::new(revision, instances).expect("a list");
         let snapshot = Snapshot::build(&catalogue, &instances).expect("a snapshot");
         let view = View {
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -1,8 +1,10 @@
 //! Requests end to end: real nodes and real sockets, with stand-in targets.
 
+mod calling_target;
 mod cancel;
 mod client;
 mod cut;
+mod depth;
 mod drain;
 mod fleet;
 mod forged;
@@ -12,4 +14,5 @@
 mod nosy_target;
 mod path;
 mod shedding;
+mod upload;
 mod wait;
--- /dev/null
+++ b/crates/node/tests/requests/upload.rs
@@ -0,0 +1,84 @@
+//! Bodies of requests.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::StatusCode;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::client;
+use crate::fleet::ADJUSTER;
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+use crate::wait;
+
+/// Sends a head that announces `announced` bytes, and `sent` of them.
+async fn begin_upload(addr: SocketAddr, id: &str, announced: usize, sent: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).await.expect("a connection");
+    let head = format!(
+        "POST /adjuster/approve HTTP/1.1\r\nhost: desk.example\r\n\
+         x-request-id: {id}\r\ncontent-length: {announced}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("a head");
+    let part = vec![b'x'; sent];
+    stream.write_all(&part).await.expect("a part of the body");
+    stream
+}
+
+// A fitter uploads photographs, small and large. Each byte reaches the target,
+// whether the body is held or passed on as it comes.
+#[tokio::test]
+async fn uploads_arrive_whole() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    for len in [1, 60_000, 70_000, 3_000_000] {
+        let id = format!("r-{len}");
+        let mut req = client::get("/adjuster/approve", &id);
+        *req.method_mut() = http::Method::POST;
+        *req.body_mut() = client::Body::new(Bytes::from(vec![b'x'; len]));
+        let res = client::call(fleet.members[0].addrs.ingress, req).await;
+        let res = res.expect("an answer");
+        assert_eq!(res.status(), StatusCode::OK);
+        let received = client::header(&res, "x-received-bytes");
+        assert_eq!(received, len.to_string());
+    }
+}
+
+// A fitter's connection breaks during an upload. A part of the photographs must
+// not pass for all of them: the target never begins to work on them.
+#[tokio::test]
+async fn an_upload_cut_short_is_not_run() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let ingress = fleet.members[0].addrs.ingress;
+    for (id, announced) in [("held", 50_000), ("passed on", 5_000_000)] {
+        let stream = begin_upload(ingress, id, announced, 20_000).await;
+        if id == "passed on" {
+            wait::until("arrival", || !fleet.members[1].runs_of(id).is_empty()).await;
+        }
+        drop(stream);
+    }
+    let in_flight = || fleet.members.iter().map(|m| m.shared.in_flight().count());
+    wait::until("an end", || in_flight().sum::<u64>() == 0).await;
+    let target = &fleet.members[1].target;
+    wait::until("free slots", || target.stats().inflight == 0).await;
+    assert!(target.ledger().runs.iter().all(|run| !run.began()));
+}
+
+// Someone sends far more than the bound. The refusal comes at once, before any
+// of it was passed on.
+#[tokio::test]
+async fn an_upload_over_the_bound_is_refused_at_once() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let ingress = fleet.members[0].addrs.ingress;
+    let mut stream = begin_upload(ingress, "r-1", 70_000_000, 0).await;
+    let mut buf = [0; 1024];
+    let len = stream.read(&mut buf).await.expect("an answer");
+    let answer = String::from_utf8_lossy(&buf[..len]);
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    assert!(
+        answer.contains("x-sassafrasspool-outcome: not-run"),
+        "{answer}"
+    );
+    assert_eq!(fleet.runs_of("r-1"), 0);
+}
