--- a/crates/core/tests/at_most_once/world.rs
+++ b/crates/core/tests/at_most_once/world.rs
@@ -5,19 +5,11 @@
 use std::time::Duration;
 
 use sassafrasspool_core::Attempt;
-use sassafrasspool_core::Begin;
 use sassafrasspool_core::InstanceList;
-use sassafrasspool_core::Loss;
-use sassafrasspool_core::LossCause;
-use sassafrasspool_core::Outcome;
-use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::Running;
-use sassafrasspool_core::ServiceName;
-use sassafrasspool_core::StoredAnswer;
 use sassafrasspool_core::Tick;
 use sassafrasspool_core::history::Bounds;
-use sassafrasspool_core::history::Event;
 use sassafrasspool_core::history::History;
 use sassafrasspool_core::history::OperationId;
 use sassafrasspool_core::history::Promise;
@@ -26,16 +18,13 @@
 
 use self::setup::Routing;
 use self::setup::id;
-use self::setup::key;
 use self::setup::list;
-use self::setup::routing;
 use super::fault::Fault;
-use super::node::HOLD;
 use super::node::Known;
-use super::node::LEASE;
 use super::node::Node;
 use super::step::Step;
 
+mod calls;
 mod setup;
 mod told;
 
@@ -205,166 +194,4 @@
         drop(open);
         self.nodes[i].restart(self.now, self.fault);
     }
-
-    fn ask(&mut self, hop: usize) {
-        let operation = OperationId(self.operations.len() as u64);
-        self.operations.push(Operation {
-            first_at: self.now,
-            ended: false,
-        });
-        let attempt = match operation.0 % 4 {
-            0 => Attempt::MayRepeat,
-            _ => Attempt::First,
-        };
-        self.send(operation, attempt, hop);
-    }
-
-    fn repeat(&mut self, op: usize, hop: usize) {
-        let newest = self.operations.len();
-        let Some(op) = newest.checked_sub(1 + op % newest.clamp(1, 8)) else {
-            return;
-        };
-        let held = &self.operations[op];
-        if held.ended || self.now.since(held.first_at) > HOLD {
-            return;
-        }
-        let attempt = match self.fault {
-            Fault::EveryAttemptFirst => Attempt::First,
-            _ => Attempt::MayRepeat,
-        };
-        self.send(OperationId(op as u64), attempt, hop);
-    }
-
-    fn send(&mut self, operation: OperationId, attempt: Attempt, hop: usize) {
-        let request = RequestId(self.requests.len() as u64);
-        self.requests.insert(request, operation);
-        if self.ran.contains(&operation) {
-            self.sent_after_run.insert(request);
-        }
-        let event = Event::Sent {
-            request,
-            operation,
-            repeatable: false,
-        };
-        self.history.record(self.now, event);
-        if self.nodes[hop].paused {
-            return self.tell_unknown(request);
-        }
-        match self.owner(hop, operation) {
-            Ok(owner) => self.sent.push(Sent {
-                request,
-                attempt,
-                hop,
-                owner,
-                at: self.now,
-            }),
-            Err(refusal) => self.refuse(request, attempt, refusal),
-        }
-    }
-
-    /// The owner of a key as a first hop chooses it.
-    fn owner(&mut self, hop: usize, operation: OperationId) -> Result<usize, Refusal> {
-        let list = &self.nodes[hop].known.list;
-        let revision = list.version().revision();
-        let routing = self
-            .routing
-            .entry(revision)
-            .or_insert_with(|| routing(list));
-        let service = ServiceName::new("adjuster-desk").unwrap();
-        let (service, _) = routing.snapshot.find_service(&service).unwrap();
-        let key = key(operation);
-        let picked = routing.picker.pick_owner(service, self.now, &key)?;
-        let chosen = routing.snapshot.endpoint(picked.endpoint()).unwrap();
-        Ok((0..NODES).find(|i| id(*i) == chosen.instance.id).unwrap())
-    }
-
-    fn deliver(&mut self, i: usize) {
-        let Some(i) = i.checked_rem(self.sent.len()) else {
-            return;
-        };
-        if !self.reach(self.sent[i].hop, self.sent[i].owner) {
-            return;
-        }
-        let sent = self.sent.swap_remove(i);
-        if self.now.since(sent.at) > LEASE {
-            return self.tell_unknown(sent.request);
-        }
-        let key = key(self.requests[&sent.request]);
-        let window = &self.nodes[sent.owner].window;
-        match window.begin(self.now, key, sent.attempt) {
-            Begin::Run(running) => self.open.push(Open {
-                sent,
-                running,
-                handed_over: false,
-            }),
-            Begin::Answer(_) => self.tell_answer(sent.request),
-            Begin::Refuse(refusal) => self.refuse(sent.request, sent.attempt, refusal),
-        }
-    }
-
-    fn hand_over(&mut self, i: usize) {
-        let Some(i) = i.checked_rem(self.open.len()) else {
-            return;
-        };
-        let open = &self.open[i];
-        if open.handed_over || self.nodes[open.sent.owner].paused {
-            return;
-        }
-        let mut open = self.open.swap_remove(i);
-        match open.running.check(self.now) {
-            Ok(running) => open.running = running,
-            Err(refusal) => return self.refuse(open.sent.request, open.sent.attempt, refusal),
-        }
-        open.handed_over = true;
-        let request = open.sent.request;
-        let target = self.nodes[open.sent.owner].id.clone();
-        self.ran.insert(self.requests[&request]);
-        self.runs += 1;
-        self.history
-            .record(self.now, Event::RunStarted { request, target });
-        self.open.push(open);
-    }
-
-    fn answer(&mut self, i: usize, arrives: bool) {
-        let Some(i) = i.checked_rem(self.open.len()) else {
-            return;
-        };
-        let open = &self.open[i];
-        if !open.handed_over || self.nodes[open.sent.owner].paused {
-            return;
-        }
-        let open = self.open.swap_remove(i);
-        if open.sent.request.0.is_multiple_of(3) {
-            // The target broke off: nothing is known.
-            self.lose(open.running);
-            return self.tell_unknown(open.sent.request);
-        }
-        let answer = StoredAnswer {
-            status: 200,
-            headers: Vec::new(),
-            body: Vec::new(),
-        };
-        open.running.done(self.now, answer);
-        if arrives && self.reach(open.sent.hop, open.sent.owner) {
-            self.tell_answer(open.sent.request);
-        } else {
-            self.tell_unknown(open.sent.request);
-        }
-    }
-
-    fn lose(&self, running: Running) {
-        let lost = Loss::new(
-            sassafrasspool_core::Step::Forward,
-            LossCause::ConnectionLost,
-        );
-        assert_eq!(lost.outcome(), Outcome::Unknown);
-        match self.fault {
-            Fault::LostForgotten => {
-                let step = sassafrasspool_core::Step::Forward;
-                let reason = sassafrasspool_core::Reason::Connect;
-                let _ = running.refused(Refusal::not_run(step, reason));
-            }
-            _ => running.lost(self.now),
-        }
-    }
 }
