Test the program apart from nodes that restart in one process

While a test starts a process, a copy of the test's program holds all its listeners until the new program takes over.

--- a/crates/node/tests/control/admin.rs
+++ b/crates/node/tests/control/admin.rs
@@ -12,9 +12,9 @@
 use sassafrasspool_wire::admin::Versions;
 use serde::de::DeserializeOwned;
 
-use crate::support::CATALOGUE;
+use crate::common::CATALOGUE;
+use crate::common::http_text;
 use crate::support::Fleet;
-use crate::support::http_text;
 
 async fn get(node: &RunningNode, path: &str) -> (StatusCode, String) {
     http_text("GET", node.addrs().admin, path).await
--- a/crates/node/tests/control/apply.rs
+++ b/crates/node/tests/control/apply.rs
@@ -5,7 +5,7 @@
 use sassafrasspool_core::Phase;
 use sassafrasspool_node::RunningNode;
 
-use crate::support::CATALOGUE;
+use crate::common::CATALOGUE;
 use crate::support::Fleet;
 use crate::support::broken;
 use crate::support::in_force;
--- a/crates/node/tests/control/herd.rs
+++ b/crates/node/tests/control/herd.rs
@@ -5,7 +5,7 @@
 
 use sassafrasspool_core::Stream;
 
-use crate::support::CATALOGUE;
+use crate::common::CATALOGUE;
 use crate::support::Fleet;
 use crate::support::revisions;
 
--- a/crates/node/tests/control/hostile.rs
+++ b/crates/node/tests/control/hostile.rs
@@ -22,7 +22,7 @@
 use sassafrasspool_wire::peer::PeerConnection;
 use tokio::net::TcpListener;
 
-use crate::support::CATALOGUE;
+use crate::common::CATALOGUE;
 use crate::support::Fleet;
 use crate::support::in_force;
 
--- a/crates/node/tests/control/main.rs
+++ b/crates/node/tests/control/main.rs
@@ -3,8 +3,8 @@
 
 mod admin;
 mod apply;
+mod common;
 mod herd;
 mod hostile;
-mod process;
 mod stop;
 mod support;
--- a/crates/node/tests/control/stop.rs
+++ b/crates/node/tests/control/stop.rs
@@ -5,11 +5,11 @@
 use http::StatusCode;
 use sassafrasspool_node::settings::DrainSettings;
 
+use crate::common::http_text;
+use crate::common::patient;
+use crate::common::slow_target;
+use crate::common::try_http_text;
 use crate::support::Fleet;
-use crate::support::http_text;
-use crate::support::patient;
-use crate::support::slow_target;
-use crate::support::try_http_text;
 use crate::support::until;
 
 /// A node whose target takes `service` for each request.
--- a/crates/node/tests/control/support.rs
+++ b/crates/node/tests/control/support.rs
@@ -8,21 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
-use http::Request;
-use http::StatusCode;
-use http::header::HOST;
-use http_body_util::BodyExt;
-use http_body_util::Empty;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use sassafrasspool_core::Instance;
-use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::Stream;
 use sassafrasspool_node::Node;
-use sassafrasspool_node::NodeAddrs;
 use sassafrasspool_node::RunningNode;
 use sassafrasspool_node::Settings;
 use sassafrasspool_node::settings::DrainSettings;
@@ -31,23 +21,12 @@
 use sassafrasspool_standin::PlatformSettings;
 use sassafrasspool_standin::Target;
 use sassafrasspool_standin::TargetSettings;
-use sassafrasspool_standin::target::ServiceTimes;
-use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
-/// A catalogue whose one service is that of all nodes.
-pub(crate) const CATALOGUE: &str = "
-kinds:
-  lookup: {weight: 1}
-services:
-  workshop-desk:
-    owner: fitters
-    class: standard
-    limits: {rate_per_s: 100, concurrency: 10, deadline_ms: 2000}
-    routes:
-      - {path: /workshop, kind: lookup, idempotent: true}
-";
+use crate::common::CATALOGUE;
+use crate::common::instance;
+use crate::common::settings_text;
 
 /// The same with its route to a service that it doesn't have.
 pub(crate) fn broken() -> String {
@@ -195,61 +174,6 @@
     Settings::parse(&settings_text(n, target, platform)).expect("settings")
 }
 
-/// The same as text.
-pub(crate) fn settings_text(n: usize, target: SocketAddr, platform: SocketAddr) -> String {
-    let domain = ["bayanzurkh", "khan-uul", "sukhbaatar"][n % 3];
-    format!(
-        "
-instance: wd-{n}
-service: workshop-desk
-region: ulaanbaatar
-domain: {domain}
-listen:
-  ingress: 127.0.0.1:0
-  egress: 127.0.0.1:0
-  traffic: 127.0.0.1:0
-  control: 127.0.0.1:0
-  admin: 127.0.0.1:0
-target: {{addr: '{target}', slots: 10, ready_path: /healthz, probe_ms: 20}}
-platform: {{addr: '{platform}'}}
-spread: {{interval_ms: 100, assumed_fleet: 3, backoff_base_ms: 20, backoff_cap_ms: 200}}
-log: {{format: json}}
-"
-    )
-}
-
-/// A node as the platform lists it.
-pub(crate) fn instance(settings: &Settings, addrs: NodeAddrs) -> Instance {
-    Instance {
-        id: settings.instance.clone(),
-        service: settings.service.clone(),
-        region: settings.region.clone(),
-        domain: settings.domain.clone(),
-        traffic: addrs.traffic,
-        control: addrs.control,
-        slots: settings.target.slots,
-        connections: 120,
-        state: InstanceState::Live,
-    }
-}
-
-/// A target that takes `service` for each request.
-pub(crate) fn slow_target(service: Duration) -> TargetSettings {
-    let us = u64::try_from(service.as_micros()).expect("a service time");
-    TargetSettings {
-        service: ServiceTimes {
-            default_us: us,
-            ..ServiceTimes::default()
-        },
-        ..TargetSettings::default()
-    }
-}
-
-/// The catalogue with a deadline that no test outlasts.
-pub(crate) fn patient() -> String {
-    CATALOGUE.replace("deadline_ms: 2000", "deadline_ms: 60000")
-}
-
 /// Waits until `reached` holds.
 pub(crate) async fn until(reached: impl Fn() -> bool) {
     let begun = Instant::now();
@@ -258,31 +182,3 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
-
-/// Asks an HTTP address once; gives the status and the body.
-pub(crate) async fn http_text(method: &str, addr: SocketAddr, path: &str) -> (StatusCode, String) {
-    let answer = try_http_text(method, addr, path).await;
-    answer.expect("a whole answer")
-}
-
-/// The same, or nothing if the answer didn't come whole.
-pub(crate) async fn try_http_text(
-    method: &str,
-    addr: SocketAddr,
-    path: &str,
-) -> Option<(StatusCode, String)> {
-    let io = TcpStream::connect(addr).await.ok()?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(io)).await.ok()?;
-    tokio::spawn(connection);
-    let req = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(HOST, addr.to_string())
-        .body(Empty::<Bytes>::new())
-        .expect("a request");
-    let res = sender.send_request(req).await.ok()?;
-    let status = res.status();
-    let body = res.into_body().collect().await.ok()?;
-    let text = String::from_utf8(body.to_bytes().to_vec()).expect("text");
-    Some((status, text))
-}
--- a/crates/node/tests/control/process.rs
+++ b/crates/node/tests/process/main.rs
@@ -1,4 +1,11 @@
 //! The node as a process of its own.
+//!
+//! These tests have a program of their own: while one starts a process, a copy
+//! of it holds every listener for a moment, and a node that restarts in the
+//! same program would find its port in use.
+
+#[path = "../control/common.rs"]
+mod common;
 
 use std::io::BufRead;
 use std::io::BufReader;
@@ -25,13 +32,13 @@
 use tempfile::NamedTempFile;
 use tokio_util::sync::CancellationToken;
 
-use crate::support::CATALOGUE;
-use crate::support::http_text;
-use crate::support::instance;
-use crate::support::patient;
-use crate::support::settings_text;
-use crate::support::slow_target;
-use crate::support::try_http_text;
+use crate::common::CATALOGUE;
+use crate::common::http_text;
+use crate::common::instance;
+use crate::common::patient;
+use crate::common::settings_text;
+use crate::common::slow_target;
+use crate::common::try_http_text;
 
 /// What a node's process needs around it.
 #[derive(Debug)]
