--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -14,6 +14,8 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -29,6 +31,7 @@
 use sassafrasspool_standin::TargetSettings;
 use sassafrasspool_wire::admin::AuditPage;
 use sassafrasspool_wire::admin::Status;
+use serde_json::Value;
 use tempfile::NamedTempFile;
 use tokio_util::sync::CancellationToken;
 
@@ -76,6 +79,7 @@
 struct Process {
     child: Child,
     addrs: NodeAddrs,
+    log: Arc<Mutex<Vec<Value>>>,
     _settings: NamedTempFile,
 }
 
@@ -99,10 +103,18 @@
             }
         };
         // The log is read to its end, so that the process never waits for it.
-        std::thread::spawn(move || lines.for_each(drop));
+        let log: Arc<Mutex<Vec<Value>>> = Arc::default();
+        let kept = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                let line = serde_json::from_str(&line).expect("a line of JSON");
+                kept.lock().expect("the log").push(line);
+            }
+        });
         Process {
             child,
             addrs,
+            log,
             _settings: file,
         }
     }
@@ -129,6 +141,16 @@
         panic!("the node's status isn't so within 30 s");
     }
 
+    async fn until_logged(&self, wanted: impl Fn(&Value) -> bool) {
+        for _ in 0..6_000 {
+            if self.log.lock().expect("the log").iter().any(&wanted) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        panic!("no such line within 30 s: {:?}", self.log);
+    }
+
     async fn ended(&mut self) -> ExitStatus {
         for _ in 0..6_000 {
             if let Some(status) = self.child.try_wait().expect("its state") {
@@ -149,7 +171,7 @@
 }
 
 fn addrs_of(line: &str) -> Option<NodeAddrs> {
-    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    let line: Value = serde_json::from_str(line).ok()?;
     let addr = |name: &str| line["fields"][name].as_str()?.parse().ok();
     Some(NodeAddrs {
         ingress: addr("ingress")?,
@@ -210,6 +232,28 @@
     answer.await.expect("no panic");
 }
 
+// An operator reads the log of a node that has gone: each change of state is a
+// line of its own there, with the fields of its record.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_of_state_are_logged() {
+    let around = Around::start(TargetSettings::default()).await;
+    around.publish_without_nodes();
+    let mut node = Process::start(&around.settings());
+    node.until_phase(Phase::Ready).await;
+    node.signal(Signal::TERM);
+    node.ended().await;
+    let applied = |line: &Value| {
+        line["target"] == "audit"
+            && line["fields"]["event"] == "applied"
+            && line["fields"]["stream"] == "catalogue"
+            && line["fields"]["from"] == "source"
+    };
+    let gone =
+        |line: &Value| line["fields"]["event"] == "phase" && line["fields"]["phase"] == "gone";
+    node.until_logged(applied).await;
+    node.until_logged(gone).await;
+}
+
 // The instance stops the process for a while, and a catalogue is published
 // meanwhile. The node wakes with old beliefs; it must notice, and must have
 // the new catalogue in force soon, as everybody else has.
