Measure one node's decisions without I/O at any fleet size

What depends on the fleet's size must show on one machine, since a machine can't hold 4,100 nodes. Two machines of the decisions are driven by hand with a list of as many members as asked for.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -12,6 +12,7 @@
 use crate::chaos;
 use crate::control_fleet::FleetOptions;
 use crate::control_fleet::Tuning;
+use crate::core_cost;
 use crate::fault;
 use crate::fault::Case;
 use crate::generate::GeneratedCatalogue;
@@ -32,6 +33,7 @@
         SassafrasspoolBenchCmd::Generate(opts) => generate(&opts),
         SassafrasspoolBenchCmd::Spread(opts) => spread(&opts),
         SassafrasspoolBenchCmd::Fault(opts) => fault(&opts),
+        SassafrasspoolBenchCmd::CoreCost(opts) => core_cost(&opts),
         SassafrasspoolBenchCmd::Overload(opts) => overload(&opts),
         SassafrasspoolBenchCmd::Calls(opts) => calls(&opts),
         SassafrasspoolBenchCmd::Chaos(opts) => chaos(&opts),
@@ -94,6 +96,16 @@
     output::print(&fault::run(&fault::Options { cases, fleet })?)
 }
 
+fn core_cost(opts: &flags::CoreCost) -> miette::Result<()> {
+    let target = Shape::target(opts.seed.unwrap_or(1));
+    let shape = Shape {
+        services: opts.services.unwrap_or(target.services),
+        endpoints: opts.members.unwrap_or(target.endpoints),
+        ..target
+    };
+    output::print(&core_cost::run(shape)?)
+}
+
 fn overload(opts: &flags::Overload) -> miette::Result<()> {
     let opts = overload::Options {
         nodes: opts.nodes.unwrap_or(4),
--- a/crates/bench/src/cli/flags.rs
+++ b/crates/bench/src/cli/flags.rs
@@ -58,6 +58,15 @@
             /// Let every node read the platform for itself.
             optional --naive
         }
+        /// Measure one node's decisions without I/O at any fleet size.
+        cmd core-cost {
+            /// Members of the list, each with a node (4100).
+            optional --members members: usize
+            /// Services in the catalogue (690).
+            optional --services services: usize
+            /// What all random choices come from (1).
+            optional --seed seed: u64
+        }
         /// Offer more calls than the slots can do, with and without admission.
         cmd overload {
             /// Instances, each with its node (4).
--- a/crates/bench/src/control_fleet/member.rs
+++ b/crates/bench/src/control_fleet/member.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
 
 use miette::IntoDiagnostic;
 use sassafrasspool_core::Instance;
@@ -13,12 +15,19 @@
 use sassafrasspool_node::Node;
 use sassafrasspool_node::NodeAddrs;
 use sassafrasspool_node::RunningNode;
+use sassafrasspool_node::Settings;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
 use super::addrs;
 use super::settings::Common;
 
+/// Starts of a node that are tried again.
+const START_TRIES: u32 = 40;
+
+/// Time between two tries of a restart.
+const TRY_AGAIN: Duration = Duration::from_millis(50);
+
 /// A node that can be crashed and started again under its addresses.
 #[derive(Debug)]
 pub struct Member {
@@ -34,6 +43,14 @@
     cancel: CancellationToken,
 }
 
+impl Life {
+    fn start(handle: &Handle, settings: Settings) -> miette::Result<Life> {
+        let cancel = CancellationToken::new();
+        let node = Node::start_on(handle, settings, cancel.clone()).into_diagnostic()?;
+        Ok(Life { node, cancel })
+    }
+}
+
 impl Member {
     /// Starts a node beside `instance` on free ports.
     pub(super) fn start(
@@ -41,17 +58,24 @@
         common: &Common,
         mut instance: Instance,
     ) -> miette::Result<Member> {
-        let cancel = CancellationToken::new();
-        let addrs = addrs::draw()?;
-        let settings = common.settings(&instance, addrs, &[])?;
-        let node = Node::start_on(handle, settings, cancel.clone()).into_diagnostic()?;
+        let mut tries = START_TRIES;
+        let (addrs, life) = loop {
+            let addrs = addrs::draw()?;
+            let settings = common.settings(&instance, addrs, &[])?;
+            match Life::start(handle, settings) {
+                Ok(life) => break (addrs, life),
+                // Another process was given the port in between.
+                Err(_) if tries > 0 => tries -= 1,
+                Err(err) => return Err(err),
+            }
+        };
         instance.traffic = addrs.traffic;
         instance.control = addrs.control;
         Ok(Member {
             instance,
             addrs,
             common: common.clone(),
-            life: Mutex::new(Some(Life { node, cancel })),
+            life: Mutex::new(Some(life)),
         })
     }
 
@@ -104,11 +128,21 @@
     ///
     /// Fails if one of its addresses can't be listened on.
     pub fn restart(&self, handle: &Handle, seeds: &[SocketAddr]) -> miette::Result<()> {
-        let cancel = CancellationToken::new();
-        let settings = self.common.settings(&self.instance, self.addrs, seeds)?;
-        let node = Node::start_on(handle, settings, cancel.clone()).into_diagnostic()?;
-        *self.lock() = Some(Life { node, cancel });
-        Ok(())
+        let mut tries = START_TRIES;
+        loop {
+            let settings = self.common.settings(&self.instance, self.addrs, seeds)?;
+            match Life::start(handle, settings) {
+                Ok(life) => {
+                    *self.lock() = Some(life);
+                    return Ok(());
+                }
+                // Another process that looks for free ports may hold one of
+                // the node's for a moment.
+                Err(_) if tries > 0 => tries -= 1,
+                Err(err) => return Err(err),
+            }
+            thread::sleep(TRY_AGAIN);
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<Life>> {
--- /dev/null
+++ b/crates/bench/src/core_cost/driven.rs
@@ -0,0 +1,143 @@
+//! One machine, driven by hand.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use miette::miette;
+use sassafrasspool_core::Action;
+use sassafrasspool_core::Call;
+use sassafrasspool_core::Event;
+use sassafrasspool_core::Incarnation;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::LocalNode;
+use sassafrasspool_core::PeerMessage;
+use sassafrasspool_core::PeerReply;
+use sassafrasspool_core::Snapshot;
+use sassafrasspool_core::Spread;
+use sassafrasspool_core::SpreadConfig;
+use sassafrasspool_core::Stream;
+use sassafrasspool_core::Tick;
+
+use super::source::Source;
+
+/// Steps of time that joining may take.
+const MAX_STEPS: usize = 20_000;
+
+/// Length of a step while joining.
+const STEP: Duration = Duration::from_millis(5);
+
+/// A machine with what it asked for.
+#[derive(Debug)]
+pub(super) struct Driven {
+    pub(super) id: InstanceId,
+    machine: Spread,
+    joined: bool,
+    /// What it put in force last.
+    pub(super) snapshot: Option<Arc<Snapshot>>,
+    /// Calls that nobody has answered yet.
+    pub(super) calls: Vec<Call>,
+    /// Streams whose reads the platform holds.
+    pub(super) watches: Vec<Stream>,
+    /// Time that the machine has used since this was last taken.
+    used: Duration,
+}
+
+impl Driven {
+    pub(super) fn new(local: &Instance, seed: u64) -> Driven {
+        let node = LocalNode {
+            id: local.id.clone(),
+            domain: local.domain.clone(),
+            control: local.control,
+            incarnation: Incarnation::from_start_millis(1),
+            seeds: Vec::new(),
+        };
+        Driven {
+            id: local.id.clone(),
+            machine: Spread::new(SpreadConfig::default(), node, seed, Tick::ZERO),
+            joined: false,
+            snapshot: None,
+            calls: Vec::new(),
+            watches: Vec::new(),
+            used: Duration::ZERO,
+        }
+    }
+
+    /// Lets the machine join, alone with the platform: its peers fail.
+    pub(super) fn join(&mut self, now: &mut Tick, source: &Source) -> miette::Result<()> {
+        for _ in 0..MAX_STEPS {
+            *now = *now + STEP;
+            self.wake(*now);
+            for call in std::mem::take(&mut self.calls) {
+                self.handle(*now, Event::CallFailed { call: call.id });
+            }
+            for stream in std::mem::take(&mut self.watches) {
+                let result = source.read(stream)?;
+                self.handle(*now, Event::SourceRead { stream, result });
+            }
+            if self.joined {
+                return Ok(());
+            }
+        }
+        Err(miette!("the machine didn't join"))
+    }
+
+    /// Tells the time, if that is due.
+    pub(super) fn wake(&mut self, now: Tick) {
+        if self.machine.next_wakeup() <= now {
+            self.handle(now, Event::Wakeup);
+        }
+    }
+
+    pub(super) fn handle(&mut self, now: Tick, event: Event) {
+        let mut actions = Vec::new();
+        let from = Instant::now();
+        self.machine.handle(now, event, &mut actions);
+        self.used += from.elapsed();
+        self.note(actions);
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        now: Tick,
+        from: &InstanceId,
+        message: PeerMessage,
+    ) -> PeerReply {
+        let mut actions = Vec::new();
+        let since = Instant::now();
+        let reply = self.machine.answer(now, from, message, &mut actions);
+        self.used += since.elapsed();
+        self.note(actions);
+        reply
+    }
+
+    /// The time used since the last call of this.
+    pub(super) fn take_used(&mut self) -> Duration {
+        std::mem::take(&mut self.used)
+    }
+
+    /// Takes the calls of one kind; the others fail.
+    pub(super) fn take_calls(&mut self, now: Tick, kind: &str) -> Vec<Call> {
+        let calls = std::mem::take(&mut self.calls);
+        let (wanted, rest): (Vec<Call>, Vec<Call>) = calls
+            .into_iter()
+            .partition(|call| call.message.kind() == kind);
+        for call in rest {
+            self.handle(now, Event::CallFailed { call: call.id });
+        }
+        wanted
+    }
+
+    fn note(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(call) => self.calls.push(*call),
+                Action::ReadSource { stream, .. } => self.watches.push(stream),
+                Action::Apply(applied) => self.snapshot = Some(applied.snapshot),
+                Action::Joined => self.joined = true,
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/core_cost/run.rs
@@ -0,0 +1,331 @@
+//! The measurement.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use miette::IntoDiagnostic;
+use miette::miette;
+use sassafrasspool_core::Announce;
+use sassafrasspool_core::Body;
+use sassafrasspool_core::Catalogue;
+use sassafrasspool_core::EndpointState;
+use sassafrasspool_core::Event;
+use sassafrasspool_core::Heads;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceList;
+use sassafrasspool_core::Meters;
+use sassafrasspool_core::PeerMessage;
+use sassafrasspool_core::Phase;
+use sassafrasspool_core::Picker;
+use sassafrasspool_core::Position;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::RouteSettings;
+use sassafrasspool_core::Stream;
+use sassafrasspool_core::Tick;
+use sassafrasspool_core::catalogue;
+use sassafrasspool_wire::peer::Packed;
+
+use super::CoreCost;
+use super::driven::Driven;
+use super::source::Source;
+use crate::generate::Shape;
+use crate::usage::ProcessUsage;
+
+/// Repetitions of each measurement; the median is told.
+const REPEATS: usize = 15;
+
+/// Machines by which the memory of one is measured.
+const COPIES: usize = 8;
+
+/// Endpoint states that one message brings.
+const STATES_AT_ONCE: usize = 256;
+
+/// Time that passes between two steps.
+const STEP: Duration = Duration::from_millis(200);
+
+/// Two machines and the platform.
+struct Pair {
+    now: Tick,
+    source: Source,
+    reader: Driven,
+    member: Driven,
+}
+
+/// Measures the decisions of one node in a fleet of that shape.
+///
+/// # Errors
+///
+/// Fails if a machine doesn't join, which would be a fault of the driver.
+pub fn run(shape: Shape) -> miette::Result<CoreCost> {
+    let source = Source::new(shape)?;
+    let state_bytes = state_bytes(&source)?;
+    let mut pair = Pair::start(source)?;
+    let mut taken = Times::default();
+    let mut announce_bytes = 0;
+    for i in 0..REPEATS {
+        announce_bytes = pair.change(&mut taken)?;
+        pair.relist(i, &mut taken)?;
+        pair.compare(&mut taken)?;
+        pair.tell_state(i, &mut taken);
+        pair.bind(&mut taken);
+    }
+    let sizes = Sizes::of(&pair.source)?;
+    Ok(CoreCost {
+        members: shape.endpoints,
+        services: shape.services,
+        reader_us_per_change: median(taken.reader),
+        member_us_per_change: median(taken.member),
+        serve_us_per_change: median(taken.serve),
+        list_us_per_change: median(taken.list),
+        sync_us: median(taken.sync),
+        sync_answer_us: median(taken.sync_answer),
+        state_us: median(taken.state),
+        bind_us: median(taken.bind),
+        announce_bytes,
+        sync_bytes: taken.sync_bytes,
+        catalogue_bytes: sizes.catalogue,
+        list_bytes: sizes.list,
+        published_list_bytes: sizes.published_list,
+        published_catalogue_bytes: pair.source.catalogue.text().len(),
+        state_bytes,
+    })
+}
+
+/// Measured times.
+#[derive(Debug, Default)]
+struct Times {
+    reader: Vec<Duration>,
+    member: Vec<Duration>,
+    serve: Vec<Duration>,
+    list: Vec<Duration>,
+    sync: Vec<Duration>,
+    sync_answer: Vec<Duration>,
+    state: Vec<Duration>,
+    bind: Vec<Duration>,
+    sync_bytes: usize,
+}
+
+impl Pair {
+    fn start(source: Source) -> miette::Result<Pair> {
+        let mut now = Tick::ZERO;
+        let mut reader = Driven::new(&source.instances[0], 1);
+        let mut member = Driven::new(&source.instances[1], 2);
+        reader.join(&mut now, &source)?;
+        member.join(&mut now, &source)?;
+        let mut pair = Pair {
+            now,
+            source,
+            reader,
+            member,
+        };
+        pair.tell_all_states();
+        Ok(pair)
+    }
+
+    /// One change of the catalogue, from the platform to the member; gives
+    /// the size of its announcement.
+    fn change(&mut self, taken: &mut Times) -> miette::Result<usize> {
+        self.source.change_catalogue();
+        self.settle();
+        self.read(Stream::Catalogue)?;
+        taken.reader.push(self.reader.take_used());
+        let bytes = self.pass_on()?;
+        taken.member.push(self.member.take_used());
+        taken.serve.push(self.reader.take_used());
+        Ok(bytes)
+    }
+
+    /// One change of the list, from the platform to the member.
+    fn relist(&mut self, i: usize, taken: &mut Times) -> miette::Result<()> {
+        self.source.change_instance(i);
+        self.settle();
+        self.read(Stream::Instances)?;
+        self.pass_on()?;
+        taken.list.push(self.member.take_used());
+        Ok(())
+    }
+
+    /// One regular comparison.
+    fn compare(&mut self, taken: &mut Times) -> miette::Result<()> {
+        self.settle();
+        let mut syncs = Vec::new();
+        while syncs.is_empty() {
+            self.now = self.now + STEP;
+            self.member.take_used();
+            self.member.wake(self.now);
+            syncs = self.member.take_calls(self.now, "sync");
+        }
+        for call in syncs {
+            let asked = size(&call.message)?;
+            self.reader.take_used();
+            let reply = self.reader.answer(self.now, &self.member.id, call.message);
+            taken.sync_answer.push(self.reader.take_used());
+            taken.sync_bytes = asked + size(&reply)?;
+            let call = call.id;
+            self.member.handle(self.now, Event::Reply { call, reply });
+        }
+        taken.sync.push(self.member.take_used());
+        Ok(())
+    }
+
+    /// Both machines hear of all endpoints, as after some time in a fleet.
+    fn tell_all_states(&mut self) {
+        let instances = self.source.instances.clone();
+        for some in instances.chunks(STATES_AT_ONCE) {
+            let states = some.iter().map(|it| state(it, 0));
+            let told = announce(&self.source, states.collect());
+            for machine in [&mut self.reader, &mut self.member] {
+                let from = instances[2].id.clone();
+                machine.answer(self.now, &from, told.clone());
+            }
+            self.settle();
+        }
+    }
+
+    /// Binds what the member put in force last.
+    fn bind(&mut self, taken: &mut Times) {
+        let Some(snapshot) = &self.member.snapshot else {
+            return;
+        };
+        let place = &self.source.instances[1];
+        let position = Position {
+            instance: place.id.clone(),
+            domain: place.domain.clone(),
+            region: place.region.clone(),
+        };
+        let meters = Arc::new(Meters::default());
+        let from = Instant::now();
+        let cfg = RouteSettings::default();
+        let picker = Picker::build(snapshot, &position, cfg, &meters, self.now);
+        taken.bind.push(from.elapsed());
+        drop(picker);
+    }
+
+    /// One endpoint's change of phase, as an announcement brings it.
+    fn tell_state(&mut self, i: usize, taken: &mut Times) {
+        self.settle();
+        let instance = &self.source.instances[i % self.source.instances.len()];
+        let told = announce(&self.source, vec![state(instance, 1 + i as u64)]);
+        let from = self.reader.id.clone();
+        self.member.take_used();
+        self.member.answer(self.now, &from, told.clone());
+        self.now = self.now + STEP;
+        self.member.wake(self.now);
+        taken.state.push(self.member.take_used());
+        self.reader.answer(self.now, &self.member.id, told);
+        self.settle();
+    }
+
+    /// Lets what is under way end: calls fail, and time passes.
+    fn settle(&mut self) {
+        for _ in 0..3 {
+            self.now = self.now + STEP;
+            for machine in [&mut self.reader, &mut self.member] {
+                machine.wake(self.now);
+                machine.take_calls(self.now, "");
+            }
+        }
+        self.reader.take_used();
+        self.member.take_used();
+    }
+
+    /// The platform answers the reader's watch. A machine that doesn't read
+    /// is told all the same: what it costs to take in is what counts.
+    fn read(&mut self, stream: Stream) -> miette::Result<()> {
+        let result = self.source.read(stream)?;
+        self.reader.watches.retain(|watch| *watch != stream);
+        self.reader
+            .handle(self.now, Event::SourceRead { stream, result });
+        self.reader.wake(self.now);
+        Ok(())
+    }
+
+    /// The reader's first announcement reaches the member, which pulls what
+    /// didn't come with it and announces in turn.
+    fn pass_on(&mut self) -> miette::Result<usize> {
+        let announced = self.reader.take_calls(self.now, "announce");
+        let first = announced.into_iter().next();
+        let first = first.ok_or_else(|| miette!("the reader announced nothing"))?;
+        self.reader.take_used();
+        let bytes = size(&first.message)?;
+        self.member.answer(self.now, &self.reader.id, first.message);
+        for pull in self.member.take_calls(self.now, "pull") {
+            let reply = self.reader.answer(self.now, &self.member.id, pull.message);
+            let call = pull.id;
+            self.member.handle(self.now, Event::Reply { call, reply });
+        }
+        self.member.wake(self.now);
+        Ok(bytes)
+    }
+}
+
+fn state(instance: &Instance, sequence: u64) -> EndpointState {
+    EndpointState {
+        instance: instance.id.clone(),
+        incarnation: 2,
+        sequence,
+        phase: Phase::Ready,
+    }
+}
+
+fn announce(source: &Source, states: Vec<EndpointState>) -> PeerMessage {
+    PeerMessage::Announce(Announce {
+        control: source.instances[0].control,
+        heads: Heads::default(),
+        contact: None,
+        body: None,
+        states,
+    })
+}
+
+/// Sizes of whole bodies.
+#[derive(Debug)]
+struct Sizes {
+    catalogue: usize,
+    list: usize,
+    published_list: usize,
+}
+
+impl Sizes {
+    fn of(source: &Source) -> miette::Result<Sizes> {
+        let revision = Revision::new(1).into_diagnostic()?;
+        let items = catalogue::parse(&source.catalogue.text()).into_diagnostic()?;
+        let held = Catalogue::new(revision, items).into_diagnostic()?;
+        let list = InstanceList::new(revision, source.instances.clone()).into_diagnostic()?;
+        let whole = Body::whole(Stream::Catalogue, &held).into_diagnostic()?;
+        let whole_list = Body::whole(Stream::Instances, &list).into_diagnostic()?;
+        let json = serde_json::to_string(&source.instances).into_diagnostic()?;
+        Ok(Sizes {
+            catalogue: size(&whole)?,
+            list: size(&whole_list)?,
+            published_list: json.len(),
+        })
+    }
+}
+
+/// Resident memory of one machine that has joined.
+fn state_bytes(source: &Source) -> miette::Result<f64> {
+    let before = ProcessUsage::of_self()?.own_bytes;
+    let mut machines = Vec::new();
+    for (i, instance) in source.instances.iter().cycle().take(COPIES).enumerate() {
+        let mut machine = Driven::new(instance, i as u64);
+        machine.join(&mut Tick::ZERO.clone(), source)?;
+        machines.push(machine);
+    }
+    let after = ProcessUsage::of_self()?.own_bytes;
+    Ok(after.saturating_sub(before) as f64 / machines.len() as f64)
+}
+
+/// Bytes of a message as it goes over the wire, without its envelope.
+fn size(message: &impl serde::Serialize) -> miette::Result<usize> {
+    match Packed::pack(message).into_diagnostic()? {
+        Packed::Plain(bytes) | Packed::Zstd(bytes) => Ok(bytes.len()),
+    }
+}
+
+fn median(mut times: Vec<Duration>) -> f64 {
+    times.sort();
+    let middle = times.get(times.len() / 2).copied().unwrap_or_default();
+    middle.as_secs_f64() * 1e6
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod chaos;
 pub mod cli;
 pub mod control_fleet;
+pub mod core_cost;
 pub mod demo;
 pub mod fault;
 pub mod fit;
