Measure how costs grow, and fit lines through them

The verb slopes varies nodes (in one process, and as processes), services, endpoints, changes a second, calls a second and members of the list by the decisions alone, and prints each figure's line with its spread and what it comes to at the target's size, as JSON and as a table.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -19,6 +19,8 @@
 use crate::generate::Shape;
 use crate::output;
 use crate::overload;
+use crate::slopes;
+use crate::slopes::Axis;
 use crate::spread;
 
 mod flags;
@@ -34,6 +36,7 @@
         SassafrasspoolBenchCmd::Spread(opts) => spread(&opts),
         SassafrasspoolBenchCmd::Fault(opts) => fault(&opts),
         SassafrasspoolBenchCmd::CoreCost(opts) => core_cost(&opts),
+        SassafrasspoolBenchCmd::Slopes(opts) => slopes(&opts),
         SassafrasspoolBenchCmd::Overload(opts) => overload(&opts),
         SassafrasspoolBenchCmd::Calls(opts) => calls(&opts),
         SassafrasspoolBenchCmd::Chaos(opts) => chaos(&opts),
@@ -106,6 +109,16 @@
     output::print(&core_cost::run(shape)?)
 }
 
+fn slopes(opts: &flags::Slopes) -> miette::Result<()> {
+    let name = opts.axis.as_deref().unwrap_or("all");
+    let axes = Axis::named(name).ok_or_else(|| miette!("there is no axis {name}"))?;
+    let report = slopes::run(&axes, opts.seed.unwrap_or(1))?;
+    if opts.markdown {
+        eprint!("{}", report.markdown());
+    }
+    output::print(&report)
+}
+
 fn overload(opts: &flags::Overload) -> miette::Result<()> {
     let opts = overload::Options {
         nodes: opts.nodes.unwrap_or(4),
--- a/crates/bench/src/cli/flags.rs
+++ b/crates/bench/src/cli/flags.rs
@@ -67,6 +67,16 @@
             /// What all random choices come from (1).
             optional --seed seed: u64
         }
+        /// Measure how costs grow with sizes, and fit lines.
+        cmd slopes {
+            /// The size to vary, or `all` (all): nodes, processes, services,
+            /// endpoints, change-rate, call-rate or members.
+            optional --axis axis: String
+            /// What all random choices come from (1).
+            optional --seed seed: u64
+            /// Print the table of the capacity page on standard error too.
+            optional --markdown
+        }
         /// Offer more calls than the slots can do, with and without admission.
         cmd overload {
             /// Instances, each with its node (4).
--- a/crates/bench/src/control_fleet.rs
+++ b/crates/bench/src/control_fleet.rs
@@ -14,9 +14,10 @@
 pub use self::options::Tuning;
 pub use self::publisher::Publisher;
 pub use self::seen::Seen;
+pub(crate) use self::settings::Common;
 pub use self::watcher::Watcher;
 
-mod addrs;
+pub(crate) mod addrs;
 mod fleet;
 mod member;
 mod options;
--- a/crates/bench/src/control_fleet/addrs.rs
+++ b/crates/bench/src/control_fleet/addrs.rs
@@ -16,7 +16,7 @@
 /// Addresses for one node. They are below the ports that the system gives to
 /// outgoing connections: such a connection could take a stopped node's port,
 /// and the node couldn't be started again.
-pub(super) fn draw() -> miette::Result<NodeAddrs> {
+pub(crate) fn draw() -> miette::Result<NodeAddrs> {
     let mut ports = PORTS.lock().unwrap_or_else(PoisonError::into_inner);
     let mut take = || ports.take().into_diagnostic();
     Ok(NodeAddrs {
--- a/crates/bench/src/control_fleet/settings.rs
+++ b/crates/bench/src/control_fleet/settings.rs
@@ -11,11 +11,11 @@
 
 /// What all nodes of a fleet are told alike.
 #[derive(Debug, Clone)]
-pub(super) struct Common {
-    pub(super) platform: SocketAddr,
-    pub(super) target: SocketAddr,
-    pub(super) naive: bool,
-    pub(super) tuning: Tuning,
+pub(crate) struct Common {
+    pub(crate) platform: SocketAddr,
+    pub(crate) target: SocketAddr,
+    pub(crate) naive: bool,
+    pub(crate) tuning: Tuning,
 }
 
 impl Common {
@@ -30,7 +30,13 @@
         Settings::parse(&text).map_err(|faults| miette!("settings of a node: {faults}"))
     }
 
-    fn text(&self, instance: &Instance, addrs: NodeAddrs, seeds: &[SocketAddr]) -> String {
+    /// The text of these settings.
+    pub(crate) fn text(
+        &self,
+        instance: &Instance,
+        addrs: NodeAddrs,
+        seeds: &[SocketAddr],
+    ) -> String {
         let mut spread = self.tuning.entries();
         if self.naive {
             spread.push("strategy: naive".to_owned());
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod load;
 pub mod output;
 pub mod overload;
+pub mod processes;
+pub mod slopes;
 pub mod spread;
 pub mod summary;
 pub mod usage;
--- /dev/null
+++ b/crates/bench/src/processes/run.rs
@@ -0,0 +1,74 @@
+//! The measurement.
+
+use std::time::Duration;
+
+use super::ProcessCost;
+use super::fleet::Processes;
+use super::fleet::Used;
+use crate::generate::Shape;
+
+/// How long processes may take to start, and a change to be held.
+const BOUND: Duration = Duration::from_secs(60);
+
+/// How long the processes settle before they count as idle.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// How long the idle processes are measured.
+const IDLE: Duration = Duration::from_secs(6);
+
+/// Time that each change is given.
+const PACE: Duration = Duration::from_millis(1_000);
+
+/// Changes that are published.
+const CHANGES: u32 = 6;
+
+/// Starts processes, measures them idle and with changes, and ends them.
+///
+/// # Errors
+///
+/// Fails if a process can't be started or ends by itself, or a change isn't
+/// held in time.
+pub async fn run(nodes: usize, shape: Shape) -> miette::Result<ProcessCost> {
+    let mut processes = Processes::start(nodes, shape).await?;
+    let first = processes.publisher.expected()?.catalogue;
+    processes.until_held(first, BOUND).await?;
+    tokio::time::sleep(SETTLE).await;
+    let start = processes.used().await?;
+    tokio::time::sleep(IDLE).await;
+    let idle = processes.used().await?;
+    for _ in 0..CHANGES {
+        let Processes {
+            publisher,
+            platform,
+            ..
+        } = &mut processes;
+        let version = publisher.change(platform)?;
+        tokio::time::sleep(PACE).await;
+        processes.until_held(version, BOUND).await?;
+    }
+    let end = processes.used().await?;
+    Ok(cost(processes.len(), shape, [start, idle, end]))
+}
+
+fn cost(nodes: usize, shape: Shape, [start, idle, end]: [Used; 3]) -> ProcessCost {
+    let count = nodes as f64;
+    let seconds = |from: &Used, to: &Used| to.at.duration_since(from.at).as_secs_f64();
+    let cpu_us = |from: &Used, to: &Used| to.cpu.saturating_sub(from.cpu).as_secs_f64() * 1e6;
+    let bytes = |from: &Used, to: &Used| to.control_bytes.saturating_sub(from.control_bytes) as f64;
+    let idle_cpu = cpu_us(&start, &idle) / seconds(&start, &idle) / count;
+    let idle_bytes = bytes(&start, &idle) / seconds(&start, &idle) / count;
+    let changing = seconds(&idle, &end);
+    let per_change = |all: f64, idle_per_s: f64| (all / count - idle_per_s * changing).max(0.0);
+    ProcessCost {
+        nodes,
+        services: shape.services,
+        endpoints: shape.endpoints,
+        rss_bytes: end.rss_bytes as f64 / count,
+        own_bytes: end.own_bytes as f64 / count,
+        rss_bytes_max: end.rss_bytes_max,
+        idle_cpu_us_per_s: idle_cpu,
+        cpu_us_per_change: per_change(cpu_us(&idle, &end), idle_cpu) / f64::from(CHANGES),
+        idle_control_bytes_per_s: idle_bytes,
+        control_bytes_per_change: per_change(bytes(&idle, &end), idle_bytes) / f64::from(CHANGES),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/slopes/axis.rs
@@ -0,0 +1,80 @@
+//! What is varied.
+
+/// One size that is varied while the others stay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Axis {
+    /// Nodes, all in this process.
+    Nodes,
+    /// Nodes, each as a process.
+    Processes,
+    /// Services in the catalogue.
+    Services,
+    /// Endpoints in the list.
+    Endpoints,
+    /// Changes a second.
+    ChangeRate,
+    /// Calls a second at each node.
+    CallRate,
+    /// Members of the list, by the decisions alone.
+    Members,
+}
+
+impl Axis {
+    /// All axes.
+    pub const ALL: [Axis; 7] = [
+        Axis::Nodes,
+        Axis::Processes,
+        Axis::Services,
+        Axis::Endpoints,
+        Axis::ChangeRate,
+        Axis::CallRate,
+        Axis::Members,
+    ];
+
+    /// The axis's name on the command line and in reports.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Axis::Nodes => "nodes",
+            Axis::Processes => "processes",
+            Axis::Services => "services",
+            Axis::Endpoints => "endpoints",
+            Axis::ChangeRate => "change-rate",
+            Axis::CallRate => "call-rate",
+            Axis::Members => "members",
+        }
+    }
+
+    /// The axes that a name stands for: one, or all of them for `all`.
+    pub fn named(name: &str) -> Option<Vec<Axis>> {
+        if name == "all" {
+            return Some(Axis::ALL.to_vec());
+        }
+        let axis = Axis::ALL.into_iter().find(|axis| axis.as_str() == name)?;
+        Some(vec![axis])
+    }
+
+    /// Where it is measured.
+    pub(super) const fn places(self) -> &'static [f64] {
+        match self {
+            Axis::Nodes => &[25.0, 50.0, 100.0, 200.0],
+            Axis::Processes => &[25.0, 50.0, 100.0],
+            Axis::Services => &[100.0, 300.0, 690.0],
+            Axis::Endpoints => &[500.0, 1_000.0, 2_000.0, 4_100.0],
+            Axis::ChangeRate => &[0.5, 1.0, 2.0],
+            Axis::CallRate => &[50.0, 100.0, 200.0],
+            Axis::Members => &[500.0, 1_000.0, 2_000.0, 4_100.0],
+        }
+    }
+
+    /// The size that the system is designed for.
+    pub(super) const fn target(self) -> f64 {
+        match self {
+            Axis::Nodes | Axis::Processes | Axis::Endpoints | Axis::Members => 4_100.0,
+            Axis::Services => 690.0,
+            // 9,000 a day.
+            Axis::ChangeRate => 9_000.0 / 86_400.0,
+            // 850,000 a second over 4,100 nodes.
+            Axis::CallRate => 850_000.0 / 4_100.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/slopes/run.rs
@@ -0,0 +1,52 @@
+//! A whole run.
+
+use std::fs;
+use std::thread;
+
+use super::Axis;
+use super::Report;
+use super::measure;
+use super::series::Series;
+use crate::fit::Point;
+
+/// Measures the axes one after the other.
+///
+/// # Errors
+///
+/// Fails if a measurement fails.
+pub fn run(axes: &[Axis], seed: u64) -> miette::Result<Report> {
+    let before = load_average();
+    let mut series = Vec::new();
+    for &axis in axes {
+        series.extend(along(axis, seed)?);
+    }
+    Ok(Report {
+        processors: thread::available_parallelism().map_or(0, usize::from),
+        load_average: [before, load_average()],
+        series,
+    })
+}
+
+fn along(axis: Axis, seed: u64) -> miette::Result<Vec<Series>> {
+    let mut names: Vec<&'static str> = Vec::new();
+    let mut points: Vec<Vec<Point>> = Vec::new();
+    for &x in axis.places() {
+        let figures = measure::at(axis, x, seed)?;
+        points.resize_with(figures.len(), Vec::new);
+        for (points, figure) in points.iter_mut().zip(&figures) {
+            points.push(Point { x, y: figure.value });
+        }
+        names = figures.iter().map(|figure| figure.name).collect();
+    }
+    let series = names.into_iter().zip(points);
+    Ok(series
+        .map(|(name, points)| Series::new(axis, name, points))
+        .collect())
+}
+
+fn load_average() -> String {
+    fs::read_to_string("/proc/loadavg")
+        .unwrap_or_default()
+        .trim()
+        .to_owned()
+}
