Spread four readers over the fleet instead of two in each domain

A reader takes the platform's whole text, 361 KB for 690 services, so that in a fleet of 200 most control bytes of a change are the readers'. Four over the fleet, and one in each domain at least, keeps fleets of one or two domains from hanging on a single reader.

The test of the readers' part of the share names its readers for each domain itself now, two as before.

--- a/crates/core/src/reader/role.rs
+++ b/crates/core/src/reader/role.rs
@@ -26,6 +26,9 @@
 /// rest.
 #[derive(Debug)]
 pub(crate) struct Role {
+    /// Readers wanted in the whole fleet.
+    wanted: u32,
+    /// Readers in this node's failure domain.
     readers: u32,
     bound: Duration,
     step: Duration,
@@ -37,6 +40,7 @@
 impl Role {
     pub(crate) fn new(cfg: &SpreadConfig, rng: &mut SmallRng) -> Role {
         Role {
+            wanted: cfg.readers,
             readers: cfg.readers,
             bound: cfg.contact_bound,
             step: cfg.takeover_step,
@@ -48,9 +52,15 @@
 
     /// Takes in this node's place in a new list.
     pub(crate) fn set_place(&mut self, place: Place) {
+        self.readers = self.wanted.div_ceil(place.domains.max(1));
         self.place = Some(place);
     }
 
+    /// Readers in this node's failure domain.
+    pub(crate) fn readers(&self) -> u32 {
+        self.readers
+    }
+
     /// Whether it reads.
     pub(crate) fn reads(&self) -> bool {
         self.is_chosen() || self.acting
--- a/crates/core/src/reader/tests.rs
+++ b/crates/core/src/reader/tests.rs
@@ -84,6 +84,9 @@
     assert!((60..140).contains(&below_half), "{below_half}");
 }
 
+/// Readers in each failure domain.
+const READERS: u32 = 2;
+
 /// Reads in each second by `fleet` nodes that all want to read all the time
 /// from `start` on, and to which each read is answered at once.
 fn reads_by_second(fleet: usize, start: Tick, place: Option<Place>) -> Vec<usize> {
@@ -96,7 +99,7 @@
         let mut rng = SmallRng::seed_from_u64(seed as u64);
         let mut budget = ReadBudget::new(&cfg, &mut rng, Tick::ZERO);
         if let Some(place) = &place {
-            budget.place(Tick::ZERO, place, cfg.readers);
+            budget.place(Tick::ZERO, place, READERS);
         }
         let mut now = start;
         loop {
--- a/crates/core/src/spread/config.rs
+++ b/crates/core/src/spread/config.rs
@@ -46,7 +46,8 @@
     pub history_bytes: usize,
     /// How long the answer to a call is waited for: 50 ms to 60 s.
     pub call_timeout: Duration,
-    /// Readers in each failure domain: 1 to 8.
+    /// Readers in the whole fleet at least, spread over its failure domains so
+    /// that each has one: 1 to 32.
     pub readers: u32,
     /// The platform's read budget in reads a second: 1 to 1,000,000.
     pub reads_per_s: u32,
@@ -90,7 +91,7 @@
             history_count: 128,
             history_bytes: 1024 * 1024,
             call_timeout: Duration::from_secs(2),
-            readers: 2,
+            readers: 4,
             reads_per_s: 2_000,
             share_percent: 25,
             assumed_fleet: 1_000,
@@ -124,7 +125,7 @@
         range("history_count", self.history_count, 0, 4_096)?;
         range("history_bytes", self.history_bytes, 0, 64 * 1024 * 1024)?;
         range("call_timeout", self.call_timeout, ms(50), secs(60))?;
-        range("readers", self.readers, 1, 8)?;
+        range("readers", self.readers, 1, 32)?;
         range("reads_per_s", self.reads_per_s, 1, 1_000_000)?;
         range("share_percent", self.share_percent, 1, 100)?;
         range("assumed_fleet", self.assumed_fleet, 1, 1_000_000)?;
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -241,9 +241,9 @@
             return;
         };
         let place = Place::find(list, &self.local.id, &self.local.domain);
-        self.budget.place(now, &place, self.cfg.readers);
         let before = self.role.reads();
-        self.role.set_place(place);
+        self.role.set_place(place.clone());
+        self.budget.place(now, &place, self.role.readers());
         if self.role.reads() != before {
             self.tell_reading(out);
         }
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -55,7 +55,7 @@
         if self.role.is_backup() && self.gossip.syncs.is_multiple_of(2) {
             let before = self.role.place().map(|place| place.before.as_slice());
             let turn = usize::try_from(self.gossip.syncs / 2).unwrap_or(0);
-            let readers = usize::try_from(self.cfg.readers).unwrap_or(1);
+            let readers = usize::try_from(self.role.readers()).unwrap_or(1);
             let reader = before.and_then(|before| before.get(turn % readers));
             if let Some(address) = reader.and_then(|id| self.peers.find(id)) {
                 return Some(address);
--- a/crates/node/src/settings/spread.rs
+++ b/crates/node/src/settings/spread.rs
@@ -84,7 +84,7 @@
     let history_count = usize_or(t, "history_count", 0..=4_096, was.history_count, f);
     let history_bytes = usize_or(t, "history_bytes", 0..=MAX_HISTORY, was.history_bytes, f);
     let call_timeout = millis_or(t, "call_timeout_ms", 50..=60_000, was.call_timeout, f);
-    let readers = u32_or(t, "readers", 1..=8, was.readers, f);
+    let readers = u32_or(t, "readers", 1..=32, was.readers, f);
     let fleet = u32_or(t, "assumed_fleet", 1..=1_000_000, was.assumed_fleet, f);
     let watch = millis_or(t, "watch_ms", 100..=30_000, was.watch, f);
     let contact = millis_or(t, "contact_bound_ms", 1_000..=600_000, was.contact_bound, f);
