--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use form_urlencoded::Serializer;
+use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::ServiceName;
 use sassafrasspool_wire::admin::EXPLAIN_PATH;
@@ -94,9 +95,13 @@
 fn endpoint(f: &mut fmt::Formatter<'_>, found: &EndpointInfo) -> fmt::Result {
     let phase = found.phase;
     let phase = phase.map_or("not heard".to_owned(), |phase| phase.to_string());
+    let listed = match found.listed {
+        InstanceState::Live => "live",
+        InstanceState::Leaving => "leaving",
+    };
     writeln!(
         f,
-        "    {}  {}  {}  slots {}  listed {:?}  phase {phase}",
-        found.instance, found.domain, found.traffic, found.slots, found.listed,
+        "    {}  {}  {}  slots {}  listed {listed}  phase {phase}",
+        found.instance, found.domain, found.traffic, found.slots,
     )
 }
--- a/crates/ctl/tests/nodes.rs
+++ b/crates/ctl/tests/nodes.rs
@@ -53,7 +53,7 @@
 #[case::other_stream(Case { verb: &["converged", "--revision", "3", "--within", "1", "--stream", "instances"], fakes: &[OLD],
     verdict: Verdict::Yes, told: &["1 of 1 nodes have instances 3"] })]
 #[case::explain(Case { verb: &["route", "explain", "adjuster-desk", "/adjuster/a&b?c=d e"], fakes: &[NEW, GONE], verdict: Verdict::Unanswered,
-    told: &["adjuster-desk /adjuster/a&b?c=d e", "wd-9  bayanzurkh", "phase not heard", "UNREACHABLE"] })]
+    told: &["adjuster-desk /adjuster/a&b?c=d e", "wd-9  bayanzurkh", "listed live  phase not heard", "UNREACHABLE"] })]
 #[case::explain_a_service(Case { verb: &["route", "explain", "adjuster-desk"], fakes: &[NEW], verdict: Verdict::Yes, told: &["adjuster-desk -"] })]
 #[case::audit(Case { verb: &["audit", "--after", "4"], fakes: &[NEW, GONE], verdict: Verdict::Unanswered,
     told: &["1.500  wd-1  #5  applied  stream=catalogue  version=7-aa", "no longer keeps 2 older records", "UNREACHABLE"] })]
