Tell the demo's nodes how small their fleet is

A node that holds no instance list yet spreads its first read over the time that a fleet of assumed_fleet nodes needs, 1,000 by default.

--- a/crates/bench/src/demo/member/settings.rs
+++ b/crates/bench/src/demo/member/settings.rs
@@ -28,6 +28,9 @@
 const INTERVAL_MS: u64 = 300;
 /// Age of the newest contact at which others begin to read, in milliseconds.
 const CONTACT_BOUND_MS: u64 = 1_500;
+/// Nodes that are assumed until the list is known. The more a restarted node
+/// assumes, the longer it may wait for its first read.
+const ASSUMED_FLEET: u32 = 20;
 /// How old the proof may be that the instance list is in force, in
 /// milliseconds: two watches and some comparisons.
 const LEASE_MS: u64 = 2_000;
@@ -90,6 +93,7 @@
     interval_ms: u64,
     watch_ms: u64,
     contact_bound_ms: u64,
+    assumed_fleet: u32,
 }
 
 #[derive(Debug, Serialize)]
@@ -135,6 +139,7 @@
                 interval_ms: INTERVAL_MS,
                 watch_ms: WATCH_MS,
                 contact_bound_ms: CONTACT_BOUND_MS,
+                assumed_fleet: ASSUMED_FLEET,
             },
             repeat: NodeRepeat {
                 hold_ms: HOLD_MS,
