--- a/crates/core/src/spread/tests/outages.rs
+++ b/crates/core/src/spread/tests/outages.rs
@@ -92,7 +92,7 @@
         net.stop(n);
     }
     net.publish(2, &good(2));
-    net.run_until(Duration::from_secs(30), |net| net.all_at(2));
+    net.run_until(Duration::from_secs(11), |net| net.all_at(2));
     net.run_for(Duration::from_secs(30));
     let reading = net.readers().len();
     assert!((1..=12).contains(&reading), "{reading} nodes read");
