Tell the target the time that is left

A target was told the time that its caller had at first, or none if the caller left it to the entry's limit, and could work on for a request that had long been given up. It now gets what is left at the hand-over, rounded up so that the node's own verdict comes first.

--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -1,5 +1,8 @@
 //! From a request's arrival beside its target to the head of the answer.
 
+use std::time::Duration;
+
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::Uri;
@@ -15,6 +18,7 @@
 use sassafrasspool_core::Request as Stage;
 use sassafrasspool_core::Running;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::header::REQUEST_TIMEOUT_MS;
 
 use super::admission;
 use super::answer::Answer;
@@ -99,7 +103,8 @@
                     stage,
                     running,
                 };
-                sent.exchange(call, conn, for_target(req)).await
+                let left = call.deadline.remaining(now);
+                sent.exchange(call, conn, for_target(req, left)).await
             }
             Err(refusal) => Err(Missed::unsent(take_back(running, refusal), req)),
         }
@@ -172,8 +177,15 @@
 }
 
 /// Takes off what concerns nodes alone and makes it an HTTP/1.1 request.
-fn for_target(mut req: Request<Payload>) -> Request<Payload> {
+///
+/// The target is told the time that is left, not what the caller had at first.
+/// Rounded up, it ends after the node has given the request up: the caller
+/// then hears from the node that the outcome is unknown.
+fn for_target(mut req: Request<Payload>, left: Duration) -> Request<Payload> {
     head::strip_own(req.headers_mut());
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let left_ms = HeaderValue::from(left_ms.saturating_add(1));
+    req.headers_mut().insert(REQUEST_TIMEOUT_MS, left_ms);
     let path = req.uri().path_and_query().cloned();
     *req.uri_mut() = path.map_or_else(Uri::default, Uri::from);
     *req.version_mut() = Version::HTTP_11;
--- a/crates/node/tests/requests/forged.rs
+++ b/crates/node/tests/requests/forged.rs
@@ -1,6 +1,9 @@
 //! Headers that only nodes may set.
 
+use std::collections::BTreeMap;
+
 use http::StatusCode;
+use rstest::rstest;
 
 use crate::client;
 use crate::fleet::ADJUSTER;
@@ -50,3 +53,36 @@
         assert_eq!(res.headers().keys().find(ours), None);
     }
 }
+
+#[derive(Debug)]
+struct Waits {
+    /// What the caller asks for, in milliseconds.
+    asked: Option<&'static str>,
+    /// The most that the target may be told.
+    most: u64,
+}
+
+// A caller waits for a while, or leaves it to the catalogue's entry, which
+// allows five seconds. What has passed on the way is gone: the target hears of
+// no more than is left, so that it can stop in time.
+#[rstest]
+#[case(Waits { asked: None, most: 5_000 })]
+#[case(Waits { asked: Some("3000"), most: 3_000 })]
+#[case(Waits { asked: Some("99000"), most: 5_000 })]
+#[tokio::test]
+async fn the_target_is_told_the_time_that_is_left(#[case] case: Waits) {
+    let target = nosy_target::start().await;
+    let fleet = Fleet::start_before(&[DESK, ADJUSTER], target).await;
+    for via in &fleet.members {
+        let mut req = client::get("/adjuster/files", "r-1");
+        if let Some(asked) = case.asked {
+            let asked = asked.parse().expect("a value");
+            req.headers_mut().insert("x-request-timeout-ms", asked);
+        }
+        let res = client::call(via.addrs.ingress, req).await.expect("answer");
+        let seen: BTreeMap<String, String> =
+            serde_json::from_slice(res.body()).expect("the headers that it got");
+        let told: u64 = seen["x-request-timeout-ms"].parse().expect("a number");
+        assert!((1..=case.most).contains(&told), "{told} for {case:?}");
+    }
+}
--- a/crates/node/tests/requests/nosy_target.rs
+++ b/crates/node/tests/requests/nosy_target.rs
@@ -1,12 +1,15 @@
 //! A target that answers with the headers that it got, and with headers of
 //! its own that only nodes may set.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use axum::Json;
 use axum::Router;
 use axum::response::IntoResponse;
 use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
 use tokio::net::TcpListener;
 
 /// What the target claims.
@@ -26,6 +29,10 @@
 }
 
 async fn answer(headers: HeaderMap) -> impl IntoResponse {
-    let names: Vec<String> = headers.keys().map(ToString::to_string).collect();
-    (FORGED, Json(names))
+    let text = |(name, value): (&HeaderName, &HeaderValue)| {
+        let value = value.to_str().expect("text");
+        (name.to_string(), value.to_owned())
+    };
+    let seen: BTreeMap<String, String> = headers.iter().map(text).collect();
+    (FORGED, Json(seen))
 }
