--- a/crates/bench/src/demo/callers.rs
+++ b/crates/bench/src/demo/callers.rs
@@ -25,6 +25,9 @@
 use crate::load::Repeats;
 use crate::load::Way;
 
+#[cfg(test)]
+mod tests;
+
 /// How callers repeat themselves: once more under the same key if they don't
 /// know what became of a request, and some by a second click.
 const REPEATS: Repeats = Repeats {
--- a/crates/bench/src/demo/evidence.rs
+++ b/crates/bench/src/demo/evidence.rs
@@ -20,6 +20,8 @@
 use crate::load::Verdict;
 
 pub(super) mod control;
+#[cfg(test)]
+mod tests;
 
 /// How long after it began to leave a target may start new work, and how long
 /// a version may take.
