--- a/crates/bench/src/chaos/driver.rs
+++ b/crates/bench/src/chaos/driver.rs
@@ -38,6 +38,8 @@
     /// Whether there are nodes to hurt; else their faults hit the targets.
     pub(super) nodes: bool,
     pub(super) stops: Mutex<Vec<Stopped>>,
+    /// By instance: held while something is done to it.
+    pub(super) busy: Vec<tokio::sync::Mutex<()>>,
 }
 
 impl Driver {
@@ -61,7 +63,19 @@
         Ok(())
     }
 
+    /// Does one step, unless an earlier one at the same instance isn't over: a
+    /// drain takes as long as its requests, which the script can't know.
     async fn perform(&self, fault: Fault) -> miette::Result<()> {
+        let Some(instance) = fault.instance() else {
+            return self.perform_alone(fault).await;
+        };
+        match self.busy[instance].try_lock() {
+            Ok(_busy) => self.perform_alone(fault).await,
+            Err(_) => Ok(()),
+        }
+    }
+
+    async fn perform_alone(&self, fault: Fault) -> miette::Result<()> {
         match fault {
             Fault::Stop { instance, down } => self.stop(instance, down).await,
             Fault::Kill { instance, down } => self.kill(instance, down).await,
@@ -141,7 +155,12 @@
 
     async fn kill_herd(&self, down: Duration) -> miette::Result<()> {
         let herd = (0..self.fleet.members.len()).filter(|instance| in_herd(*instance));
-        let kills = herd.map(|instance| self.kill(instance, down));
+        let kills = herd.map(|instance| async move {
+            match self.busy[instance].try_lock() {
+                Ok(_busy) => self.kill(instance, down).await,
+                Err(_) => Ok(()),
+            }
+        });
         let done = futures::future::join_all(kills).await;
         done.into_iter().collect()
     }
