Let a woken process announce nothing until a peer has answered

A process that was stopped found the announcements of its sleep in its buffers and told each version on as news: the test saw it announce revisions 2, 3 and 4 three times each before it reached 5. It is quiet now until one of the peers that it asks has told what it holds, or a call's time has passed.

An answer of the platform from before the sleep is waited for from the waking on. Counted from its asking it was given up at once, and then taken for the answer to the next read.

--- a/crates/core/src/spread/gossip.rs
+++ b/crates/core/src/spread/gossip.rs
@@ -18,6 +18,8 @@
     pub(super) heads_due: Option<Tick>,
     /// When the endpoint states are to be announced.
     pub(super) states_due: Option<Tick>,
+    /// Nothing is announced before, unless a peer has told what it holds.
+    pub(super) quiet_until: Option<Tick>,
     /// What was announced last.
     pub(super) announced: Heads,
     /// Who told the news; it needn't hear them again.
@@ -36,6 +38,7 @@
             next_sync: now,
             heads_due: None,
             states_due: None,
+            quiet_until: None,
             announced: Heads::default(),
             teller: None,
             last: None,
@@ -71,10 +74,9 @@
 
     /// When something is to be announced.
     pub(super) fn announce_due(&self) -> Option<Tick> {
-        [self.heads_due, self.states_due]
-            .into_iter()
-            .flatten()
-            .min()
+        let due = [self.heads_due, self.states_due];
+        let due = due.into_iter().flatten().min()?;
+        Some(self.quiet_until.map_or(due, |until| until.max(due)))
     }
 
     /// Drops what waits: after a pause it is old, and comparing tells what
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -113,6 +113,7 @@
             self.hear_states(now, std::slice::from_ref(state), &origin, out);
         }
         self.hear_heads(now, told.heads, &holder, out);
+        self.gossip.quiet_until = None;
         let differing = match told.buckets.is_empty() {
             true => 0,
             false => self.members.differing(&told.buckets),
--- a/crates/core/src/spread/machine/wakeup.rs
+++ b/crates/core/src/spread/machine/wakeup.rs
@@ -60,7 +60,8 @@
     /// take an answer of the platform from before for its newest.
     /// Wakeups are never further apart than an interval, so that a long gap
     /// can't be anything else; all that was under way is given up, and peers
-    /// are asked at once. What it holds stays in force, and can only be
+    /// are asked at once. Nothing is announced until one of them has answered:
+    /// what waits in the buffers is old as well. What it holds stays in force, and can only be
     /// replaced by something newer.
     pub(super) fn notice_pause(&mut self, now: Tick, out: &mut Vec<Action>) {
         let pause = now.since(self.last);
@@ -71,9 +72,10 @@
         out.push(Action::Audit(AuditEvent::Paused { pause }));
         self.calls.clear();
         self.gossip.drop_news();
+        self.gossip.quiet_until = Some(now + self.cfg.call_timeout);
         for stream in Stream::ALL {
             self.pulls[stream as usize].forget();
-            self.reads[stream as usize].outdate();
+            self.reads[stream as usize].outdate(now);
         }
         let mut asked: Vec<Address> = Vec::new();
         for _ in 0..ASKED_ON_WAKING {
--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -95,8 +95,10 @@
     }
 
     /// Notes that the answer to the read under way will be old.
-    pub(super) fn outdate(&mut self) {
+    /// It is waited for from now on, since it may be in a buffer already.
+    pub(super) fn outdate(&mut self, now: Tick) {
         self.outdated = self.under_way.is_some();
+        self.under_way = self.under_way.map(|_| now);
     }
 
     /// Whether an answer is to be dropped; the read is then due again.
--- a/crates/core/src/spread/tests/net/carry.rs
+++ b/crates/core/src/spread/tests/net/carry.rs
@@ -8,6 +8,7 @@
 use super::node::Arrival;
 use crate::Call;
 use crate::Event;
+use crate::PeerMessage;
 use crate::Revision;
 use crate::Stream;
 
@@ -16,6 +17,10 @@
         *self.messages.entry(call.message.kind()).or_default() += 1;
         let sender = self.nodes[from].as_mut().unwrap();
         sender.bytes += postcard::to_stdvec(&call.message).unwrap().len();
+        if let PeerMessage::Announce(told) = &call.message {
+            let revision = told.heads.catalogue.map(|head| head.revision().get());
+            sender.announced.extend(revision);
+        }
         let generation = sender.generation;
         let to = node::index(call.addr);
         let reached = self.nodes.get(to).is_some_and(Option::is_some)
--- a/crates/core/src/spread/tests/node.rs
+++ b/crates/core/src/spread/tests/node.rs
@@ -43,6 +43,8 @@
     pub(super) states: Vec<EndpointState>,
     /// Encoded bytes of messages sent and answers given.
     pub(super) bytes: usize,
+    /// Revisions of the catalogue that it announced.
+    pub(super) announced: Vec<u64>,
     /// Bodies that it was sent.
     pub(super) bodies: usize,
 }
@@ -60,6 +62,7 @@
             audit: Vec::new(),
             states: Vec::new(),
             bytes: 0,
+            announced: Vec::new(),
             bodies: 0,
         }
     }
--- a/crates/core/src/spread/tests/partitions.rs
+++ b/crates/core/src/spread/tests/partitions.rs
@@ -64,8 +64,12 @@
             net.run_for(MINUTE);
         }
         assert_eq!(net.node(sleeper).revision(), 1);
+        let told = net.node(sleeper).announced.len();
         net.resume(sleeper);
         net.run_until(Duration::from_secs(3), |net| net.all_at(5));
+        net.run_for(MINUTE);
+        let told = &net.node(sleeper).announced[told..];
+        assert!(told.iter().all(|revision| *revision == 5), "{told:?}");
         net.assert_no_step_back();
         let slept = |event: &AuditEvent| matches!(event, AuditEvent::Paused { .. });
         assert!(net.node(sleeper).audit.iter().any(slept));
