Let a keyed request go on without its caller

A caller whose connection broke under an approval ended the exchange with it, so that every repeat heard that nothing is known, although keys are there for just that case. After the hand-over a request with a key now runs until its answer or its deadline in a task of its own, which counts as in flight and which a stop waits for; the repeat gets the answer. Requests without a key still end with their caller.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -32,6 +32,7 @@
 mod peer_side;
 mod refusal;
 mod running;
+mod sent;
 mod serve;
 mod stall;
 mod stored;
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -1,5 +1,6 @@
 //! From a request's arrival beside its target to the head of the answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderValue;
@@ -9,14 +10,10 @@
 use http::Version;
 use sassafrasspool_core::Admitted;
 use sassafrasspool_core::Class;
-use sassafrasspool_core::HandedOver;
 use sassafrasspool_core::Limits;
-use sassafrasspool_core::LossCause;
 use sassafrasspool_core::Permit;
 use sassafrasspool_core::Reason;
-use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Request as Stage;
-use sassafrasspool_core::Running;
 use sassafrasspool_core::Step;
 use sassafrasspool_wire::header::REQUEST_TIMEOUT_MS;
 
@@ -27,10 +24,10 @@
 use super::missed::Missed;
 use super::parents::Parent;
 use super::payload::Payload;
-use super::stored::Recorder;
+use super::sent::Sent;
+use super::sent::take_back;
 use super::target;
 use super::target::Connection;
-use super::target::TargetBody;
 use super::unsent_key::UnsentKey;
 use super::worker::Worker;
 
@@ -90,7 +87,7 @@
             hop: call.hop,
             deadline: call.deadline,
         };
-        let _parent = hub.parents.enter(req.headers(), parent);
+        let parent = hub.parents.enter(req.headers(), parent);
         let now = hub.shared.clock().now();
         let running = match key.hand_over(now) {
             Ok(running) => running,
@@ -98,84 +95,21 @@
         };
         match stage.hand_over(now) {
             Ok(stage) => {
+                let left = call.deadline.remaining(now);
                 let sent = Sent {
-                    worker,
+                    hub: Arc::clone(hub),
                     stage,
                     running,
+                    deadline: call.deadline,
+                    _parent: parent,
                 };
-                let left = call.deadline.remaining(now);
-                sent.exchange(call, conn, for_target(req, left)).await
+                sent.run(conn, for_target(req, left)).await
             }
             Err(refusal) => Err(Missed::unsent(take_back(running, refusal), req)),
         }
     }
 }
 
-/// A request that is handed over.
-#[derive(Debug)]
-struct Sent<'a> {
-    worker: &'a Worker,
-    stage: Stage<HandedOver>,
-    running: Option<Running>,
-}
-
-impl Sent<'_> {
-    async fn exchange(
-        self,
-        call: Call<'_>,
-        conn: Connection,
-        req: Request<Payload>,
-    ) -> Result<Response<Answer>, Missed> {
-        let clock = *self.worker.hub.shared.clock();
-        let until = clock.instant(call.deadline.tick());
-        let exchange = target::exchange(conn, req);
-        match tokio::time::timeout_at(until.into(), exchange).await {
-            Ok(Ok(res)) => Ok(self.answered(res)),
-            Ok(Err(target::Failure::NotSent(err, proof, unsent))) => {
-                tracing::debug!(%err, "not handed over");
-                let refusal = self.stage.take_back(clock.now(), proof);
-                let failure = take_back(self.running, refusal).into();
-                Err(Missed { failure, unsent })
-            }
-            Ok(Err(target::Failure::Sent(err))) => {
-                tracing::debug!(%err, "lost");
-                Err(self.lost(LossCause::ConnectionLost))
-            }
-            Err(_) => Err(self.lost(LossCause::Timeout)),
-        }
-    }
-
-    fn answered(self, res: Response<TargetBody>) -> Response<Answer> {
-        let hub = &self.worker.hub;
-        let clock = *hub.shared.clock();
-        let stage = self.stage.answered();
-        let mut res = res.map(|body| body.holding(stage, clock));
-        head::strip_own(res.headers_mut());
-        head::strip_connection(res.headers_mut());
-        *res.version_mut() = Version::HTTP_11;
-        let recorder = self
-            .running
-            .map(|running| Box::new(Recorder::new(running, &res, hub.max_stored)));
-        res.map(|body| Answer::target(body.recorded(recorder)))
-    }
-
-    fn lost(self, cause: LossCause) -> Missed {
-        let now = self.worker.hub.shared.clock().now();
-        if let Some(running) = self.running {
-            running.lost(now);
-        }
-        self.stage.lost(now, cause).into()
-    }
-}
-
-/// Leaves the key unused after a refusal.
-fn take_back(running: Option<Running>, refusal: Refusal) -> Refusal {
-    match running {
-        Some(running) => running.refused(refusal),
-        None => refusal,
-    }
-}
-
 /// Takes off what concerns nodes alone and makes it an HTTP/1.1 request.
 ///
 /// The target is told the time that is left, not what the caller had at first.
--- a/crates/node/src/traffic/parents.rs
+++ b/crates/node/src/traffic/parents.rs
@@ -1,6 +1,7 @@
 //! Which call a call of the own target belongs to.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -24,16 +25,17 @@
 /// Targets get none of the headers between nodes, so that they can't forge
 /// them. A target that passes the id of its request on in the calls that it
 /// makes for it is enough to count the depth and to shrink the deadline.
-#[derive(Debug, Default)]
-pub(super) struct Parents(Mutex<HashMap<HeaderValue, Parent>>);
+#[derive(Debug, Clone, Default)]
+pub(super) struct Parents(Arc<Mutex<HashMap<HeaderValue, Parent>>>);
 
 impl Parents {
     /// Notes a request for as long as the guard lives; nothing to note if it
     /// has no id.
-    pub(super) fn enter(&self, headers: &HeaderMap, parent: Parent) -> Option<Running<'_>> {
+    pub(super) fn enter(&self, headers: &HeaderMap, parent: Parent) -> Option<Running> {
         let id = headers.get(REQUEST_ID)?.clone();
         self.lock().insert(id.clone(), parent);
-        Some(Running { parents: self, id })
+        let parents = self.clone();
+        Some(Running { parents, id })
     }
 
     /// The request that a call with these headers is made for.
@@ -50,12 +52,12 @@
 
 /// A request that is noted.
 #[derive(Debug)]
-pub(super) struct Running<'a> {
-    parents: &'a Parents,
+pub(super) struct Running {
+    parents: Parents,
     id: HeaderValue,
 }
 
-impl Drop for Running<'_> {
+impl Drop for Running {
     fn drop(&mut self) {
         self.parents.lock().remove(&self.id);
     }
--- /dev/null
+++ b/crates/node/src/traffic/sent.rs
@@ -0,0 +1,144 @@
+//! From the hand-over of a request to its answer.
+
+use std::sync::Arc;
+
+use http::Request;
+use http::Response;
+use http::Version;
+use http_body::Body;
+use http_body_util::BodyExt;
+use sassafrasspool_core::Deadline;
+use sassafrasspool_core::HandedOver;
+use sassafrasspool_core::Loss;
+use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Request as Stage;
+use sassafrasspool_core::Running;
+use sassafrasspool_core::Step;
+
+use super::answer::Answer;
+use super::head;
+use super::hub::Hub;
+use super::missed::Missed;
+use super::parents;
+use super::payload::Payload;
+use super::stored::Recorder;
+use super::target;
+use super::target::Connection;
+use super::target::TargetBody;
+
+/// A request that is handed over.
+#[derive(Debug)]
+pub(super) struct Sent {
+    pub(super) hub: Arc<Hub>,
+    pub(super) stage: Stage<HandedOver>,
+    /// The right to run its key, if it has one.
+    pub(super) running: Option<Running>,
+    pub(super) deadline: Deadline,
+    pub(super) _parent: Option<parents::Running>,
+}
+
+impl Sent {
+    /// Gets the answer.
+    ///
+    /// Without a key, dropping the future ends the exchange. With one it goes
+    /// on until its answer or its deadline: a caller whose connection broke
+    /// sends the request again, and then gets the answer instead of hearing
+    /// that nothing is known.
+    ///
+    /// # Errors
+    ///
+    /// Says what is known of the request if there is no answer.
+    pub(super) async fn run(
+        self,
+        conn: Connection,
+        req: Request<Payload>,
+    ) -> Result<Response<Answer>, Missed> {
+        if self.running.is_none() {
+            return self.exchange(conn, req).await;
+        }
+        let hub = Arc::clone(&self.hub);
+        let cut = hub.cut.clone();
+        let guard = hub.shared.in_flight().enter();
+        let task = hub.connections.spawn(async move {
+            let _in_flight = guard;
+            cut.run_until_cancelled(self.run_to_end(conn, req)).await
+        });
+        match task.await {
+            Ok(Some(result)) => result,
+            _ => Err(Loss::new(Step::Forward, LossCause::ConnectionLost).into()),
+        }
+    }
+
+    async fn run_to_end(
+        self,
+        conn: Connection,
+        req: Request<Payload>,
+    ) -> Result<Response<Answer>, Missed> {
+        let max = u64::try_from(self.hub.max_stored).unwrap_or(u64::MAX);
+        let res = self.exchange(conn, req).await?;
+        let size = res.body().size_hint().upper();
+        if size.is_none_or(|size| size > max) {
+            // Not kept for repeats anyway.
+            return Ok(res);
+        }
+        let (head, body) = res.into_parts();
+        match body.collect().await {
+            Ok(whole) => Ok(Response::from_parts(head, Answer::text(whole.to_bytes()))),
+            Err(_) => Err(Loss::new(Step::Forward, LossCause::AnswerCut).into()),
+        }
+    }
+
+    async fn exchange(
+        self,
+        conn: Connection,
+        req: Request<Payload>,
+    ) -> Result<Response<Answer>, Missed> {
+        let clock = *self.hub.shared.clock();
+        let until = clock.instant(self.deadline.tick());
+        let exchange = target::exchange(conn, req);
+        match tokio::time::timeout_at(until.into(), exchange).await {
+            Ok(Ok(res)) => Ok(self.answered(res)),
+            Ok(Err(target::Failure::NotSent(err, proof, unsent))) => {
+                tracing::debug!(%err, "not handed over");
+                let refusal = self.stage.take_back(clock.now(), proof);
+                let failure = take_back(self.running, refusal).into();
+                Err(Missed { failure, unsent })
+            }
+            Ok(Err(target::Failure::Sent(err))) => {
+                tracing::debug!(%err, "lost");
+                Err(self.lost(LossCause::ConnectionLost))
+            }
+            Err(_) => Err(self.lost(LossCause::Timeout)),
+        }
+    }
+
+    fn answered(self, res: Response<TargetBody>) -> Response<Answer> {
+        let clock = *self.hub.shared.clock();
+        let stage = self.stage.answered();
+        let mut res = res.map(|body| body.holding(stage, clock));
+        head::strip_own(res.headers_mut());
+        head::strip_connection(res.headers_mut());
+        *res.version_mut() = Version::HTTP_11;
+        let recorder = self
+            .running
+            .map(|running| Box::new(Recorder::new(running, &res, self.hub.max_stored)));
+        res.map(|body| Answer::target(body.recorded(recorder)))
+    }
+
+    fn lost(self, cause: LossCause) -> Missed {
+        let now = self.hub.shared.clock().now();
+        if let Some(running) = self.running {
+            running.lost(now);
+        }
+        self.stage.lost(now, cause).into()
+    }
+}
+
+/// Leaves the key unused after a refusal.
+pub(super) fn take_back(running: Option<Running>, refusal: Refusal) -> Refusal {
+    match running {
+        Some(running) => running.refused(refusal),
+        None => refusal,
+    }
+}
--- a/crates/node/tests/requests/keyed.rs
+++ b/crates/node/tests/requests/keyed.rs
@@ -94,6 +94,36 @@
     assert_eq!(ran, 1);
 }
 
+// An adjuster's connection breaks while an approval runs, and the browser sends
+// it again. The approval has gone on meanwhile: it ran once, and the repeat gets
+// its answer.
+#[tokio::test]
+async fn a_repeat_after_a_broken_connection_gets_the_answer() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    fleet.keep_proving();
+    let ingress = fleet.members[0].addrs.ingress;
+    let adjuster = &fleet.members[1];
+    adjuster.target.set_slow(Duration::from_millis(300)).await;
+    let first = tokio::spawn(async move { run_first(ingress, "k-1", "r-1").await });
+    wait::until("the run", || adjuster.runs_of("r-1").len() == 1).await;
+    first.abort();
+    let in_flight = || fleet.members[0].shared.in_flight().count();
+    wait::until("the broken connection", || in_flight() == 0).await;
+    let repeat = loop {
+        let res = client::call(ingress, approve("k-1", "r-2", false)).await;
+        let res = res.expect("an answer");
+        let running =
+            "{\"outcome\":\"unknown\",\"step\":\"admission\",\"reason\":\"earlier-running\"}";
+        if *res.body() != running {
+            break res;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_eq!(repeat.status(), StatusCode::OK);
+    assert_eq!(*repeat.body(), answer_body("r-1", 0));
+    assert_eq!((fleet.runs_of("r-1"), fleet.runs_of("r-2")), (1, 0));
+}
+
 // The target crashes with an approval on it. Nobody knows whether it ran, and
 // the repeat hears just that, although another target could run it.
 #[tokio::test]
