Draw shared costs over the inverse of the fleet's size

The decisions are measured in a process for each size, since memory freed by one hid that of the next, and by a machine that reads by itself, until both hold the same.

--- a/crates/bench/src/core_cost/driven.rs
+++ b/crates/bench/src/core_cost/driven.rs
@@ -15,10 +15,12 @@
 use sassafrasspool_core::PeerMessage;
 use sassafrasspool_core::PeerReply;
 use sassafrasspool_core::Snapshot;
+use sassafrasspool_core::SourceResult;
 use sassafrasspool_core::Spread;
 use sassafrasspool_core::SpreadConfig;
 use sassafrasspool_core::Stream;
 use sassafrasspool_core::Tick;
+use sassafrasspool_core::Version;
 
 use super::source::Source;
 
@@ -112,6 +114,25 @@
         reply
     }
 
+    /// Ends the watches: the platform has nothing newer.
+    pub(super) fn end_watches(&mut self, now: Tick) {
+        for stream in std::mem::take(&mut self.watches) {
+            let result = SourceResult::Unchanged { newest: None };
+            self.handle(now, Event::SourceRead { stream, result });
+        }
+    }
+
+    /// The versions in force.
+    pub(super) fn versions(&self) -> Option<[Version; 2]> {
+        let snapshot = self.snapshot.as_ref()?;
+        Some([snapshot.catalogue(), snapshot.instances()])
+    }
+
+    /// Whether it reads the platform.
+    pub(super) fn reads(&self, now: Tick) -> bool {
+        self.machine.status(now).reading
+    }
+
     /// The time used since the last call of this.
     pub(super) fn take_used(&mut self) -> Duration {
         std::mem::take(&mut self.used)
--- a/crates/bench/src/core_cost/report.rs
+++ b/crates/bench/src/core_cost/report.rs
@@ -1,10 +1,11 @@
 //! What is reported.
 
+use serde::Deserialize;
 use serde::Serialize;
 
 /// Costs of one node's decisions; times are medians in microseconds of one
 /// core.
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct CoreCost {
     /// Members of the list, each with a node.
     pub members: usize,
--- a/crates/bench/src/core_cost/run.rs
+++ b/crates/bench/src/core_cost/run.rs
@@ -38,6 +38,12 @@
 /// Machines by which the memory of one is measured.
 const COPIES: usize = 8;
 
+/// Steps of time that something may take.
+const MAX_STEPS: usize = 20_000;
+
+/// Steps of time that a change may take from one machine to the other.
+const MAX_PASSES: usize = 100;
+
 /// Endpoint states that one message brings.
 const STATES_AT_ONCE: usize = 256;
 
@@ -119,10 +125,23 @@
             reader,
             member,
         };
+        pair.until_reading()?;
         pair.tell_all_states();
         Ok(pair)
     }
 
+    /// Lets time pass until the first machine has stepped in as a reader,
+    /// since none of the others answers.
+    fn until_reading(&mut self) -> miette::Result<()> {
+        for _ in 0..MAX_STEPS {
+            if self.reader.reads(self.now) {
+                return Ok(());
+            }
+            self.settle();
+        }
+        Err(miette!("the machine doesn't read"))
+    }
+
     /// One change of the catalogue, from the platform to the member; gives
     /// the size of its announcement.
     fn change(&mut self, taken: &mut Times) -> miette::Result<usize> {
@@ -130,6 +149,7 @@
         self.settle();
         self.read(Stream::Catalogue)?;
         taken.reader.push(self.reader.take_used());
+        self.member.take_used();
         let bytes = self.pass_on()?;
         taken.member.push(self.member.take_used());
         taken.serve.push(self.reader.take_used());
@@ -141,6 +161,7 @@
         self.source.change_instance(i);
         self.settle();
         self.read(Stream::Instances)?;
+        self.member.take_used();
         self.pass_on()?;
         taken.list.push(self.member.take_used());
         Ok(())
@@ -224,39 +245,55 @@
             for machine in [&mut self.reader, &mut self.member] {
                 machine.wake(self.now);
                 machine.take_calls(self.now, "");
+                machine.end_watches(self.now);
             }
         }
         self.reader.take_used();
         self.member.take_used();
     }
 
-    /// The platform answers the reader's watch. A machine that doesn't read
-    /// is told all the same: what it costs to take in is what counts.
+    /// The platform answers the reader's watch.
     fn read(&mut self, stream: Stream) -> miette::Result<()> {
-        let result = self.source.read(stream)?;
-        self.reader.watches.retain(|watch| *watch != stream);
-        self.reader
-            .handle(self.now, Event::SourceRead { stream, result });
-        self.reader.wake(self.now);
-        Ok(())
+        for _ in 0..MAX_STEPS {
+            if let Some(at) = self.reader.watches.iter().position(|it| *it == stream) {
+                self.reader.watches.swap_remove(at);
+                let result = self.source.read(stream)?;
+                self.reader.take_used();
+                self.reader
+                    .handle(self.now, Event::SourceRead { stream, result });
+                self.reader.wake(self.now);
+                return Ok(());
+            }
+            self.now = self.now + STEP;
+            self.reader.wake(self.now);
+            self.reader.take_calls(self.now, "");
+        }
+        Err(miette!("the reader doesn't read {stream}"))
     }
 
-    /// The reader's first announcement reaches the member, which pulls what
-    /// didn't come with it and announces in turn.
+    /// What the reader announces reaches the member, which pulls what didn't
+    /// come with it and announces in turn. Gives the size of the first
+    /// announcement.
     fn pass_on(&mut self) -> miette::Result<usize> {
-        let announced = self.reader.take_calls(self.now, "announce");
-        let first = announced.into_iter().next();
-        let first = first.ok_or_else(|| miette!("the reader announced nothing"))?;
-        self.reader.take_used();
-        let bytes = size(&first.message)?;
-        self.member.answer(self.now, &self.reader.id, first.message);
-        for pull in self.member.take_calls(self.now, "pull") {
-            let reply = self.reader.answer(self.now, &self.member.id, pull.message);
-            let call = pull.id;
-            self.member.handle(self.now, Event::Reply { call, reply });
+        let mut bytes = None;
+        for _ in 0..MAX_PASSES {
+            if let Some(call) = self.reader.take_calls(self.now, "announce").pop() {
+                bytes = bytes.or(Some(size(&call.message)?));
+                self.member.answer(self.now, &self.reader.id, call.message);
+            }
+            for pull in self.member.take_calls(self.now, "pull") {
+                let reply = self.reader.answer(self.now, &self.member.id, pull.message);
+                let call = pull.id;
+                self.member.handle(self.now, Event::Reply { call, reply });
+            }
+            self.member.wake(self.now);
+            if self.member.versions() == self.reader.versions() {
+                return bytes.ok_or_else(|| miette!("the reader announced nothing"));
+            }
+            self.now = self.now + STEP;
+            self.reader.wake(self.now);
         }
-        self.member.wake(self.now);
-        Ok(bytes)
+        Err(miette!("the member doesn't hold what the reader does"))
     }
 }
 
--- a/crates/bench/src/slopes/measure.rs
+++ b/crates/bench/src/slopes/measure.rs
@@ -1,5 +1,6 @@
 //! One measurement at one place of an axis.
 
+use std::process::Command;
 use std::time::Duration;
 
 use miette::IntoDiagnostic;
@@ -7,10 +8,11 @@
 
 use super::Axis;
 use super::series::Figure;
+use super::series::Form;
 use crate::calls;
 use crate::control_fleet::FleetOptions;
 use crate::control_fleet::Tuning;
-use crate::core_cost;
+use crate::core_cost::CoreCost;
 use crate::generate::Shape;
 use crate::processes;
 use crate::spread;
@@ -21,6 +23,9 @@
 /// Nodes of the calls.
 const CALL_NODES: usize = 4;
 
+/// Figures of which a fixed part is shared by all nodes.
+const SHARED: [&str; 2] = ["control bytes/node/change", "CPU us/node/change"];
+
 /// Measures all figures of `axis` at `x`.
 ///
 /// # Errors
@@ -30,7 +35,7 @@
     let shape = Shape::target(seed);
     let count = x as usize;
     match axis {
-        Axis::Nodes => spread_at(count, shape, 1.0),
+        Axis::Nodes => nodes_at(count, shape),
         Axis::Processes => processes_at(count, shape),
         Axis::Services => spread_at(
             FEW_NODES,
@@ -92,6 +97,17 @@
     ])
 }
 
+/// The readers' part of a change is shared by all nodes.
+fn nodes_at(nodes: usize, shape: Shape) -> miette::Result<Vec<Figure>> {
+    let mut figures = spread_at(nodes, shape, 1.0)?;
+    for figure in &mut figures {
+        if SHARED.contains(&figure.name) {
+            figure.form = Form::Inverse;
+        }
+    }
+    Ok(figures)
+}
+
 fn processes_at(nodes: usize, shape: Shape) -> miette::Result<Vec<Figure>> {
     let runtime = Runtime::new().into_diagnostic()?;
     let cost = runtime.block_on(processes::run(nodes, shape))?;
@@ -99,9 +115,9 @@
         figure("resident memory, bytes", cost.rss_bytes),
         figure("own memory, bytes", cost.own_bytes),
         figure("largest resident memory, bytes", cost.rss_bytes_max as f64),
-        figure("CPU us/change", cost.cpu_us_per_change),
+        shared("CPU us/change", cost.cpu_us_per_change),
         figure("CPU us/s idle", cost.idle_cpu_us_per_s),
-        figure("control bytes/change", cost.control_bytes_per_change),
+        shared("control bytes/change", cost.control_bytes_per_change),
         figure("idle control bytes/s", cost.idle_control_bytes_per_s),
     ])
 }
@@ -124,7 +140,7 @@
 }
 
 fn members_at(shape: Shape) -> miette::Result<Vec<Figure>> {
-    let cost = core_cost::run(shape)?;
+    let cost = core_cost_apart(shape)?;
     Ok(vec![
         figure("reader CPU us/change", cost.reader_us_per_change),
         figure("member CPU us/change", cost.member_us_per_change),
@@ -140,6 +156,35 @@
     ])
 }
 
+/// The decisions' cost in a process of its own: what an earlier measurement
+/// freed would hide the memory of this one.
+fn core_cost_apart(shape: Shape) -> miette::Result<CoreCost> {
+    let program = std::env::current_exe().into_diagnostic()?;
+    let output = Command::new(program)
+        .arg("core-cost")
+        .arg("--members")
+        .arg(shape.endpoints.to_string())
+        .arg("--services")
+        .arg(shape.services.to_string())
+        .arg("--seed")
+        .arg(shape.seed.to_string())
+        .output()
+        .into_diagnostic()?;
+    serde_json::from_slice(&output.stdout).into_diagnostic()
+}
+
 fn figure(name: &'static str, value: f64) -> Figure {
-    Figure { name, value }
+    Figure {
+        name,
+        form: Form::Linear,
+        value,
+    }
+}
+
+/// A figure of which a fixed part is shared by all.
+fn shared(name: &'static str, value: f64) -> Figure {
+    Figure {
+        form: Form::Inverse,
+        ..figure(name, value)
+    }
 }
--- a/crates/bench/src/slopes/run.rs
+++ b/crates/bench/src/slopes/run.rs
@@ -6,6 +6,7 @@
 use super::Axis;
 use super::Report;
 use super::measure;
+use super::series::Figure;
 use super::series::Series;
 use crate::fit::Point;
 
@@ -28,7 +29,7 @@
 }
 
 fn along(axis: Axis, seed: u64) -> miette::Result<Vec<Series>> {
-    let mut names: Vec<&'static str> = Vec::new();
+    let mut last: Vec<Figure> = Vec::new();
     let mut points: Vec<Vec<Point>> = Vec::new();
     for &x in axis.places() {
         let figures = measure::at(axis, x, seed)?;
@@ -36,11 +37,11 @@
         for (points, figure) in points.iter_mut().zip(&figures) {
             points.push(Point { x, y: figure.value });
         }
-        names = figures.iter().map(|figure| figure.name).collect();
+        last = figures;
     }
-    let series = names.into_iter().zip(points);
+    let series = last.into_iter().zip(points);
     Ok(series
-        .map(|(name, points)| Series::new(axis, name, points))
+        .map(|(figure, points)| Series::new(axis, figure, points))
         .collect())
 }
 
--- a/crates/bench/src/slopes/table.rs
+++ b/crates/bench/src/slopes/table.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use super::series::Form;
 use super::series::Series;
 
 /// Digits that a figure is told with.
@@ -29,14 +30,19 @@
         return format!("| {} | {} | {points} | | | |", series.axis, series.figure);
     };
     format!(
-        "| {} | {} | {points} | {} ± {} | {:.2} | {} ± {} at {} |",
+        "| {} | {} | {points} | {} ± {}{} | {:.2} | {} ± {} at {} |",
         series.axis,
         series.figure,
         short(fit.slope),
         short(2.0 * fit.slope_error),
+        if series.form == Form::Inverse {
+            " by 1/x"
+        } else {
+            ""
+        },
         fit.r2,
-        short(fit.at(series.target)),
-        short(fit.spread_at(series.target)),
+        short(series.at_target.unwrap_or_default()),
+        short(series.at_target_spread.unwrap_or_default()),
         short(series.target),
     )
 }
