Tell faults within and across entries of a catalogue together

Cause: faults across entries were only looked for once each entry was well, so that an operator mended what was told and was then told more.

Change: catalogue::review reads what can be read, takes the names of the rest to be there, and looks across entries all the same. The client uses it; nodes judge as before, by the same check.

Figures: a text with one fault within and one across entries told 1 fault before and tells 2 now.

--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -8,9 +8,11 @@
 pub use self::limits::RetryLimits;
 pub use self::parse::parse;
 pub use self::path::RoutePath;
+pub use self::review::review;
 pub use self::route::Route;
 pub use self::service::ServiceEntry;
 
+use self::reading::Reading;
 use crate::Document;
 
 mod item;
@@ -18,6 +20,8 @@
 mod limits;
 mod parse;
 mod path;
+mod reading;
+mod review;
 mod route;
 mod service;
 #[cfg(test)]
--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use super::MAX_CATALOGUE_BYTES;
+use super::Reading;
 use crate::CatalogueItem;
 use crate::Class;
 use crate::Faults;
+use crate::ItemKey;
 use crate::Kind;
 use crate::KindName;
 use crate::Limits;
@@ -17,6 +19,7 @@
 use crate::ServiceEntry;
 use crate::ServiceName;
 use crate::yaml;
+use crate::yaml::Field;
 use crate::yaml::Table;
 
 /// Bounds of a kind's weight.
@@ -45,48 +48,70 @@
 /// Returns every fault with its place: an unknown or missing field, a value
 /// out of range, a name that isn't one, or a text over 1 MiB.
 pub fn parse(text: &str) -> Result<Vec<CatalogueItem>, Faults> {
-    let mut faults = Faults::new();
+    let Reading { items, faults, .. } = read(text);
+    faults.into_result(items)
+}
+
+/// Reads what can be read of a catalogue, beside the faults of the rest.
+///
+/// Nobody may put this in force; it lets an operator hear of faults across
+/// entries together with those within them.
+pub(super) fn read(text: &str) -> Reading {
+    let mut reading = Reading::default();
     if text.len() > MAX_CATALOGUE_BYTES {
         let reason = format!("has {} bytes, at most {MAX_CATALOGUE_BYTES}", text.len());
-        faults.add("catalogue", "", reason);
-        return Err(faults);
+        reading.faults.add("catalogue", "", reason);
+        return reading;
     }
-    let tree = yaml::parse(text)?;
-    let mut items = Vec::new();
-    if let Some(mut top) = Table::open("", &tree, TOP, &mut faults) {
-        if let Some(mut kinds) = top.table("kinds", &mut faults) {
-            read_kinds(&mut kinds, &mut items, &mut faults);
+    let tree = match yaml::parse(text) {
+        Ok(tree) => tree,
+        Err(faults) => {
+            reading.faults = faults;
+            return reading;
         }
-        if let Some(mut services) = top.table("services", &mut faults) {
-            read_services(&mut services, &mut items, &mut faults);
+    };
+    if let Some(mut top) = Table::open("", &tree, TOP, &mut reading.faults) {
+        if let Some(mut kinds) = top.table("kinds", &mut reading.faults) {
+            read_kinds(&mut kinds, &mut reading);
+        }
+        if let Some(mut services) = top.table("services", &mut reading.faults) {
+            read_services(&mut services, &mut reading);
         }
-        top.finish(&mut faults);
+        top.finish(&mut reading.faults);
     }
-    faults.into_result(items)
+    reading
 }
 
-fn read_kinds(kinds: &mut Table<'_>, items: &mut Vec<CatalogueItem>, faults: &mut Faults) {
+fn read_kinds(kinds: &mut Table<'_>, reading: &mut Reading) {
     for field in kinds.rest() {
-        let name = checked(KindName::new(&field.key), field.place, faults);
-        let entry = format!("kind {}", field.key);
-        let table = Table::open(entry, &field.value.tree, field.value.place, faults);
-        let Some(mut table) = table else { continue };
-        let weight = number_u32(table.number("weight", WEIGHT, faults));
-        table.finish(faults);
-        if let (Some(name), Some(weight)) = (name, weight) {
-            items.push(CatalogueItem::Kind(Kind { name, weight }));
-        }
+        let mut faults = Faults::new();
+        let name = checked(KindName::new(&field.key), field.place, &mut faults);
+        let kind = read_kind(name.clone(), field, &mut faults);
+        let key = name.map(ItemKey::Kind);
+        reading.take(key, kind.map(CatalogueItem::Kind), faults);
     }
 }
 
-fn read_services(services: &mut Table<'_>, items: &mut Vec<CatalogueItem>, faults: &mut Faults) {
+fn read_kind(name: Option<KindName>, field: &Field, faults: &mut Faults) -> Option<Kind> {
+    let entry = format!("kind {}", field.key);
+    let mut table = Table::open(entry, &field.value.tree, field.value.place, faults)?;
+    let weight = number_u32(table.number("weight", WEIGHT, faults));
+    table.finish(faults);
+    Some(Kind {
+        name: name?,
+        weight: weight?,
+    })
+}
+
+fn read_services(services: &mut Table<'_>, reading: &mut Reading) {
     for field in services.rest() {
-        let name = checked(ServiceName::new(&field.key), field.place, faults);
-        let table = Table::open(&*field.key, &field.value.tree, field.value.place, faults);
-        let Some(table) = table else { continue };
-        if let Some(entry) = read_service(name, table, faults) {
-            items.push(CatalogueItem::Service(entry));
-        }
+        let mut faults = Faults::new();
+        let name = checked(ServiceName::new(&field.key), field.place, &mut faults);
+        let place = field.value.place;
+        let table = Table::open(&*field.key, &field.value.tree, place, &mut faults);
+        let entry = table.and_then(|table| read_service(name.clone(), table, &mut faults));
+        let key = name.map(ItemKey::Service);
+        reading.take(key, entry.map(CatalogueItem::Service), faults);
     }
 }
 
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -11,6 +11,8 @@
 pub use self::service::ServiceKey;
 pub use self::whole::Snapshot;
 
+pub(crate) use self::check::check_across;
+
 mod build;
 mod check;
 mod endpoint;
--- a/crates/core/src/snapshot/check.rs
+++ b/crates/core/src/snapshot/check.rs
@@ -30,30 +30,39 @@
 /// Returns every fault.
 pub(super) fn check(catalogue: &Catalogue) -> Result<Weights<'_>, Faults> {
     let mut weights = Weights::default();
+    for item in catalogue.iter() {
+        if let CatalogueItem::Kind(kind) = item {
+            weights.0.insert(&kind.name, kind.weight);
+        }
+    }
+    check_across(catalogue, &[]).into_result(weights)
+}
+
+/// Every fault across the entries of a catalogue.
+///
+/// What stands in `unread` is taken to be there: it has faults of its own, and
+/// that others name it is not one more.
+pub(crate) fn check_across(catalogue: &Catalogue, unread: &[ItemKey]) -> Faults {
     let mut faults = Faults::new();
     let mut taken = HashMap::new();
+    let known = |key: ItemKey| catalogue.get(&key).is_some() || unread.contains(&key);
     for item in catalogue.iter() {
-        match item {
-            CatalogueItem::Kind(kind) => {
-                weights.0.insert(&kind.name, kind.weight);
-            }
-            CatalogueItem::Service(entry) => {
-                check_entry(catalogue, entry, &mut taken, &mut faults);
-            }
+        if let CatalogueItem::Service(entry) = item {
+            check_entry(&known, entry, &mut taken, &mut faults);
         }
     }
-    faults.into_result(weights)
+    faults
 }
 
 fn check_entry<'a>(
-    catalogue: &Catalogue,
+    known: &impl Fn(ItemKey) -> bool,
     entry: &'a ServiceEntry,
     taken: &mut HashMap<&'a RoutePath, &'a ServiceName>,
     faults: &mut Faults,
 ) {
     for (i, route) in entry.routes.iter().enumerate() {
         let place = format!("{}.routes[{i}]", entry.name);
-        check_route(catalogue, &place, route, faults);
+        check_route(known, &place, route, faults);
         if let Some(other) = taken.insert(&route.path, &entry.name) {
             let reason = format!("{} is already taken by {other}", route.path);
             faults.add(&place, "path", reason);
@@ -61,15 +70,12 @@
     }
 }
 
-fn check_route(catalogue: &Catalogue, place: &str, route: &Route, faults: &mut Faults) {
-    if catalogue
-        .get(&ItemKey::Service(route.service.clone()))
-        .is_none()
-    {
+fn check_route(known: &impl Fn(ItemKey) -> bool, place: &str, route: &Route, faults: &mut Faults) {
+    if !known(ItemKey::Service(route.service.clone())) {
         let reason = format!("there is no service {}", route.service);
         faults.add(place, "service", reason);
     }
-    if catalogue.get(&ItemKey::Kind(route.kind.clone())).is_none() {
+    if !known(ItemKey::Kind(route.kind.clone())) {
         let reason = format!("there is no kind {}", route.kind);
         faults.add(place, "kind", reason);
     }
--- a/crates/core/src/yaml.rs
+++ b/crates/core/src/yaml.rs
@@ -6,6 +6,7 @@
 //! notes what is missing, unknown or out of range and goes on.
 
 pub use self::table::Table;
+pub use self::tree::Field;
 pub use self::tree::Scalar;
 pub use self::tree::Tree;
 
--- a/crates/ctl/src/catalogue.rs
+++ b/crates/ctl/src/catalogue.rs
@@ -8,10 +8,7 @@
 use sassafrasspool_core::Catalogue;
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Faults;
-use sassafrasspool_core::InstanceList;
 use sassafrasspool_core::Place;
-use sassafrasspool_core::Revision;
-use sassafrasspool_core::Snapshot;
 use sassafrasspool_core::Step;
 use sassafrasspool_core::catalogue;
 use sassafrasspool_core::catalogue::MAX_CATALOGUE_BYTES;
@@ -42,30 +39,16 @@
 ///
 /// Returns every fault, with its place where the text shows it.
 pub(crate) fn judge(text: &str) -> Result<Catalogue, Faults> {
-    let items = catalogue::parse(text)?;
-    let first = Revision::new(1).map_err(without_place)?;
-    let held = Catalogue::new(first, items).map_err(without_place)?;
-    let nobody = InstanceList::new(first, []).map_err(without_place)?;
-    match Snapshot::build(&held, &nobody) {
-        Ok(_) => Ok(held),
-        Err(faults) => Err(located(text, &faults)),
-    }
-}
-
-fn without_place(err: Error) -> Faults {
-    let mut faults = Faults::new();
-    faults.add("", "", err.to_string());
-    faults
+    catalogue::review(text).map_err(|faults| located(text, &faults))
 }
 
-/// Gives places to faults that were found across entries, after the text.
+/// Gives places to faults that were found across entries.
 fn located(text: &str, faults: &Faults) -> Faults {
     let tree = yaml::parse(text).ok();
     let mut found = Faults::new();
     for fault in faults.iter() {
-        let place = tree
-            .as_ref()
-            .and_then(|tree| place_of(tree, &fault.entry, &fault.field));
+        let by_tree = || place_of(tree.as_ref()?, &fault.entry, &fault.field);
+        let place = fault.place.or_else(by_tree);
         found.add_at(place, &fault.entry, &fault.field, &*fault.reason);
     }
     found
--- a/crates/ctl/tests/files.rs
+++ b/crates/ctl/tests/files.rs
@@ -67,6 +67,31 @@
     assert!(text.out.contains("refused, 1 faults"), "{}", text.out);
 }
 
+// An operator mends the one fault that was told, checks again, and is told the
+// next: faults across entries were only looked for once each entry was well.
+#[test]
+fn check_tells_faults_within_and_across_entries_together() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("bad.yaml");
+    let more = "  yard:
+    owner: Yard
+    class: standard
+    limits: {rate_per_s: 10, concurrency: 4, deadline_ms: 900}
+";
+    let text = DESK.replace(
+        "service: desk}",
+        "service: gone}\n      - {path: /y, kind: review, service: yard}",
+    );
+    fs::write(&file, text + more).unwrap();
+    let ran = ran(&["check", file.to_str().unwrap(), "--json"]);
+    let found: serde_json::Value = serde_json::from_str(&ran.out).unwrap();
+    let faults = found["faults"].as_array().unwrap();
+    assert_eq!(faults.len(), 2, "{found}");
+    assert_eq!(faults[0]["entry"], "yard", "{found}");
+    assert_eq!(faults[1]["reason"], "there is no service gone", "{found}");
+    assert_eq!(faults[1]["line"], 8, "{found}");
+}
+
 #[rstest]
 #[case("khangai")]
 #[case("thekkady")]
