Tell how far a fitted line may be off where it is read

The spread told at the target left out the error of the line's level and counted the distance from zero instead of from the points, so that a line over 1/x claimed to be right within a quarter of a byte. It is the line's standard error at that place now, twice.

--- a/crates/bench/src/core_cost.rs
+++ b/crates/bench/src/core_cost.rs
@@ -11,3 +11,5 @@
 mod report;
 mod run;
 mod source;
+#[cfg(test)]
+mod tests;
--- a/crates/bench/src/fit.rs
+++ b/crates/bench/src/fit.rs
@@ -23,6 +23,11 @@
     pub intercept: f64,
     /// The standard error of the slope; zero for fewer than three points.
     pub slope_error: f64,
+    /// The standard error of the line at the points' mean; zero for fewer than
+    /// three points.
+    pub level_error: f64,
+    /// The mean of the points' `x`.
+    pub mean_x: f64,
     /// The share of the variation that the line explains, 0 to 1.
     pub r2: f64,
     /// The largest distance of a point from the line, in units of `y`.
@@ -64,7 +69,9 @@
         Some(Fit {
             slope,
             intercept,
-            slope_error: slope_error(squares, points.len(), moments.xx),
+            slope_error: deviation(squares, points.len()) / moments.xx.sqrt(),
+            level_error: deviation(squares, points.len()) / (points.len() as f64).sqrt(),
+            mean_x: moments.mean_x,
             r2: explained(squares, moments.yy),
             worst: points.iter().map(|p| residual(p).abs()).fold(0.0, f64::max),
         })
@@ -75,10 +82,10 @@
         self.intercept + self.slope * x
     }
 
-    /// Twice the slope's standard error over the distance to `x`: how far
-    /// the line may be off at `x` by the spread of the points alone.
+    /// Twice the line's standard error at `x`: how far it may be off there by
+    /// the spread of the points alone.
     pub fn spread_at(&self, x: f64) -> f64 {
-        2.0 * self.slope_error * x
+        2.0 * self.level_error.hypot(self.slope_error * (x - self.mean_x))
     }
 }
 
@@ -100,11 +107,12 @@
     }
 }
 
-fn slope_error(squares: f64, points: usize, xx: f64) -> f64 {
+/// The standard deviation of points from their line.
+fn deviation(squares: f64, points: usize) -> f64 {
     if points < 3 {
         return 0.0;
     }
-    (squares / (points - 2) as f64 / xx).sqrt()
+    (squares / (points - 2) as f64).sqrt()
 }
 
 fn explained(squares: f64, yy: f64) -> f64 {
--- a/crates/bench/src/fit/tests.rs
+++ b/crates/bench/src/fit/tests.rs
@@ -24,6 +24,18 @@
     assert!((fit.r2 - case.r2).abs() < 1e-9, "{fit:?}");
 }
 
+// A line through points that lie around it is least certain far away.
+#[test]
+fn a_line_is_least_certain_far_from_its_points() {
+    let ys = [1.0, 2.5, 2.5, 4.0];
+    let points = ys.iter().enumerate();
+    let points: Vec<Point> = points.map(|(i, &y)| Point { x: i as f64, y }).collect();
+    let fit = Fit::through(&points).unwrap();
+    let near = fit.spread_at(fit.mean_x);
+    assert!(near > 0.0 && fit.spread_at(0.0) > near, "{fit:?}");
+    assert!(fit.spread_at(100.0) > 10.0 * near, "{fit:?}");
+}
+
 #[test]
 fn points_at_one_place_have_no_line() {
     let points = [Point { x: 1.0, y: 1.0 }, Point { x: 1.0, y: 2.0 }];
--- a/crates/bench/src/slopes/series.rs
+++ b/crates/bench/src/slopes/series.rs
@@ -6,6 +6,9 @@
 use crate::fit::Fit;
 use crate::fit::Point;
 
+#[cfg(test)]
+mod tests;
+
 /// In what a figure is linear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- /dev/null
+++ b/crates/bench/src/slopes/series/tests.rs
@@ -0,0 +1,27 @@
+use super::Figure;
+use super::Form;
+use super::Series;
+use crate::fit::Point;
+use crate::slopes::Axis;
+
+// A fixed amount is shared by all nodes. A line over the number of nodes would
+// lead below zero at the target's size; over its inverse it leads to what is
+// left for each.
+#[test]
+fn a_shared_cost_is_drawn_over_the_inverse() {
+    let nodes = [25.0, 50.0, 100.0, 200.0];
+    let points = nodes.map(|x| Point {
+        x,
+        y: 1_500.0 + 1_444_752.0 / x,
+    });
+    let figure = Figure {
+        name: "bytes",
+        form: Form::Inverse,
+        value: 0.0,
+    };
+    let series = Series::new(Axis::Nodes, figure, points.to_vec());
+    let at_target = series.at_target.unwrap();
+    assert!((at_target - 1_852.4).abs() < 0.1, "{series:?}");
+    let row = crate::slopes::table::render(&[series]);
+    assert!(row.contains("by 1/x") && row.contains("1852"), "{row}");
+}
