--- a/crates/node/tests/requests/lost.rs
+++ b/crates/node/tests/requests/lost.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Response;
 use http::StatusCode;
 use sassafrasspool_core::Phase;
 
@@ -20,24 +22,28 @@
 /// Long enough that the crash comes in the middle of the run.
 const LONG: Duration = Duration::from_secs(10);
 
+/// Crashes the first member's target with a request on it; returns what its
+/// caller hears.
+async fn crash_under(fleet: &Fleet, path: &str) -> Response<Bytes> {
+    let first = &fleet.members[0];
+    first.target.set_slow(LONG).await;
+    let req = client::get(path, "r-1");
+    let answer = tokio::spawn(client::call(first.addrs.ingress, req));
+    wait::until("the run", || first.runs_of("r-1").len() == 1).await;
+    first.target.crash().await;
+    answer.await.expect("a task").expect("an answer")
+}
+
 // An adjuster approves a payment; the target takes it and crashes before it
 // answers. Nobody knows whether the money moved: the caller is told so, and
 // no other target gets the approval.
 #[tokio::test]
 async fn a_crash_after_hand_over_is_unknown_and_not_retried() {
     let fleet = Fleet::start(&[DESK, SECOND]).await;
-    let [first, second] = &fleet.members[..] else {
-        unreachable!("two members");
-    };
-    first.target.set_slow(LONG).await;
-    let req = client::get("/desk/lodge", "r-1");
-    let answer = tokio::spawn(client::call(first.addrs.ingress, req));
-    wait::until("the run", || first.runs_of("r-1").len() == 1).await;
-    first.target.crash().await;
-    let res = answer.await.expect("a task").expect("an answer");
+    let res = crash_under(&fleet, "/desk/lodge").await;
     assert_eq!(res.status(), StatusCode::BAD_GATEWAY);
     assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "unknown");
-    assert!(second.runs_of("r-1").is_empty());
+    assert!(fleet.members[1].runs_of("r-1").is_empty());
 }
 
 // A fitter looks up a policy and the target crashes with the lookup on it.
@@ -45,17 +51,9 @@
 #[tokio::test]
 async fn a_crash_under_an_idempotent_request_is_retried_elsewhere() {
     let fleet = Fleet::start(&[DESK, SECOND]).await;
-    let [first, second] = &fleet.members[..] else {
-        unreachable!("two members");
-    };
-    first.target.set_slow(LONG).await;
-    let req = client::get("/desk/policy", "r-1");
-    let answer = tokio::spawn(client::call(first.addrs.ingress, req));
-    wait::until("the run", || first.runs_of("r-1").len() == 1).await;
-    first.target.crash().await;
-    let res = answer.await.expect("a task").expect("an answer");
+    let res = crash_under(&fleet, "/desk/policy").await;
     assert_eq!(res.status(), StatusCode::OK);
-    assert_eq!(second.runs_of("r-1").len(), 1);
+    assert_eq!(fleet.members[1].runs_of("r-1").len(), 1);
 }
 
 // A target crashed a moment ago and its node doesn't know it yet. A lodged
@@ -78,15 +76,7 @@
 #[tokio::test]
 async fn a_refusal_after_a_loss_does_not_say_that_nothing_ran() {
     let fleet = Fleet::start(&[DESK, SECOND]).await;
-    let [first, second] = &fleet.members[..] else {
-        unreachable!("two members");
-    };
-    first.target.set_slow(LONG).await;
-    let req = client::get("/desk/policy", "r-1");
-    let answer = tokio::spawn(client::call(first.addrs.ingress, req));
-    wait::until("the run", || first.runs_of("r-1").len() == 1).await;
-    second.shared.advance(Phase::Draining);
-    first.target.crash().await;
-    let res = answer.await.expect("a task").expect("an answer");
+    fleet.members[1].shared.advance(Phase::Draining);
+    let res = crash_under(&fleet, "/desk/policy").await;
     assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "unknown");
 }
