Take the platform's values compressed where it offers that

Change: the client asks for the content coding zstd and undoes it up to the value's size limit; an answer in another coding, or one that isn't what it says, is an error and changes nothing. Unfolding with a bound stood in messages between nodes already and now serves both.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -64,6 +64,7 @@
             ..target
         },
         naive: opts.naive,
+        compress: opts.compress,
         tuning: Tuning {
             fanout: opts.fanout,
             interval_ms: opts.interval_ms,
@@ -94,6 +95,7 @@
             seed: opts.seed.unwrap_or(1),
         },
         naive: opts.naive,
+        compress: false,
         tuning: Tuning::default(),
     };
     output::print(&fault::run(&fault::Options { cases, fleet })?)
--- a/crates/bench/src/cli/flags.rs
+++ b/crates/bench/src/cli/flags.rs
@@ -42,6 +42,8 @@
             optional --cross-percent cross_percent: u32
             /// Milliseconds that the platform may hold a watching read.
             optional --watch-ms watch_ms: u64
+            /// Let the platform hand out its values compressed.
+            optional --compress
         }
         /// Let nodes, network and source fail, and judge what was in force.
         cmd fault {
--- a/crates/bench/src/control_fleet/fleet.rs
+++ b/crates/bench/src/control_fleet/fleet.rs
@@ -62,7 +62,11 @@
     pub fn start(opts: &FleetOptions) -> miette::Result<(ControlFleet, Publisher)> {
         let nodes = runtime(NODE_THREAD_NAME, NODE_THREADS)?;
         let standins = runtime("standin", STANDIN_THREADS)?;
-        let platform = Platform::start(PlatformSettings::default(), CancellationToken::new());
+        let cfg = PlatformSettings {
+            compress: opts.compress,
+            ..PlatformSettings::default()
+        };
+        let platform = Platform::start(cfg, CancellationToken::new());
         let platform = standins.block_on(platform).into_diagnostic()?;
         let target = Target::start(target_settings()?, CancellationToken::new());
         let target = standins.block_on(target).into_diagnostic()?;
--- a/crates/bench/src/control_fleet/options.rs
+++ b/crates/bench/src/control_fleet/options.rs
@@ -11,6 +11,8 @@
     pub shape: Shape,
     /// Whether every node reads the platform for itself.
     pub naive: bool,
+    /// Whether the platform hands out its values compressed.
+    pub compress: bool,
     /// Settings that differ from the defaults.
     pub tuning: Tuning,
 }
--- a/crates/bench/src/slopes/measure.rs
+++ b/crates/bench/src/slopes/measure.rs
@@ -68,6 +68,7 @@
             nodes,
             shape,
             naive: false,
+            compress: false,
             tuning: Tuning::default(),
         },
         changes: 5,
--- a/crates/bench/tests/fault.rs
+++ b/crates/bench/tests/fault.rs
@@ -24,6 +24,7 @@
             seed: 7,
         },
         naive: false,
+        compress: false,
         tuning: Tuning::default(),
     };
     let cases = vec![case];
--- a/crates/standin/src/platform/read_api.rs
+++ b/crates/standin/src/platform/read_api.rs
@@ -9,19 +9,30 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
+use http::header::ACCEPT_ENCODING;
+use http::header::CONTENT_ENCODING;
+use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::Stream;
 use serde::Deserialize;
 
+use super::MAX_VALUE_BYTES;
 use super::MAX_WAIT;
 use super::REVISION_HEADER;
 use super::shared::Shared;
 use super::state::Found;
 
+/// The content coding that values may go out in.
+const CODING: &str = "zstd";
+
+/// The compression level, the library's default.
+const LEVEL: i32 = 3;
+
 /// The parameters of a read.
 #[derive(Debug, Default, Deserialize)]
 struct ReadQuery {
@@ -40,12 +51,22 @@
         .with_state(shared)
 }
 
-async fn read_catalogue(shared: State<Arc<Shared>>, query: Query<ReadQuery>) -> Response {
-    read(&shared, Stream::Catalogue, &query).await
+async fn read_catalogue(
+    shared: State<Arc<Shared>>,
+    query: Query<ReadQuery>,
+    headers: HeaderMap,
+) -> Response {
+    let answer = read(&shared, Stream::Catalogue, &query).await;
+    coded(&shared, &headers, answer).await
 }
 
-async fn read_instances(shared: State<Arc<Shared>>, query: Query<ReadQuery>) -> Response {
-    read(&shared, Stream::Instances, &query).await
+async fn read_instances(
+    shared: State<Arc<Shared>>,
+    query: Query<ReadQuery>,
+    headers: HeaderMap,
+) -> Response {
+    let answer = read(&shared, Stream::Instances, &query).await;
+    coded(&shared, &headers, answer).await
 }
 
 async fn read(shared: &Shared, stream: Stream, query: &ReadQuery) -> Response {
@@ -78,6 +99,26 @@
     }
 }
 
+/// Compresses a value for a reader that takes it so.
+async fn coded(shared: &Shared, headers: &HeaderMap, answer: Response) -> Response {
+    let takes = headers.get(ACCEPT_ENCODING);
+    let takes = takes.is_some_and(|value| value == CODING);
+    if !shared.compress || !takes || answer.status() != StatusCode::OK {
+        return answer;
+    }
+    let (mut head, body) = answer.into_parts();
+    let Ok(body) = axum::body::to_bytes(body, MAX_VALUE_BYTES).await else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    let Ok(small) = zstd::bulk::compress(&body, LEVEL) else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    head.headers.remove(CONTENT_LENGTH);
+    let coding = HeaderValue::from_static(CODING);
+    head.headers.insert(CONTENT_ENCODING, coding);
+    Response::from_parts(head, small.into())
+}
+
 fn over_budget(wait: Duration) -> Response {
     let seconds = wait.as_secs().saturating_add(1);
     let retry_after = (RETRY_AFTER, HeaderValue::from(seconds));
--- a/crates/standin/src/platform/settings.rs
+++ b/crates/standin/src/platform/settings.rs
@@ -19,6 +19,8 @@
     /// Reads that may come at once after a pause; a tenth of a second's worth
     /// if absent.
     pub read_burst: Option<u32>,
+    /// Whether values go out compressed by `zstd` to readers that take it.
+    pub compress: bool,
     /// A catalogue to publish at the start.
     pub catalogue: Option<PathBuf>,
     /// An instance list (JSON) to publish at the start.
@@ -43,6 +45,7 @@
             admin: any_port,
             reads_per_s: DEFAULT_READS_PER_S,
             read_burst: None,
+            compress: false,
             catalogue: None,
             instances: None,
         }
--- a/crates/standin/src/platform/shared.rs
+++ b/crates/standin/src/platform/shared.rs
@@ -23,6 +23,8 @@
     state: Mutex<State>,
     changed: watch::Sender<()>,
     waiting: Waiting,
+    /// Whether readers may have values compressed.
+    pub(super) compress: bool,
     cancel: CancellationToken,
 }
 
@@ -33,6 +35,7 @@
             state: Mutex::new(State::new(cfg, Instant::now())),
             changed: watch::Sender::new(()),
             waiting: Waiting::default(),
+            compress: cfg.compress,
             cancel,
         }
     }
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -2,5 +2,6 @@
 
 mod ledger;
 mod process;
+mod reader;
 mod support;
 mod target;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod peer;
 pub mod platform;
 mod socket;
+mod unfold;
 
 pub use crate::socket::Counted;
 pub use crate::socket::SocketBytes;
--- a/crates/wire/src/peer/packed.rs
+++ b/crates/wire/src/peer/packed.rs
@@ -1,7 +1,6 @@
 //! Messages as they stand in a frame.
 
 use std::fmt;
-use std::io::Read;
 
 use bytes::Bytes;
 use sassafrasspool_core::Error;
@@ -12,6 +11,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::unfold::unfold;
+
 /// The largest message in bytes, unpacked: a body and what goes with it.
 pub const MAX_MESSAGE_BYTES: usize = MAX_BODY_BYTES + 1024 * 1024;
 
@@ -79,19 +80,10 @@
     }
 }
 
-/// A few compressed kilobytes can unfold to gigabytes, which would end this
-/// process. Reading stops one byte after the largest message there may be,
-/// however much is still to come.
 fn decompress(bytes: &[u8]) -> Result<Vec<u8>> {
-    let failed = |cause| codec("decompress").with_cause(cause);
-    let reader = zstd::stream::read::Decoder::with_buffer(bytes).map_err(failed)?;
-    let mut plain = Vec::new();
-    reader
-        .take(MAX_MESSAGE_BYTES as u64 + 1)
-        .read_to_end(&mut plain)
-        .map_err(failed)?;
-    check_size(plain.len())?;
-    Ok(plain)
+    let plain = unfold(bytes, MAX_MESSAGE_BYTES);
+    let plain = plain.map_err(|cause| codec("decompress").with_cause(cause))?;
+    plain.ok_or_else(too_large)
 }
 
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
@@ -105,11 +97,15 @@
 }
 
 fn check_size(len: usize) -> Result<()> {
-    if len > MAX_MESSAGE_BYTES {
-        let reason = format!("a message over {MAX_MESSAGE_BYTES} bytes");
-        return Err(Error::new(Step::Codec, reason));
+    match len > MAX_MESSAGE_BYTES {
+        true => Err(too_large()),
+        false => Ok(()),
     }
-    Ok(())
+}
+
+fn too_large() -> Error {
+    let reason = format!("a message over {MAX_MESSAGE_BYTES} bytes");
+    Error::new(Step::Codec, reason)
 }
 
 fn codec(what: &str) -> Error {
--- a/crates/wire/src/platform/answer.rs
+++ b/crates/wire/src/platform/answer.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
+use http::header::CONTENT_ENCODING;
 use http::header::RETRY_AFTER;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -21,10 +22,15 @@
 use super::MAX_INSTANCES;
 use super::MAX_VALUE_BYTES;
 use super::client::Body;
+use crate::unfold::unfold;
 
 /// The largest head of an answer, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// The content coding that is asked for. A catalogue shrinks to a twentieth,
+/// and readers fetch it whole at each change.
+pub(super) const CODING: &str = "zstd";
+
 /// The header that carries the revision.
 const REVISION: &str = "x-revision";
 
@@ -45,7 +51,10 @@
     let (head, body) = res.into_parts();
     let body = collect(body).await?;
     match head.status {
-        StatusCode::OK => Ok(value(stream, revision(&head.headers)?, &body)),
+        StatusCode::OK => {
+            let body = decoded(&head.headers, body)?;
+            Ok(value(stream, revision(&head.headers)?, &body))
+        }
         StatusCode::NOT_MODIFIED => Ok(SourceResult::Unchanged {
             newest: revision(&head.headers).ok(),
         }),
@@ -64,6 +73,20 @@
     Ok(collected.to_bytes())
 }
 
+/// Undoes the content coding, if the platform used the one asked for.
+fn decoded(headers: &HeaderMap, body: Bytes) -> Result<Bytes> {
+    let Some(coding) = headers.get(CONTENT_ENCODING) else {
+        return Ok(body);
+    };
+    if coding != CODING {
+        return Err(failed(format!("answered in the coding {coding:?}")));
+    }
+    let plain = unfold(&body, MAX_VALUE_BYTES);
+    let plain = plain.map_err(|cause| failed("answer not as coded").with_cause(cause))?;
+    let too_large = || failed(format!("unfolds to more than {MAX_VALUE_BYTES} bytes"));
+    plain.map(Bytes::from).ok_or_else(too_large)
+}
+
 fn value(stream: Stream, revision: Revision, body: &[u8]) -> SourceResult {
     let read = match stream {
         Stream::Catalogue => catalogue(revision, body),
--- a/crates/wire/src/platform/client.rs
+++ b/crates/wire/src/platform/client.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use http::Request;
+use http::header::ACCEPT_ENCODING;
 use http::header::HOST;
 use http_body_util::Empty;
 use hyper::body::Incoming;
@@ -125,6 +126,7 @@
         }
         Request::get(uri)
             .header(HOST, self.addr.to_string())
+            .header(ACCEPT_ENCODING, answer::CODING)
             .body(Empty::new())
             .map_err(|cause| self.failed("can't be asked").with_cause(cause))
     }
--- a/crates/wire/src/platform/tests.rs
+++ b/crates/wire/src/platform/tests.rs
@@ -114,6 +114,16 @@
     text: format!("HTTP/1.1 200 OK\r\nx-a: {}\r\n\r\n", "a".repeat(1024 * 1024)),
     result: "Failed { reason: \"source with 127.0.0.1:",
 })]
+#[case::unknown_coding(Answer {
+    stream: Stream::Catalogue,
+    text: http("200 OK", "x-revision: 7\r\ncontent-encoding: br\r\n", "kinds: {}"),
+    result: "answered in the coding",
+})]
+#[case::not_as_coded(Answer {
+    stream: Stream::Catalogue,
+    text: http("200 OK", "x-revision: 7\r\ncontent-encoding: zstd\r\n", "kinds: {}"),
+    result: "answer not as coded",
+})]
 #[case::garbage(Answer {
     stream: Stream::Catalogue,
     text: "\u{1}\u{2}\u{3}\r\n\r\n".to_owned(),
