--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -46,7 +46,12 @@
 
 /// Nodes that have started and joined.
 pub(super) fn joined_net(n: usize, seed: u64) -> Net {
-    let mut net = Net::new(n, seed, SpreadConfig::default());
+    joined_net_with(n, seed, SpreadConfig::default())
+}
+
+/// The same with other settings.
+pub(super) fn joined_net_with(n: usize, seed: u64, cfg: SpreadConfig) -> Net {
+    let mut net = Net::new(n, seed, cfg);
     net.run_until(Duration::from_secs(20), |net| {
         net.up().all(|node| node.joined) && net.all_at(1)
     });
