--- a/crates/core/src/spread/tests/platform.rs
+++ b/crates/core/src/spread/tests/platform.rs
@@ -15,6 +15,8 @@
     pub(super) outage: bool,
     /// Serve only the first so many values of each stream.
     pub(super) stale: Option<usize>,
+    /// Give what is served though it is older than what was asked for.
+    pub(super) hands_out_old: bool,
     /// When each read began.
     pub(super) reads: Vec<Tick>,
 }
@@ -62,7 +64,11 @@
         if newest == 0 {
             return Some(SourceResult::Nothing);
         }
-        if after.is_some_and(|after| after.get() >= newest) {
+        let lacks = match self.hands_out_old {
+            true => after.is_none_or(|after| after.get() != newest),
+            false => after.is_none_or(|after| after.get() < newest),
+        };
+        if !lacks {
             return None;
         }
         let revision = Revision::new(newest).unwrap();
--- a/crates/core/src/spread/tests/random.rs
+++ b/crates/core/src/spread/tests/random.rs
@@ -34,7 +34,7 @@
     Heal,
     Restart(usize),
     HerdRestart,
-    Stale,
+    Stale { hands_out_old: bool },
     Fresh,
     Outage,
     Return,
@@ -77,7 +77,7 @@
             2 => Just(Turn::Heal),
             2 => node.prop_map(Turn::Restart),
             1 => Just(Turn::HerdRestart),
-            1 => Just(Turn::Stale),
+            2 => any::<bool>().prop_map(|hands_out_old| Turn::Stale { hands_out_old }),
             1 => Just(Turn::Fresh),
             1 => Just(Turn::Outage),
             1 => Just(Turn::Return),
@@ -166,7 +166,10 @@
         Turn::Heal => heal(net),
         Turn::Restart(n) => net.start(*n),
         Turn::HerdRestart => (0..NODES).for_each(|n| net.start(n)),
-        Turn::Stale => net.platform.stale = Some(1),
+        Turn::Stale { hands_out_old } => {
+            net.platform.stale = Some(1);
+            net.platform.hands_out_old = *hands_out_old;
+        }
         Turn::Fresh => net.platform.stale = None,
         Turn::Outage => net.set_outage(true),
         Turn::Return => net.set_outage(false),
@@ -189,6 +192,7 @@
 fn heal_and_settle(net: &mut Net, state: &Published) -> Vec<(Version, Version)> {
     heal(net);
     net.platform.stale = None;
+    net.platform.hands_out_old = false;
     net.set_outage(false);
     (0..NODES).for_each(|n| net.resume(n));
     // What is still under way arrives.
--- a/crates/core/src/spread/tests/versions.rs
+++ b/crates/core/src/spread/tests/versions.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use rstest::rstest;
+
 use super::net::Net;
 use super::net::good;
 use super::net::joined_net;
@@ -63,17 +65,26 @@
 }
 
 // The platform serves an old state for an hour, as if nothing had been
-// published since. Nodes stay where they are and follow again afterwards.
-#[test]
-fn a_stale_platform_takes_nobody_back() {
+// published since; it says that there is nothing newer, or gives the old value
+// as the newest. Nodes stay where they are and follow again afterwards.
+#[rstest]
+#[case(false)]
+#[case(true)]
+fn a_stale_platform_takes_nobody_back(#[case] hands_out_old: bool) {
     let mut net = joined_net(12, 3);
+    net.platform.hands_out_old = hands_out_old;
     for revision in 2..5 {
         net.publish(revision, &good(revision));
         net.run_until(SOON, |net| net.all_at(revision));
     }
     net.platform.stale = Some(1);
+    let reads = net.platform.reads.len();
     net.run_for(60 * MINUTE);
     assert!(net.all_at(4));
+    let older = |event: &AuditEvent| matches!(event, AuditEvent::OlderIgnored { .. });
+    assert!(net.up().any(|node| node.audit.iter().any(older)));
+    let reads = net.platform.reads.len() - reads;
+    assert!(reads < 12 * 3_600 * 2, "{reads} reads: nobody slowed down");
     net.platform.stale = None;
     net.publish(5, &good(5));
     net.run_until(SOON, |net| net.all_at(5));
