Count a return from before what it sets off

A paused node that went on could be seen to put a version in force before its return was noted, so that the version's time was counted from its publication: the longest time of the pause case was told as 9,044 ms.

--- a/crates/bench/src/fault/stage.rs
+++ b/crates/bench/src/fault/stage.rs
@@ -167,10 +167,10 @@
         let members = Arc::clone(self.fleet.members());
         for &i in nodes {
             let seeds = self.seeds(i);
-            members[i].restart(self.fleet.handle(), &seeds)?;
-            self.apply_partition(i);
             self.timing.restarted(self.watcher.now(), i);
             self.find(i);
+            members[i].restart(self.fleet.handle(), &seeds)?;
+            self.apply_partition(i);
         }
         Ok(())
     }
@@ -188,10 +188,10 @@
     /// Lets stopped control sides go on.
     pub(super) fn resume(&mut self, nodes: &[usize]) {
         for &i in nodes {
+            self.find(i);
             if let Some(node) = self.member(i).node() {
                 node.gate().pause(false);
             }
-            self.find(i);
         }
     }
 
@@ -216,10 +216,10 @@
             return;
         };
         for i in 0..self.len() {
-            self.apply_partition(i);
             if parted.from_platform && parted.side.contains(&i) {
                 self.find(i);
             }
+            self.apply_partition(i);
         }
     }
 
@@ -231,8 +231,8 @@
 
     /// Ends the outage.
     pub(super) fn end_outage(&mut self) {
-        self.fleet.platform().set_outage(false);
         self.find_source();
+        self.fleet.platform().set_outage(false);
     }
 
     /// Makes the source go back to an old version.
@@ -246,8 +246,8 @@
 
     /// Makes the source serve the newest version again.
     pub(super) fn end_stale(&mut self) {
-        self.fleet.platform().set_stale(false);
         self.find_source();
+        self.fleet.platform().set_stale(false);
     }
 
     /// Some nodes, drawn at random.
@@ -327,6 +327,8 @@
         }
     }
 
+    /// Notes that a node is about to come back. What it does may be seen at
+    /// once, so that the note must not come after it.
     fn find(&mut self, i: usize) {
         self.lost[i] = self.lost[i].saturating_sub(1);
         if self.lost[i] == 0 {
