Let targets break off answers and hang in chaos runs

Two faults were missing from the scripts: a target that breaks off each answer and one that works and never answers.

--- a/crates/bench/src/chaos/driver.rs
+++ b/crates/bench/src/chaos/driver.rs
@@ -216,7 +216,10 @@
             return;
         };
         let target = &self.member(instance).target;
+        let from_us = now_us();
         match fault {
+            Fault::CutAnswers { .. } => target.set_cut_body(true).await,
+            Fault::Hang { .. } => target.set_hang_after_run(true).await,
             Fault::DrainTarget { .. } => target.set_drain(true).await,
             Fault::SlowTarget { extra, .. } => target.set_slow(extra).await,
             Fault::LateAnswers { by, .. } => target.late_answers(LATE_EVERY, by).await,
@@ -224,6 +227,11 @@
         }
         tokio::time::sleep(fault.length()).await;
         match fault {
+            Fault::CutAnswers { .. } => {
+                target.set_cut_body(false).await;
+                self.note(instance, OutageKind::AnswersCut, from_us);
+            }
+            Fault::Hang { .. } => target.set_hang_after_run(false).await,
             Fault::DrainTarget { .. } => target.set_drain(false).await,
             Fault::SlowTarget { .. } => target.set_slow(Duration::ZERO).await,
             Fault::LateAnswers { .. } => target.late_answers(0, Duration::ZERO).await,
--- a/crates/bench/src/chaos/fault.rs
+++ b/crates/bench/src/chaos/fault.rs
@@ -80,6 +80,20 @@
         /// For how long.
         length: Duration,
     },
+    /// A target breaks off in the middle of each answer.
+    CutAnswers {
+        /// Which instance.
+        instance: usize,
+        /// How long.
+        length: Duration,
+    },
+    /// A target does the work and never answers.
+    Hang {
+        /// Which instance.
+        instance: usize,
+        /// How long.
+        length: Duration,
+    },
     /// A target calls itself ill though it is well.
     LyingHealth {
         /// Which instance.
@@ -135,6 +149,8 @@
             | Fault::DrainTarget { instance, .. }
             | Fault::SlowTarget { instance, .. }
             | Fault::LateAnswers { instance, .. }
+            | Fault::CutAnswers { instance, .. }
+            | Fault::Hang { instance, .. }
             | Fault::LyingHealth { instance, .. } => Some(instance),
             _ => None,
         }
@@ -150,6 +166,8 @@
             | Fault::DrainTarget { length, .. }
             | Fault::SlowTarget { length, .. }
             | Fault::LateAnswers { length, .. }
+            | Fault::CutAnswers { length, .. }
+            | Fault::Hang { length, .. }
             | Fault::LyingHealth { length, .. }
             | Fault::Outage { length }
             | Fault::Stale { length }
--- a/crates/bench/src/chaos/script.rs
+++ b/crates/bench/src/chaos/script.rs
@@ -24,7 +24,7 @@
 const REST: Duration = Duration::from_millis(1_000);
 
 /// Kinds of faults to draw from.
-const FAULTS: usize = 18;
+const FAULTS: usize = 20;
 
 /// A fault and when it comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -153,7 +153,15 @@
                 instance,
                 length: self.millis(100, 2_300),
             },
-            16 => Fault::Crash {
+            16 => Fault::CutAnswers {
+                instance,
+                length: self.millis(100, 1_000),
+            },
+            17 => Fault::Hang {
+                instance,
+                length: self.millis(100, 1_000),
+            },
+            18 => Fault::Crash {
                 instance,
                 down: self.millis(100, 1_500),
             },
--- a/crates/bench/src/chaos/tests.rs
+++ b/crates/bench/src/chaos/tests.rs
@@ -41,7 +41,7 @@
         .collect();
     names.sort();
     names.dedup();
-    assert_eq!(names.len(), 18, "{names:?}");
+    assert_eq!(names.len(), 20, "{names:?}");
 }
 
 fn binds(text: &str) -> bool {
--- a/crates/bench/src/load/judge/evidence.rs
+++ b/crates/bench/src/load/judge/evidence.rs
@@ -6,7 +6,6 @@
 use super::KindCount;
 use super::LedgerRun;
 use super::Outage;
-use super::OutageKind;
 use super::Verdict;
 use crate::load::CallRecord;
 use crate::load::Ending;
@@ -137,7 +136,7 @@
         let ran = |instance| runs.iter().any(|run| run.instance == instance);
         self.outages.iter().filter(during).any(|outage| {
             let asked = record.entry == Some(outage.entry);
-            (asked && outage.kind != OutageKind::TargetCrashed) || ran(outage.instance)
+            (asked && outage.kind.is_of_node()) || ran(outage.instance)
         })
     }
 
--- a/crates/bench/src/load/judge/outage.rs
+++ b/crates/bench/src/load/judge/outage.rs
@@ -11,6 +11,15 @@
     NodePaused,
     /// The target dropped all its connections.
     TargetCrashed,
+    /// The target broke off its answers.
+    AnswersCut,
+}
+
+impl OutageKind {
+    /// Whether it hurt the node, and not the target beside it.
+    pub fn is_of_node(self) -> bool {
+        matches!(self, OutageKind::NodeKilled | OutageKind::NodePaused)
+    }
 }
 
 /// When one instance was hurt, and how.
