Compress a stand-in's value where it is answered

Cause: a finished answer was taken apart to bytes, compressed and put together again, with its length header taken out by hand, after the status was guessed back from it.

Change: the one place that answers with a value compresses it.

--- a/crates/standin/src/platform/read_api.rs
+++ b/crates/standin/src/platform/read_api.rs
@@ -14,14 +14,12 @@
 use http::StatusCode;
 use http::header::ACCEPT_ENCODING;
 use http::header::CONTENT_ENCODING;
-use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::Stream;
 use serde::Deserialize;
 
-use super::MAX_VALUE_BYTES;
 use super::MAX_WAIT;
 use super::REVISION_HEADER;
 use super::shared::Shared;
@@ -56,8 +54,7 @@
     query: Query<ReadQuery>,
     headers: HeaderMap,
 ) -> Response {
-    let answer = read(&shared, Stream::Catalogue, &query).await;
-    coded(&shared, &headers, answer).await
+    read(&shared, Stream::Catalogue, &query, &headers).await
 }
 
 async fn read_instances(
@@ -65,11 +62,10 @@
     query: Query<ReadQuery>,
     headers: HeaderMap,
 ) -> Response {
-    let answer = read(&shared, Stream::Instances, &query).await;
-    coded(&shared, &headers, answer).await
+    read(&shared, Stream::Instances, &query, &headers).await
 }
 
-async fn read(shared: &Shared, stream: Stream, query: &ReadQuery) -> Response {
+async fn read(shared: &Shared, stream: Stream, query: &ReadQuery, headers: &HeaderMap) -> Response {
     let admitted = shared.state().admit(tokio::time::Instant::now());
     if let Err(wait) = admitted {
         return over_budget(wait);
@@ -81,10 +77,11 @@
     }
     let found = shared.watch(stream, query.after, wait).await;
     shared.hold_back().await;
-    answer(stream, found)
+    let compress = shared.compress && takes_coding(headers);
+    answer(stream, found, compress)
 }
 
-fn answer(stream: Stream, found: Found) -> Response {
+fn answer(stream: Stream, found: Found, compress: bool) -> Response {
     match found {
         Found::Outage => (StatusCode::SERVICE_UNAVAILABLE, "outage").into_response(),
         Found::Nothing => (StatusCode::NOT_FOUND, "nothing published").into_response(),
@@ -94,29 +91,25 @@
         Found::Value(value) => {
             let content_type = (CONTENT_TYPE, HeaderValue::from_static(media_type(stream)));
             let headers = [revision_header(value.revision), content_type];
+            if compress {
+                return (headers, coded(&value.body)).into_response();
+            }
             (headers, value.body).into_response()
         }
     }
 }
 
-/// Compresses a value for a reader that takes it so.
-async fn coded(shared: &Shared, headers: &HeaderMap, answer: Response) -> Response {
+fn takes_coding(headers: &HeaderMap) -> bool {
     let takes = headers.get(ACCEPT_ENCODING);
-    let takes = takes.is_some_and(|value| value == CODING);
-    if !shared.compress || !takes || answer.status() != StatusCode::OK {
-        return answer;
+    takes.is_some_and(|value| value == CODING)
+}
+
+/// A value, compressed.
+fn coded(body: &[u8]) -> Response {
+    match zstd::bulk::compress(body, LEVEL) {
+        Ok(small) => ([(CONTENT_ENCODING, CODING)], small).into_response(),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
     }
-    let (mut head, body) = answer.into_parts();
-    let Ok(body) = axum::body::to_bytes(body, MAX_VALUE_BYTES).await else {
-        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
-    };
-    let Ok(small) = zstd::bulk::compress(&body, LEVEL) else {
-        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
-    };
-    head.headers.remove(CONTENT_LENGTH);
-    let coding = HeaderValue::from_static(CODING);
-    head.headers.insert(CONTENT_ENCODING, coding);
-    Response::from_parts(head, small.into())
 }
 
 fn over_budget(wait: Duration) -> Response {
