--- a/crates/bench/src/demo/callers.rs
+++ b/crates/bench/src/demo/callers.rs
@@ -99,7 +99,7 @@
 /// Fails if a call has no route.
 pub(super) fn kinds(calls: &[Call], routes: &Snapshot) -> Result<Vec<CallKind>> {
     let kind = |call: &Call| {
-        let route = routes.match_route(call.path.as_str());
+        let route = routes.match_route(None, call.path.as_str());
         let reason = || format!("the catalogue has no route for {}", call.path);
         let route = route.ok_or_else(|| Error::new(Step::Settings, reason()))?;
         Ok(kind(call, route))
--- a/crates/bench/src/demo/fleet/plan.rs
+++ b/crates/bench/src/demo/fleet/plan.rs
@@ -55,6 +55,7 @@
             slots: workers.slots,
             connections: workers.connections,
             state: InstanceState::Live,
+            target: None,
         },
         listen,
         target,
--- a/crates/bench/src/generate/catalogue.rs
+++ b/crates/bench/src/generate/catalogue.rs
@@ -111,11 +111,16 @@
 fn route(service: &ServiceName, class: Class, i: usize, r: usize) -> Result<Route> {
     let (kind, _) = KINDS[r % KINDS.len()];
     Ok(Route {
+        host: None,
         path: RoutePath::new(&format!("/s{i:04}/{kind}"))?,
         service: service.clone(),
+        split: Vec::new(),
         kind: KindName::new(kind)?,
         class,
         idempotent: matches!(kind, "lookup" | "archive"),
+        timeout: None,
+        latency_target: None,
+        attempts: None,
     })
 }
 
--- a/crates/bench/src/generate/fleet.rs
+++ b/crates/bench/src/generate/fleet.rs
@@ -72,5 +72,6 @@
         slots: SLOTS,
         connections: CONNECTIONS,
         state: InstanceState::Live,
+        target: None,
     })
 }
--- a/crates/bench/src/load/fleet/whole.rs
+++ b/crates/bench/src/load/fleet/whole.rs
@@ -222,5 +222,6 @@
         slots: place.target.slots.get(),
         connections: place.target.connections.get(),
         state: InstanceState::Live,
+        target: None,
     })
 }
--- a/crates/core/src/admit/ask.rs
+++ b/crates/core/src/admit/ask.rs
@@ -16,6 +16,8 @@
     pub deadline: Deadline,
     /// The limits of its entry, from the snapshot that the request pins.
     pub limits: &'a Limits,
+    /// The target's slots by the instance list, where that tells them.
+    pub slots: Option<u32>,
 }
 
 /// The answer of admission.
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -85,6 +85,9 @@
         wakes: &mut Vec<Wake>,
     ) -> Decision {
         self.now = self.now.max(now);
+        if let Some(slots) = ask.slots {
+            self.slots = slots.clamp(1, u32::from(u16::MAX));
+        }
         self.concurrency = self.slots.min(ask.limits.concurrency.max(1));
         self.sweep(wakes);
         if let Some(refusal) = self.refuse_at_once(ask) {
--- a/crates/core/src/admit/tests/bench.rs
+++ b/crates/core/src/admit/tests/bench.rs
@@ -50,6 +50,7 @@
     pub(super) fn offer(&mut self, now: Tick, class: Class, limits: &Limits) -> usize {
         let id = self.waits.len();
         let ask = Ask {
+            slots: None,
             class,
             deadline: Deadline::within(now, limits.deadline),
             limits,
--- a/crates/core/src/admit/tests/cases.rs
+++ b/crates/core/src/admit/tests/cases.rs
@@ -161,6 +161,7 @@
 fn a_permit_that_nobody_takes_goes_to_the_next() {
     let admission = Admission::new(SETTINGS, 1).unwrap();
     let ask = Ask {
+        slots: None,
         class: Class::Standard,
         deadline: Deadline::within(NOW, LIMITS.deadline),
         limits: &LIMITS,
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -1,6 +1,8 @@
 //! The operators' catalogue: services with their owner, class, limits and
 //! routes, and the weights of kinds of requests.
 
+pub use self::callers::CallerLimits;
+pub use self::host::HostName;
 pub use self::item::CatalogueItem;
 pub use self::item::ItemKey;
 pub use self::kind::Kind;
@@ -10,11 +12,16 @@
 pub use self::path::RoutePath;
 pub use self::review::review;
 pub use self::route::Route;
+pub use self::route::Share;
 pub use self::service::ServiceEntry;
 
+pub(crate) use self::host::without_port;
+
 use self::reading::Reading;
 use crate::Document;
 
+mod callers;
+mod host;
 mod item;
 mod kind;
 mod limits;
--- a/crates/core/src/catalogue/item.rs
+++ b/crates/core/src/catalogue/item.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::CallerLimits;
 use crate::Item;
 use crate::Kind;
 use crate::KindName;
@@ -14,6 +15,8 @@
 /// One independently changing part of a catalogue.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum CatalogueItem {
+    /// What callers may send, on all routes.
+    Callers(CallerLimits),
     /// A kind of request.
     Kind(Kind),
     /// A service with its routes.
@@ -23,6 +26,8 @@
 /// What identifies an item of a catalogue.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ItemKey {
+    /// What callers may send: there is one of it.
+    Callers,
     /// A kind, by name.
     Kind(KindName),
     /// A service, by name.
@@ -32,6 +37,7 @@
 impl fmt::Display for ItemKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            ItemKey::Callers => f.write_str("callers"),
             ItemKey::Kind(name) => write!(f, "kind {name}"),
             ItemKey::Service(name) => write!(f, "service {name}"),
         }
@@ -43,6 +49,7 @@
 
     fn key(&self) -> ItemKey {
         match self {
+            CatalogueItem::Callers(_) => ItemKey::Callers,
             CatalogueItem::Kind(kind) => ItemKey::Kind(kind.name.clone()),
             CatalogueItem::Service(entry) => ItemKey::Service(entry.name.clone()),
         }
--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -4,9 +4,11 @@
 
 use super::MAX_CATALOGUE_BYTES;
 use super::Reading;
+use crate::CallerLimits;
 use crate::CatalogueItem;
 use crate::Class;
 use crate::Faults;
+use crate::HostName;
 use crate::ItemKey;
 use crate::Kind;
 use crate::KindName;
@@ -18,6 +20,7 @@
 use crate::RoutePath;
 use crate::ServiceEntry;
 use crate::ServiceName;
+use crate::Share;
 use crate::yaml;
 use crate::yaml::Field;
 use crate::yaml::Table;
@@ -32,6 +35,13 @@
 const DEADLINE_MS: std::ops::RangeInclusive<u64> = 1..=600_000;
 /// Bounds of the number of tries.
 const ATTEMPTS: std::ops::RangeInclusive<u64> = 1..=5;
+/// Bounds of a share's weight.
+const SHARE_WEIGHT: std::ops::RangeInclusive<u64> = 1..=10_000;
+/// Bounds of the size of a request's head, in bytes: the least is what
+/// libraries need for their buffers.
+const HEAD_BYTES: std::ops::RangeInclusive<u64> = 8_192..=1_048_576;
+/// Bounds of the size of a request's body, in bytes.
+const BODY_BYTES: std::ops::RangeInclusive<u64> = 0..=1_099_511_627_776;
 /// Bounds of the retry budget, in percent of first tries.
 const BUDGET_PERCENT: std::ops::RangeInclusive<u64> = 0..=100;
 
@@ -71,6 +81,11 @@
         }
     };
     if let Some(mut top) = Table::open("", &tree, TOP, &mut reading.faults) {
+        if let Some(callers) = top.table("callers", &mut reading.faults) {
+            let mut faults = Faults::new();
+            let item = read_callers(callers, &mut faults).map(CatalogueItem::Callers);
+            reading.take(Some(ItemKey::Callers), item, faults);
+        }
         if let Some(mut kinds) = top.table("kinds", &mut reading.faults) {
             read_kinds(&mut kinds, &mut reading);
         }
@@ -187,16 +202,77 @@
     let service = table.optional_text("service", faults, ServiceName::new);
     let class = table.optional_text("class", faults, class_of);
     let idempotent = table.flag_or("idempotent", false, faults);
+    let host = table.optional_text("host", faults, HostName::new);
+    let timeout = optional_number(&mut table, "timeout_ms", DEADLINE_MS, faults);
+    let latency = optional_number(&mut table, "latency_target_ms", DEADLINE_MS, faults);
+    let attempts = optional_number(&mut table, "attempts", ATTEMPTS, faults);
+    let split = read_split(&mut table, faults);
+    if service.is_some() && !split.is_empty() {
+        faults.add_at(Some(table.place()), table.entry(), "split", "stands beside a service");
+    }
     table.finish(faults);
+    let first = split.first().map(|share| share.service.clone());
     Some(Route {
+        host,
         path: path?,
-        service: service.or_else(|| owner.cloned())?,
+        service: first.or(service).or_else(|| owner.cloned())?,
+        split,
         kind: kind?,
         class: class.or(default_class)?,
         idempotent: idempotent?,
+        timeout: timeout.map(Duration::from_millis),
+        latency_target: latency.map(Duration::from_millis),
+        attempts: number_u32(attempts),
     })
 }
 
+fn read_split(table: &mut Table<'_>, faults: &mut Faults) -> Vec<Share> {
+    let mut split = Vec::new();
+    for (i, placed) in table.list("split", faults).iter().enumerate() {
+        let entry = format!("{}.split[{i}]", table.entry());
+        let Some(mut share) = Table::open(entry, &placed.tree, placed.place, faults) else {
+            continue;
+        };
+        let service = share.text("service", faults, ServiceName::new);
+        let weight = number_u32(share.number("weight", SHARE_WEIGHT, faults));
+        share.finish(faults);
+        if let (Some(service), Some(weight)) = (service, weight) {
+            split.push(Share { service, weight });
+        }
+    }
+    split
+}
+
+fn read_callers(mut table: Table<'_>, faults: &mut Faults) -> Option<CallerLimits> {
+    let default = CallerLimits::default();
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let head = table.number_or("head_bytes", HEAD_BYTES, default.head_bytes.into(), faults);
+    let body = table.number_or("body_bytes", BODY_BYTES, default.body_bytes, faults);
+    let head_ms = millis(default.head_timeout);
+    let head_ms = table.number_or("head_timeout_ms", DEADLINE_MS, head_ms, faults);
+    let idle_ms = millis(default.idle_timeout);
+    let idle_ms = table.number_or("idle_timeout_ms", DEADLINE_MS, idle_ms, faults);
+    table.finish(faults);
+    Some(CallerLimits {
+        head_bytes: number_u32(head)?,
+        body_bytes: body?,
+        head_timeout: Duration::from_millis(head_ms?),
+        idle_timeout: Duration::from_millis(idle_ms?),
+    })
+}
+
+/// Takes a number that may be missing.
+fn optional_number(
+    table: &mut Table<'_>,
+    key: &str,
+    range: std::ops::RangeInclusive<u64>,
+    faults: &mut Faults,
+) -> Option<u64> {
+    // Zero is below every range that this is used with, and means missing.
+    let n = table.number_or(key, range, 0, faults)?;
+    (n > 0).then_some(n)
+}
+
 fn class_of(name: &str) -> Result<Class, String> {
     let known = "critical, standard or background";
     Class::from_name(name).ok_or_else(|| format!("must be {known}, is {name:?}"))
--- a/crates/core/src/catalogue/path.rs
+++ b/crates/core/src/catalogue/path.rs
@@ -14,12 +14,13 @@
 /// The longest path of a route in bytes.
 const MAX_PATH_BYTES: usize = 256;
 
-/// A path that takes itself and everything below it, by whole segments.
+/// A path that takes itself and everything below it, by whole segments; one
+/// that ends with `/` takes only what begins with it.
 ///
 /// # Invariants
 ///
-/// Begins with `/`, doesn't end with one unless it is the root, has no empty,
-/// `.` or `..` segment, no query and at most 256 printable ASCII bytes.
+/// Begins with `/`, has no empty, `.` or `..` segment, no query and at most
+/// 256 printable ASCII bytes.
 ///
 /// # Example
 ///
@@ -29,6 +30,9 @@
 /// let path = RoutePath::new("/adjuster")?;
 /// assert!(path.takes("/adjuster/approvals"));
 /// assert!(!path.takes("/adjusters"));
+/// let below = RoutePath::new("/adjuster/")?;
+/// assert!(below.takes("/adjuster/approvals"));
+/// assert!(!below.takes("/adjuster"));
 /// # Ok::<(), sassafrasspool_core::Error>(())
 /// ```
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -52,8 +56,8 @@
 
     /// Whether a request for `path`, without its query, falls under this one.
     pub fn takes(&self, path: &str) -> bool {
-        if &*self.0 == "/" {
-            return path.starts_with('/');
+        if self.0.ends_with('/') {
+            return path.starts_with(&*self.0);
         }
         match path.strip_prefix(&*self.0) {
             Some(rest) => rest.is_empty() || rest.starts_with('/'),
@@ -93,8 +97,9 @@
         return refuse("may only have printable ASCII without ? and #");
     }
     let odd = |segment: &str| matches!(segment, "" | "." | "..");
-    if !below.is_empty() && below.split('/').any(odd) {
-        return refuse("has an empty, . or .. segment, or ends with /");
+    let segments = below.strip_suffix('/').unwrap_or(below);
+    if below == "/" || (!segments.is_empty() && segments.split('/').any(odd)) {
+        return refuse("has an empty, . or .. segment");
     }
     Ok(())
 }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -7,6 +7,7 @@
 pub use self::names::OwnerName;
 pub use self::names::RegionName;
 pub use self::names::ServiceName;
+pub use self::names::TargetId;
 
 mod check;
 mod names;
--- a/crates/core/src/id/names.rs
+++ b/crates/core/src/id/names.rs
@@ -78,3 +78,6 @@
 name_type!(
     /// The name of the team that owns a catalogue entry.
     OwnerName, "owner");
+name_type!(
+    /// The name of one life of a target: each start of it has another.
+    TargetId, "target id");
--- a/crates/core/src/instance/entry.rs
+++ b/crates/core/src/instance/entry.rs
@@ -11,6 +11,7 @@
 use crate::Item;
 use crate::RegionName;
 use crate::ServiceName;
+use crate::TargetLife;
 
 /// A target instance and the node beside it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -35,6 +36,9 @@
     pub connections: u32,
     /// Whether the platform believes that it is live or leaving.
     pub state: InstanceState,
+    /// The life of its target, where the platform tells lives apart.
+    #[serde(default)]
+    pub target: Option<TargetLife>,
 }
 
 impl Instance {
--- a/crates/core/src/outcome/loss.rs
+++ b/crates/core/src/outcome/loss.rs
@@ -15,6 +15,8 @@
     ConnectionLost,
     /// The answer was cut short.
     AnswerCut,
+    /// The answer was to another request, or not the target's.
+    AnswerSpoiled,
     /// The caller went away.
     CallerGone,
     /// A peer further on said that the outcome is unknown.
@@ -28,6 +30,7 @@
             LossCause::Timeout => "timeout",
             LossCause::ConnectionLost => "connection-lost",
             LossCause::AnswerCut => "answer-cut",
+            LossCause::AnswerSpoiled => "answer-spoiled",
             LossCause::CallerGone => "caller-gone",
             LossCause::Peer => "peer",
         }
--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -50,11 +50,15 @@
     NoConfiguration,
     /// Its caller broke off before it was whole.
     CallerGone,
+    /// The target got it and said that it did not run it, for its load.
+    TargetShed,
+    /// The target got it and said that it is not the life that was meant.
+    OtherLife,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 22] = [
+    pub const ALL: [Reason; 24] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
@@ -77,6 +81,8 @@
         Reason::TooManyHops,
         Reason::NoConfiguration,
         Reason::CallerGone,
+        Reason::TargetShed,
+        Reason::OtherLife,
     ];
 
     /// The reason's name in headers, metrics and logs.
@@ -104,6 +110,8 @@
             Reason::TooManyHops => "too-many-hops",
             Reason::NoConfiguration => "no-configuration",
             Reason::CallerGone => "caller-gone",
+            Reason::TargetShed => "target-shed",
+            Reason::OtherLife => "other-life",
         }
     }
 
@@ -123,6 +131,11 @@
         )
     }
 
+    /// Whether the request had come as far as the target, which refused it.
+    pub const fn is_of_target(self) -> bool {
+        matches!(self, Reason::TargetShed | Reason::OtherLife)
+    }
+
     /// Whether the owner of the request's key gave it after it had proved that
     /// the key was never used: nothing of the request has run then, whichever
     /// attempt this was.
@@ -140,6 +153,7 @@
                 | Reason::Displaced
                 | Reason::QueueTimeout
                 | Reason::DeadlineTooShort
+                | Reason::TargetShed
         )
     }
 }
--- a/crates/core/src/reader/choice/tests.rs
+++ b/crates/core/src/reader/choice/tests.rs
@@ -21,6 +21,7 @@
         slots: 10,
         connections: 120,
         state: InstanceState::Live,
+        target: None,
     }
 }
 
--- a/crates/core/src/repeat/tests.rs
+++ b/crates/core/src/repeat/tests.rs
@@ -45,6 +45,7 @@
 fn list(revision: u64, ids: &[&str]) -> InstanceList {
     let listed = ids.iter().map(|id| Instance {
         state: InstanceState::Live,
+        target: None,
         ..instance(id, "adjuster-desk", "khan-uul")
     });
     InstanceList::new(Revision::new(revision).unwrap(), listed).unwrap()
--- a/crates/core/src/request/handed_over.rs
+++ b/crates/core/src/request/handed_over.rs
@@ -70,6 +70,15 @@
         Refusal::not_run(Step::Forward, Reason::Connect)
     }
 
+    /// The target itself said in its answer that it did not run the request.
+    ///
+    /// The caller of this has read that in an answer to this very request.
+    pub fn declined(self, now: Tick, reason: Reason) -> Refusal {
+        self.state.permit.release(now);
+        // INVARIANT: Only the target knows, and it says that it wasn't run.
+        Refusal::not_run(Step::Forward, reason)
+    }
+
     /// No answer came, and what became of the request is unknown.
     pub fn lost(self, now: Tick, cause: LossCause) -> Loss {
         self.state.permit.release(now);
--- a/crates/core/src/request/whole.rs
+++ b/crates/core/src/request/whole.rs
@@ -71,6 +71,7 @@
             class: self.class,
             deadline: self.deadline,
             limits,
+            slots: None,
         }
     }
 
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -7,6 +7,7 @@
 pub use self::endpoint::Endpoint;
 pub use self::endpoint::EndpointKey;
 pub use self::route::BoundRoute;
+pub use self::route::BoundShare;
 pub use self::service::BoundService;
 pub use self::service::ServiceKey;
 pub use self::whole::Snapshot;
@@ -18,6 +19,7 @@
 mod endpoint;
 mod route;
 mod service;
+mod table;
 #[cfg(test)]
 mod tests;
 mod whole;
--- a/crates/core/src/snapshot/build.rs
+++ b/crates/core/src/snapshot/build.rs
@@ -1,21 +1,24 @@
 //! Building a snapshot.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use slotmap::SlotMap;
 
 use super::check::check;
+use super::table::RouteTable;
 use crate::BoundRoute;
 use crate::BoundService;
+use crate::BoundShare;
+use crate::CallerLimits;
 use crate::Catalogue;
 use crate::CatalogueItem;
 use crate::Endpoint;
 use crate::EndpointKey;
 use crate::Faults;
 use crate::InstanceList;
-use crate::RoutePath;
+use crate::ItemKey;
+use crate::Route;
 use crate::ServiceKey;
 use crate::ServiceName;
 use crate::Snapshot;
@@ -28,7 +31,8 @@
     services: SlotMap<ServiceKey, BoundService>,
     by_name: HashMap<ServiceName, ServiceKey>,
     endpoints: SlotMap<EndpointKey, Endpoint>,
-    routes: BTreeMap<RoutePath, BoundRoute>,
+    routes: RouteTable,
+    callers: CallerLimits,
 }
 
 impl<'a> Builder<'a> {
@@ -39,12 +43,16 @@
             services: SlotMap::with_key(),
             by_name: HashMap::new(),
             endpoints: SlotMap::with_key(),
-            routes: BTreeMap::new(),
+            routes: RouteTable::default(),
+            callers: CallerLimits::default(),
         }
     }
 
     pub(super) fn build(mut self) -> Result<Snapshot, Faults> {
         let weights = check(self.catalogue)?;
+        if let Some(CatalogueItem::Callers(limits)) = self.catalogue.get(&ItemKey::Callers) {
+            self.callers = *limits;
+        }
         self.add_services();
         self.add_endpoints();
         self.add_routes(&weights);
@@ -56,6 +64,7 @@
             by_name: self.by_name,
             endpoints: self.endpoints,
             routes: self.routes,
+            callers: self.callers,
         })
     }
 
@@ -92,16 +101,27 @@
             };
             for route in &entry.routes {
                 // The check found every service, so that none is passed over.
-                let Some(&service) = self.by_name.get(&route.service) else {
+                let first = route.services().next();
+                let Some(&service) = first.and_then(|name| self.by_name.get(name)) else {
                     continue;
                 };
                 let bound = BoundRoute {
                     route: route.clone(),
                     service,
+                    split: self.bind_split(route),
                     weight: weights.of(&route.kind),
                 };
-                self.routes.insert(route.path.clone(), bound);
+                self.routes.insert(bound);
             }
         }
     }
+
+    fn bind_split(&self, route: &Route) -> Vec<BoundShare> {
+        let bound = route.split.iter().filter_map(|share| {
+            let service = *self.by_name.get(&share.service)?;
+            let weight = share.weight;
+            Some(BoundShare { service, weight })
+        });
+        bound.collect()
+    }
 }
--- a/crates/core/src/snapshot/check.rs
+++ b/crates/core/src/snapshot/check.rs
@@ -5,6 +5,7 @@
 use crate::Catalogue;
 use crate::CatalogueItem;
 use crate::Faults;
+use crate::HostName;
 use crate::ItemKey;
 use crate::KindName;
 use crate::Route;
@@ -57,13 +58,13 @@
 fn check_entry<'a>(
     known: &impl Fn(ItemKey) -> bool,
     entry: &'a ServiceEntry,
-    taken: &mut HashMap<&'a RoutePath, &'a ServiceName>,
+    taken: &mut HashMap<(Option<&'a HostName>, &'a RoutePath), &'a ServiceName>,
     faults: &mut Faults,
 ) {
     for (i, route) in entry.routes.iter().enumerate() {
         let place = format!("{}.routes[{i}]", entry.name);
         check_route(known, &place, route, faults);
-        if let Some(other) = taken.insert(&route.path, &entry.name) {
+        if let Some(other) = taken.insert((route.host.as_ref(), &route.path), &entry.name) {
             let reason = format!("{} is already taken by {other}", route.path);
             faults.add(&place, "path", reason);
         }
@@ -71,9 +72,11 @@
 }
 
 fn check_route(known: &impl Fn(ItemKey) -> bool, place: &str, route: &Route, faults: &mut Faults) {
-    if !known(ItemKey::Service(route.service.clone())) {
-        let reason = format!("there is no service {}", route.service);
-        faults.add(place, "service", reason);
+    for service in route.services() {
+        if !known(ItemKey::Service(service.clone())) {
+            let reason = format!("there is no service {service}");
+            faults.add(place, "service", reason);
+        }
     }
     if !known(ItemKey::Kind(route.kind.clone())) {
         let reason = format!("there is no kind {}", route.kind);
--- a/crates/core/src/snapshot/tests.rs
+++ b/crates/core/src/snapshot/tests.rs
@@ -43,7 +43,7 @@
 #[case(Matched { path: "/claims/approved", service: "workshop-desk" })]
 fn the_longest_path_by_whole_segments_wins(#[case] case: Matched) {
     let snapshot = build(GOOD).unwrap();
-    let found = snapshot.match_route(case.path).unwrap();
+    let found = snapshot.match_route(None, case.path).unwrap();
     let service = snapshot.service(found.service).unwrap();
     assert_eq!(service.entry.name.as_str(), case.service, "{case:?}");
 }
--- a/crates/core/src/snapshot/whole.rs
+++ b/crates/core/src/snapshot/whole.rs
@@ -1,19 +1,20 @@
 //! The snapshot itself.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use slotmap::SlotMap;
 
 use super::build::Builder;
+use super::table::RouteTable;
 use crate::BoundRoute;
 use crate::BoundService;
+use crate::CallerLimits;
 use crate::Catalogue;
 use crate::Endpoint;
 use crate::EndpointKey;
 use crate::Faults;
+use crate::InstanceId;
 use crate::InstanceList;
-use crate::RoutePath;
 use crate::ServiceKey;
 use crate::ServiceName;
 use crate::Version;
@@ -31,7 +32,8 @@
     pub(super) services: SlotMap<ServiceKey, BoundService>,
     pub(super) by_name: HashMap<ServiceName, ServiceKey>,
     pub(super) endpoints: SlotMap<EndpointKey, Endpoint>,
-    pub(super) routes: BTreeMap<RoutePath, BoundRoute>,
+    pub(super) routes: RouteTable,
+    pub(super) callers: CallerLimits,
 }
 
 impl Snapshot {
@@ -79,6 +81,13 @@
         self.endpoints.get(key)
     }
 
+    /// The endpoint of an instance.
+    pub fn find_endpoint(&self, id: &InstanceId) -> Option<EndpointKey> {
+        let mut found = self.endpoints.iter();
+        let found = found.find(|(_, endpoint)| endpoint.instance.id == *id);
+        found.map(|(key, _)| key)
+    }
+
     /// The endpoints of a service, in the order of their instance ids.
     pub fn endpoints_of(
         &self,
@@ -88,24 +97,20 @@
         keys.filter_map(|key| self.endpoints.get(key).map(|endpoint| (key, endpoint)))
     }
 
-    /// All routes in the order of their paths.
+    /// All routes: those of any host, then those of each host, in the order of
+    /// their paths.
     pub fn routes(&self) -> impl Iterator<Item = &BoundRoute> {
-        self.routes.values()
+        self.routes.iter()
+    }
+
+    /// The route of a request: among those of its host, or else of any host,
+    /// the one with the longest path that takes `path`, which has no query.
+    pub fn match_route(&self, host: Option<&str>, path: &str) -> Option<&BoundRoute> {
+        self.routes.find(host, path)
     }
 
-    /// The route with the longest path that takes `path`, which has no query.
-    pub fn match_route(&self, path: &str) -> Option<&BoundRoute> {
-        let mut prefix = path;
-        loop {
-            let cut = prefix.trim_end_matches('/');
-            let key = if cut.is_empty() { "/" } else { cut };
-            if let Some(found) = self.routes.get(key) {
-                return Some(found);
-            }
-            if key == "/" {
-                return None;
-            }
-            prefix = &cut[..=cut.rfind('/')?];
-        }
+    /// What callers may send.
+    pub fn callers(&self) -> &CallerLimits {
+        &self.callers
     }
 }
--- a/crates/core/src/spread/action.rs
+++ b/crates/core/src/spread/action.rs
@@ -6,6 +6,7 @@
 use crate::AuditEvent;
 use crate::Call;
 use crate::EndpointState;
+use crate::InstanceList;
 use crate::Origin;
 use crate::Revision;
 use crate::Snapshot;
@@ -28,6 +29,9 @@
         /// How long the platform may hold the call until there is something
         /// newer.
         wait: Duration,
+        /// The instance list that is held: a platform that publishes changes of
+        /// it needn't be asked for all of it again.
+        list: Option<Arc<InstanceList>>,
     },
     /// Put a snapshot in force, at once and whole.
     Apply(Applied),
--- a/crates/core/src/spread/event.rs
+++ b/crates/core/src/spread/event.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::CallId;
+use crate::CatalogueItem;
 use crate::Instance;
 use crate::PeerReply;
 use crate::Phase;
@@ -48,6 +49,14 @@
         /// The text as published.
         text: String,
     },
+    /// A catalogue that was published in another form than its text, with what
+    /// was read from it.
+    Items {
+        /// Its revision.
+        revision: Revision,
+        /// Its items.
+        items: Vec<CatalogueItem>,
+    },
     /// An instance list.
     Instances {
         /// Its revision.
--- a/crates/core/src/spread/holder.rs
+++ b/crates/core/src/spread/holder.rs
@@ -8,6 +8,7 @@
 use crate::Applied;
 use crate::AuditEvent;
 use crate::Catalogue;
+use crate::CatalogueItem;
 use crate::Digest;
 use crate::Heads;
 use crate::InstanceList;
@@ -121,6 +122,24 @@
         }
     }
 
+    /// A catalogue that the platform gave in another form than its text.
+    pub(super) fn offer_items(
+        &mut self,
+        revision: Revision,
+        items: Vec<CatalogueItem>,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        match Catalogue::new(revision, items) {
+            Ok(offered) => self.offer_catalogue(offered, &Origin::Source, out),
+            Err(cause) => {
+                let reason = cause.to_string();
+                let version = Version::new(revision, Digest::of(reason.as_bytes()));
+                self.refuse(Stream::Catalogue, version, &Origin::Source, reason, out);
+                Verdict::Refused
+            }
+        }
+    }
+
     /// A catalogue, from wherever.
     pub(super) fn offer_catalogue(
         &mut self,
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -5,6 +5,7 @@
 use super::Spread;
 use crate::Action;
 use crate::AuditEvent;
+use crate::Catalogue;
 use crate::Digest;
 use crate::InstanceList;
 use crate::Origin;
@@ -36,9 +37,7 @@
                 return;
             }
             self.budget.take(now);
-            let held = self.holder.heads().of(stream);
-            let held = held.map(|version| version.revision());
-            self.reads[stream as usize].read(now, held, self.cfg.watch, out);
+            self.reads[stream as usize].read(now, &self.holder, self.cfg.watch, out);
         }
         self.budget.cancel();
     }
@@ -122,6 +121,12 @@
                 self.source_answered(now, stream, Some(revision));
                 self.read_catalogue(now, revision, &text, out);
             }
+            SourceResult::Items { revision, items } => {
+                self.source_answered(now, stream, Some(revision));
+                let before = self.holder.catalogue().cloned();
+                let verdict = self.holder.offer_items(revision, items, out);
+                self.catalogue_read(now, before.as_deref(), verdict, out);
+            }
             SourceResult::Instances {
                 revision,
                 instances,
@@ -178,8 +183,18 @@
     fn read_catalogue(&mut self, now: Tick, revision: Revision, text: &str, out: &mut Vec<Action>) {
         let before = self.holder.catalogue().cloned();
         let verdict = self.holder.offer_text(revision, text, out);
+        self.catalogue_read(now, before.as_deref(), verdict, out);
+    }
+
+    fn catalogue_read(
+        &mut self,
+        now: Tick,
+        before: Option<&Catalogue>,
+        verdict: Verdict,
+        out: &mut Vec<Action>,
+    ) {
         if verdict == Verdict::Taken {
-            self.catalogue_taken(now, before.as_deref(), &Origin::Source, out);
+            self.catalogue_taken(now, before, &Origin::Source, out);
         }
         self.slow_down(now, Stream::Catalogue, verdict);
     }
--- a/crates/core/src/spread/naive.rs
+++ b/crates/core/src/spread/naive.rs
@@ -57,12 +57,10 @@
     }
 
     fn read_what_is_due(&mut self, now: Tick, out: &mut Vec<Action>) {
-        let heads = self.holder.heads();
         for stream in Stream::ALL {
             let reads = &mut self.reads[stream as usize];
             if reads.due().is_some_and(|due| due <= now) {
-                let held = heads.of(stream).map(|version| version.revision());
-                reads.read(now, held, self.cfg.watch, out);
+                reads.read(now, &self.holder, self.cfg.watch, out);
             }
         }
     }
@@ -80,6 +78,10 @@
                 reads.succeed(Some(revision));
                 self.holder.offer_text(revision, &text, out)
             }
+            SourceResult::Items { revision, items } => {
+                reads.succeed(Some(revision));
+                self.holder.offer_items(revision, items, out)
+            }
             SourceResult::Instances {
                 revision,
                 instances,
--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -4,6 +4,7 @@
 
 use rand::rngs::SmallRng;
 
+use super::holder::Holder;
 use crate::Action;
 use crate::Revision;
 use crate::SpreadConfig;
@@ -76,10 +77,12 @@
     pub(super) fn read(
         &mut self,
         now: Tick,
-        held: Option<Revision>,
+        holder: &Holder,
         watch: Duration,
         out: &mut Vec<Action>,
     ) {
+        let held = holder.heads().of(self.stream);
+        let held = held.map(|version| version.revision());
         self.under_way = Some(now);
         self.count += 1;
         let after = held.max(self.seen);
@@ -91,6 +94,7 @@
             stream: self.stream,
             after,
             wait,
+            list: holder.instances().cloned(),
         });
     }
 
--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -282,6 +282,7 @@
                     stream,
                     after,
                     wait,
+                    ..
                 } => self.read(n, stream, after, wait),
                 other => {
                     self.record(n, &other);
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -24,6 +24,7 @@
         slots: 10,
         connections: 120,
         state: InstanceState::Live,
+        target: None,
     }
 }
 
--- a/crates/core/tests/at_most_once/world/setup.rs
+++ b/crates/core/tests/at_most_once/world/setup.rs
@@ -55,6 +55,7 @@
         slots: 10,
         connections: 120,
         state: InstanceState::Live,
+        target: None,
     }
 }
 
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -54,6 +54,8 @@
                 required service: String
                 /// The path of a request.
                 optional path: String
+                /// The host that the request names.
+                optional --host host: String
             }
         }
 
--- a/crates/ctl/src/diff/fields.rs
+++ b/crates/ctl/src/diff/fields.rs
@@ -3,7 +3,9 @@
 //! change.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use sassafrasspool_core::CallerLimits;
 use sassafrasspool_core::CatalogueItem;
 use sassafrasspool_core::Route;
 use sassafrasspool_core::ServiceEntry;
@@ -16,10 +18,21 @@
             found.insert("weight".to_owned(), kind.weight.to_string());
         }
         CatalogueItem::Service(entry) => add_service(entry, &mut found),
+        CatalogueItem::Callers(limits) => add_callers(limits, &mut found),
     }
     found
 }
 
+fn add_callers(limits: &CallerLimits, found: &mut BTreeMap<String, String>) {
+    let values = [
+        ("head_bytes", limits.head_bytes.to_string()),
+        ("body_bytes", limits.body_bytes.to_string()),
+        ("head_timeout_ms", limits.head_timeout.as_millis().to_string()),
+        ("idle_timeout_ms", limits.idle_timeout.as_millis().to_string()),
+    ];
+    found.extend(values.map(|(name, value)| (name.to_owned(), value)));
+}
+
 fn add_service(entry: &ServiceEntry, found: &mut BTreeMap<String, String>) {
     let limits = &entry.limits;
     let values = [
@@ -44,12 +57,28 @@
 }
 
 fn add_route(route: &Route, found: &mut BTreeMap<String, String>) {
-    let values = [
+    let mut values = vec![
         ("service", route.service.to_string()),
         ("kind", route.kind.to_string()),
         ("class", route.class.to_string()),
         ("idempotent", route.idempotent.to_string()),
     ];
-    let path = &route.path;
-    found.extend(values.map(|(name, value)| (format!("routes[{path}].{name}"), value)));
+    let millis = |time: Duration| time.as_millis().to_string();
+    let optional = [
+        ("timeout_ms", route.timeout.map(millis)),
+        ("latency_target_ms", route.latency_target.map(millis)),
+        ("attempts", route.attempts.map(|n| n.to_string())),
+    ];
+    values.extend(optional.into_iter().filter_map(|(name, value)| Some((name, value?))));
+    let shares = route.split.iter();
+    let shares: Vec<String> = shares.map(|it| format!("{} {}", it.service, it.weight)).collect();
+    if !shares.is_empty() {
+        values.push(("split", shares.join(", ")));
+    }
+    let path = match &route.host {
+        Some(host) => format!("{host}{}", route.path),
+        None => route.path.to_string(),
+    };
+    let named = values.into_iter();
+    found.extend(named.map(|(name, value)| (format!("routes[{path}].{name}"), value)));
 }
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -4,7 +4,6 @@
 
 use form_urlencoded::Serializer;
 use sassafrasspool_core::InstanceState;
-use sassafrasspool_core::Result;
 use sassafrasspool_core::ServiceName;
 use sassafrasspool_wire::admin::EXPLAIN_PATH;
 use sassafrasspool_wire::admin::EndpointInfo;
@@ -22,33 +21,40 @@
 #[serde(transparent)]
 pub(crate) struct Explanations(Answers<Explanation>);
 
+/// What is to be explained.
+#[derive(Debug)]
+pub(crate) struct Asked<'a> {
+    /// The service.
+    pub(crate) service: ServiceName,
+    /// The host that a request names.
+    pub(crate) host: Option<&'a str>,
+    /// The path of a request.
+    pub(crate) path: Option<&'a str>,
+}
+
 impl Explanations {
     /// Asks every node.
-    ///
-    /// # Errors
-    ///
-    /// Fails if `service` isn't a name.
     pub(crate) async fn ask(
         client: &AdminClient,
         nodes: &Nodes,
-        service: &str,
-        path: Option<&str>,
-    ) -> Result<Explanations> {
-        let service = ServiceName::new(service)?;
-        let query = query(&service, path);
+        asked: &Asked<'_>,
+    ) -> Explanations {
+        let query = query(asked);
         let answers = nodes.ask(|node| {
             let query = query.clone();
             async move { client.get(node, &query).await }
         });
-        Ok(Explanations(answers.await))
+        Explanations(answers.await)
     }
 }
 
-fn query(service: &ServiceName, path: Option<&str>) -> String {
+fn query(asked: &Asked<'_>) -> String {
     let mut query = Serializer::new(format!("{EXPLAIN_PATH}?"));
-    query.append_pair("service", service.as_str());
-    if let Some(path) = path {
-        query.append_pair("path", path);
+    query.append_pair("service", asked.service.as_str());
+    for (name, value) in [("host", asked.host), ("path", asked.path)] {
+        if let Some(value) = value {
+            query.append_pair(name, value);
+        }
     }
     query.finish()
 }
--- a/crates/ctl/src/run/ask.rs
+++ b/crates/ctl/src/run/ask.rs
@@ -6,6 +6,7 @@
 
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Result;
+use sassafrasspool_core::ServiceName;
 use sassafrasspool_core::Step;
 use sassafrasspool_core::Stream;
 
@@ -20,6 +21,7 @@
 use crate::converged::Wanted;
 use crate::drain;
 use crate::drain::Draining;
+use crate::explain::Asked;
 use crate::explain::Explanations;
 use crate::nodes::Nodes;
 use crate::print::print;
@@ -56,8 +58,12 @@
         }
         SassafrasspoolctlCmd::Route(given) => {
             let RouteCmd::Explain(given) = &given.subcommand;
-            let path = given.path.as_deref();
-            let found = Explanations::ask(&client, &nodes, &given.service, path).await?;
+            let asked = Asked {
+                service: ServiceName::new(&given.service)?,
+                host: given.host.as_deref(),
+                path: given.path.as_deref(),
+            };
+            let found = Explanations::ask(&client, &nodes, &asked).await;
             print(out, json, &found)
         }
         SassafrasspoolctlCmd::Audit(given) => {
--- a/crates/node/src/admin/answers.rs
+++ b/crates/node/src/admin/answers.rs
@@ -74,12 +74,17 @@
 pub(super) fn route(bound: &BoundRoute) -> RouteInfo {
     let route = &bound.route;
     RouteInfo {
+        host: route.host.clone(),
         path: route.path.clone(),
         service: route.service.clone(),
+        split: route.split.clone(),
         kind: route.kind.clone(),
         weight: bound.weight,
         class: route.class,
         idempotent: route.idempotent,
+        timeout_ms: route
+            .timeout
+            .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
     }
 }
 
--- a/crates/node/src/admin/explain.rs
+++ b/crates/node/src/admin/explain.rs
@@ -16,10 +16,11 @@
 pub(super) fn explain(
     view: &View,
     service: Option<&ServiceName>,
+    host: Option<&str>,
     path: Option<&str>,
 ) -> Explanation {
     let snapshot = &view.snapshot;
-    let route = path.and_then(|path| snapshot.match_route(path));
+    let route = path.and_then(|path| snapshot.match_route(host, path));
     let by_route = route.and_then(|route| snapshot.service(route.service));
     let by_name = service.and_then(|name| snapshot.find_service(name));
     let bound = by_route.or_else(|| by_name.map(|(_, bound)| bound));
--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -59,6 +59,7 @@
 #[derive(Debug, Deserialize)]
 struct ExplainQuery {
     service: Option<String>,
+    host: Option<String>,
     path: Option<String>,
 }
 
@@ -130,7 +131,8 @@
         reason: err.to_string(),
     })?;
     let view = admin.view()?;
-    let answer = explain::explain(&view, service.as_ref(), query.path.as_deref());
+    let (host, path) = (query.host.as_deref(), query.path.as_deref());
+    let answer = explain::explain(&view, service.as_ref(), host, path);
     Ok(Json(answer).into_response())
 }
 
--- a/crates/node/src/control/life.rs
+++ b/crates/node/src/control/life.rs
@@ -118,7 +118,8 @@
 
     /// Finishes what is in flight, tells the others and ends.
     async fn drain(mut self, draining: LocalEndpoint<Draining>) -> StopReport {
-        let least = self.pump.machine.now() + DRAIN_LEAST;
+        let least = DRAIN_LEAST.max(self.settings.drain.callers);
+        let least = self.pump.machine.now() + least;
         if self.pump.run(Until::EVER, Machine::stop_asked).await == Rest::Cancelled {
             return self.cut().await;
         }
--- a/crates/node/src/control/machine.rs
+++ b/crates/node/src/control/machine.rs
@@ -11,6 +11,7 @@
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::SpreadStatus;
 use sassafrasspool_core::Tick;
+use sassafrasspool_wire::platform::SourceAsk;
 
 use super::ControlEvent;
 use super::Leaving;
@@ -208,7 +209,13 @@
                     stream,
                     after,
                     wait,
-                } => self.outside.read(stream, after, wait),
+                    list,
+                } => self.outside.read(SourceAsk {
+                    stream,
+                    after,
+                    wait,
+                    list,
+                }),
                 Action::Apply(applied) => self.views.apply(applied.snapshot),
                 Action::Joined => self.joined = true,
                 Action::Endpoint(state) => self.views.put(state),
--- a/crates/node/src/control/outside.rs
+++ b/crates/node/src/control/outside.rs
@@ -1,17 +1,15 @@
 //! What the decisions act on.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use metrics::counter;
 use sassafrasspool_core::Call;
 use sassafrasspool_core::Event;
 use sassafrasspool_core::PeerReply;
-use sassafrasspool_core::Revision;
 use sassafrasspool_core::SourceResult;
-use sassafrasspool_core::Stream;
 use sassafrasspool_wire::peer::PeerPool;
-use sassafrasspool_wire::platform::PlatformClient;
+use sassafrasspool_wire::platform::Source;
+use sassafrasspool_wire::platform::SourceAsk;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -33,7 +31,7 @@
     /// Connections to other nodes.
     pub(crate) pool: Arc<PeerPool>,
     /// The platform.
-    pub(crate) platform: Arc<PlatformClient>,
+    pub(crate) platform: Arc<dyn Source>,
     /// Counts of control traffic.
     pub(crate) counts: ControlCounts,
     /// Where results of calls and reads go.
@@ -61,11 +59,12 @@
     }
 
     /// Reads the platform; the result comes back as an event.
-    pub(crate) fn read(&self, stream: Stream, after: Option<Revision>, wait: Duration) {
+    pub(crate) fn read(&self, ask: SourceAsk) {
+        let stream = ask.stream;
         self.counts.add_read();
         let outside = self.clone();
         self.spawn(async move {
-            let result = outside.read_platform(stream, after, wait).await;
+            let result = outside.read_platform(ask).await;
             let name = result_name(&result);
             counter!(names::READS, "stream" => stream.as_str(), "result" => name).increment(1);
             if let SourceResult::Failed { reason } = &result {
@@ -76,18 +75,13 @@
         });
     }
 
-    async fn read_platform(
-        &self,
-        stream: Stream,
-        after: Option<Revision>,
-        wait: Duration,
-    ) -> SourceResult {
+    async fn read_platform(&self, ask: SourceAsk) -> SourceResult {
         let result = match self.gate.cuts_platform() {
             true => {
-                tokio::time::sleep(wait).await;
+                tokio::time::sleep(ask.wait).await;
                 None
             }
-            false => Some(self.platform.read(stream, after, wait).await),
+            false => Some(self.platform.read(ask).await),
         };
         match result {
             Some(result) if !self.gate.cuts_platform() => result,
@@ -132,7 +126,9 @@
 
 fn result_name(result: &SourceResult) -> &'static str {
     match result {
-        SourceResult::Catalogue { .. } | SourceResult::Instances { .. } => "value",
+        SourceResult::Catalogue { .. }
+        | SourceResult::Items { .. }
+        | SourceResult::Instances { .. } => "value",
         SourceResult::Malformed { .. } => "malformed",
         SourceResult::Unchanged { .. } => "unchanged",
         SourceResult::Nothing => "nothing",
--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -25,8 +25,11 @@
 /// That it does so is only believed once. A target's later word on its health
 /// lags or misleads, and what its requests come to says more.
 pub(super) async fn until_ready(target: TargetSettings) {
+    let Some(path) = &target.ready_path else {
+        return;
+    };
     loop {
-        let probe = timeout(PROBE_LIMIT, status(target.addr, &target.ready_path));
+        let probe = timeout(PROBE_LIMIT, status(target.addr, path));
         if let Ok(Some(StatusCode::OK)) = probe.await {
             return;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod admin;
 mod audit;
 mod control;
+mod dialect;
 mod lifecycle;
 mod metrics;
 mod node;
@@ -18,6 +19,8 @@
 pub use crate::audit::AuditTrail;
 pub use crate::control::Gate;
 pub use crate::control::StopReport;
+pub use crate::dialect::Dialect;
+pub use crate::node::Adapter;
 pub use crate::node::Node;
 pub use crate::node::NodeAddrs;
 pub use crate::node::RunningNode;
--- a/crates/node/src/node/addrs.rs
+++ b/crates/node/src/node/addrs.rs
@@ -7,7 +7,7 @@
 pub struct NodeAddrs {
     /// HTTP for callers from outside.
     pub ingress: SocketAddr,
-    /// HTTP for the calls of the own target.
+    /// HTTP for the calls of the own target; the ingress if they share it.
     pub egress: SocketAddr,
     /// HTTP/2 for other nodes.
     pub traffic: SocketAddr,
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -8,7 +8,6 @@
 use sassafrasspool_core::Step;
 use sassafrasspool_wire::peer::PeerPool;
 use sassafrasspool_wire::peer::PeerServer;
-use sassafrasspool_wire::platform::PlatformClient;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::runtime::Handle;
@@ -18,9 +17,11 @@
 use tokio_util::sync::DropGuard;
 use tokio_util::task::TaskTracker;
 
+use super::Adapter;
 use super::NodeAddrs;
 use super::RunningNode;
 use super::listeners;
+use super::readiness;
 use super::spread;
 use crate::AuditTrail;
 use crate::RunningTraffic;
@@ -57,13 +58,26 @@
     /// Fails, naming the step, if an address can't be listened on or a thread
     /// can't be started.
     pub fn start(settings: Settings, cancel: CancellationToken) -> Result<RunningNode> {
+        Node::start_with(settings, Adapter::default(), cancel)
+    }
+
+    /// The same on the platform of an adapter.
+    ///
+    /// # Errors
+    ///
+    /// As [`Node::start`].
+    pub fn start_with(
+        settings: Settings,
+        adapter: Adapter,
+        cancel: CancellationToken,
+    ) -> Result<RunningNode> {
         let runtime = Builder::new_current_thread()
             .enable_all()
             .build()
             .map_err(|cause| Error::new(Step::Connect, "no control runtime").with_cause(cause))?;
         let plan = {
             let _context = runtime.enter();
-            Plan::new(settings, cancel, Traffic::start)?
+            Plan::new(settings, adapter, cancel, Traffic::start)?
         };
         let (running, life) = plan.into_parts();
         thread::Builder::new()
@@ -88,7 +102,8 @@
         let traffic = |settings: &Settings, shared, cancel| {
             Traffic::start_on(handle, settings, shared, cancel)
         };
-        let (running, life) = Plan::new(settings, cancel, traffic)?.into_parts();
+        let plan = Plan::new(settings, Adapter::default(), cancel, traffic)?;
+        let (running, life) = plan.into_parts();
         handle.spawn(life);
         Ok(running)
     }
@@ -102,6 +117,7 @@
     control: Control,
     peers: TcpListener,
     admin: TcpListener,
+    ready: Option<TcpListener>,
     addrs: NodeAddrs,
     /// Ends the traffic side if the control side never runs, or if its
     /// runtime is shut down under it.
@@ -111,6 +127,7 @@
 impl Plan {
     fn new(
         settings: Settings,
+        adapter: Adapter,
         cancel: CancellationToken,
         start_traffic: impl FnOnce(&Settings, Arc<Shared>, CancellationToken) -> Result<RunningTraffic>,
     ) -> Result<Plan> {
@@ -119,12 +136,14 @@
         let peers = listeners::listen(settings.listen.control)?;
         let admin = listeners::listen(settings.listen.admin)?;
         let incarnation = spread::incarnation();
-        let shared = Arc::new(Shared::new(settings.instance.clone(), incarnation));
+        let ready = settings.listen.ready.map(listeners::listen).transpose()?;
+        let me = settings.instance.clone();
+        let shared = Arc::new(Shared::speaking(adapter.dialect.clone(), me, incarnation));
         let (tx, rx) = mpsc::channel(QUEUE);
         // What the node runs ends with the node, and also with the caller's
         // token: the caller's other nodes go on.
         let cancel = cancel.child_token();
-        let outside = outside(&settings, shared, ControlHandle::new(tx), cancel);
+        let outside = outside(&settings, &adapter, shared, ControlHandle::new(tx), cancel);
         let stop_traffic = outside.cancel.child_token();
         let traffic = start_traffic(&settings, Arc::clone(&outside.shared), stop_traffic.clone())?;
         let addrs = NodeAddrs {
@@ -147,6 +166,7 @@
             control,
             peers,
             admin,
+            ready,
             addrs,
         })
     }
@@ -183,6 +203,12 @@
         outside
             .tasks
             .spawn(admin.serve(self.admin, outside.cancel.clone()));
+        if let Some(ready) = self.ready {
+            let shared = Arc::clone(&outside.shared);
+            outside
+                .tasks
+                .spawn(readiness::serve(ready, shared, outside.cancel.clone()));
+        }
         let report = self.control.run().await;
         drop(self.guard);
         outside.tasks.close();
@@ -194,18 +220,19 @@
 /// The node's ways to everything else.
 fn outside(
     settings: &Settings,
+    adapter: &Adapter,
     shared: Arc<Shared>,
     control: ControlHandle,
     cancel: CancellationToken,
 ) -> Outside {
     let counts = ControlCounts::default();
     let pool = PeerPool::new(settings.control.limits, counts.bytes(), rand::random());
-    let platform = PlatformClient::new(settings.platform.addr, counts.bytes());
+    let platform = (adapter.source)(settings, counts.bytes());
     Outside {
         shared,
         audit: Arc::new(AuditTrail::new(settings.instance.clone())),
         pool: Arc::new(pool),
-        platform: Arc::new(platform),
+        platform,
         counts,
         control,
         tasks: TaskTracker::new(),
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing_subscriber::EnvFilter;
 
+use crate::Adapter;
 use crate::Node;
 use crate::RunningNode;
 use crate::Settings;
@@ -25,7 +26,12 @@
 ///
 /// The exit code is 3 if the stop cut requests, and 1 if the node failed.
 pub fn run(settings: &Path) -> ExitCode {
-    match run_to_end(settings) {
+    run_with(settings, Adapter::default())
+}
+
+/// The same on the platform of an adapter.
+pub fn run_with(settings: &Path, adapter: Adapter) -> ExitCode {
+    match run_to_end(settings, adapter) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::from(EXIT_CUT),
         Err(report) => {
@@ -36,7 +42,7 @@
 }
 
 /// Runs a node to its end; returns how many requests that cut.
-fn run_to_end(settings: &Path) -> miette::Result<u64> {
+fn run_to_end(settings: &Path, adapter: Adapter) -> miette::Result<u64> {
     let settings = Settings::load(settings)?;
     start_log(settings.log);
     let runtime = Builder::new_current_thread()
@@ -47,7 +53,7 @@
         // Before the node starts, so that a signal that comes early is kept.
         let signals = Signals::new().map_err(|err| miette::miette!("no signals: {err}"))?;
         let cancel = CancellationToken::new();
-        let node = Node::start(settings, cancel.clone()).map_err(report)?;
+        let node = Node::start_with(settings, adapter, cancel.clone()).map_err(report)?;
         log_start(&node);
         until_end(&node, signals, cancel).await.map_err(report)
     })
--- a/crates/node/src/settings/drain.rs
+++ b/crates/node/src/settings/drain.rs
@@ -11,11 +11,18 @@
 /// Bounds of the bound, in milliseconds.
 const BOUND_MS: RangeInclusive<u64> = 100..=3_600_000;
 
+/// Bounds of the time for which callers are still served, in milliseconds.
+const CALLERS_MS: RangeInclusive<u64> = 0..=60_000;
+
 /// Bounds on a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DrainSettings {
     /// How long requests in flight may take to finish before they are cut.
     pub bound: Duration,
+    /// How long callers of this node are still served, by other endpoints,
+    /// after the stop began. Zero refuses them at once; more suits a deployment
+    /// whose callers take a while to go elsewhere.
+    pub callers: Duration,
 }
 
 impl Default for DrainSettings {
@@ -23,6 +30,7 @@
     fn default() -> DrainSettings {
         DrainSettings {
             bound: Duration::from_secs(30),
+            callers: Duration::ZERO,
         }
     }
 }
@@ -31,7 +39,11 @@
     pub(super) fn read(mut table: Table<'_>, faults: &mut Faults) -> Option<DrainSettings> {
         let default = DrainSettings::default();
         let bound = millis_or(&mut table, "bound_ms", BOUND_MS, default.bound, faults);
+        let callers = millis_or(&mut table, "callers_ms", CALLERS_MS, default.callers, faults);
         table.finish(faults);
-        Some(DrainSettings { bound: bound? })
+        Some(DrainSettings {
+            bound: bound?,
+            callers: callers?,
+        })
     }
 }
--- a/crates/node/src/settings/target.rs
+++ b/crates/node/src/settings/target.rs
@@ -13,6 +13,8 @@
 
 /// Bounds of a target's slots.
 const SLOTS: RangeInclusive<u64> = 1..=10_000;
+/// Slots of a target of which nothing is known: it can't run fewer.
+const DEFAULT_SLOTS: u64 = 1;
 /// Bounds of the connections to a target.
 const CONNECTIONS: RangeInclusive<u64> = 1..=10_000;
 /// Bounds of the time between two probes, in milliseconds.
@@ -25,12 +27,13 @@
 pub struct TargetSettings {
     /// Where it takes requests.
     pub addr: SocketAddr,
-    /// Requests that it runs at once.
+    /// Requests that it runs at once, until the instance list tells.
     pub slots: u32,
     /// Connections that the node opens to it at most; its slots by default.
     pub connections: u32,
-    /// The path that answers 200 once the target has started.
-    pub ready_path: String,
+    /// The path that answers 200 once the target has started; absent if the
+    /// instance list is believed instead, where probes cost the target work.
+    pub ready_path: Option<String>,
     /// Time between two probes of that path while the target is starting.
     pub probe: Duration,
 }
@@ -38,17 +41,17 @@
 impl TargetSettings {
     pub(super) fn read(mut table: Table<'_>, faults: &mut Faults) -> Option<TargetSettings> {
         let addr = table.text("addr", faults, addr);
-        let slots = table.number("slots", SLOTS, faults);
+        let slots = table.number_or("slots", SLOTS, DEFAULT_SLOTS, faults);
         let default = slots.unwrap_or(*CONNECTIONS.start());
         let connections = table.number_or("connections", CONNECTIONS, default, faults);
-        let ready_path = table.text("ready_path", faults, path);
+        let ready_path = table.optional_text("ready_path", faults, path);
         let probe = millis_or(&mut table, "probe_ms", PROBE_MS, DEFAULT_PROBE, faults);
         table.finish(faults);
         Some(TargetSettings {
             addr: addr?,
             slots: u32::try_from(slots?).ok()?,
             connections: u32::try_from(connections?).ok()?,
-            ready_path: ready_path?,
+            ready_path,
             probe: probe?,
         })
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use self::routing::Routing;
+use crate::Dialect;
 
 pub use self::clock::Clock;
 pub use self::contact::ContactAge;
@@ -43,6 +44,7 @@
 pub struct Shared {
     me: InstanceId,
     incarnation: Incarnation,
+    dialect: Dialect,
     clock: Clock,
     view: ArcSwapOption<View>,
     routing: Routing,
@@ -54,9 +56,15 @@
 impl Shared {
     /// The state of a node that holds nothing yet and is starting.
     pub fn new(me: InstanceId, incarnation: Incarnation) -> Shared {
+        Shared::speaking(Dialect::OWN, me, incarnation)
+    }
+
+    /// The same for a node that speaks the words of another platform.
+    pub fn speaking(dialect: Dialect, me: InstanceId, incarnation: Incarnation) -> Shared {
         Shared {
             me,
             incarnation,
+            dialect,
             clock: Clock::start(),
             view: ArcSwapOption::empty(),
             routing: Routing::default(),
@@ -76,6 +84,11 @@
         self.incarnation
     }
 
+    /// What callers and the target call things.
+    pub fn dialect(&self) -> &Dialect {
+        &self.dialect
+    }
+
     /// The node's clock, which every tick given to the core comes from.
     pub fn clock(&self) -> &Clock {
         &self.clock
--- a/crates/node/src/shared/routing.rs
+++ b/crates/node/src/shared/routing.rs
@@ -8,6 +8,9 @@
 use std::sync::PoisonError;
 
 use arc_swap::ArcSwapOption;
+use sassafrasspool_core::BoundService;
+use sassafrasspool_core::Endpoint;
+use sassafrasspool_core::EndpointKey;
 use sassafrasspool_core::EndpointState;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Intake;
@@ -34,6 +37,17 @@
     pub view: Arc<View>,
     /// Chooses endpoints by the keys of the view's snapshot.
     pub picker: Arc<Picker>,
+    /// The endpoint beside this node, if the instance list has it.
+    pub own: Option<EndpointKey>,
+}
+
+impl Routes {
+    /// The endpoint beside this node with its service, if the list has it.
+    pub fn own(&self) -> Option<(&Endpoint, &BoundService)> {
+        let endpoint = self.view.snapshot.endpoint(self.own?)?;
+        let service = self.view.snapshot.service(endpoint.service)?;
+        Some((endpoint, service))
+    }
 }
 
 /// Where a node stands, and the requests with a key that it has run there.
@@ -78,10 +92,10 @@
         };
         let held = self.routes.load_full();
         let same = held.filter(|held| Arc::ptr_eq(&held.view.snapshot, &view.snapshot));
-        let picker = match same {
+        let (picker, own) = match same {
             Some(held) => {
                 self.mark_changed(&view.states, now);
-                Arc::clone(&held.picker)
+                (Arc::clone(&held.picker), held.own)
             }
             None => {
                 // INVARIANT: Before requests are routed by it, so that the
@@ -92,11 +106,12 @@
                 self.mark_all(&view.states, now);
                 let cfg = RouteSettings::default();
                 let picker = Picker::build(&view.snapshot, position, cfg, &self.meters, now);
-                Arc::new(picker)
+                let own = view.snapshot.find_endpoint(&position.instance);
+                (Arc::new(picker), own)
             }
         };
         let view = Arc::clone(view);
-        self.routes.store(Some(Arc::new(Routes { view, picker })));
+        self.routes.store(Some(Arc::new(Routes { view, picker, own })));
     }
 
     /// The routes in force.
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -30,6 +32,7 @@
 use super::target::Connection;
 use super::unsent_key::UnsentKey;
 use super::worker::Worker;
+use crate::Dialect;
 
 /// A request on its way through the stages that the core keeps apart.
 #[derive(Debug)]
@@ -50,10 +53,15 @@
         self,
         class: Class,
         limits: &Limits,
+        slots: Option<u32>,
     ) -> Result<Response<Answer>, Missed> {
         let hub = &self.worker.hub;
         let stage = Stage::received(class, self.call.deadline);
-        let ask = stage.ask(limits);
+        let mut ask = stage.ask(limits);
+        if let Some(slots) = slots {
+            ask.slots = Some(slots);
+            hub.pool.resize(slots);
+        }
         let admitted = admission::admit(&hub.admission, hub.shared.clock(), &ask).await;
         let permit: Permit = match admitted {
             Ok(permit) => permit,
@@ -103,7 +111,7 @@
                     deadline: call.deadline,
                     _parent: parent,
                 };
-                sent.run(conn, for_target(req, left)).await
+                sent.run(conn, for_target(req, left, &call, hub.shared.dialect())).await
             }
             Err(refusal) => Err(Missed::unsent(take_back(running, refusal), req)),
         }
@@ -115,8 +123,22 @@
 /// The target is told the time that is left, not what the caller had at first.
 /// Rounded up, it ends after the node has given the request up: the caller
 /// then hears from the node that the outcome is unknown.
-fn for_target(mut req: Request<Payload>, left: Duration) -> Request<Payload> {
+fn for_target(
+    mut req: Request<Payload>,
+    left: Duration,
+    call: &Call<'_>,
+    dialect: &Dialect,
+) -> Request<Payload> {
     head::strip_own(req.headers_mut());
+    let told = [
+        (&dialect.target_life, &call.life),
+        (&dialect.origin, &call.origin),
+    ];
+    for (name, value) in told {
+        if let Some(name) = name {
+            set(req.headers_mut(), name, value.as_ref());
+        }
+    }
     let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     let left_ms = HeaderValue::from(left_ms.saturating_add(1));
     req.headers_mut().insert(REQUEST_TIMEOUT_MS, left_ms);
@@ -125,3 +147,11 @@
     *req.version_mut() = Version::HTTP_11;
     req
 }
+
+/// Sets a header that is the node's to set, whatever the caller sent.
+fn set(headers: &mut HeaderMap, name: &HeaderName, value: Option<&HeaderValue>) {
+    match value {
+        Some(value) => headers.insert(name, value.clone()),
+        None => headers.remove(name),
+    };
+}
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -9,6 +9,7 @@
 use http::Version;
 use http::uri::Authority;
 use http::uri::Scheme;
+use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::Instance;
@@ -42,6 +43,7 @@
     pub(super) instance: &'a Instance,
     pub(super) deadline: Deadline,
     pub(super) hop: u32,
+    pub(super) class: Class,
 }
 
 impl Attempt<'_> {
@@ -75,9 +77,26 @@
             routes: self.routes,
             deadline: self.deadline,
             hop: self.hop,
+            class: Some(self.class),
+            life: self.life(),
+            origin: self.origin(),
         }
     }
 
+    /// The life that the list gives the target, where lives are told apart.
+    fn life(&self) -> Option<HeaderValue> {
+        let life = self.instance.target.as_ref()?;
+        self.worker.hub.shared.dialect().target_life.as_ref()?;
+        HeaderValue::from_str(life.id.as_str()).ok()
+    }
+
+    /// The service beside whose target the request began, where targets are
+    /// told of it.
+    fn origin(&self) -> Option<HeaderValue> {
+        self.worker.hub.shared.dialect().origin.as_ref()?;
+        HeaderValue::from_str(self.worker.hub.service.as_str()).ok()
+    }
+
     async fn run_at_peer(
         &self,
         picked: &Picked,
@@ -121,6 +140,12 @@
             id.set_sensitive(true);
         }
         headers.insert(names::HOP, HeaderValue::from(self.hop));
+        headers.insert(names::CLASS, HeaderValue::from_static(self.class.as_str()));
+        for (name, value) in [(names::LIFE, self.life()), (names::ORIGIN, self.origin())] {
+            if let Some(value) = value {
+                headers.insert(name, value);
+            }
+        }
         self.add_service(headers);
         *req.version_mut() = Version::HTTP_2;
         let mut uri = std::mem::take(req.uri_mut()).into_parts();
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use sassafrasspool_core::Begin;
 use sassafrasspool_core::BoundService;
+use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Reason;
@@ -19,6 +21,7 @@
 
 use super::answer::Answer;
 use super::at_target::AtTarget;
+use super::head;
 use super::keyed::Keyed;
 use super::missed::Missed;
 use super::payload::Payload;
@@ -28,7 +31,7 @@
 use crate::Routes;
 
 /// What is known of a call beside its head and body.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct Call<'a> {
     /// What is in force for it.
     pub(super) routes: &'a Routes,
@@ -36,6 +39,12 @@
     pub(super) deadline: Deadline,
     /// How many nodes it has passed.
     pub(super) hop: u32,
+    /// How urgent it is by the route of the first hop, if that said so.
+    pub(super) class: Option<Class>,
+    /// The life of the target that it is meant for, where lives are told apart.
+    pub(super) life: Option<HeaderValue>,
+    /// The service beside whose target it began.
+    pub(super) origin: Option<HeaderValue>,
 }
 
 /// Runs a request in the own target.
@@ -51,11 +60,19 @@
     if let Some(reason) = closed(worker) {
         return Err(Missed::unsent(refuse(reason), req));
     }
-    let Some((_, service)) = call.routes.view.snapshot.find_service(&worker.hub.service) else {
+    let listed = call.routes.own();
+    let slots = listed.map(|(endpoint, _)| endpoint.instance.slots);
+    let by_name = || call.routes.view.snapshot.find_service(&worker.hub.service);
+    let service = listed.map(|(_, service)| service);
+    let Some(service) = service.or_else(|| by_name().map(|(_, service)| service)) else {
         return Err(Missed::unsent(refuse(Reason::NoConfiguration), req));
     };
-    let route = own_route(&req, service, &call);
-    let class = route.map_or(service.entry.class, |route| route.class);
+    let route = match call.class {
+        Some(_) if !req.headers().contains_key(names::IDEMPOTENCY_KEY) => None,
+        _ => own_route(&req, service, &call),
+    };
+    let by_route = route.map_or(service.entry.class, |route| route.class);
+    let class = call.class.unwrap_or(by_route);
     let running = match begin(worker, route, &req) {
         Begun::Run(running) => running,
         Begun::Answer(stored) => return Ok(stored::respond(&stored)),
@@ -68,7 +85,7 @@
         key: UnsentKey::new(running),
     };
     let limits = &service.entry.limits;
-    let mut res = at_target.run(class, limits).await?;
+    let mut res = at_target.run(class, limits, slots).await?;
     add_load(worker, res.headers_mut());
     Ok(res)
 }
@@ -115,9 +132,11 @@
     service: &BoundService,
     call: &Call<'a>,
 ) -> Option<&'a Route> {
-    let bound = call.routes.view.snapshot.match_route(req.uri().path())?;
+    let host = head::host(req);
+    let bound = call.routes.view.snapshot.match_route(host, req.uri().path())?;
     let route = &bound.route;
-    (route.service == service.entry.name).then_some(route)
+    let leads_here = route.services().any(|name| *name == service.entry.name);
+    leads_here.then_some(route)
 }
 
 /// Puts the load beside the target on an answer.
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -18,6 +18,7 @@
 use super::payload::Payload;
 use super::refusal;
 use super::worker::Worker;
+use crate::Dialect;
 
 /// Which listener a caller came by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,8 +41,9 @@
         Side::Ingress => worker.hub.ingress.count(&result),
         Side::Egress => worker.hub.egress.count(&result),
     }
-    let res = result.unwrap_or_else(|failure| refusal::respond(&failure));
-    let mut res = for_caller(res);
+    let dialect = worker.hub.shared.dialect();
+    let res = result.unwrap_or_else(|failure| refusal::respond(&failure, dialect));
+    let mut res = for_caller(res, dialect);
     if worker.hub.is_leaving() {
         // Over HTTP/2 the header is left out and the connection told by itself.
         let close = HeaderValue::from_static("close");
@@ -51,10 +53,10 @@
 }
 
 /// Takes off what concerns nodes alone, but for the outcome.
-fn for_caller(mut res: Response<Answer>) -> Response<Answer> {
+fn for_caller(mut res: Response<Answer>, dialect: &Dialect) -> Response<Answer> {
     let outcome = res.headers_mut().remove(names::OUTCOME);
     head::strip_own(res.headers_mut());
-    if let Some(outcome) = outcome {
+    if let Some(outcome) = outcome.filter(|_| dialect.tells_outcome) {
         res.headers_mut().insert(names::OUTCOME, outcome);
     }
     res
@@ -65,7 +67,7 @@
     side: Side,
     mut req: Request<Incoming>,
 ) -> Result<Response<Answer>, Failure> {
-    if side == Side::Ingress && worker.hub.is_leaving() {
+    if side == Side::Ingress && worker.hub.refuses_callers() {
         // The own target's calls go on: what is in flight needs them.
         return Err(refuse(Reason::Draining).into());
     }
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -4,6 +4,7 @@
 
 use http::Request;
 use http::Response;
+use rand::Rng;
 use sassafrasspool_core::BoundRoute;
 use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Budget;
@@ -15,6 +16,8 @@
 use sassafrasspool_core::Picked;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Route;
+use sassafrasspool_core::ServiceKey;
 use sassafrasspool_core::Step;
 use sassafrasspool_core::Tick;
 use sassafrasspool_core::Tries;
@@ -38,6 +41,7 @@
     worker: &'a Worker,
     routes: &'a Routes,
     route: &'a BoundRoute,
+    to: ServiceKey,
     service: &'a BoundService,
     budget: &'a Budget,
     keyed: Option<Keyed>,
@@ -59,10 +63,11 @@
     ) -> Result<FirstHop<'a>, Refusal> {
         let snapshot = &routes.view.snapshot;
         let no_route = || refuse(Reason::NoRoute);
-        let route = snapshot.match_route(req.uri().path());
+        let route = snapshot.match_route(head::host(req), req.uri().path());
         let route = route.ok_or_else(no_route)?;
-        let service = snapshot.service(route.service).ok_or_else(no_route)?;
-        let budget = routes.picker.budget(route.service);
+        let to = route.choose(rand::rng().next_u64());
+        let service = snapshot.service(to).ok_or_else(no_route)?;
+        let budget = routes.picker.budget(to);
         let keyed = match route.route.idempotent {
             true => None,
             false => Keyed::of(&service.entry.name, req)?,
@@ -71,10 +76,11 @@
             worker,
             routes,
             route,
+            to,
             service,
             budget: budget.ok_or_else(no_route)?,
             keyed,
-            deadline: Deadline::within(now(worker), timeout(service, req)),
+            deadline: Deadline::within(now(worker), timeout(&route.route, service, req)),
             hop: 1,
         };
         if side == Side::Egress {
@@ -141,13 +147,14 @@
         // makes for a request are therefore only tried again on the proof that
         // nothing ran, which multiplies nothing.
         let idempotent = self.route.route.idempotent && self.hop == 1;
-        let limits = &self.service.entry.limits.retry;
-        Tries::first(Hop::First, idempotent, limits, self.deadline, self.budget)
+        let mut limits = self.service.entry.limits.retry;
+        limits.attempts = self.route.route.attempts.unwrap_or(limits.attempts);
+        Tries::first(Hop::First, idempotent, &limits, self.deadline, self.budget)
     }
 
     fn pick(&self, avoid: &[EndpointKey]) -> Result<Picked, Refusal> {
         let picker = &self.routes.picker;
-        let service = self.route.service;
+        let service = self.to;
         let now = now(self.worker);
         let Some(keyed) = &self.keyed else {
             return picker.pick(service, now, avoid, &mut rand::rng());
@@ -177,6 +184,7 @@
             instance: &endpoint.instance,
             deadline: self.deadline,
             hop: self.hop,
+            class: self.route.route.class,
         };
         attempt.run(picked, req).await
     }
@@ -190,9 +198,9 @@
     Refusal::not_run(Step::Route, reason)
 }
 
-/// How long the caller waits, at most what the entry allows.
-fn timeout<B>(service: &BoundService, req: &Request<B>) -> Duration {
-    let limit = service.entry.limits.deadline;
+/// How long the caller waits, at most what the route or the entry allows.
+fn timeout<B>(route: &Route, service: &BoundService, req: &Request<B>) -> Duration {
+    let limit = route.timeout.unwrap_or(service.entry.limits.deadline);
     let asked = head::number(req.headers(), &names::REQUEST_TIMEOUT_MS);
     asked.map_or(limit, |ms| limit.min(Duration::from_millis(ms)))
 }
--- a/crates/node/src/traffic/head.rs
+++ b/crates/node/src/traffic/head.rs
@@ -3,6 +3,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::Request;
 use http::Uri;
 use http::header;
 use sassafrasspool_wire::header::OWN_PREFIX;
@@ -76,3 +77,10 @@
 pub(super) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
+
+/// The host that a request names, in its address or its header.
+pub(super) fn host<B>(req: &Request<B>) -> Option<&str> {
+    let named = req.headers().get(header::HOST);
+    let named = named.and_then(|host| host.to_str().ok());
+    named.or_else(|| req.uri().host())
+}
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -1,6 +1,7 @@
 //! What the traffic threads of one node share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::AdmissionSettings;
@@ -34,6 +35,11 @@
     pub(super) repeat: RepeatWindow,
     /// Bytes of an answer that are kept for repeats.
     pub(super) max_stored: usize,
+    /// How long callers are still served by other endpoints once the own one
+    /// leaves.
+    pub(super) callers_served: Duration,
+    /// Cancelled when callers are refused because the node leaves.
+    pub(super) callers_closed: CancellationToken,
     /// Cancelled when the node is to stop.
     pub(super) cancel: CancellationToken,
     /// Cancelled when connections are to close, each once it is idle.
@@ -76,6 +82,8 @@
             peers: Counters::new("peers"),
             repeat,
             max_stored: cfg.repeat.max_answer_bytes,
+            callers_served: cfg.drain.callers,
+            callers_closed: CancellationToken::new(),
             cancel,
             closing: CancellationToken::new(),
             cut: CancellationToken::new(),
@@ -83,6 +91,12 @@
         })
     }
 
+    /// Whether callers are refused because the node leaves.
+    pub(super) fn refuses_callers(&self) -> bool {
+        let at_once = self.callers_served.is_zero() && self.is_leaving();
+        at_once || self.callers_closed.is_cancelled() || self.cancel.is_cancelled()
+    }
+
     /// Whether the own endpoint takes no new work any more.
     pub(super) fn is_leaving(&self) -> bool {
         self.shared.phase() >= Phase::Draining || self.cancel.is_cancelled()
--- a/crates/node/src/traffic/listeners.rs
+++ b/crates/node/src/traffic/listeners.rs
@@ -15,7 +15,7 @@
 pub struct TrafficAddrs {
     /// For callers from outside, such as clients.
     pub ingress: SocketAddr,
-    /// For calls that the own target makes.
+    /// For calls that the own target makes; the ingress if they share it.
     pub egress: SocketAddr,
     /// For other nodes.
     pub traffic: SocketAddr,
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub(super) struct Listeners {
     pub(super) ingress: TcpListener,
-    pub(super) egress: TcpListener,
+    pub(super) egress: Option<TcpListener>,
     pub(super) traffic: TcpListener,
     addrs: TrafficAddrs,
 }
@@ -38,11 +38,13 @@
     /// Fails if an address can't be bound.
     pub(super) fn bind(listen: &Listen) -> Result<Listeners> {
         let ingress = bind(listen.ingress)?;
-        let egress = bind(listen.egress)?;
+        let egress = listen.egress.map(bind).transpose()?;
         let traffic = bind(listen.traffic)?;
+        let shared = addr_of(&ingress)?;
+        let own = egress.as_ref().map(addr_of).transpose()?;
         let addrs = TrafficAddrs {
-            ingress: addr_of(&ingress)?,
-            egress: addr_of(&egress)?,
+            ingress: shared,
+            egress: own.unwrap_or(shared),
             traffic: addr_of(&traffic)?,
         };
         Ok(Listeners {
@@ -64,9 +66,10 @@
     ///
     /// Fails if there are no file descriptors left.
     pub(super) fn try_clone(&self) -> Result<Listeners> {
+        let egress = self.egress.as_ref().map(TcpListener::try_clone);
         Ok(Listeners {
             ingress: self.ingress.try_clone().map_err(failed)?,
-            egress: self.egress.try_clone().map_err(failed)?,
+            egress: egress.transpose().map_err(failed)?,
             traffic: self.traffic.try_clone().map_err(failed)?,
             addrs: self.addrs,
         })
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::Reason;
@@ -21,15 +23,22 @@
 use super::payload::Payload;
 use super::refusal;
 use super::worker::Worker;
+use crate::Dialect;
 use crate::Routes;
 
+/// What nodes tell one another: all of it, and times exactly.
+const BETWEEN_NODES: Dialect = Dialect {
+    fractional_retry: true,
+    ..Dialect::OWN
+};
+
 /// Answers a request of another node.
 pub(super) async fn serve(worker: &Worker, req: Request<Incoming>) -> Response<Answer> {
     let guard = worker.hub.shared.in_flight().enter();
     let result = run(worker, req).await;
     worker.hub.peers.count(&result);
     let res = result.unwrap_or_else(|failure| {
-        let mut res = refusal::respond(&failure);
+        let mut res = refusal::respond(&failure, &BETWEEN_NODES);
         beside::add_load(worker, res.headers_mut());
         res
     });
@@ -70,6 +79,9 @@
         routes,
         deadline: Deadline::within(now, Duration::from_millis(left)),
         hop,
+        class: text(headers, &names::CLASS).and_then(Class::from_name),
+        life: headers.get(names::LIFE).cloned(),
+        origin: headers.get(names::ORIGIN).cloned(),
     })
 }
 
@@ -78,6 +90,10 @@
 /// Instances are replaced at any time and addresses given out again, so that
 /// an old instance list can lead to a target of another service.
 fn check_service(worker: &Worker, headers: &HeaderMap) -> Result<(), Refusal> {
+    if headers.contains_key(names::LIFE) {
+        // The target itself tells whether it is the one that is meant.
+        return Ok(());
+    }
     let service = headers.get(names::SERVICE);
     match service {
         Some(name) if name == worker.hub.service.as_str() => Ok(()),
@@ -88,3 +104,7 @@
 fn refuse(reason: Reason) -> Refusal {
     Refusal::not_run(Step::Admission, reason)
 }
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- a/crates/node/src/traffic/refusal.rs
+++ b/crates/node/src/traffic/refusal.rs
@@ -19,6 +19,7 @@
 use serde::Serialize;
 
 use super::answer::Answer;
+use crate::Dialect;
 
 /// When callers are told to come back if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -32,14 +33,14 @@
 }
 
 /// The answer that says that a request has none of its target.
-pub(super) fn respond(failure: &Failure) -> Response<Answer> {
+pub(super) fn respond(failure: &Failure, dialect: &Dialect) -> Response<Answer> {
     match failure {
-        Failure::Refused(refusal) => respond_refused(refusal),
+        Failure::Refused(refusal) => respond_refused(refusal, dialect),
         Failure::Lost(loss) => respond_lost(loss),
     }
 }
 
-fn respond_refused(refusal: &Refusal) -> Response<Answer> {
+fn respond_refused(refusal: &Refusal, dialect: &Dialect) -> Response<Answer> {
     let told = Told {
         outcome: refusal.outcome().as_str(),
         step: refusal.step().as_str(),
@@ -47,7 +48,7 @@
     };
     let mut res = told_response(&told, refused_status(refusal));
     let after = refusal.retry_after().unwrap_or(RETRY_AFTER);
-    set_retry_after(res.headers_mut(), after);
+    set_retry_after(res.headers_mut(), after, dialect.fractional_retry);
     res
 }
 
@@ -92,10 +93,18 @@
 }
 
 /// Whole seconds, rounded up: a caller that comes back early meets the same.
-fn set_retry_after(headers: &mut HeaderMap, after: Duration) {
-    let secs = after.as_millis().div_ceil(1_000).max(1);
-    let secs = u64::try_from(secs).unwrap_or(u64::MAX);
-    headers.insert(header::RETRY_AFTER, HeaderValue::from(secs));
+/// Callers that read fractions are told milliseconds.
+fn set_retry_after(headers: &mut HeaderMap, after: Duration, fractional: bool) {
+    let millis = after.as_millis().max(1);
+    let secs = u64::try_from(millis.div_ceil(1_000)).unwrap_or(u64::MAX);
+    let value = match fractional {
+        true => HeaderValue::try_from(format!("{}.{:03}", millis / 1_000, millis % 1_000)),
+        false => Ok(HeaderValue::from(secs)),
+    };
+    // Digits and a point make a value.
+    if let Ok(value) = value {
+        headers.insert(header::RETRY_AFTER, value);
+    }
 }
 
 /// Reads what another node said instead of an answer of its target; nothing if
@@ -113,8 +122,9 @@
         Outcome::Unknown => Refusal::unknown(Step::Admission, reason),
     };
     let after = text(headers, &header::RETRY_AFTER).and_then(|secs| secs.parse().ok());
+    let after = after.and_then(|secs| Duration::try_from_secs_f64(secs).ok());
     Some(match after {
-        Some(secs) => refusal.after(Duration::from_secs(secs)).into(),
+        Some(after) => refusal.after(after).into(),
         None => refusal.into(),
     })
 }
--- a/crates/node/src/traffic/sent.rs
+++ b/crates/node/src/traffic/sent.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::Version;
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -11,10 +13,12 @@
 use sassafrasspool_core::HandedOver;
 use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Request as Stage;
 use sassafrasspool_core::Running;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::header::REQUEST_ID;
 
 use super::answer::Answer;
 use super::head;
@@ -96,9 +100,10 @@
     ) -> Result<Response<Answer>, Missed> {
         let clock = *self.hub.shared.clock();
         let until = clock.instant(self.deadline.tick());
+        let id = req.headers().get(REQUEST_ID).cloned();
         let exchange = target::exchange(conn, req);
         match tokio::time::timeout_at(until.into(), exchange).await {
-            Ok(Ok(res)) => Ok(self.answered(res)),
+            Ok(Ok(res)) => self.checked(res, id.as_ref()),
             Ok(Err(target::Failure::NotSent(err, proof, unsent))) => {
                 tracing::debug!(%err, "not handed over");
                 let refusal = self.stage.take_back(clock.now(), proof);
@@ -113,6 +118,41 @@
         }
     }
 
+    /// Takes an answer for what it is: the target's, an answer to another
+    /// request, or the word that this one was not run.
+    ///
+    /// A faulty target sends an answer twice, and the second stands where the
+    /// next request's is due: passed on, it would tell one caller what concerns
+    /// another. The id shows it. The answer is dropped, which closes its
+    /// connection, and nothing is known of the request.
+    fn checked(
+        self,
+        res: Response<TargetBody>,
+        id: Option<&HeaderValue>,
+    ) -> Result<Response<Answer>, Missed> {
+        let dialect = self.hub.shared.dialect();
+        let echoed = res.headers().get(REQUEST_ID);
+        let declined = dialect.declines(&res);
+        let others = match echoed {
+            Some(echoed) => id != Some(echoed),
+            None => !declined,
+        };
+        let unsigned = !declined && dialect.lacks_signature(&res);
+        if (dialect.echoes_id && others) || unsigned {
+            return Err(self.lost(LossCause::AnswerSpoiled));
+        }
+        if !declined {
+            return Ok(self.answered(res));
+        }
+        let reason = match res.status() {
+            StatusCode::MISDIRECTED_REQUEST => Reason::OtherLife,
+            _ => Reason::TargetShed,
+        };
+        let now = self.hub.shared.clock().now();
+        let refusal = self.stage.declined(now, reason);
+        Err(take_back(self.running, refusal).into())
+    }
+
     fn answered(self, res: Response<TargetBody>) -> Response<Answer> {
         let clock = *self.hub.shared.clock();
         let stage = self.stage.answered();
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Waker;
 use std::time::Instant;
@@ -37,7 +39,7 @@
 #[derive(Debug)]
 pub(in crate::traffic) struct Pool {
     addr: SocketAddr,
-    limit: u32,
+    limit: AtomicU32,
     held: Mutex<Held>,
 }
 
@@ -52,11 +54,22 @@
     pub(in crate::traffic) fn new(addr: SocketAddr, limit: u32) -> Arc<Pool> {
         Arc::new(Pool {
             addr,
-            limit,
+            limit: AtomicU32::new(limit),
             held: Mutex::default(),
         })
     }
 
+    /// Bounds it anew; connections beyond the bound go as they are given up.
+    pub(in crate::traffic) fn resize(&self, limit: u32) {
+        if self.limit() != limit {
+            self.limit.store(limit, Ordering::Relaxed);
+        }
+    }
+
+    fn limit(&self) -> u32 {
+        self.limit.load(Ordering::Relaxed)
+    }
+
     fn put(&self, mut conn: Connection) {
         conn.used = Instant::now();
         self.lock().idle.push(conn);
@@ -79,7 +92,7 @@
         let own = held.idle.iter().rposition(|idle| idle.worker() == worker);
         let found = match own {
             Some(at) => Some(held.idle.remove(at)),
-            None if held.open < self.limit => None,
+            None if held.open < self.limit() => None,
             None => held.idle.pop(),
         };
         drop(held);
@@ -152,7 +165,7 @@
 impl Open {
     fn try_new(pool: &Arc<Pool>, worker: WorkerIndex) -> Result<Open> {
         let mut held = pool.lock();
-        if held.open >= pool.limit {
+        if held.open >= pool.limit() {
             return Err(pool.error("all connections are in use"));
         }
         held.open += 1;
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/threads.rs
@@ -94,7 +94,11 @@
     } = listeners;
     tokio::join!(
         serve::accept(Arc::clone(&worker), ingress, Port::Caller(Side::Ingress)),
-        serve::accept(Arc::clone(&worker), egress, Port::Caller(Side::Egress)),
+        async {
+            if let Some(egress) = egress {
+                serve::accept(Arc::clone(&worker), egress, Port::Caller(Side::Egress)).await;
+            }
+        },
         serve::accept(Arc::clone(&worker), traffic, Port::Peer),
         close_admission(&hub),
         close(&hub),
@@ -114,10 +118,15 @@
 /// may take it while there is time.
 async fn close_admission(hub: &Hub) {
     let mut phase = hub.shared.watch_phase();
-    tokio::select! {
-        _ = phase.wait_for(|phase| *phase >= Phase::Draining) => {
-            hub.admission.close(Reason::Draining);
-        }
-        () = hub.cancel.cancelled() => {}
+    let leaving = async {
+        // The phase goes on only while the node runs.
+        let _ = phase.wait_for(|phase| *phase >= Phase::Draining).await;
+    };
+    if hub.cancel.run_until_cancelled(leaving).await.is_none() {
+        return;
     }
+    hub.admission.close(Reason::Draining);
+    let served = tokio::time::sleep(hub.callers_served);
+    hub.cancel.run_until_cancelled(served).await;
+    hub.callers_closed.cancel();
 }
--- a/crates/node/tests/control/apply.rs
+++ b/crates/node/tests/control/apply.rs
@@ -41,8 +41,8 @@
     for node in &fleet.nodes {
         assert!(!revisions(node, "applied").contains(&second.get()));
         let snapshot = node.snapshot().expect("a snapshot");
-        assert!(snapshot.match_route("/workshop/desk/1").is_some());
-        assert!(snapshot.match_route("/workshop/1").is_none());
+        assert!(snapshot.match_route(None, "/workshop/desk/1").is_some());
+        assert!(snapshot.match_route(None, "/workshop/1").is_none());
     }
     fleet.cancel.cancel();
 }
--- a/crates/node/tests/control/common.rs
+++ b/crates/node/tests/control/common.rs
@@ -67,6 +67,7 @@
         slots: settings.target.slots,
         connections: 120,
         state: InstanceState::Live,
+        target: None,
     }
 }
 
--- a/crates/node/tests/control/support.rs
+++ b/crates/node/tests/control/support.rs
@@ -91,7 +91,8 @@
         let any_port = SocketAddr::from((self.ip, 0));
         settings.listen = Listen {
             ingress: any_port,
-            egress: any_port,
+            egress: Some(any_port),
+            ready: None,
             traffic: any_port,
             control: any_port,
             admin: any_port,
@@ -116,7 +117,8 @@
             let addrs = node.addrs();
             settings.listen = Listen {
                 ingress: addrs.ingress,
-                egress: addrs.egress,
+                egress: Some(addrs.egress),
+                ready: None,
                 traffic: addrs.traffic,
                 control: addrs.control,
                 admin: addrs.admin,
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -114,6 +114,7 @@
             slots: spec.slots,
             connections: 2 * spec.slots,
             state: InstanceState::Live,
+            target: None,
         }
     }
 }
--- a/crates/wire/src/admin/snapshot.rs
+++ b/crates/wire/src/admin/snapshot.rs
@@ -4,6 +4,7 @@
 
 use sassafrasspool_core::Class;
 use sassafrasspool_core::DomainName;
+use sassafrasspool_core::HostName;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::KindName;
@@ -12,6 +13,7 @@
 use sassafrasspool_core::RegionName;
 use sassafrasspool_core::RoutePath;
 use sassafrasspool_core::ServiceName;
+use sassafrasspool_core::Share;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -44,10 +46,14 @@
 /// A route with the service that it leads to.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RouteInfo {
+    /// The host that its requests name; any host if absent.
+    pub host: Option<HostName>,
     /// The paths that it takes.
     pub path: RoutePath,
-    /// Where it leads.
+    /// Where it leads; the first service of a split.
     pub service: ServiceName,
+    /// How its requests are divided; empty if all go to `service`.
+    pub split: Vec<Share>,
     /// The kind of its requests.
     pub kind: KindName,
     /// How much one of them counts.
@@ -56,6 +62,9 @@
     pub class: Class,
     /// Whether one may run twice without harm.
     pub idempotent: bool,
+    /// The longest that a caller is kept waiting, in milliseconds, if the route
+    /// says so itself.
+    pub timeout_ms: Option<u64>,
 }
 
 /// An endpoint as this node sees it.
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -31,6 +31,15 @@
 /// Between nodes: the service that the request is for.
 pub const SERVICE: HeaderName = HeaderName::from_static("x-sassafrasspool-service");
 
+/// Between nodes: how urgent the request is, by the route of the first hop.
+pub const CLASS: HeaderName = HeaderName::from_static("x-sassafrasspool-class");
+
+/// Between nodes: the life of the target that the request is meant for.
+pub const LIFE: HeaderName = HeaderName::from_static("x-sassafrasspool-life");
+
+/// Between nodes: the service beside whose target the request began.
+pub const ORIGIN: HeaderName = HeaderName::from_static("x-sassafrasspool-origin");
+
 /// Between nodes: 1 if this is the first attempt with its key.
 pub const FIRST: HeaderName = HeaderName::from_static("x-sassafrasspool-first");
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,3 +16,4 @@
 
 pub use crate::socket::Counted;
 pub use crate::socket::SocketBytes;
+pub use crate::socket::keep_alive;
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -2,9 +2,15 @@
 //! something newer.
 
 pub use self::client::PlatformClient;
+pub use self::get::Fetched;
+pub use self::get::HttpGet;
+pub use self::source::Source;
+pub use self::source::SourceAsk;
 
 mod answer;
 mod client;
+mod get;
+mod source;
 #[cfg(test)]
 mod tests;
 
--- a/crates/wire/src/platform/answer.rs
+++ b/crates/wire/src/platform/answer.rs
@@ -4,12 +4,9 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
-use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_ENCODING;
 use http::header::RETRY_AFTER;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Instance;
 use sassafrasspool_core::Result;
@@ -19,14 +16,11 @@
 use sassafrasspool_core::Stream;
 use serde::Deserialize;
 
+use super::Fetched;
 use super::MAX_INSTANCES;
 use super::MAX_VALUE_BYTES;
-use super::client::Body;
 use crate::unfold::unfold;
 
-/// The largest head of an answer, in bytes.
-pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
-
 /// The content coding that is asked for. A catalogue shrinks to a twentieth,
 /// and readers fetch it whole at each change.
 pub(super) const CODING: &str = "zstd";
@@ -41,38 +35,30 @@
     instances: Vec<Instance>,
 }
 
-/// Reads an answer to its end.
+/// Reads an answer.
 ///
 /// # Errors
 ///
-/// Fails if it breaks off, is too large, or has a status or revision that the
-/// protocol doesn't know.
-pub(super) async fn read(stream: Stream, res: Response<Body>) -> Result<SourceResult> {
-    let (head, body) = res.into_parts();
-    let body = collect(body).await?;
-    match head.status {
+/// Fails if it is too large, or has a status or revision that the protocol
+/// doesn't know.
+pub(super) fn read(stream: Stream, answer: &Fetched) -> Result<SourceResult> {
+    let headers = &answer.headers;
+    match answer.status {
         StatusCode::OK => {
-            let body = decoded(&head.headers, body)?;
-            Ok(value(stream, revision(&head.headers)?, &body))
+            let body = decoded(headers, answer.body.clone())?;
+            Ok(value(stream, revision(headers)?, &body))
         }
         StatusCode::NOT_MODIFIED => Ok(SourceResult::Unchanged {
-            newest: revision(&head.headers).ok(),
+            newest: revision(headers).ok(),
         }),
         StatusCode::NOT_FOUND => Ok(SourceResult::Nothing),
         StatusCode::TOO_MANY_REQUESTS => Ok(SourceResult::Busy {
-            retry_after: retry_after(&head.headers),
+            retry_after: retry_after(headers),
         }),
         status => Err(failed(format!("answered {status}"))),
     }
 }
 
-async fn collect(body: Body) -> Result<Bytes> {
-    let limited = Limited::new(body, MAX_VALUE_BYTES);
-    let collected = limited.collect().await;
-    let collected = collected.map_err(|cause| failed("answer not whole").with_cause(cause))?;
-    Ok(collected.to_bytes())
-}
-
 /// Undoes the content coding, if the platform used the one asked for.
 fn decoded(headers: &HeaderMap, body: Bytes) -> Result<Bytes> {
     let Some(coding) = headers.get(CONTENT_ENCODING) else {
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -6,6 +6,8 @@
 
 pub use self::bytes::SocketBytes;
 pub use self::counted::Counted;
+pub use self::keep_alive::keep_alive;
 
 mod bytes;
 mod counted;
+mod keep_alive;
