--- a/crates/core/src/spread/event.rs
+++ b/crates/core/src/spread/event.rs
@@ -1,5 +1,6 @@
 //! What happens to a node.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::CallId;
@@ -37,6 +38,8 @@
     },
     /// The endpoint beside this node entered a phase.
     LocalPhase(Phase),
+    /// Other control addresses are to be asked before the list is known.
+    Seeds(Vec<SocketAddr>),
 }
 
 /// How a read of the platform ended.
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -136,6 +136,7 @@
             }
             Event::SourceRead { stream, result } => self.source_read(now, stream, result, out),
             Event::LocalPhase(phase) => self.enter_phase(now, phase, out),
+            Event::Seeds(seeds) => self.local.seeds = seeds,
         }
         self.do_what_is_due(now, out);
     }
--- a/crates/node/src/node/running.rs
+++ b/crates/node/src/node/running.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use sassafrasspool_core::Error;
+use sassafrasspool_core::Event;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Snapshot;
 use sassafrasspool_core::SpreadStatus;
@@ -12,6 +13,7 @@
 use tokio::sync::watch;
 
 use super::NodeAddrs;
+use super::spread;
 use crate::Settings;
 use crate::Shared;
 use crate::control::ControlEvent;
@@ -91,6 +93,17 @@
         self.outside.control.status().await
     }
 
+    /// Takes over what a running node can of other settings: the service of its
+    /// target and the seeds. Returns the parts that wait for a restart.
+    pub async fn reload(&self, new: &Settings) -> Vec<&'static str> {
+        self.outside.shared.set_service(new.service.clone());
+        let seeds = spread::other_seeds(&new.seeds, self.addrs.control);
+        let event = ControlEvent::Spread(Event::Seeds(seeds));
+        // A node that has ended needs no seeds.
+        self.outside.control.send(event).await;
+        self.settings.fixed_parts_changed(new)
+    }
+
     /// Begins to drain: the endpoint takes nothing new, and the others hear of
     /// it. Returns once nothing is in flight; the node goes on to run.
     pub async fn drain(&self) {
--- a/crates/node/src/node/spread.rs
+++ b/crates/node/src/node/spread.rs
@@ -34,7 +34,7 @@
         domain: settings.domain.clone(),
         control,
         incarnation,
-        seeds: other_seeds(settings, control),
+        seeds: other_seeds(&settings.seeds, control),
     };
     let cfg = settings.spread.config.clone();
     match settings.spread.strategy {
@@ -44,7 +44,7 @@
 }
 
 /// The seeds without the node itself: all nodes may be given one list.
-fn other_seeds(settings: &Settings, control: SocketAddr) -> Vec<SocketAddr> {
-    let others = settings.seeds.iter().filter(|seed| **seed != control);
+pub(super) fn other_seeds(seeds: &[SocketAddr], control: SocketAddr) -> Vec<SocketAddr> {
+    let others = seeds.iter().filter(|seed| **seed != control);
     others.copied().collect()
 }
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use miette::Report;
 use tokio::runtime::Builder;
@@ -14,9 +15,13 @@
 use crate::Adapter;
 use crate::Node;
 use crate::RunningNode;
-use crate::Settings;
 use crate::settings::LogFormat;
 use crate::settings::LogSettings;
+use crate::settings::SettingsFile;
+
+/// How often the settings file is looked at: it may change without a signal,
+/// and what it says has to be in force within two seconds.
+const LOOK_AT_SETTINGS: Duration = Duration::from_secs(1);
 
 /// The exit code of a node that ended on a signal but cut requests.
 const EXIT_CUT: u8 = 3;
@@ -43,7 +48,7 @@
 
 /// Runs a node to its end; returns how many requests that cut.
 fn run_to_end(settings: &Path, adapter: Adapter) -> miette::Result<u64> {
-    let settings = Settings::load(settings)?;
+    let (file, settings) = SettingsFile::open(settings)?;
     start_log(settings.log);
     let runtime = Builder::new_current_thread()
         .enable_all()
@@ -55,7 +60,7 @@
         let cancel = CancellationToken::new();
         let node = Node::start_with(settings, adapter, cancel.clone()).map_err(report)?;
         log_start(&node);
-        until_end(&node, signals, cancel).await.map_err(report)
+        until_end(&node, signals, file, cancel).await.map_err(report)
     })
 }
 
@@ -78,17 +83,26 @@
 async fn until_end(
     node: &RunningNode,
     mut signals: Signals,
+    mut file: SettingsFile,
     cancel: CancellationToken,
 ) -> sassafrasspool_core::Result<u64> {
-    tokio::select! {
-        () = signals.next() => tracing::info!("told to stop: draining"),
-        ended = node.ended() => return ended.map(|report| report.cut),
+    loop {
+        tokio::select! {
+            () = signals.stop.next() => break,
+            ended = node.ended() => return ended.map(|report| report.cut),
+            _ = signals.reload.recv() => {
+                tracing::info!("told to read the settings again");
+                reload(node, &mut file).await;
+            }
+            () = tokio::time::sleep(LOOK_AT_SETTINGS) => reload(node, &mut file).await,
+        }
     }
+    tracing::info!("told to stop: draining");
     let stopping = node.stop();
     tokio::pin!(stopping);
     let report = tokio::select! {
         report = &mut stopping => report?,
-        () = signals.next() => {
+        () = signals.stop.next() => {
             tracing::warn!("told to stop again: ending at once");
             cancel.cancel();
             stopping.await?
@@ -98,9 +112,37 @@
     Ok(report.cut)
 }
 
-/// The signals that ask a process to stop.
+/// Takes over settings that have changed; refused ones leave all as it was.
+async fn reload(node: &RunningNode, file: &mut SettingsFile) {
+    match file.changed() {
+        None => {}
+        Some(Ok(settings)) => {
+            let fixed = node.reload(&settings).await;
+            tracing::info!(
+                service = %settings.service,
+                seeds = settings.seeds.len(),
+                wait_for_restart = fixed.join(", "),
+                "settings have changed",
+            );
+        }
+        Some(Err(err)) => {
+            let reason = format!("{:?}", Report::new(err));
+            tracing::error!(reason, "settings refused, the former stay in force");
+        }
+    }
+}
+
+/// The signals that a process is sent.
 #[derive(Debug)]
 struct Signals {
+    stop: StopSignals,
+    /// The settings have changed. Without a handler it would end the process.
+    reload: Signal,
+}
+
+/// The signals that ask a process to stop.
+#[derive(Debug)]
+struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
 }
@@ -108,11 +150,16 @@
 impl Signals {
     fn new() -> std::io::Result<Signals> {
         Ok(Signals {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
+            stop: StopSignals {
+                terminate: signal(SignalKind::terminate())?,
+                interrupt: signal(SignalKind::interrupt())?,
+            },
+            reload: signal(SignalKind::hangup())?,
         })
     }
+}
 
+impl StopSignals {
     async fn next(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,6 +1,5 @@
 //! A node's settings: YAML text, checked whole before anything starts.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -14,6 +13,7 @@
 pub use self::control::ControlSettings;
 pub use self::drain::DrainSettings;
 pub use self::fault::SettingsError;
+pub use self::file::SettingsFile;
 pub use self::listen::Listen;
 pub use self::log::LogFormat;
 pub use self::log::LogLevel;
@@ -26,6 +26,7 @@
 mod control;
 mod drain;
 mod fault;
+mod file;
 mod listen;
 mod log;
 mod platform;
@@ -96,9 +97,27 @@
     ///
     /// Fails if the file can't be read, or with every fault of its text.
     pub fn load(file: &Path) -> Result<Settings, SettingsError> {
-        let name = file.display().to_string();
-        let text = fs::read_to_string(file)
-            .map_err(|err| SettingsError::unreadable(&name, &err.to_string()))?;
-        Settings::parse(&text).map_err(|faults| SettingsError::new(&name, &text, faults))
+        SettingsFile::open(file).map(|(_, settings)| settings)
+    }
+
+    /// The parts that differ from `new` and that a running node can't take
+    /// over.
+    pub fn fixed_parts_changed(&self, new: &Settings) -> Vec<&'static str> {
+        let same = [
+            ("instance", self.instance == new.instance),
+            ("region", self.region == new.region),
+            ("domain", self.domain == new.domain),
+            ("listen", self.listen == new.listen),
+            ("target", self.target == new.target),
+            ("platform", self.platform == new.platform),
+            ("control", self.control == new.control),
+            ("spread", self.spread == new.spread),
+            ("traffic_threads", self.traffic_threads == new.traffic_threads),
+            ("repeat", self.repeat == new.repeat),
+            ("log", self.log == new.log),
+            ("drain", self.drain == new.drain),
+        ];
+        let changed = same.into_iter().filter(|(_, same)| !same);
+        changed.map(|(name, _)| name).collect()
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -13,6 +13,7 @@
 use sassafrasspool_core::Position;
 use sassafrasspool_core::RepeatWindow;
 use sassafrasspool_core::Revision;
+use sassafrasspool_core::ServiceName;
 use sassafrasspool_core::Tick;
 use tokio::sync::watch;
 
@@ -45,6 +46,7 @@
     me: InstanceId,
     incarnation: Incarnation,
     dialect: Dialect,
+    service: ArcSwapOption<ServiceName>,
     clock: Clock,
     view: ArcSwapOption<View>,
     routing: Routing,
@@ -65,6 +67,7 @@
             me,
             incarnation,
             dialect,
+            service: ArcSwapOption::empty(),
             clock: Clock::start(),
             view: ArcSwapOption::empty(),
             routing: Routing::default(),
@@ -84,6 +87,16 @@
         self.incarnation
     }
 
+    /// The service of the target beside this node, by the settings.
+    pub fn service(&self) -> Option<Arc<ServiceName>> {
+        self.service.load_full()
+    }
+
+    /// Says of which service the target is: an instance may be given another.
+    pub fn set_service(&self, service: ServiceName) {
+        self.service.store(Some(Arc::new(service)));
+    }
+
     /// What callers and the target call things.
     pub fn dialect(&self) -> &Dialect {
         &self.dialect
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -94,7 +94,8 @@
     /// told of it.
     fn origin(&self) -> Option<HeaderValue> {
         self.worker.hub.shared.dialect().origin.as_ref()?;
-        HeaderValue::from_str(self.worker.hub.service.as_str()).ok()
+        let service = self.worker.hub.shared.service()?;
+        HeaderValue::from_str(service.as_str()).ok()
     }
 
     async fn run_at_peer(
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -69,6 +69,7 @@
         };
         let repeat = RepeatWindow::new(cfg.repeat, cfg.instance.clone(), cfg.service.clone())?;
         shared.place(position, repeat.clone());
+        shared.set_service(cfg.service.clone());
         let admission = Admission::new(AdmissionSettings::default(), cfg.target.slots)?;
         let limit = cfg.target.slots.min(cfg.target.connections);
         Ok(Hub {
