Let a node without a live target read for itself

Cause: a node whose target drains, or isn't listed, ranks nowhere among the readers; it heard of changes by comparing every 2 s. Ruled out: the picker (it leaves out what leaves at once), the watch (others had the list 8 ms after). The test fails without the change (2.08 s) and passes with it.

--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -68,7 +68,7 @@
 
     /// Whether this node reads a stream: as a reader, or to join.
     fn wants(&self, now: Tick, stream: Stream) -> bool {
-        if self.role.reads() || self.hears_nobody() {
+        if self.role.reads() || self.hears_nobody() || self.is_counted_on_by_nobody() {
             return true;
         }
         if matches!(self.life, Life::Joined(_)) || self.reads[stream as usize].answered() {
@@ -92,6 +92,18 @@
         self.holder.instances().is_some() && self.peers.len() == 0
     }
 
+    /// Whether the list has no live endpoint here, though the node goes on.
+    ///
+    /// Its target drains, crashed, or hasn't registered yet, while callers at
+    /// its instance are still served. Others don't rank it among the readers,
+    /// nor count it among their peers once it is unlisted, so that it heard of
+    /// changes by comparing now and then: up to 2.0 s late, while it sent
+    /// requests to targets that had long said that they leave. Reading for
+    /// itself it knows within a round trip, for one read a change.
+    fn is_counted_on_by_nobody(&self) -> bool {
+        self.role.place().is_some_and(|place| place.rank.is_none())
+    }
+
     /// The age of the newest proof of contact, counted from this node's start
     /// if there is none.
     pub(super) fn contact_age(&self, now: Tick) -> Duration {
--- a/crates/core/src/spread/tests/basics.rs
+++ b/crates/core/src/spread/tests/basics.rs
@@ -1,9 +1,14 @@
 use std::time::Duration;
 
+use rstest::rstest;
+
 use super::net::Net;
 use super::net::good;
 use super::net::joined_net;
+use super::net::joined_net_with;
 use crate::AuditEvent;
+use crate::Instance;
+use crate::InstanceState;
 use crate::SpreadConfig;
 
 #[test]
@@ -106,3 +111,30 @@
     assert!(net.messages.is_empty());
     assert!(net.platform.reads.len() >= 20 * 4);
 }
+
+// The targets of some instances drain, or have crashed, while their nodes go on
+// to serve callers there. An operator changes the catalogue. Each of these
+// nodes has the change in force as soon as the others; ranked nowhere and
+// unlisted, they heard of it by chance, and routed by the old one for seconds.
+#[rstest]
+#[case::leaving(|list: &mut Vec<Instance>| list.iter_mut().take(6).for_each(|it| it.state = InstanceState::Leaving))]
+#[case::unlisted(|list: &mut Vec<Instance>| drop(list.drain(..6)))]
+fn nodes_without_a_live_target_follow_as_soon_as_others(#[case] change: fn(&mut Vec<Instance>)) {
+    let cfg = SpreadConfig {
+        assumed_fleet: 30,
+        ..SpreadConfig::default()
+    };
+    let mut net = joined_net_with(30, 7, cfg);
+    let mut list = net.platform.newest_list();
+    change(&mut list);
+    net.list(list);
+    net.run_for(Duration::from_secs(30));
+    let mut slowest = Duration::ZERO;
+    for revision in 2..12 {
+        net.publish(revision, &good(revision));
+        let took = net.run_until(Duration::from_secs(10), |net| net.all_at(revision));
+        slowest = slowest.max(took);
+        net.run_for(Duration::from_millis(700));
+    }
+    assert!(slowest < Duration::from_millis(300), "{slowest:?}");
+}
