Serve first what can still be answered in time

Cause: under overload the oldest of a class went first. Change: admission knows until when an answer is worth most and how long each kind takes; in a class those go first that can be in time, in the order in which they have to begin; a newcomer that would be late is refused while another node may have room. A caller's later attempt is told by the time that it still waits. Nodes ask two others for room, which costs targets nothing. Ruled out: the target's own queue (it is never filled).

--- a/crates/bench/src/demo/deployment/tests.rs
+++ b/crates/bench/src/demo/deployment/tests.rs
@@ -68,6 +68,9 @@
     let items = catalogue::parse(&text).unwrap();
     let routes = crate::demo::routes(items).unwrap();
     for call in &found.calls {
-        assert!(routes.match_route(None, call.path.as_str()).is_some(), "{call:?}");
+        assert!(
+            routes.match_route(None, call.path.as_str()).is_some(),
+            "{call:?}"
+        );
     }
 }
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -6,6 +6,11 @@
 //! be served in time is refused as soon as that is known, so that the caller
 //! can act while there is time. Critical work goes first; standard work goes
 //! before background work by a set weight, so that neither stops for good.
+//!
+//! Within a class those go first whose answer can still be worth most to their
+//! callers. Were the oldest to go first, under more load than the target bears
+//! all would wait until their answers are late; so as many are answered, but
+//! most of them in time.
 
 pub use self::ask::Ask;
 pub use self::ask::Offer;
@@ -25,4 +30,5 @@
 mod state;
 #[cfg(test)]
 mod tests;
+mod took;
 mod wake;
--- a/crates/core/src/admit/ask.rs
+++ b/crates/core/src/admit/ask.rs
@@ -2,10 +2,12 @@
 
 use crate::Class;
 use crate::Deadline;
+use crate::KindName;
 use crate::Limits;
 use crate::Permit;
 use crate::Queued;
 use crate::Refusal;
+use crate::Tick;
 
 /// A request as admission sees it.
 #[derive(Debug, Clone, Copy)]
@@ -16,6 +18,10 @@
     pub deadline: Deadline,
     /// The limits of its entry, from the snapshot that the request pins.
     pub limits: &'a Limits,
+    /// What kind of request it is, where service times are told apart.
+    pub kind: Option<&'a KindName>,
+    /// Until when its answer is worth most to its caller.
+    pub aim: Option<Tick>,
     /// The target's slots by the instance list, where that tells them.
     pub slots: Option<u32>,
 }
--- a/crates/core/src/admit/control.rs
+++ b/crates/core/src/admit/control.rs
@@ -9,11 +9,11 @@
 use super::queue::WaitKey;
 use super::state::Decision;
 use super::state::State;
+use super::took::Work;
 use super::wake::Wake;
 use super::wake::Waker;
 use crate::AdmissionSettings;
 use crate::Ask;
-use crate::Class;
 use crate::Error;
 use crate::LoadReport;
 use crate::Offer;
@@ -90,7 +90,7 @@
         let decision = self.0.lock().offer(now, ask, waker, &mut wakes);
         wakes.into_iter().for_each(Wake::call);
         match decision {
-            Decision::Run => Offer::Admitted(Permit::new(&self.0, ask.class, now)),
+            Decision::Run(work) => Offer::Admitted(Permit::new(&self.0, work, now)),
             Decision::Wait(key, until) => Offer::Queued(Queued::new(&self.0, key, until)),
             Decision::Refuse(refusal) => Offer::Refused(refusal),
         }
@@ -121,9 +121,9 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn release(self: &Arc<Shared>, now: Option<Tick>, class: Class, since: Tick) {
+    pub(super) fn release(self: &Arc<Shared>, now: Option<Tick>, work: Work, since: Tick) {
         let mut wakes = Vec::new();
-        self.lock().release(now, class, since, self, &mut wakes);
+        self.lock().release(now, work, since, self, &mut wakes);
         wakes.into_iter().for_each(Wake::call);
     }
 
--- a/crates/core/src/admit/permit.rs
+++ b/crates/core/src/admit/permit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::control::Shared;
-use crate::Class;
+use super::took::Work;
 use crate::Tick;
 
 /// A slot of the target, held until it is released or dropped.
@@ -15,16 +15,16 @@
 #[must_use = "dropping a permit gives the slot back"]
 pub struct Permit {
     shared: Arc<Shared>,
-    class: Class,
+    work: Work,
     since: Tick,
     held: bool,
 }
 
 impl Permit {
-    pub(super) fn new(shared: &Arc<Shared>, class: Class, since: Tick) -> Permit {
+    pub(super) fn new(shared: &Arc<Shared>, work: Work, since: Tick) -> Permit {
         Permit {
             shared: shared.clone(),
-            class,
+            work,
             since,
             held: true,
         }
@@ -34,14 +34,14 @@
     pub fn release(mut self, now: Tick) {
         // INVARIANT: The drop that follows finds nothing held.
         self.held = false;
-        self.shared.release(Some(now), self.class, self.since);
+        self.shared.release(Some(now), self.work, self.since);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         if self.held {
-            self.shared.release(None, self.class, self.since);
+            self.shared.release(None, self.work, self.since);
         }
     }
 }
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -8,6 +8,8 @@
 use super::queue::Queue;
 use super::queue::WaitKey;
 use super::queue::Waiting;
+use super::took::Took;
+use super::took::Work;
 use super::wake::Wake;
 use super::wake::Waker;
 use crate::AdmissionSettings;
@@ -22,12 +24,10 @@
 
 /// The least and the greatest time after which a refused caller may come back.
 const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(5)];
-/// The weight of the newest service time in its average, as a shift.
-const AVERAGE_SHIFT: u32 = 3;
 
 /// What is decided under the lock.
 pub(super) enum Decision {
-    Run,
+    Run(Work),
     Wait(WaitKey, Tick),
     Refuse(Refusal),
 }
@@ -44,7 +44,7 @@
     concurrency: u32,
     running: u32,
     running_of: [u32; Class::ALL.len()],
-    took: [u64; Class::ALL.len()],
+    took: Took,
     queue: Queue,
     bucket: Bucket,
     closed: Option<Reason>,
@@ -59,7 +59,7 @@
             concurrency: slots,
             running: 0,
             running_of: [0; Class::ALL.len()],
-            took: [0; Class::ALL.len()],
+            took: Took::default(),
             queue: Queue::new(),
             bucket: Bucket::full(),
             closed: None,
@@ -93,12 +93,13 @@
         if let Some(refusal) = self.refuse_at_once(ask) {
             return Decision::Refuse(refusal);
         }
+        let work = self.took.work(ask.class, ask.kind);
         if self.queue.ahead_of(ask.class) == 0 && self.has_slot(ask.class) {
             self.bucket.take();
             self.count(ask.class);
-            return Decision::Run;
+            return Decision::Run(work);
         }
-        self.enqueue(ask, waker, wakes)
+        self.enqueue(ask, work, waker, wakes)
     }
 
     fn refuse_at_once(&mut self, ask: &Ask<'_>) -> Option<Refusal> {
@@ -116,26 +117,42 @@
     fn enqueue(
         &mut self,
         ask: &Ask<'_>,
+        work: Work,
         waker: impl FnOnce() -> Waker,
         wakes: &mut Vec<Wake>,
     ) -> Decision {
-        let wait = self.expected_wait(ask.class);
-        let needed = wait + Duration::from_micros(self.took[ask.class.index()]);
-        if needed > ask.deadline.remaining(self.now) {
+        let took = self.took.expect(work);
+        let begin_by = ask.aim.map(|aim| before(aim, took));
+        let in_time = begin_by.is_none_or(|begin_by| self.now <= begin_by);
+        let ahead = match in_time {
+            true => self.queue.ahead_in_time(ask.class, begin_by, self.now),
+            false => self.queue.ahead_of(ask.class),
+        };
+        let wait = self.expected_wait(ahead);
+        if wait + took > ask.deadline.remaining(self.now) {
             return Decision::Refuse(refusal(Reason::DeadlineTooShort).after(wait));
         }
+        // It would be late here and may be in time elsewhere.
+        if in_time && begin_by.is_some_and(|begin_by| self.now + wait > begin_by) {
+            return Decision::Refuse(refusal(Reason::QueueFull).after(wait));
+        }
         if self.queue.len() >= self.queue_bound() {
-            let Some(displaced) = self.queue.displace(ask.class) else {
+            let mut displaced = self.queue.displace(ask.class);
+            if displaced.is_none() && in_time {
+                displaced = self.queue.displace_late(ask.class, self.now);
+            }
+            let Some(displaced) = displaced else {
                 return Decision::Refuse(refusal(Reason::QueueFull).after(wait));
             };
-            let wait = self.expected_wait(displaced.class);
+            let wait = self.expected_wait(self.queue.ahead_of(displaced.work.class));
             wakes.push(refuse(displaced, refusal(Reason::Displaced).after(wait)));
         }
         self.bucket.take();
         let until = ask.deadline.tick().min(self.now + self.settings.max_wait);
         let key = self.queue.push(Waiting {
-            class: ask.class,
+            work,
             until,
+            begin_by,
             waker: waker(),
         });
         Decision::Wait(key, until)
@@ -145,17 +162,17 @@
     pub(super) fn release(
         &mut self,
         now: Option<Tick>,
-        class: Class,
+        work: Work,
         since: Tick,
         shared: &Arc<Shared>,
         wakes: &mut Vec<Wake>,
     ) {
         // INVARIANT: Only a permit calls this, and each calls it once.
         self.running -= 1;
-        self.running_of[class.index()] -= 1;
+        self.running_of[work.class.index()] -= 1;
         if let Some(now) = now {
             self.now = self.now.max(now);
-            self.average(class, now.since(since));
+            self.took.note(work, now.since(since));
         }
         self.sweep(wakes);
         self.fill(shared, wakes);
@@ -164,10 +181,12 @@
     fn fill(&mut self, shared: &Arc<Shared>, wakes: &mut Vec<Wake>) {
         while self.running < self.concurrency {
             let background = self.has_slot(Class::Background);
-            let next = self.queue.pop(self.settings.standard_weight, background);
+            let next = self
+                .queue
+                .pop(self.now, self.settings.standard_weight, background);
             let Some(waiting) = next else { return };
-            self.count(waiting.class);
-            let permit = Permit::new(shared, waiting.class, self.now);
+            self.count(waiting.work.class);
+            let permit = Permit::new(shared, waiting.work, self.now);
             wakes.push(Wake {
                 waker: waiting.waker,
                 verdict: Ok(permit),
@@ -183,7 +202,7 @@
     pub(super) fn expire(&mut self, now: Tick, key: WaitKey) -> Option<Refusal> {
         self.now = self.now.max(now);
         let gone = self.queue.remove(key)?;
-        Some(self.timed_out(gone.class))
+        Some(self.timed_out(gone.work.class))
     }
 
     /// Refuses everything from now on, and what waits.
@@ -202,13 +221,13 @@
             return;
         }
         for gone in self.queue.expired(self.now) {
-            let told = self.timed_out(gone.class);
+            let told = self.timed_out(gone.work.class);
             wakes.push(refuse(gone, told));
         }
     }
 
     fn timed_out(&self, class: Class) -> Refusal {
-        refusal(Reason::QueueTimeout).after(self.expected_wait(class))
+        refusal(Reason::QueueTimeout).after(self.expected_wait(self.queue.ahead_of(class)))
     }
 
     fn has_slot(&self, class: Class) -> bool {
@@ -228,9 +247,9 @@
         usize::try_from(bound).unwrap_or(usize::MAX)
     }
 
-    /// How long a new request of `class` would wait, by what others took.
-    fn expected_wait(&self, class: Class) -> Duration {
-        let ahead = u64::try_from(self.queue.ahead_of(class)).unwrap_or(u64::MAX);
+    /// How long a request waits behind `ahead` others, by what others took.
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
         let mean = self.mean_took();
         let us = mean.saturating_mul(ahead + 1) / u64::from(self.concurrency.max(1));
         Duration::from_micros(us).clamp(RETRY_AFTER[0], RETRY_AFTER[1])
@@ -238,16 +257,17 @@
 
     /// The average over what runs now, by class.
     fn mean_took(&self) -> u64 {
-        let sum = |acc: u64, i: usize| acc + self.took[i] * u64::from(self.running_of[i]);
-        let all = (0..Class::ALL.len()).fold(0, sum);
+        let sum = |acc: u64, class: Class| {
+            acc + self.took.of_class(class) * u64::from(self.running_of[class.index()])
+        };
+        let all = Class::ALL.into_iter().fold(0, sum);
         all / u64::from(self.running.max(1))
     }
+}
 
-    fn average(&mut self, class: Class, took: Duration) {
-        let us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX) >> AVERAGE_SHIFT;
-        let held = &mut self.took[class.index()];
-        *held = *held - (*held >> AVERAGE_SHIFT) + us;
-    }
+/// The moment that lies `span` before `tick`.
+fn before(tick: Tick, span: Duration) -> Tick {
+    Tick::ZERO + tick.since(Tick::ZERO).saturating_sub(span)
 }
 
 fn refusal(reason: Reason) -> Refusal {
--- a/crates/core/src/admit/tests/bench.rs
+++ b/crates/core/src/admit/tests/bench.rs
@@ -48,8 +48,21 @@
 
     /// Offers a request; the verdict is there at once or when it is woken.
     pub(super) fn offer(&mut self, now: Tick, class: Class, limits: &Limits) -> usize {
+        self.offer_with(now, class, limits, None)
+    }
+
+    /// The same for a request whose answer is worth most until `aim`.
+    pub(super) fn offer_with(
+        &mut self,
+        now: Tick,
+        class: Class,
+        limits: &Limits,
+        aim: Option<Tick>,
+    ) -> usize {
         let id = self.waits.len();
         let ask = Ask {
+            kind: None,
+            aim,
             slots: None,
             class,
             deadline: Deadline::within(now, limits.deadline),
--- a/crates/core/src/admit/tests/cases.rs
+++ b/crates/core/src/admit/tests/cases.rs
@@ -161,6 +161,8 @@
 fn a_permit_that_nobody_takes_goes_to_the_next() {
     let admission = Admission::new(SETTINGS, 1).unwrap();
     let ask = Ask {
+        kind: None,
+        aim: None,
         slots: None,
         class: Class::Standard,
         deadline: Deadline::within(NOW, LIMITS.deadline),
@@ -197,3 +199,55 @@
     bench.offer(NOW, Class::Critical, &LIMITS);
     bench.take_permit().release(NOW);
 }
+
+/// Offers a request whose answer is worth most until `aim` after [`NOW`].
+fn offer_until(bench: &mut Bench, aim_ms: u64) -> usize {
+    bench.offer_with(
+        NOW,
+        Class::Standard,
+        &LIMITS,
+        Some(NOW + Duration::from_millis(aim_ms)),
+    )
+}
+
+// More comes than a target bears. Those who came first have waited so long that
+// their answers are late whatever happens; were they served first, those behind
+// them would be late as well. So who can be in time goes first, in the order in
+// which they have to begin, and the late ones have what is left.
+#[test]
+fn who_can_be_in_time_goes_before_who_is_late() {
+    let mut bench = Bench::new(1);
+    bench.offer(NOW, Class::Standard, &LIMITS);
+    let mut permit = bench.take_permit();
+    let late = offer_until(&mut bench, 60);
+    let relaxed = offer_until(&mut bench, 400);
+    let urgent = offer_until(&mut bench, 150);
+    let now = NOW + Duration::from_millis(100);
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        permit.release(now);
+        let (id, next) = bench.verdicts().pop().unwrap();
+        order.push(id);
+        permit = next.unwrap();
+    }
+    assert_eq!(order, [urgent, relaxed, late]);
+}
+
+// A target takes 200 ms for a request, and four wait already. A fifth would be
+// late here: its node is told at once, and may ask another while there is time.
+#[test]
+fn who_would_be_late_is_refused_while_there_is_time() {
+    let mut bench = Bench::new(1);
+    bench.offer(NOW, Class::Standard, &LIMITS);
+    bench
+        .take_permit()
+        .release(NOW + Duration::from_millis(200));
+    bench.offer(NOW, Class::Standard, &LIMITS);
+    let permit = bench.take_permit();
+    let aims = [900, 910].map(|aim| offer_until(&mut bench, aim));
+    assert!(aims.iter().all(|id| bench.waits[*id].is_some()));
+    offer_until(&mut bench, 920);
+    let refused = bench.refused();
+    assert_eq!(refused, [(4, Reason::QueueFull)]);
+    drop(permit);
+}
--- a/crates/core/src/catalogue/host.rs
+++ b/crates/core/src/catalogue/host.rs
@@ -65,9 +65,7 @@
 
     fn try_from(host: Arc<str>) -> Result<HostName> {
         let fits = |byte: u8| {
-            byte.is_ascii_lowercase()
-                || byte.is_ascii_digit()
-                || matches!(byte, b'-' | b'_' | b'.')
+            byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'-' | b'_' | b'.')
         };
         if host.is_empty() || host.len() > MAX_HOST_BYTES || !host.bytes().all(fits) {
             let reason = format!("{host:?} is no host name in lower case");
--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -208,7 +208,12 @@
     let attempts = optional_number(&mut table, "attempts", ATTEMPTS, faults);
     let split = read_split(&mut table, faults);
     if service.is_some() && !split.is_empty() {
-        faults.add_at(Some(table.place()), table.entry(), "split", "stands beside a service");
+        faults.add_at(
+            Some(table.place()),
+            table.entry(),
+            "split",
+            "stands beside a service",
+        );
     }
     table.finish(faults);
     let first = split.first().map(|share| share.service.clone());
--- /dev/null
+++ b/crates/core/src/patience/tests.rs
@@ -0,0 +1,40 @@
+use std::time::Duration;
+
+use super::Patience;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+// A service is overloaded, and its callers come back twice each: two of three
+// attempts are later ones. What first attempts say still stands out, and a
+// caller who has waited for a second isn't taken for one that has just come.
+#[test]
+fn first_attempts_stand_out_among_many_later_ones() {
+    let mut patience = Patience::default();
+    for n in 0..500 {
+        patience.note(ms(2_500));
+        patience.note(ms(900 + (n * 7_919) % 1_500));
+        patience.note(ms(300 + (n * 104_729) % 1_700));
+    }
+    assert_eq!(patience.since_first(ms(2_500)), Duration::ZERO);
+    assert_eq!(patience.since_first(ms(1_500)), ms(1_000));
+}
+
+#[test]
+fn without_a_usual_time_every_attempt_counts_as_the_first() {
+    let mut patience = Patience::default();
+    for n in 0..100 {
+        patience.note(ms(100 + n * 13));
+    }
+    assert_eq!(patience.since_first(ms(100)), Duration::ZERO);
+}
+
+// Operators give callers more time. The new time is taken over soon.
+#[test]
+fn a_new_usual_time_takes_the_place_of_the_old() {
+    let mut patience = Patience::default();
+    (0..1_000).for_each(|_| patience.note(ms(2_500)));
+    (0..65).for_each(|_| patience.note(ms(4_000)));
+    assert!(patience.since_first(ms(3_500)) <= ms(500));
+}
--- a/crates/core/src/request/whole.rs
+++ b/crates/core/src/request/whole.rs
@@ -71,6 +71,8 @@
             class: self.class,
             deadline: self.deadline,
             limits,
+            kind: None,
+            aim: None,
             slots: None,
         }
     }
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -14,6 +14,11 @@
 /// the wrong ones.
 const MAX_MOVES: u32 = 4;
 
+/// How often a request may ask another endpoint's node for room because the one
+/// before had none. Nothing reached a target, so that it costs no target
+/// anything; under an overload of the whole service the next is as full.
+const MAX_ASKS: u32 = 2;
+
 /// Where in a chain of calls a node stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Hop {
@@ -48,6 +53,7 @@
     attempt: Option<Attempt>,
     tries: u32,
     moves: u32,
+    asks: u32,
     /// The first try that may have run.
     lost: Option<Loss>,
 }
@@ -69,6 +75,7 @@
             attempt: None,
             tries: limits.attempts.saturating_sub(1),
             moves: MAX_MOVES,
+            asks: MAX_ASKS,
             lost: None,
         }
     }
@@ -127,11 +134,16 @@
         // A wrong endpoint says nothing of the load of the service, and no
         // target has spent anything on the request: it costs less, and is
         // bounded on its own, so that a drain doesn't use up the retries.
-        let misplaced = matches!(failure, Failure::Refused(r) if r.reason().is_misplaced());
-        let (left, paid): (&mut u32, fn(&Budget) -> bool) = if misplaced {
-            (&mut self.moves, Budget::take_move)
-        } else {
-            (&mut self.tries, Budget::take_retry)
+        // The same goes for a node without room, which kept the request from
+        // its target.
+        let refused = match failure {
+            Failure::Refused(refusal) => Some(refusal.reason()),
+            Failure::Lost(_) => None,
+        };
+        let (left, paid): (&mut u32, fn(&Budget) -> bool) = match refused {
+            Some(reason) if reason.is_misplaced() => (&mut self.moves, Budget::take_move),
+            Some(reason) if !reason.is_of_target() => (&mut self.asks, Budget::take_move),
+            _ => (&mut self.tries, Budget::take_retry),
         };
         if *left == 0 || !paid(budget) {
             return false;
--- a/crates/ctl/src/diff/fields.rs
+++ b/crates/ctl/src/diff/fields.rs
@@ -27,8 +27,14 @@
     let values = [
         ("head_bytes", limits.head_bytes.to_string()),
         ("body_bytes", limits.body_bytes.to_string()),
-        ("head_timeout_ms", limits.head_timeout.as_millis().to_string()),
-        ("idle_timeout_ms", limits.idle_timeout.as_millis().to_string()),
+        (
+            "head_timeout_ms",
+            limits.head_timeout.as_millis().to_string(),
+        ),
+        (
+            "idle_timeout_ms",
+            limits.idle_timeout.as_millis().to_string(),
+        ),
     ];
     found.extend(values.map(|(name, value)| (name.to_owned(), value)));
 }
@@ -69,9 +75,15 @@
         ("latency_target_ms", route.latency_target.map(millis)),
         ("attempts", route.attempts.map(|n| n.to_string())),
     ];
-    values.extend(optional.into_iter().filter_map(|(name, value)| Some((name, value?))));
+    values.extend(
+        optional
+            .into_iter()
+            .filter_map(|(name, value)| Some((name, value?))),
+    );
     let shares = route.split.iter();
-    let shares: Vec<String> = shares.map(|it| format!("{} {}", it.service, it.weight)).collect();
+    let shares: Vec<String> = shares
+        .map(|it| format!("{} {}", it.service, it.weight))
+        .collect();
     if !shares.is_empty() {
         values.push(("split", shares.join(", ")));
     }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -48,7 +48,10 @@
     /// Whether an answer proves that the target did not run the request.
     pub(crate) fn declines<B>(&self, res: &Response<B>) -> bool {
         let other_life = res.status() == StatusCode::MISDIRECTED_REQUEST;
-        let said = self.not_run.as_ref().is_some_and(|name| res.headers().contains_key(name));
+        let said = self
+            .not_run
+            .as_ref()
+            .is_some_and(|name| res.headers().contains_key(name));
         said || (other_life && self.target_life.is_some())
     }
 
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -60,7 +60,9 @@
         let cancel = CancellationToken::new();
         let node = Node::start_with(settings, adapter, cancel.clone()).map_err(report)?;
         log_start(&node);
-        until_end(&node, signals, file, cancel).await.map_err(report)
+        until_end(&node, signals, file, cancel)
+            .await
+            .map_err(report)
     })
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -112,7 +112,10 @@
             ("platform", self.platform == new.platform),
             ("control", self.control == new.control),
             ("spread", self.spread == new.spread),
-            ("traffic_threads", self.traffic_threads == new.traffic_threads),
+            (
+                "traffic_threads",
+                self.traffic_threads == new.traffic_threads,
+            ),
             ("repeat", self.repeat == new.repeat),
             ("log", self.log == new.log),
             ("drain", self.drain == new.drain),
--- a/crates/node/src/settings/drain.rs
+++ b/crates/node/src/settings/drain.rs
@@ -39,7 +39,13 @@
     pub(super) fn read(mut table: Table<'_>, faults: &mut Faults) -> Option<DrainSettings> {
         let default = DrainSettings::default();
         let bound = millis_or(&mut table, "bound_ms", BOUND_MS, default.bound, faults);
-        let callers = millis_or(&mut table, "callers_ms", CALLERS_MS, default.callers, faults);
+        let callers = millis_or(
+            &mut table,
+            "callers_ms",
+            CALLERS_MS,
+            default.callers,
+            faults,
+        );
         table.finish(faults);
         Some(DrainSettings {
             bound: bound?,
--- a/crates/node/src/shared/routing.rs
+++ b/crates/node/src/shared/routing.rs
@@ -111,7 +111,8 @@
             }
         };
         let view = Arc::clone(view);
-        self.routes.store(Some(Arc::new(Routes { view, picker, own })));
+        self.routes
+            .store(Some(Arc::new(Routes { view, picker, own })));
     }
 
     /// The routes in force.
--- a/crates/node/src/shared/routing/tests.rs
+++ b/crates/node/src/shared/routing/tests.rs
@@ -98,7 +98,11 @@
 /// Whether a request finds an endpoint.
 fn picks(routing: &Routing) -> bool {
     let routes = routing.routes().expect("routes");
-    let route = routes.view.snapshot.match_route(None, "/").expect("a route");
+    let route = routes
+        .view
+        .snapshot
+        .match_route(None, "/")
+        .expect("a route");
     let mut rng = SmallRng::seed_from_u64(1);
     let picked = routes.picker.pick(route.service, Tick::ZERO, &[], &mut rng);
     picked.is_ok()
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -27,6 +27,7 @@
 mod listeners;
 mod missed;
 mod parents;
+mod patience;
 mod payload;
 mod peer;
 mod peer_side;
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -58,6 +58,8 @@
         let hub = &self.worker.hub;
         let stage = Stage::received(class, self.call.deadline);
         let mut ask = stage.ask(limits);
+        ask.kind = self.call.kind.as_ref();
+        ask.aim = self.call.aim;
         if let Some(slots) = slots {
             ask.slots = Some(slots);
             hub.pool.resize(slots);
@@ -111,7 +113,8 @@
                     deadline: call.deadline,
                     _parent: parent,
                 };
-                sent.run(conn, for_target(req, left, &call, hub.shared.dialect())).await
+                sent.run(conn, for_target(req, left, &call, hub.shared.dialect()))
+                    .await
             }
             Err(refusal) => Err(Missed::unsent(take_back(running, refusal), req)),
         }
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -13,6 +13,7 @@
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::Instance;
+use sassafrasspool_core::KindName;
 use sassafrasspool_core::LoadReport;
 use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
@@ -20,6 +21,7 @@
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Step;
+use sassafrasspool_core::Tick;
 use sassafrasspool_core::Verdict;
 use sassafrasspool_wire::header as names;
 
@@ -44,6 +46,9 @@
     pub(super) deadline: Deadline,
     pub(super) hop: u32,
     pub(super) class: Class,
+    pub(super) kind: &'a KindName,
+    /// Until when the answer is worth most.
+    pub(super) aim: Option<Tick>,
 }
 
 impl Attempt<'_> {
@@ -78,11 +83,20 @@
             deadline: self.deadline,
             hop: self.hop,
             class: Some(self.class),
+            kind: Some(self.kind.clone()),
+            aim: self.aim,
             life: self.life(),
             origin: self.origin(),
         }
     }
 
+    /// Milliseconds within which the answer is worth most.
+    fn aim_left(&self) -> Option<u64> {
+        let now = self.worker.hub.shared.clock().now();
+        let left = self.aim?.since(now).as_millis();
+        Some(u64::try_from(left).unwrap_or(u64::MAX))
+    }
+
     /// The life that the list gives the target, where lives are told apart.
     fn life(&self) -> Option<HeaderValue> {
         let life = self.instance.target.as_ref()?;
@@ -142,7 +156,16 @@
         }
         headers.insert(names::HOP, HeaderValue::from(self.hop));
         headers.insert(names::CLASS, HeaderValue::from_static(self.class.as_str()));
-        for (name, value) in [(names::LIFE, self.life()), (names::ORIGIN, self.origin())] {
+        let told = [
+            (names::LIFE, self.life()),
+            (names::ORIGIN, self.origin()),
+            (names::KIND, HeaderValue::from_str(self.kind.as_str()).ok()),
+            (
+                names::AIM_MS,
+                self.aim_left().map(HeaderValue::from).map(once),
+            ),
+        ];
+        for (name, value) in told {
             if let Some(value) = value {
                 headers.insert(name, value);
             }
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -10,6 +10,7 @@
 use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
+use sassafrasspool_core::KindName;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
@@ -17,6 +18,7 @@
 use sassafrasspool_core::Running;
 use sassafrasspool_core::Step;
 use sassafrasspool_core::StoredAnswer;
+use sassafrasspool_core::Tick;
 use sassafrasspool_wire::header as names;
 
 use super::answer::Answer;
@@ -41,6 +43,10 @@
     pub(super) hop: u32,
     /// How urgent it is by the route of the first hop, if that said so.
     pub(super) class: Option<Class>,
+    /// Its kind by the route of the first hop, if that said so.
+    pub(super) kind: Option<KindName>,
+    /// Until when its answer is worth most to its caller.
+    pub(super) aim: Option<Tick>,
     /// The life of the target that it is meant for, where lives are told apart.
     pub(super) life: Option<HeaderValue>,
     /// The service beside whose target it began.
@@ -133,7 +139,11 @@
     call: &Call<'a>,
 ) -> Option<&'a Route> {
     let host = head::host(req);
-    let bound = call.routes.view.snapshot.match_route(host, req.uri().path())?;
+    let bound = call
+        .routes
+        .view
+        .snapshot
+        .match_route(host, req.uri().path())?;
     let route = &bound.route;
     let leads_here = route.services().any(|name| *name == service.entry.name);
     leads_here.then_some(route)
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -35,6 +35,10 @@
 use super::worker::Worker;
 use crate::Routes;
 
+/// What a request's way from its caller and the answer's way back take: up to
+/// 8 ms each at the deployments of today, and the time to read and write them.
+const WAY_OF_CALLER: Duration = Duration::from_millis(20);
+
 /// A request that is routed.
 #[derive(Debug)]
 pub(super) struct FirstHop<'a> {
@@ -46,6 +50,8 @@
     budget: &'a Budget,
     keyed: Option<Keyed>,
     deadline: Deadline,
+    /// Until when the answer is worth most to the caller.
+    aim: Option<Tick>,
     hop: u32,
 }
 
@@ -72,6 +78,9 @@
             true => None,
             false => Keyed::of(&service.entry.name, req)?,
         };
+        let asked = head::number(req.headers(), &names::REQUEST_TIMEOUT_MS);
+        let asked = asked.map(Duration::from_millis);
+        let arrived = now(worker);
         let mut first = FirstHop {
             worker,
             routes,
@@ -80,7 +89,8 @@
             service,
             budget: budget.ok_or_else(no_route)?,
             keyed,
-            deadline: Deadline::within(now(worker), timeout(&route.route, service, req)),
+            deadline: Deadline::within(arrived, timeout(&route.route, service, asked)),
+            aim: aim(worker, &route.route, arrived, asked),
             hop: 1,
         };
         if side == Side::Egress {
@@ -185,6 +195,8 @@
             deadline: self.deadline,
             hop: self.hop,
             class: self.route.route.class,
+            kind: &self.route.route.kind,
+            aim: self.aim,
         };
         attempt.run(picked, req).await
     }
@@ -199,10 +211,20 @@
 }
 
 /// How long the caller waits, at most what the route or the entry allows.
-fn timeout<B>(route: &Route, service: &BoundService, req: &Request<B>) -> Duration {
+fn timeout(route: &Route, service: &BoundService, asked: Option<Duration>) -> Duration {
     let limit = route.timeout.unwrap_or(service.entry.limits.deadline);
-    let asked = head::number(req.headers(), &names::REQUEST_TIMEOUT_MS);
-    asked.map_or(limit, |ms| limit.min(Duration::from_millis(ms)))
+    asked.map_or(limit, |asked| limit.min(asked))
+}
+
+/// Until when the answer is worth most, counted from the first attempt of its
+/// caller.
+fn aim(worker: &Worker, route: &Route, arrived: Tick, asked: Option<Duration>) -> Option<Tick> {
+    let target = route.latency_target?;
+    let passed = asked.map_or(Duration::ZERO, |asked| {
+        worker.hub.patience.age(&route.kind, asked)
+    });
+    let left = target.saturating_sub(passed + WAY_OF_CALLER);
+    Some(arrived + left)
 }
 
 /// The same request once more, if its body is held.
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -15,6 +15,7 @@
 
 use super::counters::Counters;
 use super::parents::Parents;
+use super::patience::Patiences;
 use super::target::Pool;
 use crate::Settings;
 use crate::Shared;
@@ -28,6 +29,7 @@
     pub(super) pool: Arc<Pool>,
     pub(super) admission: Admission,
     pub(super) parents: Parents,
+    pub(super) patience: Patiences,
     pub(super) ingress: Counters,
     pub(super) egress: Counters,
     pub(super) peers: Counters,
@@ -78,6 +80,7 @@
             pool: Pool::new(cfg.target.addr, limit),
             admission,
             parents: Parents::default(),
+            patience: Patiences::default(),
             ingress: Counters::new("ingress"),
             egress: Counters::new("egress"),
             peers: Counters::new("peers"),
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -10,6 +10,7 @@
 use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
+use sassafrasspool_core::KindName;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Step;
@@ -80,6 +81,8 @@
         deadline: Deadline::within(now, Duration::from_millis(left)),
         hop,
         class: text(headers, &names::CLASS).and_then(Class::from_name),
+        kind: text(headers, &names::KIND).and_then(|name| KindName::new(name).ok()),
+        aim: head::number(headers, &names::AIM_MS).map(|ms| now + Duration::from_millis(ms)),
         life: headers.get(names::LIFE).cloned(),
         origin: headers.get(names::ORIGIN).cloned(),
     })
--- a/crates/node/tests/control/stop.rs
+++ b/crates/node/tests/control/stop.rs
@@ -14,10 +14,15 @@
 
 /// A node whose target takes `service` for each request.
 async fn slow_fleet(service: Duration, bound: Duration) -> Fleet {
-    let fleet = Fleet::start_with(1, &slow_target(service), DrainSettings {
-        bound,
-        ..DrainSettings::default()
-    }).await;
+    let fleet = Fleet::start_with(
+        1,
+        &slow_target(service),
+        DrainSettings {
+            bound,
+            ..DrainSettings::default()
+        },
+    )
+    .await;
     let first = fleet.publish(&patient());
     fleet.until_in_force(first).await;
     fleet.until_ready().await;
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -34,6 +34,13 @@
 /// Between nodes: how urgent the request is, by the route of the first hop.
 pub const CLASS: HeaderName = HeaderName::from_static("x-sassafrasspool-class");
 
+/// Between nodes: the kind of the request, by the route of the first hop.
+pub const KIND: HeaderName = HeaderName::from_static("x-sassafrasspool-kind");
+
+/// Between nodes: milliseconds within which the answer is worth most; 0 if that
+/// time has passed.
+pub const AIM_MS: HeaderName = HeaderName::from_static("x-sassafrasspool-aim-ms");
+
 /// Between nodes: the life of the target that the request is meant for.
 pub const LIFE: HeaderName = HeaderName::from_static("x-sassafrasspool-life");
 
