Begin repeatable requests that were sent behind another at once

Change: heads are looked at as they are read (by the library's own parser), and repeatable requests without a body begin before their turn; answers keep the order. The connection isn't closed while such a request is under way.

--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use super::BoxError;
+use super::serve::Behind;
 use super::stall::Stall;
 use super::target::TargetBody;
 use crate::InFlightGuard;
@@ -25,6 +26,8 @@
     source: Source,
     stall: Stall,
     _in_flight: Option<InFlightGuard>,
+    /// Has the next request of the connection wait until the end.
+    _before: Option<Behind>,
 }
 
 #[derive(Debug)]
@@ -55,6 +58,7 @@
             source,
             stall: Stall::new(),
             _in_flight: None,
+            _before: None,
         }
     }
 
@@ -64,6 +68,12 @@
         self
     }
 
+    /// The same, at whose end the next request of its connection has its turn.
+    pub(super) fn before(mut self, behind: Option<Behind>) -> Answer {
+        self._before = behind;
+        self
+    }
+
     fn poll_source(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -11,6 +11,9 @@
 /// The largest head of a request or an answer, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// The least buffer that the HTTP library takes, in bytes.
+pub(super) const MIN_HEAD_BUFFER: usize = 8 * 1024;
+
 /// Nodes that a call may pass, from the outermost caller on.
 pub(super) const MAX_HOPS: u32 = 24;
 
@@ -22,9 +25,6 @@
 /// unknown outcome.
 pub(super) const MAX_IDLE: Duration = Duration::from_secs(4);
 
-/// How long a caller may take for the head of a request.
-pub(super) const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// How long a body may stand still before it is given up.
 pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -1,10 +1,7 @@
 //! Requests of callers: the first hop, which routes and may try again.
 
-use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::header;
-use hyper::body::Incoming;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
@@ -30,7 +27,7 @@
 }
 
 /// Answers a request of a caller.
-pub(super) async fn serve(worker: &Worker, side: Side, req: Request<Incoming>) -> Response<Answer> {
+pub(super) async fn serve(worker: &Worker, side: Side, req: Request<Payload>) -> Response<Answer> {
     let guard = worker.hub.shared.in_flight().enter();
     let may_follow = keyed::may_follow_another(req.headers());
     let mut result = run(worker, side, req).await;
@@ -43,12 +40,7 @@
     }
     let dialect = worker.hub.shared.dialect();
     let res = result.unwrap_or_else(|failure| refusal::respond(&failure, dialect));
-    let mut res = for_caller(res, dialect);
-    if worker.hub.is_leaving() {
-        // Over HTTP/2 the header is left out and the connection told by itself.
-        let close = HeaderValue::from_static("close");
-        res.headers_mut().insert(header::CONNECTION, close);
-    }
+    let res = for_caller(res, dialect);
     res.map(|body| body.held(guard))
 }
 
@@ -62,10 +54,20 @@
     res
 }
 
+/// Whether a request's route lets it run twice, by what is in force now.
+pub(super) fn may_repeat<B>(worker: &Worker, req: &Request<B>) -> bool {
+    let Some(routes) = worker.hub.shared.routes() else {
+        return false;
+    };
+    let snapshot = &routes.view.snapshot;
+    let route = snapshot.match_route(head::host(req), req.uri().path());
+    route.is_some_and(|route| route.route.idempotent)
+}
+
 async fn run(
     worker: &Worker,
     side: Side,
-    mut req: Request<Incoming>,
+    mut req: Request<Payload>,
 ) -> Result<Response<Answer>, Failure> {
     if side == Side::Ingress && worker.hub.refuses_callers() {
         // The own target's calls go on: what is in flight needs them.
@@ -78,7 +80,8 @@
     head::strip_own(req.headers_mut());
     let first = FirstHop::new(worker, side, &routes, &req)?;
     let (parts, body) = req.into_parts();
-    let Ok(body) = Payload::stream(body) else {
+    let bound = routes.view.snapshot.callers().body_bytes;
+    let Ok(body) = body.bounded(bound) else {
         return Err(refuse(Reason::TooLarge).into());
     };
     let until = worker.hub.shared.clock().instant(first.deadline().tick());
--- a/crates/node/src/traffic/payload.rs
+++ b/crates/node/src/traffic/payload.rs
@@ -37,20 +37,28 @@
     }
 
     /// Takes what a caller sends as it comes.
+    pub(super) fn stream(body: Incoming) -> Payload {
+        if body.is_end_stream() {
+            return Payload::empty();
+        }
+        Payload::Stream {
+            body,
+            left: MAX_BODY_BYTES,
+        }
+    }
+
+    /// The same with another bound on its bytes.
     ///
     /// # Errors
     ///
-    /// Fails if the caller says that it is larger than the bound.
-    pub(super) fn stream(body: Incoming) -> Result<Payload, TooLarge> {
-        if body.size_hint().lower() > MAX_BODY_BYTES {
+    /// Fails if the sender says that it is larger than the bound.
+    pub(super) fn bounded(self, bound: u64) -> Result<Payload, TooLarge> {
+        if self.size_hint().lower() > bound {
             return Err(TooLarge);
         }
-        if body.is_end_stream() {
-            return Ok(Payload::empty());
-        }
-        Ok(Payload::Stream {
-            body,
-            left: MAX_BODY_BYTES,
+        Ok(match self {
+            Payload::Stream { body, .. } => Payload::Stream { body, left: bound },
+            held @ Payload::Held(_) => held,
         })
     }
 
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -53,7 +53,8 @@
     };
     let call = call_of(worker, &routes, req.headers())?;
     let (parts, body) = req.into_parts();
-    let Ok(body) = Payload::stream(body) else {
+    let bound = routes.view.snapshot.callers().body_bytes;
+    let Ok(body) = Payload::stream(body).bounded(bound) else {
         return Err(refuse(Reason::TooLarge).into());
     };
     let ran = beside::run(worker, Request::from_parts(parts, body), call).await;
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -1,15 +1,18 @@
 //! Serving the connections that come in.
 
 mod accept;
+mod ahead;
 mod caller;
 mod peer;
 mod service;
 mod until_closed;
+mod watched;
 
 use super::caller_side::Side;
 
 pub(super) use self::accept::accept;
 pub(super) use self::accept::bind;
+pub(super) use self::ahead::Behind;
 
 /// Who connects to a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/node/src/traffic/serve/caller.rs
+++ b/crates/node/src/traffic/serve/caller.rs
@@ -6,41 +6,58 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
+use sassafrasspool_core::CallerLimits;
 use tokio::net::TcpStream;
 
-use super::Port;
+use super::ahead::Ahead;
 use super::service::Requests;
 use super::until_closed::until_closed;
+use super::watched::Watched;
 use crate::traffic::bounds::CONNECTION_WINDOW;
-use crate::traffic::bounds::HEAD_TIMEOUT;
 use crate::traffic::bounds::MAX_HEAD_BYTES;
 use crate::traffic::bounds::MAX_STREAMS;
+use crate::traffic::bounds::MIN_HEAD_BUFFER;
 use crate::traffic::bounds::STREAM_WINDOW;
 use crate::traffic::caller_side::Side;
+use crate::traffic::hub::Hub;
 use crate::traffic::worker::Worker;
 
 /// Serves a connection by the version of HTTP that the caller speaks.
 pub(super) async fn serve(worker: Arc<Worker>, stream: TcpStream, side: Side) {
     let hub = Arc::clone(&worker.hub);
-    let requests = Requests::new(worker, Port::Caller(side));
-    let builder = builder();
-    let conn = builder.serve_connection(TokioIo::new(stream), requests);
+    let ahead = Ahead::new(Arc::clone(&worker), side);
+    let requests = Requests::of_caller(worker, side, ahead.clone());
+    let builder = builder(&limits(&hub));
+    let io = Watched::new(stream, ahead);
+    let conn = builder.serve_connection(TokioIo::new(io), requests);
     until_closed(hub, conn).await;
 }
 
-fn builder() -> auto::Builder<TokioExecutor> {
+/// What callers may send, by what is in force as the connection is taken.
+fn limits(hub: &Hub) -> CallerLimits {
+    let routes = hub.shared.routes();
+    routes.map_or_else(CallerLimits::default, |routes| {
+        *routes.view.snapshot.callers()
+    })
+}
+
+fn builder(limits: &CallerLimits) -> auto::Builder<TokioExecutor> {
+    let head_bytes = usize::try_from(limits.head_bytes).unwrap_or(MAX_HEAD_BYTES);
+    let head_bytes = head_bytes.max(MIN_HEAD_BUFFER);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
+        // The library counts the wait for a request's first byte as a part of
+        // the time for its head, so that the longer of both has to do.
+        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+        .max_buf_size(head_bytes);
     builder
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
-        .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX));
+        .max_header_list_size(limits.head_bytes);
     builder
 }
--- a/crates/node/src/traffic/serve/peer.rs
+++ b/crates/node/src/traffic/serve/peer.rs
@@ -8,7 +8,6 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpStream;
 
-use super::Port;
 use super::service::Requests;
 use super::until_closed::until_closed;
 use crate::traffic::bounds::CONNECTION_WINDOW;
@@ -20,7 +19,7 @@
 /// Serves a connection of another node.
 pub(super) async fn serve(worker: Arc<Worker>, stream: TcpStream) {
     let hub = Arc::clone(&worker.hub);
-    let requests = Requests::new(worker, Port::Peer);
+    let requests = Requests::of_peer(worker);
     let conn = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
--- a/crates/node/src/traffic/serve/service.rs
+++ b/crates/node/src/traffic/serve/service.rs
@@ -4,14 +4,19 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::Version;
+use http::header;
 use hyper::body::Incoming;
 use hyper::service::Service;
 
-use super::Port;
+use super::ahead::Ahead;
 use crate::traffic::answer::Answer;
 use crate::traffic::caller_side;
+use crate::traffic::caller_side::Side;
+use crate::traffic::payload::Payload;
 use crate::traffic::peer_side;
 use crate::traffic::worker::Worker;
 
@@ -19,12 +24,27 @@
 #[derive(Debug)]
 pub(super) struct Requests {
     worker: Arc<Worker>,
-    port: Port,
+    from: Sender,
+}
+
+/// Who sends the requests.
+#[derive(Debug)]
+enum Sender {
+    /// A caller, with what was begun before its turn.
+    Caller(Side, Ahead),
+    /// Another node.
+    Peer,
 }
 
 impl Requests {
-    pub(super) fn new(worker: Arc<Worker>, port: Port) -> Requests {
-        Requests { worker, port }
+    pub(super) fn of_caller(worker: Arc<Worker>, side: Side, ahead: Ahead) -> Requests {
+        let from = Sender::Caller(side, ahead);
+        Requests { worker, from }
+    }
+
+    pub(super) fn of_peer(worker: Arc<Worker>) -> Requests {
+        let from = Sender::Peer;
+        Requests { worker, from }
     }
 }
 
@@ -37,11 +57,38 @@
 
     fn call(&self, req: Request<Incoming>) -> Self::Future {
         let worker = Arc::clone(&self.worker);
-        match self.port {
-            Port::Caller(side) => {
-                Box::pin(async move { Ok(caller_side::serve(&worker, side, req).await) })
+        match &self.from {
+            Sender::Caller(side, ahead) => {
+                let (side, ahead) = (*side, ahead.clone());
+                Box::pin(async move { Ok(answer_caller(&worker, side, ahead, req).await) })
             }
-            Port::Peer => Box::pin(async move { Ok(peer_side::serve(&worker, req).await) }),
+            Sender::Peer => Box::pin(async move { Ok(peer_side::serve(&worker, req).await) }),
         }
     }
 }
+
+async fn answer_caller(
+    worker: &Worker,
+    side: Side,
+    ahead: Ahead,
+    req: Request<Incoming>,
+) -> Response<Answer> {
+    // Over HTTP/2 requests don't wait for one another.
+    let taken = (req.version() != Version::HTTP_2).then(|| ahead.take());
+    let (begun, behind) = taken.map_or((None, None), |(begun, behind)| (begun, Some(behind)));
+    let begun = match begun {
+        // One that ended without an answer may run again.
+        Some(begun) => begun.await.ok(),
+        None => None,
+    };
+    let mut res = match begun {
+        Some(res) => res,
+        None => caller_side::serve(worker, side, req.map(Payload::stream)).await,
+    };
+    if worker.hub.is_leaving() && !ahead.has_begun() {
+        // Over HTTP/2 the header is left out and the connection told by itself.
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res.map(|body| body.before(behind))
+}
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -13,6 +13,7 @@
 mod lost;
 mod nosy_target;
 mod path;
+mod pipelined;
 mod shedding;
 mod upload;
 mod wait;
--- /dev/null
+++ b/crates/node/tests/requests/pipelined.rs
@@ -0,0 +1,95 @@
+//! Requests that are sent before those before them were answered.
+
+use std::time::Duration;
+
+use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::ServiceTimes;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+
+/// How long the target takes for each request.
+const SERVICE: Duration = Duration::from_millis(300);
+
+async fn slow_fleet() -> Fleet {
+    let cfg = TargetSettings {
+        service: ServiceTimes {
+            default_us: u64::try_from(SERVICE.as_micros()).expect("a time"),
+            ..ServiceTimes::default()
+        },
+        ..TargetSettings::default()
+    };
+    Fleet::start_with(&[DESK], cfg).await
+}
+
+/// Sends requests for these paths in one go, the last of which closes the
+/// connection; gives all that is answered.
+async fn send(fleet: &Fleet, paths: &[&str]) -> String {
+    let mut io = TcpStream::connect(fleet.members[0].addrs.ingress)
+        .await
+        .expect("a connection");
+    let mut text = String::new();
+    for (n, path) in paths.iter().enumerate() {
+        let last = if n + 1 == paths.len() {
+            "connection: close\r\n"
+        } else {
+            ""
+        };
+        text.push_str(&format!(
+            "GET {path} HTTP/1.1\r\nhost: a\r\nx-request-id: r-{n}\r\n{last}\r\n"
+        ));
+    }
+    io.write_all(text.as_bytes()).await.expect("sent");
+    let mut answers = String::new();
+    io.read_to_string(&mut answers).await.expect("answered");
+    answers
+}
+
+/// Where each of the ids is first told in the answers.
+fn places(answers: &str, ids: &[&str]) -> Vec<usize> {
+    let place = |id: &&str| answers.find(&format!("\r\n\r\n{id}\n"));
+    ids.iter().map(|id| place(id).expect(id)).collect()
+}
+
+// An adjuster's program asks for three files at once over one connection. Each
+// was only begun when the one before had been answered, so that the third came
+// after three times the time of one, and late. Begun together, they are answered
+// in the order in which they were asked for.
+#[tokio::test]
+async fn repeatable_requests_run_together_and_are_answered_in_order() {
+    let fleet = slow_fleet().await;
+    let answers = send(&fleet, &["/desk/1", "/desk/2", "/desk/3"]).await;
+    let places = places(&answers, &["r-0", "r-1", "r-2"]);
+    assert!(places.is_sorted(), "{answers}");
+    let runs = fleet.members[0].target.ledger().runs;
+    assert_eq!(runs.len(), 3);
+    let first_end = runs
+        .iter()
+        .filter_map(|run| run.ended_us)
+        .min()
+        .expect("an end");
+    assert!(
+        runs.iter().all(|run| run.started_us < first_end),
+        "{runs:?}"
+    );
+}
+
+// Behind a lookup a fitter's program sends a claim. Its connection may end
+// before the claim's turn, and then the claim counts as unread and is sent
+// again; so it must not have been begun.
+#[tokio::test]
+async fn what_may_run_once_waits_for_its_turn() {
+    let fleet = slow_fleet().await;
+    let answers = send(&fleet, &["/desk/1", "/desk/lodge"]).await;
+    let places = places(&answers, &["r-0", "r-1"]);
+    assert!(places.is_sorted(), "{answers}");
+    let runs = fleet.members[0].target.ledger().runs;
+    let of = |id: &str| runs.iter().find(|run| run.id == id).expect("a run");
+    assert!(
+        of("r-1").started_us >= of("r-0").ended_us.expect("an end"),
+        "{runs:?}"
+    );
+}
