Write what is decided about each request to a bounded log

One line of JSON for each try that failed and for how a request ended, on the node that took it and on the node beside the target, joined by the request's id, with the instance, its load, versions, ages and times that decided it. Lines go to standard output by a thread of their own within a budget of bytes a second, states before failures before successes; what is left out is counted and told.

--- a/crates/core/src/route/picked.rs
+++ b/crates/core/src/route/picked.rs
@@ -22,6 +22,7 @@
     view: Arc<ServiceView>,
     endpoint: EndpointKey,
     meter: Arc<Meter>,
+    load: f32,
     since: Tick,
 }
 
@@ -33,6 +34,7 @@
         candidate: &Candidate,
         now: Tick,
     ) -> Picked {
+        let load = candidate.meter.load(now, candidate.slots, &cfg);
         candidate.meter.enter();
         Picked {
             cfg,
@@ -40,6 +42,7 @@
             view: view.clone(),
             endpoint: candidate.key,
             meter: candidate.meter.clone(),
+            load,
             since: now,
         }
     }
@@ -54,6 +57,12 @@
         self.since
     }
 
+    /// Its load over slots with this request, in percent, as it was chosen.
+    pub fn load_percent(&self) -> u32 {
+        // Far below what a cast would saturate at.
+        (self.load * 100.0) as u32
+    }
+
     /// Takes over the load that came with an answer's head.
     pub fn report(&self, now: Tick, load: LoadReport) {
         self.meter.report(now, load);
--- a/crates/node/src/audit/trail.rs
+++ b/crates/node/src/audit/trail.rs
@@ -4,8 +4,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use sassafrasspool_core::AuditEvent;
 use sassafrasspool_core::InstanceId;
@@ -84,7 +82,7 @@
         let mut rings = self.lock();
         rings.written += 1;
         record.number = rings.written;
-        record.unix_ms = unix_ms();
+        record.unix_ms = crate::log::unix_ms();
         self.log(&record);
         let ring = match record.event.as_str() {
             record::ENDPOINT => &mut rings.endpoints,
@@ -117,10 +115,3 @@
         self.rings.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// The wall clock, for people alone: nothing is decided by it.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let ms = since.map_or(0, |since| since.as_millis());
-    u64::try_from(ms).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod control;
 mod dialect;
 mod lifecycle;
+pub mod log;
 mod metrics;
 mod node;
 pub mod program;
--- /dev/null
+++ b/crates/node/src/log/tests.rs
@@ -0,0 +1,109 @@
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use sassafrasspool_core::Tick;
+
+use super::LogSink;
+use super::Rank;
+use super::budget::ByteBudget;
+use super::buffer::Buffer;
+
+/// Collects what is written.
+#[derive(Debug, Clone, Default)]
+struct Written(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Written {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("written").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Stands still until its sender is dropped.
+#[derive(Debug)]
+struct Stuck(mpsc::Receiver<()>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn successes_leave_room_for_failures_and_these_for_states() {
+    let mut budget = ByteBudget::new(1_000);
+    let now = Tick::from_millis(1);
+    let mut written = [0; 3];
+    for rank in [Rank::Success, Rank::Failure, Rank::State] {
+        while budget.allows(now, rank) {
+            budget.take(10);
+            written[rank as usize] += 10;
+        }
+    }
+    assert_eq!(written, [200, 400, 400]);
+    let later = now + Duration::from_millis(100);
+    assert!(budget.allows(later, Rank::State));
+    assert!(!budget.allows(later, Rank::Failure));
+}
+
+#[test]
+fn what_is_left_out_is_told_with_the_next_line() {
+    let mut buffer = Buffer::new(100);
+    let line = |waiting: &mut Vec<u8>| waiting.extend_from_slice(&[b'x'; 50]);
+    let now = Tick::from_millis(1);
+    let added: Vec<bool> = (0..4)
+        .map(|_| buffer.add(now, Rank::Success, line))
+        .collect();
+    assert_eq!(added, [true, false, false, false]);
+    buffer.take();
+    assert!(buffer.add(now + Duration::from_secs(1), Rank::Success, line));
+    let text = String::from_utf8(buffer.take()).expect("text");
+    let told = r#"{"event":"lines-left-out","states":0,"failures":0,"successes":3}"#;
+    assert!(text.starts_with(told), "{text}");
+}
+
+#[test]
+fn lines_are_written_in_order_and_flushed_at_the_end() {
+    let out = Written::default();
+    let sink = LogSink::start(1_000_000, out.clone()).expect("a thread");
+    for n in 0..100 {
+        sink.tell(Rank::State, &n);
+    }
+    sink.flush();
+    let text = String::from_utf8(out.0.lock().expect("written").clone()).expect("text");
+    let numbers: Vec<u32> = text
+        .lines()
+        .map(|it| it.parse().expect("a number"))
+        .collect();
+    assert!(numbers.into_iter().eq(0..100));
+}
+
+// Whoever reads the log of a node stands still, as a shell does whose terminal
+// was stopped. Nobody may wait for it: lines are dropped and counted, memory is
+// bounded, and the process can end.
+#[test]
+fn a_reader_that_stands_still_costs_lines_alone() {
+    let (reader, stuck) = mpsc::channel();
+    let sink = LogSink::start(u64::from(u32::MAX), Stuck(stuck)).expect("a thread");
+    let line = "x".repeat(1_000);
+    for _ in 0..2_000 {
+        sink.tell(Rank::Failure, &line);
+    }
+    let left_out = sink.left_out()[Rank::Failure as usize];
+    assert!(left_out >= 1_400, "{left_out}");
+    sink.flush();
+    drop(reader);
+}
--- a/crates/node/src/node/adapter.rs
+++ b/crates/node/src/node/adapter.rs
@@ -9,6 +9,7 @@
 
 use crate::Dialect;
 use crate::Settings;
+use crate::log::LogSink;
 
 /// Makes what reads a platform, with the counter of its sockets' bytes.
 type MakeSource = fn(&Settings, Arc<SocketBytes>) -> Arc<dyn Source>;
@@ -23,6 +24,8 @@
     pub dialect: Dialect,
     /// Makes what reads the platform.
     pub source: MakeSource,
+    /// Where it is written what is decided about requests; the program sets it.
+    pub log: LogSink,
 }
 
 impl Default for Adapter {
@@ -30,6 +33,7 @@
         Adapter {
             dialect: Dialect::OWN,
             source: |settings, bytes| Arc::new(PlatformClient::new(settings.platform.addr, bytes)),
+            log: LogSink::silent(),
         }
     }
 }
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -138,7 +138,12 @@
         let incarnation = spread::incarnation();
         let ready = settings.listen.ready.map(listeners::listen).transpose()?;
         let me = settings.instance.clone();
-        let shared = Arc::new(Shared::speaking(adapter.dialect.clone(), me, incarnation));
+        let shared = Arc::new(Shared::speaking(
+            adapter.dialect.clone(),
+            adapter.log.clone(),
+            me,
+            incarnation,
+        ));
         let (tx, rx) = mpsc::channel(QUEUE);
         // What the node runs ends with the node, and also with the caller's
         // token: the caller's other nodes go on.
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -15,6 +15,8 @@
 use crate::Adapter;
 use crate::Node;
 use crate::RunningNode;
+use crate::log::LogSink;
+use crate::log::StateWriter;
 use crate::settings::LogFormat;
 use crate::settings::LogSettings;
 use crate::settings::SettingsFile;
@@ -49,12 +51,16 @@
 /// Runs a node to its end; returns how many requests that cut.
 fn run_to_end(settings: &Path, adapter: Adapter) -> miette::Result<u64> {
     let (file, settings) = SettingsFile::open(settings)?;
-    start_log(settings.log);
+    let sink = start_log(settings.log)?;
+    let adapter = Adapter {
+        log: sink.clone(),
+        ..adapter
+    };
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|err| miette::miette!("no runtime for signals: {err}"))?;
-    runtime.block_on(async {
+    let ended = runtime.block_on(async {
         // Before the node starts, so that a signal that comes early is kept.
         let signals = Signals::new().map_err(|err| miette::miette!("no signals: {err}"))?;
         let cancel = CancellationToken::new();
@@ -63,7 +69,9 @@
         until_end(&node, signals, file, cancel)
             .await
             .map_err(report)
-    })
+    });
+    sink.flush();
+    ended
 }
 
 /// Tells where the node listens, with the ports that port 0 became.
@@ -170,19 +178,23 @@
     }
 }
 
-/// Writes log lines to stderr.
-fn start_log(log: LogSettings) {
+/// Writes log lines to standard output, within the settings' budget.
+fn start_log(log: LogSettings) -> miette::Result<LogSink> {
+    let sink = LogSink::start(log.bytes_per_s, std::io::stdout())
+        .map_err(|err| miette::miette!("no thread for the log: {err}"))?;
     // The library of the messages between nodes writes a line for each
     // connection that ends; these are counted instead.
     let level = log.level.as_str();
     let filter = EnvFilter::new(format!("{level},tarpc=off"));
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+        .with_ansi(false)
+        .with_writer(StateWriter(sink.clone()));
     match log.format {
         LogFormat::Text => lines.init(),
         LogFormat::Json => lines.json().init(),
     }
+    Ok(sink)
 }
 
 fn report(err: sassafrasspool_core::Error) -> Report {
--- a/crates/node/src/settings/log.rs
+++ b/crates/node/src/settings/log.rs
@@ -1,15 +1,36 @@
 //! How a node logs.
 
+use std::ops::RangeInclusive;
+
 use sassafrasspool_core::Faults;
 use sassafrasspool_core::yaml::Table;
 
 /// Form and level of log lines.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LogSettings {
     /// The form of a line.
     pub format: LogFormat,
     /// The least level that is written.
     pub level: LogLevel,
+    /// Bytes of lines a second, beyond which lines are left out and counted.
+    pub bytes_per_s: u64,
+}
+
+/// Bytes of lines a second unless settings say otherwise: about a hundred
+/// lines.
+const DEFAULT_BYTES_PER_S: u64 = 32 * 1024;
+
+/// Bounds of that.
+const BYTES_PER_S: RangeInclusive<u64> = 256..=1_073_741_824;
+
+impl Default for LogSettings {
+    fn default() -> LogSettings {
+        LogSettings {
+            format: LogFormat::default(),
+            level: LogLevel::default(),
+            bytes_per_s: DEFAULT_BYTES_PER_S,
+        }
+    }
 }
 
 /// The form of a log line.
@@ -40,8 +61,10 @@
     pub(super) fn read(mut table: Table<'_>, faults: &mut Faults) -> Option<LogSettings> {
         let format = table.optional_text("format", faults, LogFormat::from_name);
         let level = table.optional_text("level", faults, LogLevel::from_name);
+        let bytes = table.number_or("bytes_per_s", BYTES_PER_S, DEFAULT_BYTES_PER_S, faults);
         table.finish(faults);
         Some(LogSettings {
+            bytes_per_s: bytes?,
             format: format.unwrap_or_default(),
             level: level.unwrap_or_default(),
         })
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -19,6 +19,7 @@
 
 use self::routing::Routing;
 use crate::Dialect;
+use crate::log::LogSink;
 
 pub use self::clock::Clock;
 pub use self::contact::ContactAge;
@@ -47,6 +48,7 @@
     incarnation: Incarnation,
     dialect: Dialect,
     service: ArcSwapOption<ServiceName>,
+    log: LogSink,
     clock: Clock,
     view: ArcSwapOption<View>,
     routing: Routing,
@@ -58,16 +60,22 @@
 impl Shared {
     /// The state of a node that holds nothing yet and is starting.
     pub fn new(me: InstanceId, incarnation: Incarnation) -> Shared {
-        Shared::speaking(Dialect::OWN, me, incarnation)
+        Shared::speaking(Dialect::OWN, LogSink::silent(), me, incarnation)
     }
 
     /// The same for a node that speaks the words of another platform.
-    pub fn speaking(dialect: Dialect, me: InstanceId, incarnation: Incarnation) -> Shared {
+    pub fn speaking(
+        dialect: Dialect,
+        log: LogSink,
+        me: InstanceId,
+        incarnation: Incarnation,
+    ) -> Shared {
         Shared {
             me,
             incarnation,
             dialect,
             service: ArcSwapOption::empty(),
+            log,
             clock: Clock::start(),
             view: ArcSwapOption::empty(),
             routing: Routing::default(),
@@ -97,6 +105,11 @@
         self.service.store(Some(Arc::new(service)));
     }
 
+    /// Where it is written what is decided about requests.
+    pub fn log(&self) -> &LogSink {
+        &self.log
+    }
+
     /// What callers and the target call things.
     pub fn dialect(&self) -> &Dialect {
         &self.dialect
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -39,6 +39,7 @@
 mod stored;
 mod target;
 mod threads;
+mod trail;
 mod unsent_key;
 mod worker;
 
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -17,6 +17,7 @@
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Request as Stage;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::header::REQUEST_ID;
 use sassafrasspool_wire::header::REQUEST_TIMEOUT_MS;
 
 use super::admission;
@@ -44,6 +45,11 @@
 }
 
 impl AtTarget<'_> {
+    /// The request's id, as its caller gave it.
+    pub(super) fn id(&self) -> Option<HeaderValue> {
+        self.req.headers().get(REQUEST_ID).cloned()
+    }
+
     /// Gets a slot and a connection, then hands over.
     ///
     /// # Errors
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -31,6 +31,11 @@
 use super::unsent_key::UnsentKey;
 use super::worker::Worker;
 use crate::Routes;
+use crate::log;
+use crate::log::Rank;
+use crate::log::RequestLine;
+use crate::log::micros;
+use crate::log::unix_ms;
 
 /// What is known of a call beside its head and body.
 #[derive(Debug, Clone)]
@@ -84,6 +89,14 @@
         Begun::Answer(stored) => return Ok(stored::respond(&stored)),
         Begun::Refuse(refusal) => return Err(refusal.into()),
     };
+    let told_by = Told {
+        class,
+        kind: call.kind.clone(),
+        life: call.life.clone(),
+        deadline: call.deadline,
+        aim: call.aim,
+        list: call.routes.view.snapshot.instances().revision().get(),
+    };
     let at_target = AtTarget {
         worker,
         req,
@@ -91,7 +104,11 @@
         key: UnsentKey::new(running),
     };
     let limits = &service.entry.limits;
-    let mut res = at_target.run(class, limits, slots).await?;
+    let begun = worker.hub.shared.clock().now();
+    let id = at_target.id();
+    let ran = at_target.run(class, limits, slots).await;
+    tell(worker, &told_by, id.as_ref(), begun, &ran);
+    let mut res = ran?;
     add_load(worker, res.headers_mut());
     Ok(res)
 }
@@ -160,3 +177,54 @@
 fn refuse(reason: Reason) -> Refusal {
     Refusal::not_run(Step::Admission, reason)
 }
+
+/// What the log tells of a request beside its target.
+#[derive(Debug)]
+struct Told {
+    class: Class,
+    kind: Option<KindName>,
+    life: Option<HeaderValue>,
+    deadline: Deadline,
+    aim: Option<Tick>,
+    list: u64,
+}
+
+fn tell(
+    worker: &Worker,
+    told: &Told,
+    id: Option<&HeaderValue>,
+    begun: Tick,
+    ran: &Result<Response<Answer>, Missed>,
+) {
+    let shared = &worker.hub.shared;
+    let (log, Some(id)) = (shared.log(), id) else {
+        return;
+    };
+    if log.is_silent() {
+        return;
+    }
+    let now = shared.clock().now();
+    let load = worker.hub.admission.load();
+    let text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
+    let line = RequestLine {
+        unix_ms: unix_ms(),
+        node: shared.me().as_str().into(),
+        event: "beside".into(),
+        request: text(id).into(),
+        kind: told.kind.as_ref().map(|kind| kind.as_str().into()),
+        class: Some(told.class.as_str().into()),
+        life: told.life.as_ref().map(|life| text(life).into()),
+        status: ran.as_ref().ok().map(|res| res.status().as_u16()),
+        took_us: micros(now.since(begun)),
+        load: Some([load.in_flight, load.slots, load.queued]),
+        left_us: micros(told.deadline.remaining(now)),
+        aim_left_us: told.aim.map(|aim| micros(aim.since(now))),
+        list: Some(told.list),
+        ..RequestLine::default()
+    };
+    let (rank, how) = match ran {
+        Ok(_) => (Rank::Success, log::Told::ANSWERED),
+        Err(missed) => (Rank::Failure, (&missed.failure).into()),
+    };
+    log.tell(rank, &line.told(how));
+}
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -32,6 +32,8 @@
 use super::keyed::Keyed;
 use super::missed::Missed;
 use super::payload::Payload;
+use super::trail::Facts;
+use super::trail::Trail;
 use super::worker::Worker;
 use crate::Routes;
 
@@ -120,7 +122,18 @@
     /// # Errors
     ///
     /// Says what is known of the request if there is no answer.
-    pub(super) async fn run(&self, mut req: Request<Payload>) -> Result<Response<Answer>, Failure> {
+    pub(super) async fn run(&self, req: Request<Payload>) -> Result<Response<Answer>, Failure> {
+        let mut trail = Trail::new(self, &req);
+        let ended = self.run_traced(req, &mut trail).await;
+        trail.end(self, &ended);
+        ended
+    }
+
+    async fn run_traced(
+        &self,
+        mut req: Request<Payload>,
+        trail: &mut Trail,
+    ) -> Result<Response<Answer>, Failure> {
         let mut tries = self.tries();
         let mut avoid = Vec::new();
         let mut last: Option<Failure> = None;
@@ -132,11 +145,13 @@
                 Err(refusal) => return Err(tries.told(last.unwrap_or(refusal.into()))),
             };
             avoid.push(picked.endpoint());
+            trail.pick(self, &picked);
             let again = repeat(&req);
             let missed = match self.attempt(picked, req).await {
                 Ok(res) => return Ok(res),
                 Err(missed) => missed,
             };
+            trail.miss(self, &missed.failure);
             let failure = match tries.after(now(self.worker), missed.failure, self.budget) {
                 Next::Again => missed.failure,
                 Next::Stop(failure) => return Err(failure),
@@ -151,6 +166,17 @@
         }
     }
 
+    /// What is known of the request and of what it is routed by.
+    pub(super) fn facts(&self) -> Facts<'_> {
+        Facts {
+            worker: self.worker,
+            routes: self.routes,
+            route: &self.route.route,
+            deadline: self.deadline,
+            aim: self.aim,
+        }
+    }
+
     fn tries(&self) -> Tries {
         // A chain of nineteen calls in which each hop runs twice what may run
         // twice would make half a million runs out of one. Calls that a target
--- /dev/null
+++ b/crates/node/src/traffic/trail.rs
@@ -0,0 +1,144 @@
+//! The log's lines of one request on the node that took it from its caller.
+
+use std::borrow::Cow;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use sassafrasspool_core::Deadline;
+use sassafrasspool_core::Failure;
+use sassafrasspool_core::Picked;
+use sassafrasspool_core::Route;
+use sassafrasspool_core::Tick;
+use sassafrasspool_wire::header::REQUEST_ID;
+
+use super::answer::Answer;
+use super::first_hop::FirstHop;
+use super::worker::Worker;
+use crate::Routes;
+use crate::log::Rank;
+use crate::log::RequestLine;
+use crate::log::Told;
+use crate::log::micros;
+use crate::log::unix_ms;
+
+/// What a request's decisions are made from.
+#[derive(Debug)]
+pub(super) struct Facts<'a> {
+    pub(super) worker: &'a Worker,
+    pub(super) routes: &'a Routes,
+    pub(super) route: &'a Route,
+    pub(super) deadline: Deadline,
+    /// Until when the answer is worth most.
+    pub(super) aim: Option<Tick>,
+}
+
+/// What happened to a request so far.
+///
+/// A request whose task is dropped, as when its caller leaves, has its line as
+/// well: the trail writes it when it is dropped without an end.
+#[derive(Debug)]
+pub(super) struct Trail {
+    /// Nothing if nothing is written.
+    id: Option<HeaderValue>,
+    begun: Tick,
+    tries: u32,
+    picked: Option<Chosen>,
+}
+
+/// The endpoint of the present try.
+#[derive(Debug)]
+struct Chosen {
+    instance: String,
+    life: Option<String>,
+    load_percent: u32,
+    since: Tick,
+}
+
+impl Trail {
+    pub(super) fn new<B>(first: &FirstHop<'_>, req: &Request<B>) -> Trail {
+        let worker = first.facts().worker;
+        let written = !worker.hub.shared.log().is_silent();
+        let id = req.headers().get(REQUEST_ID);
+        Trail {
+            id: id.filter(|_| written).cloned(),
+            begun: worker.hub.shared.clock().now(),
+            tries: 0,
+            picked: None,
+        }
+    }
+
+    /// Notes the endpoint of the next try.
+    pub(super) fn pick(&mut self, first: &FirstHop<'_>, picked: &Picked) {
+        self.tries += 1;
+        if self.id.is_none() {
+            return;
+        }
+        let snapshot = &first.facts().routes.view.snapshot;
+        let instance = snapshot.endpoint(picked.endpoint()).map(|it| &it.instance);
+        self.picked = instance.map(|instance| Chosen {
+            instance: instance.id.to_string(),
+            life: instance.target.as_ref().map(|life| life.id.to_string()),
+            load_percent: picked.load_percent(),
+            since: picked.since(),
+        });
+    }
+
+    /// Tells of a try that brought no answer.
+    pub(super) fn miss(&mut self, first: &FirstHop<'_>, failure: &Failure) {
+        let facts = first.facts();
+        let since = self
+            .picked
+            .as_ref()
+            .map_or(self.begun, |picked| picked.since);
+        if let Some(line) = self.line(&facts, "tried", since) {
+            let log = facts.worker.hub.shared.log();
+            log.tell(Rank::Failure, &line.told(failure.into()));
+        }
+    }
+
+    /// Tells how the request ended.
+    pub(super) fn end(mut self, first: &FirstHop<'_>, ended: &Result<Response<Answer>, Failure>) {
+        let facts = first.facts();
+        if let Some(mut line) = self.line(&facts, "ended", self.begun) {
+            let plain = ended
+                .as_ref()
+                .is_ok_and(|res| !res.status().is_server_error());
+            let rank = match plain && self.tries <= 1 {
+                true => Rank::Success,
+                false => Rank::Failure,
+            };
+            line.status = ended.as_ref().ok().map(|res| res.status().as_u16());
+            let told = ended.as_ref().map_or_else(Told::from, |_| Told::ANSWERED);
+            facts.worker.hub.shared.log().tell(rank, &line.told(told));
+        }
+        self.id = None;
+    }
+
+    fn line(&self, facts: &Facts<'_>, event: &'static str, since: Tick) -> Option<RequestLine<'_>> {
+        let id = self.id.as_ref()?;
+        let shared = &facts.worker.hub.shared;
+        let now = shared.clock().now();
+        let snapshot = &facts.routes.view.snapshot;
+        let picked = self.picked.as_ref();
+        Some(RequestLine {
+            unix_ms: unix_ms(),
+            node: shared.me().as_str().to_owned().into(),
+            event: event.into(),
+            request: String::from_utf8_lossy(id.as_bytes()),
+            kind: Some(facts.route.kind.to_string().into()),
+            class: Some(facts.route.class.as_str().into()),
+            instance: picked.map(|picked| Cow::from(picked.instance.as_str())),
+            life: picked.and_then(|it| it.life.as_deref().map(Cow::from)),
+            try_number: Some(self.tries),
+            load_percent: picked.map(|picked| picked.load_percent),
+            took_us: micros(now.since(since)),
+            left_us: micros(facts.deadline.remaining(now)),
+            aim_left_us: facts.aim.map(|aim| micros(aim.since(now))),
+            catalogue: Some(snapshot.catalogue().revision().get()),
+            list: Some(snapshot.instances().revision().get()),
+            contact_ms: shared.contact().age(now).map(|age| micros(age) / 1_000),
+            ..RequestLine::default()
+        })
+    }
+}
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -91,10 +91,10 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_sassafrasspool-node"))
             .arg("--settings")
             .arg(file.path())
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("a process");
-        let log = child.stderr.take().expect("its log");
+        let log = child.stdout.take().expect("its log");
         let mut lines = BufReader::new(log).lines();
         let addrs = loop {
             let line = lines.next().expect("a line that tells").expect("text");
