--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -54,6 +54,8 @@
     tries: u32,
     moves: u32,
     asks: u32,
+    /// Until when the answer is worth most; nobody is asked for room after it.
+    aim: Option<Tick>,
     /// The first try that may have run.
     lost: Option<Loss>,
 }
@@ -76,10 +78,18 @@
             tries: limits.attempts.saturating_sub(1),
             moves: MAX_MOVES,
             asks: MAX_ASKS,
+            aim: None,
             lost: None,
         }
     }
 
+    /// The same for a request whose answer is worth most until `aim`.
+    #[must_use]
+    pub const fn until(mut self, aim: Option<Tick>) -> Tries {
+        self.aim = aim;
+        self
+    }
+
     /// The same for a request with a key, which only the key's owner may run.
     #[must_use]
     pub const fn keyed(mut self, attempt: Attempt) -> Tries {
@@ -95,6 +105,7 @@
         let again = self.hop == Hop::First
             && !self.deadline.passed(now)
             && self.may_repeat(&failure)
+            && self.is_worth_asking(now, &failure)
             && self.can_pay(&failure, budget);
         if again {
             return Next::Again;
@@ -130,6 +141,19 @@
         }
     }
 
+    /// Whether a request that found no room may find some in time.
+    ///
+    /// A request that has waited in vain until its answer is late would wait as
+    /// long again at the next, and its caller hears of it when it has no time
+    /// left to do anything else.
+    fn is_worth_asking(&self, now: Tick, failure: &Failure) -> bool {
+        let Failure::Refused(refusal) = failure else {
+            return true;
+        };
+        let full = refusal.reason().is_overload() && !refusal.reason().is_of_target();
+        !full || self.aim.is_none_or(|aim| now < aim)
+    }
+
     fn can_pay(&mut self, failure: &Failure, budget: &Budget) -> bool {
         // A wrong endpoint says nothing of the load of the service, and no
         // target has spent anything on the request: it costs less, and is
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -185,7 +185,8 @@
         let idempotent = self.route.route.idempotent && self.hop == 1;
         let mut limits = self.service.entry.limits.retry;
         limits.attempts = self.route.route.attempts.unwrap_or(limits.attempts);
-        Tries::first(Hop::First, idempotent, &limits, self.deadline, self.budget)
+        let tries = Tries::first(Hop::First, idempotent, &limits, self.deadline, self.budget);
+        tries.until(self.aim)
     }
 
     fn pick(&self, avoid: &[EndpointKey]) -> Result<Picked, Refusal> {
