--- a/crates/core/src/admit/ask.rs
+++ b/crates/core/src/admit/ask.rs
@@ -22,6 +22,9 @@
     pub kind: Option<&'a KindName>,
     /// Until when its answer is worth most to its caller.
     pub aim: Option<Tick>,
+    /// Whether it takes a place in the queue although its answer would be late,
+    /// since nobody else is asked after this.
+    pub settles: bool,
     /// The target's slots by the instance list, where that tells them.
     pub slots: Option<u32>,
 }
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -132,8 +132,11 @@
         if wait + took > ask.deadline.remaining(self.now) {
             return Decision::Refuse(refusal(Reason::DeadlineTooShort).after(wait));
         }
-        // It would be late here and may be in time elsewhere.
-        if in_time && begin_by.is_some_and(|begin_by| self.now + wait > begin_by) {
+        // It would be late here and may be in time elsewhere. If nobody else is
+        // asked, late is better than never: a call that is turned away fails the
+        // request that it was made for, whose slot was held in vain.
+        let late = in_time && begin_by.is_some_and(|begin_by| self.now + wait > begin_by);
+        if late && !ask.settles {
             return Decision::Refuse(refusal(Reason::QueueFull).after(wait));
         }
         if self.queue.len() >= self.queue_bound() {
--- a/crates/core/src/admit/tests/bench.rs
+++ b/crates/core/src/admit/tests/bench.rs
@@ -63,6 +63,7 @@
         let ask = Ask {
             kind: None,
             aim,
+            settles: false,
             slots: None,
             class,
             deadline: Deadline::within(now, limits.deadline),
--- a/crates/core/src/admit/tests/cases.rs
+++ b/crates/core/src/admit/tests/cases.rs
@@ -163,6 +163,7 @@
     let ask = Ask {
         kind: None,
         aim: None,
+        settles: false,
         slots: None,
         class: Class::Standard,
         deadline: Deadline::within(NOW, LIMITS.deadline),
@@ -251,3 +252,35 @@
     assert_eq!(refused, [(4, Reason::QueueFull)]);
     drop(permit);
 }
+
+// Lookups that a report needs are all turned away by full targets, since each
+// would come a little late; the report then fails, though its slot was held. The
+// last target that is asked lets them wait.
+#[test]
+fn the_last_that_is_asked_lets_a_late_request_wait() {
+    let mut bench = Bench::new(1);
+    bench.offer(NOW, Class::Standard, &LIMITS);
+    bench
+        .take_permit()
+        .release(NOW + Duration::from_millis(200));
+    bench.offer(NOW, Class::Standard, &LIMITS);
+    let permit = bench.take_permit();
+    let aim = Some(NOW + Duration::from_millis(420));
+    let ask = Ask {
+        kind: None,
+        aim,
+        settles: true,
+        slots: None,
+        class: Class::Standard,
+        deadline: Deadline::within(NOW, LIMITS.deadline),
+        limits: &LIMITS,
+    };
+    let offer = |ask: &Ask<'_>| bench.admission.offer(NOW, ask, || Box::new(drop));
+    let elsewhere = Ask {
+        settles: false,
+        ..ask
+    };
+    assert!(matches!(offer(&elsewhere), Offer::Refused(_)));
+    assert!(matches!(offer(&ask), Offer::Queued(_)));
+    drop(permit);
+}
--- a/crates/core/src/request/whole.rs
+++ b/crates/core/src/request/whole.rs
@@ -73,6 +73,7 @@
             limits,
             kind: None,
             aim: None,
+            settles: false,
             slots: None,
         }
     }
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -97,6 +97,12 @@
         self
     }
 
+    /// Whether another endpoint may be asked for room after the next one.
+    pub fn may_ask_more(&self, now: Tick) -> bool {
+        let in_time = self.aim.is_none_or(|aim| now < aim);
+        self.hop == Hop::First && self.attempt.is_none() && self.asks > 0 && in_time
+    }
+
     /// What to do after `failure`.
     pub fn after(&mut self, now: Tick, failure: Failure, budget: &Budget) -> Next {
         if let Failure::Lost(loss) = failure {
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -66,6 +66,7 @@
         let mut ask = stage.ask(limits);
         ask.kind = self.call.kind.as_ref();
         ask.aim = self.call.aim;
+        ask.settles = self.call.settles;
         if let Some(slots) = slots {
             ask.slots = Some(slots);
             hub.pool.resize(slots);
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -49,6 +49,8 @@
     pub(super) kind: &'a KindName,
     /// Until when the answer is worth most.
     pub(super) aim: Option<Tick>,
+    /// Whether nobody else is asked for room after this.
+    pub(super) settles: bool,
 }
 
 impl Attempt<'_> {
@@ -85,6 +87,7 @@
             class: Some(self.class),
             kind: Some(self.kind.clone()),
             aim: self.aim,
+            settles: self.settles,
             life: self.life(),
             origin: self.origin(),
         }
@@ -165,6 +168,9 @@
                 self.aim_left().map(HeaderValue::from).map(once),
             ),
         ];
+        if self.settles {
+            headers.insert(names::SETTLES, HeaderValue::from_static("1"));
+        }
         for (name, value) in told {
             if let Some(value) = value {
                 headers.insert(name, value);
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -52,6 +52,8 @@
     pub(super) kind: Option<KindName>,
     /// Until when its answer is worth most to its caller.
     pub(super) aim: Option<Tick>,
+    /// Whether nobody else is asked for room after this.
+    pub(super) settles: bool,
     /// The life of the target that it is meant for, where lives are told apart.
     pub(super) life: Option<HeaderValue>,
     /// The service beside whose target it began.
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -147,7 +147,8 @@
             avoid.push(picked.endpoint());
             trail.pick(self, &picked);
             let again = repeat(&req);
-            let missed = match self.attempt(picked, req).await {
+            let settles = again.is_none() || !tries.may_ask_more(now(self.worker));
+            let missed = match self.attempt(picked, req, settles).await {
                 Ok(res) => return Ok(res),
                 Err(missed) => missed,
             };
@@ -209,6 +210,7 @@
         &self,
         picked: Picked,
         req: Request<Payload>,
+        settles: bool,
     ) -> Result<Response<Answer>, Missed> {
         let snapshot = &self.routes.view.snapshot;
         let Some(endpoint) = snapshot.endpoint(picked.endpoint()) else {
@@ -224,6 +226,7 @@
             class: self.route.route.class,
             kind: &self.route.route.kind,
             aim: self.aim,
+            settles,
         };
         attempt.run(picked, req).await
     }
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -84,6 +84,7 @@
         class: text(headers, &names::CLASS).and_then(Class::from_name),
         kind: text(headers, &names::KIND).and_then(|name| KindName::new(name).ok()),
         aim: head::number(headers, &names::AIM_MS).map(|ms| now + Duration::from_millis(ms)),
+        settles: headers.contains_key(names::SETTLES),
         life: headers.get(names::LIFE).cloned(),
         origin: headers.get(names::ORIGIN).cloned(),
     })
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -41,6 +41,10 @@
 /// time has passed.
 pub const AIM_MS: HeaderName = HeaderName::from_static("x-sassafrasspool-aim-ms");
 
+/// Between nodes: 1 if nobody else is asked for room after this, so that a late
+/// place in the queue is better than none.
+pub const SETTLES: HeaderName = HeaderName::from_static("x-sassafrasspool-settles");
+
 /// Between nodes: the life of the target that the request is meant for.
 pub const LIFE: HeaderName = HeaderName::from_static("x-sassafrasspool-life");
 
