--- a/crates/core/src/route/picker.rs
+++ b/crates/core/src/route/picker.rs
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Whether there is an endpoint to choose other than those in `avoid`.
+    pub fn has_other(&self, service: ServiceKey, now: Tick, avoid: &[EndpointKey]) -> bool {
+        let view = self.services.get(service);
+        let mut candidates = view.into_iter().flat_map(|view| &view.candidates);
+        candidates.any(|c| !avoid.contains(&c.key) && c.meter.is_open(now))
+    }
+
     /// The endpoint that owns a request key, and counts the request there.
     ///
     /// The owner goes by the list and not by who can be reached or looks well:
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -147,7 +147,9 @@
             avoid.push(picked.endpoint());
             trail.pick(self, &picked);
             let again = repeat(&req);
-            let settles = again.is_none() || !tries.may_ask_more(now(self.worker));
+            let at = now(self.worker);
+            let others = self.routes.picker.has_other(self.to, at, &avoid);
+            let settles = again.is_none() || !others || !tries.may_ask_more(at);
             let missed = match self.attempt(picked, req, settles).await {
                 Ok(res) => return Ok(res),
                 Err(missed) => missed,
