--- a/crates/node/src/traffic/peer.rs
+++ b/crates/node/src/traffic/peer.rs
@@ -2,6 +2,8 @@
 
 mod link;
 mod links;
+#[cfg(test)]
+mod tests;
 
 pub(super) use self::link::LinkFailure;
 pub(super) use self::links::Links;
--- a/crates/node/src/traffic/peer/link.rs
+++ b/crates/node/src/traffic/peer/link.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 use http::Request;
 use http::Response;
@@ -33,8 +34,9 @@
 pub(in crate::traffic) struct Link {
     addr: SocketAddr,
     sender: Mutex<Option<Sender>>,
-    /// Held by the one who connects, so that a herd opens one connection.
-    connecting: tokio::sync::Mutex<()>,
+    /// Held by the one who connects, so that a herd opens one connection; when
+    /// that failed last.
+    connecting: tokio::sync::Mutex<Option<Instant>>,
 }
 
 /// How passing a request to another node failed.
@@ -51,7 +53,7 @@
         Link {
             addr,
             sender: Mutex::new(None),
-            connecting: tokio::sync::Mutex::new(()),
+            connecting: tokio::sync::Mutex::new(None),
         }
     }
 
@@ -84,14 +86,22 @@
         if let Some(sender) = self.open_sender() {
             return Ok(sender);
         }
-        let _only_one = self.connecting.lock().await;
+        let asked = Instant::now();
+        let mut failed = self.connecting.lock().await;
         if let Some(sender) = self.open_sender() {
             return Ok(sender);
         }
+        // Whoever waited for a connection that didn't come is told so. Were
+        // each to try anew, the last of a herd would have waited for all.
+        if failed.is_some_and(|failed| failed >= asked) {
+            return Err(self.error("connecting has just failed"));
+        }
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, self.connect());
-        let sender = connect
+        let connected = connect
             .await
-            .map_err(|_| self.error("connecting took too long"))??;
+            .unwrap_or_else(|_| Err(self.error("connecting took too long")));
+        *failed = connected.is_err().then(Instant::now);
+        let sender = connected?;
         *self.sender.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender.clone());
         Ok(sender)
     }
