--- a/crates/core/src/spread/config.rs
+++ b/crates/core/src/spread/config.rs
@@ -59,6 +59,10 @@
     pub assumed_fleet: u32,
     /// How long the platform may hold a watching read: 100 ms to 30 s.
     pub watch: Duration,
+    /// How long a reader rests after the platform gave it something newer, so
+    /// that a burst of changes is read together: at most 5 s. What others read
+    /// meanwhile reaches it by their announcements.
+    pub rest: Duration,
     /// Age of the newest proof of contact with the platform at which other
     /// nodes begin to step in as readers: 1 s to 10 min, more than `watch`.
     pub contact_bound: Duration,
@@ -96,6 +100,7 @@
             share_percent: 25,
             assumed_fleet: 1_000,
             watch: Duration::from_secs(3),
+            rest: Duration::ZERO,
             contact_bound: Duration::from_secs(9),
             takeover_step: Duration::from_secs(1),
             backoff_base: Duration::from_millis(200),
@@ -130,6 +135,7 @@
         range("share_percent", self.share_percent, 1, 100)?;
         range("assumed_fleet", self.assumed_fleet, 1, 1_000_000)?;
         range("watch", self.watch, ms(100), secs(30))?;
+        range("rest", self.rest, ms(0), secs(5))?;
         range("contact_bound", self.contact_bound, secs(1), secs(600))?;
         range("contact_bound", self.contact_bound, self.watch, secs(600))?;
         range("takeover_step", self.takeover_step, ms(10), secs(60))?;
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -247,9 +247,11 @@
     }
 
     fn slow_down(&mut self, now: Tick, stream: Stream, verdict: Verdict) {
-        if verdict != Verdict::Taken {
-            self.reads[stream as usize].hold_back(now + EMPTY_WAIT);
-        }
+        let pause = match verdict {
+            Verdict::Taken => self.jittered(self.cfg.rest),
+            _ => EMPTY_WAIT,
+        };
+        self.reads[stream as usize].hold_back(now + pause);
     }
 
     /// A read whose end was never told would keep this node from reading for
--- a/crates/node/src/settings/spread.rs
+++ b/crates/node/src/settings/spread.rs
@@ -87,6 +87,7 @@
     let readers = u32_or(t, "readers", 1..=32, was.readers, f);
     let fleet = u32_or(t, "assumed_fleet", 1..=1_000_000, was.assumed_fleet, f);
     let watch = millis_or(t, "watch_ms", 100..=30_000, was.watch, f);
+    let rest = millis_or(t, "rest_ms", 0..=5_000, was.rest, f);
     let contact = millis_or(t, "contact_bound_ms", 1_000..=600_000, was.contact_bound, f);
     let takeover = millis_or(t, "takeover_step_ms", 10..=60_000, was.takeover_step, f);
     let base = millis_or(t, "backoff_base_ms", 10..=60_000, was.backoff_base, f);
@@ -107,6 +108,7 @@
         readers: readers?,
         assumed_fleet: fleet?,
         watch: watch?,
+        rest: rest?,
         contact_bound: contact?,
         takeover_step: takeover?,
         backoff_base: base?,
