--- a/crates/bench/src/generate/text.rs
+++ b/crates/bench/src/generate/text.rs
@@ -36,8 +36,8 @@
     line(
         text,
         &format!(
-            "      retry: {{attempts: {}, budget_percent: {}}}",
-            retry.attempts, retry.budget_percent
+            "      retry: {{attempts: {}, budget_percent: {}, burst: {}}}",
+            retry.attempts, retry.budget_percent, retry.burst
         ),
     );
     line(text, "    routes:");
--- a/crates/core/src/catalogue/limits.rs
+++ b/crates/core/src/catalogue/limits.rs
@@ -25,6 +25,8 @@
     pub attempts: u32,
     /// Retries as a share of first tries, in percent.
     pub budget_percent: u32,
+    /// Retries that each node may save up.
+    pub burst: u32,
 }
 
 impl Default for RetryLimits {
@@ -33,6 +35,7 @@
         RetryLimits {
             attempts: 2,
             budget_percent: 10,
+            burst: 100,
         }
     }
 }
--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -35,6 +35,8 @@
 const DEADLINE_MS: std::ops::RangeInclusive<u64> = 1..=600_000;
 /// Bounds of the number of tries.
 const ATTEMPTS: std::ops::RangeInclusive<u64> = 1..=5;
+/// Bounds of the retries that are saved up.
+const BURST: std::ops::RangeInclusive<u64> = 1..=100;
 /// Bounds of a share's weight.
 const SHARE_WEIGHT: std::ops::RangeInclusive<u64> = 1..=10_000;
 /// Bounds of the size of a request's head, in bytes: the least is what
@@ -184,8 +186,10 @@
         default.budget_percent.into(),
         faults,
     );
+    let burst = table.number_or("burst", BURST, default.burst.into(), faults);
     table.finish(faults);
     Some(RetryLimits {
+        burst: number_u32(burst)?,
         attempts: number_u32(attempts)?,
         budget_percent: number_u32(budget)?,
     })
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use crate::RetryLimits;
+
 /// What a retry costs.
 const RETRY: u64 = 1_000;
 /// What it costs to go to another endpoint after one that was the wrong one.
@@ -16,52 +18,67 @@
 ///
 /// Each first try pays a share of a retry in; each retry takes one out. Under
 /// a fault of the whole service the retries are thereby a set share of the
-/// calls, and don't deepen the overload that they came from.
+/// calls, and don't deepen the overload that they came from. What is saved up is
+/// bounded by the service's limits, since all nodes may spend theirs at once.
+///
+/// Moves have an account of their own: they reach no target, so that they may be
+/// many where retries are few.
 ///
 /// # Invariants
 ///
-/// At most `MAX` is held, and never less than nothing.
+/// At most `MAX` is held on either account, and never less than nothing.
 #[derive(Debug)]
-pub struct Budget(AtomicU64);
+pub struct Budget {
+    retries: AtomicU64,
+    moves: AtomicU64,
+}
 
 impl Budget {
     /// The budget of a service without calls so far.
     pub const fn new() -> Budget {
-        Budget(AtomicU64::new(START))
+        Budget {
+            retries: AtomicU64::new(START),
+            moves: AtomicU64::new(START),
+        }
     }
 
-    /// Pays in for one first try, `percent` of a retry.
-    pub(super) fn pay_in(&self, percent: u32) {
-        let share = RETRY * u64::from(percent) / 100;
-        let held = self.0.load(Ordering::Relaxed);
-        // Most calls meet a full budget, which takes no write that the traffic
-        // threads would contend for.
-        if held < MAX {
-            // Threads that pay in at once may pass the mark by their shares;
-            // the least of both is written, so that the bound holds.
-            let more = |held: u64| Some((held + share).min(MAX));
-            let _ = self
-                .0
-                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
-        }
+    /// Pays in for one first try, by the service's limits.
+    pub(super) fn pay_in(&self, limits: &RetryLimits) {
+        let share = RETRY * u64::from(limits.budget_percent) / 100;
+        let most = RETRY * u64::from(limits.burst);
+        pay(&self.retries, share, most.min(MAX));
+        pay(&self.moves, share, MAX);
     }
 
     /// Takes out a retry, if there is one.
     pub(super) fn take_retry(&self) -> bool {
-        self.take(RETRY)
+        take(&self.retries, RETRY)
     }
 
     /// Takes out a move to another endpoint, if there is one.
     pub(super) fn take_move(&self) -> bool {
-        self.take(MOVE)
+        take(&self.moves, MOVE)
     }
+}
 
-    fn take(&self, cost: u64) -> bool {
-        let less = |held: u64| held.checked_sub(cost);
-        self.0
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, less)
-            .is_ok()
+fn pay(account: &AtomicU64, share: u64, most: u64) {
+    let held = account.load(Ordering::Relaxed);
+    // Most calls meet a full account, which takes no write that the traffic
+    // threads would contend for.
+    if held == most {
+        return;
     }
+    // Threads that pay in at once may pass the mark by their shares; the least
+    // of both is written, so that the bound holds.
+    let more = |held: u64| Some((held + share).min(most));
+    let _ = account.fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
+}
+
+fn take(account: &AtomicU64, cost: u64) -> bool {
+    let less = |held: u64| held.checked_sub(cost);
+    account
+        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, less)
+        .is_ok()
 }
 
 impl Default for Budget {
--- a/crates/core/src/retry/tests.rs
+++ b/crates/core/src/retry/tests.rs
@@ -22,6 +22,7 @@
 const LIMITS: RetryLimits = RetryLimits {
     attempts: 2,
     budget_percent: 10,
+    burst: 100,
 };
 
 fn refused(reason: Reason) -> Failure {
@@ -123,3 +124,24 @@
     };
     assert_eq!(failure.outcome(), case.outcome, "{case:?}");
 }
+
+// A service fails everywhere after a long quiet time. Each node has saved up all
+// the retries that it may, and all of them spend theirs in one moment: ten nodes
+// with a hundred each would double the load of the service for seconds.
+#[test]
+fn what_is_saved_up_is_bounded_by_the_service_s_limits() {
+    let limits = RetryLimits { burst: 2, ..LIMITS };
+    let budget = Budget::new();
+    let deadline = Deadline::within(NOW, Duration::from_secs(1));
+    let mut again = 0;
+    for n in 0..1_020 {
+        let mut tries = Tries::first(Hop::First, true, &limits, deadline, &budget);
+        if n >= 1_000 && tries.after(NOW, lost(), &budget) == Next::Again {
+            again += 1;
+        }
+    }
+    assert_eq!(
+        again, 3,
+        "two that were saved, and a tenth of the calls since"
+    );
+}
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -69,7 +69,7 @@
         deadline: Deadline,
         budget: &Budget,
     ) -> Tries {
-        budget.pay_in(limits.budget_percent);
+        budget.pay_in(limits);
         Tries {
             hop,
             idempotent,
--- a/crates/core/src/route/pace.rs
+++ b/crates/core/src/route/pace.rs
@@ -32,7 +32,9 @@
     /// How long an answer took, as a part of what others of its kind take; it
     /// goes into their average.
     pub(super) fn ratio(&self, kind: &KindName, took: Duration) -> Option<u32> {
-        let us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX >> 8).max(1);
+        let us = u64::try_from(took.as_micros())
+            .unwrap_or(u64::MAX >> 8)
+            .max(1);
         // An average is whole after each change.
         let mut held = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(average) = held.get_mut(kind) else {
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -36,5 +36,6 @@
     retry: RetryLimits {
         attempts: 2,
         budget_percent: 10,
+        burst: 100,
     },
 };
--- a/crates/core/tests/at_most_once/world/told.rs
+++ b/crates/core/tests/at_most_once/world/told.rs
@@ -23,6 +23,7 @@
         let limits = RetryLimits {
             attempts: 1,
             budget_percent: 0,
+            burst: 100,
         };
         let budget = Budget::new();
         let deadline = Deadline::at(self.now);
--- a/crates/ctl/src/diff/fields.rs
+++ b/crates/ctl/src/diff/fields.rs
@@ -55,6 +55,7 @@
             "limits.retry.budget_percent",
             limits.retry.budget_percent.to_string(),
         ),
+        ("limits.retry.burst", limits.retry.burst.to_string()),
     ];
     found.extend(values.map(|(name, value)| (name.to_owned(), value)));
     for route in &entry.routes {
