Let a woken process announce only what is newest

It now stays quiet until it holds the newest that it has heard of, for call_timeout at most. Ruled out: a step back (none; receivers ignore it).

--- a/crates/core/src/spread/gossip.rs
+++ b/crates/core/src/spread/gossip.rs
@@ -20,6 +20,8 @@
     pub(super) states_due: Option<Tick>,
     /// Nothing is announced before, unless a peer has told what it holds.
     pub(super) quiet_until: Option<Tick>,
+    /// Whether a peer has told what it holds since this process was woken.
+    pub(super) has_heard_since_waking: bool,
     /// What was announced last.
     pub(super) announced: Heads,
     /// Who told the news; it needn't hear them again.
@@ -39,6 +41,7 @@
             heads_due: None,
             states_due: None,
             quiet_until: None,
+            has_heard_since_waking: true,
             announced: Heads::default(),
             teller: None,
             last: None,
--- a/crates/core/src/spread/machine/join.rs
+++ b/crates/core/src/spread/machine/join.rs
@@ -94,6 +94,20 @@
         }
     }
 
+    /// Lets a woken process announce again once it holds the newest that it has
+    /// heard of.
+    ///
+    /// What lay in its buffers brings it part of the way: it would announce a
+    /// version from while it slept, though a peer has just told it of a newer.
+    pub(super) fn speak_if_settled(&mut self) {
+        if Stream::ALL
+            .into_iter()
+            .all(|stream| self.is_settled(stream))
+        {
+            self.gossip.quiet_until = None;
+        }
+    }
+
     fn is_settled(&self, stream: Stream) -> bool {
         let heard = self.pulls[stream as usize].heard;
         heard.is_none_or(|heard| !self.holder.lacks(stream, heard))
@@ -153,6 +167,9 @@
         if stream == Stream::Catalogue {
             self.giver = origin.clone();
         }
+        if self.gossip.has_heard_since_waking {
+            self.speak_if_settled();
+        }
         self.gossip.heads_changed(now + self.cfg.linger);
         if let Life::Joined(joined) = &self.life {
             joined.apply(&self.holder, stream, origin, out);
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -113,7 +113,8 @@
             self.hear_states(now, std::slice::from_ref(state), &origin, out);
         }
         self.hear_heads(now, told.heads, &holder, out);
-        self.gossip.quiet_until = None;
+        self.gossip.has_heard_since_waking = true;
+        self.speak_if_settled();
         let differing = match told.buckets.is_empty() {
             true => 0,
             false => self.members.differing(&told.buckets),
--- a/crates/core/src/spread/machine/wakeup.rs
+++ b/crates/core/src/spread/machine/wakeup.rs
@@ -73,6 +73,7 @@
         self.calls.clear();
         self.gossip.drop_news();
         self.gossip.quiet_until = Some(now + self.cfg.call_timeout);
+        self.gossip.has_heard_since_waking = false;
         for stream in Stream::ALL {
             self.pulls[stream as usize].forget();
             self.reads[stream as usize].outdate(now);
