--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -90,6 +90,15 @@
         let _ = timeout(CLOSE_LIMIT, serving).await;
     }
 
+    /// Answers with the metrics alone until `cancel` is cancelled.
+    pub(crate) async fn serve_metrics(self, listener: TcpListener, cancel: CancellationToken) {
+        let router = Router::new()
+            .route(admin::METRICS_PATH, get(metrics_page))
+            .with_state(Arc::new(self));
+        let serving = axum::serve(listener, router).into_future();
+        cancel.run_until_cancelled(serving).await;
+    }
+
     fn router(self) -> Router {
         Router::new()
             .route(admin::STATUS_PATH, get(status))
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -16,6 +16,13 @@
 mod report;
 pub(crate) mod traffic;
 
+/// Bounds of the histograms' buckets, in seconds: from what two hops add up to
+/// the longest timeouts of today. Counted in buckets, a request costs a node no
+/// memory.
+const SECONDS_BUCKETS: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 8.0,
+];
+
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
 /// Installs the recorder, unless the process has one.
@@ -36,7 +43,10 @@
 
 fn recorder() -> Option<&'static PrometheusHandle> {
     let made = RECORDER.get_or_init(|| {
-        let handle = PrometheusBuilder::new().install_recorder().ok()?;
+        let builder = PrometheusBuilder::new()
+            .set_buckets(&SECONDS_BUCKETS)
+            .ok()?;
+        let handle = builder.install_recorder().ok()?;
         names::describe();
         traffic::describe();
         Some(handle)
--- a/crates/node/src/metrics/names.rs
+++ b/crates/node/src/metrics/names.rs
@@ -41,6 +41,9 @@
 /// Times that the process was found to have been paused.
 pub(crate) const PAUSES: &str = "sassafrasspool_pauses_total";
 
+/// Log lines left out for want of budget or because nobody reads, by `rank`.
+pub(crate) const LOG_LEFT_OUT: &str = "sassafrasspool_log_lines_left_out_total";
+
 /// Gives the recorder the texts of the metrics' help lines.
 pub(super) fn describe() {
     describe_counter!(APPLIED, "Versions that came into force");
@@ -64,5 +67,6 @@
     describe_gauge!(PHASE, "Phase of the endpoint, 0 starting to 3 gone");
     describe_gauge!(READING, "Whether the node reads the platform");
     describe_counter!(REPLACED, "Times another process took this one's place");
+    describe_counter!(LOG_LEFT_OUT, "Log lines left out");
     describe_counter!(PAUSES, "Times that the process had been paused");
 }
--- a/crates/node/src/metrics/report.rs
+++ b/crates/node/src/metrics/report.rs
@@ -35,6 +35,10 @@
         gauge!(names::PEERS).set(self.spread.peers as f64);
         gauge!(names::PHASE).set(f64::from(self.shared.phase() as u8));
         gauge!(names::READING).set(f64::from(u8::from(self.spread.reading)));
+        let [states, failures, successes] = self.shared.log().left_out();
+        counter!(names::LOG_LEFT_OUT, "rank" => "state").absolute(states);
+        counter!(names::LOG_LEFT_OUT, "rank" => "failure").absolute(failures);
+        counter!(names::LOG_LEFT_OUT, "rank" => "success").absolute(successes);
         counter!(names::CONTROL_BYTES, "direction" => "in").absolute(self.control.bytes_in);
         counter!(names::CONTROL_BYTES, "direction" => "out").absolute(self.control.bytes_out);
     }
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -118,6 +118,7 @@
     peers: TcpListener,
     admin: TcpListener,
     ready: Option<TcpListener>,
+    metrics: Option<TcpListener>,
     addrs: NodeAddrs,
     /// Ends the traffic side if the control side never runs, or if its
     /// runtime is shut down under it.
@@ -136,6 +137,7 @@
         let peers = listeners::listen(settings.listen.control)?;
         let admin = listeners::listen(settings.listen.admin)?;
         let incarnation = spread::incarnation();
+        let metrics_port = settings.listen.metrics.map(listeners::listen).transpose()?;
         let ready = settings.listen.ready.map(listeners::listen).transpose()?;
         let me = settings.instance.clone();
         let shared = Arc::new(Shared::speaking(
@@ -172,6 +174,7 @@
             peers,
             admin,
             ready,
+            metrics: metrics_port,
             addrs,
         })
     }
@@ -204,6 +207,11 @@
         outside
             .tasks
             .spawn(server.serve(self.peers, outside.cancel.clone()));
+        if let Some(metrics) = self.metrics {
+            let admin = Admin::new(Arc::clone(&self.settings), outside.clone());
+            let cancel = outside.cancel.clone();
+            outside.tasks.spawn(admin.serve_metrics(metrics, cancel));
+        }
         let admin = Admin::new(self.settings, outside.clone());
         outside
             .tasks
--- a/crates/node/src/settings/listen.rs
+++ b/crates/node/src/settings/listen.rs
@@ -24,6 +24,8 @@
     pub admin: SocketAddr,
     /// HTTP for whoever asks whether the node takes callers.
     pub ready: Option<SocketAddr>,
+    /// HTTP for the metrics alone, for collectors on other machines.
+    pub metrics: Option<SocketAddr>,
 }
 
 impl Listen {
@@ -34,6 +36,7 @@
         let control = table.text("control", faults, addr);
         let admin = table.text("admin", faults, loopback);
         let ready = table.optional_text("ready", faults, addr);
+        let metrics = table.optional_text("metrics", faults, addr);
         let place = table.place();
         table.finish(faults);
         let listen = Listen {
@@ -43,6 +46,7 @@
             control: control?,
             admin: admin?,
             ready,
+            metrics,
         };
         if let Some(twice) = listen.twice() {
             let reason = format!("names {twice} for two listeners");
@@ -54,7 +58,9 @@
     /// An address with a port of its own that two listeners would share.
     fn twice(&self) -> Option<SocketAddr> {
         let always = [self.ingress, self.traffic, self.control, self.admin];
-        let at_times = [self.egress, self.ready].into_iter().flatten();
+        let at_times = [self.egress, self.ready, self.metrics]
+            .into_iter()
+            .flatten();
         let all: Vec<SocketAddr> = always.into_iter().chain(at_times).collect();
         let shared = |at: usize| all[at].port() != 0 && all[..at].contains(&all[at]);
         (0..all.len()).find(|&at| shared(at)).map(|at| all[at])
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -35,6 +35,7 @@
 mod running;
 mod sent;
 mod serve;
+mod stages;
 mod stall;
 mod stored;
 mod target;
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -71,7 +71,10 @@
             ask.slots = Some(slots);
             hub.pool.resize(slots);
         }
+        let asked = hub.shared.clock().now();
         let admitted = admission::admit(&hub.admission, hub.shared.clock(), &ask).await;
+        let waited = hub.shared.clock().now().since(asked);
+        hub.stages.queue.took(class, waited);
         let permit: Permit = match admitted {
             Ok(permit) => permit,
             Err(refusal) => return Err(Missed::unsent(refusal, self.req)),
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -51,6 +51,7 @@
     service: &'a BoundService,
     budget: &'a Budget,
     keyed: Option<Keyed>,
+    begun: Tick,
     deadline: Deadline,
     /// Until when the answer is worth most to the caller.
     aim: Option<Tick>,
@@ -91,6 +92,7 @@
             service,
             budget: budget.ok_or_else(no_route)?,
             keyed,
+            begun: arrived,
             deadline: Deadline::within(arrived, timeout(&route.route, service, asked)),
             aim: aim(worker, &route.route, arrived, asked),
             hop: 1,
@@ -125,6 +127,9 @@
     pub(super) async fn run(&self, req: Request<Payload>) -> Result<Response<Answer>, Failure> {
         let mut trail = Trail::new(self, &req);
         let ended = self.run_traced(req, &mut trail).await;
+        let took = now(self.worker).since(self.begun);
+        let class = self.route.route.class;
+        self.worker.hub.stages.whole.took(class, took);
         trail.end(self, &ended);
         ended
     }
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -16,6 +16,7 @@
 use super::counters::Counters;
 use super::parents::Parents;
 use super::patience::Patiences;
+use super::stages::Stages;
 use super::target::Pool;
 use crate::Settings;
 use crate::Shared;
@@ -30,6 +31,7 @@
     pub(super) admission: Admission,
     pub(super) parents: Parents,
     pub(super) patience: Patiences,
+    pub(super) stages: Stages,
     pub(super) ingress: Counters,
     pub(super) egress: Counters,
     pub(super) peers: Counters,
@@ -81,6 +83,7 @@
             admission,
             parents: Parents::default(),
             patience: Patiences::default(),
+            stages: Stages::new(),
             ingress: Counters::new("ingress"),
             egress: Counters::new("egress"),
             peers: Counters::new("peers"),
--- a/crates/node/src/traffic/sent.rs
+++ b/crates/node/src/traffic/sent.rs
@@ -101,9 +101,14 @@
         let clock = *self.hub.shared.clock();
         let until = clock.instant(self.deadline.tick());
         let id = req.headers().get(REQUEST_ID).cloned();
+        let handed_over = clock.now();
         let exchange = target::exchange(conn, req);
         match tokio::time::timeout_at(until.into(), exchange).await {
-            Ok(Ok(res)) => self.checked(res, id.as_ref()),
+            Ok(Ok(res)) => {
+                let took = clock.now().since(handed_over);
+                self.hub.stages.target.took(self.stage.class(), took);
+                self.checked(res, id.as_ref())
+            }
             Ok(Err(target::Failure::NotSent(err, proof, unsent))) => {
                 tracing::debug!(%err, "not handed over");
                 let refusal = self.stage.take_back(clock.now(), proof);
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -80,7 +80,7 @@
     child: Child,
     addrs: NodeAddrs,
     log: Arc<Mutex<Vec<Value>>>,
-    _settings: NamedTempFile,
+    settings: NamedTempFile,
 }
 
 impl Process {
@@ -115,7 +115,7 @@
             child,
             addrs,
             log,
-            _settings: file,
+            settings: file,
         }
     }
 
@@ -301,3 +301,37 @@
         assert!(told.contains(fault), "{fault} isn't told in {told}");
     }
 }
+
+// Operators change the settings of a running node, once with a signal and once
+// without, and once by mistake. The default of the signal ended the process; now
+// the node takes over what it can, says what waits for a restart, keeps what was
+// in force over a faulty text, and goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn settings_change_under_a_running_node() {
+    let around = Around::start(TargetSettings::default()).await;
+    around.publish_without_nodes();
+    let text = around.settings();
+    let mut node = Process::start(&text);
+    node.until_phase(Phase::Ready).await;
+    let write = |node: &Process, text: &str| {
+        std::fs::write(node.settings.path(), text).expect("written");
+    };
+    write(&node, "instance: [");
+    node.signal(Signal::HUP);
+    let told = |line: &Value, message: &str| line["fields"]["message"] == message;
+    let refused = "settings refused, the former stay in force";
+    node.until_logged(|line| told(line, refused)).await;
+    let other = text.replace("service: workshop-desk", "service: adjuster-desk");
+    let other = other.replace("probe_ms: 20", "probe_ms: 30");
+    write(&node, &other);
+    node.until_logged(|line| {
+        let fields = &line["fields"];
+        told(line, "settings have changed")
+            && fields["service"] == "adjuster-desk"
+            && fields["wait_for_restart"] == "target"
+    })
+    .await;
+    node.until_phase(Phase::Ready).await;
+    node.signal(Signal::TERM);
+    assert_eq!(node.ended().await.code(), Some(0));
+}
