Wait for entries that lapsed while the platform was away

Targets can't renew their entries while the platform is away, and the first list after it may lack those that live.

--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -140,6 +140,7 @@
 mod heads;
 mod history;
 mod holder;
+mod lapse;
 mod life;
 mod list_proof;
 mod local;
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -14,6 +14,7 @@
 use super::gossip::Gossip;
 use super::history::History;
 use super::holder::Holder;
+use super::lapse::Lapse;
 use super::life::Joining;
 use super::life::Life;
 use super::list_proof::ListClock;
@@ -77,6 +78,7 @@
     role: Role,
     contact: ContactClock,
     list: ListClock,
+    lapse: Lapse,
     budget: ReadBudget,
     reads: [SourceReads; 2],
     /// Who gave the catalogue that is held.
@@ -112,6 +114,7 @@
             role: Role::new(&cfg, &mut rng),
             contact: ContactClock::default(),
             list: ListClock::default(),
+            lapse: Lapse::default(),
             budget: ReadBudget::new(&cfg, &mut rng, now),
             reads: Stream::ALL.map(|stream| SourceReads::new(stream, &cfg)),
             giver: Origin::Source,
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -128,6 +128,9 @@
             return;
         }
         self.prove_list(stream, &result);
+        if stream == Stream::Instances {
+            self.note_lapse(now, &result);
+        }
         match result {
             SourceResult::Catalogue { revision, text } => {
                 self.source_answered(now, stream, Some(revision));
@@ -145,6 +148,7 @@
             } => {
                 self.source_answered(now, stream, Some(revision));
                 match InstanceList::new(revision, instances) {
+                    Ok(list) if self.waits_for_entries(now, &list) => {}
                     Ok(list) => {
                         let verdict = self.offer_instances(now, list, &Origin::Source, out);
                         self.slow_down(now, stream, verdict);
@@ -173,6 +177,28 @@
         }
     }
 
+    /// Follows whether the platform is away, before its answer counts as contact.
+    fn note_lapse(&mut self, now: Tick, result: &SourceResult) {
+        if matches!(result, SourceResult::Failed { .. }) {
+            return self.lapse.failed(now);
+        }
+        let age = self.contact.age(now);
+        let since_start = now.since(Tick::ZERO);
+        let contact = age.map(|age| Tick::ZERO + since_start.saturating_sub(age));
+        self.lapse.answered(now, contact);
+    }
+
+    /// Puts a list off that may lack entries because the platform was away; it
+    /// is read again when those that live have had time to come back.
+    fn waits_for_entries(&mut self, now: Tick, list: &InstanceList) -> bool {
+        let held = self.holder.instances().map(AsRef::as_ref);
+        let Some(until) = self.lapse.waits(now, held, list) else {
+            return false;
+        };
+        self.reads[Stream::Instances as usize].hold_back(until);
+        true
+    }
+
     /// Takes an answer of the platform for a proof of which list is the newest;
     /// an answer without a revision, or of the catalogue, proves nothing of it.
     fn prove_list(&mut self, stream: Stream, result: &SourceResult) {
--- a/crates/core/src/spread/tests/node.rs
+++ b/crates/core/src/spread/tests/node.rs
@@ -88,6 +88,13 @@
         self.applied.last().map_or(0, |applied| applied.0)
     }
 
+    /// How many endpoints are in force.
+    pub(super) fn endpoints(&self) -> usize {
+        let snapshot = self.snapshot.as_ref();
+        let services = snapshot.into_iter().flat_map(|it| it.services());
+        services.map(|(_, service)| service.endpoints.len()).sum()
+    }
+
     /// Whether a revision in force was ever followed by a lower one.
     pub(super) fn stepped_back(&self) -> bool {
         let back = |pair: &[(u64, u64)]| pair[1].0 < pair[0].0 || pair[1].1 < pair[0].1;
--- a/crates/core/src/spread/tests/outages.rs
+++ b/crates/core/src/spread/tests/outages.rs
@@ -120,3 +120,45 @@
     net.run_for(2 * MINUTE);
     assert_eq!(net.readers(), readers);
 }
+
+// The platform is away for ten seconds, and the entries of all targets lapse
+// meanwhile, since none can be renewed. Back again, it lists nobody for two
+// seconds. Every desk would answer 503 for as long; the list before stays in
+// force instead, and an entry that isn't back after that is gone.
+#[test]
+fn entries_that_lapse_in_an_outage_are_waited_for_and_no_longer() {
+    let mut net = joined_net(12, 4);
+    net.run_for(Duration::from_secs(5));
+    let all = net.platform.newest_list();
+    net.set_outage(true);
+    net.run_for(Duration::from_secs(10));
+    net.list(Vec::new());
+    net.set_outage(false);
+    let listed = |net: &Net| -> Vec<usize> {
+        let counts = net.up().map(|node| node.endpoints());
+        counts.collect()
+    };
+    let mut back = Duration::ZERO;
+    while back < Duration::from_secs(2) {
+        net.run_for(Duration::from_millis(100));
+        back += Duration::from_millis(100);
+        assert!(listed(&net).iter().all(|n| *n == all.len()), "{back:?}: {:?}", listed(&net));
+    }
+    net.list(all[1..].to_vec());
+    net.run_until(Duration::from_secs(20), |net| {
+        net.up().all(|node| node.endpoints() == all.len() - 1)
+    });
+}
+
+// The platform lists nobody while it is well, as when a whole fleet is taken
+// out of service. That holds at once.
+#[test]
+fn without_an_outage_missing_entries_are_gone_at_once() {
+    let mut net = joined_net(12, 5);
+    net.run_for(Duration::from_secs(5));
+    let all = net.platform.newest_list();
+    net.list(all[..4].to_vec());
+    net.run_until(Duration::from_secs(2), |net| {
+        net.up().all(|node| node.endpoints() == 4)
+    });
+}
