Doubt a list that lacks many entries at once

Cause: a store that only stops to answer leaves watches waiting and answers them when it is back, so that no read fails and no outage shows. Such a list is doubted for 1.5 s. (The put-off list also doesn't count as seen any more, or it would never have been read again.)

--- a/crates/core/src/spread/lapse.rs
+++ b/crates/core/src/spread/lapse.rs
@@ -13,17 +13,31 @@
 /// back: targets renew theirs within about two seconds, if they live.
 const BACK_WITHIN: Duration = Duration::from_millis(2_300);
 
+/// How long a list is doubted that lacks many entries though no outage was
+/// seen. A leaving target may be sent requests for two seconds, and most entries
+/// that lapsed are back by then.
+const DOUBTED_FOR: Duration = Duration::from_millis(1_500);
+
+/// One of so many entries that go at once are many.
+const MANY: usize = 4;
+
 /// Tells lists that lack entries because of an outage from those that are so.
 ///
 /// Targets renew their entries in the platform. While it is away none of them
 /// can, and the first list after it is back may lack all of them, though all are
 /// alive: taken at its word, there would be nobody to send requests to.
+///
+/// An outage need not show: a platform that only stops to answer leaves a watch
+/// waiting, and answers it when it is back, in time. A list that lacks many
+/// entries at once is therefore doubted for a shorter while as well.
 #[derive(Debug, Default)]
 pub(super) struct Lapse {
     /// Since when reads of the list have failed.
     failing: Option<Tick>,
     /// Until when missing entries are waited for.
     until: Option<Tick>,
+    /// Until when a list without many of them is doubted.
+    doubted: Option<Tick>,
 }
 
 impl Lapse {
@@ -51,18 +65,52 @@
     /// Until when an offered list is to wait, if it lacks live entries that may
     /// still come back.
     pub(super) fn waits(
-        &self,
+        &mut self,
         now: Tick,
         held: Option<&InstanceList>,
         offered: &InstanceList,
     ) -> Option<Tick> {
-        let until = self.until.filter(|until| now < *until)?;
-        let lost = held.is_some_and(|held| lacks_live(held, offered));
-        lost.then_some(until)
+        let lost = Lost::count(held, offered);
+        if lost.entries == 0 {
+            self.doubted = None;
+            return None;
+        }
+        if let Some(until) = self.until.filter(|until| now < *until) {
+            return Some(until);
+        }
+        if !lost.is_many() {
+            self.doubted = None;
+            return None;
+        }
+        let until = *self.doubted.get_or_insert(now + DOUBTED_FOR);
+        if now < until {
+            return Some(until);
+        }
+        self.doubted = None;
+        None
     }
 }
 
-fn lacks_live(held: &InstanceList, offered: &InstanceList) -> bool {
-    let mut live = held.iter().filter(|it| it.state == InstanceState::Live);
-    live.any(|it| offered.get(&it.id).is_none())
+/// Live entries that one list has and a later one lacks.
+#[derive(Debug)]
+struct Lost {
+    entries: usize,
+    live: usize,
+}
+
+impl Lost {
+    fn count(held: Option<&InstanceList>, offered: &InstanceList) -> Lost {
+        let held = held.into_iter().flat_map(InstanceList::iter);
+        let live: Vec<_> = held.filter(|it| it.state == InstanceState::Live).collect();
+        let lost = live.iter().filter(|it| offered.get(&it.id).is_none());
+        Lost {
+            entries: lost.count(),
+            live: live.len(),
+        }
+    }
+
+    /// Whether so many went at once that an outage is likelier than their end.
+    fn is_many(&self) -> bool {
+        self.entries > 1 && self.entries * MANY >= self.live
+    }
 }
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -145,17 +145,21 @@
             SourceResult::Instances {
                 revision,
                 instances,
-            } => {
-                self.source_answered(now, stream, Some(revision));
-                match InstanceList::new(revision, instances) {
-                    Ok(list) if self.waits_for_entries(now, &list) => {}
-                    Ok(list) => {
-                        let verdict = self.offer_instances(now, list, &Origin::Source, out);
-                        self.slow_down(now, stream, verdict);
-                    }
-                    Err(cause) => self.read_malformed(stream, revision, &cause.to_string(), out),
+            } => match InstanceList::new(revision, instances) {
+                // It is to be read again, so that it doesn't count as seen.
+                Ok(list) if self.waits_for_entries(now, &list) => {
+                    self.source_answered(now, stream, None);
                 }
-            }
+                Ok(list) => {
+                    self.source_answered(now, stream, Some(revision));
+                    let verdict = self.offer_instances(now, list, &Origin::Source, out);
+                    self.slow_down(now, stream, verdict);
+                }
+                Err(cause) => {
+                    self.source_answered(now, stream, Some(revision));
+                    self.read_malformed(stream, revision, &cause.to_string(), out);
+                }
+            },
             SourceResult::Malformed { revision, reason } => {
                 self.source_answered(now, stream, Some(revision));
                 self.read_malformed(stream, revision, &reason, out);
