--- a/crates/node/src/control/life.rs
+++ b/crates/node/src/control/life.rs
@@ -109,6 +109,9 @@
             if self.pump.run(Until::EVER, Machine::is_leaving).await == Rest::Cancelled {
                 return None;
             }
+            if self.let_callers_go().await == Rest::Cancelled {
+                return None;
+            }
             ready.drain()
         };
         let why = self.pump.machine.leaving().unwrap_or(Leaving::Told);
@@ -116,10 +119,26 @@
         Some(draining)
     }
 
+    /// Tells callers to go elsewhere and goes on as before until they have.
+    ///
+    /// It takes callers seconds to notice. Draining at once, a stopping node's
+    /// target stood idle meanwhile; where instances are restarted one after the
+    /// other, four of eleven targets did nothing.
+    async fn let_callers_go(&mut self) -> Rest {
+        if !self.pump.machine.stop_asked() {
+            return Rest::Reached;
+        }
+        self.pump.machine.outside().shared.set_stopping();
+        let until = Until {
+            limit: Some(self.pump.machine.now() + self.settings.drain.callers),
+            ..Until::EVER
+        };
+        self.pump.run(until, |_| false).await
+    }
+
     /// Finishes what is in flight, tells the others and ends.
     async fn drain(mut self, draining: LocalEndpoint<Draining>) -> StopReport {
-        let least = DRAIN_LEAST.max(self.settings.drain.callers);
-        let least = self.pump.machine.now() + least;
+        let least = self.pump.machine.now() + DRAIN_LEAST;
         if self.pump.run(Until::EVER, Machine::stop_asked).await == Rest::Cancelled {
             return self.cut().await;
         }
--- a/crates/node/src/node/readiness.rs
+++ b/crates/node/src/node/readiness.rs
@@ -6,7 +6,6 @@
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::get;
-use sassafrasspool_core::Phase;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -22,8 +21,8 @@
 }
 
 async fn ready(State(shared): State<Arc<Shared>>) -> StatusCode {
-    match shared.phase() {
-        Phase::Ready => StatusCode::OK,
-        Phase::Starting | Phase::Draining | Phase::Gone => StatusCode::SERVICE_UNAVAILABLE,
+    match shared.takes_callers() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/node/src/settings/drain.rs
+++ b/crates/node/src/settings/drain.rs
@@ -19,9 +19,9 @@
 pub struct DrainSettings {
     /// How long requests in flight may take to finish before they are cut.
     pub bound: Duration,
-    /// How long callers of this node are still served, by other endpoints,
-    /// after the stop began. Zero refuses them at once; more suits a deployment
-    /// whose callers take a while to go elsewhere.
+    /// How long the node goes on after it was told to stop, while it says that
+    /// it isn't ready any more. Zero refuses callers at once; more suits a
+    /// deployment whose callers take a while to go elsewhere.
     pub callers: Duration,
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,6 +5,8 @@
 //! that it never sees half of a change.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwapOption;
 use sassafrasspool_core::Incarnation;
@@ -53,6 +55,8 @@
     view: ArcSwapOption<View>,
     routing: Routing,
     phase: watch::Sender<Phase>,
+    /// The node was told to stop: callers are to go elsewhere.
+    stopping: AtomicBool,
     in_flight: InFlight,
     contact: ContactAge,
 }
@@ -80,6 +84,7 @@
             view: ArcSwapOption::empty(),
             routing: Routing::default(),
             phase: watch::Sender::new(Phase::Starting),
+            stopping: AtomicBool::new(false),
             in_flight: InFlight::new(),
             contact: ContactAge::new(),
         }
@@ -158,6 +163,21 @@
         *self.phase.borrow()
     }
 
+    /// Whether the node takes callers.
+    pub fn takes_callers(&self) -> bool {
+        self.phase() == Phase::Ready && !self.is_stopping()
+    }
+
+    /// Whether the node was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the node was told to stop.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
     /// Follows the phase of this node's own endpoint.
     pub fn watch_phase(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -69,7 +69,7 @@
     side: Side,
     mut req: Request<Payload>,
 ) -> Result<Response<Answer>, Failure> {
-    if side == Side::Ingress && worker.hub.refuses_callers() {
+    if side == Side::Ingress && worker.hub.is_leaving() {
         // The own target's calls go on: what is in flight needs them.
         return Err(refuse(Reason::Draining).into());
     }
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -1,7 +1,6 @@
 //! What the traffic threads of one node share.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::AdmissionSettings;
@@ -39,11 +38,6 @@
     pub(super) repeat: RepeatWindow,
     /// Bytes of an answer that are kept for repeats.
     pub(super) max_stored: usize,
-    /// How long callers are still served by other endpoints once the own one
-    /// leaves.
-    pub(super) callers_served: Duration,
-    /// Cancelled when callers are refused because the node leaves.
-    pub(super) callers_closed: CancellationToken,
     /// Cancelled when the node is to stop.
     pub(super) cancel: CancellationToken,
     /// Cancelled when connections are to close, each once it is idle.
@@ -89,8 +83,6 @@
             peers: Counters::new("peers"),
             repeat,
             max_stored: cfg.repeat.max_answer_bytes,
-            callers_served: cfg.drain.callers,
-            callers_closed: CancellationToken::new(),
             cancel,
             closing: CancellationToken::new(),
             cut: CancellationToken::new(),
@@ -98,10 +90,9 @@
         })
     }
 
-    /// Whether callers are refused because the node leaves.
-    pub(super) fn refuses_callers(&self) -> bool {
-        let at_once = self.callers_served.is_zero() && self.is_leaving();
-        at_once || self.callers_closed.is_cancelled() || self.cancel.is_cancelled()
+    /// Whether callers are to open no new connection here.
+    pub(super) fn sends_callers_away(&self) -> bool {
+        self.shared.is_stopping() || self.is_leaving()
     }
 
     /// Whether the own endpoint takes no new work any more.
--- a/crates/node/src/traffic/serve/ahead/queue.rs
+++ b/crates/node/src/traffic/serve/ahead/queue.rs
@@ -174,7 +174,7 @@
         if !waits || self.begun.len() == MAX_BEGUN || req.method() != Method::GET {
             return;
         }
-        if self.worker.hub.is_leaving() || !caller_side::may_repeat(&self.worker, &req) {
+        if self.worker.hub.sends_callers_away() || !caller_side::may_repeat(&self.worker, &req) {
             return;
         }
         let worker = Arc::clone(&self.worker);
--- a/crates/node/src/traffic/serve/service.rs
+++ b/crates/node/src/traffic/serve/service.rs
@@ -85,7 +85,7 @@
         Some(res) => res,
         None => caller_side::serve(worker, side, req.map(Payload::stream)).await,
     };
-    if worker.hub.is_leaving() && !ahead.has_begun() {
+    if worker.hub.sends_callers_away() && !ahead.has_begun() {
         // Over HTTP/2 the header is left out and the connection told by itself.
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/threads.rs
@@ -126,7 +126,4 @@
         return;
     }
     hub.admission.close(Reason::Draining);
-    let served = tokio::time::sleep(hub.callers_served);
-    hub.cancel.run_until_cancelled(served).await;
-    hub.callers_closed.cancel();
 }
--- a/crates/node/tests/control/stop.rs
+++ b/crates/node/tests/control/stop.rs
@@ -78,3 +78,32 @@
     assert!(answer.is_none_or(|(status, _)| status != StatusCode::OK));
     fleet.cancel.cancel();
 }
+
+// Instances are restarted one after the other. Callers take seconds to notice
+// that a node isn't ready any more, and go on to send; its target could serve
+// them. The node says at once that it isn't ready, closes connections with its
+// answers, and works on until its callers have had the time to go.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopping_node_serves_until_its_callers_have_gone() {
+    let drain = DrainSettings {
+        callers: Duration::from_millis(800),
+        ..DrainSettings::default()
+    };
+    let fleet = Fleet::start_with(1, &slow_target(Duration::ZERO), drain).await;
+    let first = fleet.publish(&patient());
+    fleet.until_in_force(first).await;
+    fleet.until_ready().await;
+    let node = fleet.nodes[0].clone();
+    assert!(node.shared().takes_callers());
+    let stopping = tokio::spawn({
+        let node = node.clone();
+        async move { node.stop().await }
+    });
+    until(|| !node.shared().takes_callers()).await;
+    let (status, _) = http_text("GET", node.addrs().ingress, "/workshop/1").await;
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(fleet.targets[0].ledger().runs.len(), 1);
+    let report = stopping.await.expect("no panic").expect("a report");
+    assert_eq!(report.cut, 0);
+    fleet.cancel.cancel();
+}
