Tell the way of one request from the logs of several nodes

The log tells what it left out once a second at most; a stopping node ends within its grace (one was killed after 6 s: a request of 3 s held the drain to its bound, and the last word to peers took the rest).

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -59,6 +59,14 @@
             }
         }
 
+        /// Tell the way of one request from the logs of nodes.
+        cmd request {
+            /// The request's id, as its caller gave it.
+            required id: String
+            /// A log to read, once for each; - is standard input.
+            repeated --log file: PathBuf
+        }
+
         /// Print the nodes' audit trails.
         cmd audit {
             /// Leave out records up to this number.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -24,3 +24,4 @@
 mod status;
 mod verdict;
 mod versions;
+mod way;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -18,6 +18,7 @@
 use crate::diff::Difference;
 use crate::print::print;
 use crate::report;
+use crate::way::Way;
 
 mod ask;
 
@@ -63,6 +64,9 @@
             let new = whole(&given.new, err)?;
             Ok(print(out, flags.json, &Difference::between(&old, &new)))
         }
+        SassafrasspoolctlCmd::Request(given) => {
+            Ok(print(out, flags.json, &Way::read(&given.id, &given.log)?))
+        }
         _ => on_runtime(ask::ask(flags, out)),
     }
 }
--- a/crates/ctl/tests/files.rs
+++ b/crates/ctl/tests/files.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use sassafrasspool_ctl::Verdict;
 
+use crate::ran::Ran;
 use crate::ran::ran;
 
 fn examples() -> PathBuf {
@@ -136,3 +137,39 @@
     assert!(ran.err.contains("there is no service gone"), "{}", ran.err);
     assert!(ran.err.contains("bad.yaml has 1 faults"), "{}", ran.err);
 }
+
+/// The logs of two nodes that one request came to: the first it found full.
+const FIRST_NODE: &str = r#"{"timestamp":"2026-01-01T00:00:00Z","level":"INFO","fields":{"message":"started"}}
+{"unix_ms":5,"node":"wd-1","event":"ended","request":"r-7","instance":"wd-3","try_number":2,"load_percent":90,"outcome":"answered","status":200,"took_us":130000,"left_us":800000,"catalogue":4,"list":9}
+{"unix_ms":9,"node":"wd-1","event":"tried","request":"r-7","instance":"wd-2","try_number":1,"load_percent":104,"outcome":"not-run","step":"admission","reason":"queue-full","took_us":2400,"left_us":990000,"catalogue":4,"list":9}
+{"unix_ms":9,"node":"wd-1","event":"tried","request":"r-77","instance":"wd-2","try_number":1,"outcome":"not-run","took_us":1,"left_us":1}
+{"event":"lines-left-out","states":0,"failures":0,"successes":3}
+"#;
+const SECOND_NODE: &str = r#"{"unix_ms":9000,"node":"wd-2","event":"beside","request":"r-7","outcome":"not-run","step":"admission","reason":"queue-full","took_us":6,"load":[6,6,9],"left_us":985000}
+"#;
+
+// A caller says that its request took long. Two of the three logs are at hand;
+// the clocks of the nodes are nine seconds apart.
+#[test]
+fn request_tells_the_way_and_what_is_missing() {
+    let dir = tempfile::tempdir().unwrap();
+    let logs = [("a.log", FIRST_NODE), ("b.log", SECOND_NODE)].map(|(name, text)| {
+        let file = dir.path().join(name);
+        fs::write(&file, text).unwrap();
+        file.to_str().unwrap().to_owned()
+    });
+    let Ran { verdict, out, .. } = ran(&["request", "r-7", "--log", &logs[0], "--log", &logs[1]]);
+    assert_eq!(verdict, Verdict::Yes);
+    let lines: Vec<&str> = out.lines().collect();
+    assert_eq!(lines.len(), 5, "{out}");
+    assert!(lines[1].contains("tried try 1 at wd-2 (load 104%): not-run at admission, queue-full"));
+    assert!(
+        lines[2].contains("wd-2 beside: not-run") && lines[2].contains("6 of 6 slots, 9 waiting")
+    );
+    assert!(lines[3].contains("ended try 2 at wd-3 (load 90%): answered 200 after 130.0 ms"));
+    assert!(lines[4].contains("no line of wd-3") && lines[4].contains("(3 were)"));
+    let Ran { verdict, out, .. } = ran(&["request", "r-8", "--log", &logs[0]]);
+    assert_eq!(verdict, Verdict::No, "{out}");
+    let Ran { verdict, err, .. } = ran(&["request", "r-7"]);
+    assert_eq!(verdict, Verdict::Unanswered, "{err}");
+}
--- a/crates/node/src/control/life.rs
+++ b/crates/node/src/control/life.rs
@@ -29,7 +29,7 @@
 const DRAIN_LEAST: Duration = Duration::from_millis(300);
 
 /// How long the word of the end is waited for to reach the first peers.
-const LAST_WORD_LIMIT: Duration = Duration::from_secs(1);
+const LAST_WORD_LIMIT: Duration = Duration::from_millis(500);
 
 /// How long the last word takes to be sent at least: it is held back for a
 /// moment, as all states are, to go out with others.
--- a/crates/node/src/log/buffer.rs
+++ b/crates/node/src/log/buffer.rs
@@ -1,5 +1,7 @@
 //! Lines that wait to be written.
 
+use std::time::Duration;
+
 use sassafrasspool_core::Tick;
 use serde::Serialize;
 
@@ -9,7 +11,11 @@
 /// Bytes that wait at most, should nobody read what is written.
 const MAX_WAITING: usize = 256 * 1024;
 
-/// What was left out since the last line.
+/// Time between two lines that tell what was left out: told with each line, they
+/// would use up the budget that was too small for the lines themselves.
+const TELL_EVERY: Duration = Duration::from_secs(1);
+
+/// What was left out since that was told last.
 #[derive(Debug, Serialize)]
 struct LeftOut {
     event: &'static str,
@@ -24,6 +30,8 @@
     budget: ByteBudget,
     waiting: Vec<u8>,
     left_out: [u64; Rank::ALL.len()],
+    /// When that was told last.
+    told: Option<Tick>,
     /// All that was left out since the start, by rank.
     total_left_out: [u64; Rank::ALL.len()],
 }
@@ -34,6 +42,7 @@
             budget: ByteBudget::new(bytes_per_s),
             waiting: Vec::new(),
             left_out: [0; Rank::ALL.len()],
+            told: None,
             total_left_out: [0; Rank::ALL.len()],
         }
     }
@@ -47,17 +56,21 @@
             return false;
         }
         let before = self.waiting.len();
-        self.tell_left_out();
+        self.tell_left_out(now);
         write(&mut self.waiting);
         self.budget.take(self.waiting.len() - before);
         true
     }
 
-    fn tell_left_out(&mut self) {
+    fn tell_left_out(&mut self, now: Tick) {
+        if self.told.is_some_and(|told| now.since(told) < TELL_EVERY) {
+            return;
+        }
         let [states, failures, successes] = std::mem::take(&mut self.left_out);
         if states + failures + successes == 0 {
             return;
         }
+        self.told = Some(now);
         let line = LeftOut {
             event: "lines-left-out",
             states,
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -20,6 +20,8 @@
 use sassafrasspool_core::StoredAnswer;
 use sassafrasspool_core::Tick;
 use sassafrasspool_wire::header as names;
+use sassafrasspool_wire::log::BESIDE;
+use sassafrasspool_wire::log::RequestLine;
 
 use super::answer::Answer;
 use super::at_target::AtTarget;
@@ -33,7 +35,6 @@
 use crate::Routes;
 use crate::log;
 use crate::log::Rank;
-use crate::log::RequestLine;
 use crate::log::micros;
 use crate::log::unix_ms;
 
@@ -199,19 +200,17 @@
     ran: &Result<Response<Answer>, Missed>,
 ) {
     let shared = &worker.hub.shared;
-    let (log, Some(id)) = (shared.log(), id) else {
+    let sink = shared.log();
+    let Some(id) = id.filter(|_| !sink.is_silent()) else {
         return;
     };
-    if log.is_silent() {
-        return;
-    }
     let now = shared.clock().now();
     let load = worker.hub.admission.load();
     let text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
     let line = RequestLine {
         unix_ms: unix_ms(),
         node: shared.me().as_str().into(),
-        event: "beside".into(),
+        event: BESIDE.into(),
         request: text(id).into(),
         kind: told.kind.as_ref().map(|kind| kind.as_str().into()),
         class: Some(told.class.as_str().into()),
@@ -228,5 +227,5 @@
         Ok(_) => (Rank::Success, log::Told::ANSWERED),
         Err(missed) => (Rank::Failure, (&missed.failure).into()),
     };
-    log.tell(rank, &line.told(how));
+    sink.tell(rank, &log::told(line, how));
 }
--- a/crates/node/src/traffic/trail.rs
+++ b/crates/node/src/traffic/trail.rs
@@ -11,15 +11,18 @@
 use sassafrasspool_core::Route;
 use sassafrasspool_core::Tick;
 use sassafrasspool_wire::header::REQUEST_ID;
+use sassafrasspool_wire::log::ENDED;
+use sassafrasspool_wire::log::RequestLine;
+use sassafrasspool_wire::log::TRIED;
 
 use super::answer::Answer;
 use super::first_hop::FirstHop;
 use super::worker::Worker;
 use crate::Routes;
 use crate::log::Rank;
-use crate::log::RequestLine;
 use crate::log::Told;
 use crate::log::micros;
+use crate::log::told;
 use crate::log::unix_ms;
 
 /// What a request's decisions are made from.
@@ -91,16 +94,16 @@
             .picked
             .as_ref()
             .map_or(self.begun, |picked| picked.since);
-        if let Some(line) = self.line(&facts, "tried", since) {
+        if let Some(line) = self.line(&facts, TRIED, since) {
             let log = facts.worker.hub.shared.log();
-            log.tell(Rank::Failure, &line.told(failure.into()));
+            log.tell(Rank::Failure, &told(line, failure.into()));
         }
     }
 
     /// Tells how the request ended.
     pub(super) fn end(mut self, first: &FirstHop<'_>, ended: &Result<Response<Answer>, Failure>) {
         let facts = first.facts();
-        if let Some(mut line) = self.line(&facts, "ended", self.begun) {
+        if let Some(mut line) = self.line(&facts, ENDED, self.begun) {
             let plain = ended
                 .as_ref()
                 .is_ok_and(|res| !res.status().is_server_error());
@@ -109,8 +112,8 @@
                 false => Rank::Failure,
             };
             line.status = ended.as_ref().ok().map(|res| res.status().as_u16());
-            let told = ended.as_ref().map_or_else(Told::from, |_| Told::ANSWERED);
-            facts.worker.hub.shared.log().tell(rank, &line.told(told));
+            let how = ended.as_ref().map_or_else(Told::from, |_| Told::ANSWERED);
+            facts.worker.hub.shared.log().tell(rank, &told(line, how));
         }
         self.id = None;
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admin;
 mod chain;
 pub mod header;
+pub mod log;
 pub mod peer;
 pub mod platform;
 mod socket;
