Leave the background its turn while urgent work is turned away

While urgent calls are turned away, up to a third of the slots are kept free of background work; under such load no more than one slot is free at a time, so the background got none, whatever its weight in the queue.

--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -31,6 +31,11 @@
 /// ones came in number: 41 in 100 served in place of 84.
 const RESERVED_PART: u32 = 3;
 
+/// What background work can come to hold in any case: one of so many slots.
+/// Kept from all while urgent work filled the others, background requests of
+/// 0.5 to 1.6 s were starved: 23 in 100 answered in time, 29 with this bound.
+const FLOOR_PART: u32 = 4;
+
 /// What is decided under the lock.
 pub(super) enum Decision {
     Run(Work),
@@ -252,8 +257,12 @@
         }
         let share = self.concurrency * self.settings.background_percent / 100;
         let cap = share.max(1);
-        let reserved = self.reserve.slots(self.now);
-        free > reserved && self.running_of[class.index()] < cap
+        let held = self.running_of[class.index()];
+        let reserved = match held < self.concurrency / FLOOR_PART {
+            true => 0,
+            false => self.reserve.slots(self.now),
+        };
+        free > reserved && held < cap
     }
 
     /// Notes that a request of that class finds no room.
--- a/crates/core/src/admit/tests/cases.rs
+++ b/crates/core/src/admit/tests/cases.rs
@@ -1,5 +1,6 @@
 //! Case by case.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -318,3 +319,46 @@
     assert_eq!((before, held.len()), (6, 4));
     drop(held);
 }
+
+// Twice as many short calls come as a target bears, so some are always turned
+// away and slots are kept free of background work. No more than one slot is ever
+// free at a time then: the background got none at all, and of archive retrievals
+// 23 in 100 were answered in time. It gets its turn up to a quarter of the slots.
+#[test]
+fn the_background_has_its_turn_while_urgent_work_is_turned_away() {
+    let mut bench = Bench::new(8);
+    let mut now = NOW;
+    for _ in 0..8 {
+        bench.offer(now, Class::Standard, &LIMITS);
+    }
+    let mut held: VecDeque<_> = bench.verdicts().into_iter().collect();
+    for _ in 0..4 {
+        let waits = bench.offer(now, Class::Standard, &LIMITS);
+        now = now + Duration::from_millis(60);
+        let waited = bench.waits[waits].take().expect("it waits");
+        assert!(waited.expire(now).is_some());
+    }
+    for _ in 0..4 {
+        bench.offer(now, Class::Background, &LIMITS);
+    }
+    let mut background = 0;
+    for _ in 0..32 {
+        bench.offer(now, Class::Standard, &LIMITS);
+        let oldest = held.iter().position(|(id, _)| is_urgent(&bench, *id));
+        let oldest = oldest
+            .and_then(|at| held.remove(at))
+            .expect("urgent work runs");
+        oldest.1.unwrap().release(now);
+        let told = bench.verdicts().into_iter();
+        held.extend(told.filter(|(_, verdict)| verdict.is_ok()));
+        background = held
+            .iter()
+            .filter(|(id, _)| !is_urgent(&bench, *id))
+            .count();
+    }
+    assert_eq!(background, 2);
+}
+
+fn is_urgent(bench: &Bench, id: usize) -> bool {
+    bench.classes[id] != Class::Background
+}
