Tell the log of callers that left and of requests without a route

Cause: a trail that was dropped without an end wrote nothing, though its page said it does; a request that was refused before it had a route had no line at all. An operator who looks for such an id found nothing.

Ruled out: a line where the caller's connection ends, which doesn't know the instance at which the request ran.

The node beside the target still has no line of a request whose caller left; the `ended` line names it.

--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -1,5 +1,7 @@
 //! Requests of callers: the first hop, which routes and may try again.
 
+use std::sync::Arc;
+
 use http::Request;
 use http::Response;
 use sassafrasspool_core::Failure;
@@ -14,8 +16,10 @@
 use super::keyed;
 use super::payload::Payload;
 use super::refusal;
+use super::trail;
 use super::worker::Worker;
 use crate::Dialect;
+use crate::Routes;
 
 /// Which listener a caller came by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,35 +71,56 @@
 async fn run(
     worker: &Worker,
     side: Side,
-    mut req: Request<Payload>,
+    req: Request<Payload>,
 ) -> Result<Response<Answer>, Failure> {
+    let id = trail::written_id(worker, &req);
+    let unrouted = |refusal: Refusal| {
+        trail::tell_unrouted(worker, id.as_ref(), refusal);
+        Failure::from(refusal)
+    };
+    // INVARIANT: These are the only routes that the request ever sees here.
+    let routes = routes(worker, side).map_err(unrouted)?;
+    let prepared = prepare(worker, side, &routes, req).await;
+    let (first, req) = prepared.map_err(unrouted)?;
+    first.run(req).await
+}
+
+/// The routes in force, if callers of that side are served.
+fn routes(worker: &Worker, side: Side) -> Result<Arc<Routes>, Refusal> {
     if side == Side::Ingress && worker.hub.is_leaving() {
         // The own target's calls go on: what is in flight needs them.
-        return Err(refuse(Reason::Draining).into());
+        return Err(refuse(Reason::Draining));
     }
-    // INVARIANT: These are the only routes that the request ever sees here.
-    let Some(routes) = worker.hub.shared.routes() else {
-        return Err(refuse(Reason::NoConfiguration).into());
-    };
+    let routes = worker.hub.shared.routes();
+    routes.ok_or_else(|| refuse(Reason::NoConfiguration))
+}
+
+/// Routes a request and holds its body if it is small.
+async fn prepare<'a>(
+    worker: &'a Worker,
+    side: Side,
+    routes: &'a Routes,
+    mut req: Request<Payload>,
+) -> Result<(FirstHop<'a>, Request<Payload>), Refusal> {
     head::strip_own(req.headers_mut());
-    let first = FirstHop::new(worker, side, &routes, &req)?;
+    let first = FirstHop::new(worker, side, routes, &req)?;
     let (parts, body) = req.into_parts();
     let bound = routes.view.snapshot.callers().body_bytes;
     let Ok(body) = body.bounded(bound) else {
-        return Err(refuse(Reason::TooLarge).into());
+        return Err(refuse(Reason::TooLarge));
     };
     let until = worker.hub.shared.clock().instant(first.deadline().tick());
     let body = match tokio::time::timeout_at(until.into(), body.hold_if_small()).await {
         Ok(Ok(body)) => body,
         // The caller broke off; nobody reads this answer.
-        Ok(Err(_)) => return Err(refuse(Reason::CallerGone).into()),
-        Err(_) => return Err(refuse(Reason::DeadlinePassed).into()),
+        Ok(Err(_)) => return Err(refuse(Reason::CallerGone)),
+        Err(_) => return Err(refuse(Reason::DeadlinePassed)),
     };
     let mut req = Request::from_parts(parts, body);
     let uri = req.uri().clone();
     head::set_host(req.headers_mut(), &uri);
     head::strip_connection(req.headers_mut());
-    first.run(req).await
+    Ok((first, req))
 }
 
 fn refuse(reason: Reason) -> Refusal {
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -130,14 +130,14 @@
         let took = now(self.worker).since(self.begun);
         let class = self.route.route.class;
         self.worker.hub.stages.whole.took(class, took);
-        trail.end(self, &ended);
+        trail.end(&ended);
         ended
     }
 
     async fn run_traced(
         &self,
         mut req: Request<Payload>,
-        trail: &mut Trail,
+        trail: &mut Trail<'_>,
     ) -> Result<Response<Answer>, Failure> {
         let mut tries = self.tries();
         let mut avoid = Vec::new();
@@ -150,7 +150,7 @@
                 Err(refusal) => return Err(tries.told(last.unwrap_or(refusal.into()))),
             };
             avoid.push(picked.endpoint());
-            trail.pick(self, &picked);
+            trail.pick(&picked);
             let again = repeat(&req);
             let at = now(self.worker);
             let others = self.routes.picker.has_other(self.to, at, &avoid);
@@ -159,7 +159,7 @@
                 Ok(res) => return Ok(res),
                 Err(missed) => missed,
             };
-            trail.miss(self, &missed.failure);
+            trail.miss(&missed.failure);
             let failure = match tries.after(now(self.worker), missed.failure, self.budget) {
                 Next::Again => missed.failure,
                 Next::Stop(failure) => return Err(failure),
--- a/crates/node/src/traffic/trail.rs
+++ b/crates/node/src/traffic/trail.rs
@@ -7,8 +7,12 @@
 use http::Response;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
+use sassafrasspool_core::Loss;
+use sassafrasspool_core::LossCause;
 use sassafrasspool_core::Picked;
+use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Route;
+use sassafrasspool_core::Step;
 use sassafrasspool_core::Tick;
 use sassafrasspool_wire::header::REQUEST_ID;
 use sassafrasspool_wire::log::ENDED;
@@ -41,8 +45,9 @@
 /// A request whose task is dropped, as when its caller leaves, has its line as
 /// well: the trail writes it when it is dropped without an end.
 #[derive(Debug)]
-pub(super) struct Trail {
-    /// Nothing if nothing is written.
+pub(super) struct Trail<'a> {
+    first: &'a FirstHop<'a>,
+    /// Nothing if nothing is written, or everything is.
     id: Option<HeaderValue>,
     begun: Tick,
     tries: u32,
@@ -58,13 +63,12 @@
     since: Tick,
 }
 
-impl Trail {
-    pub(super) fn new<B>(first: &FirstHop<'_>, req: &Request<B>) -> Trail {
+impl<'a> Trail<'a> {
+    pub(super) fn new<B>(first: &'a FirstHop<'a>, req: &Request<B>) -> Trail<'a> {
         let worker = first.facts().worker;
-        let written = !worker.hub.shared.log().is_silent();
-        let id = req.headers().get(REQUEST_ID);
         Trail {
-            id: id.filter(|_| written).cloned(),
+            first,
+            id: written_id(worker, req),
             begun: worker.hub.shared.clock().now(),
             tries: 0,
             picked: None,
@@ -72,12 +76,13 @@
     }
 
     /// Notes the endpoint of the next try.
-    pub(super) fn pick(&mut self, first: &FirstHop<'_>, picked: &Picked) {
+    pub(super) fn pick(&mut self, picked: &Picked) {
         self.tries += 1;
         if self.id.is_none() {
             return;
         }
-        let snapshot = &first.facts().routes.view.snapshot;
+        let facts = self.first.facts();
+        let snapshot = &facts.routes.view.snapshot;
         let instance = snapshot.endpoint(picked.endpoint()).map(|it| &it.instance);
         self.picked = instance.map(|instance| Chosen {
             instance: instance.id.to_string(),
@@ -88,22 +93,20 @@
     }
 
     /// Tells of a try that brought no answer.
-    pub(super) fn miss(&mut self, first: &FirstHop<'_>, failure: &Failure) {
-        let facts = first.facts();
+    pub(super) fn miss(&mut self, failure: &Failure) {
         let since = self
             .picked
             .as_ref()
             .map_or(self.begun, |picked| picked.since);
-        if let Some(line) = self.line(&facts, TRIED, since) {
-            let log = facts.worker.hub.shared.log();
+        if let Some(line) = self.line(TRIED, since) {
+            let log = self.first.facts().worker.hub.shared.log();
             log.tell(Rank::Failure, &told(line, failure.into()));
         }
     }
 
     /// Tells how the request ended.
-    pub(super) fn end(mut self, first: &FirstHop<'_>, ended: &Result<Response<Answer>, Failure>) {
-        let facts = first.facts();
-        if let Some(mut line) = self.line(&facts, ENDED, self.begun) {
+    pub(super) fn end(mut self, ended: &Result<Response<Answer>, Failure>) {
+        if let Some(mut line) = self.line(ENDED, self.begun) {
             let plain = ended
                 .as_ref()
                 .is_ok_and(|res| !res.status().is_server_error());
@@ -113,13 +116,15 @@
             };
             line.status = ended.as_ref().ok().map(|res| res.status().as_u16());
             let how = ended.as_ref().map_or_else(Told::from, |_| Told::ANSWERED);
-            facts.worker.hub.shared.log().tell(rank, &told(line, how));
+            let log = self.first.facts().worker.hub.shared.log();
+            log.tell(rank, &told(line, how));
         }
         self.id = None;
     }
 
-    fn line(&self, facts: &Facts<'_>, event: &'static str, since: Tick) -> Option<RequestLine<'_>> {
+    fn line(&self, event: &'static str, since: Tick) -> Option<RequestLine<'_>> {
         let id = self.id.as_ref()?;
+        let facts = self.first.facts();
         let shared = &facts.worker.hub.shared;
         let now = shared.clock().now();
         let snapshot = &facts.routes.view.snapshot;
@@ -145,3 +150,36 @@
         })
     }
 }
+
+impl Drop for Trail<'_> {
+    fn drop(&mut self) {
+        if let Some(line) = self.line(ENDED, self.begun) {
+            let gone = Failure::from(Loss::new(Step::Forward, LossCause::CallerGone));
+            let log = self.first.facts().worker.hub.shared.log();
+            log.tell(Rank::Failure, &told(line, (&gone).into()));
+        }
+    }
+}
+
+/// The id under which the log tells of a request, if anything is written.
+pub(super) fn written_id<B>(worker: &Worker, req: &Request<B>) -> Option<HeaderValue> {
+    let id = req.headers().get(REQUEST_ID);
+    id.filter(|_| !worker.hub.shared.log().is_silent()).cloned()
+}
+
+/// Tells of a request that was refused before it had a route.
+pub(super) fn tell_unrouted(worker: &Worker, id: Option<&HeaderValue>, refusal: Refusal) {
+    let Some(id) = id else { return };
+    let shared = &worker.hub.shared;
+    let line = RequestLine {
+        unix_ms: unix_ms(),
+        node: shared.me().as_str().into(),
+        event: ENDED.into(),
+        request: String::from_utf8_lossy(id.as_bytes()),
+        ..RequestLine::default()
+    };
+    let failure = Failure::from(refusal);
+    shared
+        .log()
+        .tell(Rank::Failure, &told(line, (&failure).into()));
+}
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -16,23 +16,30 @@
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::Snapshot;
 use sassafrasspool_core::catalogue;
+use sassafrasspool_node::Dialect;
 use sassafrasspool_node::RunningTraffic;
 use sassafrasspool_node::Settings;
 use sassafrasspool_node::Shared;
 use sassafrasspool_node::Traffic;
 use sassafrasspool_node::TrafficAddrs;
 use sassafrasspool_node::View;
+use sassafrasspool_node::log::LogSink;
 use sassafrasspool_standin::Target;
 use sassafrasspool_standin::TargetSettings;
 use sassafrasspool_standin::target::Run;
 use tokio_util::sync::CancellationToken;
 
+use crate::told::Written;
+
 /// The catalogue of all these tests.
 const CATALOGUE: &str = include_str!("catalogue.yaml");
 
 /// Slots of each target.
 pub(crate) const SLOTS: u32 = 4;
 
+/// More than any test writes in a second.
+const LOG_BYTES_PER_S: u64 = 1_000_000;
+
 /// A node with the target beside it.
 #[derive(Debug)]
 pub(crate) struct Member {
@@ -43,6 +50,8 @@
     pub(crate) addrs: TrafficAddrs,
     pub(crate) cancel: CancellationToken,
     pub(crate) traffic: Option<RunningTraffic>,
+    /// The log of the node.
+    pub(crate) written: Written,
 }
 
 /// What a member is started with.
@@ -77,7 +86,11 @@
             .await
             .expect("a target");
         let settings = settings(spec, other.unwrap_or_else(|| target.addr()));
-        let shared = Arc::new(Shared::new(
+        let written = Written::default();
+        let log = LogSink::start(LOG_BYTES_PER_S, written.clone());
+        let shared = Arc::new(Shared::speaking(
+            Dialect::OWN,
+            log.expect("a thread"),
             settings.instance.clone(),
             Incarnation::from_start_millis(1),
         ));
@@ -93,6 +106,7 @@
             addrs: traffic.addrs(),
             cancel,
             traffic: Some(traffic),
+            written,
         }
     }
 
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -15,5 +15,6 @@
 mod path;
 mod pipelined;
 mod shedding;
+mod told;
 mod upload;
 mod wait;
--- /dev/null
+++ b/crates/node/tests/requests/told.rs
@@ -0,0 +1,94 @@
+//! What the log tells of requests whose end isn't an answer.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use http::StatusCode;
+use sassafrasspool_wire::log::ENDED;
+use sassafrasspool_wire::log::RequestLine;
+
+use crate::client;
+use crate::fleet::ADJUSTER;
+use crate::fleet::DESK;
+use crate::fleet::Fleet;
+use crate::wait;
+
+/// Collects a node's log.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Written(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Written {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("written").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Written {
+    /// How a request ended: outcome, step, reason and the instance it was at.
+    fn ends_of(&self, id: &str) -> Vec<[String; 4]> {
+        let bytes = self.0.lock().expect("written").clone();
+        let text = String::from_utf8(bytes).expect("text");
+        let lines = text.lines().map(|line| {
+            let line: RequestLine<'_> = serde_json::from_str(line).expect("a line");
+            line
+        });
+        let own = lines.filter(|line| line.request == id && line.event == ENDED);
+        own.map(|line| {
+            let fields = [Some(line.outcome), line.step, line.reason, line.instance];
+            fields.map(|field| field.unwrap_or_default().into_owned())
+        })
+        .collect()
+    }
+}
+
+// A caller complains that its request vanished. It had left by itself, while the
+// request ran two hops away, and the log had no line of it.
+#[tokio::test]
+async fn a_request_whose_caller_left_has_its_line() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let [desk, adjuster] = &fleet.members[..] else {
+        panic!("two members");
+    };
+    adjuster.target.set_slow(Duration::from_secs(60)).await;
+    let req = client::get("/adjuster/files", "left");
+    let call = tokio::spawn(client::call(desk.addrs.ingress, req));
+    wait::until("a run", || adjuster.target.stats().inflight == 1).await;
+    call.abort();
+    wait::until("its line", || !desk.written.ends_of("left").is_empty()).await;
+    let told = ["unknown", "forward", "caller-gone", "ad-1"].map(str::to_owned);
+    assert_eq!(desk.written.ends_of("left"), [told]);
+}
+
+// An operator looks for a request that got 404 while a route was taken back. It
+// had no line, since it had no route.
+#[tokio::test]
+async fn a_request_without_a_route_has_its_line() {
+    let fleet = Fleet::start(&[DESK]).await;
+    let desk = &fleet.members[0];
+    let req = client::get("/nowhere", "lost");
+    let res = client::call(desk.addrs.ingress, req).await;
+    assert_eq!(res.expect("an answer").status(), StatusCode::NOT_FOUND);
+    wait::until("its line", || !desk.written.ends_of("lost").is_empty()).await;
+    let told = ["not-run", "route", "no-route", ""].map(str::to_owned);
+    assert_eq!(desk.written.ends_of("lost"), [told]);
+}
+
+// A request that was answered has one end, and not a second one as it is let go.
+#[tokio::test]
+async fn an_answered_request_ends_once() {
+    let fleet = Fleet::start(&[DESK]).await;
+    let desk = &fleet.members[0];
+    let req = client::get("/desk/files", "whole");
+    let res = client::call(desk.addrs.ingress, req).await;
+    let status = res.expect("an answer").status();
+    wait::until("its line", || !desk.written.ends_of("whole").is_empty()).await;
+    assert_eq!(desk.written.ends_of("whole").len(), 1, "{status}");
+}
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -69,7 +69,8 @@
     /// Requests that ran beside it, slots, and requests that waited.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load: Option<[u16; 3]>,
-    /// Microseconds that were left until its deadline.
+    /// Microseconds that were left until its deadline; 0 without a route, which
+    /// sets it.
     pub left_us: u64,
     /// Microseconds that were left until its answer is worth less.
     #[serde(default, skip_serializing_if = "Option::is_none")]
