Tell when a dependency is lost and regained

Cause: a failed read of the platform was told at a level that nobody turns on, a target or a peer that takes no connection only in counters. From the log nobody could tell when an outage began.

Before: no line.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -15,6 +15,7 @@
 pub use self::life::StopReport;
 pub(crate) use self::machine::Machine;
 pub(crate) use self::outside::Outside;
+pub(crate) use self::source_reach::SourceReach;
 
 mod counts;
 mod event;
@@ -27,6 +28,7 @@
 mod outside;
 mod probe;
 mod pump;
+mod source_reach;
 #[cfg(test)]
 mod tests;
 mod views;
--- a/crates/node/src/control/outside.rs
+++ b/crates/node/src/control/outside.rs
@@ -16,6 +16,7 @@
 use super::ControlCounts;
 use super::ControlEvent;
 use super::ControlHandle;
+use super::SourceReach;
 use super::gate::Gate;
 use crate::AuditTrail;
 use crate::Shared;
@@ -32,6 +33,8 @@
     pub(crate) pool: Arc<PeerPool>,
     /// The platform.
     pub(crate) platform: Arc<dyn Source>,
+    /// Whether the platform answers reads.
+    pub(crate) reach: Arc<SourceReach>,
     /// Counts of control traffic.
     pub(crate) counts: ControlCounts,
     /// Where results of calls and reads go.
@@ -67,9 +70,7 @@
             let result = outside.read_platform(ask).await;
             let name = result_name(&result);
             counter!(names::READS, "stream" => stream.as_str(), "result" => name).increment(1);
-            if let SourceResult::Failed { reason } = &result {
-                tracing::debug!(%stream, reason, "a read of the platform failed");
-            }
+            outside.reach.note(stream, &result);
             let event = Event::SourceRead { stream, result };
             outside.control.send(ControlEvent::Spread(event)).await;
         });
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -11,7 +11,9 @@
 use sassafrasspool_core::PeerMessage;
 use sassafrasspool_core::PeerReply;
 use sassafrasspool_core::Phase;
+use sassafrasspool_core::SourceResult;
 use sassafrasspool_core::SpreadStatus;
+use sassafrasspool_core::Stream;
 use sassafrasspool_core::Tick;
 use sassafrasspool_wire::peer::PeerLimits;
 use sassafrasspool_wire::peer::PeerPool;
@@ -27,8 +29,10 @@
 use super::Leaving;
 use super::Machine;
 use super::Outside;
+use super::SourceReach;
 use crate::AuditTrail;
 use crate::Shared;
+use crate::reach::Change;
 
 /// Decisions that were taken before the test.
 #[derive(Debug)]
@@ -76,6 +80,7 @@
         control: ControlHandle::new(tx),
         tasks: TaskTracker::new(),
         cancel: CancellationToken::new(),
+        reach: Arc::new(SourceReach::new()),
         gate: Gate::default(),
     };
     Machine::new(Box::new(Scripted(actions)), outside)
@@ -132,3 +137,21 @@
     }
     assert_eq!(machine.may_serve(), case.serves);
 }
+
+// The platform serves the instance list and not the catalogue. Were one answer
+// taken for all of it, the log would flap with each read.
+#[test]
+fn a_stream_that_fails_alone_is_lost_alone() {
+    let reach = SourceReach::new();
+    let failed = SourceResult::Failed {
+        reason: "no answer".to_owned(),
+    };
+    let changes = [
+        reach.note(Stream::Catalogue, &failed),
+        reach.note(Stream::Instances, &SourceResult::Nothing),
+        reach.note(Stream::Catalogue, &failed),
+        reach.note(Stream::Catalogue, &SourceResult::Nothing),
+    ];
+    let [lost, regained] = [Change::Lost, Change::Regained].map(Some);
+    assert_eq!(changes, [lost, None, None, regained]);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod node;
 pub mod program;
+mod reach;
 pub mod settings;
 mod shared;
 mod traffic;
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -36,6 +36,7 @@
 use crate::control::Inbound;
 use crate::control::Machine;
 use crate::control::Outside;
+use crate::control::SourceReach;
 use crate::control::StopReport;
 use crate::metrics;
 
@@ -250,6 +251,7 @@
         control,
         tasks: TaskTracker::new(),
         cancel,
+        reach: Arc::new(SourceReach::new()),
         gate: Gate::default(),
     }
 }
--- a/crates/node/src/traffic/peer/link.rs
+++ b/crates/node/src/traffic/peer/link.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 
 use crate::metrics::traffic;
+use crate::reach::Reach;
 use crate::traffic::bounds::CONNECT_TIMEOUT;
 use crate::traffic::bounds::CONNECTION_WINDOW;
 use crate::traffic::bounds::MAX_HEAD_BYTES;
@@ -33,6 +34,7 @@
 #[derive(Debug)]
 pub(in crate::traffic) struct Link {
     addr: SocketAddr,
+    reach: Reach,
     sender: Mutex<Option<Sender>>,
     /// Held by the one who connects, so that a herd opens one connection; when
     /// that failed last.
@@ -52,6 +54,7 @@
     pub(super) fn new(addr: SocketAddr) -> Link {
         Link {
             addr,
+            reach: Reach::new("peer"),
             sender: Mutex::new(None),
             connecting: tokio::sync::Mutex::new(None),
         }
@@ -100,6 +103,10 @@
         let connected = connect
             .await
             .unwrap_or_else(|_| Err(self.error("connecting took too long")));
+        match &connected {
+            Ok(_) => self.reach.found(self.addr),
+            Err(err) => self.reach.missed(self.addr, err),
+        };
         *failed = connected.is_err().then(Instant::now);
         let sender = connected?;
         *self.sender.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender.clone());
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -1,5 +1,6 @@
 //! The connections to the target, never more than it was set to have.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -23,6 +24,7 @@
 
 use super::connection::Connection;
 use crate::metrics::traffic;
+use crate::reach::Reach;
 use crate::traffic::bounds::CONNECT_TIMEOUT;
 use crate::traffic::bounds::MAX_HEAD_BYTES;
 use crate::traffic::bounds::MAX_IDLE;
@@ -40,6 +42,7 @@
 pub(in crate::traffic) struct Pool {
     addr: SocketAddr,
     limit: AtomicU32,
+    reach: Reach,
     held: Mutex<Held>,
 }
 
@@ -55,6 +58,7 @@
         Arc::new(Pool {
             addr,
             limit: AtomicU32::new(limit),
+            reach: Reach::new("target"),
             held: Mutex::default(),
         })
     }
@@ -107,8 +111,12 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
         let stream = stream
             .await
-            .map_err(|_| self.error("connecting took too long"))?
-            .map_err(fail)?;
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        match &stream {
+            Ok(_) => self.reach.found(self.addr),
+            Err(err) => self.reach.missed(self.addr, err),
+        };
+        let stream = stream.map_err(fail)?;
         stream.set_nodelay(true).map_err(fail)?;
         counter!(traffic::TARGET_CONNECTIONS).increment(1);
         let written = Arc::new(SocketBytes::default());
