Show the process's memory, descriptors and processor time

The page of metrics had none of them: that a node nears its bound of memory or of descriptors was to be found out by other means. A library reads them as the page is asked for. The test of the page names them.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,6 +9,7 @@
 
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use metrics_process::Collector;
 
 pub(crate) use self::report::Report;
 
@@ -23,6 +24,9 @@
     0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 8.0,
 ];
 
+/// What the names of the process's figures begin with.
+const PROCESS_PREFIX: &str = "sassafrasspool_";
+
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
 /// Installs the recorder, unless the process has one.
@@ -34,6 +38,7 @@
 pub(crate) fn render() -> String {
     match recorder() {
         Some(handle) => {
+            process().collect();
             handle.run_upkeep();
             handle.render()
         }
@@ -41,6 +46,11 @@
     }
 }
 
+/// The process's processor time, memory, threads and descriptors.
+fn process() -> Collector {
+    Collector::new(PROCESS_PREFIX)
+}
+
 fn recorder() -> Option<&'static PrometheusHandle> {
     let made = RECORDER.get_or_init(|| {
         let builder = PrometheusBuilder::new()
@@ -49,6 +59,7 @@
         let handle = builder.install_recorder().ok()?;
         names::describe();
         traffic::describe();
+        process().describe();
         Some(handle)
     });
     made.as_ref()
--- a/crates/node/tests/control/admin.rs
+++ b/crates/node/tests/control/admin.rs
@@ -58,6 +58,11 @@
     let (_, metrics) = get(node, "/metrics").await;
     assert!(metrics.contains("sassafrasspool_versions_applied_total"));
     assert!(metrics.contains("sassafrasspool_revision{stream=\"catalogue\"} 1"));
+    for name in ["open_fds", "max_fds", "resident_memory_bytes", "threads"] {
+        let name = format!("\nsassafrasspool_process_{name} ");
+        let figure = metrics.split(&name).nth(1).expect("the process's figure");
+        assert!(!figure.starts_with('0'), "{name}");
+    }
 
     let admin = node.addrs().admin;
     let (code, text) = http_text("POST", admin, "/drain").await;
