Serve callers' and peers' sockets by one wrapper

The connection that shows its bytes and the one that counts them were the same but for two lines; so were the writers of the log's tests. The address of `explain` began with an empty parameter, as the platform's once did; its test failed on it.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -49,7 +49,10 @@
 }
 
 fn query(asked: &Asked<'_>) -> String {
-    let mut query = Serializer::new(format!("{EXPLAIN_PATH}?"));
+    // Begun as a whole, it would count as a query that has a part already.
+    let begun = format!("{EXPLAIN_PATH}?");
+    let begins = begun.len();
+    let mut query = Serializer::for_suffix(begun, begins);
     query.append_pair("service", asked.service.as_str());
     for (name, value) in [("host", asked.host), ("path", asked.path)] {
         if let Some(value) = value {
@@ -111,3 +114,6 @@
         found.instance, found.domain, found.traffic, found.slots,
     )
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/log/tests.rs
+++ b/crates/node/src/log/tests.rs
@@ -1,32 +1,16 @@
 use std::io;
 use std::io::Write;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::mpsc;
 use std::time::Duration;
 
 use sassafrasspool_core::Tick;
+use sassafrasspool_standin::Written;
 
 use super::LogSink;
 use super::Rank;
 use super::budget::ByteBudget;
 use super::buffer::Buffer;
 
-/// Collects what is written.
-#[derive(Debug, Clone, Default)]
-struct Written(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Written {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().expect("written").extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// Stands still until its sender is dropped.
 #[derive(Debug)]
 struct Stuck(mpsc::Receiver<()>);
@@ -83,7 +67,7 @@
         sink.tell(Rank::State, &n);
     }
     sink.flush();
-    let text = String::from_utf8(out.0.lock().expect("written").clone()).expect("text");
+    let text = out.text();
     let numbers: Vec<u32> = text
         .lines()
         .map(|it| it.parse().expect("a number"))
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -6,7 +6,6 @@
 mod peer;
 mod service;
 mod until_closed;
-mod watched;
 
 use super::caller_side::Side;
 
--- a/crates/node/src/traffic/serve/ahead/queue.rs
+++ b/crates/node/src/traffic/serve/ahead/queue.rs
@@ -9,6 +9,7 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use sassafrasspool_wire::Tap;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::head;
@@ -75,11 +76,6 @@
         })))
     }
 
-    /// Looks at bytes that the library is about to read.
-    pub(in crate::traffic::serve) fn look_at(&self, bytes: &[u8]) {
-        self.lock().look_at(bytes);
-    }
-
     /// Takes the next request: what was begun of it, if it was, and what tells
     /// when its answer has ended.
     pub(in crate::traffic::serve) fn take(&self) -> (Option<Begun>, Behind) {
@@ -110,7 +106,16 @@
     }
 }
 
+impl Tap for Ahead {
+    fn read(&mut self, bytes: &[u8]) {
+        self.lock().look_at(bytes);
+    }
+
+    fn written(&mut self, _: usize) {}
+}
+
 impl State {
+    /// Looks at bytes that the library is about to read.
     fn look_at(&mut self, bytes: &[u8]) {
         if !self.follows {
             return;
--- a/crates/node/src/traffic/serve/caller.rs
+++ b/crates/node/src/traffic/serve/caller.rs
@@ -7,12 +7,12 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
 use sassafrasspool_core::CallerLimits;
+use sassafrasspool_wire::Tapped;
 use tokio::net::TcpStream;
 
 use super::ahead::Ahead;
 use super::service::Requests;
 use super::until_closed::until_closed;
-use super::watched::Watched;
 use crate::traffic::bounds::CONNECTION_WINDOW;
 use crate::traffic::bounds::MAX_HEAD_BYTES;
 use crate::traffic::bounds::MAX_STREAMS;
@@ -28,7 +28,7 @@
     let ahead = Ahead::new(Arc::clone(&worker), side);
     let requests = Requests::of_caller(worker, side, ahead.clone());
     let builder = builder(&limits(&hub));
-    let io = Watched::new(stream, ahead);
+    let io = Tapped::new(stream, ahead);
     let conn = builder.serve_connection(TokioIo::new(io), requests);
     until_closed(hub, conn).await;
 }
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -26,11 +26,10 @@
 use sassafrasspool_node::log::LogSink;
 use sassafrasspool_standin::Target;
 use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::Written;
 use sassafrasspool_standin::target::Run;
 use tokio_util::sync::CancellationToken;
 
-use crate::told::Written;
-
 /// The catalogue of all these tests.
 const CATALOGUE: &str = include_str!("catalogue.yaml");
 
--- a/crates/node/tests/requests/told.rs
+++ b/crates/node/tests/requests/told.rs
@@ -1,12 +1,9 @@
 //! What the log tells of requests whose end isn't an answer.
 
-use std::io;
-use std::io::Write;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use http::StatusCode;
+use sassafrasspool_standin::Written;
 use sassafrasspool_wire::log::ENDED;
 use sassafrasspool_wire::log::RequestLine;
 
@@ -16,37 +13,19 @@
 use crate::fleet::Fleet;
 use crate::wait;
 
-/// Collects a node's log.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Written(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Written {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().expect("written").extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-impl Written {
-    /// How a request ended: outcome, step, reason and the instance it was at.
-    fn ends_of(&self, id: &str) -> Vec<[String; 4]> {
-        let bytes = self.0.lock().expect("written").clone();
-        let text = String::from_utf8(bytes).expect("text");
-        let lines = text.lines().map(|line| {
-            let line: RequestLine<'_> = serde_json::from_str(line).expect("a line");
-            line
-        });
-        let own = lines.filter(|line| line.request == id && line.event == ENDED);
-        own.map(|line| {
-            let fields = [Some(line.outcome), line.step, line.reason, line.instance];
-            fields.map(|field| field.unwrap_or_default().into_owned())
-        })
-        .collect()
-    }
+/// How a request ended by a log: outcome, step, reason and the instance it was at.
+fn ends_of(written: &Written, id: &str) -> Vec<[String; 4]> {
+    let text = written.text();
+    let lines = text.lines().map(|line| {
+        let line: RequestLine<'_> = serde_json::from_str(line).expect("a line");
+        line
+    });
+    let own = lines.filter(|line| line.request == id && line.event == ENDED);
+    own.map(|line| {
+        let fields = [Some(line.outcome), line.step, line.reason, line.instance];
+        fields.map(|field| field.unwrap_or_default().into_owned())
+    })
+    .collect()
 }
 
 // A caller complains that its request vanished. It had left by itself, while the
@@ -62,9 +41,9 @@
     let call = tokio::spawn(client::call(desk.addrs.ingress, req));
     wait::until("a run", || adjuster.target.stats().inflight == 1).await;
     call.abort();
-    wait::until("its line", || !desk.written.ends_of("left").is_empty()).await;
+    wait::until("its line", || !ends_of(&desk.written, "left").is_empty()).await;
     let told = ["unknown", "forward", "caller-gone", "ad-1"].map(str::to_owned);
-    assert_eq!(desk.written.ends_of("left"), [told]);
+    assert_eq!(ends_of(&desk.written, "left"), [told]);
 }
 
 // An operator looks for a request that got 404 while a route was taken back. It
@@ -76,9 +55,9 @@
     let req = client::get("/nowhere", "lost");
     let res = client::call(desk.addrs.ingress, req).await;
     assert_eq!(res.expect("an answer").status(), StatusCode::NOT_FOUND);
-    wait::until("its line", || !desk.written.ends_of("lost").is_empty()).await;
+    wait::until("its line", || !ends_of(&desk.written, "lost").is_empty()).await;
     let told = ["not-run", "route", "no-route", ""].map(str::to_owned);
-    assert_eq!(desk.written.ends_of("lost"), [told]);
+    assert_eq!(ends_of(&desk.written, "lost"), [told]);
 }
 
 // A request that was answered has one end, and not a second one as it is let go.
@@ -89,6 +68,6 @@
     let req = client::get("/desk/files", "whole");
     let res = client::call(desk.addrs.ingress, req).await;
     let status = res.expect("an answer").status();
-    wait::until("its line", || !desk.written.ends_of("whole").is_empty()).await;
-    assert_eq!(desk.written.ends_of("whole").len(), 1, "{status}");
+    wait::until("its line", || !ends_of(&desk.written, "whole").is_empty()).await;
+    assert_eq!(ends_of(&desk.written, "whole").len(), 1, "{status}");
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,9 +15,11 @@
 mod serve;
 mod settings;
 pub mod target;
+mod written;
 
 pub use crate::platform::Platform;
 pub use crate::platform::PlatformSettings;
 pub use crate::settings::read_settings;
 pub use crate::target::Target;
 pub use crate::target::TargetSettings;
+pub use crate::written::Written;
--- /dev/null
+++ b/crates/standin/src/written.rs
@@ -0,0 +1,44 @@
+//! What is written, kept to be read.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+/// Keeps what is written to it; cloning it gives another handle to the same.
+///
+/// # Example
+///
+/// ```
+/// use std::io::Write;
+///
+/// use sassafrasspool_standin::Written;
+///
+/// let written = Written::default();
+/// written.clone().write_all(b"a line\n")?;
+/// assert_eq!(written.text(), "a line\n");
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Written(Arc<Mutex<Vec<u8>>>);
+
+impl Written {
+    /// All that was written so far, with signs in place of what isn't text.
+    pub fn text(&self) -> String {
+        let bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+impl Write for Written {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut held = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        held.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,4 +17,6 @@
 
 pub use crate::socket::Counted;
 pub use crate::socket::SocketBytes;
+pub use crate::socket::Tap;
+pub use crate::socket::Tapped;
 pub use crate::socket::keep_alive;
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -5,9 +5,11 @@
 //! shows.
 
 pub use self::bytes::SocketBytes;
-pub use self::counted::Counted;
 pub use self::keep_alive::keep_alive;
+pub use self::tapped::Counted;
+pub use self::tapped::Tap;
+pub use self::tapped::Tapped;
 
 mod bytes;
-mod counted;
 mod keep_alive;
+mod tapped;
--- a/crates/wire/src/socket/counted.rs
+++ b/crates/wire/src/socket/tapped.rs
@@ -1,4 +1,4 @@
-//! A socket that counts.
+//! A socket that tells what goes over it.
 
 use std::io;
 use std::pin::Pin;
@@ -13,24 +13,46 @@
 
 use super::SocketBytes;
 
+/// What is told of the bytes of a connection.
+pub trait Tap {
+    /// These bytes were read, and whoever reads the connection gets them next.
+    fn read(&mut self, bytes: &[u8]);
+
+    /// So many bytes were written.
+    fn written(&mut self, n: usize);
+}
+
+/// A TCP connection that tells what goes over it.
+#[derive(Debug)]
+pub struct Tapped<T> {
+    io: TcpStream,
+    tap: T,
+}
+
 /// A TCP connection whose bytes are counted.
 ///
 /// A count of written bytes that didn't move proves that the other side has seen
 /// nothing of what was to be sent.
-#[derive(Debug)]
-pub struct Counted {
-    io: TcpStream,
-    bytes: Arc<SocketBytes>,
+pub type Counted = Tapped<Arc<SocketBytes>>;
+
+impl<T> Tapped<T> {
+    /// Tells `tap` what goes over `io`.
+    pub const fn new(io: TcpStream, tap: T) -> Tapped<T> {
+        Tapped { io, tap }
+    }
 }
 
-impl Counted {
-    /// Counts what goes over `io` in `bytes`.
-    pub fn new(io: TcpStream, bytes: Arc<SocketBytes>) -> Counted {
-        Counted { io, bytes }
+impl Tap for Arc<SocketBytes> {
+    fn read(&mut self, bytes: &[u8]) {
+        self.add_read(bytes.len());
+    }
+
+    fn written(&mut self, n: usize) {
+        self.add_written(n);
     }
 }
 
-impl AsyncRead for Counted {
+impl<T: Tap + Unpin> AsyncRead for Tapped<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -38,12 +60,15 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.io).poll_read(cx, buf);
-        self.bytes.add_read(buf.filled().len() - before);
+        let read = &buf.filled()[before..];
+        if !read.is_empty() {
+            self.tap.read(read);
+        }
         polled
     }
 }
 
-impl AsyncWrite for Counted {
+impl<T: Tap + Unpin> AsyncWrite for Tapped<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -51,7 +76,7 @@
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.io).poll_write(cx, buf);
         if let Poll::Ready(Ok(n)) = polled {
-            self.bytes.add_written(n);
+            self.tap.written(n);
         }
         polled
     }
@@ -63,7 +88,7 @@
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
         if let Poll::Ready(Ok(n)) = polled {
-            self.bytes.add_written(n);
+            self.tap.written(n);
         }
         polled
     }
