--- a/crates/node/src/log/budget.rs
+++ b/crates/node/src/log/budget.rs
@@ -4,6 +4,8 @@
 
 use sassafrasspool_core::Tick;
 
+use super::request::micros;
+
 /// What a line is about, the least dispensable first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Rank {
@@ -68,7 +70,3 @@
         self.held = self.held.saturating_sub(bytes as u64);
     }
 }
-
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -92,7 +92,7 @@
         Begun::Answer(stored) => return Ok(stored::respond(&stored)),
         Begun::Refuse(refusal) => return Err(refusal.into()),
     };
-    let told_by = Told {
+    let facts = Facts {
         class,
         kind: call.kind.clone(),
         life: call.life.clone(),
@@ -110,7 +110,7 @@
     let begun = worker.hub.shared.clock().now();
     let id = at_target.id();
     let ran = at_target.run(class, limits, slots).await;
-    tell(worker, &told_by, id.as_ref(), begun, &ran);
+    tell(worker, &facts, id.as_ref(), begun, &ran);
     let mut res = ran?;
     add_load(worker, res.headers_mut());
     Ok(res)
@@ -181,9 +181,9 @@
     Refusal::not_run(Step::Admission, reason)
 }
 
-/// What the log tells of a request beside its target.
+/// What the log tells of a request beside its target, besides its end.
 #[derive(Debug)]
-struct Told {
+struct Facts {
     class: Class,
     kind: Option<KindName>,
     life: Option<HeaderValue>,
@@ -194,7 +194,7 @@
 
 fn tell(
     worker: &Worker,
-    told: &Told,
+    facts: &Facts,
     id: Option<&HeaderValue>,
     begun: Tick,
     ran: &Result<Response<Answer>, Missed>,
@@ -212,15 +212,15 @@
         node: shared.me().as_str().into(),
         event: BESIDE.into(),
         request: text(id).into(),
-        kind: told.kind.as_ref().map(|kind| kind.as_str().into()),
-        class: Some(told.class.as_str().into()),
-        life: told.life.as_ref().map(|life| text(life).into()),
+        kind: facts.kind.as_ref().map(|kind| kind.as_str().into()),
+        class: Some(facts.class.as_str().into()),
+        life: facts.life.as_ref().map(|life| text(life).into()),
         status: ran.as_ref().ok().map(|res| res.status().as_u16()),
         took_us: micros(now.since(begun)),
         load: Some([load.in_flight, load.slots, load.queued]),
-        left_us: micros(told.deadline.remaining(now)),
-        aim_left_us: told.aim.map(|aim| micros(aim.since(now))),
-        list: Some(told.list),
+        left_us: micros(facts.deadline.remaining(now)),
+        aim_left_us: facts.aim.map(|aim| micros(aim.since(now))),
+        list: Some(facts.list),
         ..RequestLine::default()
     };
     let (rank, how) = match ran {
