--- a/crates/core/src/admit/tests/drawn.rs
+++ b/crates/core/src/admit/tests/drawn.rs
@@ -10,6 +10,7 @@
 
 use super::bench::Bench;
 use super::bench::NOW;
+use super::bench::SETTINGS;
 use crate::Class;
 use crate::Permit;
 use crate::Reason;
@@ -63,6 +64,60 @@
         told.sort_unstable();
         assert!(told.iter().copied().eq(0..bench.waits.len()));
     }
+
+    // Under whatever load without critical work, background work that waits and
+    // holds less than a quarter of the slots is not passed over more often than
+    // its weight says. Before there was such a part, it could be passed over
+    // without end while calls were turned away.
+    #[test]
+    fn the_background_is_passed_over_so_often_at_most(
+        steps in vec(any::<(u8, u8)>(), 1..400),
+    ) {
+        let mut bench = Bench::new(8);
+        let mut now = NOW;
+        let mut running: Vec<(Class, Permit)> = Vec::new();
+        let mut passed_over = 0;
+        for (what, n) in steps {
+            let n = usize::from(n);
+            let waited = waits(&bench, Class::Background);
+            let held = running.iter().filter(|(class, _)| *class == Class::Background);
+            let due = waited && held.count() < 2;
+            match what % 8 {
+                0..4 => {
+                    let class = if n % 4 == 0 { Class::Background } else { Class::Standard };
+                    bench.offer(now, class, &LIMITS);
+                }
+                4 | 5 if !running.is_empty() => {
+                    let (_, permit) = running.swap_remove(n % running.len());
+                    permit.release(now);
+                }
+                6 => {
+                    let len = bench.waits.len().max(1);
+                    let wait = bench.waits.get_mut(n % len).and_then(Option::take);
+                    wait.map(|wait| wait.expire(now));
+                }
+                _ => now = now + Duration::from_millis(n as u64 / 4),
+            }
+            for (id, verdict) in bench.verdicts() {
+                bench.waits[id] = None;
+                let Ok(permit) = verdict else { continue };
+                let class = bench.classes[id];
+                passed_over = match class {
+                    Class::Standard if due => passed_over + 1,
+                    _ => 0,
+                };
+                assert!(passed_over <= SETTINGS.standard_weight, "{passed_over}");
+                running.push((class, permit));
+            }
+        }
+    }
+}
+
+/// Whether one of that class waits.
+fn waits(bench: &Bench, class: Class) -> bool {
+    let all = bench.waits.iter().zip(&bench.classes);
+    let mut own = all.filter(|(_, of)| **of == class);
+    own.any(|(wait, _)| wait.is_some())
 }
 
 /// Whether nobody waits but what the share of the background holds back.
