Look up a line's endpoint when the line is written

The trail of a request copied the names of each instance it was sent to, also where no line came of it, and copied them once more for the line. Nothing that is told or tested changes.

--- a/crates/core/src/admit/tests/cases.rs
+++ b/crates/core/src/admit/tests/cases.rs
@@ -241,10 +241,7 @@
 #[test]
 fn who_would_be_late_is_refused_while_there_is_time() {
     let mut bench = Bench::new(1);
-    bench.offer(NOW, Class::Standard, &LIMITS);
-    bench
-        .take_permit()
-        .release(NOW + Duration::from_millis(200));
+    bench.run_for(NOW, Class::Standard, Duration::from_millis(200));
     bench.offer(NOW, Class::Standard, &LIMITS);
     let permit = bench.take_permit();
     let aims = [900, 910].map(|aim| offer_until(&mut bench, aim));
@@ -261,10 +258,7 @@
 #[test]
 fn the_last_that_is_asked_lets_a_late_request_wait() {
     let mut bench = Bench::new(1);
-    bench.offer(NOW, Class::Standard, &LIMITS);
-    bench
-        .take_permit()
-        .release(NOW + Duration::from_millis(200));
+    bench.run_for(NOW, Class::Standard, Duration::from_millis(200));
     bench.offer(NOW, Class::Standard, &LIMITS);
     let permit = bench.take_permit();
     let aim = Some(NOW + Duration::from_millis(420));
--- a/crates/node/src/traffic/trail.rs
+++ b/crates/node/src/traffic/trail.rs
@@ -1,11 +1,10 @@
 //! The log's lines of one request on the node that took it from its caller.
 
-use std::borrow::Cow;
-
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use sassafrasspool_core::Deadline;
+use sassafrasspool_core::EndpointKey;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
@@ -57,8 +56,7 @@
 /// The endpoint of the present try.
 #[derive(Debug)]
 struct Chosen {
-    instance: String,
-    life: Option<String>,
+    endpoint: EndpointKey,
     load_percent: u32,
     since: Tick,
 }
@@ -78,15 +76,8 @@
     /// Notes the endpoint of the next try.
     pub(super) fn pick(&mut self, picked: &Picked) {
         self.tries += 1;
-        if self.id.is_none() {
-            return;
-        }
-        let facts = self.first.facts();
-        let snapshot = &facts.routes.view.snapshot;
-        let instance = snapshot.endpoint(picked.endpoint()).map(|it| &it.instance);
-        self.picked = instance.map(|instance| Chosen {
-            instance: instance.id.to_string(),
-            life: instance.target.as_ref().map(|life| life.id.to_string()),
+        self.picked = Some(Chosen {
+            endpoint: picked.endpoint(),
             load_percent: picked.load_percent(),
             since: picked.since(),
         });
@@ -129,15 +120,18 @@
         let now = shared.clock().now();
         let snapshot = &facts.routes.view.snapshot;
         let picked = self.picked.as_ref();
+        let endpoint = picked.and_then(|picked| snapshot.endpoint(picked.endpoint));
+        let instance = endpoint.map(|endpoint| &endpoint.instance);
+        let life = instance.and_then(|instance| instance.target.as_ref());
         Some(RequestLine {
             unix_ms: unix_ms(),
-            node: shared.me().as_str().to_owned().into(),
+            node: shared.me().as_str().into(),
             event: event.into(),
             request: String::from_utf8_lossy(id.as_bytes()),
-            kind: Some(facts.route.kind.to_string().into()),
+            kind: Some(facts.route.kind.as_str().into()),
             class: Some(facts.route.class.as_str().into()),
-            instance: picked.map(|picked| Cow::from(picked.instance.as_str())),
-            life: picked.and_then(|it| it.life.as_deref().map(Cow::from)),
+            instance: instance.map(|instance| instance.id.as_str().into()),
+            life: life.map(|life| life.id.as_str().into()),
             try_number: Some(self.tries),
             load_percent: picked.map(|picked| picked.load_percent),
             took_us: micros(now.since(since)),
