Give no work to targets that have left the list since a request came

Cause: a request is routed by the routes of its arrival, and a later try, or one after a slow body, chose by them seconds later.

Ruled out: a slow spread of the list (0.1 s by the logs of all nodes), a cut node, the queue beside the target.

Change: each choice leaves out endpoints that the newest list has as leaving, gone, or with another life; the node beside a target that departed more than 1 s ago refuses what comes, truthfully as not run, also what waited for its slot meanwhile. The second guards against first hops that are frozen, slow or behind.

--- a/crates/node/src/shared/routing.rs
+++ b/crates/node/src/shared/routing.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use sassafrasspool_core::BoundService;
@@ -13,6 +14,7 @@
 use sassafrasspool_core::EndpointKey;
 use sassafrasspool_core::EndpointState;
 use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::Intake;
 use sassafrasspool_core::Meters;
 use sassafrasspool_core::Phase;
@@ -28,6 +30,15 @@
 #[cfg(test)]
 mod tests;
 
+/// How long the own endpoint goes on taking work after the list stopped naming
+/// it as live.
+///
+/// Nodes hold a list within 0.1 s of each other and may have sent something
+/// just before: refusing that would only cost its caller a second try. What
+/// comes later than this was routed by a node that is slow, frozen or behind,
+/// and half of the 2.0 s are left that a target gets work for.
+const DEPARTURE_GRACE: Duration = Duration::from_secs(1);
+
 type States = HashMap<InstanceId, EndpointState>;
 
 /// A view and what chooses among its endpoints; a request pins both together.
@@ -39,9 +50,18 @@
     pub picker: Arc<Picker>,
     /// The endpoint beside this node, if the instance list has it.
     pub own: Option<EndpointKey>,
+    /// Since when the list names the own endpoint as leaving, or no longer.
+    departing: Option<Tick>,
 }
 
 impl Routes {
+    /// Whether the own endpoint is to get no work any more, since the list took
+    /// it away long enough ago for all nodes to know.
+    pub fn has_departed(&self, now: Tick) -> bool {
+        let since = self.departing;
+        since.is_some_and(|since| now.since(since) >= DEPARTURE_GRACE)
+    }
+
     /// The endpoint beside this node with its service, if the list has it.
     pub fn own(&self) -> Option<(&Endpoint, &BoundService)> {
         let endpoint = self.view.snapshot.endpoint(self.own?)?;
@@ -91,7 +111,8 @@
             return;
         };
         let held = self.routes.load_full();
-        let same = held.filter(|held| Arc::ptr_eq(&held.view.snapshot, &view.snapshot));
+        let same = held.as_ref();
+        let same = same.filter(|held| Arc::ptr_eq(&held.view.snapshot, &view.snapshot));
         let (picker, own) = match same {
             Some(held) => {
                 self.mark_changed(&view.states, now);
@@ -110,9 +131,14 @@
                 (Arc::new(picker), own)
             }
         };
+        let departing = departing(view, own, held.as_deref(), now);
         let view = Arc::clone(view);
-        self.routes
-            .store(Some(Arc::new(Routes { view, picker, own })));
+        self.routes.store(Some(Arc::new(Routes {
+            view,
+            picker,
+            own,
+            departing,
+        })));
     }
 
     /// The routes in force.
@@ -149,6 +175,24 @@
     }
 }
 
+/// Since when the own endpoint departs, if it does. One that was never listed
+/// doesn't: its node may know its target before the list names it.
+fn departing(
+    view: &View,
+    own: Option<EndpointKey>,
+    held: Option<&Routes>,
+    now: Tick,
+) -> Option<Tick> {
+    let listed = own.and_then(|own| view.snapshot.endpoint(own));
+    let state = listed.map(|endpoint| endpoint.instance.state);
+    if state == Some(InstanceState::Live) {
+        return None;
+    }
+    let departs = state.is_some() || held.is_some_and(|held| held.own.is_some());
+    let since = held.and_then(|held| held.departing);
+    since.or(departs.then_some(now))
+}
+
 fn intake(phase: Phase) -> Intake {
     match phase {
         Phase::Ready => Intake::Open,
--- a/crates/node/src/shared/routing/tests.rs
+++ b/crates/node/src/shared/routing/tests.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -69,10 +70,15 @@
 
 /// A snapshot whose list names these instances.
 fn snapshot(revision: u64, listed: &[&str]) -> Arc<Snapshot> {
+    let listed = listed.iter().map(|id| instance(id));
+    snapshot_of(revision, listed.collect())
+}
+
+fn snapshot_of(revision: u64, listed: Vec<Instance>) -> Arc<Snapshot> {
     let revision = Revision::new(revision).expect("a revision");
     let items = catalogue::parse(CATALOGUE).expect("a catalogue");
     let catalogue = Catalogue::new(revision, items).expect("a catalogue");
-    let list = InstanceList::new(revision, listed.iter().map(|id| instance(id)));
+    let list = InstanceList::new(revision, listed);
     let snapshot = Snapshot::build(&catalogue, &list.expect("a list"));
     Arc::new(snapshot.expect("a snapshot"))
 }
@@ -139,3 +145,64 @@
     let after = routing.routes().expect("routes");
     assert!(Arc::ptr_eq(&before.picker, &after.picker));
 }
+
+/// How the list names the own endpoint, one list after the other.
+#[derive(Debug)]
+struct Departure {
+    lists: &'static [Option<InstanceState>],
+    /// Whether it has departed half a second and two seconds after the last.
+    soon: bool,
+    late: bool,
+}
+
+// A target leaves, or vanishes from the list without notice. Its node goes on
+// handing requests to it for a second, in which the other nodes hear of it, and
+// not until the target is cut. One that is listed again takes work at once; one
+// that was never listed is not judged by the list.
+#[rstest]
+#[case::live(Departure {
+    lists: &[Some(InstanceState::Live)],
+    soon: false,
+    late: false,
+})]
+#[case::leaving(Departure {
+    lists: &[Some(InstanceState::Live), Some(InstanceState::Leaving)],
+    soon: false,
+    late: true,
+})]
+#[case::vanished(Departure {
+    lists: &[Some(InstanceState::Live), None],
+    soon: false,
+    late: true,
+})]
+#[case::leaving_and_vanished(Departure {
+    lists: &[Some(InstanceState::Live), Some(InstanceState::Leaving), None],
+    soon: true,
+    late: true,
+})]
+#[case::back(Departure {
+    lists: &[Some(InstanceState::Live), None, Some(InstanceState::Live)],
+    soon: false,
+    late: false,
+})]
+#[case::never_listed(Departure {
+    lists: &[None, None],
+    soon: false,
+    late: false,
+})]
+fn a_departed_endpoint_gets_no_more_work(#[case] case: Departure) {
+    let routing = placed();
+    let mut now = Tick::from_millis(1);
+    for (revision, state) in (1..).zip(case.lists) {
+        now = now + Duration::from_millis(600);
+        let own = state.map(|state| Instance {
+            state,
+            ..instance("wd-0")
+        });
+        let listed = snapshot_of(revision, own.into_iter().collect());
+        routing.bind(&view(&listed, None), now);
+    }
+    let routes = routing.routes().expect("routes");
+    let after = |millis| routes.has_departed(now + Duration::from_millis(millis));
+    assert_eq!((after(500), after(2_000)), (case.soon, case.late));
+}
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -20,6 +20,7 @@
 mod bounds;
 mod caller_side;
 mod counters;
+mod departed;
 mod first_hop;
 mod head;
 mod hub;
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -80,6 +80,12 @@
             Err(refusal) => return Err(Missed::unsent(refusal, self.req)),
         };
         let stage = stage.admit(permit);
+        if hub.has_departed() {
+            // It waited for its slot while the target left.
+            let now = hub.shared.clock().now();
+            let refusal = stage.refuse(now, Step::Admission, Reason::Draining);
+            return Err(Missed::unsent(refusal, self.req));
+        }
         match target::take(&hub.pool, self.worker.index).await {
             Ok(conn) => self.hand_over(stage, conn).await,
             Err(err) => {
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -144,7 +144,7 @@
 
 /// Why the own endpoint takes no work, if it doesn't.
 fn closed(worker: &Worker) -> Option<Reason> {
-    if worker.hub.is_leaving() {
+    if worker.hub.is_leaving() || worker.hub.has_departed() {
         return Some(Reason::Draining);
     }
     let starting = worker.hub.shared.phase() == Phase::Starting;
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -78,7 +78,8 @@
         trail::tell_unrouted(worker, id.as_ref(), refusal);
         Failure::from(refusal)
     };
-    // INVARIANT: These are the only routes that the request ever sees here.
+    // INVARIANT: The request is routed by these alone; newer ones only take
+    // endpoints away from it.
     let routes = routes(worker, side).map_err(unrouted)?;
     let prepared = prepare(worker, side, &routes, req).await;
     let (first, req) = prepared.map_err(unrouted)?;
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -28,6 +28,7 @@
 use super::bounds::MAX_HOPS;
 use super::caller_side::Side;
 use super::counters::count_retry;
+use super::departed::departed;
 use super::head;
 use super::keyed::Keyed;
 use super::missed::Missed;
@@ -143,6 +144,7 @@
         let mut avoid = Vec::new();
         let mut last: Option<Failure> = None;
         loop {
+            avoid.extend(self.departed());
             let picked = match self.pick(&avoid) {
                 Ok(picked) => picked,
                 // What the last endpoint said tells more than that there is
@@ -197,6 +199,15 @@
         tries.until(self.aim)
     }
 
+    /// The endpoints that the list in force by now has no new work for.
+    fn departed(&self) -> Vec<EndpointKey> {
+        let newest = self.worker.hub.shared.routes();
+        let newest = newest.as_ref().map(|routes| &routes.view.snapshot);
+        newest.map_or_else(Vec::new, |newest| {
+            departed(&self.routes.view.snapshot, self.service, newest)
+        })
+    }
+
     fn pick(&self, avoid: &[EndpointKey]) -> Result<Picked, Refusal> {
         let picker = &self.routes.picker;
         let service = self.to;
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -99,4 +99,12 @@
     pub(super) fn is_leaving(&self) -> bool {
         self.shared.phase() >= Phase::Draining || self.cancel.is_cancelled()
     }
+
+    /// Whether the list took the own endpoint away too long ago for anything
+    /// new to be handed to its target.
+    pub(super) fn has_departed(&self) -> bool {
+        let routes = self.shared.routes();
+        let now = self.shared.clock().now();
+        routes.is_some_and(|routes| routes.has_departed(now))
+    }
 }
--- a/crates/node/tests/requests/drain.rs
+++ b/crates/node/tests/requests/drain.rs
@@ -22,6 +22,9 @@
 /// Far more than a drain takes here.
 const BOUND: Duration = Duration::from_secs(20);
 
+/// Longer than a departing target gets work for.
+const DEPARTED: Duration = Duration::from_millis(1_100);
+
 /// Stops a member as a node does; returns how many requests were cut.
 async fn stop(member: &mut Member) -> u64 {
     member.shared.advance(Phase::Draining);
@@ -53,6 +56,32 @@
     assert!(desk.target.ledger().runs.is_empty());
 }
 
+// A node is frozen while the list says that another node's target leaves. It
+// wakes and still sends a claim there by its old list. The target would be cut
+// with the claim on it; the node beside knows better and refuses, truthfully as
+// not run, once all that were awake must have heard.
+#[tokio::test]
+async fn what_a_node_behind_sends_to_a_departed_target_is_refused() {
+    let specs = [DESK, SECOND];
+    let fleet = Fleet::start(&specs).await;
+    let [first, second] = &fleet.members[..] else {
+        panic!("two members");
+    };
+    second.shared.set_view(fleet.view(&specs, 2, &[second.id]));
+    let send = async |id: &str| {
+        let req = client::get("/desk/lodge", id);
+        let res = client::call(first.addrs.ingress, req).await;
+        assert_eq!(res.expect("an answer").status(), StatusCode::OK);
+    };
+    tokio::time::sleep(DEPARTED).await;
+    let ids: Vec<String> = (0..20).map(|n| format!("r-{n}")).collect();
+    for id in &ids {
+        send(id).await;
+    }
+    assert!(ids.iter().all(|id| second.runs_of(id).is_empty()));
+    assert!(ids.iter().all(|id| first.runs_of(id).len() == 1));
+}
+
 /// Callers that go on until they are told to stop.
 struct Callers {
     done: Arc<AtomicBool>,
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -198,6 +198,14 @@
 
     /// Puts a list in force everywhere in which the members named leave.
     pub(crate) fn publish(&self, specs: &[Spec], revision: u64, leaving: &[&str]) {
+        let view = self.view(specs, revision, leaving);
+        for member in &self.members {
+            member.shared.set_view(view.clone());
+        }
+    }
+
+    /// The view by a list in which the members named leave.
+    pub(crate) fn view(&self, specs: &[Spec], revision: u64, leaving: &[&str]) -> View {
         let revision = Revision::new(revision).expect("a revision");
         let items = catalogue::parse(CATALOGUE).expect("a catalogue");
         let catalogue = Catalogue::new(revision, items).expect("a catalogue");
@@ -211,12 +219,9 @@
         });
         let instances = InstanceList::new(revision, instances).expect("a list");
         let snapshot = Snapshot::build(&catalogue, &instances).expect("a snapshot");
-        let view = View {
+        View {
             snapshot: Arc::new(snapshot),
             states: Arc::new(HashMap::new()),
-        };
-        for member in &self.members {
-            member.shared.set_view(view.clone());
         }
     }
 
