Tell nodes that they are no longer listed

Cause: a target vanishes from the list without a word, and its node is then nobody's peer: the others left it out of their announcements from that very list on. All other 78 nodes held that list within 0.45 s.

Ruled out: a slow reader (0.45 s), loss of messages, the guard beside the target (its node heard less than 1 s before).

Change: who read the list tells all that it no longer names, and who came before one in the order of names tells that one, so that either may fail.

--- a/crates/core/src/spread/gossip.rs
+++ b/crates/core/src/spread/gossip.rs
@@ -5,6 +5,7 @@
 use crate::Heads;
 use crate::InstanceId;
 use crate::Tick;
+use crate::spread::calls::Address;
 
 /// Endpoint states that wait to be told; more are left to comparing.
 const MAX_NEWS: usize = 4_096;
@@ -29,6 +30,8 @@
     /// What was told last, for a successor that takes the place of one that
     /// didn't answer.
     pub(super) last: Option<Announce>,
+    /// Nodes that the list no longer names and that this node tells so.
+    pub(super) unlisted: Vec<Address>,
     /// Counts comparisons.
     pub(super) syncs: u64,
     news: Vec<EndpointState>,
@@ -45,6 +48,7 @@
             announced: Heads::default(),
             teller: None,
             last: None,
+            unlisted: Vec::new(),
             syncs: 0,
             news: Vec::new(),
         }
--- a/crates/core/src/spread/machine/announce.rs
+++ b/crates/core/src/spread/machine/announce.rs
@@ -33,6 +33,7 @@
             let message = PeerMessage::Announce(message.clone());
             self.calls.send(now, &to, Purpose::Announce, message, out);
         }
+        self.tell_unlisted(now, message, out);
         self.gossip.heads_due = None;
         self.gossip.teller = None;
         self.gossip.states_due = match self.gossip.has_states() {
@@ -84,6 +85,19 @@
         Some(next)
     }
 
+    /// Tells nodes that they aren't listed any more.
+    ///
+    /// They are nobody's peers from then on, and heard of it by comparing now
+    /// and then, up to 2.5 s late, in which they went on to hand requests to a
+    /// target that had vanished without a word. Once they know, they read for
+    /// themselves.
+    fn tell_unlisted(&mut self, now: Tick, message: Announce, out: &mut Vec<Action>) {
+        for to in std::mem::take(&mut self.gossip.unlisted) {
+            let message = PeerMessage::Announce(message.clone());
+            self.calls.send(now, &to, Purpose::Announce, message, out);
+        }
+    }
+
     /// Peers beside the successor that hear the news, drawn at random.
     fn listeners(&mut self, now: Tick, next: Option<Address>) -> Vec<Address> {
         let fanout = usize::try_from(self.cfg.fanout).unwrap_or(usize::MAX);
--- a/crates/core/src/spread/machine/join.rs
+++ b/crates/core/src/spread/machine/join.rs
@@ -143,8 +143,14 @@
             return;
         };
         self.lists.advance(before, &held);
-        self.peers
+        let next = self.peers.next().cloned();
+        let mut unlisted = self
+            .peers
             .rebuild(&held, &self.local.id, &self.local.domain);
+        // Who read the list tells all of them, whoever came before one in the
+        // order of names tells that one: either may fail.
+        unlisted.retain(|peer| *origin == Origin::Source || next.as_ref() == Some(peer));
+        self.gossip.unlisted = unlisted;
         self.members.relist(now, &held);
         self.members.merge(now, &self.own, Some(&held));
         self.find_place(now, out);
--- a/crates/core/src/spread/peers.rs
+++ b/crates/core/src/spread/peers.rs
@@ -44,10 +44,17 @@
 }
 
 impl Peers {
-    /// Takes over a new list.
-    pub(super) fn rebuild(&mut self, list: &InstanceList, id: &InstanceId, domain: &DomainName) {
-        self.near.clear();
-        self.far.clear();
+    /// Takes over a new list, and returns the peers that it doesn't name any
+    /// more, those of the own failure domain first, in the order of names from
+    /// this node's place on.
+    pub(super) fn rebuild(
+        &mut self,
+        list: &InstanceList,
+        id: &InstanceId,
+        domain: &DomainName,
+    ) -> Vec<Address> {
+        let mut before = std::mem::take(&mut self.near);
+        before.append(&mut self.far);
         self.by_id.clear();
         self.strangers.clear();
         let others = list.iter().filter(|instance| instance.id != *id);
@@ -63,9 +70,21 @@
                 self.far.push(address);
             }
         }
-        let before = |peer: &Address| peer.id.as_ref() < Some(id);
-        let first = self.near.partition_point(before);
+        let precedes = |peer: &Address| peer.id.as_ref() < Some(id);
+        let first = self.near.partition_point(precedes);
         self.near.rotate_left(first);
+        let is_listed = |peer: &Address| {
+            let id = peer.id.as_ref();
+            id.is_some_and(|id| self.by_id.contains_key(id))
+        };
+        before.retain(|peer| !is_listed(peer));
+        before
+    }
+
+    /// The next peer of the own failure domain in the order of names, whether
+    /// it answers or not.
+    pub(super) fn next(&self) -> Option<&Address> {
+        self.near.first()
     }
 
     /// The next peer of the own failure domain in the order of names, wrapping
--- a/crates/core/src/spread/tests/basics.rs
+++ b/crates/core/src/spread/tests/basics.rs
@@ -6,6 +6,7 @@
 use super::net::good;
 use super::net::joined_net;
 use super::net::joined_net_with;
+use super::node::Node;
 use crate::AuditEvent;
 use crate::Instance;
 use crate::InstanceState;
@@ -138,3 +139,29 @@
     }
     assert!(slowest < Duration::from_millis(300), "{slowest:?}");
 }
+
+// Some targets vanish from the list without a word. Their nodes are no longer
+// among the peers of the others, so that nobody told them; they went on handing
+// requests to these targets until they compared themselves with somebody.
+#[test]
+fn unlisted_nodes_hear_of_it_as_soon_as_others() {
+    let cfg = SpreadConfig {
+        assumed_fleet: 30,
+        ..SpreadConfig::default()
+    };
+    let mut net = joined_net_with(30, 8, cfg);
+    let mut slowest = Duration::ZERO;
+    for _ in 0..10 {
+        net.run_for(Duration::from_millis(700));
+        let mut list = net.platform.newest_list();
+        list.drain(..2);
+        net.list(list);
+        let newest = net.platform.lists();
+        let took = net.run_until(Duration::from_secs(10), |net| {
+            let held = |node: &Node| node.applied.last().is_some_and(|it| it.1 == newest);
+            net.up().all(held)
+        });
+        slowest = slowest.max(took);
+    }
+    assert!(slowest < Duration::from_millis(300), "{slowest:?}");
+}
