Read what has arrived before connections close at a stop

Cause: a stopping node closes idle connections 0.2 s after it drained. On a machine that is too busy to give its thread a turn (32 processes on 8 cores), the thread finds both that it is to close and that a request has come; which of them it took first was drawn at random, and the library closes without a read.

Ruled out: the accept queue (the connection was accepted: its end was orderly), the bound of the stop (nothing was cut).

Change: connections are served first, and once more for as long as the system needs to tell what has arrived, before they close.

Test: a_request_that_came_before_the_close_is_answered (failed on the first of 16 connections before).

--- a/crates/node/src/traffic/serve/caller.rs
+++ b/crates/node/src/traffic/serve/caller.rs
@@ -30,7 +30,7 @@
     let builder = builder(&limits(&hub));
     let io = Tapped::new(stream, ahead);
     let conn = builder.serve_connection(TokioIo::new(io), requests);
-    until_closed(hub, conn).await;
+    until_closed(&hub.closing, &hub.cut, conn).await;
 }
 
 /// What callers may send, by what is in force as the connection is taken.
--- /dev/null
+++ b/crates/node/src/traffic/serve/until_closed/tests.rs
@@ -0,0 +1,59 @@
+use std::convert::Infallible;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::until_closed;
+use crate::traffic::bounds::LINGER;
+
+/// Connections of callers.
+const CALLERS: usize = 16;
+
+async fn answer(_: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    Ok(Response::new(Full::new(Bytes::from_static(b"answered"))))
+}
+
+// A node stops on a machine that is too busy to give its thread a turn. Claims
+// arrive on open connections before that thread learns that it is to close them.
+// They were closed unread, and the callers couldn't tell that nothing had run.
+#[tokio::test]
+async fn a_request_that_came_before_the_close_is_answered() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let [closing, cut] = [(); 2].map(|()| CancellationToken::new());
+    let mut served = JoinSet::new();
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        callers.push(TcpStream::connect(addr).expect("a connection"));
+        let (stream, _) = listener.accept().await.expect("a caller");
+        let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(answer));
+        let (closing, cut) = (closing.clone(), cut.clone());
+        served.spawn(async move { until_closed(&closing, &cut, conn).await });
+    }
+    tokio::time::sleep(2 * LINGER).await;
+    // Both happen before the connections' tasks run again.
+    for caller in &mut callers {
+        caller
+            .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            .expect("sent");
+    }
+    closing.cancel();
+    served.join_all().await;
+    for mut caller in callers {
+        let mut text = String::new();
+        caller.read_to_string(&mut text).expect("an end");
+        assert!(text.ends_with("answered"), "{text:?}");
+    }
+}
