Judge the soak's callers by link for what a link does

Links open once the node listens, silence of callers' links is excused to the end of the run (for callers with a link), a drain counts from the platform's answer. Callers without a link are judged as before.

--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -171,11 +171,13 @@
         let member = self.member(n);
         let from_us = now_us();
         let target = member.instance.id.clone();
+        self.list_as(n, Some(InstanceState::Leaving)).await?;
+        // The bound counts from when the platform has taken the word; one that
+        // stands still takes it late.
         let began = Event::DrainBegan {
             target: target.clone(),
         };
         self.log.record(began);
-        self.list_as(n, Some(InstanceState::Leaving)).await?;
         let whole = member.stop_node().await.into_diagnostic()?;
         lock(&self.stops).push(Stopped {
             instance: n,
@@ -280,6 +282,10 @@
         }
         self.regain(n);
         match way {
+            // A connection that went silent may be used at any later time.
+            Way::Callers if what == LinkFault::Silence => {
+                self.note_until(n, OutageKind::CallersCut, from_us, u64::MAX);
+            }
             // Nothing can be told to a caller whose own connection fails.
             Way::Callers => self.note(n, OutageKind::CallersCut, from_us),
             // An answer that has begun can't be made whole elsewhere.
@@ -347,13 +353,17 @@
         }
     }
 
-    /// Notes what was done to an instance, up to now; callers that come without
-    /// a link feel nothing of what is done to links.
+    /// Notes what was done to an instance, up to now.
     fn note(&self, n: usize, kind: OutageKind, from_us: u64) {
+        self.note_until(n, kind, from_us, now_us());
+    }
+
+    /// Notes what was done to an instance; callers that come without a link feel
+    /// nothing of what is done to links.
+    fn note_until(&self, n: usize, kind: OutageKind, from_us: u64, to_us: u64) {
         let member = self.member(n);
         let by_link = (kind == OutageKind::CallersCut).then_some(member.entry);
         let both = [member.ingress, member.entry];
-        let to_us = now_us();
         for entry in both
             .into_iter()
             .filter(|it| by_link.is_none_or(|only| only == *it))
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -26,6 +26,7 @@
 use sassafrasspool_standin::TargetSettings;
 use serde_json::json;
 use tempfile::TempDir;
+use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
@@ -95,21 +96,29 @@
         &self.links[way as usize]
     }
 
-    /// Starts its node.
+    /// Starts its node, and opens the links to it once it listens: one that is
+    /// open before takes connections that the system would have refused.
     ///
     /// # Errors
     ///
-    /// Fails if the process can't be started.
+    /// Fails if the process can't be started or doesn't listen in time.
     pub async fn start_node(&self) -> std::io::Result<()> {
-        for way in [Way::PeerTraffic, Way::PeerControl, Way::Callers] {
-            self.link(way).open().await?;
-        }
         let args = [
             OsString::from("--settings"),
             self.settings.clone().into_os_string(),
         ];
         let node = Child::start(NODE, &args, &self.log)?;
         *self.node.lock().await = Some(node);
+        let end = Instant::now() + READY;
+        while let Err(err) = TcpStream::connect(self.ingress).await {
+            if Instant::now() >= end {
+                return Err(err);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        for way in [Way::PeerTraffic, Way::PeerControl, Way::Callers] {
+            self.link(way).open().await?;
+        }
         Ok(())
     }
 
