Say that a connection ends with an answer before the end of an upload

Cause: where a request is refused before its body was read (no configuration yet, no route, too large), the library closes the connection after the answer and doesn't say so.

Ruled out: a kill or a stop of the node (it ran on), the link (it passed on what the node did).

Change: answers of the node's own carry 'connection: close' if a part of the body was not taken. Answers of targets are left as they are.

Test: an_answer_before_the_end_of_an_upload_says_that_the_connection_ends (failed before).

--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -2,8 +2,11 @@
 
 use std::sync::Arc;
 
+use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header::CONNECTION;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
@@ -34,6 +37,7 @@
 pub(super) async fn serve(worker: &Worker, side: Side, req: Request<Payload>) -> Response<Answer> {
     let guard = worker.hub.shared.in_flight().enter();
     let may_follow = keyed::may_follow_another(req.headers());
+    let taken = req.body().taken();
     let mut result = run(worker, side, req).await;
     if may_follow {
         result = result.map_err(keyed::unknown);
@@ -43,11 +47,24 @@
         Side::Egress => worker.hub.egress.count(&result),
     }
     let dialect = worker.hub.shared.dialect();
+    let is_own = result.is_err();
     let res = result.unwrap_or_else(|failure| refusal::respond(&failure, dialect));
-    let res = for_caller(res, dialect);
+    let mut res = for_caller(res, dialect);
+    if is_own && taken.is_some_and(|taken| !taken.is_whole()) {
+        tell_of_close(res.headers_mut());
+    }
     res.map(|body| body.held(guard))
 }
 
+/// Says that the connection ends with this answer.
+///
+/// The library closes one whose request was answered with a part of its body
+/// unread, and doesn't say so. The next request on it was then cut: a caller
+/// that hears of it opens another.
+fn tell_of_close(headers: &mut HeaderMap) {
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Takes off what concerns nodes alone, but for the outcome.
 fn for_caller(mut res: Response<Answer>, dialect: &Dialect) -> Response<Answer> {
     let outcome = res.headers_mut().remove(names::OUTCOME);
--- a/crates/node/src/traffic/payload.rs
+++ b/crates/node/src/traffic/payload.rs
@@ -1,6 +1,9 @@
 //! Bodies of requests on their way to a target.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -24,7 +27,7 @@
     /// Passed on as it comes, counted against the bound.
     Stream {
         /// What the caller sends.
-        body: Incoming,
+        body: Upload,
         /// Bytes that may still come.
         left: u64,
     },
@@ -42,11 +45,23 @@
             return Payload::empty();
         }
         Payload::Stream {
-            body,
+            body: Upload {
+                body,
+                taken: Taken::default(),
+            },
             left: MAX_BODY_BYTES,
         }
     }
 
+    /// Tells later whether all of it was taken; nothing to tell of one that is
+    /// held.
+    pub(super) fn taken(&self) -> Option<Taken> {
+        match self {
+            Payload::Held(_) => None,
+            Payload::Stream { body, .. } => Some(body.taken.clone()),
+        }
+    }
+
     /// The same with another bound on its bytes.
     ///
     /// # Errors
@@ -86,11 +101,54 @@
     }
 }
 
+/// Whether all of a body was taken.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Taken(Arc<AtomicBool>);
+
+impl Taken {
+    /// Whether it was.
+    pub(super) fn is_whole(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A body as it comes, which notes its end.
+#[derive(Debug)]
+pub(super) struct Upload {
+    body: Incoming,
+    taken: Taken,
+}
+
+impl Body for Upload {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let Upload { body, taken } = self.get_mut();
+        let polled = Pin::new(&mut *body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) || body.is_end_stream() {
+            taken.0.store(true, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A body is larger than the bound.
 #[derive(Debug)]
 pub(super) struct TooLarge;
 
-fn is_small(body: &Incoming) -> bool {
+fn is_small(body: &Upload) -> bool {
     let upper = body.size_hint().upper();
     upper.is_some_and(|bytes| bytes <= MAX_REPLAY_BYTES)
 }
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -188,7 +188,7 @@
         self.lose(n);
         tokio::time::sleep(down).await;
         member.start_node().await.into_diagnostic()?;
-        self.regain(n);
+        self.regain_after_stop(n);
         self.note(n, OutageKind::CallersCut, from_us);
         self.list_as(n, Some(InstanceState::Live)).await
     }
@@ -344,6 +344,18 @@
         }
     }
 
+    /// A node is back from a planned stop and may work again, whatever else still
+    /// keeps it from following.
+    fn regain_after_stop(&self, n: usize) {
+        let mut lost = lock(&self.lost);
+        lost[n] -= 1;
+        let node = self.member(n).instance.id.clone();
+        self.log.record(Event::NodeBack { node: node.clone() });
+        if lost[n] > 0 {
+            self.log.record(Event::NodeLost { node });
+        }
+    }
+
     fn regain(&self, n: usize) {
         let mut lost = lock(&self.lost);
         lost[n] -= 1;
