--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -28,6 +28,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::rude::Rude;
+
+mod rude;
+
 /// The verb by which this program makes calls.
 pub const CALL: &str = "call";
 
@@ -61,6 +65,8 @@
     pub entries: Vec<SocketAddr>,
     /// Where the records go.
     pub records: PathBuf,
+    /// Where goes what callers saw that leave or send several requests at once.
+    pub rude: PathBuf,
 }
 
 impl Part {
@@ -88,16 +94,21 @@
     // Parts of one run draw different calls, and the same ones each time.
     let seed = part.seed.wrapping_mul(1_000).wrapping_add(part.number);
     let plan = Plan::new(&KINDS, part.rate_per_s, length, seed);
+    let run = format!("s{}-{}", part.seed, part.number);
     let caller = Caller {
         client: Client::default(),
-        way: Way::Nodes(Entries::new(part.entries)),
+        way: Way::Nodes(Entries::new(part.entries.clone())),
         kinds: KINDS.to_vec(),
-        run: format!("s{}-{}", part.seed, part.number),
+        run: run.clone(),
         repeats: REPEATS,
         timeout: TIMEOUT,
         grace: GRACE,
     };
-    let load = OpenLoop::run(plan, Arc::new(caller)).await;
+    let load = OpenLoop::run(plan, Arc::new(caller));
+    let rude = rude::call(&part.entries, &run, length, seed);
+    let (load, rude) = tokio::join!(load, rude);
+    let rude = serde_json::to_vec(&rude).into_diagnostic()?;
+    std::fs::write(&part.rude, rude).into_diagnostic()?;
     let out = File::create(&part.records).into_diagnostic()?;
     let mut out = BufWriter::new(out);
     for record in &load.records {
@@ -107,6 +118,16 @@
     out.flush().into_diagnostic()
 }
 
+/// Reads what callers saw that leave or send several requests at once.
+///
+/// # Errors
+///
+/// Fails if the file can't be read.
+pub fn read_rude(file: &Path) -> miette::Result<Rude> {
+    let text = std::fs::read(file).into_diagnostic()?;
+    serde_json::from_slice(&text).into_diagnostic()
+}
+
 /// A record as it lies in the file.
 #[derive(Debug, Deserialize)]
 struct Written {
--- /dev/null
+++ b/crates/soak/src/callers/rude/tests.rs
@@ -0,0 +1,24 @@
+use rstest::rstest;
+
+use super::is_in_order;
+
+/// Answers to r-0, r-1 and r-2 as they came.
+#[derive(Debug)]
+struct Case {
+    came: &'static [&'static str],
+    in_order: bool,
+}
+
+// Three files are asked for at once, and the second answer comes first. A caller
+// that goes by the order takes one file for another.
+#[rstest]
+#[case::all(Case { came: &["r-0", "r-1", "r-2"], in_order: true })]
+#[case::broken_off(Case { came: &["r-0"], in_order: true })]
+#[case::one_refused(Case { came: &["r-0", "r-2"], in_order: true })]
+#[case::crossed(Case { came: &["r-1", "r-0", "r-2"], in_order: false })]
+fn crossed_answers_are_found(#[case] case: Case) {
+    let answer = |id: &&str| format!("HTTP/1.1 200 OK\r\nx: y\r\n\r\n{id}\n");
+    let answers: String = case.came.iter().map(answer).collect();
+    let ids = ["r-0", "r-1", "r-2"].map(str::to_owned);
+    assert_eq!(is_in_order(&answers, &ids), case.in_order);
+}
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -25,6 +25,12 @@
             /// Keep settings, logs and records also if all went well.
             optional --keep-logs
         }
+        /// Plays the seeds that ever failed, one line of a file each: seed, nodes
+        /// and seconds, and what it was.
+        cmd regressions {
+            /// The file.
+            required file: PathBuf
+        }
         /// Makes calls; used by a run for its own processes.
         cmd call {
             /// What to do.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod fleet;
 pub mod link;
 pub mod options;
+pub mod regression;
 pub mod run;
 pub mod schedule;
 pub mod standin;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,5 @@
 //! One run from start to verdict.
 
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +14,7 @@
 
 use crate::callers;
 use crate::callers::Part;
+use crate::callers::Rude;
 use crate::child::Child;
 use crate::driver::Driver;
 use crate::fleet::Fleet;
@@ -57,12 +57,14 @@
     let calling = start_callers(opts, &fleet)?;
     driver.play(&schedule).await?;
     let mut records = Vec::new();
-    for (child, file) in calling {
+    let mut rude = Rude::default();
+    for (child, part) in calling {
         let status = child.wait().await.into_diagnostic()?;
         if !status.success() {
             return Err(miette!("a process of callers ended with {status}"));
         }
-        records.extend(callers::read_records(&file)?);
+        records.extend(callers::read_records(&part.records)?);
+        rude = rude.and(callers::read_rude(&part.rude)?);
     }
     tokio::time::sleep(SETTLE).await;
     cancel.cancel();
@@ -73,6 +75,7 @@
     let seen = Seen {
         log: &log,
         records: &records,
+        rude,
         runs: &runs,
         names: &names,
         stops: &driver.stops(),
@@ -90,8 +93,8 @@
     Ok(report)
 }
 
-/// Starts the processes that make the calls, each with the file of its records.
-fn start_callers(opts: Options, fleet: &Fleet) -> miette::Result<Vec<(Child, PathBuf)>> {
+/// Starts the processes that make the calls, each with what it was told.
+fn start_callers(opts: Options, fleet: &Fleet) -> miette::Result<Vec<(Child, Part)>> {
     let members = fleet.members.iter();
     let ways: [Vec<_>; 2] = [
         members.clone().map(|member| member.ingress).collect(),
@@ -108,11 +111,12 @@
             length_ms: u64::try_from(opts.length.as_millis()).into_diagnostic()?,
             entries: ways[number as usize % ways.len()].clone(),
             records: file("records"),
+            rude: file("rude"),
         };
         let args = part.write(&file("part"))?;
         let log = fleet.dir().join(format!("callers-{number}.log"));
         let child = Child::start(OWN, &args, &log).into_diagnostic()?;
-        Ok((child, part.records))
+        Ok((child, part))
     };
     (0..parts).map(start).collect()
 }
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -14,6 +14,7 @@
 use sassafrasspool_core::history::check;
 use serde::Serialize;
 
+use crate::callers::Rude;
 use crate::options::Options;
 use crate::schedule::Schedule;
 
@@ -30,6 +31,8 @@
     pub log: &'a Log,
     /// What callers saw.
     pub records: &'a [CallRecord],
+    /// What callers saw that leave or send several requests at once.
+    pub rude: Rude,
     /// What targets ran.
     pub runs: &'a [LedgerRun],
     /// The instances in the order of their numbers.
@@ -52,6 +55,9 @@
     /// What became of the calls.
     #[serde(flatten)]
     pub verdict: Verdict,
+    /// What callers saw that leave or send several requests at once.
+    #[serde(flatten)]
+    pub rude: Rude,
     /// Broken promises of the history by their names.
     pub violations: BTreeMap<&'static str, u64>,
     /// The first broken promises in words, with the ids of the requests.
@@ -89,8 +95,9 @@
             seed: opts.seed,
             nodes: opts.nodes,
             seconds: opts.length.as_secs(),
-            kept: !verdict.has_fault() && found.is_empty(),
+            kept: !verdict.has_fault() && found.is_empty() && seen.rude.out_of_order == 0,
             verdict,
+            rude: seen.rude,
             violations,
             told: told.take(TOLD).collect(),
             schedule: schedule.steps.iter().map(ToString::to_string).collect(),
--- a/crates/soak/src/verdict/tests.rs
+++ b/crates/soak/src/verdict/tests.rs
@@ -15,6 +15,7 @@
 
 use super::Report;
 use super::Seen;
+use crate::callers::Rude;
 use crate::options::Options;
 use crate::schedule::Schedule;
 
@@ -129,6 +130,7 @@
     let seen = Seen {
         log: &log,
         records: &[record],
+        rude: Rude::default(),
         runs: &case.runs,
         names: &[name(0), name(1)],
         stops: &case.stops,
