--- a/crates/core/src/reader/choice.rs
+++ b/crates/core/src/reader/choice.rs
@@ -19,8 +19,10 @@
 /// A node's place among those that may read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Place {
-    /// Its rank in its failure domain, from 0; absent if it isn't listed.
+    /// Its rank in its failure domain, from 0; absent if it isn't live.
     pub(crate) rank: Option<u32>,
+    /// Whether the list names it, live or leaving.
+    pub(crate) listed: bool,
     /// Instances of its failure domain that rank before it, best first.
     pub(crate) before: Vec<InstanceId>,
     /// Failure domains in the list, at least 1.
@@ -47,6 +49,7 @@
         let before = before.take(MAX_BEFORE).map(|(_, id)| (*id).clone());
         let nodes = list.iter().filter(|instance| instance.has_node()).count();
         Place {
+            listed: list.get(id).is_some(),
             rank: position.map(|n| u32::try_from(n).unwrap_or(u32::MAX)),
             before: before.collect(),
             domains: u32::try_from(domains.len().max(1)).unwrap_or(u32::MAX),
--- a/crates/core/src/reader/role.rs
+++ b/crates/core/src/reader/role.rs
@@ -55,11 +55,19 @@
 
     /// Takes in this node's place in a new list.
     pub(crate) fn set_place(&mut self, place: Place) {
-        self.readers = match place.fleet <= self.all_read {
-            true => place.fleet.max(1),
-            false => self.wanted.div_ceil(place.domains.max(1)),
-        };
+        let per_domain = self.wanted.div_ceil(place.domains.max(1));
+        let fleet = place.fleet.max(1);
         self.place = Some(place);
+        self.readers = match self.all_read() {
+            true => fleet,
+            false => per_domain,
+        };
+    }
+
+    /// Whether the fleet is so small that all of it reads.
+    pub(crate) fn all_read(&self) -> bool {
+        let place = self.place.as_ref();
+        place.is_some_and(|place| place.fleet <= self.all_read)
     }
 
     /// Readers in this node's failure domain.
--- a/crates/core/src/reader/tests.rs
+++ b/crates/core/src/reader/tests.rs
@@ -124,6 +124,7 @@
     let fleet = 4_100;
     let place = Place {
         rank: Some(9),
+        listed: true,
         before: Vec::new(),
         domains: 4,
         fleet: 4_100,
@@ -141,6 +142,7 @@
 fn chosen_readers_have_their_part_of_the_share() {
     let place = Place {
         rank: Some(1),
+        listed: true,
         before: Vec::new(),
         domains: 4,
         fleet: 4_100,
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -92,16 +92,19 @@
         self.holder.instances().is_some() && self.peers.len() == 0
     }
 
-    /// Whether the list has no live endpoint here, though the node goes on.
+    /// Whether the list doesn't name this node, though it goes on.
     ///
-    /// Its target drains, crashed, or hasn't registered yet, while callers at
-    /// its instance are still served. Others don't rank it among the readers,
-    /// nor count it among their peers once it is unlisted, so that it heard of
-    /// changes by comparing now and then: up to 2.0 s late, while it sent
-    /// requests to targets that had long said that they leave. Reading for
-    /// itself it knows within a round trip, for one read a change.
+    /// Its target crashed, or hasn't registered yet, while callers at its
+    /// instance are still served. Others don't count it among their peers, so
+    /// that it heard of changes by comparing now and then: up to 2.0 s late,
+    /// while it sent requests to targets that had long said that they leave.
+    /// Reading for itself it knows within a round trip, for one read a change.
+    ///
+    /// One whose target drains is listed, and told as all are. In a fleet that
+    /// reads with all nodes it reads as well, though it has no rank.
     fn is_counted_on_by_nobody(&self) -> bool {
-        self.role.place().is_some_and(|place| place.rank.is_none())
+        let place = self.role.place();
+        place.is_some_and(|it| !it.listed || (it.rank.is_none() && self.role.all_read()))
     }
 
     /// The age of the newest proof of contact, counted from this node's start
