--- a/crates/bench/src/calls/run.rs
+++ b/crates/bench/src/calls/run.rs
@@ -68,7 +68,7 @@
         catalogue: catalogue(opts.nodes),
         nodes: true,
         settings: "",
-        relays: false,
+        links: false,
         patience: READY,
     }
 }
--- a/crates/bench/src/chaos/driver.rs
+++ b/crates/bench/src/chaos/driver.rs
@@ -186,14 +186,14 @@
         Ok(())
     }
 
-    /// Holds the wires to a node. It excuses no silence: whoever took a call
+    /// Holds the links to a node. It excuses no silence: whoever took a call
     /// must tell its caller that nobody knows.
     async fn isolate(&self, instance: usize, length: Duration) {
-        let relays = &self.member(instance).relays;
+        let links = &self.member(instance).links;
         self.lost(instance);
-        relays.iter().for_each(|relay| relay.hold(true));
+        links.iter().for_each(|link| link.hold(true, true));
         tokio::time::sleep(length).await;
-        relays.iter().for_each(|relay| relay.hold(false));
+        links.iter().for_each(|link| link.hold(false, false));
         self.back(instance);
     }
 
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -169,7 +169,7 @@
         catalogue: catalogue::text(0),
         nodes: !opts.naive,
         settings: SETTINGS,
-        relays: !opts.naive,
+        links: !opts.naive,
         patience: READY,
     }
 }
--- a/crates/bench/src/load/fleet/layout.rs
+++ b/crates/bench/src/load/fleet/layout.rs
@@ -26,8 +26,8 @@
     pub nodes: bool,
     /// More lines of each node's settings.
     pub settings: &'static str,
-    /// Whether nodes reach each other through wires that can be held.
-    pub relays: bool,
+    /// Whether nodes reach each other through links that can be held.
+    pub links: bool,
     /// How long nodes may take until all are ready.
     pub patience: Duration,
 }
--- a/crates/bench/src/load/fleet/member.rs
+++ b/crates/bench/src/load/fleet/member.rs
@@ -11,8 +11,8 @@
 use super::settings;
 use super::settings::Listen;
 use crate::load::LedgerRun;
+use crate::load::Link;
 use crate::load::NodeProcess;
-use crate::load::Relay;
 
 /// A target with the node beside it.
 #[derive(Debug)]
@@ -27,8 +27,8 @@
     pub admin: SocketAddr,
     /// Its target.
     pub target: Target,
-    /// The wires by which other nodes reach its node, if they can be held.
-    pub relays: Vec<Relay>,
+    /// The links by which other nodes reach its node, if they can be held.
+    pub links: Vec<Link>,
     /// Its node, unless that is down.
     pub node: Mutex<Option<NodeProcess>>,
     pub(super) listen: Listen,
@@ -55,8 +55,8 @@
     ///
     /// Fails if the process can't be started.
     pub async fn start_node(&self) -> std::io::Result<()> {
-        for relay in &self.relays {
-            relay.open().await?;
+        for link in &self.links {
+            link.open().await?;
         }
         let node = NodeProcess::start(&self.settings, &self.log)?;
         *self.node.lock().await = Some(node);
@@ -72,7 +72,7 @@
         if let Some(node) = self.node.lock().await.take() {
             node.kill().await?;
         }
-        self.close_relays().await;
+        self.close_links().await;
         Ok(())
     }
 
@@ -87,13 +87,13 @@
             return Ok(None);
         };
         let status = node.stop().await?;
-        self.close_relays().await;
+        self.close_links().await;
         Ok(Some(status))
     }
 
-    async fn close_relays(&self) {
-        for relay in &self.relays {
-            relay.close().await;
+    async fn close_links(&self) {
+        for link in &self.links {
+            link.close().await;
         }
     }
 
--- a/crates/bench/src/load/fleet/whole.rs
+++ b/crates/bench/src/load/fleet/whole.rs
@@ -26,8 +26,8 @@
 use super::member::Member;
 use super::settings::Listen;
 use crate::load::LedgerRun;
+use crate::load::Link;
 use crate::load::Ports;
-use crate::load::Relay;
 use crate::load::admin;
 
 /// The region that all instances stand in.
@@ -66,7 +66,7 @@
         let mut maker = Maker {
             ports: Ports::new(),
             dir: dir.path().to_owned(),
-            relays: layout.relays,
+            links: layout.links,
         };
         let mut members = Vec::new();
         for (n, place) in layout.places.iter().enumerate() {
@@ -170,20 +170,20 @@
 struct Maker {
     ports: Ports,
     dir: PathBuf,
-    relays: bool,
+    links: bool,
 }
 
 impl Maker {
     async fn member(&mut self, n: usize, place: &Place, target: Target) -> miette::Result<Member> {
         let listen = self.listen().into_diagnostic()?;
         let mut instance = instance(n, place, listen).into_diagnostic()?;
-        let mut relays = Vec::new();
-        if self.relays {
+        let mut links = Vec::new();
+        if self.links {
             for addr in [&mut instance.traffic, &mut instance.control] {
                 let public = self.ports.take().into_diagnostic()?;
-                let relay = Relay::start(public, *addr).await.into_diagnostic()?;
-                *addr = relay.addr();
-                relays.push(relay);
+                let link = Link::start(public, *addr).await.into_diagnostic()?;
+                *addr = link.addr();
+                links.push(link);
             }
         }
         Ok(Member {
@@ -194,7 +194,7 @@
             ingress: listen.ingress,
             admin: listen.admin,
             target,
-            relays,
+            links,
             node: Mutex::new(None),
             listen,
         })
--- a/crates/soak/src/link.rs
+++ b/crates/bench/src/load/link.rs
@@ -20,6 +20,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
+#[cfg(test)]
+mod tests;
+
 /// Bytes that are passed on at once.
 const BUF_BYTES: usize = 16 * 1024;
 
--- a/crates/bench/src/load/tests.rs
+++ b/crates/bench/src/load/tests.rs
@@ -22,13 +22,13 @@
 use super::Entries;
 use super::Keys;
 use super::LedgerRun;
+use super::Link;
 use super::Naive;
 use super::OpenLoop;
 use super::Outage;
 use super::OutageKind;
 use super::Plan;
 use super::Ports;
-use super::Relay;
 use super::Repeats;
 use super::Verdict;
 use super::Way;
@@ -121,10 +121,10 @@
     let target = start_target().await;
     let mut ports = Ports::new();
     let addr = ports.take().unwrap();
-    let relay = Relay::start(addr, target.addr()).await.unwrap();
-    relay.hold(true);
+    let link = Link::start(addr, target.addr()).await.unwrap();
+    link.hold(true, true);
     let one = || plan(1).take(1).last().unwrap();
-    let caller = caller(vec![relay.addr()]);
+    let caller = caller(vec![link.addr()]);
     let late = {
         let caller = Arc::clone(&caller);
         let due = Due {
@@ -135,12 +135,12 @@
         tokio::spawn(async move { caller.call(due).await })
     };
     assert!(target.ledger().runs.is_empty());
-    relay.hold(false);
+    link.hold(false, false);
     let records = late.await.unwrap();
     assert_eq!(records[0].ending, Ending::Answered);
     assert_eq!(target.ledger().runs.len(), 1);
-    relay.close().await;
-    relay.open().await.unwrap();
+    link.close().await;
+    link.open().await.unwrap();
 }
 
 // A target does the work and answers late. A hastily written proxy takes that
--- a/crates/bench/src/overload/run.rs
+++ b/crates/bench/src/overload/run.rs
@@ -121,7 +121,7 @@
         catalogue: catalogue(),
         nodes,
         settings: "",
-        relays: false,
+        links: false,
         patience: READY,
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -12,6 +12,7 @@
 use sassafrasspool_bench::chaos::catalogue;
 use sassafrasspool_bench::chaos::catalogue::SERVICES;
 use sassafrasspool_bench::load::LedgerRun;
+use sassafrasspool_bench::load::Link;
 use sassafrasspool_bench::load::Listen;
 use sassafrasspool_bench::load::Place;
 use sassafrasspool_bench::load::Ports;
@@ -31,7 +32,6 @@
 use tokio::time::Instant;
 
 use crate::child::Child;
-use crate::link::Link;
 use crate::schedule::Way;
 use crate::standin::StandIn;
 use crate::standin::StandInFiles;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! One run goes through these modules in turn. [`schedule`] draws from a seed
 //! what happens when. [`fleet`] starts nodes, targets, the platform and callers
-//! as processes of their own ([`child`]), with a [`link`] on each way between
+//! as processes of their own ([`child`]), with a link on each way between
 //! them. [`driver`] carries the schedule out. [`verdict`] puts the callers'
 //! records, the targets' ledgers and what nodes said they had in force before
 //! the judges of the benchmark, and the report says what they found.
@@ -23,7 +23,6 @@
 pub mod child;
 pub mod driver;
 pub mod fleet;
-pub mod link;
 pub mod options;
 pub mod regression;
 pub mod run;
