--- a/crates/core/src/retry/tests.rs
+++ b/crates/core/src/retry/tests.rs
@@ -18,6 +18,8 @@
 use crate::Tick;
 use crate::Tries;
 
+mod drawn;
+
 const NOW: Tick = Tick::from_millis(1_000);
 const LIMITS: RetryLimits = RetryLimits {
     attempts: 2,
--- /dev/null
+++ b/crates/core/src/retry/tests/drawn.rs
@@ -0,0 +1,149 @@
+//! Over drawn failures, beside a naive version.
+
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+use super::LIMITS;
+use super::NOW;
+use super::lost;
+use super::refused;
+use crate::Budget;
+use crate::Deadline;
+use crate::Failure;
+use crate::Hop;
+use crate::Next;
+use crate::Outcome;
+use crate::Reason;
+use crate::Tick;
+use crate::Tries;
+
+/// How long a request may take.
+const ALLOWED: Duration = Duration::from_secs(1);
+
+/// Tries of one request that may not have reached a target, besides those that
+/// did: moves away from wrong endpoints, and asks for room.
+const MOST_BESIDES: usize = 4 + 2;
+
+/// One request and how its tries fail, one after the other.
+#[derive(Debug, Clone)]
+struct Drawn {
+    hop: Hop,
+    idempotent: bool,
+    failures: Vec<(Failure, u64)>,
+}
+
+impl Drawn {
+    /// Plays the failures until one ends the request. Gives the tries that
+    /// followed each failure, and what the caller is told.
+    fn play(&self, budget: &Budget) -> (Vec<Failure>, Failure) {
+        let deadline = Deadline::within(NOW, ALLOWED);
+        let mut tries = Tries::first(self.hop, self.idempotent, &LIMITS, deadline, budget);
+        let mut again = Vec::new();
+        let mut now: Tick = NOW;
+        for (failure, took_ms) in &self.failures {
+            now = now + Duration::from_millis(*took_ms);
+            match tries.after(now, *failure, budget) {
+                Next::Again => again.push(*failure),
+                Next::Stop(told) => return (again, told),
+            }
+        }
+        // Whatever it is tried on, its time is over at last.
+        match tries.after(NOW + ALLOWED, lost(), budget) {
+            Next::Stop(told) => (again, told),
+            Next::Again => panic!("tried again after its deadline"),
+        }
+    }
+
+    /// How often the naive version sends it: whatever failed goes again, as long
+    /// as there are attempts.
+    fn naive_sends(&self) -> usize {
+        let attempts = usize::try_from(LIMITS.attempts).unwrap();
+        attempts.min(self.failures.len() + 1)
+    }
+}
+
+fn failure() -> impl Strategy<Value = Failure> {
+    prop_oneof![
+        Just(lost()),
+        Just(refused(Reason::TargetShed)),
+        Just(refused(Reason::QueueFull)),
+        Just(refused(Reason::Draining)),
+        Just(refused(Reason::Connect)),
+        Just(refused(Reason::NoEndpoint)),
+        Just(refused(Reason::OtherLife)),
+    ]
+}
+
+fn request() -> impl Strategy<Value = Drawn> {
+    let hop = prop_oneof![Just(Hop::First), Just(Hop::Later)];
+    let failures = vec((failure(), 0_u64..400), 1..12);
+    (hop, any::<bool>(), failures).prop_map(|(hop, idempotent, failures)| Drawn {
+        hop,
+        idempotent,
+        failures,
+    })
+}
+
+/// Whether a try that ended so may have spent a target's time.
+fn reached_a_target(failure: &Failure) -> bool {
+    match failure {
+        Failure::Lost(_) => true,
+        Failure::Refused(refusal) => refusal.reason().is_of_target(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    })]
+
+    // Whatever fails in whatever order: what may have run goes again only if that
+    // harms nobody, few targets are troubled, and who is told that nothing ran
+    // can rely on it.
+    #[test]
+    fn nothing_runs_twice_and_nobody_is_told_falsely(drawn in request()) {
+        let (again, told) = drawn.play(&Budget::new());
+        assert!(drawn.hop == Hop::First || again.is_empty());
+        let lost_before = again.iter().any(|it| matches!(it, Failure::Lost(_)));
+        assert!(!lost_before || drawn.idempotent);
+        if let Failure::Refused(refusal) = told {
+            assert!(!lost_before || refusal.outcome() != Outcome::NotRun);
+        }
+        let troubled = again.iter().filter(|it| reached_a_target(it)).count();
+        assert!(troubled < usize::try_from(LIMITS.attempts).unwrap());
+        assert!(again.len() - troubled <= MOST_BESIDES);
+    }
+
+    // A service fails as a whole. Naive retries double what its targets get; by
+    // the budget it is a tenth more, and what was saved up before.
+    #[test]
+    fn a_failing_service_gets_a_tenth_more_where_naive_retries_double_it(
+        kinds in vec(any::<bool>(), 400..600),
+    ) {
+        let budget = Budget::new();
+        let calls = kinds.iter().map(|shed| Drawn {
+            hop: Hop::First,
+            idempotent: true,
+            failures: vec![(if *shed { refused(Reason::TargetShed) } else { lost() }, 1); 3],
+        });
+        let (mut sent, mut naive) = (0, 0);
+        for call in calls {
+            let (again, _) = call.play(&budget);
+            sent += 1 + again.len();
+            naive += call.naive_sends();
+        }
+        let saved_up = 10;
+        assert!(sent <= kinds.len() * 110 / 100 + saved_up + 1, "{sent}");
+        assert_eq!(naive, 2 * kinds.len());
+    }
+}
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -2,4 +2,5 @@
 
 mod bench;
 mod choice;
+mod drawn;
 mod fleet;
