Test a platform that turns a third away, power lost twice, and leave to send

As deployed, with 10 and 79 nodes: who is turned away hears of a drain within 1 s; a fleet that loses its power twice, once while it joins, serves by the newest version within 2 s. 'Expect: 100-continue' is answered at once, and not at all where the request is refused. No fault was found.

--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -79,6 +79,8 @@
     pub(super) group: Vec<u32>,
     /// Nodes of these groups can't reach the platform.
     pub(super) cut_off: Vec<u32>,
+    /// Nodes that the platform turns away.
+    pub(super) turned_away: Vec<usize>,
     pub(super) loss_percent: u32,
     pub(super) double_percent: u32,
     pub(super) naive: bool,
@@ -118,6 +120,7 @@
             platform,
             group: vec![0; n],
             cut_off: Vec::new(),
+            turned_away: Vec::new(),
             loss_percent: 0,
             double_percent: 0,
             naive: false,
--- a/crates/core/src/spread/tests/net/carry.rs
+++ b/crates/core/src/spread/tests/net/carry.rs
@@ -60,8 +60,7 @@
     ) {
         self.platform.reads.push(self.now);
         let generation = self.nodes[n].as_ref().unwrap().generation;
-        let reached = !self.cut_off.contains(&self.group[n]);
-        let result = match reached {
+        let result = match self.reads(n) {
             true => self.platform.read(stream, after),
             false => Some(crate::SourceResult::Failed {
                 reason: "cut off".to_owned(),
@@ -82,6 +81,11 @@
         self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
     }
 
+    /// Whether a node reaches the platform and is served there.
+    fn reads(&self, n: usize) -> bool {
+        !self.cut_off.contains(&self.group[n]) && !self.turned_away.contains(&n)
+    }
+
     /// Answers the watches for which there is something now.
     pub(super) fn answer_watches(&mut self) {
         let waiting: Vec<u64> = self.due.keys().copied().collect();
@@ -95,7 +99,7 @@
             else {
                 continue;
             };
-            if *until < self.now || self.cut_off.contains(&self.group[*n]) {
+            if *until < self.now || !self.reads(*n) {
                 continue;
             }
             let (n, generation, stream) = (*n, *generation, *stream);
--- a/crates/core/src/spread/tests/outages.rs
+++ b/crates/core/src/spread/tests/outages.rs
@@ -1,9 +1,13 @@
 use std::time::Duration;
 
+use rstest::rstest;
+
 use super::net::Net;
 use super::net::good;
 use super::net::joined_net;
 use super::net::joined_net_with;
+use super::node::Node;
+use crate::InstanceState;
 use crate::SpreadConfig;
 use crate::Tick;
 
@@ -190,3 +194,67 @@
         net.up().skip(1).all(|node| node.endpoints() == 11)
     });
 }
+
+/// As on a platform whose reads are dear: small fleets read with all nodes.
+fn few_reads() -> SpreadConfig {
+    SpreadConfig {
+        readers: 6,
+        all_read: 16,
+        watch: Duration::from_secs(10),
+        rest: Duration::from_millis(500),
+        contact_bound: Duration::from_secs(10),
+        assumed_fleet: 100,
+        join_bound: Duration::from_millis(300),
+        call_timeout: Duration::from_millis(500),
+        backoff_base: Duration::from_millis(100),
+        backoff_cap: Duration::from_secs(1),
+        ..SpreadConfig::default()
+    }
+}
+
+// The platform turns a third of the nodes away, readers among them, and a target
+// says that it leaves. Nodes that went on by the old list would send it requests
+// until it is cut. All hold the new one in time, by those who are served.
+#[rstest]
+#[case::small_fleet(10)]
+#[case::large_fleet(79)]
+fn nodes_that_are_turned_away_hear_of_a_drain_in_time(#[case] nodes: usize) {
+    let mut net = joined_net_with(nodes, 9, few_reads());
+    net.run_for(Duration::from_secs(5));
+    for third in 0..3 {
+        net.turned_away = (third..nodes).step_by(3).collect();
+        net.run_for(Duration::from_secs(3));
+        let mut list = net.platform.newest_list();
+        list[third + 1].state = InstanceState::Leaving;
+        net.list(list);
+        let newest = net.platform.lists();
+        net.run_until(Duration::from_secs(1), |net| {
+            let held = |node: &Node| node.applied.last().is_some_and(|it| it.1 == newest);
+            net.up().all(held)
+        });
+    }
+    net.assert_no_step_back();
+}
+
+// All instances lose their power, come back with empty memory, and lose it again
+// while they are joining. Meanwhile the operators publish. Each time, callers
+// find nodes that serve by the newest version soon after the power is back.
+#[rstest]
+#[case::small_fleet(10)]
+#[case::large_fleet(79)]
+fn a_fleet_that_loses_its_power_twice_is_back_soon(#[case] nodes: usize) {
+    let mut net = joined_net_with(nodes, 10, few_reads());
+    for (revision, on_for_ms) in [(2, 200), (3, 5_000), (4, 150), (5, 5_000)] {
+        (0..nodes).for_each(|n| net.stop(n));
+        net.run_for(Duration::from_millis(1_500));
+        net.publish(revision, &good(revision));
+        (0..nodes).for_each(|n| net.start(n));
+        if on_for_ms > 1_000 {
+            net.run_until(Duration::from_secs(2), |net| {
+                net.up().all(|node| node.joined) && net.all_at(revision)
+            });
+        }
+        net.run_for(Duration::from_millis(on_for_ms));
+    }
+    net.assert_no_step_back();
+}
--- a/crates/node/tests/requests/upload.rs
+++ b/crates/node/tests/requests/upload.rs
@@ -108,3 +108,47 @@
     assert!(answer.starts_with("HTTP/1.1 404 "), "{answer}");
     assert!(answer.contains("connection: close"), "{answer}");
 }
+
+/// Sends a head that waits for leave to send its body of four bytes; gives what
+/// is answered first.
+async fn ask_for_leave(path: &str, addr: SocketAddr) -> (TcpStream, String) {
+    let mut stream = TcpStream::connect(addr).await.expect("a connection");
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: desk.example\r\nx-request-id: r-1\r\n\
+         content-length: 4\r\nexpect: 100-continue\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("a head");
+    let answer = read_some(&mut stream).await;
+    (stream, answer)
+}
+
+async fn read_some(stream: &mut TcpStream) -> String {
+    let mut buf = [0; 1024];
+    let len = stream.read(&mut buf).await.expect("an answer");
+    String::from_utf8_lossy(&buf[..len]).into_owned()
+}
+
+// A workshop's program asks for leave before it sends photographs. Without an
+// answer to that it would wait for its own timeout; it sends them at once, and
+// they reach the target.
+#[tokio::test]
+async fn who_waits_for_leave_to_send_gets_it() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let ingress = fleet.members[0].addrs.ingress;
+    let (mut stream, leave) = ask_for_leave("/adjuster/approve", ingress).await;
+    assert!(leave.starts_with("HTTP/1.1 100 "), "{leave}");
+    stream.write_all(b"glas").await.expect("a body");
+    let answer = read_some(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert!(answer.contains("x-received-bytes: 4"), "{answer}");
+}
+
+// The same at a path that no route takes: the answer comes without the leave, so
+// that nothing is sent in vain.
+#[tokio::test]
+async fn who_is_refused_gets_no_leave_to_send() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let (_, answer) = ask_for_leave("/nowhere", fleet.members[0].addrs.ingress).await;
+    assert!(answer.starts_with("HTTP/1.1 404 "), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+}
