--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -17,6 +17,7 @@
 mod at_target;
 mod attempt;
 mod beside;
+mod beside_trail;
 mod bounds;
 mod caller_side;
 mod counters;
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -20,11 +20,11 @@
 use sassafrasspool_core::StoredAnswer;
 use sassafrasspool_core::Tick;
 use sassafrasspool_wire::header as names;
-use sassafrasspool_wire::log::BESIDE;
-use sassafrasspool_wire::log::RequestLine;
 
 use super::answer::Answer;
 use super::at_target::AtTarget;
+use super::beside_trail::BesideTrail;
+use super::beside_trail::Facts;
 use super::head;
 use super::keyed::Keyed;
 use super::missed::Missed;
@@ -33,10 +33,6 @@
 use super::unsent_key::UnsentKey;
 use super::worker::Worker;
 use crate::Routes;
-use crate::log;
-use crate::log::Rank;
-use crate::log::micros;
-use crate::log::unix_ms;
 
 /// What is known of a call beside its head and body.
 #[derive(Debug, Clone)]
@@ -107,10 +103,9 @@
         key: UnsentKey::new(running),
     };
     let limits = &service.entry.limits;
-    let begun = worker.hub.shared.clock().now();
-    let id = at_target.id();
+    let trail = BesideTrail::new(worker, facts, at_target.id());
     let ran = at_target.run(class, limits, slots).await;
-    tell(worker, &facts, id.as_ref(), begun, &ran);
+    trail.end(&ran);
     let mut res = ran?;
     add_load(worker, res.headers_mut());
     Ok(res)
@@ -180,52 +175,3 @@
 fn refuse(reason: Reason) -> Refusal {
     Refusal::not_run(Step::Admission, reason)
 }
-
-/// What the log tells of a request beside its target, besides its end.
-#[derive(Debug)]
-struct Facts {
-    class: Class,
-    kind: Option<KindName>,
-    life: Option<HeaderValue>,
-    deadline: Deadline,
-    aim: Option<Tick>,
-    list: u64,
-}
-
-fn tell(
-    worker: &Worker,
-    facts: &Facts,
-    id: Option<&HeaderValue>,
-    begun: Tick,
-    ran: &Result<Response<Answer>, Missed>,
-) {
-    let shared = &worker.hub.shared;
-    let sink = shared.log();
-    let Some(id) = id.filter(|_| !sink.is_silent()) else {
-        return;
-    };
-    let now = shared.clock().now();
-    let load = worker.hub.admission.load();
-    let text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
-    let line = RequestLine {
-        unix_ms: unix_ms(),
-        node: shared.me().as_str().into(),
-        event: BESIDE.into(),
-        request: text(id).into(),
-        kind: facts.kind.as_ref().map(|kind| kind.as_str().into()),
-        class: Some(facts.class.as_str().into()),
-        life: facts.life.as_ref().map(|life| text(life).into()),
-        status: ran.as_ref().ok().map(|res| res.status().as_u16()),
-        took_us: micros(now.since(begun)),
-        load: Some([load.in_flight, load.slots, load.queued]),
-        left_us: micros(facts.deadline.remaining(now)),
-        aim_left_us: facts.aim.map(|aim| micros(aim.since(now))),
-        list: Some(facts.list),
-        ..RequestLine::default()
-    };
-    let (rank, how) = match ran {
-        Ok(_) => (Rank::Success, log::Told::ANSWERED),
-        Err(missed) => (Rank::Failure, (&missed.failure).into()),
-    };
-    sink.tell(rank, &log::told(line, how));
-}
--- a/crates/node/tests/requests/told.rs
+++ b/crates/node/tests/requests/told.rs
@@ -4,6 +4,7 @@
 
 use http::StatusCode;
 use sassafrasspool_standin::Written;
+use sassafrasspool_wire::log::BESIDE;
 use sassafrasspool_wire::log::ENDED;
 use sassafrasspool_wire::log::RequestLine;
 
@@ -15,12 +16,17 @@
 
 /// How a request ended by a log: outcome, step, reason and the instance it was at.
 fn ends_of(written: &Written, id: &str) -> Vec<[String; 4]> {
+    lines_of(written, id, ENDED)
+}
+
+/// The same of the lines of an event.
+fn lines_of(written: &Written, id: &str, event: &str) -> Vec<[String; 4]> {
     let text = written.text();
     let lines = text.lines().map(|line| {
         let line: RequestLine<'_> = serde_json::from_str(line).expect("a line");
         line
     });
-    let own = lines.filter(|line| line.request == id && line.event == ENDED);
+    let own = lines.filter(|line| line.request == id && line.event == event);
     own.map(|line| {
         let fields = [Some(line.outcome), line.step, line.reason, line.instance];
         fields.map(|field| field.unwrap_or_default().into_owned())
@@ -46,6 +52,25 @@
     assert_eq!(ends_of(&desk.written, "left"), [told]);
 }
 
+// The same caller's request, looked for in the log of the node beside the target.
+// It had run there for a while, and nothing told of it.
+#[tokio::test]
+async fn a_request_whose_caller_left_has_a_line_beside_its_target() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let [desk, adjuster] = &fleet.members[..] else {
+        panic!("two members");
+    };
+    adjuster.target.set_slow(Duration::from_secs(60)).await;
+    let req = client::get("/adjuster/files", "left");
+    let call = tokio::spawn(client::call(desk.addrs.ingress, req));
+    wait::until("a run", || adjuster.target.stats().inflight == 1).await;
+    call.abort();
+    let lines = || lines_of(&adjuster.written, "left", BESIDE);
+    wait::until("its line", || !lines().is_empty()).await;
+    let told = ["unknown", "forward", "caller-gone", ""].map(str::to_owned);
+    assert_eq!(lines(), [told]);
+}
+
 // An operator looks for a request that got 404 while a route was taken back. It
 // had no line, since it had no route.
 #[tokio::test]
