--- a/crates/bench/src/chaos.rs
+++ b/crates/bench/src/chaos.rs
@@ -12,6 +12,7 @@
 pub use self::script::Script;
 pub use self::script::Step;
 
+pub mod callers;
 pub mod catalogue;
 mod driver;
 pub mod events;
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -24,6 +24,9 @@
 
 use super::Options;
 use super::Report;
+use super::callers::GRACE;
+use super::callers::REPEATS;
+use super::callers::TIMEOUT;
 use super::catalogue;
 use super::catalogue::KINDS;
 use super::catalogue::SERVICES;
@@ -45,7 +48,6 @@
 use crate::load::OpenLoop;
 use crate::load::Place;
 use crate::load::Plan;
-use crate::load::Repeats;
 use crate::load::Way;
 use crate::summary::Samples;
 
@@ -63,21 +65,6 @@
     ("archive", 30_000),
 ];
 
-/// How callers repeat themselves.
-const REPEATS: Repeats = Repeats {
-    attempts: 3,
-    pause: Duration::from_millis(150),
-    impatient_percent: 5,
-    impatient_after: Duration::from_millis(30),
-};
-
-/// How long callers want answers for.
-const TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// How much longer callers wait. A paused node may answer late, but it has
-/// to answer.
-const GRACE: Duration = Duration::from_millis(3_500);
-
 /// How long a version may take until it is in force on every node that runs,
 /// also when the source was back just before.
 const IN_FORCE: Duration = Duration::from_secs(8);
--- a/crates/bench/src/load/admin.rs
+++ b/crates/bench/src/load/admin.rs
@@ -15,10 +15,14 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// How long a node may take to answer; a paused one doesn't.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How often a node that isn't ready is asked again.
+const POLL: Duration = Duration::from_millis(20);
+
 /// How long a stand-in may take to answer; on a busy machine it waits its turn.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -37,6 +41,18 @@
     phase == Some("ready")
 }
 
+/// Waits until the node says that it is ready; tells whether it did so before
+/// `end`.
+pub async fn is_ready_before(addr: SocketAddr, end: Instant) -> bool {
+    while !is_ready(addr).await {
+        if Instant::now() >= end {
+            return false;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    true
+}
+
 /// Posts JSON to the admin port of a stand-in; `None` if that doesn't answer.
 pub async fn post(addr: SocketAddr, path: &str, json: String) -> Option<StatusCode> {
     tell(addr, Request::post(path), json).await
--- a/crates/bench/src/load/fleet/whole.rs
+++ b/crates/bench/src/load/fleet/whole.rs
@@ -36,9 +36,6 @@
 /// Other nodes that each node's settings name.
 const SEEDS: usize = 3;
 
-/// How often a node that isn't ready is asked again.
-const POLL: Duration = Duration::from_millis(20);
-
 /// A running fleet; its processes are killed when it is dropped.
 #[derive(Debug)]
 pub struct Fleet {
@@ -107,12 +104,9 @@
     pub async fn until_ready(&self, patience: Duration) -> miette::Result<()> {
         let end = Instant::now() + patience;
         for member in &self.members {
-            while !admin::is_ready(member.admin).await {
-                if Instant::now() >= end {
-                    let log = std::fs::read_to_string(&member.log).unwrap_or_default();
-                    return Err(miette!("{} isn't ready; {log}", member.instance.id));
-                }
-                tokio::time::sleep(POLL).await;
+            if !admin::is_ready_before(member.admin, end).await {
+                let log = std::fs::read_to_string(&member.log).unwrap_or_default();
+                return Err(miette!("{} isn't ready; {log}", member.instance.id));
             }
         }
         Ok(())
--- a/crates/node/tests/requests/told.rs
+++ b/crates/node/tests/requests/told.rs
@@ -34,10 +34,8 @@
     .collect()
 }
 
-// A caller complains that its request vanished. It had left by itself, while the
-// request ran two hops away, and the log had no line of it.
-#[tokio::test]
-async fn a_request_whose_caller_left_has_its_line() {
+/// A fleet whose adjuster ran a request of the desk as its caller left.
+async fn left_while_it_ran() -> Fleet {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
     let [desk, adjuster] = &fleet.members[..] else {
         panic!("two members");
@@ -47,25 +45,26 @@
     let call = tokio::spawn(client::call(desk.addrs.ingress, req));
     wait::until("a run", || adjuster.target.stats().inflight == 1).await;
     call.abort();
-    wait::until("its line", || !ends_of(&desk.written, "left").is_empty()).await;
+    fleet
+}
+
+// A caller complains that its request vanished. It had left by itself, while the
+// request ran two hops away, and the log had no line of it.
+#[tokio::test]
+async fn a_request_whose_caller_left_has_its_line() {
+    let fleet = left_while_it_ran().await;
+    let lines = || ends_of(&fleet.members[0].written, "left");
+    wait::until("its line", || !lines().is_empty()).await;
     let told = ["unknown", "forward", "caller-gone", "ad-1"].map(str::to_owned);
-    assert_eq!(ends_of(&desk.written, "left"), [told]);
+    assert_eq!(lines(), [told]);
 }
 
 // The same caller's request, looked for in the log of the node beside the target.
 // It had run there for a while, and nothing told of it.
 #[tokio::test]
 async fn a_request_whose_caller_left_has_a_line_beside_its_target() {
-    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
-    let [desk, adjuster] = &fleet.members[..] else {
-        panic!("two members");
-    };
-    adjuster.target.set_slow(Duration::from_secs(60)).await;
-    let req = client::get("/adjuster/files", "left");
-    let call = tokio::spawn(client::call(desk.addrs.ingress, req));
-    wait::until("a run", || adjuster.target.stats().inflight == 1).await;
-    call.abort();
-    let lines = || lines_of(&adjuster.written, "left", BESIDE);
+    let fleet = left_while_it_ran().await;
+    let lines = || lines_of(&fleet.members[1].written, "left", BESIDE);
     wait::until("its line", || !lines().is_empty()).await;
     let told = ["unknown", "forward", "caller-gone", ""].map(str::to_owned);
     assert_eq!(lines(), [told]);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -15,6 +15,9 @@
 
 use miette::IntoDiagnostic;
 use miette::miette;
+use sassafrasspool_bench::chaos::callers::GRACE;
+use sassafrasspool_bench::chaos::callers::REPEATS;
+use sassafrasspool_bench::chaos::callers::TIMEOUT;
 use sassafrasspool_bench::chaos::catalogue::KINDS;
 use sassafrasspool_bench::load::CallRecord;
 use sassafrasspool_bench::load::Caller;
@@ -23,7 +26,6 @@
 use sassafrasspool_bench::load::Entries;
 use sassafrasspool_bench::load::OpenLoop;
 use sassafrasspool_bench::load::Plan;
-use sassafrasspool_bench::load::Repeats;
 use sassafrasspool_bench::load::Way;
 use serde::Deserialize;
 use serde::Serialize;
@@ -35,21 +37,6 @@
 /// The verb by which this program makes calls.
 pub const CALL: &str = "call";
 
-/// How callers repeat themselves; some don't wait for the first attempt.
-const REPEATS: Repeats = Repeats {
-    attempts: 3,
-    pause: Duration::from_millis(150),
-    impatient_percent: 5,
-    impatient_after: Duration::from_millis(30),
-};
-
-/// How long callers want answers for.
-const TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// How much longer they wait. A frozen node may answer late, but it has to
-/// answer.
-const GRACE: Duration = Duration::from_millis(3_500);
-
 /// What one process of callers is told.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Part {
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -15,14 +15,12 @@
 use sassafrasspool_bench::load::OutageKind;
 use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::history::Event;
-use sassafrasspool_standin::platform::PlatformSwitches;
-use sassafrasspool_standin::target::HealthReport;
-use sassafrasspool_standin::target::LateAnswers;
-use sassafrasspool_standin::target::TargetSwitches;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use self::operators::Operators;
+use self::switches::of_platform;
+use self::switches::of_target;
 use crate::fleet::Fleet;
 use crate::fleet::Member;
 use crate::schedule::Fault;
@@ -35,17 +33,12 @@
 use crate::schedule::Way;
 
 mod operators;
+mod switches;
 
 /// By how much bytes are delayed: more than any wait inside of a failure
 /// domain, less than what callers wait for.
 const DELAY: Duration = Duration::from_millis(40);
 
-/// By how much a slow target takes longer.
-const SLOW_MS: u64 = 200;
-
-/// By how much answers of the platform cross.
-const CROSSING_MS: u64 = 300;
-
 /// What faults are done with.
 #[derive(Debug)]
 pub struct Driver {
@@ -238,9 +231,9 @@
             }
             _ => {
                 let from_us = now_us();
-                target.switch(&switched(what, true)).await?;
+                target.switch(&of_target(what, true)).await?;
                 tokio::time::sleep(length).await;
-                target.switch(&switched(what, false)).await?;
+                target.switch(&of_target(what, false)).await?;
                 if what == TargetFault::CutAnswers {
                     self.note(n, OutageKind::AnswersCut, from_us);
                 }
@@ -297,29 +290,15 @@
     async fn of_platform(&self, what: PlatformFault, length: Duration) -> miette::Result<()> {
         let platform = &self.fleet.platform;
         self.log.record(Event::SourceLost);
-        let ms = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-        let mut on = PlatformSwitches::default();
-        let mut off = PlatformSwitches::default();
-        match what {
-            PlatformFault::Outage => (on.outage, off.outage) = (Some(true), Some(false)),
-            PlatformFault::Stale => (on.stale, off.stale) = (Some(true), Some(false)),
-            PlatformFault::ListLag => {
-                (on.list_lag_ms, off.list_lag_ms) = (Some(ms(length)), Some(0));
-            }
-            PlatformFault::SlowAnswers => {
-                (on.answer_delay_ms, off.answer_delay_ms) = (Some(CROSSING_MS), Some(0));
-            }
-            PlatformFault::Freeze => {
-                platform.freeze(true).into_diagnostic()?;
-                tokio::time::sleep(length).await;
-                platform.freeze(false).into_diagnostic()?;
-                self.log.record(Event::SourceBack);
-                return Ok(());
-            }
+        if what == PlatformFault::Freeze {
+            platform.freeze(true).into_diagnostic()?;
+            tokio::time::sleep(length).await;
+            platform.freeze(false).into_diagnostic()?;
+        } else {
+            platform.switch(&of_platform(what, length, true)).await?;
+            tokio::time::sleep(length).await;
+            platform.switch(&of_platform(what, length, false)).await?;
         }
-        platform.switch(&on).await?;
-        tokio::time::sleep(length).await;
-        platform.switch(&off).await?;
         if what == PlatformFault::ListLag {
             // A list of the last moment is still held back that long.
             tokio::time::sleep(length).await;
@@ -391,30 +370,6 @@
     }
 }
 
-/// The switch of a fault that a target has one for.
-fn switched(what: TargetFault, on: bool) -> TargetSwitches {
-    let mut switches = TargetSwitches::default();
-    match what {
-        TargetFault::Drain => switches.drain = Some(on),
-        TargetFault::Slow => switches.slow_ms = Some(u64::from(on) * SLOW_MS),
-        TargetFault::Hang => switches.hang_after_run = Some(on),
-        TargetFault::CutAnswers => switches.cut_body = Some(on),
-        TargetFault::Late => {
-            switches.late = Some(LateAnswers {
-                every: u64::from(on) * 3,
-                by_ms: 2 * SLOW_MS,
-            });
-        }
-        _ => {
-            switches.health = Some(match on {
-                true => HealthReport::Ill,
-                false => HealthReport::Truth,
-            });
-        }
-    }
-    switches
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/crates/soak/src/driver/switches.rs
@@ -0,0 +1,55 @@
+//! Faults that stand-ins have switches for.
+
+use std::time::Duration;
+
+use sassafrasspool_standin::platform::PlatformSwitches;
+use sassafrasspool_standin::target::HealthReport;
+use sassafrasspool_standin::target::LateAnswers;
+use sassafrasspool_standin::target::TargetSwitches;
+
+use crate::schedule::PlatformFault;
+use crate::schedule::TargetFault;
+
+/// By how much a slow target takes longer.
+const SLOW_MS: u64 = 200;
+
+/// By how much answers of the platform cross.
+const CROSSING_MS: u64 = 300;
+
+/// What a fault switches on the platform, or off; a freeze has no switch.
+pub(super) fn of_platform(what: PlatformFault, length: Duration, on: bool) -> PlatformSwitches {
+    let mut switches = PlatformSwitches::default();
+    let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+    match what {
+        PlatformFault::Outage => switches.outage = Some(on),
+        PlatformFault::Stale => switches.stale = Some(on),
+        PlatformFault::ListLag => switches.list_lag_ms = Some(u64::from(on) * length_ms),
+        PlatformFault::SlowAnswers => switches.answer_delay_ms = Some(u64::from(on) * CROSSING_MS),
+        PlatformFault::Freeze => {}
+    }
+    switches
+}
+
+/// What a fault switches on a target, or off.
+pub(super) fn of_target(what: TargetFault, on: bool) -> TargetSwitches {
+    let mut switches = TargetSwitches::default();
+    match what {
+        TargetFault::Drain => switches.drain = Some(on),
+        TargetFault::Slow => switches.slow_ms = Some(u64::from(on) * SLOW_MS),
+        TargetFault::Hang => switches.hang_after_run = Some(on),
+        TargetFault::CutAnswers => switches.cut_body = Some(on),
+        TargetFault::Late => {
+            switches.late = Some(LateAnswers {
+                every: u64::from(on) * 3,
+                by_ms: 2 * SLOW_MS,
+            });
+        }
+        _ => {
+            switches.health = Some(match on {
+                true => HealthReport::Ill,
+                false => HealthReport::Truth,
+            });
+        }
+    }
+    switches
+}
--- /dev/null
+++ b/crates/soak/src/fleet/maker.rs
@@ -0,0 +1,179 @@
+//! Making the platform and the instances of a run.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use miette::IntoDiagnostic;
+use sassafrasspool_bench::chaos::catalogue::SERVICES;
+use sassafrasspool_bench::load::Link;
+use sassafrasspool_bench::load::Listen;
+use sassafrasspool_bench::load::Place;
+use sassafrasspool_bench::load::Ports;
+use sassafrasspool_bench::load::node_settings;
+use sassafrasspool_core::DomainName;
+use sassafrasspool_core::Instance;
+use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::InstanceState;
+use sassafrasspool_core::RegionName;
+use sassafrasspool_core::ServiceName;
+use sassafrasspool_standin::TargetSettings;
+use tokio::sync::Mutex;
+
+use super::Member;
+use crate::schedule::Way;
+use crate::standin::StandIn;
+use crate::standin::StandInFiles;
+
+/// The region that all instances stand in.
+const REGION: &str = "ulaanbaatar";
+
+/// Slots of each target.
+const SLOTS: u32 = 10;
+
+/// Connections of each target: its slots, and those that nodes which were killed
+/// still hold there.
+const CONNECTIONS: u32 = 4 * SLOTS;
+
+/// How long a target refuses work after each start, in milliseconds.
+const COLD_START_MS: u64 = 100;
+
+/// Service times by kind, in microseconds.
+const SERVICE_US: &str = "{approval: 20000, claim: 15000, lookup: 5000, archive: 30000}";
+
+/// Leases short enough to end and to be taken up again within a run, proofs of
+/// the instance list that come around within a lease, and a planned stop that
+/// is over before a run is.
+const NODE_SETTINGS: &str = "\
+repeat: {lease_ms: 2500, hold_ms: 20000}
+spread: {interval_ms: 200, watch_ms: 500, contact_bound_ms: 1000, takeover_step_ms: 100}
+drain: {bound_ms: 5000}
+";
+
+/// What the platform and members are made with.
+#[derive(Debug)]
+pub(super) struct Maker {
+    ports: Ports,
+    dir: PathBuf,
+}
+
+impl Maker {
+    /// Files go to `dir`.
+    pub(super) fn new(dir: &Path) -> Maker {
+        Maker {
+            ports: Ports::new(),
+            dir: dir.to_owned(),
+        }
+    }
+
+    /// The ports that were given out, which stay taken as long as these live.
+    pub(super) fn into_ports(self) -> Ports {
+        self.ports
+    }
+
+    /// Starts the platform.
+    pub(super) async fn platform(&mut self) -> miette::Result<StandIn> {
+        let (addr, admin) = self.two_addrs()?;
+        self.standin("platform", "platform", addr, admin, "").await
+    }
+
+    /// Starts the `n`th target and the links of its instance; its node is started
+    /// later.
+    pub(super) async fn member(
+        &mut self,
+        n: usize,
+        platform: SocketAddr,
+    ) -> miette::Result<Member> {
+        let place = Place::new(n, SERVICES[n % SERVICES.len()], TargetSettings::default());
+        let name = format!("{}-{n}", place.service);
+        let (addr, admin) = self.two_addrs()?;
+        let more = format!(
+            "slots: {SLOTS}\nconnections: {CONNECTIONS}\ncold_start_ms: {COLD_START_MS}\n\
+             service: {{kinds_us: {SERVICE_US}}}\n"
+        );
+        let target_name = format!("target-{n}");
+        let target = self.standin("target", &target_name, addr, admin, &more);
+        let target = target.await?;
+        let listen = self.listen()?;
+        let links = [
+            self.link(listen.traffic).await?,
+            self.link(listen.control).await?,
+            self.link(platform).await?,
+            self.link(target.addr).await?,
+            self.link(listen.ingress).await?,
+        ];
+        let of = |way: Way| links[way as usize].addr();
+        let instance = Instance {
+            id: InstanceId::new(&name).into_diagnostic()?,
+            service: ServiceName::new(&place.service).into_diagnostic()?,
+            region: RegionName::new(REGION).into_diagnostic()?,
+            domain: DomainName::new(place.domain).into_diagnostic()?,
+            traffic: of(Way::PeerTraffic),
+            control: of(Way::PeerControl),
+            slots: SLOTS,
+            connections: CONNECTIONS,
+            state: InstanceState::Live,
+            target: None,
+        };
+        let settings = self.dir.join(format!("{name}.yaml"));
+        let text = node_settings(
+            &instance,
+            listen,
+            of(Way::Target),
+            of(Way::Platform),
+            &[],
+            NODE_SETTINGS,
+        );
+        std::fs::write(&settings, text).into_diagnostic()?;
+        Ok(Member {
+            ingress: listen.ingress,
+            entry: of(Way::Callers),
+            admin: listen.admin,
+            instance,
+            target,
+            links,
+            node: Mutex::new(None),
+            settings,
+            log: self.dir.join(format!("{name}.log")),
+        })
+    }
+
+    async fn standin(
+        &self,
+        verb: &'static str,
+        name: &str,
+        addr: SocketAddr,
+        admin: SocketAddr,
+        more: &str,
+    ) -> miette::Result<StandIn> {
+        let files = StandInFiles {
+            verb,
+            settings: self.dir.join(format!("{name}.yaml")),
+            log: self.dir.join(format!("{name}.log")),
+        };
+        let text = format!("listen: {addr}\nadmin: {admin}\n{more}");
+        std::fs::write(&files.settings, text).into_diagnostic()?;
+        StandIn::start(&files, addr, admin).await
+    }
+
+    async fn link(&mut self, to: SocketAddr) -> miette::Result<Link> {
+        let addr = self.ports.take().into_diagnostic()?;
+        Link::start(addr, to).await.into_diagnostic()
+    }
+
+    fn listen(&mut self) -> miette::Result<Listen> {
+        let mut take = || self.ports.take().into_diagnostic();
+        Ok(Listen {
+            ingress: take()?,
+            egress: take()?,
+            traffic: take()?,
+            control: take()?,
+            admin: take()?,
+        })
+    }
+
+    fn two_addrs(&mut self) -> miette::Result<(SocketAddr, SocketAddr)> {
+        let mut take = || self.ports.take().into_diagnostic();
+        Ok((take()?, take()?))
+    }
+}
