Judge a request that crosses the close of an idle connection at a stop

The judge excuses silence at a planned stop only where no target ran the request and the close was seen within 20 ms of the send; a request that was run, or lay unread for longer, stays a loss. Three cases before the judge show each.

--- a/crates/bench/src/load/judge/outage.rs
+++ b/crates/bench/src/load/judge/outage.rs
@@ -15,6 +15,9 @@
     AnswersCut,
     /// What lies between callers and the node broke off connections.
     CallersCut,
+    /// The node, at its planned stop, closed connections that were idle. A
+    /// request may cross that on its way, and nothing can be said to it.
+    IdleClosed,
 }
 
 impl OutageKind {
--- a/crates/bench/src/load/tests.rs
+++ b/crates/bench/src/load/tests.rs
@@ -264,6 +264,24 @@
     outages: vec![outage(0, "127.0.0.1:2000", OutageKind::NodeKilled)],
     told: Verdict { lost: 1, ..Verdict::default() },
 })]
+#[case::a_request_that_crossed_the_close_at_a_stop_is_known_to_be_unknown(Case {
+    records: vec![record(1, Ending::Silence)],
+    runs: vec![],
+    outages: vec![outage(0, ENTRY, OutageKind::IdleClosed)],
+    told: Verdict { unknown: 1, unknown_by_death: 1, ..Verdict::default() },
+})]
+#[case::a_request_that_a_stopping_node_ran_was_read(Case {
+    records: vec![record(1, Ending::Silence)],
+    runs: vec![run(1, RunEnd::Finished)],
+    outages: vec![outage(3, ENTRY, OutageKind::IdleClosed)],
+    told: Verdict { lost: 1, ..Verdict::default() },
+})]
+#[case::a_request_that_lay_at_a_stopping_node_didn_t_cross(Case {
+    records: vec![CallRecord { ended_us: 100_000, ..record(1, Ending::Silence) }],
+    runs: vec![],
+    outages: vec![outage(0, ENTRY, OutageKind::IdleClosed)],
+    told: Verdict { lost: 1, ..Verdict::default() },
+})]
 #[case::a_target_that_crashed_amid_its_answer_breaks_it(Case {
     records: vec![record(1, Ending::Broken)],
     runs: vec![run(1, RunEnd::AnswerCut)],
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -39,6 +39,11 @@
 /// domain, less than what callers wait for.
 const DELAY: Duration = Duration::from_millis(40);
 
+/// How long before its end a node that was told to stop closes connections that
+/// are idle at most, in microseconds: it says so on all that it answers on for as
+/// long as it refuses, and ends within a moment after.
+const CLOSE_US: u64 = 500_000;
+
 /// What faults are done with.
 #[derive(Debug)]
 pub struct Driver {
@@ -172,6 +177,7 @@
         };
         self.log.record(began);
         let whole = member.stop_node().await.into_diagnostic()?;
+        self.note(n, OutageKind::IdleClosed, now_us().saturating_sub(CLOSE_US));
         lock(&self.stops).push(Stopped {
             instance: n,
             at_us: now_us(),
