--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -96,6 +96,7 @@
 /// Starts the processes that make the calls, each with what it was told.
 fn start_callers(opts: Options, fleet: &Fleet) -> miette::Result<Vec<(Child, Part)>> {
     let members = fleet.members.iter();
+    // Every other process comes by the links.
     let ways: [Vec<_>; 2] = [
         members.clone().map(|member| member.ingress).collect(),
         members.map(|member| member.entry).collect(),
