Bind another list without copying the old endpoints, and find one by its id

find_endpoint looked through all endpoints. The later tries of a request ask it for each endpoint of the service while the list has changed, so that it was a search of all for each of them. The endpoints' keys are kept in the order of the list, which is that of the ids, and searched by halves.

Behaviour is as before; another_list_gives_what_building_anew_does also asks for each listed instance and for one that isn't.

--- a/crates/core/src/snapshot/build.rs
+++ b/crates/core/src/snapshot/build.rs
@@ -56,6 +56,7 @@
             services: self.services,
             by_name: Arc::new(self.by_name),
             endpoints: SlotMap::with_key(),
+            in_order: Vec::new(),
             routes: Arc::new(self.routes),
             callers: self.callers,
         };
--- a/crates/core/src/snapshot/tests.rs
+++ b/crates/core/src/snapshot/tests.rs
@@ -2,6 +2,7 @@
 
 use crate::BoundService;
 use crate::Catalogue;
+use crate::InstanceId;
 use crate::InstanceList;
 use crate::Revision;
 use crate::Snapshot;
@@ -121,6 +122,12 @@
         let anew = Snapshot::build(&catalogue, list).unwrap();
         assert_eq!(endpoints(&bound), endpoints(&anew));
         assert_eq!(bound.instances(), anew.instances());
+        for id in ["a", "b", "c", "d"] {
+            let id = InstanceId::new(id).unwrap();
+            let found = bound.find_endpoint(&id).and_then(|key| bound.endpoint(key));
+            let listed = endpoints(&anew).iter().any(|(_, it)| *it == id.to_string());
+            assert_eq!(found.map(|it| &it.instance.id), listed.then_some(&id));
+        }
         let routed = bound.match_route(None, "/claims/approve").unwrap();
         let service = bound.service(routed.service).unwrap();
         assert_eq!(service.entry.name.as_str(), "adjuster-desk");
--- a/crates/core/src/snapshot/whole.rs
+++ b/crates/core/src/snapshot/whole.rs
@@ -25,7 +25,8 @@
 /// # Invariants
 ///
 /// Every service key of a route or an endpoint names a service of `services`,
-/// and every endpoint key of a service an endpoint of `endpoints`.
+/// and every endpoint key of a service an endpoint of `endpoints`. `in_order` names
+/// each endpoint once.
 #[derive(Debug, Clone)]
 pub struct Snapshot {
     pub(super) catalogue: Version,
@@ -33,6 +34,8 @@
     pub(super) services: SlotMap<ServiceKey, BoundService>,
     pub(super) by_name: Arc<HashMap<ServiceName, ServiceKey>>,
     pub(super) endpoints: SlotMap<EndpointKey, Endpoint>,
+    /// All endpoints, in the order of their instance ids.
+    pub(super) in_order: Vec<EndpointKey>,
     pub(super) routes: Arc<RouteTable>,
     pub(super) callers: CallerLimits,
 }
@@ -58,10 +61,16 @@
     /// of them a list is bound in 0.01 ms, where building the whole took 0.8 ms,
     /// which a node with a tenth of a core feels as 8 ms without traffic.
     pub fn with_instances(&self, instances: &InstanceList) -> Snapshot {
+        // What the endpoints are made of isn't copied only to be dropped.
         let mut bound = Snapshot {
+            catalogue: self.catalogue,
             instances: instances.version(),
+            services: self.services.clone(),
+            by_name: Arc::clone(&self.by_name),
             endpoints: SlotMap::with_key(),
-            ..self.clone()
+            in_order: Vec::new(),
+            routes: Arc::clone(&self.routes),
+            callers: self.callers,
         };
         for service in bound.services.values_mut() {
             service.endpoints.clear();
@@ -79,8 +88,10 @@
                 service,
                 instance: instance.clone(),
             });
-            // INVARIANT: The service is one of those that its name leads to.
+            // INVARIANT: The service is one of those that its name leads to, and
+            // the list is in the order of its ids.
             self.services[service].endpoints.push(key);
+            self.in_order.push(key);
         }
     }
 
@@ -117,9 +128,9 @@
 
     /// The endpoint of an instance.
     pub fn find_endpoint(&self, id: &InstanceId) -> Option<EndpointKey> {
-        let mut found = self.endpoints.iter();
-        let found = found.find(|(_, endpoint)| endpoint.instance.id == *id);
-        found.map(|(key, _)| key)
+        let id_of = |key: &EndpointKey| &self.endpoints[*key].instance.id;
+        let place = self.in_order.binary_search_by(|key| id_of(key).cmp(id));
+        place.ok().map(|place| self.in_order[place])
     }
 
     /// The endpoints of a service, in the order of their instance ids.
