Keep one copy of what chaos runs and the soak share

The bounds in time and the nodes' settings of a run, the count of violations by promise, signalling a child and finding a program beside this one stood in both; the two ways to judge an answer of a stand-in's admin port are one. Behaviour is as before, but for the words of two errors of the benchmark's own.

--- a/crates/bench/src/chaos.rs
+++ b/crates/bench/src/chaos.rs
@@ -8,10 +8,12 @@
 pub use self::fault::Fault;
 pub use self::options::Options;
 pub use self::report::Report;
+pub use self::report::by_promise;
 pub use self::run::run;
 pub use self::script::Script;
 pub use self::script::Step;
 
+pub mod bounds;
 pub mod callers;
 pub mod catalogue;
 mod driver;
--- a/crates/bench/src/chaos/report.rs
+++ b/crates/bench/src/chaos/report.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use sassafrasspool_core::history::Violation;
 use serde::Serialize;
 
 use crate::load::Verdict;
@@ -45,3 +46,12 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub logs: Option<String>,
 }
+
+/// Violations counted by the names of their promises.
+pub fn by_promise(violations: &[Violation]) -> BTreeMap<&'static str, u64> {
+    let mut counts = BTreeMap::new();
+    for violation in violations {
+        *counts.entry(violation.promise().as_str()).or_default() += 1;
+    }
+    counts
+}
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -14,7 +14,6 @@
 use sassafrasspool_core::KindName;
 use sassafrasspool_core::history::Bounds;
 use sassafrasspool_core::history::Event;
-use sassafrasspool_core::history::Violation;
 use sassafrasspool_core::history::check;
 use sassafrasspool_standin::TargetSettings;
 use sassafrasspool_standin::target::ServiceTimes;
@@ -24,6 +23,10 @@
 
 use super::Options;
 use super::Report;
+use super::bounds::IN_FORCE;
+use super::bounds::OWNERS_SETTLE;
+use super::bounds::SETTINGS;
+use super::bounds::SETTLE;
 use super::callers::GRACE;
 use super::callers::REPEATS;
 use super::callers::TIMEOUT;
@@ -35,6 +38,7 @@
 use super::log::Log;
 use super::observer::observe;
 use super::operators::Operators;
+use super::report::by_promise;
 use super::script::Script;
 use crate::load::CallRecord;
 use crate::load::Caller;
@@ -65,27 +69,9 @@
     ("archive", 30_000),
 ];
 
-/// How long a version may take until it is in force on every node that runs,
-/// also when the source was back just before.
-const IN_FORCE: Duration = Duration::from_secs(8);
-
-/// Leases short enough to end and to be taken up again within a run, and
-/// proofs of the instance list that come around within a lease. No call and no
-/// pause is as long as a lease, as the nodes assume.
-const SETTINGS: &str = "\
-repeat: {lease_ms: 2500, hold_ms: 20000}
-spread: {interval_ms: 200, watch_ms: 500, contact_bound_ms: 1000, takeover_step_ms: 100}
-";
-
-/// How long the owners of keys wait before they run any.
-const OWNERS_SETTLE: Duration = Duration::from_millis(6_000);
-
 /// How long the fleet may take to be ready before the run.
 const READY: Duration = Duration::from_secs(20);
 
-/// How long nodes are watched after the last call.
-const SETTLE: Duration = Duration::from_secs(1);
-
 /// How many violations and faults the report tells in words.
 const TOLD: usize = 5;
 
@@ -246,14 +232,6 @@
     counts
 }
 
-fn by_promise(violations: &[Violation]) -> BTreeMap<&'static str, u64> {
-    let mut counts = BTreeMap::new();
-    for violation in violations {
-        *counts.entry(violation.promise().as_str()).or_default() += 1;
-    }
-    counts
-}
-
 fn first(told: impl Iterator<Item = String>) -> Vec<String> {
     told.take(TOLD).collect()
 }
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -52,6 +52,7 @@
 mod pacer;
 mod plan;
 mod ports;
+pub mod process;
 mod record;
 mod repeat;
 mod request;
--- a/crates/bench/src/load/node_process.rs
+++ b/crates/bench/src/load/node_process.rs
@@ -1,16 +1,16 @@
 //! A node as a process of its own, which can be killed and paused.
 
 use std::path::Path;
-use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::process::Stdio;
 
-use rustix::process::Pid;
 use rustix::process::Signal;
-use rustix::process::kill_process;
 use tokio::process::Child;
 use tokio::process::Command;
 
+use super::process::beside;
+use super::process::signal;
+
 /// The node's program, which is built beside this one.
 const PROGRAM: &str = "sassafrasspool-node";
 
@@ -32,7 +32,7 @@
             .create(true)
             .append(true)
             .open(log)?;
-        let child = Command::new(program()?)
+        let child = Command::new(beside(PROGRAM)?)
             .arg("--settings")
             .arg(file)
             .stdin(Stdio::null())
@@ -63,7 +63,7 @@
     ///
     /// Fails if it can't be signalled or waited for.
     pub async fn stop(mut self) -> std::io::Result<ExitStatus> {
-        self.signal(Signal::TERM)?;
+        signal(&self.child, Signal::TERM)?;
         self.child.wait().await
     }
 
@@ -73,7 +73,7 @@
     ///
     /// Fails if it can't be signalled.
     pub fn pause(&self) -> std::io::Result<()> {
-        self.signal(Signal::STOP)
+        signal(&self.child, Signal::STOP)
     }
 
     /// Lets it go on.
@@ -82,27 +82,6 @@
     ///
     /// Fails if it can't be signalled.
     pub fn resume(&self) -> std::io::Result<()> {
-        self.signal(Signal::CONT)
-    }
-
-    /// Signals the child. It wasn't waited for yet, so that its id can't have
-    /// gone to another process.
-    fn signal(&self, signal: Signal) -> std::io::Result<()> {
-        let pid = self.child.id().and_then(|id| i32::try_from(id).ok());
-        let Some(pid) = pid.and_then(Pid::from_raw) else {
-            return Err(std::io::Error::other("the node has ended"));
-        };
-        Ok(kill_process(pid, signal)?)
-    }
-}
-
-fn program() -> std::io::Result<PathBuf> {
-    let path = std::env::current_exe()?.with_file_name(PROGRAM);
-    match path.exists() {
-        true => Ok(path),
-        false => Err(std::io::Error::other(format!(
-            "{} isn't there: build {PROGRAM} with the same profile",
-            path.display()
-        ))),
+        signal(&self.child, Signal::CONT)
     }
 }
--- a/crates/soak/src/child.rs
+++ b/crates/soak/src/child.rs
@@ -4,15 +4,13 @@
 use std::fs::File;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
-use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::process::Stdio;
 
-use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::getppid;
-use rustix::process::kill_process;
 use rustix::process::set_parent_process_death_signal;
+use sassafrasspool_bench::load::process;
 use tokio::process::Child as Process;
 use tokio::process::Command;
 
@@ -39,7 +37,7 @@
     /// Fails if the program isn't there or can't be started.
     pub fn start(program: &str, args: &[OsString], log: &Path) -> std::io::Result<Child> {
         let own = std::env::current_exe()?;
-        let path = beside(&own, program)?;
+        let path = process::beside(program)?;
         let log = File::options().create(true).append(true).open(log)?;
         let process = Command::new(own)
             .arg(UNDER)
@@ -55,18 +53,13 @@
         Ok(Child { process })
     }
 
-    /// Sends a signal. The process wasn't waited for yet, so that its id can't
-    /// have gone to another one.
+    /// Sends a signal.
     ///
     /// # Errors
     ///
     /// Fails if the process has ended.
     pub fn signal(&self, signal: Signal) -> std::io::Result<()> {
-        let pid = self.process.id().and_then(|id| i32::try_from(id).ok());
-        let Some(pid) = pid.and_then(Pid::from_raw) else {
-            return Err(std::io::Error::other("the process has ended"));
-        };
-        Ok(kill_process(pid, signal)?)
+        process::signal(&self.process, signal)
     }
 
     /// Kills it and waits for its end.
@@ -102,14 +95,3 @@
     }
     std::process::Command::new(program).args(args).exec()
 }
-
-fn beside(own: &Path, program: &str) -> std::io::Result<PathBuf> {
-    let path = own.with_file_name(program);
-    match path.exists() {
-        true => Ok(path),
-        false => Err(std::io::Error::other(format!(
-            "{} isn't there: build the whole workspace with the same profile",
-            path.display()
-        ))),
-    }
-}
--- a/crates/soak/src/fleet/maker.rs
+++ b/crates/soak/src/fleet/maker.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use miette::IntoDiagnostic;
+use sassafrasspool_bench::chaos::bounds::SETTINGS;
 use sassafrasspool_bench::chaos::catalogue::SERVICES;
 use sassafrasspool_bench::load::Link;
 use sassafrasspool_bench::load::Listen;
@@ -41,14 +42,8 @@
 /// Service times by kind, in microseconds.
 const SERVICE_US: &str = "{approval: 20000, claim: 15000, lookup: 5000, archive: 30000}";
 
-/// Leases short enough to end and to be taken up again within a run, proofs of
-/// the instance list that come around within a lease, and a planned stop that
-/// is over before a run is.
-const NODE_SETTINGS: &str = "\
-repeat: {lease_ms: 2500, hold_ms: 20000}
-spread: {interval_ms: 200, watch_ms: 500, contact_bound_ms: 1000, takeover_step_ms: 100}
-drain: {bound_ms: 5000}
-";
+/// A planned stop is over before a run is.
+const STOP_SETTINGS: &str = "drain: {bound_ms: 5000}\n";
 
 /// What the platform and members are made with.
 #[derive(Debug)]
@@ -122,7 +117,7 @@
             of(Way::Target),
             of(Way::Platform),
             &[],
-            NODE_SETTINGS,
+            &format!("{SETTINGS}{STOP_SETTINGS}"),
         );
         std::fs::write(&settings, text).into_diagnostic()?;
         Ok(Member {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,10 +1,12 @@
 //! One run from start to verdict.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use miette::IntoDiagnostic;
 use miette::miette;
+use sassafrasspool_bench::chaos::bounds::IN_FORCE;
+use sassafrasspool_bench::chaos::bounds::OWNERS_SETTLE;
+use sassafrasspool_bench::chaos::bounds::SETTLE;
 use sassafrasspool_bench::chaos::log::Log;
 use sassafrasspool_bench::chaos::observer::observe;
 use sassafrasspool_core::InstanceId;
@@ -26,16 +28,6 @@
 /// This program.
 const OWN: &str = "sassafrasspool-soak";
 
-/// How long a version may take until it is in force on every node that runs and
-/// can be reached, also when the source was back just before.
-const IN_FORCE: Duration = Duration::from_secs(8);
-
-/// How long the owners of keys wait before they run any.
-const OWNERS_SETTLE: Duration = Duration::from_secs(6);
-
-/// How long nodes are watched after the last call.
-const SETTLE: Duration = Duration::from_secs(1);
-
 /// Plays the schedule of `opts.seed` beside the calls, and judges them.
 ///
 /// # Errors
--- a/crates/soak/src/standin.rs
+++ b/crates/soak/src/standin.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use http::StatusCode;
 use miette::IntoDiagnostic;
 use miette::miette;
 use rustix::process::Signal;
@@ -121,10 +122,8 @@
     ///
     /// As [`StandIn::switch`].
     pub async fn publish(&self, path: &str, body: String) -> miette::Result<()> {
-        match admin::put(self.admin, path, body).await {
-            Some(status) if status.is_success() => Ok(()),
-            answered => Err(miette!("{} {path}: {answered:?}", self.admin)),
-        }
+        let answered = admin::put(self.admin, path, body).await;
+        self.accepted(path, answered)
     }
 
     /// Lets it stand still, or go on.
@@ -141,7 +140,12 @@
 
     async fn post(&self, path: &str, body: &impl Serialize) -> miette::Result<()> {
         let body = serde_json::to_string(body).into_diagnostic()?;
-        match admin::post(self.admin, path, body).await {
+        let answered = admin::post(self.admin, path, body).await;
+        self.accepted(path, answered)
+    }
+
+    fn accepted(&self, path: &str, answered: Option<StatusCode>) -> miette::Result<()> {
+        match answered {
             Some(status) if status.is_success() => Ok(()),
             answered => Err(miette!("{} {path}: {answered:?}", self.admin)),
         }
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use sassafrasspool_bench::chaos::by_promise;
 use sassafrasspool_bench::chaos::events;
 use sassafrasspool_bench::chaos::events::Stopped;
 use sassafrasspool_bench::chaos::log::Log;
@@ -84,10 +85,6 @@
             excused,
         );
         let found = check(&history, bounds);
-        let mut violations = BTreeMap::new();
-        for violation in &found {
-            *violations.entry(violation.promise().as_str()).or_default() += 1;
-        }
         let faults = evidence.faults().map(|record| format!("{record:?}"));
         let told = faults.chain(found.iter().map(ToString::to_string));
         let verdict = evidence.verdict();
@@ -98,7 +95,7 @@
             kept: !verdict.has_fault() && found.is_empty() && seen.rude.out_of_order == 0,
             verdict,
             rude: seen.rude,
-            violations,
+            violations: by_promise(&found),
             told: told.take(TOLD).collect(),
             schedule: schedule.steps.iter().map(ToString::to_string).collect(),
             kept_in: None,
