--- a/crates/core/src/route/meter.rs
+++ b/crates/core/src/route/meter.rs
@@ -55,12 +55,20 @@
     pub(super) fn open(&self, now: Tick) {
         if self.closed.swap(false, Ordering::Relaxed) {
             self.closed_until.store(0, Ordering::Relaxed);
-            self.health.reset();
-            self.pace.reset();
-            self.start_cold(now);
+            self.renew(now);
         }
     }
 
+    /// Forgets what was known, as for a new process; what this node has under
+    /// way there counts on until it ends.
+    pub(super) fn renew(&self, now: Tick) {
+        self.health.reset();
+        self.pace.reset();
+        self.report.store(0, Ordering::Relaxed);
+        self.reported_at.store(0, Ordering::Relaxed);
+        self.start_cold(now);
+    }
+
     pub(super) fn start_cold(&self, now: Tick) {
         self.cold_since.store(now.as_micros(), Ordering::Relaxed);
     }
--- a/crates/core/src/route/meters.rs
+++ b/crates/core/src/route/meters.rs
@@ -9,9 +9,11 @@
 
 use super::meter::Meter;
 use super::service::ServiceMeter;
+use crate::Instance;
 use crate::InstanceId;
 use crate::ServiceName;
 use crate::Snapshot;
+use crate::TargetLife;
 use crate::Tick;
 
 /// Whether an endpoint takes new work, by the word of its own node.
@@ -37,11 +39,36 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    endpoints: HashMap<InstanceId, Arc<Meter>>,
+    endpoints: HashMap<InstanceId, Metered>,
     services: HashMap<ServiceName, Arc<ServiceMeter>>,
     built: bool,
 }
 
+/// An endpoint's meter, and the target that it was of when it was last bound.
+#[derive(Debug, Default)]
+struct Metered {
+    meter: Arc<Meter>,
+    life: Option<TargetLife>,
+}
+
+impl Metered {
+    /// Takes over which target runs there now, and starts anew if it is another.
+    ///
+    /// A target that crashes and starts again within a heartbeat never leaves the
+    /// list. Its load, pace and failures of before say nothing of the new process,
+    /// which is cold: an endpoint that was ejected for its crash would stay away
+    /// for up to half a minute, and one that was fast would be sent its full share.
+    fn follow(&mut self, life: Option<&TargetLife>, now: Tick) {
+        let Some(life) = life else {
+            return;
+        };
+        let held = self.life.replace(life.clone());
+        if held.is_some_and(|held| !held.is_same(life)) {
+            self.meter.renew(now);
+        }
+    }
+}
+
 impl Meters {
     /// Meters of nothing so far.
     pub fn new() -> Meters {
@@ -54,10 +81,10 @@
     /// last counts.
     pub fn mark(&self, instance: &InstanceId, intake: Intake, now: Tick) {
         let mut inner = self.lock();
-        let meter = inner.endpoints.entry(instance.clone()).or_default();
+        let held = inner.endpoints.entry(instance.clone()).or_default();
         match intake {
-            Intake::Open => meter.open(now),
-            Intake::Closed => meter.close(),
+            Intake::Open => held.meter.open(now),
+            Intake::Closed => held.meter.close(),
         }
     }
 
@@ -77,16 +104,20 @@
 
     /// The meter of an endpoint; one that wasn't there before starts cold,
     /// unless this is the first list that the node sees.
-    pub(super) fn endpoint(&self, instance: &InstanceId, now: Tick) -> Arc<Meter> {
+    pub(super) fn endpoint(&self, instance: &Instance, now: Tick) -> Arc<Meter> {
         let mut inner = self.lock();
-        if let Some(held) = inner.endpoints.get(instance) {
-            return held.clone();
+        let built = inner.built;
+        if let Some(held) = inner.endpoints.get_mut(&instance.id) {
+            held.follow(instance.target.as_ref(), now);
+            return held.meter.clone();
         }
-        let meter = Arc::new(Meter::default());
-        if inner.built {
-            meter.start_cold(now);
+        let mut held = Metered::default();
+        held.follow(instance.target.as_ref(), now);
+        if built {
+            held.meter.start_cold(now);
         }
-        inner.endpoints.insert(instance.clone(), meter.clone());
+        let meter = held.meter.clone();
+        inner.endpoints.insert(instance.id.clone(), held);
         meter
     }
 
--- a/crates/core/src/route/picker.rs
+++ b/crates/core/src/route/picker.rs
@@ -60,7 +60,7 @@
                     tier: position.tier_of(instance),
                     slots: instance.slots,
                     score: Score::of(instance.id.as_str()),
-                    meter: meters.endpoint(&instance.id, now),
+                    meter: meters.endpoint(instance, now),
                 });
             }
             // INVARIANT: The arrangement orders both parts by tier.
--- a/crates/core/src/route/tests/bench.rs
+++ b/crates/core/src/route/tests/bench.rs
@@ -52,30 +52,25 @@
 
 impl Bench {
     pub(super) fn new(node: &str, instances: Vec<Instance>) -> Bench {
-        let first = Revision::new(1).unwrap();
-        let items = catalogue::parse(CATALOGUE).unwrap();
-        let held = Catalogue::new(first, items).unwrap();
-        let list = InstanceList::new(first, instances).unwrap();
-        let snapshot = Snapshot::build(&held, &list).unwrap();
-        let name = ServiceName::new(SERVICE).unwrap();
-        let (service, _) = snapshot.find_service(&name).unwrap();
+        let snapshot = snapshot(instances);
         let meters = Arc::new(Meters::new());
-        let position = Position {
-            instance: InstanceId::new(node).unwrap(),
-            domain: DomainName::new(NEAR).unwrap(),
-            region: RegionName::new("ulaanbaatar").unwrap(),
-        };
-        let cfg = RouteSettings::default();
-        let picker = Picker::build(&snapshot, &position, cfg, &meters, NOW);
+        let picker = picker(node, &snapshot, &meters, NOW);
         Bench {
+            service: service(&snapshot),
             snapshot,
-            service,
             meters,
             picker,
             rng: SmallRng::seed_from_u64(1),
         }
     }
 
+    /// Binds another list, with what is known of the endpoints by now.
+    pub(super) fn list_anew(&mut self, node: &str, instances: Vec<Instance>, now: Tick) {
+        self.snapshot = snapshot(instances);
+        self.service = service(&self.snapshot);
+        self.picker = picker(node, &self.snapshot, &self.meters, now);
+    }
+
     pub(super) fn pick(&mut self, now: Tick) -> Picked {
         self.pick_but(now, &[]).unwrap()
     }
@@ -116,6 +111,28 @@
     }
 }
 
+fn snapshot(instances: Vec<Instance>) -> Snapshot {
+    let first = Revision::new(1).unwrap();
+    let items = catalogue::parse(CATALOGUE).unwrap();
+    let held = Catalogue::new(first, items).unwrap();
+    let list = InstanceList::new(first, instances).unwrap();
+    Snapshot::build(&held, &list).unwrap()
+}
+
+fn service(snapshot: &Snapshot) -> ServiceKey {
+    let name = ServiceName::new(SERVICE).unwrap();
+    snapshot.find_service(&name).unwrap().0
+}
+
+fn picker(node: &str, snapshot: &Snapshot, meters: &Arc<Meters>, now: Tick) -> Picker {
+    let position = Position {
+        instance: InstanceId::new(node).unwrap(),
+        domain: DomainName::new(NEAR).unwrap(),
+        region: RegionName::new("ulaanbaatar").unwrap(),
+    };
+    Picker::build(snapshot, &position, RouteSettings::default(), meters, now)
+}
+
 pub(super) fn near(ids: &[&str]) -> Vec<Instance> {
     ids.iter().map(|id| instance(id, SERVICE, NEAR)).collect()
 }
--- a/crates/core/src/route/tests/choice.rs
+++ b/crates/core/src/route/tests/choice.rs
@@ -15,6 +15,9 @@
 use crate::KindName;
 use crate::LoadReport;
 use crate::Reason;
+use crate::RouteSettings;
+use crate::TargetId;
+use crate::TargetLife;
 use crate::Verdict;
 
 #[test]
@@ -174,3 +177,31 @@
     }
     assert!(chosen["slow"] < 60, "{chosen:?}");
 }
+
+// A target crashes and starts again under its name within a heartbeat, so that it
+// never leaves the list. It was ejected for its crash, for half a minute by then;
+// the new process would have stayed without work for as long.
+#[rstest]
+#[case::another_start(200, true)]
+#[case::the_same_start(100, false)]
+fn a_target_that_starts_again_is_judged_anew(#[case] born: u64, #[case] open: bool) {
+    let life = |born| TargetLife {
+        id: TargetId::new("t-1").unwrap(),
+        listed_at: born,
+        born: Some(born),
+    };
+    let listed = |born| {
+        let mut all = near(&["a", "b", "c"]);
+        all[0].target = Some(life(born));
+        all
+    };
+    let mut bench = Bench::new("caller", listed(100));
+    let failures = usize::try_from(RouteSettings::default().eject.errors).unwrap();
+    bench.judge("a", NOW, Verdict::Failed, failures);
+    assert!(!bench.counts(NOW, 50).contains_key("a"), "it is ejected");
+    bench.list_anew("caller", listed(born), NOW);
+    // Held, they fill the others: the new process is cold, and has its share.
+    let held: Vec<_> = (0..40).map(|_| bench.pick(NOW)).collect();
+    let mut ids = held.iter().map(|picked| bench.id(picked.endpoint()));
+    assert_eq!(ids.any(|id| id.as_str() == "a"), open);
+}
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -28,6 +28,7 @@
 mod keyed;
 mod listeners;
 mod missed;
+mod own_life;
 mod parents;
 mod patience;
 mod payload;
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -72,6 +72,9 @@
     }
     let listed = call.routes.own();
     let slots = listed.map(|(endpoint, _)| endpoint.instance.slots);
+    if let Some(life) = listed.and_then(|(endpoint, _)| endpoint.instance.target.as_ref()) {
+        worker.hub.follow_target(life);
+    }
     let by_name = || call.routes.view.snapshot.find_service(&worker.hub.service);
     let service = listed.map(|(_, service)| service);
     let Some(service) = service.or_else(|| by_name().map(|(_, service)| service)) else {
--- a/crates/node/src/traffic/departed.rs
+++ b/crates/node/src/traffic/departed.rs
@@ -5,6 +5,7 @@
 use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Endpoint;
 use sassafrasspool_core::EndpointKey;
+use sassafrasspool_core::Instance;
 use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::Snapshot;
 
@@ -34,5 +35,14 @@
     let Some(now) = found.and_then(|key| newest.endpoint(key)) else {
         return false;
     };
-    now.instance.state != InstanceState::Leaving && now.instance.target == instance.target
+    now.instance.state != InstanceState::Leaving && is_same_target(&now.instance, instance)
+}
+
+/// Whether both name one start of one target, where starts are told apart.
+fn is_same_target(now: &Instance, before: &Instance) -> bool {
+    match (&now.target, &before.target) {
+        (Some(now), Some(before)) => now.is_same(before),
+        (None, None) => true,
+        _ => false,
+    }
 }
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -9,10 +9,12 @@
 use sassafrasspool_core::RepeatWindow;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::ServiceName;
+use sassafrasspool_core::TargetLife;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::counters::Counters;
+use super::own_life::OwnLife;
 use super::parents::Parents;
 use super::patience::Patiences;
 use super::stages::Stages;
@@ -27,6 +29,7 @@
     /// The service of the own target.
     pub(super) service: ServiceName,
     pub(super) pool: Arc<Pool>,
+    pub(super) own_life: OwnLife,
     pub(super) admission: Admission,
     pub(super) parents: Parents,
     pub(super) patience: Patiences,
@@ -74,6 +77,7 @@
             shared,
             service: cfg.service.clone(),
             pool: Pool::new(cfg.target.addr, limit),
+            own_life: OwnLife::default(),
             admission,
             parents: Parents::default(),
             patience: Patiences::default(),
@@ -90,6 +94,22 @@
         })
     }
 
+    /// Closes what is idle to an earlier start of the own target.
+    ///
+    /// A target that starts again under its name is found by no refusal of its
+    /// own: a connection to the process before would take a request and stay
+    /// silent until its deadline. What is under way ends with its connection.
+    pub(super) fn follow_target(&self, listed: &TargetLife) {
+        if self.own_life.follow(listed) {
+            tracing::info!(
+                target = listed.id.as_str(),
+                born = listed.born,
+                "the own target started anew"
+            );
+            self.pool.clear();
+        }
+    }
+
     /// Whether callers are to open no new connection here.
     pub(super) fn sends_callers_away(&self) -> bool {
         self.shared.is_stopping() || self.is_leaving()
