Let the background have every slot that nobody else asks for

What is kept free for urgent work that is turned away (a third at most, where the background takes longer) is not touched.

--- a/crates/core/src/admit/control.rs
+++ b/crates/core/src/admit/control.rs
@@ -70,14 +70,11 @@
     ///
     /// # Errors
     ///
-    /// Fails without slots, or if the settings leave no queue bound or weight.
+    /// Fails without slots, or with more than 65,535.
     pub fn new(settings: AdmissionSettings, slots: u32) -> Result<Admission> {
         if slots == 0 || slots > u32::from(u16::MAX) {
             return Err(Error::new(Step::Check, "a target has 1 to 65535 slots"));
         }
-        if settings.background_percent > 100 {
-            return Err(Error::new(Step::Check, "a share is at most 100 percent"));
-        }
         let state = State::new(settings, slots);
         Ok(Admission(Arc::new(Shared(Mutex::new(state)))))
     }
--- a/crates/core/src/admit/settings.rs
+++ b/crates/core/src/admit/settings.rs
@@ -11,9 +11,6 @@
     /// both earned less on loaded days: 0.83 and 0.82 of what was to be had in
     /// place of 0.85.
     pub max_wait: Duration,
-    /// The share of the slots that background work may hold, in percent; one
-    /// slot at least.
-    pub background_percent: u32,
     /// How many standard requests go before one of the background that waits.
     pub standard_weight: u32,
     /// How long a rate may be exceeded by work that came in a burst.
@@ -25,7 +22,6 @@
         AdmissionSettings {
             queue_per_slot: 3,
             max_wait: Duration::from_millis(250),
-            background_percent: 90,
             standard_weight: 8,
             burst: Duration::from_millis(500),
         }
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -257,20 +257,24 @@
         refusal(Reason::QueueTimeout).after(self.expected_wait(self.queue.ahead_of(class)))
     }
 
+    /// Whether a request of that class may have a slot now.
+    ///
+    /// A slot that is free is for whoever asks: background requests that had the
+    /// target for themselves got 90% of its slots, five of six, while 14 to 18 of
+    /// them waited. On five varied seeds of five days with trouble callers earned
+    /// 0.761 of what was owed, 0.742 with such a share.
     fn has_slot(&mut self, class: Class) -> bool {
         let free = self.concurrency.saturating_sub(self.running);
         if class != Class::Background {
             return free > 0;
         }
-        let share = self.concurrency * self.settings.background_percent / 100;
-        let cap = share.max(1);
         let held = self.running_of[class.index()];
         let has_part = held >= self.concurrency / FLOOR_PART;
         let reserved = match has_part && self.background_is_long() {
             true => self.reserve.slots(self.now),
             false => 0,
         };
-        free > reserved && held < cap
+        free > reserved
     }
 
     /// Whether urgent work would wait long for a slot that background work holds.
