--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -24,6 +24,7 @@
 mod bucket;
 mod control;
 mod permit;
+mod precedence;
 mod queue;
 mod queued;
 mod reserve;
--- a/crates/core/src/admit/control.rs
+++ b/crates/core/src/admit/control.rs
@@ -93,6 +93,14 @@
         }
     }
 
+    /// What a request would be told that asked for a slot now, if that is no.
+    ///
+    /// It takes no slot and no place: who hears of a refusal can keep the body of
+    /// its request to itself.
+    pub fn foresee(&self, now: Tick, ask: &Ask<'_>) -> Option<Refusal> {
+        self.0.lock().foresee(now, ask)
+    }
+
     /// The load as answers carry it.
     pub fn load(&self) -> LoadReport {
         self.0.lock().load()
--- a/crates/core/src/admit/queue.rs
+++ b/crates/core/src/admit/queue.rs
@@ -1,9 +1,12 @@
 //! Requests that wait for a slot.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use slotmap::SlotMap;
 
+use super::precedence::Precedence;
+use super::took::Took;
 use super::took::Work;
 use super::wake::Waker;
 use crate::Class;
@@ -25,12 +28,16 @@
 }
 
 impl Waiting {
-    /// Whether its answer can still come while it is worth most.
-    pub(super) fn is_in_time(&self, now: Tick) -> bool {
-        self.begin_by.is_none_or(|begin_by| now <= begin_by)
+    fn precedence(&self, took: &Took, now: Tick) -> Precedence {
+        Precedence::of(took.expect(self.work), self.begin_by, now)
     }
 }
 
+/// Of so many requests that a class gets slots for, one is chosen by its time
+/// alone: were the shortest always first, long ones would never have a turn
+/// while short ones alone fill the target.
+const TURN_OF_LONG: u32 = 8;
+
 /// The queue of a target.
 ///
 /// # Invariants
@@ -42,6 +49,8 @@
     lines: [VecDeque<WaitKey>; Class::ALL.len()],
     counts: [usize; Class::ALL.len()],
     standard_run: u32,
+    /// Requests taken out of each class since a long one last had its turn.
+    turns: [u32; Class::ALL.len()],
 }
 
 impl Queue {
@@ -51,6 +60,7 @@
             lines: Default::default(),
             counts: [0; Class::ALL.len()],
             standard_run: 0,
+            turns: [0; Class::ALL.len()],
         }
     }
 
@@ -96,27 +106,35 @@
         Some(gone)
     }
 
-    /// How many wait that go before a new one of `class` that is to begin by
-    /// then: all of classes above, and of its own those that are as urgent.
-    pub(super) fn ahead_in_time(&self, class: Class, begin_by: Option<Tick>, now: Tick) -> usize {
-        let above: usize = self.counts[..class.index()].iter().sum();
+    /// How long the work takes of all that wait and go before a new request of
+    /// `class`: all of classes above, and of its own those before it.
+    pub(super) fn work_ahead(
+        &self,
+        class: Class,
+        precedence: Precedence,
+        took: &Took,
+        now: Tick,
+    ) -> Duration {
+        let above = Class::ALL.into_iter().take_while(|above| *above < class);
+        let above = above.flat_map(|above| self.line(above));
         let own = self.line(class);
-        let goes_before = |waiting: &&Waiting| {
-            waiting.is_in_time(now) && rank(waiting.begin_by) <= rank(begin_by)
-        };
-        above + own.filter(goes_before).count()
+        let own = own.filter(|waiting| waiting.precedence(took, now) <= precedence);
+        above
+            .chain(own)
+            .map(|waiting| took.expect(waiting.work))
+            .sum()
     }
 
     /// Those of a class that wait, in the order in which they came.
     fn line(&self, class: Class) -> impl Iterator<Item = &Waiting> {
-        let line = self.lines[class.index()].iter();
-        line.filter_map(|key| self.waiting.get(*key))
+        self.keys(class).map(|(_, waiting)| waiting)
     }
 
     /// Takes out the next to run, of the background only if it may.
     pub(super) fn pop(
         &mut self,
         now: Tick,
+        took: &Took,
         standard_weight: u32,
         background: bool,
     ) -> Option<Waiting> {
@@ -126,19 +144,29 @@
             Class::Standard => self.standard_run += 1,
             Class::Background => self.standard_run = 0,
         }
-        let key = self.first_of(class, now)?;
+        let key = self.first_of(class, took, now)?;
         self.remove(key)
     }
 
-    /// Who is first in a class: of those that can be in time the one that has
-    /// to begin first, else the one that came first.
-    fn first_of(&self, class: Class, now: Tick) -> Option<WaitKey> {
+    /// Who is first in a class; of equals the one that came first.
+    fn first_of(&mut self, class: Class, took: &Took, now: Tick) -> Option<WaitKey> {
+        let turn = &mut self.turns[class.index()];
+        *turn = (*turn + 1) % TURN_OF_LONG;
+        let long_too = *turn == 0;
+        let held = self.keys(class);
+        let by_precedence = held.min_by_key(|(_, waiting)| {
+            let precedence = waiting.precedence(took, now);
+            match long_too {
+                true => precedence.by_time(),
+                false => precedence,
+            }
+        });
+        by_precedence.map(|(key, _)| key)
+    }
+
+    fn keys(&self, class: Class) -> impl DoubleEndedIterator<Item = (WaitKey, &Waiting)> {
         let line = self.lines[class.index()].iter().copied();
-        let held = line.filter_map(|key| Some((key, self.waiting.get(key)?)));
-        let in_time = held.clone().filter(|(_, waiting)| waiting.is_in_time(now));
-        let urgent = in_time.min_by_key(|(_, waiting)| rank(waiting.begin_by));
-        let found = urgent.or_else(|| held.clone().next());
-        found.map(|(key, _)| key)
+        line.filter_map(|key| Some((key, self.waiting.get(key)?)))
     }
 
     fn next_class(&self, standard_weight: u32, background: bool) -> Option<Class> {
@@ -153,17 +181,47 @@
         background.then_some(Class::Background)
     }
 
-    /// Takes out the youngest of a class that can't be in time any more.
-    pub(super) fn displace_late(&mut self, class: Class, now: Tick) -> Option<Waiting> {
-        let line = self.lines[class.index()].iter().rev().copied();
-        let late = |key: &WaitKey| {
-            let waiting = self.waiting.get(*key);
-            waiting.is_some_and(|waiting| !waiting.is_in_time(now))
-        };
-        let key = line.into_iter().find(late)?;
+    /// Takes out the last of a class, if it is behind a new one by more than the
+    /// time at which it has to begin; of equals the youngest.
+    pub(super) fn displace_behind(
+        &mut self,
+        class: Class,
+        precedence: Precedence,
+        took: &Took,
+        now: Tick,
+    ) -> Option<Waiting> {
+        let key = self.last_behind(class, precedence, took, now)?;
         self.remove(key)
     }
 
+    /// Whether a new one takes the place of one that waits.
+    pub(super) fn displaces(
+        &self,
+        class: Class,
+        precedence: Precedence,
+        took: &Took,
+        now: Tick,
+    ) -> bool {
+        let less_urgent = &self.counts[class.index() + 1..];
+        let behind = || self.last_behind(class, precedence, took, now);
+        less_urgent.iter().any(|count| *count > 0) || behind().is_some()
+    }
+
+    fn last_behind(
+        &self,
+        class: Class,
+        precedence: Precedence,
+        took: &Took,
+        now: Tick,
+    ) -> Option<WaitKey> {
+        let held = self.keys(class);
+        let held = held.map(|(key, waiting)| (key, waiting.precedence(took, now)));
+        // Of equals the youngest, which comes last.
+        let last = held.reduce(|last, next| if last.1.is_behind(next.1) { last } else { next });
+        last.filter(|(_, last)| last.is_behind(precedence))
+            .map(|(key, _)| key)
+    }
+
     /// Takes out the youngest of the least urgent class below `class`.
     pub(super) fn displace(&mut self, class: Class) -> Option<Waiting> {
         let less_urgent = Class::ALL.into_iter().rev().take_while(|c| *c > class);
@@ -197,8 +255,3 @@
             .collect()
     }
 }
-
-/// Puts those that are worth the same at any time behind those that aren't.
-fn rank(begin_by: Option<Tick>) -> Tick {
-    begin_by.unwrap_or(Tick::from_micros(u64::MAX))
-}
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -5,6 +5,7 @@
 
 use super::bucket::Bucket;
 use super::control::Shared;
+use super::precedence::Precedence;
 use super::queue::Queue;
 use super::queue::WaitKey;
 use super::queue::Waiting;
@@ -50,6 +51,14 @@
     Refuse(Refusal),
 }
 
+/// Where a request waits.
+struct Place {
+    begin_by: Option<Tick>,
+    precedence: Precedence,
+    /// How long it waits for its slot there.
+    wait: Duration,
+}
+
 /// Slots, queue and rate of one target.
 ///
 /// # Invariants
@@ -141,35 +150,25 @@
         waker: impl FnOnce() -> Waker,
         wakes: &mut Vec<Wake>,
     ) -> Decision {
-        let took = self.took.expect(work);
-        let begin_by = ask.aim.map(|aim| before(aim, took));
-        let in_time = begin_by.is_none_or(|begin_by| self.now <= begin_by);
-        let ahead = match in_time {
-            true => self.queue.ahead_in_time(ask.class, begin_by, self.now),
-            false => self.queue.ahead_of(ask.class),
+        let (begin_by, precedence, wait) = match self.place(ask, work) {
+            Ok(place) => (place.begin_by, place.precedence, place.wait),
+            Err(refusal) => {
+                self.turn_away(ask.class);
+                return Decision::Refuse(refusal);
+            }
         };
-        let wait = self.expected_wait(ahead);
-        if wait + took > ask.deadline.remaining(self.now) {
-            self.turn_away(ask.class);
-            return Decision::Refuse(refusal(Reason::DeadlineTooShort).after(wait));
-        }
-        // It would be late here and may be in time elsewhere. If nobody else is
-        // asked, late is better than never: a call that is turned away fails the
-        // request that it was made for, whose slot was held in vain.
-        let late = in_time && begin_by.is_some_and(|begin_by| self.now + wait > begin_by);
-        if late && !ask.settles {
-            return Decision::Refuse(refusal(Reason::QueueFull).after(wait));
-        }
         if self.queue.len() >= self.queue_bound() {
             let mut displaced = self.queue.displace(ask.class);
-            if displaced.is_none() && in_time {
-                displaced = self.queue.displace_late(ask.class, self.now);
+            if displaced.is_none() {
+                displaced = self
+                    .queue
+                    .displace_behind(ask.class, precedence, &self.took, self.now);
             }
             let Some(displaced) = displaced else {
                 self.turn_away(ask.class);
                 return Decision::Refuse(refusal(Reason::QueueFull).after(wait));
             };
-            let wait = self.expected_wait(self.queue.ahead_of(displaced.work.class));
+            let wait = self.wait_of_class(displaced.work.class);
             self.turn_away(displaced.work.class);
             wakes.push(refuse(displaced, refusal(Reason::Displaced).after(wait)));
         }
@@ -184,6 +183,58 @@
         Decision::Wait(key, until)
     }
 
+    /// Where a request would wait.
+    ///
+    /// # Errors
+    ///
+    /// Refuses one that would wait in vain.
+    fn place(&self, ask: &Ask<'_>, work: Work) -> Result<Place, Refusal> {
+        let took = self.took.expect(work);
+        let begin_by = ask.aim.map(|aim| before(aim, took));
+        let in_time = begin_by.is_none_or(|begin_by| self.now <= begin_by);
+        let precedence = Precedence::of(took, begin_by, self.now);
+        let wait = self.wait_of(ask.class, precedence);
+        if wait + took > ask.deadline.remaining(self.now) {
+            return Err(refusal(Reason::DeadlineTooShort).after(wait));
+        }
+        // It would be late here and may be in time elsewhere. If nobody else is
+        // asked, late is better than never: a call that is turned away fails the
+        // request that it was made for, whose slot was held in vain.
+        let late = in_time && begin_by.is_some_and(|begin_by| self.now + wait > begin_by);
+        if late && !ask.settles {
+            return Err(refusal(Reason::QueueFull).after(wait));
+        }
+        Ok(Place {
+            begin_by,
+            precedence,
+            wait,
+        })
+    }
+
+    /// What a request would be told that asked now, if that is no.
+    pub(super) fn foresee(&mut self, now: Tick, ask: &Ask<'_>) -> Option<Refusal> {
+        self.now = self.now.max(now);
+        if let Some(reason) = self.closed {
+            return Some(refusal(reason));
+        }
+        let work = self.took.work(ask.class, ask.kind);
+        if self.queue.ahead_of(ask.class) == 0 && self.has_slot(ask.class) {
+            return None;
+        }
+        let place = match self.place(ask, work) {
+            Ok(place) => place,
+            Err(refusal) => return Some(refusal),
+        };
+        let full = self.queue.len() >= self.queue_bound();
+        let took = &self.took;
+        let displaces = || {
+            self.queue
+                .displaces(ask.class, place.precedence, took, self.now)
+        };
+        let told = refusal(Reason::QueueFull).after(place.wait);
+        (full && !displaces()).then_some(told)
+    }
+
     /// Takes back a slot and gives what is free to those who wait.
     pub(super) fn release(
         &mut self,
@@ -207,9 +258,12 @@
     fn fill(&mut self, shared: &Arc<Shared>, wakes: &mut Vec<Wake>) {
         while self.running < self.concurrency {
             let background = self.has_slot(Class::Background);
-            let next = self
-                .queue
-                .pop(self.now, self.settings.standard_weight, background);
+            let next = self.queue.pop(
+                self.now,
+                &self.took,
+                self.settings.standard_weight,
+                background,
+            );
             let Some(waiting) = next else { return };
             self.count(waiting.work.class);
             let permit = Permit::new(shared, waiting.work, self.now);
@@ -254,7 +308,7 @@
 
     fn timed_out(&mut self, class: Class) -> Refusal {
         self.turn_away(class);
-        refusal(Reason::QueueTimeout).after(self.expected_wait(self.queue.ahead_of(class)))
+        refusal(Reason::QueueTimeout).after(self.wait_of_class(class))
     }
 
     /// Whether a request of that class may have a slot now.
@@ -302,12 +356,25 @@
         usize::try_from(bound).unwrap_or(usize::MAX)
     }
 
-    /// How long a request waits behind `ahead` others, by what others took.
-    fn expected_wait(&self, ahead: usize) -> Duration {
-        let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
-        let mean = self.mean_took();
-        let us = mean.saturating_mul(ahead + 1) / u64::from(self.concurrency.max(1));
-        Duration::from_micros(us).clamp(RETRY_AFTER[0], RETRY_AFTER[1])
+    /// How long a new request of that class and place in it waits for a slot.
+    fn wait_of(&self, class: Class, precedence: Precedence) -> Duration {
+        let ahead = self
+            .queue
+            .work_ahead(class, precedence, &self.took, self.now);
+        self.wait_behind(ahead)
+    }
+
+    /// How long one waits that goes behind all of its class.
+    fn wait_of_class(&self, class: Class) -> Duration {
+        self.wait_of(class, Precedence::LAST)
+    }
+
+    /// How long a request waits behind work that takes so long, and for the
+    /// first slot that frees up.
+    fn wait_behind(&self, ahead: Duration) -> Duration {
+        let running = Duration::from_micros(self.mean_took());
+        let wait = (ahead + running) / self.concurrency.max(1);
+        wait.clamp(RETRY_AFTER[0], RETRY_AFTER[1])
     }
 
     /// The average over what runs now, by class.
--- a/crates/core/src/admit/tests.rs
+++ b/crates/core/src/admit/tests.rs
@@ -3,3 +3,5 @@
 mod bench;
 mod cases;
 mod drawn;
+mod load;
+mod overload;
