Send long bodies only where there is room, and take them in before slots are asked for

An upload of 60 KB was sent at once to up to three nodes, each of which refused it, and those that were admitted held a slot for as long as the link took.

Ruled out: processor time (the same delays with none charged).

Held bodies take 16 MB of a node at most, 512 KB each; longer ones are passed on as they come.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,10 +14,12 @@
 
 mod admission;
 mod answer;
+mod arrival;
 mod at_target;
 mod attempt;
 mod beside;
 mod beside_trail;
+mod bodies;
 mod bounds;
 mod caller_side;
 mod counters;
--- /dev/null
+++ b/crates/node/src/traffic/arrival.rs
@@ -0,0 +1,87 @@
+//! Taking a body in before its request asks for a slot.
+
+use std::time::Duration;
+
+use http::Request;
+use sassafrasspool_core::Ask;
+use sassafrasspool_core::Reason;
+use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Step;
+use tokio::sync::Semaphore;
+
+use super::bounds::UPLOAD_WINDOW;
+use super::hub::Hub;
+use super::missed::Missed;
+use super::payload::Payload;
+
+/// Of so many slots one long body may be on its way at once: more would share the
+/// same link, so that all of them come later.
+const SLOTS_PER_BODY: u32 = 2;
+
+/// When to come back to a target that takes in as many bodies as it may: a body
+/// of 60 KB takes 70 ms at 7 Mbit/s.
+const COME_BACK: Duration = Duration::from_millis(100);
+
+/// Long bodies on their way to the own target.
+#[derive(Debug)]
+pub(super) struct Arrivals(Semaphore);
+
+impl Arrivals {
+    /// None so far, beside a target with that many slots.
+    pub(super) fn new(slots: u32) -> Arrivals {
+        let most = (slots / SLOTS_PER_BODY).max(1);
+        Arrivals(Semaphore::new(usize::try_from(most).unwrap_or(1)))
+    }
+
+    /// Whether another may come now.
+    pub(super) fn room(&self) -> Result<(), Refusal> {
+        match self.0.available_permits() {
+            0 => Err(refuse(Reason::QueueFull).after(COME_BACK)),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Takes in the body of a request from another node, unless it is too large to be
+/// held.
+///
+/// A body that comes while its request holds a slot holds it for as long as its
+/// link takes: uploads of 60 KB over links of 7 Mbit/s took two thirds of the slots
+/// of their targets, which had room for them otherwise. A request that would be
+/// refused is refused before its body is asked for.
+///
+/// # Errors
+///
+/// Refuses it as not run.
+pub(super) async fn take_in(
+    hub: &Hub,
+    ask: &Ask<'_>,
+    req: Request<Payload>,
+) -> Result<Request<Payload>, Missed> {
+    let Some(bytes) = req.body().to_come() else {
+        return Ok(req);
+    };
+    let clock = hub.shared.clock();
+    if let Some(refusal) = hub.admission.foresee(clock.now(), ask) {
+        return Err(Missed::unsent(refusal, req));
+    }
+    // What fits into the window is there with the head of the request.
+    let is_long = bytes > u64::from(UPLOAD_WINDOW);
+    let turn = is_long.then(|| hub.arrivals.0.try_acquire());
+    if turn.as_ref().is_some_and(Result::is_err) {
+        let refusal = refuse(Reason::QueueFull).after(COME_BACK);
+        return Err(Missed::unsent(refusal, req));
+    }
+    let until = clock.instant(ask.deadline.tick());
+    let (parts, body) = req.into_parts();
+    match tokio::time::timeout_at(until.into(), body.hold(&hub.bodies)).await {
+        Ok(Ok(body)) => Ok(Request::from_parts(parts, body)),
+        // The node that sent it broke off, and hears no answer.
+        Ok(Err(_)) => Err(refuse(Reason::CallerGone).into()),
+        Err(_) => Err(refuse(Reason::DeadlinePassed).into()),
+    }
+}
+
+fn refuse(reason: Reason) -> Refusal {
+    Refusal::not_run(Step::Admission, reason)
+}
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -22,6 +22,7 @@
 
 use super::admission;
 use super::answer::Answer;
+use super::arrival;
 use super::beside::Call;
 use super::head;
 use super::missed::Missed;
@@ -56,7 +57,7 @@
     ///
     /// A refusal was not handed over; anything later is a loss.
     pub(super) async fn run(
-        self,
+        mut self,
         class: Class,
         limits: &Limits,
         slots: Option<u32>,
@@ -71,6 +72,7 @@
             ask.slots = Some(slots);
             hub.pool.resize(slots);
         }
+        self.req = arrival::take_in(hub, &ask, self.req).await?;
         let asked = hub.shared.clock().now();
         let admitted = admission::admit(&hub.admission, hub.shared.clock(), &ask).await;
         let waited = hub.shared.clock().now().since(asked);
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -9,6 +9,7 @@
 use http::Version;
 use http::uri::Authority;
 use http::uri::Scheme;
+use hyper::body::Incoming;
 use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
@@ -17,6 +18,7 @@
 use sassafrasspool_core::LoadReport;
 use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
+use sassafrasspool_core::Outcome;
 use sassafrasspool_core::Picked;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
@@ -123,6 +125,49 @@
         picked: &Picked,
         req: Request<Payload>,
     ) -> Result<Response<Answer>, Missed> {
+        if !req.body().is_short()
+            && let Err(refusal) = self.ask_for_room(picked, &req).await
+        {
+            return Err(Missed::unsent(refusal, req));
+        }
+        let res = self.pass_on(picked, req).await?;
+        match refusal::failure_of(&res) {
+            Some(failure) => Err(failure.into()),
+            None => Ok(from_peer(res.map(Answer::peer))),
+        }
+    }
+
+    /// Asks whether there would be room for a request with a long body.
+    ///
+    /// A body that is sent along takes the link of a target that may have no room.
+    /// Uploads of 60 KB that three nodes refused one after the other, 8 KB of each
+    /// sent in vain, took more of links of 7 Mbit/s than those that were served,
+    /// and lookups of 50 ms came 40 ms late.
+    async fn ask_for_room(&self, picked: &Picked, req: &Request<Payload>) -> Result<(), Refusal> {
+        let mut ask = Request::new(Payload::empty());
+        *ask.method_mut() = req.method().clone();
+        *ask.uri_mut() = req.uri().clone();
+        ask.headers_mut()
+            .insert(names::ROOM, HeaderValue::from_static("1"));
+        let answered = self.pass_on(picked, ask).await;
+        let told = match answered {
+            Ok(res) => refusal::failure_of(&res),
+            Err(missed) => Some(missed.failure),
+        };
+        match told {
+            None => Ok(()),
+            Some(Failure::Refused(refusal)) if refusal.outcome() == Outcome::NotRun => Err(refusal),
+            // Whatever became of the question, the request itself wasn't sent.
+            Some(_) => Err(Refusal::not_run(Step::Forward, Reason::Connect)),
+        }
+    }
+
+    /// Passes a request on, and takes in the load that its answer tells.
+    async fn pass_on(
+        &self,
+        picked: &Picked,
+        req: Request<Payload>,
+    ) -> Result<Response<Incoming>, Missed> {
         let clock = self.worker.hub.shared.clock();
         let left = self.deadline.remaining_beyond(clock.now()).as_millis();
         if left == 0 {
@@ -148,10 +193,7 @@
         if let Some(load) = load_of(&res) {
             picked.report(clock.now(), load);
         }
-        match refusal::failure_of(&res) {
-            Some(failure) => Err(failure.into()),
-            None => Ok(from_peer(res.map(Answer::peer))),
-        }
+        Ok(res)
     }
 
     fn for_peer(&self, mut req: Request<Payload>, left_ms: u64) -> Request<Payload> {
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -14,6 +14,7 @@
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
+use sassafrasspool_core::Request as Stage;
 use sassafrasspool_core::Route;
 use sassafrasspool_core::Running;
 use sassafrasspool_core::Step;
@@ -67,19 +68,15 @@
     req: Request<Payload>,
     call: Call<'_>,
 ) -> Result<Response<Answer>, Missed> {
-    if let Some(reason) = closed(worker) {
-        return Err(Missed::unsent(refuse(reason), req));
-    }
-    let listed = call.routes.own();
-    let slots = listed.map(|(endpoint, _)| endpoint.instance.slots);
-    if let Some(life) = listed.and_then(|(endpoint, _)| endpoint.instance.target.as_ref()) {
+    let service = match own_service(worker, &call) {
+        Ok(service) => service,
+        Err(refusal) => return Err(Missed::unsent(refusal, req)),
+    };
+    let listed = call.routes.own().map(|(endpoint, _)| &endpoint.instance);
+    let slots = listed.map(|instance| instance.slots);
+    if let Some(life) = listed.and_then(|instance| instance.target.as_ref()) {
         worker.hub.follow_target(life);
     }
-    let by_name = || call.routes.view.snapshot.find_service(&worker.hub.service);
-    let service = listed.map(|(_, service)| service);
-    let Some(service) = service.or_else(|| by_name().map(|(_, service)| service)) else {
-        return Err(Missed::unsent(refuse(Reason::NoConfiguration), req));
-    };
     let route = match call.class {
         Some(_) if !req.headers().contains_key(names::IDEMPOTENCY_KEY) => None,
         _ => own_route(&req, service, &call),
@@ -114,6 +111,36 @@
     Ok(res)
 }
 
+/// Whether a request with a long body would find room, before the body is sent.
+///
+/// # Errors
+///
+/// Tells what the request itself would be told.
+pub(super) fn room(worker: &Worker, call: &Call<'_>) -> Result<(), Refusal> {
+    let service = own_service(worker, call)?;
+    let class = call.class.unwrap_or(service.entry.class);
+    let mut ask = Stage::received(class, call.deadline).ask(&service.entry.limits);
+    ask.kind = call.kind.as_ref();
+    ask.aim = call.aim;
+    ask.settles = call.settles;
+    let now = worker.hub.shared.clock().now();
+    match worker.hub.admission.foresee(now, &ask) {
+        Some(refusal) => Err(refusal),
+        None => worker.hub.arrivals.room(),
+    }
+}
+
+/// The service of the own target, if that takes work.
+fn own_service<'a>(worker: &Worker, call: &Call<'a>) -> Result<&'a BoundService, Refusal> {
+    if let Some(reason) = closed(worker) {
+        return Err(refuse(reason));
+    }
+    let listed = call.routes.own().map(|(_, service)| service);
+    let by_name = || call.routes.view.snapshot.find_service(&worker.hub.service);
+    let service = listed.or_else(|| by_name().map(|(_, service)| service));
+    service.ok_or_else(|| refuse(Reason::NoConfiguration))
+}
+
 /// Whether a request is run, by its key if it has one.
 #[derive(Debug)]
 enum Begun {
--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -5,8 +5,13 @@
 /// The largest body of a request, in bytes.
 pub(super) const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 
-/// The largest body that is held so that it can be sent again, in bytes.
-pub(super) const MAX_REPLAY_BYTES: u64 = 64 * 1024;
+/// The largest body that is held so that it can be sent again, in bytes: the
+/// uploads in use today have 60 KB as a rule and 360 KB at most.
+pub(super) const MAX_REPLAY_BYTES: u64 = 512 * 1024;
+
+/// The most that all held bodies of a node take, in bytes: a tenth of the memory
+/// of the smallest instances. What comes beyond is passed on as it comes.
+pub(super) const MAX_HELD_BYTES: u64 = 16 * 1024 * 1024;
 
 /// The largest head of a request or an answer, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -33,6 +38,16 @@
 /// Flow control window of one stream between nodes, in bytes.
 pub(super) const STREAM_WINDOW: u32 = 256 * 1024;
 
+/// Bytes of a request's body that another node may send before the request is
+/// admitted here, and that are under way at any time after that.
+///
+/// A body that is sent at once takes the link of a target that may have no room:
+/// uploads of 60 KB at links of 7 Mbit/s, each refused and sent again up to three
+/// times, kept lookups of 30 ms on the way for 60 to 350 ms, and probes unanswered
+/// for so long that connections were dropped. At 1 ms for a round trip the window
+/// lets 8 MB a second through.
+pub(super) const UPLOAD_WINDOW: u32 = 8 * 1024;
+
 /// Flow control window of one connection between nodes, in bytes.
 pub(super) const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
 
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -113,7 +113,7 @@
     routes.ok_or_else(|| refuse(Reason::NoConfiguration))
 }
 
-/// Routes a request and holds its body if it is small.
+/// Routes a request and holds its body, if there is room for it.
 async fn prepare<'a>(
     worker: &'a Worker,
     side: Side,
@@ -128,7 +128,7 @@
         return Err(refuse(Reason::TooLarge));
     };
     let until = worker.hub.shared.clock().instant(first.deadline().tick());
-    let body = match tokio::time::timeout_at(until.into(), body.hold_if_small()).await {
+    let body = match tokio::time::timeout_at(until.into(), body.hold(&worker.hub.bodies)).await {
         Ok(Ok(body)) => body,
         // The caller broke off; nobody reads this answer.
         Ok(Err(_)) => return Err(refuse(Reason::CallerGone)),
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -13,6 +13,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::arrival::Arrivals;
+use super::bodies::Bodies;
 use super::counters::Counters;
 use super::own_life::OwnLife;
 use super::parents::Parents;
@@ -31,6 +33,8 @@
     pub(super) pool: Arc<Pool>,
     pub(super) own_life: OwnLife,
     pub(super) admission: Admission,
+    pub(super) bodies: Bodies,
+    pub(super) arrivals: Arrivals,
     pub(super) parents: Parents,
     pub(super) patience: Patiences,
     pub(super) stages: Stages,
@@ -79,6 +83,8 @@
             pool: Pool::new(cfg.target.addr, limit),
             own_life: OwnLife::default(),
             admission,
+            bodies: Bodies::new(),
+            arrivals: Arrivals::new(cfg.target.slots),
             parents: Parents::default(),
             patience: Patiences::default(),
             stages: Stages::new(),
--- a/crates/node/src/traffic/payload.rs
+++ b/crates/node/src/traffic/payload.rs
@@ -16,14 +16,16 @@
 use hyper::body::Incoming;
 
 use super::BoxError;
+use super::bodies::Bodies;
+use super::bodies::Room;
 use super::bounds::MAX_BODY_BYTES;
-use super::bounds::MAX_REPLAY_BYTES;
+use super::bounds::UPLOAD_WINDOW;
 
 /// The body of a request.
 #[derive(Debug)]
 pub(super) enum Payload {
     /// Held whole, so that it can be sent again.
-    Held(Bytes),
+    Held(Held),
     /// Passed on as it comes, counted against the bound.
     Stream {
         /// What the caller sends.
@@ -36,7 +38,7 @@
 impl Payload {
     /// No body.
     pub(super) fn empty() -> Payload {
-        Payload::Held(Bytes::new())
+        Payload::Held(Held::default())
     }
 
     /// Takes what a caller sends as it comes.
@@ -77,30 +79,56 @@
         })
     }
 
-    /// Holds a body that is known to be small, so that it can be sent again.
+    /// Whether it is known to be so short that it is there with its head.
+    pub(super) fn is_short(&self) -> bool {
+        let upper = self.size_hint().upper();
+        upper.is_some_and(|bytes| bytes <= u64::from(UPLOAD_WINDOW))
+    }
+
+    /// Bytes that are to be taken in, if they are known and there may be room for
+    /// them; nothing of a body that is held.
+    pub(super) fn to_come(&self) -> Option<u64> {
+        match self {
+            Payload::Stream { body, .. } => body.size_hint().upper(),
+            Payload::Held(_) => None,
+        }
+    }
+
+    /// Holds a body whose size is known, if there is room for it.
     ///
     /// # Errors
     ///
     /// Fails if the body breaks off.
-    pub(super) async fn hold_if_small(self) -> Result<Payload, hyper::Error> {
-        match self {
-            Payload::Stream { body, .. } if is_small(&body) => {
-                let whole = body.collect().await?.to_bytes();
-                Ok(Payload::Held(whole))
+    pub(super) async fn hold(self, bodies: &Bodies) -> Result<Payload, hyper::Error> {
+        let room = self.to_come().and_then(|bytes| bodies.room(bytes));
+        match (self, room) {
+            (Payload::Stream { body, .. }, Some(room)) => {
+                let bytes = body.collect().await?.to_bytes();
+                Ok(Payload::Held(Held {
+                    bytes,
+                    _room: Some(room),
+                }))
             }
-            payload => Ok(payload),
+            (payload, _) => Ok(payload),
         }
     }
 
     /// The same body once more, if it is held.
     pub(super) fn again(&self) -> Option<Payload> {
         match self {
-            Payload::Held(bytes) => Some(Payload::Held(bytes.clone())),
+            Payload::Held(held) => Some(Payload::Held(held.clone())),
             Payload::Stream { .. } => None,
         }
     }
 }
 
+/// A body in memory, with the room that it takes until its last copy is gone.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Held {
+    bytes: Bytes,
+    _room: Option<Room>,
+}
+
 /// Whether all of a body was taken.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Taken(Arc<AtomicBool>);
@@ -148,11 +176,6 @@
 #[derive(Debug)]
 pub(super) struct TooLarge;
 
-fn is_small(body: &Upload) -> bool {
-    let upper = body.size_hint().upper();
-    upper.is_some_and(|bytes| bytes <= MAX_REPLAY_BYTES)
-}
-
 impl Body for Payload {
     type Data = Bytes;
     type Error = BoxError;
@@ -162,9 +185,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         match self.get_mut() {
-            Payload::Held(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Payload::Held(bytes) => {
-                let whole = std::mem::take(bytes);
+            Payload::Held(held) if held.bytes.is_empty() => Poll::Ready(None),
+            Payload::Held(held) => {
+                let whole = std::mem::take(&mut held.bytes);
                 Poll::Ready(Some(Ok(Frame::data(whole))))
             }
             Payload::Stream { body, left } => {
@@ -176,14 +199,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Payload::Held(bytes) => bytes.is_empty(),
+            Payload::Held(held) => held.bytes.is_empty(),
             Payload::Stream { body, .. } => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Payload::Held(bytes) => SizeHint::with_exact(bytes.remaining() as u64),
+            Payload::Held(held) => SizeHint::with_exact(held.bytes.remaining() as u64),
             Payload::Stream { body, .. } => body.size_hint(),
         }
     }
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -52,6 +52,10 @@
         return Err(refuse(Reason::NoConfiguration).into());
     };
     let call = call_of(worker, &routes, req.headers())?;
+    if req.headers().contains_key(names::ROOM) {
+        beside::room(worker, &call)?;
+        return Ok(Response::new(Answer::text("")));
+    }
     let (parts, body) = req.into_parts();
     let bound = routes.view.snapshot.callers().body_bytes;
     let Ok(body) = Payload::stream(body).bounded(bound) else {
--- a/crates/node/tests/requests/upload.rs
+++ b/crates/node/tests/requests/upload.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use sassafrasspool_core::Phase;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -12,6 +13,8 @@
 use crate::fleet::ADJUSTER;
 use crate::fleet::DESK;
 use crate::fleet::Fleet;
+use crate::fleet::SLOTS;
+use crate::fleet::Spec;
 use crate::wait;
 
 /// Sends a head that announces `announced` bytes, and `sent` of them.
@@ -152,3 +155,51 @@
     assert!(answer.starts_with("HTTP/1.1 404 "), "{answer}");
     assert!(answer.contains("connection: close"), "{answer}");
 }
+
+// Workshops on slow lines upload photographs, as many at once as the adjuster desk
+// has slots. A slot was held from the first byte on, so that approvals found none
+// for as long as the lines took.
+#[tokio::test]
+async fn uploads_that_come_slowly_hold_no_slot() {
+    let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
+    let ingress = fleet.members[0].addrs.ingress;
+    let mut slow = Vec::new();
+    for n in 0..SLOTS {
+        slow.push(begin_upload(ingress, &format!("slow-{n}"), 200_000, 90_000).await);
+    }
+    let in_flight = || fleet.members[0].shared.in_flight().count();
+    wait::until("uploads under way", || in_flight() == u64::from(SLOTS)).await;
+    let res = client::call(ingress, client::get("/adjuster/approve", "r-1")).await;
+    assert_eq!(res.expect("an answer").status(), StatusCode::OK);
+    for (n, mut stream) in slow.into_iter().enumerate() {
+        let rest = vec![b'x'; 110_000];
+        stream.write_all(&rest).await.expect("the rest");
+        let answer = read_some(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{n}: {answer}");
+    }
+}
+
+// A large upload is routed to a node that begins to drain just then. A part of it
+// was on its way before the refusal came, so that it couldn't go to the other
+// adjuster desk, which had room.
+#[tokio::test]
+async fn a_long_upload_that_is_refused_goes_to_the_next_whole() {
+    let near = Spec {
+        domain: DESK.domain,
+        ..ADJUSTER
+    };
+    let far = Spec {
+        id: "ad-2",
+        ..ADJUSTER
+    };
+    let fleet = Fleet::start(&[DESK, near, far]).await;
+    fleet.members[1].shared.advance(Phase::Draining);
+    let mut req = client::get("/adjuster/approve", "r-1");
+    *req.method_mut() = http::Method::POST;
+    *req.body_mut() = client::Body::new(Bytes::from(vec![b'x'; 3_000_000]));
+    let res = client::call(fleet.members[0].addrs.ingress, req).await;
+    let res = res.expect("an answer");
+    assert_eq!(res.status(), StatusCode::OK);
+    assert_eq!(client::header(&res, "x-received-bytes"), "3000000");
+    assert_eq!(fleet.members[2].runs_of("r-1").len(), 1);
+}
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -45,6 +45,10 @@
 /// place in the queue is better than none.
 pub const SETTLES: HeaderName = HeaderName::from_static("x-sassafrasspool-settles");
 
+/// Between nodes: 1 if this only asks whether there would be room for a request
+/// with these headers, whose body is too long to be sent in vain.
+pub const ROOM: HeaderName = HeaderName::from_static("x-sassafrasspool-room");
+
 /// Between nodes: the life of the target that the request is meant for.
 pub const LIFE: HeaderName = HeaderName::from_static("x-sassafrasspool-life");
 
