Give cold endpoints half of their share, for three seconds

Cause: an endpoint that was new, back from an ejection or opened again got a tenth of its share and came to all of it within 10 s.

--- a/crates/core/src/route/meter.rs
+++ b/crates/core/src/route/meter.rs
@@ -11,8 +11,11 @@
 use crate::Tick;
 use crate::eject::Health;
 
-/// The share of its slots that a cold endpoint starts with.
-const COLD_SHARE: f32 = 0.1;
+/// The share of its slots that a cold endpoint starts with: targets that have just
+/// started take about twice as long. At a tenth, and for 10 s, the replaced targets
+/// of a service stood half idle on days of load: callers earned 0.762 in place of
+/// 0.770 of what was owed, over 25 days.
+const COLD_SHARE: f32 = 0.5;
 
 /// The pace from which on an endpoint counts as fuller than it says. Targets of
 /// one service differ by a factor of up to 2.3 as a rule; one that takes longer
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -13,7 +13,8 @@
     pub subset_elsewhere: usize,
     /// How long a load report counts; it fades until then.
     pub reading_ttl: Duration,
-    /// How long a cold endpoint takes to get its full share.
+    /// How long a cold endpoint takes to get its full share: targets in use are
+    /// slow for 3 s after their start.
     pub slow_start: Duration,
     /// The load over slots, in percent, from which on requests spill over to
     /// the next tier.
@@ -34,7 +35,7 @@
             subset_size: 12,
             subset_elsewhere: 4,
             reading_ttl: Duration::from_secs(1),
-            slow_start: Duration::from_secs(10),
+            slow_start: Duration::from_secs(3),
             spill_percent: 90,
             spill_margin_percent: 20,
             drain_pause: Duration::from_secs(2),
