--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -7,7 +7,8 @@
 //! can act while there is time. Critical work goes first; standard work goes
 //! before background work by a set weight, so that neither stops for good.
 //!
-//! Within a class those go first whose answer can still be worth most to their
+//! Within a class those go first that take the least of a slot's time, and of
+//! those that take as long the ones whose answer can still be worth most to their
 //! callers. Were the oldest to go first, under more load than the target bears
 //! all would wait until their answers are late; so as many are answered, but
 //! most of them in time.
--- a/crates/node/src/traffic/arrival.rs
+++ b/crates/node/src/traffic/arrival.rs
@@ -27,7 +27,7 @@
 pub(super) struct Arrivals(Semaphore);
 
 impl Arrivals {
-    /// None so far, beside a target with that many slots.
+    /// None so far, beside a target that has so many slots by the settings.
     pub(super) fn new(slots: u32) -> Arrivals {
         let most = (slots / SLOTS_PER_BODY).max(1);
         Arrivals(Semaphore::new(usize::try_from(most).unwrap_or(1)))
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -64,10 +64,7 @@
     ) -> Result<Response<Answer>, Missed> {
         let hub = &self.worker.hub;
         let stage = Stage::received(class, self.call.deadline);
-        let mut ask = stage.ask(limits);
-        ask.kind = self.call.kind.as_ref();
-        ask.aim = self.call.aim;
-        ask.settles = self.call.settles;
+        let mut ask = self.call.ask(class, limits);
         if let Some(slots) = slots {
             ask.slots = Some(slots);
             hub.pool.resize(slots);
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -6,11 +6,13 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use sassafrasspool_core::Ask;
 use sassafrasspool_core::Begin;
 use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::KindName;
+use sassafrasspool_core::Limits;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
@@ -58,6 +60,18 @@
     pub(super) origin: Option<HeaderValue>,
 }
 
+impl Call<'_> {
+    /// What admission is asked for it.
+    pub(super) fn ask<'a>(&'a self, class: Class, limits: &'a Limits) -> Ask<'a> {
+        Ask {
+            kind: self.kind.as_ref(),
+            aim: self.aim,
+            settles: self.settles,
+            ..Stage::received(class, self.deadline).ask(limits)
+        }
+    }
+}
+
 /// Runs a request in the own target.
 ///
 /// # Errors
@@ -119,10 +133,7 @@
 pub(super) fn room(worker: &Worker, call: &Call<'_>) -> Result<(), Refusal> {
     let service = own_service(worker, call)?;
     let class = call.class.unwrap_or(service.entry.class);
-    let mut ask = Stage::received(class, call.deadline).ask(&service.entry.limits);
-    ask.kind = call.kind.as_ref();
-    ask.aim = call.aim;
-    ask.settles = call.settles;
+    let ask = call.ask(class, &service.entry.limits);
     let now = worker.hub.shared.clock().now();
     match worker.hub.admission.foresee(now, &ask) {
         Some(refusal) => Err(refusal),
