--- a/crates/node/src/traffic/bodies.rs
+++ b/crates/node/src/traffic/bodies.rs
@@ -8,6 +8,9 @@
 use super::bounds::MAX_HELD_BYTES;
 use super::bounds::MAX_REPLAY_BYTES;
 
+#[cfg(test)]
+mod tests;
+
 /// Bytes that are counted as one.
 const UNIT: u64 = 1_024;
 
--- a/crates/node/src/traffic/own_life.rs
+++ b/crates/node/src/traffic/own_life.rs
@@ -5,6 +5,9 @@
 
 use sassafrasspool_core::TargetLife;
 
+#[cfg(test)]
+mod tests;
+
 /// The own target's life as requests last saw it.
 #[derive(Debug, Default)]
 pub(super) struct OwnLife(Mutex<Option<TargetLife>>);
--- /dev/null
+++ b/crates/node/src/traffic/own_life/tests.rs
@@ -0,0 +1,25 @@
+use sassafrasspool_core::TargetId;
+use sassafrasspool_core::TargetLife;
+
+use super::OwnLife;
+
+fn life(id: &str, listed_at: u64, born: Option<u64>) -> TargetLife {
+    TargetLife {
+        id: TargetId::new(id).expect("a name"),
+        listed_at,
+        born,
+    }
+}
+
+// The target beside a node crashes and starts again under its name. The node kept
+// idle connections to the process before: the next request went out on one and had
+// no answer until its deadline. Its entry listed anew is no new start.
+#[test]
+fn another_start_is_told_once() {
+    let own = OwnLife::default();
+    assert!(!own.follow(&life("t-1", 5, Some(100))), "the first");
+    assert!(!own.follow(&life("t-1", 9, Some(100))), "listed anew");
+    assert!(own.follow(&life("t-1", 9, Some(200))), "started again");
+    assert!(!own.follow(&life("t-1", 9, Some(200))), "told already");
+    assert!(own.follow(&life("t-2", 12, None)), "another name");
+}
