Let a stop's bound follow what the platform grants

Ruled out: a loss of the node beside the target (it went on until its caller left at 30.553 s) and a route's timeout (8 s).

Change: drain.grace_s, told by the platform, makes the bound five sixths of it less what callers are served for: 2.8 s at 6 s as before, 6.1 s at 10 s.

--- a/crates/node/src/settings/drain.rs
+++ b/crates/node/src/settings/drain.rs
@@ -11,6 +11,14 @@
 /// Bounds of the bound, in milliseconds.
 const BOUND_MS: RangeInclusive<u64> = 100..=3_600_000;
 
+/// What a platform grants a process that it told to stop, before it kills it: text,
+/// in seconds.
+const GRACE_S: RangeInclusive<f64> = 1.0..=3_600.0;
+
+/// The part of the grace that is left once requests were cut, for the last word to
+/// peers and for callers to read what they were told: in six seconds, one.
+const AFTER_CUT: f64 = 1.0 / 6.0;
+
 /// Bounds of the time for which callers are still served, in milliseconds.
 const CALLERS_MS: RangeInclusive<u64> = 0..=60_000;
 
@@ -38,7 +46,6 @@
 impl DrainSettings {
     pub(super) fn read(mut table: Table<'_>, faults: &mut Faults) -> Option<DrainSettings> {
         let default = DrainSettings::default();
-        let bound = millis_or(&mut table, "bound_ms", BOUND_MS, default.bound, faults);
         let callers = millis_or(
             &mut table,
             "callers_ms",
@@ -46,6 +53,11 @@
             default.callers,
             faults,
         );
+        let grace = table.optional_text("grace_s", faults, grace);
+        let granted = grace.flatten().zip(callers);
+        let granted = granted.map(|(grace, callers)| bound_within(grace, callers));
+        let default = granted.unwrap_or(default.bound);
+        let bound = millis_or(&mut table, "bound_ms", BOUND_MS, default, faults);
         table.finish(faults);
         Some(DrainSettings {
             bound: bound?,
@@ -53,3 +65,26 @@
         })
     }
 }
+
+/// Reads a time in seconds; nothing if the platform doesn't tell it.
+fn grace(text: &str) -> Result<Option<Duration>, String> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let secs = text.parse::<f64>().ok();
+    let secs = secs.filter(|secs| GRACE_S.contains(secs));
+    let (min, max) = (GRACE_S.start(), GRACE_S.end());
+    let secs = secs.ok_or_else(|| format!("must be {min} to {max} seconds, is {text:?}"))?;
+    Ok(Some(Duration::from_secs_f64(secs)))
+}
+
+/// How long requests in flight may take if the process is killed `grace` after it
+/// was told to stop.
+///
+/// A bound that was fixed for a grace of 6 s cut a review that had run for 3.3 s
+/// with half of its grace of 10 s to go.
+fn bound_within(grace: Duration, callers: Duration) -> Duration {
+    let cut_at = grace.mul_f64(1.0 - AFTER_CUT);
+    let least = Duration::from_millis(*BOUND_MS.start());
+    cut_at.saturating_sub(callers).max(least)
+}
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -26,6 +26,41 @@
     assert!(settings.seeds.is_empty());
 }
 
+#[derive(Debug)]
+struct Grace {
+    drain: &'static str,
+    bound_ms: u64,
+}
+
+// A node is told to stop, and a review that it passed on takes 3.3 s. The platform
+// grants ten seconds, but the bound was fixed for six: its caller's connection was
+// cut after five, with no answer. The bound follows what is granted, and leaves a
+// sixth of it for the last words.
+#[rstest]
+#[case::six(Grace { drain: "{callers_ms: 2200, grace_s: \"6\"}", bound_ms: 2_800 })]
+#[case::ten(Grace { drain: "{callers_ms: 2200, grace_s: \"10\"}", bound_ms: 6_133 })]
+#[case::fraction(Grace { drain: "{callers_ms: 2200, grace_s: \"4.5\"}", bound_ms: 1_550 })]
+#[case::short(Grace { drain: "{callers_ms: 2200, grace_s: \"2\"}", bound_ms: 100 })]
+#[case::not_told(Grace { drain: "{callers_ms: 2200, grace_s: \"\"}", bound_ms: 30_000 })]
+#[case::set(Grace { drain: "{bound_ms: 700, grace_s: \"10\"}", bound_ms: 700 })]
+fn requests_are_cut_within_the_grace(#[case] case: Grace) {
+    let text = format!("{WHOLE}drain: {}\n", case.drain);
+    let settings = Settings::parse(&text).expect("settings");
+    let bound = settings.drain.bound.as_millis();
+    assert_eq!(u64::try_from(bound), Ok(case.bound_ms), "{case:?}");
+}
+
+#[rstest]
+#[case("0")]
+#[case("-1")]
+#[case("soon")]
+#[case("NaN")]
+fn a_grace_that_is_none_is_told(#[case] grace: &str) {
+    let text = format!("{WHOLE}drain: {{grace_s: \"{grace}\"}}\n");
+    let told = Settings::parse(&text).expect_err("a fault").to_string();
+    assert!(told.contains("must be 1 to 3600 seconds"), "{told}");
+}
+
 /// The operators' page, whose first YAML is a node's settings.
 const PAGE: &str = include_str!("../../../../docs/OPERATIONS.md");
 
