--- a/crates/core/src/spread/gossip.rs
+++ b/crates/core/src/spread/gossip.rs
@@ -21,6 +21,8 @@
     pub(super) states_due: Option<Tick>,
     /// Nothing is announced before, unless a peer has told what it holds.
     pub(super) quiet_until: Option<Tick>,
+    /// When a peer last told, on being asked, what it holds.
+    pub(super) answered: Option<Tick>,
     /// Whether a peer has told what it holds since this process was woken.
     pub(super) has_heard_since_waking: bool,
     /// What was announced last.
@@ -44,6 +46,7 @@
             heads_due: None,
             states_due: None,
             quiet_until: None,
+            answered: None,
             has_heard_since_waking: true,
             announced: Heads::default(),
             teller: None,
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -83,6 +83,8 @@
     reads: [SourceReads; 2],
     /// Who gave the catalogue that is held.
     giver: Origin,
+    /// Whether a list that it held named it.
+    was_listed: bool,
     started: Tick,
     last: Tick,
 }
@@ -118,6 +120,7 @@
             budget: ReadBudget::new(&cfg, &mut rng, now),
             reads: Stream::ALL.map(|stream| SourceReads::new(stream, &cfg)),
             giver: Origin::Source,
+            was_listed: false,
             started: now,
             last: now,
             rng,
--- a/crates/core/src/spread/machine/join.rs
+++ b/crates/core/src/spread/machine/join.rs
@@ -15,7 +15,7 @@
 use crate::spread::life::Progress;
 
 /// Time between two rounds of asking while joining.
-const ASK_AGAIN: Duration = Duration::from_millis(500);
+pub(super) const ASK_AGAIN: Duration = Duration::from_millis(500);
 
 impl Spread {
     /// Asks some peers what they hold: of the list if there is one, else the
@@ -69,8 +69,8 @@
         joined.apply(&self.holder, Stream::Catalogue, &self.giver, out);
         out.push(Action::Joined);
         self.life = Life::Joined(joined);
-        let interval = self.jittered(self.cfg.interval);
-        self.gossip.next_sync = now + interval;
+        let pause = self.sync_pause();
+        self.gossip.next_sync = now + pause;
     }
 
     fn progress(&self, now: Tick) -> Progress {
@@ -154,6 +154,10 @@
         self.members.relist(now, &held);
         self.members.merge(now, &self.own, Some(&held));
         self.find_place(now, out);
+        if self.is_counted_on_by_nobody() {
+            let soon = now + self.sync_pause();
+            self.gossip.next_sync = self.gossip.next_sync.min(soon);
+        }
         self.taken(now, Stream::Instances, origin, out);
         if before.is_none() {
             // Now there is somebody to ask, and to tell of this endpoint.
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -22,6 +22,11 @@
 /// gives it that doesn't hold watches back; else it would be asked in a loop.
 const EMPTY_WAIT: Duration = Duration::from_millis(500);
 
+/// How long a node that peers don't count leans on the last of them that answered
+/// it. Beyond, it reads for itself: a target that leaves gets requests for two
+/// seconds more, so that its word has to arrive within those.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
+
 impl Spread {
     /// Decides whether this node reads, and reads what is due.
     pub(super) fn read_what_is_due(&mut self, now: Tick, out: &mut Vec<Action>) {
@@ -68,7 +73,10 @@
 
     /// Whether this node reads a stream: as a reader, or to join.
     fn wants(&self, now: Tick, stream: Stream) -> bool {
-        if self.role.reads() || self.hears_nobody() || self.is_counted_on_by_nobody() {
+        if self.role.reads() || self.hears_nobody() {
+            return true;
+        }
+        if self.is_counted_on_by_nobody() && !self.is_answered(now) {
             return true;
         }
         if matches!(self.life, Life::Joined(_)) || self.reads[stream as usize].answered() {
@@ -97,16 +105,27 @@
     /// Its target crashed, or hasn't registered yet, while callers at its
     /// instance are still served. Others don't count it among their peers, so
     /// that it heard of changes by comparing now and then: up to 2.0 s late,
-    /// while it sent requests to targets that had long said that they leave.
-    /// Reading for itself it knows within a round trip, for one read a change.
+    /// while it sent requests to targets that had long said that they leave. It
+    /// therefore asks them often, and reads for itself if none answers.
     ///
     /// One whose target drains is listed, and told as all are. In a fleet that
     /// reads with all nodes it reads as well, though it has no rank.
-    fn is_counted_on_by_nobody(&self) -> bool {
+    pub(super) fn is_counted_on_by_nobody(&self) -> bool {
         let place = self.role.place();
         place.is_some_and(|it| !it.listed || (it.rank.is_none() && self.role.all_read()))
     }
 
+    /// Whether peers lately told it, on its asking, what they hold.
+    ///
+    /// It asks them often, and need not ask the platform. Of 1,840 calls of a fleet
+    /// of 195 in 40 s, nodes that waited to be listed made 600 and those beside
+    /// targets that had left 500, all following the list each for itself. In a fleet
+    /// that reads with all nodes, peers would only be a detour.
+    fn is_answered(&self, now: Tick) -> bool {
+        let answered = self.gossip.answered;
+        !self.role.all_read() && answered.is_some_and(|at| now.since(at) < ANSWERED_WITHIN)
+    }
+
     /// The age of the newest proof of contact, counted from this node's start
     /// if there is none.
     pub(super) fn contact_age(&self, now: Tick) -> Duration {
@@ -170,7 +189,7 @@
             SourceResult::Unchanged { newest } => self.read_unchanged(now, stream, newest, out),
             SourceResult::Nothing => {
                 self.contact.prove(now, self.role.turn());
-                self.reads[stream as usize].fail(now, Duration::ZERO, &mut self.rng);
+                self.reads[stream as usize].find_nothing(now, &mut self.rng);
             }
             SourceResult::Busy { retry_after } => {
                 // It answered: others who step in would only make it busier.
@@ -179,7 +198,7 @@
                 self.reads[stream as usize].fail(now, wait, &mut self.rng);
             }
             SourceResult::Failed { .. } => {
-                self.reads[stream as usize].find_nothing(now, &mut self.rng);
+                self.reads[stream as usize].fail(now, Duration::ZERO, &mut self.rng);
             }
         }
     }
@@ -282,6 +301,8 @@
 
     fn slow_down(&mut self, now: Tick, stream: Stream, verdict: Verdict) {
         let pause = match verdict {
+            // Whatever came since is to be had at once.
+            Verdict::Taken if self.reads[stream as usize].may_lag() => Duration::ZERO,
             Verdict::Taken => self.jittered(self.cfg.rest),
             _ => EMPTY_WAIT,
         };
@@ -301,12 +322,11 @@
     /// Takes in this node's place in the list held.
     pub(super) fn find_place(&mut self, now: Tick, out: &mut Vec<Action>) {
         let Some(list) = self.holder.instances() else {
-            // Whatever came since is to be had at once.
-            Verdict::Taken if self.reads[stream as usize].may_lag() => Duration::ZERO,
             return;
         };
         let place = Place::find(list, &self.local.id, &self.local.domain);
         let before = self.role.reads();
+        self.was_listed |= place.listed;
         self.role.set_place(place.clone());
         self.budget.place(now, &place, self.role.readers());
         if self.role.reads() != before {
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -4,8 +4,11 @@
 //! lost, a node sleeps, a partition lasts. Comparing heads with a random peer
 //! finds whatever was missed, at the cost of two heads.
 
+use std::time::Duration;
+
 use super::Spread;
 use super::announce::is_gone;
+use super::join::ASK_AGAIN;
 use crate::Action;
 use crate::CallId;
 use crate::Contact;
@@ -21,6 +24,10 @@
 use crate::spread::calls::Waiting;
 use crate::spread::life::Life;
 
+/// How often a node compares itself that the list no longer names and that nobody
+/// tells: it knows of a change as soon as the others, within 0.3 s, for 3 KB/s.
+const UNLISTED_PAUSE: Duration = Duration::from_millis(150);
+
 impl Spread {
     pub(super) fn sync_what_is_due(&mut self, now: Tick, out: &mut Vec<Action>) {
         if self.gossip.next_sync > now {
@@ -31,14 +38,26 @@
             self.ask_to_join(now, out);
             return;
         }
-        let interval = self.jittered(self.cfg.interval);
-        self.gossip.next_sync = now + interval;
+        let pause = self.sync_pause();
+        self.gossip.next_sync = now + pause;
         self.gossip.syncs += 1;
         if let Some(peer) = self.partner(now) {
             self.send_sync(now, &peer, out);
         }
     }
 
+    /// How long until the next comparison.
+    pub(super) fn sync_pause(&mut self) -> Duration {
+        let often = match (self.is_counted_on_by_nobody(), self.was_listed) {
+            (true, true) => Some(UNLISTED_PAUSE),
+            // Of a fleet that starts, few are listed yet, and all ask those.
+            (true, false) => Some(ASK_AGAIN),
+            (false, _) => None,
+        };
+        let interval = often.unwrap_or(self.cfg.interval);
+        self.jittered(interval.min(self.cfg.interval))
+    }
+
     pub(super) fn send_sync(&mut self, now: Tick, to: &Address, out: &mut Vec<Action>) {
         let message = PeerMessage::Sync(Sync {
             control: self.local.control,
@@ -113,6 +132,7 @@
             self.hear_states(now, std::slice::from_ref(state), &origin, out);
         }
         self.hear_heads(now, told.heads, &holder, out);
+        self.gossip.answered = Some(now);
         self.gossip.has_heard_since_waking = true;
         self.speak_if_settled();
         let differing = match told.buckets.is_empty() {
