--- a/crates/ctl/src/way.rs
+++ b/crates/ctl/src/way.rs
@@ -205,7 +205,14 @@
         write!(f, "; {running} of {slots} slots, {waiting} waiting")?;
     }
     if let (Some(catalogue), Some(list)) = (line.catalogue, line.list) {
-        write!(f, "; catalogue {catalogue}, list {list}")?;
+        write!(f, "; catalogue {catalogue}")?;
+        if let Some(age) = line.catalogue_ms {
+            write!(f, " for {age} ms")?;
+        }
+        write!(f, ", list {list}")?;
+    }
+    if let (Some(heard), Some(age)) = (line.heard, line.heard_ms) {
+        write!(f, "; behind: heard of catalogue {heard} {age} ms ago")?;
     }
     if let Some(contact) = line.contact_ms {
         write!(f, ", source heard {contact} ms ago")?;
--- a/crates/node/src/control/machine.rs
+++ b/crates/node/src/control/machine.rs
@@ -159,6 +159,9 @@
             let reached = Tick::ZERO + since_start;
             self.outside.shared.contact().note(reached);
         }
+        if let Some(heard) = status.heard.catalogue {
+            self.outside.shared.heard().note(now, heard.revision());
+        }
         self.prove_instances(now, &status);
     }
 
@@ -209,16 +212,16 @@
                     stream,
                     after,
                     wait,
+                    freshness,
                     list,
                 } => self.outside.read(SourceAsk {
                     stream,
-                    freshness,
                     after,
                     wait,
+                    freshness,
                     list,
                 }),
                 Action::Apply(applied) => self.views.apply(applied.snapshot),
-                    freshness,
                 Action::Joined => self.joined = true,
                 Action::Endpoint(state) => self.views.put(state),
                 Action::Audit(event) => self.write(&event),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 pub use crate::shared::ContactAge;
 pub use crate::shared::InFlight;
 pub use crate::shared::InFlightGuard;
+pub use crate::shared::Newest;
 pub use crate::shared::Routes;
 pub use crate::shared::Shared;
 pub use crate::shared::View;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -25,6 +25,7 @@
 
 pub use self::clock::Clock;
 pub use self::contact::ContactAge;
+pub use self::heard::Newest;
 pub use self::in_flight::InFlight;
 pub use self::in_flight::InFlightGuard;
 pub use self::routing::Routes;
@@ -32,6 +33,7 @@
 
 mod clock;
 mod contact;
+mod heard;
 mod in_flight;
 mod routing;
 #[cfg(test)]
@@ -59,6 +61,8 @@
     stopping: AtomicBool,
     in_flight: InFlight,
     contact: ContactAge,
+    heard: Newest,
+    in_force: Newest,
 }
 
 impl Shared {
@@ -87,6 +91,8 @@
             stopping: AtomicBool::new(false),
             in_flight: InFlight::new(),
             contact: ContactAge::new(),
+            heard: Newest::default(),
+            in_force: Newest::default(),
         }
     }
 
@@ -135,8 +141,11 @@
     /// Puts another view in force, whole and at once.
     pub fn set_view(&self, view: View) {
         let view = Arc::new(view);
-        self.routing.bind(&view, self.clock.now());
+        let now = self.clock.now();
+        self.routing.bind(&view, now);
+        let revision = view.snapshot.catalogue().revision();
         self.view.store(Some(view));
+        self.in_force.note(now, revision);
     }
 
     /// Says where the node stands in the fleet, before the first view, and
@@ -201,6 +210,16 @@
         &self.in_flight
     }
 
+    /// The newest catalogue that this node has heard of, held or not.
+    pub fn heard(&self) -> &Newest {
+        &self.heard
+    }
+
+    /// The catalogue in force.
+    pub fn in_force(&self) -> &Newest {
+        &self.in_force
+    }
+
     /// How old this node's newest proof of contact with the platform is.
     pub fn contact(&self) -> &ContactAge {
         &self.contact
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -91,15 +91,15 @@
     req: Request<Payload>,
 ) -> Result<Response<Answer>, Failure> {
     let id = trail::written_id(worker, &req);
-    let unrouted = |refusal: Refusal| {
-        trail::tell_unrouted(worker, id.as_ref(), refusal);
+    let unrouted = |routes: Option<&Routes>, refusal: Refusal| {
+        trail::tell_unrouted(worker, id.as_ref(), routes, refusal);
         Failure::from(refusal)
     };
     // INVARIANT: The request is routed by these alone; newer ones only take
     // endpoints away from it.
-    let routes = routes(worker, side).map_err(unrouted)?;
+    let routes = routes(worker, side).map_err(|refusal| unrouted(None, refusal))?;
     let prepared = prepare(worker, side, &routes, req).await;
-    let (first, req) = prepared.map_err(unrouted)?;
+    let (first, req) = prepared.map_err(|refusal| unrouted(Some(&routes), refusal))?;
     first.run(req).await
 }
 
--- a/crates/node/src/traffic/trail.rs
+++ b/crates/node/src/traffic/trail.rs
@@ -22,6 +22,7 @@
 use super::first_hop::FirstHop;
 use super::worker::Worker;
 use crate::Routes;
+use crate::Shared;
 use crate::log::Rank;
 use crate::log::Told;
 use crate::log::micros;
@@ -137,10 +138,7 @@
             took_us: micros(now.since(since)),
             left_us: micros(facts.deadline.remaining(now)),
             aim_left_us: facts.aim.map(|aim| micros(aim.since(now))),
-            catalogue: Some(snapshot.catalogue().revision().get()),
-            list: Some(snapshot.instances().revision().get()),
-            contact_ms: shared.contact().age(now).map(|age| micros(age) / 1_000),
-            ..RequestLine::default()
+            ..versions(shared, Some(facts.routes))
         })
     }
 }
@@ -161,8 +159,39 @@
     id.filter(|_| !worker.hub.shared.log().is_silent()).cloned()
 }
 
-/// Tells of a request that was refused before it had a route.
-pub(super) fn tell_unrouted(worker: &Worker, id: Option<&HeaderValue>, refusal: Refusal) {
+/// What a request was routed by, how new that was, and what the node had heard of.
+///
+/// A caller that is told that its route doesn't exist, or that waits past the time
+/// of its route, may have met a node that was behind. The line shows it: the node
+/// has heard of a newer catalogue than the one in force, or of nothing for long.
+fn versions<'a>(shared: &Shared, routes: Option<&Routes>) -> RequestLine<'a> {
+    let now = shared.clock().now();
+    let millis = |age| micros(age) / 1_000;
+    let snapshot = routes.map(|routes| &routes.view.snapshot);
+    let catalogue = snapshot.map(|snapshot| snapshot.catalogue().revision().get());
+    let in_force = shared.in_force().tell(now);
+    let in_force = in_force.filter(|(revision, _)| Some(*revision) == catalogue);
+    let heard = shared.heard().tell(now);
+    let heard = heard.filter(|(revision, _)| Some(*revision) != catalogue);
+    RequestLine {
+        catalogue,
+        catalogue_ms: in_force.map(|(_, age)| millis(age)),
+        heard: heard.map(|(revision, _)| revision),
+        heard_ms: heard.map(|(_, age)| millis(age)),
+        list: snapshot.map(|snapshot| snapshot.instances().revision().get()),
+        contact_ms: shared.contact().age(now).map(millis),
+        ..RequestLine::default()
+    }
+}
+
+/// Tells of a request that was refused before it had a route, or as one that has
+/// none by the `routes` in force.
+pub(super) fn tell_unrouted(
+    worker: &Worker,
+    id: Option<&HeaderValue>,
+    routes: Option<&Routes>,
+    refusal: Refusal,
+) {
     let Some(id) = id else { return };
     let shared = &worker.hub.shared;
     let line = RequestLine {
@@ -170,7 +199,7 @@
         node: shared.me().as_str().into(),
         event: ENDED.into(),
         request: String::from_utf8_lossy(id.as_bytes()),
-        ..RequestLine::default()
+        ..versions(shared, routes)
     };
     let failure = Failure::from(refusal);
     shared
--- a/crates/node/tests/requests/told.rs
+++ b/crates/node/tests/requests/told.rs
@@ -84,6 +84,31 @@
     assert_eq!(ends_of(&desk.written, "lost"), [told]);
 }
 
+// A caller is told that its route doesn't exist, though the operators added it
+// seconds ago. By the log of that node alone it shows whether it was behind: which
+// catalogue was in force, since when, and that it had heard of no newer one.
+#[tokio::test]
+async fn the_line_of_a_request_without_a_route_tells_what_was_in_force() {
+    let fleet = Fleet::start(&[DESK]).await;
+    let desk = &fleet.members[0];
+    let req = client::get("/nowhere", "early");
+    client::call(desk.addrs.ingress, req)
+        .await
+        .expect("an answer");
+    wait::until("its line", || !ends_of(&desk.written, "early").is_empty()).await;
+    let text = desk.written.text();
+    let lines = text
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a line"));
+    let line: RequestLine<'_> = lines
+        .filter(|line: &RequestLine<'_>| line.request == "early")
+        .last()
+        .expect("its line");
+    assert!(line.catalogue.is_some() && line.list.is_some(), "{line:?}");
+    assert!(line.catalogue_ms.is_some(), "{line:?}");
+    assert_eq!((line.heard, line.heard_ms), (None, None));
+}
+
 // A request that was answered has one end, and not a second one as it is let go.
 #[tokio::test]
 async fn an_answered_request_ends_once() {
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -78,6 +78,16 @@
     /// The catalogue's revision by which it was routed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub catalogue: Option<u64>,
+    /// Milliseconds since a catalogue of that revision came into force here.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub catalogue_ms: Option<u64>,
+    /// The newest revision of the catalogue that the node had heard of, unless
+    /// that is the one by which it was routed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub heard: Option<u64>,
+    /// Milliseconds since the node first heard of that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub heard_ms: Option<u64>,
     /// The instance list's revision by which it was routed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub list: Option<u64>,
