Name the life that answers while the platform is away

The target tells its life with each refusal; the node beside it names that one where it never saw the ended life answer, so that its settings name the service for sure.

--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -14,6 +14,9 @@
     /// To the target: the life that the request is meant for. Another life
     /// answers 421 and doesn't run it.
     pub target_life: Option<HeaderName>,
+    /// From the target: which life it is, on an answer that declines a request
+    /// for another.
+    pub answering_life: Option<HeaderName>,
     /// To the target: the service beside whose target the request began.
     pub origin: Option<HeaderName>,
     /// From the target: on an answer that says that it did not run the request.
@@ -36,6 +39,7 @@
     /// This project's own.
     pub const OWN: Dialect = Dialect {
         target_life: None,
+        answering_life: None,
         origin: None,
         not_run: None,
         signature: None,
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -25,6 +25,7 @@
 use super::arrival;
 use super::beside::Call;
 use super::head;
+use super::hub::Hub;
 use super::missed::Missed;
 use super::parents::Parent;
 use super::payload::Payload;
@@ -118,24 +119,38 @@
             Ok(running) => running,
             Err(refusal) => return Err(Missed::unsent(refusal, req)),
         };
+        let life = named_life(hub, &call);
         match stage.hand_over(now) {
             Ok(stage) => {
                 let left = call.deadline.remaining(now);
+                let req = for_target(req, left, life.as_ref(), &call, hub.shared.dialect());
                 let sent = Sent {
                     hub: Arc::clone(hub),
                     stage,
                     running,
                     deadline: call.deadline,
+                    life: life.filter(|_| call.for_own_service),
                     _parent: parent,
                 };
-                sent.run(conn, for_target(req, left, &call, hub.shared.dialect()))
-                    .await
+                sent.run(conn, req).await
             }
             Err(refusal) => Err(Missed::unsent(take_back(running, refusal), req)),
         }
     }
 }
 
+/// The life that the target is told a request is meant for.
+///
+/// Another than was asked for only where the service is the target's for sure: a
+/// node that was told to stop may have lost its target's address to another.
+fn named_life(hub: &Hub, call: &Call<'_>) -> Option<HeaderValue> {
+    let asked = call.life.as_ref()?;
+    match call.for_own_service && !hub.is_leaving() {
+        true => Some(hub.own_life.meant(asked)),
+        false => Some(asked.clone()),
+    }
+}
+
 /// Takes off what concerns nodes alone and makes it an HTTP/1.1 request.
 ///
 /// The target is told the time that is left, not what the caller had at first.
@@ -144,17 +159,18 @@
 fn for_target(
     mut req: Request<Payload>,
     left: Duration,
+    life: Option<&HeaderValue>,
     call: &Call<'_>,
     dialect: &Dialect,
 ) -> Request<Payload> {
     head::strip_own(req.headers_mut());
     let told = [
-        (&dialect.target_life, &call.life),
-        (&dialect.origin, &call.origin),
+        (&dialect.target_life, life),
+        (&dialect.origin, call.origin.as_ref()),
     ];
     for (name, value) in told {
         if let Some(name) = name {
-            set(req.headers_mut(), name, value.as_ref());
+            set(req.headers_mut(), name, value);
         }
     }
     let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -94,6 +94,7 @@
             aim: self.aim,
             settles: self.settles,
             life: self.life(),
+            for_own_service: self.instance.service == self.worker.hub.service,
             origin: self.origin(),
         }
     }
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -56,6 +56,8 @@
     pub(super) settles: bool,
     /// The life of the target that it is meant for, where lives are told apart.
     pub(super) life: Option<HeaderValue>,
+    /// Whether it is meant for the service that the settings give the own target.
+    pub(super) for_own_service: bool,
     /// The service beside whose target it began.
     pub(super) origin: Option<HeaderValue>,
 }
--- a/crates/node/src/traffic/own_life.rs
+++ b/crates/node/src/traffic/own_life.rs
@@ -1,25 +1,57 @@
-//! Which start of the own target was last listed.
+//! The lives of the own target: which one is listed, and which one answers.
 
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use http::HeaderValue;
+use sassafrasspool_core::Succession;
 use sassafrasspool_core::TargetLife;
 
 #[cfg(test)]
 mod tests;
 
-/// The own target's life as requests last saw it.
+/// The own target's lives as requests last saw them.
 #[derive(Debug, Default)]
-pub(super) struct OwnLife(Mutex<Option<TargetLife>>);
+pub(super) struct OwnLife {
+    listed: Mutex<Option<TargetLife>>,
+    seen: Mutex<Succession<HeaderValue>>,
+}
 
 impl OwnLife {
     /// Takes over the life that is listed now, and tells whether an earlier one
     /// ended.
     pub(super) fn follow(&self, listed: &TargetLife) -> bool {
-        let mut held = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut held = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
         if held.as_ref().is_some_and(|held| held.is_same(listed)) {
             return false;
         }
         held.replace(listed.clone()).is_some()
     }
+
+    /// The life to name to the target in a request that is meant for `asked`.
+    pub(super) fn meant(&self, asked: &HeaderValue) -> HeaderValue {
+        self.seen().meant(asked).clone()
+    }
+
+    /// Notes that the target answered a request that named this life.
+    pub(super) fn answered(&self, named: &HeaderValue) {
+        self.seen().answered(named);
+    }
+
+    /// Notes that the target declined a request that named another life than its
+    /// own, which is `answering`.
+    pub(super) fn declined(&self, named: &HeaderValue, answering: &HeaderValue) {
+        if self.seen().declined(named, answering) {
+            tracing::info!(
+                ?named,
+                ?answering,
+                "the own target is a later life than the listed one"
+            );
+        }
+    }
+
+    fn seen(&self) -> MutexGuard<'_, Succession<HeaderValue>> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -90,6 +90,7 @@
         aim: head::number(headers, &names::AIM_MS).map(|ms| now + Duration::from_millis(ms)),
         settles: headers.contains_key(names::SETTLES),
         life: headers.get(names::LIFE).cloned(),
+        for_own_service: names_own_service(worker, headers),
         origin: headers.get(names::ORIGIN).cloned(),
     })
 }
@@ -103,13 +104,18 @@
         // The target itself tells whether it is the one that is meant.
         return Ok(());
     }
-    let service = headers.get(names::SERVICE);
-    match service {
-        Some(name) if name == worker.hub.service.as_str() => Ok(()),
-        _ => Err(refuse(Reason::NoEndpoint)),
+    match names_own_service(worker, headers) {
+        true => Ok(()),
+        false => Err(refuse(Reason::NoEndpoint)),
     }
 }
 
+/// Whether a request is meant for the service of the own target.
+fn names_own_service(worker: &Worker, headers: &HeaderMap) -> bool {
+    let service = headers.get(names::SERVICE);
+    service.is_some_and(|name| name == worker.hub.service.as_str())
+}
+
 fn refuse(reason: Reason) -> Refusal {
     Refusal::not_run(Step::Admission, reason)
 }
--- a/crates/node/src/traffic/sent.rs
+++ b/crates/node/src/traffic/sent.rs
@@ -39,6 +39,8 @@
     /// The right to run its key, if it has one.
     pub(super) running: Option<Running>,
     pub(super) deadline: Deadline,
+    /// The life that it names, if it is meant for the own target's service.
+    pub(super) life: Option<HeaderValue>,
     pub(super) _parent: Option<parents::Running>,
 }
 
@@ -147,10 +149,16 @@
             return Err(self.lost(LossCause::AnswerSpoiled));
         }
         if !declined {
+            if let Some(named) = &self.life {
+                self.hub.own_life.answered(named);
+            }
             return Ok(self.answered(res));
         }
         let reason = match res.status() {
-            StatusCode::MISDIRECTED_REQUEST => Reason::OtherLife,
+            StatusCode::MISDIRECTED_REQUEST => {
+                self.note_other_life(&res);
+                Reason::OtherLife
+            }
             _ => Reason::TargetShed,
         };
         let now = self.hub.shared.clock().now();
@@ -158,6 +166,15 @@
         Err(take_back(self.running, refusal).into())
     }
 
+    /// Learns from a target that declined a request which life it is.
+    fn note_other_life(&self, res: &Response<TargetBody>) {
+        let name = self.hub.shared.dialect().answering_life.as_ref();
+        let answering = name.and_then(|name| res.headers().get(name));
+        if let (Some(named), Some(answering)) = (&self.life, answering) {
+            self.hub.own_life.declined(named, answering);
+        }
+    }
+
     fn answered(self, res: Response<TargetBody>) -> Response<Answer> {
         let clock = *self.hub.shared.clock();
         let stage = self.stage.answered();
