--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -118,8 +118,8 @@
     /// A node that holds nothing takes an old answer as well: it is about to
     /// compare itself with its peers, and whoever reads on watches from there
     /// and hears at once of what came since. Where such answers cost the platform
-    /// a tenth, a fleet of 195 that starts costs it a tenth of as many lists of
-    /// four pages. What lags behind the very first publication is asked for again.
+    /// a tenth, a fleet of 195 that starts costs it 20 lists in place of 195. What
+    /// lags behind the very first publication is asked for again.
     fn freshness_after(&self, after: Option<Revision>) -> Freshness {
         match after {
             None if !self.lagged_empty => Freshness::MayLag,
--- a/crates/core/src/spread/tests/lag.rs
+++ b/crates/core/src/spread/tests/lag.rs
@@ -18,9 +18,9 @@
     }
 }
 
-// A whole fleet starts. Each of its nodes reads the list, four pages of it at
-// 195 nodes, and had the platform prove to each that it was the newest, though
-// a few read on and tell the rest. Of 2,800 calls in a run, most were these.
+// A whole fleet starts. Each of its nodes reads the list, and had the
+// platform prove to each that it was the newest, though a few read on and tell the
+// rest. Of 2,800 calls of 195 nodes in 40 s, a third came in the first two.
 #[test]
 fn a_fleet_that_starts_reads_the_list_by_answers_that_may_lag() {
     let net = joined_net_with(195, 1, ample());
--- a/crates/node/tests/requests/told.rs
+++ b/crates/node/tests/requests/told.rs
@@ -97,12 +97,11 @@
         .expect("an answer");
     wait::until("its line", || !ends_of(&desk.written, "early").is_empty()).await;
     let text = desk.written.text();
-    let lines = text
+    let mut lines = text
         .lines()
         .map(|line| serde_json::from_str(line).expect("a line"));
     let line: RequestLine<'_> = lines
-        .filter(|line: &RequestLine<'_>| line.request == "early")
-        .last()
+        .rfind(|line: &RequestLine<'_>| line.request == "early")
         .expect("its line");
     assert!(line.catalogue.is_some() && line.list.is_some(), "{line:?}");
     assert!(line.catalogue_ms.is_some(), "{line:?}");
