Name the life that answers only once settings had time to change

A node that starts in between never saw the ended life answer, and would have named the other service's target for up to a second.

--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -1,5 +1,9 @@
 //! Which life of a target answers in place of one that has ended.
 
+use std::time::Duration;
+
+use crate::Tick;
+
 #[cfg(test)]
 mod tests;
 
@@ -12,29 +16,48 @@
 /// that one instead, as long as it is sure that the target still serves the same
 /// service.
 ///
-/// It is sure while nothing of the life that was asked for was ever seen by this
-/// process: its settings, which name the service, are then of a time after that
-/// life. Where the ended life did answer here, the address may since belong to a
-/// target of another service, and the request is declined as before.
+/// It is sure of that on two conditions. Nothing of the life that was asked for was
+/// ever seen by this process, so that its settings, which name the service, are of a
+/// later time. And it has been declined for [`SETTLED`]: if the address has gone to a
+/// target of another service, the settings say so by then, and requests for the former
+/// service aren't put under this any more.
 ///
 /// # Example
 ///
 /// ```
+/// use std::time::Duration;
+///
 /// use sassafrasspool_core::Succession;
+/// use sassafrasspool_core::Tick;
 ///
 /// let mut lives = Succession::default();
-/// assert_eq!(lives.meant(&"t-1"), &"t-1");
-/// lives.declined(&"t-1", &"t-2");
-/// assert_eq!(lives.meant(&"t-1"), &"t-2");
+/// lives.declined(Tick::ZERO, &"t-1", &"t-2");
+/// assert_eq!(lives.meant(Tick::ZERO, &"t-1"), &"t-1");
+/// let settled = Tick::ZERO + Duration::from_secs(2);
+/// assert_eq!(lives.meant(settled, &"t-1"), &"t-2");
 /// ```
 #[derive(Debug)]
 pub struct Succession<L> {
     /// The life that answered a request last.
     answered: Option<L>,
-    /// A life that has ended, and the one that answers in its place.
-    ended: Option<(L, L)>,
+    ended: Option<Ended<L>>,
 }
 
+/// A life that has ended.
+#[derive(Debug)]
+struct Ended<L> {
+    life: L,
+    /// The one that answers in its place.
+    answering: L,
+    /// Since when that is known.
+    since: Tick,
+}
+
+/// How long a life must have declined requests before it is named in place of the one
+/// that was asked for: a node looks at its settings every second, and twice that is
+/// enough for it to hear that its target serves something else.
+const SETTLED: Duration = Duration::from_secs(2);
+
 impl<L: Clone + PartialEq> Succession<L> {
     /// Notes that a life answered a request as its own.
     pub fn answered(&mut self, life: &L) {
@@ -44,22 +67,30 @@
     }
 
     /// Notes that `answering` declined a request that named the life `named`.
-    /// Returns whether that is news on which the next request goes.
-    pub fn declined(&mut self, named: &L, answering: &L) -> bool {
+    /// Returns whether that is news.
+    pub fn declined(&mut self, now: Tick, named: &L, answering: &L) -> bool {
         if self.answered.as_ref() == Some(named) || named == answering {
             self.ended = None;
             return false;
         }
-        let ended = Some((named.clone(), answering.clone()));
-        let is_news = self.ended != ended;
-        self.ended = ended;
-        is_news
+        let held = self.ended.as_ref();
+        if held.is_some_and(|held| held.life == *named && held.answering == *answering) {
+            return false;
+        }
+        self.ended = Some(Ended {
+            life: named.clone(),
+            answering: answering.clone(),
+            since: now,
+        });
+        true
     }
 
     /// The life to name in a request that is meant for `asked`.
-    pub fn meant<'a>(&'a self, asked: &'a L) -> &'a L {
+    pub fn meant<'a>(&'a self, now: Tick, asked: &'a L) -> &'a L {
         match &self.ended {
-            Some((ended, answering)) if ended == asked => answering,
+            Some(ended) if ended.life == *asked && now.since(ended.since) >= SETTLED => {
+                &ended.answering
+            }
             _ => asked,
         }
     }
--- a/crates/core/src/succession/tests.rs
+++ b/crates/core/src/succession/tests.rs
@@ -1,6 +1,8 @@
 use rstest::rstest;
 
+use super::SETTLED;
 use super::Succession;
+use crate::Tick;
 
 /// What a node sees of its target, in order.
 #[derive(Debug, Clone, Copy)]
@@ -46,18 +48,33 @@
         match seen {
             Seen::Answered(life) => lives.answered(life),
             Seen::Declined(named, answering) => {
-                lives.declined(named, answering);
+                lives.declined(Tick::ZERO, named, answering);
             }
         }
     }
-    assert_eq!(*lives.meant(&"t-1"), case.meant, "{case:?}");
+    let settled = Tick::ZERO + SETTLED;
+    assert_eq!(*lives.meant(settled, &"t-1"), case.meant, "{case:?}");
+}
+
+// A node starts beside a target that has ended, whose address goes to a target of
+// another service. Its settings tell that within a second; were the life that answers
+// named before, a request would run where no route leads.
+#[test]
+fn a_life_is_not_named_before_the_settings_had_time_to_change() {
+    let mut lives = Succession::default();
+    lives.declined(Tick::ZERO, &"t-1", &"t-2");
+    let before = Tick::ZERO + SETTLED / 2;
+    lives.declined(before, &"t-1", &"t-2");
+    assert_eq!(*lives.meant(before, &"t-1"), "t-1");
+    let settled = Tick::ZERO + SETTLED;
+    assert_eq!(*lives.meant(settled, &"t-1"), "t-2");
 }
 
 // Each of many requests that are under way is declined; the log tells it once.
 #[test]
 fn a_life_that_took_over_is_news_once() {
     let mut lives = Succession::default();
-    assert!(lives.declined(&"t-1", &"t-2"));
-    assert!(!lives.declined(&"t-1", &"t-2"));
-    assert!(lives.declined(&"t-1", &"t-3"));
+    assert!(lives.declined(Tick::ZERO, &"t-1", &"t-2"));
+    assert!(!lives.declined(Tick::ZERO, &"t-1", &"t-2"));
+    assert!(lives.declined(Tick::ZERO, &"t-1", &"t-3"));
 }
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -17,6 +17,7 @@
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Request as Stage;
 use sassafrasspool_core::Step;
+use sassafrasspool_core::Tick;
 use sassafrasspool_wire::header::REQUEST_ID;
 use sassafrasspool_wire::header::REQUEST_TIMEOUT_MS;
 
@@ -119,7 +120,7 @@
             Ok(running) => running,
             Err(refusal) => return Err(Missed::unsent(refusal, req)),
         };
-        let life = named_life(hub, &call);
+        let life = named_life(hub, now, &call);
         match stage.hand_over(now) {
             Ok(stage) => {
                 let left = call.deadline.remaining(now);
@@ -143,10 +144,10 @@
 ///
 /// Another than was asked for only where the service is the target's for sure: a
 /// node that was told to stop may have lost its target's address to another.
-fn named_life(hub: &Hub, call: &Call<'_>) -> Option<HeaderValue> {
+fn named_life(hub: &Hub, now: Tick, call: &Call<'_>) -> Option<HeaderValue> {
     let asked = call.life.as_ref()?;
     match call.for_own_service && !hub.is_leaving() {
-        true => Some(hub.own_life.meant(asked)),
+        true => Some(hub.own_life.meant(now, asked)),
         false => Some(asked.clone()),
     }
 }
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -94,7 +94,7 @@
             aim: self.aim,
             settles: self.settles,
             life: self.life(),
-            for_own_service: self.instance.service == self.worker.hub.service,
+            for_own_service: self.worker.hub.serves(self.instance.service.as_str()),
             origin: self.origin(),
         }
     }
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Whether the own target serves that service, by the settings that the process
+    /// began with and by those of now.
+    pub(super) fn serves(&self, service: &str) -> bool {
+        let now = self.shared.service();
+        self.service.as_str() == service && now.is_some_and(|now| now.as_str() == service)
+    }
+
     /// Whether callers are to open no new connection here.
     pub(super) fn sends_callers_away(&self) -> bool {
         self.shared.is_stopping() || self.is_leaving()
--- a/crates/node/src/traffic/own_life.rs
+++ b/crates/node/src/traffic/own_life.rs
@@ -7,6 +7,7 @@
 use http::HeaderValue;
 use sassafrasspool_core::Succession;
 use sassafrasspool_core::TargetLife;
+use sassafrasspool_core::Tick;
 
 #[cfg(test)]
 mod tests;
@@ -30,8 +31,8 @@
     }
 
     /// The life to name to the target in a request that is meant for `asked`.
-    pub(super) fn meant(&self, asked: &HeaderValue) -> HeaderValue {
-        self.seen().meant(asked).clone()
+    pub(super) fn meant(&self, now: Tick, asked: &HeaderValue) -> HeaderValue {
+        self.seen().meant(now, asked).clone()
     }
 
     /// Notes that the target answered a request that named this life.
@@ -41,8 +42,8 @@
 
     /// Notes that the target declined a request that named another life than its
     /// own, which is `answering`.
-    pub(super) fn declined(&self, named: &HeaderValue, answering: &HeaderValue) {
-        if self.seen().declined(named, answering) {
+    pub(super) fn declined(&self, now: Tick, named: &HeaderValue, answering: &HeaderValue) {
+        if self.seen().declined(now, named, answering) {
             tracing::info!(
                 ?named,
                 ?answering,
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -90,7 +90,7 @@
         aim: head::number(headers, &names::AIM_MS).map(|ms| now + Duration::from_millis(ms)),
         settles: headers.contains_key(names::SETTLES),
         life: headers.get(names::LIFE).cloned(),
-        for_own_service: names_own_service(worker, headers),
+        for_own_service: text(headers, &names::SERVICE).is_some_and(|name| worker.hub.serves(name)),
         origin: headers.get(names::ORIGIN).cloned(),
     })
 }
@@ -104,16 +104,11 @@
         // The target itself tells whether it is the one that is meant.
         return Ok(());
     }
-    match names_own_service(worker, headers) {
-        true => Ok(()),
-        false => Err(refuse(Reason::NoEndpoint)),
-    }
-}
-
-/// Whether a request is meant for the service of the own target.
-fn names_own_service(worker: &Worker, headers: &HeaderMap) -> bool {
     let service = headers.get(names::SERVICE);
-    service.is_some_and(|name| name == worker.hub.service.as_str())
+    match service {
+        Some(name) if name == worker.hub.service.as_str() => Ok(()),
+        _ => Err(refuse(Reason::NoEndpoint)),
+    }
 }
 
 fn refuse(reason: Reason) -> Refusal {
--- a/crates/node/src/traffic/sent.rs
+++ b/crates/node/src/traffic/sent.rs
@@ -171,7 +171,8 @@
         let name = self.hub.shared.dialect().answering_life.as_ref();
         let answering = name.and_then(|name| res.headers().get(name));
         if let (Some(named), Some(answering)) = (&self.life, answering) {
-            self.hub.own_life.declined(named, answering);
+            let now = self.hub.shared.clock().now();
+            self.hub.own_life.declined(now, named, answering);
         }
     }
 
