Let one piece of code choose who gives way, follow lives and let bodies in

Behaviour as before. Who gives way in a full queue was told in three places (displace, displace_behind, displaces), one of which had to agree with the other two; which life of a target ended, at the node beside it and at those that send there, in two; whether a long body may come, in two, and how long long is. Each is one now. Newest is in newest.rs, and tests of old answers share their fleet.

--- a/crates/core/src/admit/queue.rs
+++ b/crates/core/src/admit/queue.rs
@@ -181,32 +181,35 @@
         background.then_some(Class::Background)
     }
 
-    /// Takes out the last of a class, if it is behind a new one by more than the
-    /// time at which it has to begin; of equals the youngest.
-    pub(super) fn displace_behind(
+    /// Takes out the one that gives way to a new one, if there is one.
+    pub(super) fn displace(
         &mut self,
         class: Class,
         precedence: Precedence,
         took: &Took,
         now: Tick,
     ) -> Option<Waiting> {
-        let key = self.last_behind(class, precedence, took, now)?;
+        let key = self.displaceable(class, precedence, took, now)?;
         self.remove(key)
     }
 
-    /// Whether a new one takes the place of one that waits.
-    pub(super) fn displaces(
+    /// Who gives way to a new one: the youngest of the least urgent class below its
+    /// own, else the last of its own.
+    pub(super) fn displaceable(
         &self,
         class: Class,
         precedence: Precedence,
         took: &Took,
         now: Tick,
-    ) -> bool {
-        let less_urgent = &self.counts[class.index() + 1..];
+    ) -> Option<WaitKey> {
+        let below = Class::ALL.into_iter().rev().take_while(|c| *c > class);
+        let mut youngest = below.filter_map(|below| self.lines[below.index()].back().copied());
         let behind = || self.last_behind(class, precedence, took, now);
-        less_urgent.iter().any(|count| *count > 0) || behind().is_some()
+        youngest.next().or_else(behind)
     }
 
+    /// The last of a class, if it is behind a new one by more than the time at which
+    /// it has to begin; of equals the youngest.
     fn last_behind(
         &self,
         class: Class,
@@ -222,17 +225,6 @@
             .map(|(key, _)| key)
     }
 
-    /// Takes out the youngest of the least urgent class below `class`.
-    pub(super) fn displace(&mut self, class: Class) -> Option<Waiting> {
-        let less_urgent = Class::ALL.into_iter().rev().take_while(|c| *c > class);
-        for class in less_urgent {
-            if let Some(key) = self.lines[class.index()].back().copied() {
-                return self.remove(key);
-            }
-        }
-        None
-    }
-
     /// Takes out everything whose time is over.
     pub(super) fn expired(&mut self, now: Tick) -> Vec<Waiting> {
         let over = |waiting: &Waiting| waiting.until <= now;
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -1,11 +1,9 @@
 //! What admission keeps under its lock.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::bucket::Bucket;
 use super::control::Shared;
-use super::precedence::Precedence;
 use super::queue::Queue;
 use super::queue::WaitKey;
 use super::queue::Waiting;
@@ -24,8 +22,7 @@
 use crate::Step;
 use crate::Tick;
 
-/// The least and the greatest time after which a refused caller may come back.
-const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(5)];
+mod place;
 
 /// The most that is kept free of background work: one of so many slots. Kept
 /// without a bound, long background requests were starved wherever short urgent
@@ -51,14 +48,6 @@
     Refuse(Refusal),
 }
 
-/// Where a request waits.
-struct Place {
-    begin_by: Option<Tick>,
-    precedence: Precedence,
-    /// How long it waits for its slot there.
-    wait: Duration,
-}
-
 /// Slots, queue and rate of one target.
 ///
 /// # Invariants
@@ -150,23 +139,20 @@
         waker: impl FnOnce() -> Waker,
         wakes: &mut Vec<Wake>,
     ) -> Decision {
-        let (begin_by, precedence, wait) = match self.place(ask, work) {
-            Ok(place) => (place.begin_by, place.precedence, place.wait),
+        let place = match self.place(ask, work) {
+            Ok(place) => place,
             Err(refusal) => {
                 self.turn_away(ask.class);
                 return Decision::Refuse(refusal);
             }
         };
         if self.queue.len() >= self.queue_bound() {
-            let mut displaced = self.queue.displace(ask.class);
-            if displaced.is_none() {
-                displaced = self
-                    .queue
-                    .displace_behind(ask.class, precedence, &self.took, self.now);
-            }
+            let displaced = self
+                .queue
+                .displace(ask.class, place.precedence, &self.took, self.now);
             let Some(displaced) = displaced else {
                 self.turn_away(ask.class);
-                return Decision::Refuse(refusal(Reason::QueueFull).after(wait));
+                return Decision::Refuse(refusal(Reason::QueueFull).after(place.wait));
             };
             let wait = self.wait_of_class(displaced.work.class);
             self.turn_away(displaced.work.class);
@@ -177,70 +163,12 @@
         let key = self.queue.push(Waiting {
             work,
             until,
-            begin_by,
+            begin_by: place.begin_by,
             waker: waker(),
         });
         Decision::Wait(key, until)
     }
 
-    /// Where a request would wait.
-    ///
-    /// # Errors
-    ///
-    /// Refuses one that would wait in vain.
-    fn place(&self, ask: &Ask<'_>, work: Work) -> Result<Place, Refusal> {
-        let took = self.took.expect(work);
-        let begin_by = ask.aim.map(|aim| before(aim, took));
-        let in_time = begin_by.is_none_or(|begin_by| self.now <= begin_by);
-        let precedence = Precedence::of(took, begin_by, self.now);
-        let wait = self.wait_of(ask.class, precedence);
-        if wait + took > ask.deadline.remaining(self.now) {
-            return Err(refusal(Reason::DeadlineTooShort).after(wait));
-        }
-        // It would be late here and may be in time elsewhere. If nobody else is
-        // asked, late is better than never: a call that is turned away fails the
-        // request that it was made for, whose slot was held in vain.
-        let late = in_time && begin_by.is_some_and(|begin_by| self.now + wait > begin_by);
-        if late && !ask.settles {
-            return Err(refusal(Reason::QueueFull).after(wait));
-        }
-        // Nobody waits longer than that, and would be turned away then. Played at
-        // 1.5 times a target's room, 2,266 of 3,463 callers are answered in time,
-        // 2,029 of 3,485 without this.
-        if wait > self.settings.max_wait {
-            return Err(refusal(Reason::QueueFull).after(wait));
-        }
-        Ok(Place {
-            begin_by,
-            precedence,
-            wait,
-        })
-    }
-
-    /// What a request would be told that asked now, if that is no.
-    pub(super) fn foresee(&mut self, now: Tick, ask: &Ask<'_>) -> Option<Refusal> {
-        self.now = self.now.max(now);
-        if let Some(reason) = self.closed {
-            return Some(refusal(reason));
-        }
-        let work = self.took.work(ask.class, ask.kind);
-        if self.queue.ahead_of(ask.class) == 0 && self.has_slot(ask.class) {
-            return None;
-        }
-        let place = match self.place(ask, work) {
-            Ok(place) => place,
-            Err(refusal) => return Some(refusal),
-        };
-        let full = self.queue.len() >= self.queue_bound();
-        let took = &self.took;
-        let displaces = || {
-            self.queue
-                .displaces(ask.class, place.precedence, took, self.now)
-        };
-        let told = refusal(Reason::QueueFull).after(place.wait);
-        (full && !displaces()).then_some(told)
-    }
-
     /// Takes back a slot and gives what is free to those who wait.
     pub(super) fn release(
         &mut self,
@@ -362,41 +290,6 @@
         let bound = self.slots.saturating_mul(self.settings.queue_per_slot);
         usize::try_from(bound).unwrap_or(usize::MAX)
     }
-
-    /// How long a new request of that class and place in it waits for a slot.
-    fn wait_of(&self, class: Class, precedence: Precedence) -> Duration {
-        let ahead = self
-            .queue
-            .work_ahead(class, precedence, &self.took, self.now);
-        self.wait_behind(ahead)
-    }
-
-    /// How long one waits that goes behind all of its class.
-    fn wait_of_class(&self, class: Class) -> Duration {
-        self.wait_of(class, Precedence::LAST)
-    }
-
-    /// How long a request waits behind work that takes so long, and for the
-    /// first slot that frees up.
-    fn wait_behind(&self, ahead: Duration) -> Duration {
-        let running = Duration::from_micros(self.mean_took());
-        let wait = (ahead + running) / self.concurrency.max(1);
-        wait.clamp(RETRY_AFTER[0], RETRY_AFTER[1])
-    }
-
-    /// The average over what runs now, by class.
-    fn mean_took(&self) -> u64 {
-        let sum = |acc: u64, class: Class| {
-            acc + self.took.of_class(class) * u64::from(self.running_of[class.index()])
-        };
-        let all = Class::ALL.into_iter().fold(0, sum);
-        all / u64::from(self.running.max(1))
-    }
-}
-
-/// The moment that lies `span` before `tick`.
-fn before(tick: Tick, span: Duration) -> Tick {
-    Tick::ZERO + tick.since(Tick::ZERO).saturating_sub(span)
 }
 
 fn refusal(reason: Reason) -> Refusal {
--- a/crates/core/src/instance/life.rs
+++ b/crates/core/src/instance/life.rs
@@ -46,6 +46,32 @@
         self.id == other.id && self.born == other.born
     }
 
+    /// Takes the place of the life that was `held` last, unless it is the same.
+    /// Returns whether another one ended by it.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use sassafrasspool_core::TargetId;
+    /// use sassafrasspool_core::TargetLife;
+    ///
+    /// let life = |name| TargetLife {
+    ///     id: TargetId::new(name).expect("a name"),
+    ///     listed_at: 7,
+    ///     born: None,
+    /// };
+    /// let mut held = None;
+    /// assert!(!life("i-1").replaces(&mut held));
+    /// assert!(!life("i-1").replaces(&mut held));
+    /// assert!(life("i-2").replaces(&mut held));
+    /// ```
+    pub fn replaces(&self, held: &mut Option<TargetLife>) -> bool {
+        if held.as_ref().is_some_and(|held| held.is_same(self)) {
+            return false;
+        }
+        held.replace(self.clone()).is_some()
+    }
+
     /// Whether this one began no earlier than `held`, a life at the same place
     /// or of the same name.
     ///
--- a/crates/core/src/route/meters.rs
+++ b/crates/core/src/route/meters.rs
@@ -59,11 +59,7 @@
     /// which is cold: an endpoint that was ejected for its crash would stay away
     /// for up to half a minute, and one that was fast would be sent its full share.
     fn follow(&mut self, life: Option<&TargetLife>, now: Tick) {
-        let Some(life) = life else {
-            return;
-        };
-        let held = self.life.replace(life.clone());
-        if held.is_some_and(|held| !held.is_same(life)) {
+        if life.is_some_and(|life| life.replaces(&mut self.life)) {
             self.meter.renew(now);
         }
     }
--- a/crates/core/src/spread/tests/lag.rs
+++ b/crates/core/src/spread/tests/lag.rs
@@ -3,19 +3,20 @@
 use std::time::Duration;
 
 use super::net::Net;
+use super::net::ample_reads;
 use super::net::good;
 use super::net::joined_net_with;
-use crate::SpreadConfig;
+use crate::Instance;
 
 const SOON: Duration = Duration::from_secs(5);
 
-/// A platform that grants reads enough for a whole fleet that starts.
-fn ample() -> SpreadConfig {
-    SpreadConfig {
-        reads_per_s: 16_000,
-        assumed_fleet: 100,
-        ..SpreadConfig::default()
-    }
+/// A fleet of which none has started and only the first `listed` are in the list,
+/// with the whole list.
+fn partly_listed(n: usize, seed: u64, listed: usize) -> (Net, Vec<Instance>) {
+    let mut net = Net::idle(n, seed, ample_reads());
+    let all = net.platform.newest_list();
+    net.list(all[..listed].to_vec());
+    (net, all)
 }
 
 // A whole fleet starts. Each of its nodes reads the list, and had the
@@ -23,7 +24,7 @@
 // rest. Of 2,800 calls of 195 nodes in 40 s, a third came in the first two.
 #[test]
 fn a_fleet_that_starts_reads_the_list_by_answers_that_may_lag() {
-    let net = joined_net_with(195, 1, ample());
+    let net = joined_net_with(195, 1, ample_reads());
     let reads = net.platform.reads.len();
     let newest = reads - net.platform.lagging;
     assert!(
@@ -36,7 +37,7 @@
 // older than it. Whoever reads on hears of the change at once, and tells it.
 #[test]
 fn a_fleet_that_starts_from_old_answers_has_the_newest_at_once() {
-    let mut net = Net::new(60, 2, ample());
+    let mut net = Net::new(60, 2, ample_reads());
     net.publish(2, &good(2));
     net.list(net.platform.newest_list());
     net.platform.lag = Some(1);
@@ -54,7 +55,7 @@
 // lag know of none yet. They are not asked for again and again.
 #[test]
 fn what_an_old_answer_lacks_is_asked_of_the_newest() {
-    let mut net = Net::idle(6, 3, ample());
+    let mut net = Net::idle(6, 3, ample_reads());
     net.platform.lag = Some(0);
     for n in 0..6 {
         net.start(n);
@@ -68,9 +69,7 @@
 // itself, asked the platform three times each, and for the catalogue as well.
 #[test]
 fn a_fleet_that_waits_to_be_listed_asks_its_peers() {
-    let mut net = Net::idle(195, 4, ample());
-    let listed = net.platform.newest_list();
-    net.list(listed[..5].to_vec());
+    let (mut net, listed) = partly_listed(195, 4, 5);
     for n in 0..195 {
         net.start(n);
     }
@@ -92,9 +91,7 @@
 // Nobody counts its node among the peers that are told.
 #[test]
 fn a_node_that_waits_to_be_listed_hears_of_a_version_soon() {
-    let mut net = Net::idle(40, 5, ample());
-    let listed = net.platform.newest_list();
-    net.list(listed[..39].to_vec());
+    let (mut net, listed) = partly_listed(40, 5, 39);
     for n in 0..39 {
         net.start(n);
     }
--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -44,6 +44,15 @@
     )
 }
 
+/// A platform that grants reads enough for a whole fleet that starts.
+pub(super) fn ample_reads() -> SpreadConfig {
+    SpreadConfig {
+        reads_per_s: 16_000,
+        assumed_fleet: 100,
+        ..SpreadConfig::default()
+    }
+}
+
 /// Nodes that have started and joined.
 pub(super) fn joined_net(n: usize, seed: u64) -> Net {
     joined_net_with(n, seed, SpreadConfig::default())
--- a/crates/core/src/spread/tests/proofs.rs
+++ b/crates/core/src/spread/tests/proofs.rs
@@ -7,12 +7,12 @@
 use rand::rngs::SmallRng;
 
 use super::net::Net;
+use super::net::ample_reads;
 use super::net::joined_net;
 use super::net::joined_net_with;
 use super::node;
 use crate::ListProof;
 use crate::Revision;
-use crate::SpreadConfig;
 use crate::Stream;
 use crate::Tick;
 use crate::spread::list_proof::ListClock;
@@ -88,12 +88,7 @@
 // old list would let it run keys that another owns by now.
 #[test]
 fn an_answer_that_may_lag_proves_nothing() {
-    let cfg = SpreadConfig {
-        reads_per_s: 16_000,
-        assumed_fleet: 100,
-        ..SpreadConfig::default()
-    };
-    let mut net = joined_net_with(6, 9, cfg);
+    let mut net = joined_net_with(6, 9, ample_reads());
     let mut published = Published(vec![(0, net.platform.newest(Stream::Instances))]);
     published.list(&mut net, 3);
     net.run_for(Duration::from_secs(5));
--- a/crates/node/src/settings/drain.rs
+++ b/crates/node/src/settings/drain.rs
@@ -56,8 +56,8 @@
         let grace = table.optional_text("grace_s", faults, grace);
         let granted = grace.flatten().zip(callers);
         let granted = granted.map(|(grace, callers)| bound_within(grace, callers));
-        let default = granted.unwrap_or(default.bound);
-        let bound = millis_or(&mut table, "bound_ms", BOUND_MS, default, faults);
+        let unless_set = granted.unwrap_or(default.bound);
+        let bound = millis_or(&mut table, "bound_ms", BOUND_MS, unless_set, faults);
         table.finish(faults);
         Some(DrainSettings {
             bound: bound?,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -25,16 +25,16 @@
 
 pub use self::clock::Clock;
 pub use self::contact::ContactAge;
-pub use self::heard::Newest;
 pub use self::in_flight::InFlight;
 pub use self::in_flight::InFlightGuard;
+pub use self::newest::Newest;
 pub use self::routing::Routes;
 pub use self::view::View;
 
 mod clock;
 mod contact;
-mod heard;
 mod in_flight;
+mod newest;
 mod routing;
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/traffic/arrival.rs
+++ b/crates/node/src/traffic/arrival.rs
@@ -8,8 +8,8 @@
 use sassafrasspool_core::Refusal;
 use sassafrasspool_core::Step;
 use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
-use super::bounds::UPLOAD_WINDOW;
 use super::hub::Hub;
 use super::missed::Missed;
 use super::payload::Payload;
@@ -33,12 +33,14 @@
         Arrivals(Semaphore::new(usize::try_from(most).unwrap_or(1)))
     }
 
-    /// Whether another may come now.
-    pub(super) fn room(&self) -> Result<(), Refusal> {
-        match self.0.available_permits() {
-            0 => Err(refuse(Reason::QueueFull).after(COME_BACK)),
-            _ => Ok(()),
-        }
+    /// Lets another come until what is returned is dropped, if it may now.
+    ///
+    /// # Errors
+    ///
+    /// Refuses it as not run, and says when to come back.
+    pub(super) fn enter(&self) -> Result<SemaphorePermit<'_>, Refusal> {
+        let turn = self.0.try_acquire();
+        turn.map_err(|_| refuse(Reason::QueueFull).after(COME_BACK))
     }
 }
 
@@ -58,20 +60,21 @@
     ask: &Ask<'_>,
     req: Request<Payload>,
 ) -> Result<Request<Payload>, Missed> {
-    let Some(bytes) = req.body().to_come() else {
+    if req.body().to_come().is_none() {
         return Ok(req);
-    };
+    }
     let clock = hub.shared.clock();
     if let Some(refusal) = hub.admission.foresee(clock.now(), ask) {
         return Err(Missed::unsent(refusal, req));
     }
     // What fits into the window is there with the head of the request.
-    let is_long = bytes > u64::from(UPLOAD_WINDOW);
-    let turn = is_long.then(|| hub.arrivals.0.try_acquire());
-    if turn.as_ref().is_some_and(Result::is_err) {
-        let refusal = refuse(Reason::QueueFull).after(COME_BACK);
-        return Err(Missed::unsent(refusal, req));
-    }
+    let _turn = match req.body().is_short() {
+        true => None,
+        false => match hub.arrivals.enter() {
+            Ok(turn) => Some(turn),
+            Err(refusal) => return Err(Missed::unsent(refusal, req)),
+        },
+    };
     let until = clock.instant(ask.deadline.tick());
     let (parts, body) = req.into_parts();
     match tokio::time::timeout_at(until.into(), body.hold(&hub.bodies)).await {
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -139,7 +139,7 @@
     let now = worker.hub.shared.clock().now();
     match worker.hub.admission.foresee(now, &ask) {
         Some(refusal) => Err(refusal),
-        None => worker.hub.arrivals.room(),
+        None => worker.hub.arrivals.enter().map(drop),
     }
 }
 
--- a/crates/node/src/traffic/own_life.rs
+++ b/crates/node/src/traffic/own_life.rs
@@ -24,10 +24,7 @@
     /// ended.
     pub(super) fn follow(&self, listed: &TargetLife) -> bool {
         let mut held = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
-        if held.as_ref().is_some_and(|held| held.is_same(listed)) {
-            return false;
-        }
-        held.replace(listed.clone()).is_some()
+        listed.replaces(&mut held)
     }
 
     /// The life to name to the target in a request that is meant for `asked`.
