--- a/crates/core/src/spread/audit.rs
+++ b/crates/core/src/spread/audit.rs
@@ -123,6 +123,16 @@
         /// Its rank among the readers of its failure domain, from 0.
         rank: u32,
     },
+    /// An instance list was put off, since it lacks live entries that may come
+    /// back; the one before stays in force.
+    ListWaits {
+        /// The revision that was put off.
+        offered: Revision,
+        /// Live entries that it lacks.
+        missing: u32,
+        /// Until it is read again.
+        wait: Duration,
+    },
     /// The process was stopped for a while and has woken.
     Paused {
         /// For how long.
--- a/crates/core/src/spread/lapse.rs
+++ b/crates/core/src/spread/lapse.rs
@@ -69,14 +69,14 @@
         now: Tick,
         held: Option<&InstanceList>,
         offered: &InstanceList,
-    ) -> Option<Tick> {
+    ) -> Option<Wait> {
         let lost = Lost::count(held, offered);
         if lost.entries == 0 {
             self.doubted = None;
             return None;
         }
         if let Some(until) = self.until.filter(|until| now < *until) {
-            return Some(until);
+            return Some(lost.wait(until));
         }
         if !lost.is_many() {
             self.doubted = None;
@@ -84,13 +84,22 @@
         }
         let until = *self.doubted.get_or_insert(now + DOUBTED_FOR);
         if now < until {
-            return Some(until);
+            return Some(lost.wait(until));
         }
         self.doubted = None;
         None
     }
 }
 
+/// How long an offered list is put off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Wait {
+    /// Until then.
+    pub(super) until: Tick,
+    /// Live entries that it lacks.
+    pub(super) missing: u32,
+}
+
 /// Live entries that one list has and a later one lacks.
 #[derive(Debug)]
 struct Lost {
@@ -109,6 +118,13 @@
         }
     }
 
+    fn wait(&self, until: Tick) -> Wait {
+        Wait {
+            until,
+            missing: u32::try_from(self.entries).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Whether so many went at once that an outage is likelier than their end.
     fn is_many(&self) -> bool {
         self.entries > 1 && self.entries * MANY >= self.live
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -169,7 +169,7 @@
                 instances,
             } => match InstanceList::new(revision, instances) {
                 // It is to be read again, so that it doesn't count as seen.
-                Ok(list) if self.waits_for_entries(now, &list) => {
+                Ok(list) if self.waits_for_entries(now, &list, out) => {
                     self.source_answered(now, stream, None);
                 }
                 Ok(list) => {
@@ -216,12 +216,17 @@
 
     /// Puts a list off that may lack entries because the platform was away; it
     /// is read again when those that live have had time to come back.
-    fn waits_for_entries(&mut self, now: Tick, list: &InstanceList) -> bool {
+    fn waits_for_entries(&mut self, now: Tick, list: &InstanceList, out: &mut Vec<Action>) -> bool {
         let held = self.holder.instances().map(AsRef::as_ref);
-        let Some(until) = self.lapse.waits(now, held, list) else {
+        let Some(wait) = self.lapse.waits(now, held, list) else {
             return false;
         };
-        self.reads[Stream::Instances as usize].hold_back(until);
+        self.reads[Stream::Instances as usize].hold_back(wait.until);
+        out.push(Action::Audit(AuditEvent::ListWaits {
+            offered: list.version().revision(),
+            missing: wait.missing,
+            wait: wait.until.since(now),
+        }));
         true
     }
 
--- a/crates/ctl/src/way.rs
+++ b/crates/ctl/src/way.rs
@@ -210,6 +210,9 @@
             write!(f, " for {age} ms")?;
         }
         write!(f, ", list {list}")?;
+        if let Some(age) = line.list_ms {
+            write!(f, " proved {age} ms ago")?;
+        }
     }
     if let (Some(heard), Some(age)) = (line.heard, line.heard_ms) {
         write!(f, "; behind: heard of catalogue {heard} {age} ms ago")?;
--- a/crates/node/src/audit/record.rs
+++ b/crates/node/src/audit/record.rs
@@ -90,6 +90,15 @@
             let verb = if *reading { "began" } else { "ended" };
             ("reading", format!("{verb} at rank {rank}"))
         }
+        AuditEvent::ListWaits {
+            offered,
+            missing,
+            wait,
+        } => {
+            let ms = wait.as_millis();
+            let reason = format!("list {offered} lacks {missing} live entries: {ms} ms");
+            ("list-waits", reason)
+        }
         AuditEvent::Paused { pause } => ("paused", format!("for {} ms", pause.as_millis())),
         other => ("other", format!("{other:?}")),
     };
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -152,6 +152,6 @@
         reach.note(Stream::Catalogue, &failed),
         reach.note(Stream::Catalogue, &SourceResult::Nothing),
     ];
-    let [lost, regained] = [Change::Lost, Change::Regained].map(Some);
+    let [lost, regained] = [Change::Lost, Change::Regained { missed: 2 }].map(Some);
     assert_eq!(changes, [lost, None, None, regained]);
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -63,6 +63,7 @@
     contact: ContactAge,
     heard: Newest,
     in_force: Newest,
+    proved_list: Newest,
 }
 
 impl Shared {
@@ -93,6 +94,7 @@
             contact: ContactAge::new(),
             heard: Newest::default(),
             in_force: Newest::default(),
+            proved_list: Newest::default(),
         }
     }
 
@@ -158,9 +160,16 @@
     /// that the platform had at `at`. Without one that is recent enough no
     /// request with a key is run here.
     pub fn prove_instances(&self, at: Tick, revision: Revision) {
+        self.proved_list.renew(at, revision);
         self.routing.prove(at, revision);
     }
 
+    /// The newest instance list that was proved to be the newest, and how long
+    /// ago it was.
+    pub fn proved_list(&self) -> &Newest {
+        &self.proved_list
+    }
+
     /// What is in force now together with what chooses among its endpoints, or
     /// nothing before the first snapshot.
     pub fn routes(&self) -> Option<Arc<Routes>> {
--- a/crates/node/src/shared/newest.rs
+++ b/crates/node/src/shared/newest.rs
@@ -1,4 +1,4 @@
-//! Revisions of the catalogue and since when they are known.
+//! Revisions of a stream and when they met a condition.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -7,7 +7,7 @@
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::Tick;
 
-/// The newest revision of the catalogue that met one condition, and when it did.
+/// The newest revision of a stream that met one condition, and when it did.
 ///
 /// Only log lines are made of it, so that a reader may see one of the two from a
 /// moment later than the other.
@@ -22,12 +22,25 @@
     /// Notes a revision at `at`; one that isn't newer changes nothing.
     pub fn note(&self, at: Tick, revision: Revision) {
         if self.revision.load(Ordering::Relaxed) < revision.get() {
-            self.at_us.store(at.as_micros(), Ordering::Relaxed);
-            self.revision.store(revision.get(), Ordering::Relaxed);
+            self.set(at, revision);
         }
     }
 
-    /// The revision and for how long it is known at `now`, if there is one.
+    /// Notes a revision at `at`; of the same one the latest time counts.
+    pub fn renew(&self, at: Tick, revision: Revision) {
+        let held = self.revision.load(Ordering::Relaxed);
+        let later = self.at_us.load(Ordering::Relaxed) < at.as_micros();
+        if held < revision.get() || (held == revision.get() && later) {
+            self.set(at, revision);
+        }
+    }
+
+    fn set(&self, at: Tick, revision: Revision) {
+        self.at_us.store(at.as_micros(), Ordering::Relaxed);
+        self.revision.store(revision.get(), Ordering::Relaxed);
+    }
+
+    /// The revision and how long before `now` it was noted, if there is one.
     pub fn tell(&self, now: Tick) -> Option<(u64, Duration)> {
         let revision = self.revision.load(Ordering::Relaxed);
         let at = Tick::from_micros(self.at_us.load(Ordering::Relaxed));
--- a/crates/node/src/shared/tests.rs
+++ b/crates/node/src/shared/tests.rs
@@ -4,6 +4,7 @@
 use sassafrasspool_core::Incarnation;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::Phase;
+use sassafrasspool_core::Revision;
 use sassafrasspool_core::Tick;
 
 use super::Shared;
@@ -55,6 +56,22 @@
     assert_eq!(age, Some(Duration::from_millis(5)));
 }
 
+#[test]
+fn a_list_is_as_old_as_its_latest_proof() {
+    let shared = shared();
+    let prove = |ms, revision| {
+        let revision = Revision::new(revision).expect("a revision");
+        shared.prove_instances(Tick::from_millis(ms), revision);
+    };
+    assert_eq!(shared.proved_list().tell(Tick::from_millis(5)), None);
+    prove(10, 2);
+    prove(30, 2);
+    prove(20, 2);
+    prove(40, 1);
+    let proved = shared.proved_list().tell(Tick::from_millis(50));
+    assert_eq!(proved, Some((2, Duration::from_millis(20))));
+}
+
 #[tokio::test]
 async fn idle_waits_for_the_last_request() {
     let shared = shared();
--- a/crates/node/src/traffic/trail.rs
+++ b/crates/node/src/traffic/trail.rs
@@ -164,6 +164,10 @@
 /// A caller that is told that its route doesn't exist, or that waits past the time
 /// of its route, may have met a node that was behind. The line shows it: the node
 /// has heard of a newer catalogue than the one in force, or of nothing for long.
+///
+/// Contact with the platform alone doesn't show it, since each stream is read by
+/// itself: requests went to a target that had left by a list that nobody had
+/// vouched for in 22 s, with a contact of 0.3 s on their lines.
 fn versions<'a>(shared: &Shared, routes: Option<&Routes>) -> RequestLine<'a> {
     let now = shared.clock().now();
     let millis = |age| micros(age) / 1_000;
@@ -173,12 +177,16 @@
     let in_force = in_force.filter(|(revision, _)| Some(*revision) == catalogue);
     let heard = shared.heard().tell(now);
     let heard = heard.filter(|(revision, _)| Some(*revision) != catalogue);
+    let list = snapshot.map(|snapshot| snapshot.instances().revision().get());
+    let proved = shared.proved_list().tell(now);
+    let proved = proved.filter(|(revision, _)| Some(*revision) == list);
     RequestLine {
         catalogue,
         catalogue_ms: in_force.map(|(_, age)| millis(age)),
         heard: heard.map(|(revision, _)| revision),
         heard_ms: heard.map(|(_, age)| millis(age)),
-        list: snapshot.map(|snapshot| snapshot.instances().revision().get()),
+        list,
+        list_ms: proved.map(|(_, age)| millis(age)),
         contact_ms: shared.contact().age(now).map(millis),
         ..RequestLine::default()
     }
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -91,6 +91,10 @@
     /// The instance list's revision by which it was routed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub list: Option<u64>,
+    /// Milliseconds since the newest proof that nothing newer than that list was
+    /// published; absent without one, and if a newer list is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub list_ms: Option<u64>,
     /// Milliseconds since the newest proof of contact with the platform.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub contact_ms: Option<u64>,
