--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -12,4 +12,5 @@
 mod platform;
 mod proofs;
 mod random;
+mod silence;
 mod versions;
--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -53,6 +53,23 @@
     }
 }
 
+/// As on a platform whose reads are dear: small fleets read with all nodes.
+pub(super) fn few_reads() -> SpreadConfig {
+    SpreadConfig {
+        readers: 6,
+        all_read: 16,
+        watch: Duration::from_secs(10),
+        rest: Duration::from_millis(500),
+        contact_bound: Duration::from_secs(10),
+        assumed_fleet: 100,
+        join_bound: Duration::from_millis(300),
+        call_timeout: Duration::from_millis(500),
+        backoff_base: Duration::from_millis(100),
+        backoff_cap: Duration::from_secs(1),
+        ..SpreadConfig::default()
+    }
+}
+
 /// Nodes that have started and joined.
 pub(super) fn joined_net(n: usize, seed: u64) -> Net {
     joined_net_with(n, seed, SpreadConfig::default())
@@ -222,6 +239,9 @@
             Due::Wake(wake) if node.paused || self.wakes[n] != wake => {}
             Due::Wake(_) => self.event(n, Event::Wakeup),
             Due::Arrive(arrival) => self.arrive(n, *arrival),
+            Due::Watch { stream, .. } if self.platform.silent => {
+                self.give_up(n, generation, stream, Duration::ZERO);
+            }
             Due::Watch { stream, .. } => {
                 let result = self.platform.unchanged(stream);
                 self.arrive(n, Arrival::Event(Event::SourceRead { stream, result }));
--- a/crates/core/src/spread/tests/net/carry.rs
+++ b/crates/core/src/spread/tests/net/carry.rs
@@ -13,6 +13,9 @@
 use crate::Revision;
 use crate::Stream;
 
+/// How long a node's client waits for an answer beyond the time of a watch.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+
 impl Net {
     pub(super) fn send(&mut self, from: usize, call: Call) {
         *self.messages.entry(call.message.kind()).or_default() += 1;
@@ -63,6 +66,10 @@
         self.platform.reads.push(self.now);
         self.platform.lagging += usize::from(freshness == Freshness::MayLag);
         let generation = self.nodes[n].as_ref().unwrap().generation;
+        if self.platform.silent {
+            self.give_up(n, generation, stream, wait);
+            return;
+        }
         let result = match self.reads(n) {
             true => self.platform.read(stream, after, freshness),
             false => Some(crate::SourceResult::Failed {
@@ -84,6 +91,16 @@
         self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
     }
 
+    /// Has a node wait in vain for an answer that may take `wait`.
+    pub(super) fn give_up(&mut self, n: usize, generation: u32, stream: Stream, wait: Duration) {
+        let result = crate::SourceResult::Failed {
+            reason: "no answer".to_owned(),
+        };
+        let arrival = Arrival::Event(Event::SourceRead { stream, result });
+        let at = self.now + wait + ANSWER_LIMIT;
+        self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
+    }
+
     /// Whether a node reaches the platform and is served there.
     fn reads(&self, n: usize) -> bool {
         !self.cut_off.contains(&self.group[n]) && !self.turned_away.contains(&n)
@@ -91,6 +108,9 @@
 
     /// Answers the watches for which there is something now.
     pub(super) fn answer_watches(&mut self) {
+        if self.platform.silent {
+            return;
+        }
         let waiting: Vec<u64> = self.due.keys().copied().collect();
         for key in waiting {
             let (n, generation, due) = &self.due[&key];
--- a/crates/core/src/spread/tests/net/meddle.rs
+++ b/crates/core/src/spread/tests/net/meddle.rs
@@ -53,6 +53,13 @@
         self.answer_watches();
     }
 
+    /// Has the platform fall silent or answer again: watches that it has waited on
+    /// since before are answered then, and what was asked meanwhile never is.
+    pub(in crate::spread::tests) fn set_silent(&mut self, silent: bool) {
+        self.platform.silent = silent;
+        self.answer_watches();
+    }
+
     pub(in crate::spread::tests) fn pause(&mut self, n: usize) {
         if let Some(node) = &mut self.nodes[n] {
             node.paused = true;
--- a/crates/core/src/spread/tests/outages.rs
+++ b/crates/core/src/spread/tests/outages.rs
@@ -3,10 +3,12 @@
 use rstest::rstest;
 
 use super::net::Net;
+use super::net::few_reads;
 use super::net::good;
 use super::net::joined_net;
 use super::net::joined_net_with;
 use super::node::Node;
+use crate::AuditEvent;
 use crate::InstanceState;
 use crate::SpreadConfig;
 use crate::Tick;
@@ -153,6 +155,14 @@
             listed(&net)
         );
     }
+    let told = |node: &Node| {
+        let waits = |event: &AuditEvent| match event {
+            AuditEvent::ListWaits { missing, .. } => *missing == 12,
+            _ => false,
+        };
+        node.audit.iter().any(waits)
+    };
+    assert!(net.readers().iter().all(|n| told(net.node(*n))));
     net.list(all[1..].to_vec());
     net.run_until(Duration::from_secs(20), |net| {
         net.up().all(|node| node.endpoints() == all.len() - 1)
@@ -195,23 +205,6 @@
     });
 }
 
-/// As on a platform whose reads are dear: small fleets read with all nodes.
-fn few_reads() -> SpreadConfig {
-    SpreadConfig {
-        readers: 6,
-        all_read: 16,
-        watch: Duration::from_secs(10),
-        rest: Duration::from_millis(500),
-        contact_bound: Duration::from_secs(10),
-        assumed_fleet: 100,
-        join_bound: Duration::from_millis(300),
-        call_timeout: Duration::from_millis(500),
-        backoff_base: Duration::from_millis(100),
-        backoff_cap: Duration::from_secs(1),
-        ..SpreadConfig::default()
-    }
-}
-
 // The platform turns a third of the nodes away, readers among them, and a target
 // says that it leaves. Nodes that went on by the old list would send it requests
 // until it is cut. All hold the new one in time, by those who are served.
--- a/crates/core/src/spread/tests/platform.rs
+++ b/crates/core/src/spread/tests/platform.rs
@@ -14,6 +14,8 @@
     catalogues: Vec<(u64, String)>,
     lists: Vec<(u64, Vec<Instance>)>,
     pub(super) outage: bool,
+    /// Reads are taken and never answered, and watches wait until this ends.
+    pub(super) silent: bool,
     /// Serve only the first so many values of each stream.
     pub(super) stale: Option<usize>,
     /// Give what is served though it is older than what was asked for.
--- /dev/null
+++ b/crates/core/src/spread/tests/silence.rs
@@ -0,0 +1,48 @@
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::net::few_reads;
+use super::net::good;
+use super::net::joined_net_with;
+use super::node::Node;
+use crate::InstanceState;
+
+/// From the platform's return on nodes have this time to follow it again.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+
+/// How long a change may take from its acceptance until it is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+// A firmware depot's target said that it leaves, three seconds after the platform
+// had come back from a silence, and was sent requests for 2.2 s. The watches of the
+// list that had been asked during the silence were never answered, and nodes waited
+// for them as long as for a watch on which nothing happens: 11.5 s. The catalogue's
+// watches, asked before it, were answered at once and made the contact look fresh.
+#[rstest]
+fn changes_after_a_silence_are_in_force_in_time(
+    #[values(3, 14, 79)] nodes: usize,
+    #[values(1, 3, 5, 9, 14)] silent_s: u64,
+    #[values(10, 200, 700, 4_000, 8_000)] news_before_ms: u64,
+) {
+    let mut net = joined_net_with(nodes, silent_s, few_reads());
+    net.run_for(Duration::from_secs(5));
+    let all = net.platform.newest_list();
+    net.list(all.clone());
+    net.publish(2, &good(2));
+    net.run_for(Duration::from_millis(news_before_ms));
+    net.set_silent(true);
+    net.run_for(Duration::from_secs(silent_s));
+    net.set_silent(false);
+    net.run_for(IN_TOUCH);
+    let mut leaving = all;
+    leaving[1].state = InstanceState::Leaving;
+    net.list(leaving);
+    net.publish(3, &good(3));
+    let newest = (3, net.platform.lists());
+    net.run_until(IN_FORCE, |net| {
+        let holds = |node: &Node| node.applied.last() == Some(&newest);
+        net.up().all(holds)
+    });
+    net.assert_no_step_back();
+}
