Show that a list may be put off twice after a silence, with a failing test

What callers would see: requests at a target for more than 2 s after its word that it leaves, if a quarter of the targets or more ended while the platform was away.

--- a/crates/core/src/spread/tests/silence.rs
+++ b/crates/core/src/spread/tests/silence.rs
@@ -47,3 +47,31 @@
     });
     net.assert_no_step_back();
 }
+
+// A third of the targets ended while the platform was silent, and the rest renewed
+// their entries when it was back. Its list was put off twice, once after the outage
+// and once more as one that lacks many, and with it the word of a target that leaves.
+#[rstest]
+fn a_list_that_lacks_many_after_a_silence_is_put_off_once(
+    #[values(3, 6, 14)] nodes: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut net = joined_net_with(nodes, seed, few_reads());
+    net.run_for(Duration::from_secs(5));
+    let all = net.platform.newest_list();
+    net.list(all.clone());
+    net.run_for(Duration::from_millis(300 + 150 * seed));
+    net.set_silent(true);
+    net.run_for(Duration::from_millis(13_000 + 200 * seed));
+    net.list(all[..nodes - nodes / 3].to_vec());
+    net.set_silent(false);
+    net.run_for(IN_TOUCH);
+    let mut leaving = net.platform.newest_list();
+    leaving[0].state = InstanceState::Leaving;
+    net.list(leaving);
+    let newest = net.platform.lists();
+    net.run_until(IN_FORCE, |net| {
+        let holds = |node: &Node| node.applied.last().is_some_and(|it| it.1 == newest);
+        net.up().all(holds)
+    });
+}
