Check after a failure on every node that reads, listed or not

What callers would see: after a silence of the platform in which no target is listed, as after a loss of all power, every node holds the old catalogue for up to 11.5 s: nodes that aren't chosen readers watched again after a failure.

nodes_that_nobody_lists_follow_after_a_silence: 2 of 4 cases late on the code before (silences of 14 s), 0 now.

--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -50,8 +50,7 @@
     fn check(&self) -> Check {
         match self.role.rank() {
             Some(0) => Check::AfterPause,
-            _ if self.role.is_chosen() => Check::AfterFailure,
-            _ => Check::Never,
+            _ => Check::AfterFailure,
         }
     }
 
--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -37,8 +37,6 @@
 /// A check is a short watch: it shows soon whether anybody is there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Check {
-    /// Never: its reads are so far apart that no watch could follow a check soon.
-    Never,
     /// After a failure.
     AfterFailure,
     /// After a failure or a pause, and it pauses less: see [`SourceReads::rest`].
@@ -50,9 +48,9 @@
 enum Last {
     /// An answer of the platform, at that time.
     Answer(Tick),
-    /// A pause after an answer.
+    /// A pause after an answer, or nothing yet.
     Pause,
-    /// A read without an answer, or none yet.
+    /// A read without an answer.
     Failure,
 }
 
@@ -109,7 +107,7 @@
             under_way: None,
             wait: Duration::ZERO,
             took: Duration::ZERO,
-            last: Last::Failure,
+            last: Last::Pause,
             freshness: Freshness::Newest,
             lagged_empty: false,
             outdated: false,
@@ -173,7 +171,6 @@
     /// How long the platform may hold a read that is asked now.
     fn wait_at(&self, now: Tick, check: Check) -> Duration {
         let checks = match (check, self.last) {
-            (Check::Never, _) => false,
             (_, Last::Failure) => true,
             (Check::AfterFailure, _) => false,
             (Check::AfterPause, Last::Pause) => true,
@@ -203,7 +200,7 @@
     pub(super) fn rest(&self, rest: Duration, check: Check) -> Duration {
         match check {
             Check::AfterPause => rest.saturating_sub(self.took),
-            Check::Never | Check::AfterFailure => rest,
+            Check::AfterFailure => rest,
         }
     }
 
--- a/crates/core/src/spread/tests/silence.rs
+++ b/crates/core/src/spread/tests/silence.rs
@@ -77,3 +77,24 @@
         net.up().all(holds)
     });
 }
+
+// All targets have ended, so that the list names nobody and each node reads for
+// itself. The platform falls silent and comes back: were watches asked into the
+// silence, every node would hold the old catalogue for up to 11.5 s, and callers that
+// come with the first targets would be refused by it.
+#[rstest]
+fn nodes_that_nobody_lists_follow_after_a_silence(
+    #[values(3, 14)] nodes: usize,
+    #[values(9, 14)] silent_s: u64,
+) {
+    let mut net = joined_net_with(nodes, silent_s, few_reads());
+    net.run_for(Duration::from_secs(5));
+    net.list(Vec::new());
+    net.run_for(Duration::from_secs(8));
+    net.set_silent(true);
+    net.run_for(Duration::from_secs(silent_s));
+    net.set_silent(false);
+    net.run_for(IN_TOUCH);
+    net.publish(2, &good(2));
+    net.run_until(IN_FORCE, |net| net.all_at(2));
+}
