Play a silence of the platform over sockets, and teach it to the platform's stand-in

The stand-in's switch 'silent' takes reads and never answers them; its tests could so far only delay answers, which all came in the end, and that is why none of them met this.

--- a/crates/node/tests/control/main.rs
+++ b/crates/node/tests/control/main.rs
@@ -6,5 +6,6 @@
 mod common;
 mod herd;
 mod hostile;
+mod silence;
 mod stop;
 mod support;
--- a/crates/node/tests/control/stop.rs
+++ b/crates/node/tests/control/stop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use sassafrasspool_node::settings::DrainSettings;
+use sassafrasspool_node::Settings;
 
 use crate::common::http_text;
 use crate::common::patient;
@@ -14,15 +14,8 @@
 
 /// A node whose target takes `service` for each request.
 async fn slow_fleet(service: Duration, bound: Duration) -> Fleet {
-    let fleet = Fleet::start_with(
-        1,
-        &slow_target(service),
-        DrainSettings {
-            bound,
-            ..DrainSettings::default()
-        },
-    )
-    .await;
+    let tune = |settings: &mut Settings| settings.drain.bound = bound;
+    let fleet = Fleet::start_with(1, &slow_target(service), tune).await;
     let first = fleet.publish(&patient());
     fleet.until_in_force(first).await;
     fleet.until_ready().await;
@@ -85,11 +78,8 @@
 // answers, and works on until its callers have had the time to go.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stopping_node_serves_until_its_callers_have_gone() {
-    let drain = DrainSettings {
-        callers: Duration::from_millis(800),
-        ..DrainSettings::default()
-    };
-    let fleet = Fleet::start_with(1, &slow_target(Duration::ZERO), drain).await;
+    let tune = |settings: &mut Settings| settings.drain.callers = Duration::from_millis(800);
+    let fleet = Fleet::start_with(1, &slow_target(Duration::ZERO), tune).await;
     let first = fleet.publish(&patient());
     fleet.until_in_force(first).await;
     fleet.until_ready().await;
--- a/crates/node/tests/control/support.rs
+++ b/crates/node/tests/control/support.rs
@@ -15,7 +15,6 @@
 use sassafrasspool_node::Node;
 use sassafrasspool_node::RunningNode;
 use sassafrasspool_node::Settings;
-use sassafrasspool_node::settings::DrainSettings;
 use sassafrasspool_node::settings::Listen;
 use sassafrasspool_standin::Platform;
 use sassafrasspool_standin::PlatformSettings;
@@ -53,14 +52,14 @@
 impl Fleet {
     /// Starts nodes and publishes the list of them, but no catalogue.
     pub(crate) async fn start(count: usize) -> Fleet {
-        Fleet::start_with(count, &TargetSettings::default(), DrainSettings::default()).await
+        Fleet::start_with(count, &TargetSettings::default(), |_| ()).await
     }
 
-    /// The same with targets and a bound on planned stops that matter.
+    /// The same with targets that matter and settings that `tune` changes.
     pub(crate) async fn start_with(
         count: usize,
         target: &TargetSettings,
-        drain: DrainSettings,
+        tune: impl Fn(&mut Settings),
     ) -> Fleet {
         let cancel = CancellationToken::new();
         let platform = Platform::start(PlatformSettings::default(), cancel.clone());
@@ -74,7 +73,7 @@
             crash: Vec::new(),
         };
         for n in 0..count {
-            fleet.add(n, target.clone(), drain).await;
+            fleet.add(n, target.clone(), &tune).await;
         }
         let listed = |node: &RunningNode| instance(node.settings(), node.addrs());
         let list: Vec<Instance> = fleet.nodes.iter().map(listed).collect();
@@ -83,11 +82,11 @@
         fleet
     }
 
-    async fn add(&mut self, n: usize, target: TargetSettings, drain: DrainSettings) {
+    async fn add(&mut self, n: usize, target: TargetSettings, tune: impl Fn(&mut Settings)) {
         let target = Target::start(target, self.cancel.clone());
         let target = target.await.expect("a target");
         let mut settings = settings(n, target.addr(), self.platform.addr());
-        settings.drain = drain;
+        tune(&mut settings);
         let any_port = SocketAddr::from((self.ip, 0));
         settings.listen = Listen {
             ingress: any_port,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -191,6 +191,14 @@
         });
     }
 
+    /// Falls silent or answers again: see [`PlatformSwitches::silent`].
+    pub fn set_silent(&self, silent: bool) {
+        self.switch(&PlatformSwitches {
+            silent: Some(silent),
+            ..PlatformSwitches::default()
+        });
+    }
+
     /// Begins or ends serving what is visible at this moment.
     pub fn set_stale(&self, stale: bool) {
         self.switch(&PlatformSwitches {
--- a/crates/standin/src/platform/read_api.rs
+++ b/crates/standin/src/platform/read_api.rs
@@ -75,6 +75,7 @@
         let text = format!("wait_ms is at most {}", MAX_WAIT.as_millis());
         return (StatusCode::BAD_REQUEST, text).into_response();
     }
+    shared.take_in().await;
     let found = shared.watch(stream, query.after, wait).await;
     shared.hold_back().await;
     let compress = shared.compress && takes_coding(headers);
--- a/crates/standin/src/platform/shared.rs
+++ b/crates/standin/src/platform/shared.rs
@@ -58,6 +58,12 @@
         let mut changed = self.changed.subscribe();
         let _guard = self.waiting.enter();
         loop {
+            if self.state().silent {
+                tokio::select! {
+                    _ = changed.changed() => continue,
+                    () = self.cancel.cancelled() => return Found::Outage,
+                }
+            }
             let now = Instant::now();
             let (found, next) = self.look(stream, after, now);
             let settled = matches!(found, Found::Value(_) | Found::Outage);
@@ -73,6 +79,14 @@
         }
     }
 
+    /// Takes a read in if the platform answers any; else it has none until the end.
+    pub(super) async fn take_in(&self) {
+        let silent = self.state().silent;
+        if silent {
+            self.cancel.cancelled().await;
+        }
+    }
+
     /// Holds an answer back for the delay that is set, but not beyond the end.
     pub(super) async fn hold_back(&self) {
         let delay = self.state().answer_delay;
@@ -86,6 +100,9 @@
             if let Some(outage) = switches.outage {
                 state.outage = outage;
             }
+            if let Some(silent) = switches.silent {
+                state.silent = silent;
+            }
             if let Some(stale) = switches.stale {
                 state.set_stale(stale, now);
             }
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -33,6 +33,8 @@
     pub(super) reads: Reads,
     /// Whether every read fails.
     pub(super) outage: bool,
+    /// Whether nothing is answered.
+    pub(super) silent: bool,
     /// How long each answer is held back.
     pub(super) answer_delay: Duration,
     /// When lists that are published from now on are seen.
@@ -62,6 +64,7 @@
             budget: Budget::new(cfg.reads_per_s, cfg.burst(), now),
             reads: Reads::new(now),
             outage: false,
+            silent: false,
             answer_delay: Duration::ZERO,
             list_lag: Duration::ZERO,
         }
--- a/crates/standin/src/platform/switches.rs
+++ b/crates/standin/src/platform/switches.rs
@@ -9,6 +9,9 @@
 pub struct PlatformSwitches {
     /// Answers every read with 503, the waiting ones at once.
     pub outage: Option<bool>,
+    /// Takes reads and never answers them, also when it is switched off; watches that
+    /// waited before are answered then.
+    pub silent: Option<bool>,
     /// Serves what is visible at this moment until it is switched off.
     pub stale: Option<bool>,
     /// Milliseconds after which instance lists published from now on are seen.
--- a/crates/standin/src/platform/tests/faults.rs
+++ b/crates/standin/src/platform/tests/faults.rs
@@ -34,6 +34,26 @@
     assert_eq!(rig.get("/v1/catalogue").await.revision, Some(1));
 }
 
+/// The source falls silent. A read that is asked meanwhile has no answer even when
+/// the source is back, and a watch from before is answered then.
+#[tokio::test(start_paused = true)]
+async fn a_silent_source_never_answers_what_it_was_asked_meanwhile() {
+    let rig = Rig::published().await;
+    let before = rig.watch("/v1/catalogue?after=1&wait_ms=1000").await;
+    rig.post("/switches", r#"{"silent":true}"#).await;
+    let meanwhile = rig.watch("/v1/catalogue").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    rig.post("/switches", r#"{"silent":false}"#).await;
+    let before = before.await.unwrap();
+    assert_eq!(
+        (before.status, before.elapsed),
+        (StatusCode::NOT_MODIFIED, Duration::from_secs(5))
+    );
+    assert_eq!(rig.get("/v1/catalogue").await.revision, Some(1));
+    tokio::time::sleep(Duration::from_secs(3_600)).await;
+    assert!(!meanwhile.is_finished());
+}
+
 /// The source serves old content for a while although newer was accepted.
 /// Readers see the old revision, and their watches wait in vain until the
 /// source has caught up.
