Let the soak's platform fall silent, beside all that a seed drew before

Its platform could be away, slow or frozen, and answered whatever it had been asked when it was back: no run ever met a read that is never answered. Silences of 0.2 to 4 s are drawn from a source of their own, so that the seeds that ever failed play what they did.

--- a/crates/soak/src/driver/switches.rs
+++ b/crates/soak/src/driver/switches.rs
@@ -25,6 +25,7 @@
         PlatformFault::Stale => switches.stale = Some(on),
         PlatformFault::ListLag => switches.list_lag_ms = Some(u64::from(on) * length_ms),
         PlatformFault::SlowAnswers => switches.answer_delay_ms = Some(u64::from(on) * CROSSING_MS),
+        PlatformFault::Silence => switches.silent = Some(on),
         PlatformFault::Freeze => {}
     }
     switches
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -25,6 +25,13 @@
 /// One fault in so many begins a series.
 const SERIES_EVERY: u32 = 12;
 
+/// The mean time between two silences of the platform.
+const SILENCE_EVERY: Duration = Duration::from_secs(12);
+
+/// What silences are drawn from, beside the seed. With a source of their own they leave
+/// the other faults of a seed as they are: seeds that ever failed are played again.
+const SILENCES: u64 = 0x5113_7ce5;
+
 /// What is done to a node's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NodeFault {
@@ -108,6 +115,8 @@
     SlowAnswers,
     /// It stands still.
     Freeze,
+    /// It takes reads and never answers them, also when it is back.
+    Silence,
 }
 
 /// One fault. Those with a length end by themselves after it.
@@ -172,10 +181,32 @@
             }
             at += drawn.millis(LEAST_GAP_MS, MOST_GAP_MS);
         }
+        steps.extend(silences(length, seed));
+        steps.sort_by_key(|step| step.at);
         Schedule { steps }
     }
 }
 
+/// Silences of the platform, each shorter than the pause before the next one.
+fn silences(length: Duration, seed: u64) -> Vec<Step> {
+    let mut drawn = Drawn {
+        rng: SmallRng::seed_from_u64(seed ^ SILENCES),
+        instances: 0,
+    };
+    let mean_ms = u64::try_from(SILENCE_EVERY.as_millis()).unwrap_or(u64::MAX);
+    let mut steps = Vec::new();
+    let mut at = LEAD + drawn.millis(0, mean_ms);
+    while at < length {
+        steps.push(Step {
+            at,
+            length: drawn.millis(200, 4_000),
+            fault: Fault::Platform(PlatformFault::Silence),
+        });
+        at += drawn.millis(mean_ms / 2, 3 * mean_ms / 2);
+    }
+    steps
+}
+
 /// Draws one step after the other.
 #[derive(Debug)]
 struct Drawn {
