--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -57,14 +57,16 @@
 /// The state of reading one stream.
 ///
 /// A platform that falls silent takes requests and never answers them, even when
-/// it is back. A watch among those looks like one on which nothing happens, and
-/// was waited for to its end: 11.5 s, in which targets that had said that they
-/// leave went on to get requests. Readers go on in step, so that none was better off:
-/// all watched again after a watch that had no answer, and all paused after a change.
+/// it is back. A watch among those looks like one on which nothing happens, and is
+/// waited for to its end: 11.5 s as deployed, in which targets that have said that
+/// they leave would go on to get requests. Readers are in step, so that all would miss
+/// the same change: they watch again when a watch has had no answer, and pause after
+/// a change.
 ///
-/// Now each checks after a failure. One in each failure domain checks after a
-/// pause as well, and has none after a single change. What it hears, it tells the
-/// others; if all did so, the calls of a busy minute went from 424 to 592.
+/// Therefore each checks after a failure. One in each failure domain checks after a
+/// pause as well, and has none after a single change; what it hears, it tells the
+/// others. If all readers did so, a minute of 14 nodes with 25 changes within 6 s would
+/// take 592 calls in place of 424; with one in each of four domains it takes 476.
 ///
 /// # Invariants
 ///
--- a/crates/node/src/reach.rs
+++ b/crates/node/src/reach.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use crate::log::micros;
+
 /// Whether something that the node depends on answered the last time.
 ///
 /// The log has a line when that changes and none for each time in between: an
@@ -56,7 +58,7 @@
             return None;
         }
         let outage = self.with_outage(Option::take)?;
-        let after_ms = outage.since.elapsed().as_millis();
+        let after_ms = micros(outage.since.elapsed()) / 1_000;
         let missed = outage.missed;
         tracing::info!(dependency = self.name, %peer, after_ms, missed, "regained");
         Some(Change::Regained { missed })
