Show that a request goes on to crash targets, with a failing test

Callers that send one and the same lookup again and again, through any node, crash each target that begins to run it; all that the target runs besides is lost with it.

The target's stand-in learns to crash on a path and to come back by itself.

--- /dev/null
+++ b/crates/node/tests/control/crashing.rs
@@ -0,0 +1,192 @@
+//! Requests that crash the targets that run them, over sockets.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+use rstest::rstest;
+use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::CrashOn;
+use sassafrasspool_standin::target::Run;
+use sassafrasspool_standin::target::RunEnd;
+use tokio::task::JoinSet;
+
+use crate::common::CATALOGUE;
+use crate::common::slow_target;
+use crate::common::try_http_text;
+use crate::support::Fleet;
+
+/// Nodes, each beside a target of the same service.
+const NODES: usize = 5;
+
+/// What crashes a target.
+const CRASHING: &str = "/workshop/crashing";
+
+/// What doesn't.
+const HARMLESS: &str = "/workshop/harmless";
+
+/// Crashes after which such a request is to be known.
+const KNOWN_AFTER: usize = 3;
+
+/// How long the nodes have to tell one another from then on.
+const TOLD_WITHIN: Duration = Duration::from_secs(3);
+
+/// How often it may be handed to a target after that.
+const MOST_LATER: usize = 3;
+
+/// Between one caller and the next.
+const EVERY: Duration = Duration::from_millis(40);
+
+/// How long callers come.
+const CALLING: Duration = Duration::from_secs(8);
+
+/// What happens to the nodes meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// Two of the nodes are killed and start again, twice.
+    Restarts,
+    /// Two of the nodes hear nothing from the others until the others know.
+    Cut,
+}
+
+#[derive(Debug)]
+struct Crashing {
+    trouble: Trouble,
+}
+
+async fn crashing_fleet() -> Fleet {
+    let target = TargetSettings {
+        crash_on: Some(CrashOn {
+            path: CRASHING.to_owned(),
+            after_ms: 20,
+            down_ms: 300,
+        }),
+        ..slow_target(Duration::from_millis(30))
+    };
+    let fleet = Fleet::start_with(NODES, &target, |_| ()).await;
+    let first = fleet.publish(&CATALOGUE.replace("rate_per_s: 100", "rate_per_s: 1000"));
+    fleet.until_in_force(first).await;
+    fleet.until_ready().await;
+    fleet
+}
+
+/// Parts some nodes' control sides from all others, or ends that.
+fn part(fleet: &Fleet, cut: &[usize], parted: bool) {
+    let addrs: Vec<SocketAddr> = fleet.nodes.iter().map(|it| it.addrs().control).collect();
+    for (n, node) in fleet.nodes.iter().enumerate() {
+        let away = |m: &usize| parted && cut.contains(m) != cut.contains(&n);
+        let away: HashSet<SocketAddr> = (0..NODES).filter(away).map(|m| addrs[m]).collect();
+        node.gate().part(away);
+    }
+}
+
+async fn trouble(fleet: &mut Fleet, trouble: Trouble) {
+    match trouble {
+        Trouble::None => {}
+        Trouble::Restarts => {
+            tokio::time::sleep(Duration::from_secs(4)).await;
+            fleet.crash_and_restart(0..2).await;
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            fleet.crash_and_restart(2..4).await;
+        }
+        Trouble::Cut => {
+            part(fleet, &[0, 1], true);
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            part(fleet, &[0, 1], false);
+        }
+    }
+}
+
+/// Requests of the fleet's targets for a path, in the order of their begin.
+fn runs(fleet: &Fleet, path: &str) -> Vec<Run> {
+    let ledgers = fleet.targets.iter().map(|target| target.ledger().runs);
+    let mut runs: Vec<Run> = ledgers.flatten().filter(|run| run.path == path).collect();
+    runs.sort_by_key(|run| run.started_us);
+    runs
+}
+
+// Callers send one and the same lookup again and again, through all nodes. It crashes each
+// target that begins to run it, and all that the target runs besides is lost with it. The
+// targets of the service go down as often as they come back, for as long as the lookup
+// comes: each copy is a new request to the nodes, and a crash tells them of a target alone.
+#[rstest]
+#[case::all_are_well(Crashing { trouble: Trouble::None })]
+// A node that starts again knows nothing, and has to hear of it before it serves.
+#[case::nodes_restart(Crashing { trouble: Trouble::Restarts })]
+// Both sides of a cut count for themselves, and one hears from the other when it heals.
+#[case::nodes_are_cut_off(Crashing { trouble: Trouble::Cut })]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashes_its_targets_is_kept_from_them(#[case] case: Crashing) {
+    let mut fleet = crashing_fleet().await;
+    let ingress: Vec<SocketAddr> = fleet.nodes.iter().map(|it| it.addrs().ingress).collect();
+    let mut callers = JoinSet::new();
+    let calling = async {
+        let begun = Instant::now();
+        for n in 0.. {
+            if begun.elapsed() > CALLING {
+                break;
+            }
+            let addr = ingress[n % NODES];
+            callers.spawn(async move { try_http_text("GET", addr, CRASHING).await });
+            tokio::time::sleep(EVERY).await;
+        }
+    };
+    tokio::join!(calling, trouble(&mut fleet, case.trouble));
+    callers.join_all().await;
+
+    let runs = runs(&fleet, CRASHING);
+    let mut crashed: Vec<u64> = runs
+        .iter()
+        .filter(|run| run.end == RunEnd::Crashed)
+        .filter_map(|run| run.ended_us)
+        .collect();
+    crashed.sort_unstable();
+    assert!(crashed.len() >= KNOWN_AFTER, "{case:?}: {crashed:?}");
+    let told = crashed[KNOWN_AFTER - 1] + u64::try_from(TOLD_WITHIN.as_micros()).expect("a time");
+    let later = runs.iter().filter(|run| run.started_us > told).count();
+    assert!(
+        later <= MOST_LATER,
+        "{later} later, {} in all: {case:?}",
+        runs.len()
+    );
+    for node in &fleet.nodes {
+        let answered = try_http_text("GET", node.addrs().ingress, HARMLESS).await;
+        let status = answered.map(|(status, _)| status);
+        assert_eq!(status, Some(StatusCode::OK), "{case:?}");
+    }
+    fleet.cancel.cancel();
+}
+
+// A popular lookup runs everywhere while targets crash one after the other for reasons of
+// their own. It is lost with each of them, and answered by all others: callers must get
+// their answers, however often a target fell under it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_runs_while_targets_crash_for_other_reasons_is_served_on() {
+    let fleet = crashing_fleet().await;
+    let ask = |n: usize| {
+        let addr = fleet.nodes[n % NODES].addrs().ingress;
+        tokio::spawn(async move { try_http_text("GET", addr, HARMLESS).await })
+    };
+    for round in 0..2 * NODES {
+        let asked: Vec<_> = (0..4 * NODES).map(ask).collect();
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        let target = &fleet.targets[round % NODES];
+        target.crash().await;
+        for asked in asked {
+            asked.await.expect("no panic");
+        }
+        target.restart().await.expect("a start");
+    }
+    let lost = runs(&fleet, HARMLESS);
+    let lost = lost.iter().filter(|run| run.end == RunEnd::Crashed).count();
+    assert!(lost >= KNOWN_AFTER, "{lost} were lost");
+    for n in 0..2 * NODES {
+        let answered = ask(n).await.expect("no panic");
+        let status = answered.map(|(status, _)| status);
+        assert_eq!(status, Some(StatusCode::OK), "node {}", n % NODES);
+    }
+    fleet.cancel.cancel();
+}
--- a/crates/node/tests/control/main.rs
+++ b/crates/node/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod apply;
 mod common;
+mod crashing;
 mod herd;
 mod hostile;
 mod silence;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod control;
 mod counters;
+mod crash_on;
 mod health;
 mod ledger;
 mod life;
@@ -35,6 +36,7 @@
 pub use self::answer::answer_body;
 pub use self::answer::pattern;
 pub use self::counters::TargetStats;
+pub use self::crash_on::CrashOn;
 pub use self::health::Load;
 pub use self::ledger::LedgerPages;
 pub use self::order::ANSWER_BYTES_HEADER;
@@ -100,6 +102,11 @@
         let tasks = TaskTracker::new();
         let router = admin_api::router(Arc::clone(&control));
         tasks.spawn(serve::serve(admin, router, cancel.clone()));
+        let kept = Arc::clone(&control);
+        let until = cancel.clone();
+        tasks.spawn(async move {
+            until.run_until_cancelled(kept.keep_up()).await;
+        });
         tasks.close();
         let guard = cancel.drop_guard();
         Ok(Target {
--- a/crates/standin/src/target/control.rs
+++ b/crates/standin/src/target/control.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sassafrasspool_core::Result;
 use tokio::sync::Mutex;
@@ -14,6 +15,9 @@
 use super::shared::Shared;
 use super::switches::TargetSwitches;
 
+/// How often a life that was crashed from outside is looked at.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// The target's lives, of which at most one runs.
 #[derive(Debug)]
 pub(super) struct Control {
@@ -64,6 +68,36 @@
         Ok(())
     }
 
+    /// Starts the next life whenever a request has crashed the newest.
+    pub(super) async fn keep_up(&self) {
+        let Some(crash_on) = &self.shared.cfg.crash_on else {
+            return;
+        };
+        loop {
+            let life = Arc::clone(&*self.newest.lock().await);
+            life.crash.cancelled().await;
+            if !life.has_fallen() {
+                // Whoever crashed it starts it again.
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+            tokio::time::sleep(crash_on.down()).await;
+            if let Err(err) = self.succeed(&life).await {
+                tracing::warn!(%err, "not started again");
+            }
+        }
+    }
+
+    /// Starts the next life after one, unless somebody has already.
+    async fn succeed(&self, fallen: &Arc<Life>) -> Result<()> {
+        let mut newest = self.newest.lock().await;
+        if Arc::ptr_eq(&newest, fallen) {
+            crash(&newest).await;
+            *newest = start(&self.shared, &self.port, newest.incarnation + 1)?;
+        }
+        Ok(())
+    }
+
     /// Waits until the newest life has ended.
     pub(super) async fn stopped(&self) {
         let tasks = self.newest.lock().await.tasks.clone();
--- a/crates/standin/src/target/life.rs
+++ b/crates/standin/src/target/life.rs
@@ -1,6 +1,8 @@
 //! One life of a target, from a start to the next crash.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -22,6 +24,8 @@
     pub(super) crash: CancellationToken,
     /// Its listener, its connections and the work that outlives them.
     pub(super) tasks: TaskTracker,
+    /// Whether a request crashed it.
+    fell: AtomicBool,
     warm_at: Instant,
 }
 
@@ -34,10 +38,22 @@
             incarnation,
             crash: CancellationToken::new(),
             tasks: TaskTracker::new(),
+            fell: AtomicBool::new(false),
             warm_at,
         }
     }
 
+    /// Crashes by a request that it runs.
+    pub(super) fn fall(&self) {
+        self.fell.store(true, Ordering::Relaxed);
+        self.crash.cancel();
+    }
+
+    /// Whether a request crashed it.
+    pub(super) fn has_fallen(&self) -> bool {
+        self.fell.load(Ordering::Relaxed)
+    }
+
     /// Whether work is taken now.
     pub(super) fn readiness(&self) -> Readiness {
         if self.shared.switched().drain {
--- a/crates/standin/src/target/settings.rs
+++ b/crates/standin/src/target/settings.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 
+use super::crash_on::CrashOn;
 use super::service_times::ServiceTimes;
 
 /// The settings of a target stand-in, each with a default.
@@ -29,6 +30,8 @@
     pub probe_ms: u64,
     /// How long a request runs.
     pub service: ServiceTimes,
+    /// Requests that crash it, if there are any.
+    pub crash_on: Option<CrashOn>,
     /// Whether work stops when the caller hangs up. Otherwise it goes on,
     /// with its slot, and nobody gets the answer.
     pub honours_cancellation: bool,
@@ -64,6 +67,7 @@
             connect_ms: 0,
             probe_ms: 0,
             service: ServiceTimes::default(),
+            crash_on: None,
             honours_cancellation: true,
             ledger_runs: DEFAULT_LEDGER_RUNS,
         }
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -166,6 +166,14 @@
     }
 
     async fn work(mut self) -> Answer {
+        let crash_on = self.life.shared.cfg.crash_on.as_ref();
+        let crashes = crash_on.and_then(|it| it.crashes_after(&self.order.path));
+        if let Some(after) = crashes {
+            wait(after).await;
+            self.life.fall();
+            // The crash drops this future with its connection.
+            std::future::pending::<()>().await;
+        }
         let work = wait(self.order.service_time);
         let limit = self.order.timeout.unwrap_or(Duration::MAX);
         if tokio::time::timeout(limit, work).await.is_err() {
--- a/crates/standin/tests/standin/target.rs
+++ b/crates/standin/tests/standin/target.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use rstest::rstest;
 use sassafrasspool_standin::TargetSettings;
+use sassafrasspool_standin::target::CrashOn;
 use sassafrasspool_standin::target::HealthReport;
 use sassafrasspool_standin::target::Load;
 use sassafrasspool_standin::target::RunEnd;
@@ -240,3 +241,38 @@
     let run = &target.ledger().runs[0];
     assert!(run.ended_us.unwrap() - run.started_us >= 50_000);
 }
+
+// A request for a certain path crashes the target under everything that it runs, and the
+// target comes back by itself.
+#[tokio::test]
+async fn a_request_crashes_it_and_it_comes_back() {
+    let target = start(TargetSettings {
+        crash_on: Some(CrashOn {
+            path: "/crashing".to_owned(),
+            after_ms: 20,
+            down_ms: 50,
+        }),
+        ..working_for(500_000)
+    })
+    .await;
+    let mut other = Caller::connect(target.addr()).await;
+    let mut crashing = Caller::connect(target.addr()).await;
+    let (other, crashing) = tokio::join!(
+        other.send(plain("/claims")),
+        crashing.send(plain("/crashing")),
+    );
+    assert!(other.is_err() && crashing.is_err());
+    until(|| {
+        target
+            .ledger()
+            .runs
+            .iter()
+            .all(|run| run.end == RunEnd::Crashed)
+    })
+    .await;
+    until(|| std::net::TcpStream::connect(target.addr()).is_ok()).await;
+    let mut again = Caller::connect(target.addr()).await;
+    let answered = again.send(plain("/claims")).await.unwrap();
+    assert_eq!(answered.status(), StatusCode::OK);
+    assert_eq!(target.ledger().runs.last().unwrap().incarnation, 2);
+}
