--- a/crates/bench/src/core_cost/run.rs
+++ b/crates/bench/src/core_cost/run.rs
@@ -313,6 +313,7 @@
         contact: None,
         body: None,
         states,
+        reports: Vec::new(),
     })
 }
 
--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -54,11 +54,13 @@
     TargetShed,
     /// The target got it and said that it is not the life that was meant.
     OtherLife,
+    /// Targets crash under it, so that none is to run it.
+    Quarantined,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 24] = [
+    pub const ALL: [Reason; 25] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
@@ -83,6 +85,7 @@
         Reason::CallerGone,
         Reason::TargetShed,
         Reason::OtherLife,
+        Reason::Quarantined,
     ];
 
     /// The reason's name in headers, metrics and logs.
@@ -112,6 +115,7 @@
             Reason::CallerGone => "caller-gone",
             Reason::TargetShed => "target-shed",
             Reason::OtherLife => "other-life",
+            Reason::Quarantined => "quarantined",
         }
     }
 
--- /dev/null
+++ b/crates/core/src/quarantine/content.rs
@@ -0,0 +1,123 @@
+//! What requests ask for.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Error;
+use crate::Result;
+use crate::Step;
+
+/// Between the two parts of a written [`Content`].
+const SEPARATOR: char = '-';
+
+/// A hash of some of what a request asks for.
+///
+/// Eight bytes: a node compares what comes with some hundred fingerprints at most, so
+/// that one that is met by chance would take longer than any deployment lasts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// The fingerprint of some parts in their order.
+    fn of(parts: &[&[u8]]) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            // With its length before it, no part can run into the next.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut head = [0; 8];
+        head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Fingerprint(u64::from_le_bytes(head))
+    }
+
+    /// Reads the hexadecimal form that [`fmt::Display`] writes.
+    fn parse(text: &str) -> Option<Fingerprint> {
+        let is_hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let n = is_hex.then(|| u64::from_str_radix(text, 16).ok());
+        n.flatten().map(Fingerprint)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// What a request asks for, whoever sends it and by whatever id: with its query and
+/// without.
+///
+/// A handler may crash on one query of a path, or on the path whatever the query: a caller
+/// that comes back may have changed a part of the query that doesn't matter.
+///
+/// # Example
+///
+/// ```
+/// use sassafrasspool_core::Content;
+///
+/// let first = Content::of("GET", "desk.example", "/covers/7", Some("page=1"), b"");
+/// let second = Content::of("GET", "desk.example", "/covers/7", Some("page=2"), b"");
+/// assert_ne!(first.whole(), second.whole());
+/// assert_eq!(first.resource(), second.resource());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Content {
+    whole: Fingerprint,
+    resource: Fingerprint,
+}
+
+impl Content {
+    /// The content of a request; of one whose body isn't held as a whole, its length if
+    /// that is known stands for the body.
+    pub fn of(method: &str, host: &str, path: &str, query: Option<&str>, body: &[u8]) -> Content {
+        let [method, host, path] = [method, host, path].map(str::as_bytes);
+        let resource = Fingerprint::of(&[method, host, path, body]);
+        let with = |query: &str| Fingerprint::of(&[method, host, path, body, query.as_bytes()]);
+        Content {
+            whole: query.map_or(resource, with),
+            resource,
+        }
+    }
+
+    /// All that it asks for.
+    pub const fn whole(&self) -> Fingerprint {
+        self.whole
+    }
+
+    /// The same but for the query.
+    pub const fn resource(&self) -> Fingerprint {
+        self.resource
+    }
+
+    /// Both, or one if it has no query.
+    pub fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> + use<> {
+        let wider = (self.resource != self.whole).then_some(self.resource);
+        std::iter::once(self.whole).chain(wider)
+    }
+
+    /// Reads the form that [`fmt::Display`] writes.
+    ///
+    /// # Errors
+    ///
+    /// Fails unless it is one or two fingerprints.
+    pub fn parse(text: &str) -> Result<Content> {
+        let (whole, resource) = text.split_once(SEPARATOR).unwrap_or((text, text));
+        let parsed = Fingerprint::parse(whole).zip(Fingerprint::parse(resource));
+        let (whole, resource) = parsed
+            .ok_or_else(|| Error::new(Step::Check, format!("{text:?} is no request's content")))?;
+        Ok(Content { whole, resource })
+    }
+}
+
+impl fmt::Display for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.whole)?;
+        match self.resource == self.whole {
+            true => Ok(()),
+            false => write!(f, "{SEPARATOR}{}", self.resource),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/ledger.rs
@@ -0,0 +1,199 @@
+//! All reports that a node knows.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::Content;
+use super::Fingerprint;
+use super::Report;
+use super::ReportId;
+use super::Sighting;
+use super::Verdicts;
+use super::moment::Moment;
+use super::moment::REMEMBERED;
+use crate::Digest;
+use crate::Tick;
+
+/// Reports that are kept; of those that prove nothing, the oldest go first.
+const MOST_REPORTS: usize = 512;
+
+/// Requests of one crash that are told at most: all slots of large targets.
+const MOST_CONTENTS: usize = 256;
+
+/// Bytes of reports in one message, about: a fiftieth of a second of a link of 7 Mbit/s.
+const MOST_TOLD_BYTES: usize = 16 * 1024;
+
+/// Bytes of a report beside what it tells of requests, about.
+const REPORT_BYTES: usize = 32;
+
+/// Bytes that one request takes in a report.
+const CONTENT_BYTES: usize = 18;
+
+/// The reports that a node has made or heard of.
+///
+/// # Invariants
+///
+/// A report is never changed: the first copy of it counts. `root` is over the ids of those
+/// that are kept, so that two nodes with the same root know the same.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    reports: BTreeMap<ReportId, Kept>,
+    root: u64,
+    verdicts: Verdicts,
+}
+
+#[derive(Debug)]
+struct Kept {
+    at: Moment,
+    sighting: Sighting,
+}
+
+impl Ledger {
+    /// Takes a report in; false if it says nothing new.
+    pub(crate) fn merge(&mut self, now: Tick, report: &Report) -> bool {
+        let age = Duration::from_millis(report.age_ms.into());
+        let Some(at) = Moment::before(now, age) else {
+            return false;
+        };
+        if self.reports.contains_key(&report.id) {
+            return false;
+        }
+        let mut sighting = report.sighting.clone();
+        if let Sighting::Crashed(ran) = &mut sighting {
+            ran.truncate(MOST_CONTENTS);
+        }
+        let kept = Kept { at, sighting };
+        // INVARIANT: A report goes into the root once, as it comes.
+        self.root ^= hash_of(&report.id);
+        self.reports.insert(report.id.clone(), kept);
+        if self.reports.len() > MOST_REPORTS {
+            self.drop_one();
+        }
+        true
+    }
+
+    /// Forgets what is too old to count; false if there was nothing.
+    pub(crate) fn forget(&mut self, now: Tick) -> bool {
+        let before = self.reports.len();
+        let root = &mut self.root;
+        self.reports.retain(|id, kept| {
+            let counts = kept.at.age(now) < REMEMBERED;
+            if !counts {
+                // INVARIANT: What goes leaves the root.
+                *root ^= hash_of(id);
+            }
+            counts
+        });
+        self.reports.len() < before
+    }
+
+    /// Judges anew; gives the verdicts if they are others than before.
+    pub(crate) fn judge(&mut self) -> Option<&Verdicts> {
+        let mut crashes: Vec<(Moment, &[Content])> = Vec::new();
+        let mut answered: HashMap<Fingerprint, Moment> = HashMap::new();
+        for kept in self.reports.values() {
+            match &kept.sighting {
+                Sighting::Crashed(ran) => crashes.push((kept.at, ran)),
+                Sighting::Answered(content) => {
+                    let newest = answered.entry(*content).or_insert(kept.at);
+                    *newest = kept.at.max(*newest);
+                }
+            }
+        }
+        let verdicts = Verdicts::judge(&crashes, &answered);
+        if verdicts == self.verdicts {
+            return None;
+        }
+        self.verdicts = verdicts;
+        Some(&self.verdicts)
+    }
+
+    /// What follows from the reports, as it was judged last.
+    pub(crate) fn verdicts(&self) -> &Verdicts {
+        &self.verdicts
+    }
+
+    /// A hash over all that is known.
+    pub(crate) fn root(&self) -> u64 {
+        self.root
+    }
+
+    /// A report as it is told at `now`.
+    pub(crate) fn tell(&self, now: Tick, id: &ReportId) -> Option<Report> {
+        let kept = self.reports.get(id)?;
+        Some(kept.tell(now, id))
+    }
+
+    /// As many reports as fit into a message: those of what is in quarantine first, then
+    /// the newest.
+    pub(crate) fn tell_all(&self, now: Tick) -> Vec<Report> {
+        let mut by_weight: Vec<(&ReportId, &Kept)> = self.reports.iter().collect();
+        by_weight.sort_by_key(|(_, kept)| (self.is_of_weight(kept), kept.at));
+        let mut left = MOST_TOLD_BYTES;
+        let mut told = Vec::new();
+        for (id, kept) in by_weight.into_iter().rev() {
+            let Some(rest) = left.checked_sub(kept.bytes()) else {
+                break;
+            };
+            left = rest;
+            told.push(kept.tell(now, id));
+        }
+        told
+    }
+
+    /// Whether it tells of a request that is in quarantine or nearly so.
+    fn is_of_weight(&self, kept: &Kept) -> bool {
+        match &kept.sighting {
+            Sighting::Answered(_) => true,
+            Sighting::Crashed(ran) => ran
+                .iter()
+                .flat_map(Content::fingerprints)
+                .any(|content| self.verdicts.doubts(content)),
+        }
+    }
+
+    /// Makes room: crashes of many targets that have nothing in common mustn't push out
+    /// those that prove something.
+    fn drop_one(&mut self) {
+        let lightest = self
+            .reports
+            .iter()
+            .min_by_key(|(_, kept)| (self.is_of_weight(kept), kept.at));
+        let Some(id) = lightest.map(|(id, _)| id.clone()) else {
+            return;
+        };
+        // INVARIANT: What goes leaves the root.
+        self.root ^= hash_of(&id);
+        self.reports.remove(&id);
+    }
+}
+
+impl Kept {
+    fn tell(&self, now: Tick, id: &ReportId) -> Report {
+        let age_ms = self.at.age(now).as_millis();
+        Report {
+            id: id.clone(),
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            sighting: self.sighting.clone(),
+        }
+    }
+
+    /// Bytes in a message, about.
+    fn bytes(&self) -> usize {
+        match &self.sighting {
+            Sighting::Crashed(ran) => REPORT_BYTES + CONTENT_BYTES * ran.len(),
+            Sighting::Answered(_) => REPORT_BYTES + CONTENT_BYTES,
+        }
+    }
+}
+
+fn hash_of(id: &ReportId) -> u64 {
+    let mut bytes = Vec::with_capacity(64);
+    bytes.extend_from_slice(id.witness.as_str().as_bytes());
+    bytes.extend_from_slice(&id.incarnation.to_le_bytes());
+    bytes.extend_from_slice(&id.number.to_le_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&Digest::of(&bytes).as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
--- /dev/null
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -0,0 +1,134 @@
+//! What follows from the reports.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use super::Content;
+use super::Fingerprint;
+use super::moment::Moment;
+use crate::Tick;
+
+/// Crashes under one request after which no target runs it any more.
+pub const CRASHES: usize = 3;
+
+/// Crashes after which an answer to it has to be told: one more would make
+/// [`CRASHES`].
+const DOUBTED: usize = CRASHES - 1;
+
+/// How long a request is in quarantine after the last crash under it. Then it may show
+/// that its targets were mended; one more crash puts it back.
+const HOLD: Duration = Duration::from_secs(600);
+
+/// How long an answer excuses a request from crashes after it. Targets that fall together
+/// fall under everything that is asked often, before another could answer.
+const ANSWER_EXCUSES: Duration = Duration::from_secs(10);
+
+/// Which requests are in quarantine, and of which it matters to know that they were
+/// answered.
+///
+/// # Invariants
+///
+/// Whatever is in quarantine is doubted as well.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Verdicts {
+    /// Until when each is in quarantine.
+    held: HashMap<Fingerprint, Tick>,
+    doubted: HashSet<Fingerprint>,
+}
+
+impl Verdicts {
+    /// Until when no target is to run a request, if it is in quarantine at `now`.
+    pub fn held_until(&self, now: Tick, content: &Content) -> Option<Tick> {
+        if self.held.is_empty() {
+            return None;
+        }
+        let until = |content| self.held.get(&content).copied();
+        let until = content.fingerprints().filter_map(until).max();
+        until.filter(|until| now < *until)
+    }
+
+    /// Whether others are to hear that a request was answered.
+    pub fn doubts(&self, content: Fingerprint) -> bool {
+        self.doubted.contains(&content)
+    }
+
+    /// All of which others are to hear that they were answered.
+    pub fn doubted(&self) -> impl Iterator<Item = Fingerprint> {
+        self.doubted.iter().copied()
+    }
+
+    /// Those in quarantine.
+    pub fn held(&self) -> impl Iterator<Item = Fingerprint> {
+        self.held.keys().copied()
+    }
+
+    /// Whether it is in quarantine, or was.
+    pub(crate) fn holds(&self, content: Fingerprint) -> bool {
+        self.held.contains_key(&content)
+    }
+
+    /// Judges by crashes, and by the newest answer to each request.
+    pub(super) fn judge(
+        crashes: &[(Moment, &[Content])],
+        answered: &HashMap<Fingerprint, Moment>,
+    ) -> Verdicts {
+        let mut verdicts = Verdicts::default();
+        let mut whole = Counts::new(answered);
+        for (at, ran) in crashes {
+            whole.count(*at, ran.iter().map(Content::whole));
+        }
+        whole.judge(&mut verdicts);
+        // A crash under a request that is in quarantine is no sign against others that
+        // differ from it by their query.
+        let mut wider = Counts::new(answered);
+        for (at, ran) in crashes {
+            let held = ran.iter().filter(|it| verdicts.holds(it.whole()));
+            let explained: HashSet<Fingerprint> = held.map(Content::resource).collect();
+            let resources = ran.iter().map(Content::resource);
+            wider.count(*at, resources.filter(|it| !explained.contains(it)));
+        }
+        wider.judge(&mut verdicts);
+        verdicts
+    }
+}
+
+/// Crashes by fingerprint.
+#[derive(Debug)]
+struct Counts<'a> {
+    answered: &'a HashMap<Fingerprint, Moment>,
+    crashes: HashMap<Fingerprint, Vec<Moment>>,
+}
+
+impl<'a> Counts<'a> {
+    fn new(answered: &'a HashMap<Fingerprint, Moment>) -> Counts<'a> {
+        Counts {
+            answered,
+            crashes: HashMap::new(),
+        }
+    }
+
+    /// Counts one crash against each that ran, once.
+    fn count(&mut self, at: Moment, ran: impl Iterator<Item = Fingerprint>) {
+        let ran: HashSet<Fingerprint> = ran.collect();
+        for content in ran {
+            let answer = self.answered.get(&content);
+            if answer.is_none_or(|answer| answer.plus(ANSWER_EXCUSES) < at) {
+                self.crashes.entry(content).or_default().push(at);
+            }
+        }
+    }
+
+    fn judge(self, verdicts: &mut Verdicts) {
+        for (content, crashes) in self.crashes {
+            if crashes.len() >= DOUBTED {
+                verdicts.doubted.insert(content);
+            }
+            if crashes.len() >= CRASHES
+                && let Some(last) = crashes.iter().max()
+            {
+                verdicts.held.insert(content, last.plus(HOLD).tick());
+            }
+        }
+    }
+}
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -198,7 +198,8 @@
             | Reason::BadKey
             | Reason::TooManyHops
             | Reason::NoConfiguration
-            | Reason::CallerGone => true,
+            | Reason::CallerGone
+            | Reason::Quarantined => true,
             // A key has one owner, and no other endpoint stands in for it.
             Reason::Connect | Reason::Draining | Reason::Starting => keyed,
             _ => false,
--- a/crates/core/src/spread/action.rs
+++ b/crates/core/src/spread/action.rs
@@ -12,6 +12,7 @@
 use crate::Revision;
 use crate::Snapshot;
 use crate::Stream;
+use crate::Verdicts;
 use crate::Version;
 
 /// Something that the node carries out.
@@ -43,6 +44,8 @@
     Joined,
     /// An endpoint's state is news here.
     Endpoint(EndpointState),
+    /// Keep other requests from targets than before.
+    Quarantine(Arc<Verdicts>),
     /// Write a line of the audit trail.
     Audit(AuditEvent),
 }
--- a/crates/core/src/spread/audit.rs
+++ b/crates/core/src/spread/audit.rs
@@ -6,7 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Content;
 use crate::EndpointState;
+use crate::Fingerprint;
 use crate::InstanceId;
 use crate::Phase;
 use crate::Revision;
@@ -133,6 +135,23 @@
         /// Until it is read again.
         wait: Duration,
     },
+    /// The target beside this node crashed.
+    TargetCrashed {
+        /// What it was running.
+        ran: Vec<Content>,
+    },
+    /// A request is kept from targets from now on, since they crash under it.
+    Quarantined {
+        /// What it asks for.
+        content: Fingerprint,
+        /// Who told of the last crash.
+        origin: Origin,
+    },
+    /// A request isn't kept from targets any more.
+    Released {
+        /// What it asks for.
+        content: Fingerprint,
+    },
     /// The process was stopped for a while and has woken.
     Paused {
         /// For how long.
--- a/crates/core/src/spread/event.rs
+++ b/crates/core/src/spread/event.rs
@@ -9,6 +9,7 @@
 use crate::PeerReply;
 use crate::Phase;
 use crate::Revision;
+use crate::Sighting;
 use crate::Stream;
 
 /// Something that happened.
@@ -38,6 +39,13 @@
     },
     /// The endpoint beside this node entered a phase.
     LocalPhase(Phase),
+    /// The endpoint beside this node was seen to do something, so long ago.
+    Sighted {
+        /// What it did.
+        sighting: Sighting,
+        /// How long ago.
+        ago: Duration,
+    },
     /// Other control addresses are to be asked before the list is known.
     Seeds(Vec<SocketAddr>),
 }
--- a/crates/core/src/spread/gossip.rs
+++ b/crates/core/src/spread/gossip.rs
@@ -4,12 +4,17 @@
 use crate::EndpointState;
 use crate::Heads;
 use crate::InstanceId;
+use crate::ReportId;
 use crate::Tick;
 use crate::spread::calls::Address;
 
 /// Endpoint states that wait to be told; more are left to comparing.
 const MAX_NEWS: usize = 4_096;
 
+/// Reports of crashes in one announcement; more are left to comparing. Of a failure domain
+/// that is lost with hundreds of targets, no crash has to be known at once.
+pub(super) const MAX_REPORTS: usize = 16;
+
 /// What a node is about to tell.
 #[derive(Debug)]
 pub(super) struct Gossip {
@@ -37,6 +42,8 @@
     /// Counts comparisons.
     pub(super) syncs: u64,
     news: Vec<EndpointState>,
+    /// Reports that wait to be told, and are told at once.
+    reports: Vec<ReportId>,
 }
 
 impl Gossip {
@@ -54,6 +61,7 @@
             unlisted: Vec::new(),
             syncs: 0,
             news: Vec::new(),
+            reports: Vec::new(),
         }
     }
 
@@ -77,6 +85,20 @@
         self.news.drain(..n).collect()
     }
 
+    /// Notes a report that is news; it is told at `due` or before.
+    pub(super) fn add_report(&mut self, id: ReportId, due: Tick) {
+        if self.reports.len() == MAX_REPORTS {
+            return;
+        }
+        self.reports.push(id);
+        self.states_due = Some(self.states_due.map_or(due, |already| already.min(due)));
+    }
+
+    /// Takes the reports that wait to be told.
+    pub(super) fn take_reports(&mut self) -> Vec<ReportId> {
+        std::mem::take(&mut self.reports)
+    }
+
     /// Whether states still wait.
     pub(super) fn has_states(&self) -> bool {
         !self.news.is_empty()
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -38,6 +38,7 @@
 use crate::Stream;
 use crate::Tick;
 use crate::membership::Members;
+use crate::quarantine::Ledger;
 use crate::reader::ContactClock;
 use crate::reader::ReadBudget;
 use crate::reader::Role;
@@ -47,6 +48,7 @@
 mod join;
 mod pull;
 mod read;
+mod reports;
 mod states;
 mod sync;
 mod wakeup;
@@ -72,6 +74,9 @@
     calls: Calls,
     gossip: Gossip,
     members: Members,
+    reports: Ledger,
+    /// Counts the reports of this process.
+    reported: u64,
     own: EndpointState,
     /// The incarnation of another process with this node's name.
     replaced_by: Option<u64>,
@@ -111,6 +116,8 @@
             calls: Calls::new(cfg.call_timeout),
             gossip: Gossip::new(now),
             members,
+            reports: Ledger::default(),
+            reported: 0,
             own,
             replaced_by: None,
             role: Role::new(&cfg, &mut rng),
@@ -142,6 +149,7 @@
             }
             Event::SourceRead { stream, result } => self.source_read(now, stream, result, out),
             Event::LocalPhase(phase) => self.enter_phase(now, phase, out),
+            Event::Sighted { sighting, ago } => self.sighted(now, sighting, ago, out),
             Event::Seeds(seeds) => self.local.seeds = seeds,
         }
         self.do_what_is_due(now, out);
--- a/crates/core/src/spread/machine/announce.rs
+++ b/crates/core/src/spread/machine/announce.rs
@@ -49,7 +49,10 @@
         };
         let heads = self.holder.heads();
         self.gossip.announced = heads;
+        let reports = self.gossip.take_reports();
+        let reports = reports.iter().filter_map(|id| self.reports.tell(now, id));
         Announce {
+            reports: reports.collect(),
             control: self.local.control,
             heads,
             contact: self.contact.tell(now),
--- a/crates/core/src/spread/machine/answer.rs
+++ b/crates/core/src/spread/machine/answer.rs
@@ -44,6 +44,7 @@
         self.hear_contact(now, told.contact, out);
         let origin = Origin::Peer(from.clone());
         self.hear_states(now, &told.states, &origin, out);
+        self.hear_reports(now, &told.reports, &origin, out);
         if let Some(body) = told.body {
             self.open_eagerly(now, &body, from, out);
         }
@@ -75,6 +76,11 @@
             list: self.list.tell(now),
             buckets,
             about_you: self.members.get(from).cloned(),
+            reports_root: self.reports.root(),
+            reports: match self.reports.root() == told.reports {
+                true => Vec::new(),
+                false => self.reports.tell_all(now),
+            },
         })
     }
 
--- /dev/null
+++ b/crates/core/src/spread/machine/reports.rs
@@ -0,0 +1,139 @@
+//! Crashes of targets, and answers to what ran in some: this node's own sightings, and
+//! those of others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Spread;
+use crate::Action;
+use crate::Announce;
+use crate::AuditEvent;
+use crate::Origin;
+use crate::PeerMessage;
+use crate::Report;
+use crate::ReportId;
+use crate::Sighting;
+use crate::SyncReply;
+use crate::Tick;
+use crate::spread::calls::Address;
+use crate::spread::calls::Purpose;
+use crate::spread::gossip::MAX_REPORTS;
+
+/// How soon a node that heard news of crashes compares itself with a peer. Announcements
+/// miss some nodes, and the next copy of a request may come to one of these.
+const COMPARED_AFTER: Duration = Duration::from_millis(500);
+
+impl Spread {
+    /// The endpoint beside this node was seen to crash or to answer.
+    pub(super) fn sighted(
+        &mut self,
+        now: Tick,
+        sighting: Sighting,
+        ago: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        if let Sighting::Crashed(ran) = &sighting {
+            out.push(Action::Audit(AuditEvent::TargetCrashed {
+                ran: ran.clone(),
+            }));
+        }
+        self.reported += 1;
+        let report = Report {
+            id: ReportId {
+                witness: self.local.id.clone(),
+                incarnation: self.local.incarnation.get(),
+                number: self.reported,
+            },
+            age_ms: u32::try_from(ago.as_millis()).unwrap_or(u32::MAX),
+            sighting,
+        };
+        let origin = Origin::Peer(self.local.id.clone());
+        self.hear_reports(now, &[report], &origin, out);
+    }
+
+    /// Takes in what others have seen.
+    ///
+    /// A few are news and told on at once: the next copy of a request may be under way.
+    /// Many come from a comparison and are known to most.
+    pub(super) fn hear_reports(
+        &mut self,
+        now: Tick,
+        reports: &[Report],
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) {
+        let mut news = Vec::new();
+        for report in reports {
+            if self.reports.merge(now, report) {
+                news.push(report.id.clone());
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        if news.len() <= MAX_REPORTS {
+            for id in news {
+                self.gossip.add_report(id, now);
+            }
+            let soon = now + self.jittered(COMPARED_AFTER);
+            self.gossip.next_sync = self.gossip.next_sync.min(soon);
+        }
+        self.judge(origin, out);
+    }
+
+    /// Takes in the reports of a peer, and tells it those that it lacks.
+    ///
+    /// A side of a cut may know of crashes that the other doesn't: whoever compares itself
+    /// first brings both up to date.
+    pub(super) fn compare_reports(
+        &mut self,
+        now: Tick,
+        peer: &Address,
+        told: &SyncReply,
+        out: &mut Vec<Action>,
+    ) {
+        if told.reports_root == self.reports.root() {
+            return;
+        }
+        let origin = Origin::Peer(told.from.clone());
+        self.hear_reports(now, &told.reports, &origin, out);
+        if told.reports_root == self.reports.root() {
+            return;
+        }
+        let message = PeerMessage::Announce(Announce {
+            control: self.local.control,
+            heads: self.holder.heads(),
+            contact: self.contact.tell(now),
+            body: None,
+            states: Vec::new(),
+            reports: self.reports.tell_all(now),
+        });
+        self.calls.send(now, peer, Purpose::Announce, message, out);
+    }
+
+    /// Forgets what is too old to count.
+    pub(super) fn forget_reports(&mut self, now: Tick, out: &mut Vec<Action>) {
+        if self.reports.forget(now) {
+            let origin = Origin::Peer(self.local.id.clone());
+            self.judge(&origin, out);
+        }
+    }
+
+    /// Puts in force what follows from the reports, if that has changed.
+    fn judge(&mut self, origin: &Origin, out: &mut Vec<Action>) {
+        let before = self.reports.verdicts().clone();
+        let Some(verdicts) = self.reports.judge() else {
+            return;
+        };
+        for content in verdicts.held().filter(|it| !before.holds(*it)) {
+            out.push(Action::Audit(AuditEvent::Quarantined {
+                content,
+                origin: origin.clone(),
+            }));
+        }
+        for content in before.held().filter(|it| !verdicts.holds(*it)) {
+            out.push(Action::Audit(AuditEvent::Released { content }));
+        }
+        out.push(Action::Quarantine(Arc::new(verdicts.clone())));
+    }
+}
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -34,6 +34,7 @@
             return;
         }
         self.members.forget(now);
+        self.forget_reports(now, out);
         if let Life::Joining(_) = self.life {
             self.ask_to_join(now, out);
             return;
@@ -64,6 +65,7 @@
             heads: self.holder.heads(),
             contact: self.contact.tell(now),
             states: self.members.root(),
+            reports: self.reports.root(),
         });
         self.calls.send(now, to, Purpose::Sync, message, out);
     }
@@ -131,6 +133,7 @@
         if let Some(state) = &told.about_you {
             self.hear_states(now, std::slice::from_ref(state), &origin, out);
         }
+        self.compare_reports(now, &holder, told, out);
         self.hear_heads(now, told.heads, &holder, out);
         self.gossip.answered = Some(now);
         self.gossip.has_heard_since_waking = true;
--- a/crates/core/src/spread/message.rs
+++ b/crates/core/src/spread/message.rs
@@ -9,6 +9,7 @@
 use crate::Contact;
 use crate::EndpointState;
 use crate::Heads;
+use crate::Report;
 use crate::Stream;
 use crate::Version;
 
@@ -60,6 +61,8 @@
     pub body: Option<Body>,
     /// Endpoint states that are news to the sender.
     pub states: Vec<EndpointState>,
+    /// Crashes, and answers to what was running in some, that are news to the sender.
+    pub reports: Vec<Report>,
 }
 
 /// One side of a regular comparison.
@@ -73,6 +76,8 @@
     pub contact: Option<Contact>,
     /// Digest over all endpoint states that the sender knows.
     pub states: u64,
+    /// Digest over all reports of crashes that the sender knows.
+    pub reports: u64,
 }
 
 /// Asks for the newest version of a stream.
--- a/crates/core/src/spread/reply.rs
+++ b/crates/core/src/spread/reply.rs
@@ -9,6 +9,7 @@
 use crate::Heads;
 use crate::InstanceId;
 use crate::ListProof;
+use crate::Report;
 
 /// The answer to a [`PeerMessage`](crate::PeerMessage).
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -45,4 +46,8 @@
     pub buckets: Vec<u32>,
     /// What it remembers of the asking node itself.
     pub about_you: Option<EndpointState>,
+    /// Digest over all reports of crashes that it knows.
+    pub reports_root: u64,
+    /// These, newest first as far as they fit, if the asking node knows others.
+    pub reports: Vec<Report>,
 }
--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -2,6 +2,7 @@
 
 mod basics;
 mod costs;
+mod crashes;
 mod endpoints;
 mod lag;
 mod net;
--- /dev/null
+++ b/crates/core/src/spread/tests/crashes.rs
@@ -0,0 +1,183 @@
+//! Requests that crash targets, known to a fleet.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::net::Net;
+use super::net::few_reads;
+use super::net::joined_net_with;
+use crate::CRASHES;
+use crate::Content;
+use crate::Event;
+use crate::Sighting;
+
+/// How long nodes have to tell one another of what crashed a third target.
+const TOLD_WITHIN: Duration = Duration::from_secs(3);
+
+/// Between one crash and the next.
+const APART: Duration = Duration::from_millis(200);
+
+fn crashing() -> Content {
+    Content::of("GET", "desk.example", "/crashing", None, b"")
+}
+
+fn harmless(n: usize) -> Content {
+    Content::of("GET", "desk.example", &format!("/harmless/{n}"), None, b"")
+}
+
+/// The target beside a node crashes under both.
+fn crash(net: &mut Net, n: usize) {
+    let sighting = Sighting::Crashed(vec![harmless(n), crashing()]);
+    sight(net, n, sighting);
+}
+
+fn sight(net: &mut Net, n: usize, sighting: Sighting) {
+    let ago = Duration::ZERO;
+    net.event(n, Event::Sighted { sighting, ago });
+}
+
+fn holds(net: &Net, n: usize, content: Content) -> bool {
+    let node = net.nodes[n].as_ref();
+    node.is_some_and(|node| node.verdicts.held_until(net.now, &content).is_some())
+}
+
+fn all_hold(net: &Net) -> bool {
+    (0..net.nodes.len()).all(|n| net.nodes[n].is_none() || holds(net, n, crashing()))
+}
+
+// A lookup crashes three targets, each beside another node and each while it runs another
+// request as well. Wherever it comes next, it must be known, and the others must not be.
+#[rstest]
+#[case::small(4)]
+#[case::of_today(14)]
+#[case::grown(200)]
+fn what_crashed_three_targets_is_known_everywhere(#[case] nodes: usize) {
+    let mut net = joined_net_with(nodes, 1, few_reads());
+    for n in 0..CRASHES {
+        assert!(!(0..nodes).any(|n| holds(&net, n, crashing())));
+        crash(&mut net, n);
+        net.run_for(APART);
+    }
+    let took = net.run_until(TOLD_WITHIN, all_hold);
+    assert!(took < Duration::from_secs(1), "{took:?}");
+    let innocent =
+        |net: &Net| (0..nodes).all(|n| (0..CRASHES).all(|of| !holds(net, n, harmless(of))));
+    assert!(innocent(&net));
+    net.run_for(Duration::from_secs(30));
+    assert!(all_hold(&net) && innocent(&net));
+}
+
+// More than half of all messages are lost while it becomes known. Nodes that missed it have
+// to know within the time that they have from when messages arrive again.
+#[test]
+fn a_lost_report_is_found_by_comparing() {
+    let mut missed = 0;
+    for seed in 0..16 {
+        let mut net = joined_net_with(14, seed, few_reads());
+        net.loss_percent = 60;
+        for n in 0..CRASHES {
+            crash(&mut net, n);
+            net.run_for(APART);
+        }
+        missed += usize::from(!all_hold(&net));
+        net.loss_percent = 0;
+        net.run_until(TOLD_WITHIN, all_hold);
+    }
+    assert!(missed > 0, "nothing was lost that mattered");
+}
+
+// Nodes are cut from the others while the targets crash, some on either side. Neither side
+// has seen three crashes. Once the cut heals, both have to know within the time that nodes
+// have, whoever compares itself with whom.
+#[test]
+fn both_sides_of_a_cut_know_soon_after_it_healed() {
+    for seed in 0..16 {
+        let mut net = joined_net_with(10, seed, few_reads());
+        net.group[..2].fill(1);
+        net.run_for(Duration::from_secs(1));
+        for n in [0, 5, 6] {
+            crash(&mut net, n);
+            net.run_for(APART);
+        }
+        net.run_for(Duration::from_secs(3));
+        assert!(!(0..10).any(|n| holds(&net, n, crashing())));
+        net.group.fill(0);
+        net.run_until(TOLD_WITHIN, all_hold);
+    }
+}
+
+// A node is killed and starts again: it knows nothing, and must not serve before it has
+// heard from those that do.
+#[test]
+fn a_node_that_starts_again_knows_before_it_serves() {
+    for seed in 0..8 {
+        let mut net = joined_net_with(14, seed, few_reads());
+        for n in 0..CRASHES {
+            crash(&mut net, n);
+        }
+        net.run_until(TOLD_WITHIN, all_hold);
+        // Also the nodes that saw it.
+        for n in 0..8 {
+            net.stop(n);
+        }
+        net.run_for(Duration::from_secs(1));
+        for n in 0..8 {
+            net.start(n);
+        }
+        net.run_until(Duration::from_secs(20), |net| {
+            net.up().all(|node| node.joined)
+        });
+        assert!(all_hold(&net), "{seed}");
+    }
+}
+
+// A process stands still while the others learn of it, and wakes.
+#[test]
+fn a_node_that_slept_hears_of_it() {
+    let mut net = joined_net_with(14, 3, few_reads());
+    net.pause(9);
+    net.run_for(Duration::from_secs(1));
+    for n in 0..CRASHES {
+        crash(&mut net, n);
+    }
+    net.run_for(Duration::from_secs(12));
+    net.resume(9);
+    net.run_until(TOLD_WITHIN, all_hold);
+}
+
+// Three targets fall at once for a reason of their own, under a lookup that all of them run.
+// Another node has seen it answered: its word has to end the quarantine everywhere.
+#[test]
+fn an_answer_elsewhere_ends_it() {
+    let mut net = joined_net_with(14, 4, few_reads());
+    for n in 0..CRASHES {
+        crash(&mut net, n);
+    }
+    net.run_until(TOLD_WITHIN, all_hold);
+    assert!(net.node(9).verdicts.doubts(crashing().whole()));
+    sight(&mut net, 9, Sighting::Answered(crashing().whole()));
+    net.run_until(Duration::from_secs(1), |net| {
+        !(0..14).any(|n| holds(net, n, crashing()))
+    });
+}
+
+// Nothing is told again and again: once all know the same, comparing costs what it did.
+#[test]
+fn what_all_know_costs_nothing() {
+    let mut net = joined_net_with(14, 5, few_reads());
+    let bytes = |net: &Net| net.up().map(|node| node.bytes).sum::<usize>();
+    let minute = |net: &mut Net| {
+        let before = bytes(net);
+        net.run_for(Duration::from_secs(60));
+        bytes(net) - before
+    };
+    let calm = minute(&mut net);
+    for n in 0..CRASHES {
+        crash(&mut net, n);
+    }
+    net.run_until(TOLD_WITHIN, all_hold);
+    net.run_for(Duration::from_secs(20));
+    let after = minute(&mut net);
+    assert!(after < calm + calm / 20, "{calm} before, {after} after");
+}
--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -298,7 +298,7 @@
         self.push(at, to, generation, Due::Arrive(Box::new(arrival)));
     }
 
-    fn event(&mut self, n: usize, event: Event) {
+    pub(super) fn event(&mut self, n: usize, event: Event) {
         let mut out = Vec::new();
         if let Some(node) = &mut self.nodes[n] {
             node.machine.handle(self.now, event, &mut out);
--- a/crates/core/src/spread/tests/node.rs
+++ b/crates/core/src/spread/tests/node.rs
@@ -15,6 +15,7 @@
 use crate::LocalNode;
 use crate::PeerMessage;
 use crate::Snapshot;
+use crate::Verdicts;
 use crate::testing;
 
 /// What waits for a node to wake.
@@ -41,6 +42,7 @@
     pub(super) applied: Vec<(u64, u64)>,
     pub(super) audit: Vec<AuditEvent>,
     pub(super) states: Vec<EndpointState>,
+    pub(super) verdicts: Arc<Verdicts>,
     /// Encoded bytes of messages sent and answers given.
     pub(super) bytes: usize,
     /// Revisions of the catalogue that it announced.
@@ -61,6 +63,7 @@
             applied: Vec::new(),
             audit: Vec::new(),
             states: Vec::new(),
+            verdicts: Arc::default(),
             bytes: 0,
             announced: Vec::new(),
             bodies: 0,
@@ -79,6 +82,7 @@
             Action::Joined => self.joined = true,
             Action::Audit(event) => self.audit.push(event),
             Action::Endpoint(state) => self.states.push(state),
+            Action::Quarantine(verdicts) => self.verdicts = verdicts,
             Action::Send(_) | Action::ReadSource { .. } => {}
         }
     }
--- a/crates/node/src/audit/record.rs
+++ b/crates/node/src/audit/record.rs
@@ -1,6 +1,7 @@
 //! From the core's events to records.
 
 use sassafrasspool_core::AuditEvent;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Origin;
 use sassafrasspool_core::Stream;
 use sassafrasspool_core::Version;
@@ -12,6 +13,9 @@
 /// The longest reason that is kept, in characters.
 const MAX_REASON_CHARS: usize = 2_000;
 
+/// Requests of a crash that a record tells of.
+const MAX_CONTENTS: usize = 32;
+
 /// The record of an event, without number and time.
 pub(super) fn of(event: &AuditEvent) -> AuditRecord {
     match event {
@@ -99,6 +103,16 @@
             let reason = format!("list {offered} lacks {missing} live entries: {ms} ms");
             ("list-waits", reason)
         }
+        AuditEvent::TargetCrashed { ran } => {
+            let shown = ran.iter().take(MAX_CONTENTS).map(Content::to_string);
+            let shown: Vec<String> = shown.collect();
+            let reason = format!("it ran {}: {}", ran.len(), shown.join(" "));
+            ("target-crashed", reason)
+        }
+        AuditEvent::Quarantined { content, origin } => {
+            ("quarantined", format!("{content}, last told by {origin}"))
+        }
+        AuditEvent::Released { content } => ("released", content.to_string()),
         AuditEvent::Paused { pause } => ("paused", format!("for {} ms", pause.as_millis())),
         other => ("other", format!("{other:?}")),
     };
--- a/crates/node/src/control/machine.rs
+++ b/crates/node/src/control/machine.rs
@@ -224,6 +224,10 @@
                 Action::Apply(applied) => self.views.apply(applied.snapshot),
                 Action::Joined => self.joined = true,
                 Action::Endpoint(state) => self.views.put(state),
+                Action::Quarantine(verdicts) => {
+                    let now = self.now();
+                    self.outside.shared.quarantine().judge(now, verdicts);
+                }
                 Action::Audit(event) => self.write(&event),
                 other => tracing::debug!(?other, "an action that this node doesn't know"),
             }
@@ -255,6 +259,8 @@
         }
         AuditEvent::Replaced { .. } => counter!(names::REPLACED).increment(1),
         AuditEvent::Paused { .. } => counter!(names::PAUSES).increment(1),
+        AuditEvent::TargetCrashed { .. } => counter!(names::TARGET_CRASHES).increment(1),
+        AuditEvent::Quarantined { .. } => counter!(names::QUARANTINED).increment(1),
         _ => {}
     }
 }
--- a/crates/node/src/metrics/names.rs
+++ b/crates/node/src/metrics/names.rs
@@ -40,6 +40,10 @@
 pub(crate) const REPLACED: &str = "sassafrasspool_replaced_total";
 /// Times that the process was found to have been paused.
 pub(crate) const PAUSES: &str = "sassafrasspool_pauses_total";
+/// Times that the own target crashed.
+pub(crate) const TARGET_CRASHES: &str = "sassafrasspool_target_crashes_total";
+/// Requests that came into quarantine, since targets crash under them.
+pub(crate) const QUARANTINED: &str = "sassafrasspool_quarantined_total";
 
 /// Log lines left out for want of budget or because nobody reads, by `rank`.
 pub(crate) const LOG_LEFT_OUT: &str = "sassafrasspool_log_lines_left_out_total";
@@ -51,6 +55,8 @@
     describe_counter!(CONFLICTS, "Revisions that came with two contents");
     describe_counter!(BODIES_REFUSED, "Bodies damaged or not as announced");
     describe_counter!(OLDER, "Older versions offered as the newest");
+    describe_counter!(TARGET_CRASHES, "Crashes of the own target");
+    describe_counter!(QUARANTINED, "Requests that came into quarantine");
     describe_gauge!(REVISION, "Revision in force");
     describe_counter!(MESSAGES, "Messages between nodes");
     describe_counter!(CALLS_FAILED, "Calls to nodes that failed");
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -151,7 +151,9 @@
         // What the node runs ends with the node, and also with the caller's
         // token: the caller's other nodes go on.
         let cancel = cancel.child_token();
-        let outside = outside(&settings, &adapter, shared, ControlHandle::new(tx), cancel);
+        let control = ControlHandle::new(tx);
+        shared.quarantine().tell_to(control.clone());
+        let outside = outside(&settings, &adapter, shared, control, cancel);
         let stop_traffic = outside.cancel.child_token();
         let traffic = start_traffic(&settings, Arc::clone(&outside.shared), stop_traffic.clone())?;
         let addrs = NodeAddrs {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -28,6 +28,7 @@
 pub use self::in_flight::InFlight;
 pub use self::in_flight::InFlightGuard;
 pub use self::newest::Newest;
+pub(crate) use self::quarantine::Quarantine;
 pub use self::routing::Routes;
 pub use self::view::View;
 
@@ -35,6 +36,7 @@
 mod contact;
 mod in_flight;
 mod newest;
+mod quarantine;
 mod routing;
 #[cfg(test)]
 mod tests;
@@ -64,6 +66,7 @@
     heard: Newest,
     in_force: Newest,
     proved_list: Newest,
+    quarantine: Quarantine,
 }
 
 impl Shared {
@@ -95,6 +98,7 @@
             heard: Newest::default(),
             in_force: Newest::default(),
             proved_list: Newest::default(),
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -176,6 +180,11 @@
         self.routing.routes()
     }
 
+    /// Requests that no target is to run.
+    pub(crate) fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// The phase of this node's own endpoint.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
--- /dev/null
+++ b/crates/node/src/shared/quarantine.rs
@@ -0,0 +1,136 @@
+//! Requests that crash targets, as the traffic side sees and is told of them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use sassafrasspool_core::Content;
+use sassafrasspool_core::Event;
+use sassafrasspool_core::Fingerprint;
+use sassafrasspool_core::Sighting;
+use sassafrasspool_core::Tick;
+use sassafrasspool_core::Verdicts;
+
+use crate::control::ControlEvent;
+use crate::control::ControlHandle;
+
+/// How long an answer is remembered at least, in case that others begin to doubt what it
+/// was an answer to.
+const REMEMBERED: Duration = Duration::from_secs(10);
+
+/// Answers that are remembered beside the half before: 20 s of the busiest nodes, in
+/// 0.2 MB.
+const MOST_ANSWERS: usize = 4_096;
+
+/// What is in quarantine, and what this node's own target did.
+#[derive(Debug, Default)]
+pub(crate) struct Quarantine {
+    verdicts: ArcSwap<Verdicts>,
+    answered: Mutex<Answered>,
+    /// Whom sightings are told; nobody in a node without a control side.
+    control: OnceLock<ControlHandle>,
+}
+
+impl Quarantine {
+    /// Says whom sightings are told.
+    pub(crate) fn tell_to(&self, control: ControlHandle) {
+        // A node has one control side from its start to its end.
+        let _ = self.control.set(control);
+    }
+
+    /// How long no target is to run a request from `now` on, if it is in quarantine.
+    pub(crate) fn holds(&self, now: Tick, content: &Content) -> Option<Duration> {
+        let until = self.verdicts.load().held_until(now, content)?;
+        Some(until.since(now))
+    }
+
+    /// Puts other verdicts in force, and tells of what they doubt and the own target has
+    /// answered lately.
+    pub(crate) fn judge(&self, now: Tick, verdicts: Arc<Verdicts>) {
+        let answered: Vec<(Fingerprint, Tick)> = {
+            let answered = self.answered.lock();
+            let answered = answered.unwrap_or_else(PoisonError::into_inner);
+            let at = |content| Some((content, answered.find(content)?));
+            verdicts.doubted().filter_map(at).collect()
+        };
+        let before = self.verdicts.swap(verdicts);
+        for (content, at) in answered {
+            if !before.doubts(content) {
+                self.tell_answer(content, now.since(at));
+            }
+        }
+    }
+
+    /// Notes that the own target gave a whole answer.
+    pub(crate) fn answered(&self, now: Tick, content: &Content) {
+        let doubted = self.verdicts.load();
+        for content in content.fingerprints() {
+            {
+                let answered = self.answered.lock();
+                let mut answered = answered.unwrap_or_else(PoisonError::into_inner);
+                answered.note(now, content);
+            }
+            if doubted.doubts(content) {
+                self.tell_answer(content, Duration::ZERO);
+            }
+        }
+    }
+
+    /// Notes that the own target crashed while it ran these.
+    pub(crate) async fn crashed(&self, ran: Vec<Content>) {
+        let Some(control) = self.control.get() else {
+            return;
+        };
+        let event = Event::Sighted {
+            sighting: Sighting::Crashed(ran),
+            ago: Duration::ZERO,
+        };
+        // A node that has ended tells nobody.
+        control.send(ControlEvent::Spread(event)).await;
+    }
+
+    fn tell_answer(&self, content: Fingerprint, ago: Duration) {
+        let Some(control) = self.control.get() else {
+            return;
+        };
+        let sighting = Sighting::Answered(content);
+        let event = ControlEvent::Spread(Event::Sighted { sighting, ago });
+        if !control.try_send(event) {
+            // The next answer is told again, for as long as there is doubt.
+            tracing::debug!(%content, "an answer was not told: the control side is busy");
+        }
+    }
+}
+
+/// When requests were answered last, in two halves of which the older goes as the newer is
+/// full and old enough.
+#[derive(Debug, Default)]
+struct Answered {
+    newer: HashMap<Fingerprint, Tick>,
+    older: HashMap<Fingerprint, Tick>,
+    /// Since when the newer half is filled.
+    since: Tick,
+}
+
+impl Answered {
+    fn note(&mut self, now: Tick, content: Fingerprint) {
+        let is_old = now.since(self.since) >= REMEMBERED;
+        if is_old || self.newer.len() >= MOST_ANSWERS {
+            std::mem::swap(&mut self.newer, &mut self.older);
+            self.newer.clear();
+            self.since = now;
+        }
+        self.newer.insert(content, now);
+    }
+
+    fn find(&self, content: Fingerprint) -> Option<Tick> {
+        let halves = [&self.newer, &self.older];
+        halves
+            .into_iter()
+            .find_map(|half| half.get(&content).copied())
+    }
+}
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -25,6 +25,7 @@
 use super::answer::Answer;
 use super::arrival;
 use super::beside::Call;
+use super::crash_watch::Watched;
 use super::head;
 use super::hub::Hub;
 use super::missed::Missed;
@@ -87,6 +88,13 @@
             let refusal = stage.refuse(now, Step::Admission, Reason::Draining);
             return Err(Missed::unsent(refusal, self.req));
         }
+        let held = hub.check_quarantine(Step::Admission, self.call.content.as_ref());
+        if let Err(refusal) = held {
+            // Targets crashed under it while it waited for its slot.
+            let now = hub.shared.clock().now();
+            let _ = stage.refuse(now, Step::Admission, Reason::Quarantined);
+            return Err(Missed::unsent(refusal, self.req));
+        }
         match target::take(&hub.pool, self.worker.index).await {
             Ok(conn) => self.hand_over(stage, conn).await,
             Err(err) => {
@@ -124,12 +132,16 @@
         match stage.hand_over(now) {
             Ok(stage) => {
                 let left = call.deadline.remaining(now);
+                let watched = call
+                    .content
+                    .map(|content| Watched::enter(hub, worker.index, content));
                 let req = for_target(req, left, life.as_ref(), &call, hub.shared.dialect());
                 let sent = Sent {
                     hub: Arc::clone(hub),
                     stage,
                     running,
                     deadline: call.deadline,
+                    watched,
                     life: life.filter(|_| call.for_own_service),
                     _parent: parent,
                 };
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -11,6 +11,7 @@
 use http::uri::Scheme;
 use hyper::body::Incoming;
 use sassafrasspool_core::Class;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::Instance;
@@ -53,6 +54,8 @@
     pub(super) aim: Option<Tick>,
     /// Whether nobody else is asked for room after this.
     pub(super) settles: bool,
+    /// What it asks for.
+    pub(super) content: Option<&'a Content>,
 }
 
 impl Attempt<'_> {
@@ -93,6 +96,7 @@
             kind: Some(self.kind.clone()),
             aim: self.aim,
             settles: self.settles,
+            content: self.content.copied(),
             life: self.life(),
             for_own_service: self.worker.hub.serves(self.instance.service.as_str()),
             origin: self.origin(),
@@ -205,7 +209,10 @@
         }
         headers.insert(names::HOP, HeaderValue::from(self.hop));
         headers.insert(names::CLASS, HeaderValue::from_static(self.class.as_str()));
+        let content = self.content.map(Content::to_string);
+        let content = content.and_then(|text| HeaderValue::try_from(text).ok());
         let told = [
+            (names::CONTENT, content.map(once)),
             (names::LIFE, self.life()),
             (names::ORIGIN, self.origin()),
             (names::KIND, HeaderValue::from_str(self.kind.as_str()).ok()),
@@ -270,7 +277,8 @@
         Failure::Refused(refusal) => match refusal.reason() {
             Reason::Connect => Verdict::NoConnection,
             Reason::Draining | Reason::Starting => Verdict::Draining,
-            Reason::DeadlinePassed => Verdict::Cancelled,
+            // Neither says anything of the endpoint.
+            Reason::DeadlinePassed | Reason::Quarantined => Verdict::Cancelled,
             _ => Verdict::Shed,
         },
     }
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -10,6 +10,7 @@
 use sassafrasspool_core::Begin;
 use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Class;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::KindName;
 use sassafrasspool_core::Limits;
@@ -54,6 +55,8 @@
     pub(super) aim: Option<Tick>,
     /// Whether nobody else is asked for room after this.
     pub(super) settles: bool,
+    /// What it asks for, if the node of the first hop said so.
+    pub(super) content: Option<Content>,
     /// The life of the target that it is meant for, where lives are told apart.
     pub(super) life: Option<HeaderValue>,
     /// Whether it is meant for the service that the settings give the own target.
@@ -84,7 +87,9 @@
     req: Request<Payload>,
     call: Call<'_>,
 ) -> Result<Response<Answer>, Missed> {
-    let service = match own_service(worker, &call) {
+    let hub = &worker.hub;
+    let checked = hub.check_quarantine(Step::Admission, call.content.as_ref());
+    let service = match checked.and_then(|()| own_service(worker, &call)) {
         Ok(service) => service,
         Err(refusal) => return Err(Missed::unsent(refusal, req)),
     };
@@ -107,6 +112,7 @@
     let facts = Facts {
         class,
         kind: call.kind.clone(),
+        content: call.content,
         life: call.life.clone(),
         deadline: call.deadline,
         aim: call.aim,
@@ -133,6 +139,8 @@
 ///
 /// Tells what the request itself would be told.
 pub(super) fn room(worker: &Worker, call: &Call<'_>) -> Result<(), Refusal> {
+    let content = call.content.as_ref();
+    worker.hub.check_quarantine(Step::Admission, content)?;
     let service = own_service(worker, call)?;
     let class = call.class.unwrap_or(service.entry.class);
     let ask = call.ask(class, &service.entry.limits);
--- a/crates/node/src/traffic/beside_trail.rs
+++ b/crates/node/src/traffic/beside_trail.rs
@@ -3,6 +3,7 @@
 use http::HeaderValue;
 use http::Response;
 use sassafrasspool_core::Class;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::KindName;
@@ -27,6 +28,7 @@
 pub(super) struct Facts {
     pub(super) class: Class,
     pub(super) kind: Option<KindName>,
+    pub(super) content: Option<Content>,
     pub(super) life: Option<HeaderValue>,
     pub(super) deadline: Deadline,
     /// Until when the answer is worth most.
@@ -88,6 +90,7 @@
             node: shared.me().as_str().into(),
             event: BESIDE.into(),
             request: text(id).into(),
+            content: facts.content.map(|content| content.to_string().into()),
             kind: facts.kind.as_ref().map(|kind| kind.as_str().into()),
             class: Some(facts.class.as_str().into()),
             life: facts.life.as_ref().map(|life| text(life).into()),
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/caller_side.rs
@@ -14,6 +14,7 @@
 use sassafrasspool_wire::header as names;
 
 use super::answer::Answer;
+use super::content;
 use super::first_hop::FirstHop;
 use super::head;
 use super::keyed;
@@ -138,7 +139,8 @@
     let uri = req.uri().clone();
     head::set_host(req.headers_mut(), &uri);
     head::strip_connection(req.headers_mut());
-    Ok((first, req))
+    let content = content::of(&req);
+    Ok((first.asking(content), req))
 }
 
 fn refuse(reason: Reason) -> Refusal {
--- /dev/null
+++ b/crates/node/src/traffic/crash_watch.rs
@@ -0,0 +1,124 @@
+//! Seeing that the own target crashes, and what it ran then.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use sassafrasspool_core::Content;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use super::hub::Hub;
+use super::target;
+use super::target::Lost;
+use super::target::WorkerIndex;
+
+/// How long after a connection broke the target is tried: a process that crashes has
+/// closed its listener by then, and none is back yet.
+const TRIED_AFTER: Duration = Duration::from_millis(20);
+
+new_key_type! {
+    /// Names a request that the own target runs.
+    struct RunKey;
+}
+
+/// What the own target runs, and whether its last crash was told.
+#[derive(Debug, Default)]
+pub(super) struct CrashWatch {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    running: SlotMap<RunKey, Content>,
+    /// Whether it is being found out why a connection broke.
+    asking: bool,
+    /// Connections to the target that had been opened when its last crash was told. As
+    /// long as there are no more, whatever breaks belongs to that crash.
+    told_at: Option<u64>,
+}
+
+impl CrashWatch {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // Nothing can panic halfway through a change of it.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One request that the own target runs, until this is dropped.
+#[derive(Debug)]
+pub(super) struct Watched {
+    hub: Arc<Hub>,
+    worker: WorkerIndex,
+    content: Content,
+    key: RunKey,
+}
+
+impl Watched {
+    /// Enters a request that is handed over.
+    pub(super) fn enter(hub: &Arc<Hub>, worker: WorkerIndex, content: Content) -> Box<Watched> {
+        let key = hub.crash_watch.lock().running.insert(content);
+        Box::new(Watched {
+            hub: Arc::clone(hub),
+            worker,
+            content,
+            key,
+        })
+    }
+
+    /// Its answer came whole.
+    pub(super) fn answered(&self) {
+        let shared = &self.hub.shared;
+        let now = shared.clock().now();
+        shared.quarantine().answered(now, &self.content);
+    }
+
+    /// Its connection broke. If the target is gone with it, whatever it ran at that moment
+    /// may be why.
+    ///
+    /// A target also breaks off single answers, and resets connections that it has no room
+    /// for; so it is tried whether it still takes connections. The first of all that break
+    /// together tells of all, and nobody's answer waits for it.
+    pub(super) fn lost(&self) {
+        let hub = &self.hub;
+        if hub.is_leaving() || hub.has_departed() {
+            // It was to end anyway, whatever it ran.
+            return;
+        }
+        let ran = {
+            let mut state = hub.crash_watch.lock();
+            if state.asking || state.told_at == Some(hub.pool.opened()) {
+                return;
+            }
+            state.asking = true;
+            state.running.values().copied().collect()
+        };
+        let hub = Arc::clone(hub);
+        let worker = self.worker;
+        let connections = self.hub.connections.clone();
+        connections.spawn(async move {
+            let cancel = hub.cut.clone();
+            cancel.run_until_cancelled(tell(&hub, worker, ran)).await;
+            hub.crash_watch.lock().asking = false;
+        });
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        self.hub.crash_watch.lock().running.remove(self.key);
+    }
+}
+
+/// Tells of a crash under `ran`, if it was one.
+async fn tell(hub: &Hub, worker: WorkerIndex, ran: Vec<Content>) {
+    tokio::time::sleep(TRIED_AFTER).await;
+    let opened = hub.pool.opened();
+    if target::find_lost(&hub.pool, worker).await == Lost::Connection {
+        return;
+    }
+    hub.crash_watch.lock().told_at = Some(opened);
+    hub.shared.quarantine().crashed(ran).await;
+}
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/first_hop.rs
@@ -8,6 +8,7 @@
 use sassafrasspool_core::BoundRoute;
 use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Budget;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::EndpointKey;
 use sassafrasspool_core::Failure;
@@ -57,6 +58,8 @@
     /// Until when the answer is worth most to the caller.
     aim: Option<Tick>,
     hop: u32,
+    /// What the request asks for, once its body was taken in as far as it is held.
+    content: Option<Content>,
 }
 
 impl<'a> FirstHop<'a> {
@@ -97,6 +100,7 @@
             deadline: Deadline::within(arrived, timeout(&route.route, service, asked)),
             aim: aim(worker, &route.route, arrived, asked),
             hop: 1,
+            content: None,
         };
         if side == Side::Egress {
             first.belong_to_parent(req);
@@ -112,6 +116,12 @@
         self.deadline
     }
 
+    /// The same for a request that asks for that.
+    pub(super) fn asking(mut self, content: Content) -> FirstHop<'a> {
+        self.content = Some(content);
+        self
+    }
+
     /// Goes on where the request that the own target runs has come to.
     fn belong_to_parent<B>(&mut self, req: &Request<B>) {
         if let Some(parent) = self.worker.hub.parents.of(req.headers()) {
@@ -184,6 +194,7 @@
             route: &self.route.route,
             deadline: self.deadline,
             aim: self.aim,
+            content: self.content.as_ref(),
         }
     }
 
@@ -209,6 +220,10 @@
     }
 
     fn pick(&self, avoid: &[EndpointKey]) -> Result<Picked, Refusal> {
+        // Also before a later try: the one before may have been the third under which a
+        // target crashed.
+        let hub = &self.worker.hub;
+        hub.check_quarantine(Step::Route, self.content.as_ref())?;
         let picker = &self.routes.picker;
         let service = self.to;
         let now = now(self.worker);
@@ -245,6 +260,7 @@
             kind: &self.route.route.kind,
             aim: self.aim,
             settles,
+            content: self.content.as_ref(),
         };
         attempt.run(picked, req).await
     }
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -4,11 +4,15 @@
 
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::AdmissionSettings;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Position;
+use sassafrasspool_core::Reason;
+use sassafrasspool_core::Refusal;
 use sassafrasspool_core::RepeatWindow;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::ServiceName;
+use sassafrasspool_core::Step;
 use sassafrasspool_core::TargetLife;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -16,6 +20,7 @@
 use super::arrival::Arrivals;
 use super::bodies::Bodies;
 use super::counters::Counters;
+use super::crash_watch::CrashWatch;
 use super::own_life::OwnLife;
 use super::parents::Parents;
 use super::patience::Patiences;
@@ -35,6 +40,7 @@
     pub(super) admission: Admission,
     pub(super) bodies: Bodies,
     pub(super) arrivals: Arrivals,
+    pub(super) crash_watch: CrashWatch,
     pub(super) parents: Parents,
     pub(super) patience: Patiences,
     pub(super) stages: Stages,
@@ -85,6 +91,7 @@
             admission,
             bodies: Bodies::new(),
             arrivals: Arrivals::new(cfg.target.slots),
+            crash_watch: CrashWatch::default(),
             parents: Parents::default(),
             patience: Patiences::default(),
             stages: Stages::new(),
@@ -116,6 +123,24 @@
         }
     }
 
+    /// Refuses a request under which targets crash, and says for how long.
+    ///
+    /// # Errors
+    ///
+    /// Refuses it as not run.
+    pub(super) fn check_quarantine(
+        &self,
+        step: Step,
+        content: Option<&Content>,
+    ) -> std::result::Result<(), Refusal> {
+        let now = self.shared.clock().now();
+        let held = content.and_then(|content| self.shared.quarantine().holds(now, content));
+        match held {
+            Some(left) => Err(Refusal::not_run(step, Reason::Quarantined).after(left)),
+            None => Ok(()),
+        }
+    }
+
     /// Whether the own target serves that service, by the settings that the process
     /// began with and by those of now.
     pub(super) fn serves(&self, service: &str) -> bool {
--- a/crates/node/src/traffic/payload.rs
+++ b/crates/node/src/traffic/payload.rs
@@ -129,6 +129,13 @@
     _room: Option<Room>,
 }
 
+impl Held {
+    /// All of it, until it is sent.
+    pub(super) fn bytes(&self) -> &Bytes {
+        &self.bytes
+    }
+}
+
 /// Whether all of a body was taken.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Taken(Arc<AtomicBool>);
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/peer_side.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use hyper::body::Incoming;
 use sassafrasspool_core::Class;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
 use sassafrasspool_core::KindName;
@@ -88,6 +89,7 @@
         class: text(headers, &names::CLASS).and_then(Class::from_name),
         kind: text(headers, &names::KIND).and_then(|name| KindName::new(name).ok()),
         aim: head::number(headers, &names::AIM_MS).map(|ms| now + Duration::from_millis(ms)),
+        content: text(headers, &names::CONTENT).and_then(|text| Content::parse(text).ok()),
         settles: headers.contains_key(names::SETTLES),
         life: headers.get(names::LIFE).cloned(),
         for_own_service: text(headers, &names::SERVICE).is_some_and(|name| worker.hub.serves(name)),
--- a/crates/node/src/traffic/sent.rs
+++ b/crates/node/src/traffic/sent.rs
@@ -21,6 +21,7 @@
 use sassafrasspool_wire::header::REQUEST_ID;
 
 use super::answer::Answer;
+use super::crash_watch::Watched;
 use super::head;
 use super::hub::Hub;
 use super::missed::Missed;
@@ -39,6 +40,8 @@
     /// The right to run its key, if it has one.
     pub(super) running: Option<Running>,
     pub(super) deadline: Deadline,
+    /// Whether the target crashes under it, if it is known what it asks for.
+    pub(super) watched: Option<Box<Watched>>,
     /// The life that it names, if it is meant for the own target's service.
     pub(super) life: Option<HeaderValue>,
     pub(super) _parent: Option<parents::Running>,
@@ -119,6 +122,9 @@
             }
             Ok(Err(target::Failure::Sent(err))) => {
                 tracing::debug!(%err, "lost");
+                if let Some(watched) = &self.watched {
+                    watched.lost();
+                }
                 Err(self.lost(LossCause::ConnectionLost))
             }
             Err(_) => Err(self.lost(LossCause::Timeout)),
@@ -179,7 +185,8 @@
     fn answered(self, res: Response<TargetBody>) -> Response<Answer> {
         let clock = *self.hub.shared.clock();
         let stage = self.stage.answered();
-        let mut res = res.map(|body| body.holding(stage, clock));
+        let watched = self.watched;
+        let mut res = res.map(|body| body.holding(stage, clock, watched));
         head::strip_own(res.headers_mut());
         head::strip_connection(res.headers_mut());
         *res.version_mut() = Version::HTTP_11;
--- a/crates/node/src/traffic/target/body.rs
+++ b/crates/node/src/traffic/target/body.rs
@@ -18,6 +18,7 @@
 use super::pool::put_back;
 use crate::Clock;
 use crate::traffic::BoxError;
+use crate::traffic::crash_watch::Watched;
 use crate::traffic::stored::Recorder;
 
 /// What the target answers, together with the connection that it comes by.
@@ -40,6 +41,7 @@
 struct Held {
     stage: Stage<Answered>,
     clock: Clock,
+    watched: Option<Box<Watched>>,
 }
 
 impl TargetBody {
@@ -58,8 +60,13 @@
         mut self,
         stage: Stage<Answered>,
         clock: Clock,
+        watched: Option<Box<Watched>>,
     ) -> TargetBody {
-        self.held = Some(Held { stage, clock });
+        self.held = Some(Held {
+            stage,
+            clock,
+            watched,
+        });
         self
     }
 
@@ -117,7 +124,13 @@
                     recorder.take(frame);
                 }
             }
-            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+            Poll::Ready(Some(Err(_))) => {
+                let held = self.held.as_ref();
+                if let Some(watched) = held.and_then(|held| held.watched.as_ref()) {
+                    watched.lost();
+                }
+            }
+            Poll::Pending => {}
         }
         polled.map_err(BoxError::from)
     }
@@ -136,10 +149,18 @@
         self.release();
         // The slot is free only once the connection is back or closed, so
         // that its next holder finds a connection.
-        let Some(Held { stage, clock }) = self.held.take() else {
+        let Some(held) = self.held.take() else {
             return;
         };
+        let Held {
+            stage,
+            clock,
+            watched,
+        } = held;
         if self.ended {
+            if let Some(watched) = watched {
+                watched.answered();
+            }
             if let Some(recorder) = self.recorder.take() {
                 recorder.finish(clock.now());
             }
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Waker;
@@ -42,6 +43,8 @@
 pub(in crate::traffic) struct Pool {
     addr: SocketAddr,
     limit: AtomicU32,
+    /// Counts the connections that were ever opened.
+    opened: AtomicU64,
     reach: Reach,
     held: Mutex<Held>,
 }
@@ -58,6 +61,7 @@
         Arc::new(Pool {
             addr,
             limit: AtomicU32::new(limit),
+            opened: AtomicU64::new(0),
             reach: Reach::new("target"),
             held: Mutex::default(),
         })
@@ -70,6 +74,11 @@
         }
     }
 
+    /// How many connections were ever opened.
+    pub(in crate::traffic) fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
     fn limit(&self) -> u32 {
         self.limit.load(Ordering::Relaxed)
     }
@@ -105,9 +114,7 @@
         found
     }
 
-    async fn open(self: &Arc<Pool>, worker: WorkerIndex) -> Result<Connection> {
-        let open = Open::try_new(self, worker)?;
-        let fail = |e| self.error("cannot connect").with_cause(e);
+    async fn connect(&self) -> io::Result<TcpStream> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
         let stream = stream
             .await
@@ -116,9 +123,21 @@
             Ok(_) => self.reach.found(self.addr),
             Err(err) => self.reach.missed(self.addr, err),
         };
-        let stream = stream.map_err(fail)?;
+        stream
+    }
+
+    async fn open(self: &Arc<Pool>, worker: WorkerIndex) -> Result<Connection> {
+        let open = Open::try_new(self, worker)?;
+        let fail = |e| self.error("cannot connect").with_cause(e);
+        let stream = self.connect().await.map_err(fail)?;
+        self.shake_hands(stream, open).await
+    }
+
+    async fn shake_hands(&self, stream: TcpStream, open: Open) -> Result<Connection> {
+        let fail = |e| self.error("cannot connect").with_cause(e);
         stream.set_nodelay(true).map_err(fail)?;
         counter!(traffic::TARGET_CONNECTIONS).increment(1);
+        self.opened.fetch_add(1, Ordering::Relaxed);
         let written = Arc::new(SocketBytes::default());
         let io = TokioIo::new(Counted::new(stream, Arc::clone(&written)));
         let handshake = http1::Builder::new()
@@ -159,6 +178,33 @@
     pool.open(worker).await
 }
 
+/// What broke as a connection to the target did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::traffic) enum Lost {
+    /// The connection alone, as far as can be told.
+    Connection,
+    /// The target, which refuses connections.
+    Target,
+}
+
+/// Finds out what was lost by opening a connection, which is kept for the next request.
+pub(in crate::traffic) async fn find_lost(pool: &Arc<Pool>, worker: WorkerIndex) -> Lost {
+    let Ok(open) = Open::try_new(pool, worker) else {
+        return Lost::Connection;
+    };
+    let stream = match pool.connect().await {
+        Ok(stream) => stream,
+        Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => return Lost::Target,
+        // It doesn't answer, and may still run all that it has.
+        Err(_) => return Lost::Connection,
+    };
+    match pool.shake_hands(stream, open).await {
+        Ok(conn) => put_back(conn),
+        Err(err) => tracing::debug!(%err, "not kept"),
+    }
+    Lost::Connection
+}
+
 fn is_old(idle: &Connection, now: Instant) -> bool {
     now.duration_since(idle.used) > MAX_IDLE
 }
--- a/crates/node/src/traffic/trail.rs
+++ b/crates/node/src/traffic/trail.rs
@@ -3,6 +3,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::EndpointKey;
 use sassafrasspool_core::Failure;
@@ -38,6 +39,8 @@
     pub(super) deadline: Deadline,
     /// Until when the answer is worth most.
     pub(super) aim: Option<Tick>,
+    /// What it asks for.
+    pub(super) content: Option<&'a Content>,
 }
 
 /// What happened to a request so far.
@@ -129,6 +132,7 @@
             node: shared.me().as_str().into(),
             event: event.into(),
             request: String::from_utf8_lossy(id.as_bytes()),
+            content: facts.content.map(|content| content.to_string().into()),
             kind: Some(facts.route.kind.as_str().into()),
             class: Some(facts.route.class.as_str().into()),
             instance: instance.map(|instance| instance.id.as_str().into()),
--- a/crates/node/tests/control/crashing.rs
+++ b/crates/node/tests/control/crashing.rs
@@ -109,9 +109,10 @@
 }
 
 // Callers send one and the same lookup again and again, through all nodes. It crashes each
-// target that begins to run it, and all that the target runs besides is lost with it. The
-// targets of the service go down as often as they come back, for as long as the lookup
-// comes: each copy is a new request to the nodes, and a crash tells them of a target alone.
+// target that begins to run it, and all that the target runs besides is lost with it. Targets
+// went down as often as they came back: each copy was a new request to the nodes, and a crash
+// told them of a target alone. Evidence: 78 of 131 copies ran later than 3 s after the third
+// crash, at any node, and no line of any node joined two of them.
 #[rstest]
 #[case::all_are_well(Crashing { trouble: Trouble::None })]
 // A node that starts again knows nothing, and has to hear of it before it serves.
--- a/crates/node/tests/control/hostile.rs
+++ b/crates/node/tests/control/hostile.rs
@@ -75,6 +75,7 @@
         contact: None,
         body: Some(body),
         states: Vec::new(),
+        reports: Vec::new(),
     })
 }
 
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -55,6 +55,9 @@
 /// Between nodes: the service beside whose target the request began.
 pub const ORIGIN: HeaderName = HeaderName::from_static("x-sassafrasspool-origin");
 
+/// Between nodes: what the request asks for, as a hash.
+pub const CONTENT: HeaderName = HeaderName::from_static("x-sassafrasspool-content");
+
 /// Between nodes: 1 if this is the first attempt with its key.
 pub const FIRST: HeaderName = HeaderName::from_static("x-sassafrasspool-first");
 
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -32,6 +32,9 @@
     pub event: Cow<'a, str>,
     /// The request's id, as its caller gave it.
     pub request: Cow<'a, str>,
+    /// What it asks for, as a hash: the same for all that ask for the same.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content: Option<Cow<'a, str>>,
     /// The kind by its route.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub kind: Option<Cow<'a, str>>,
