Let the soak send a request that crashes targets, and find crashes behind what takes connections

Judged: at most three copies reach targets later than 3 s after the third crash, beside nodes that were well for 3 s, and no other request is refused for it.

The soak's links take connections whether or not there is a target behind them, as anything does that stands between. A target counts as crashed there if a new connection is closed at once, all that ran is over, and it had answered since its last crash; else whatever is sent to a target that is down would count as a crash under it. What targets break off while they stay up counts against nothing.

--- a/crates/node/src/traffic/crash_watch.rs
+++ b/crates/node/src/traffic/crash_watch.rs
@@ -38,6 +38,8 @@
     /// Connections to the target that had been opened when its last crash was told. As
     /// long as there are no more, whatever breaks belongs to that crash.
     told_at: Option<u64>,
+    /// Whether the target has answered since its last crash.
+    answered: bool,
 }
 
 impl CrashWatch {
@@ -70,6 +72,7 @@
 
     /// Its answer came whole.
     pub(super) fn answered(&self) {
+        self.hub.crash_watch.lock().answered = true;
         let shared = &self.hub.shared;
         let now = shared.clock().now();
         shared.quarantine().answered(now, &self.content);
@@ -93,7 +96,7 @@
                 return;
             }
             state.asking = true;
-            state.running.values().copied().collect()
+            state.running.iter().map(|(key, of)| (key, *of)).collect()
         };
         let hub = Arc::clone(hub);
         let worker = self.worker;
@@ -113,12 +116,29 @@
 }
 
 /// Tells of a crash under `ran`, if it was one.
-async fn tell(hub: &Hub, worker: WorkerIndex, ran: Vec<Content>) {
+async fn tell(hub: &Hub, worker: WorkerIndex, ran: Vec<(RunKey, Content)>) {
     tokio::time::sleep(TRIED_AFTER).await;
-    let opened = hub.pool.opened();
-    if target::find_lost(&hub.pool, worker).await == Lost::Connection {
+    let crashed = match target::find_lost(&hub.pool, worker).await {
+        Lost::Connection => false,
+        Lost::Target => true,
+        // A target without room goes on with what it has. One that has answered nothing
+        // since its last crash may still be down, behind something that takes connections:
+        // whatever is sent there is lost, and no sign against anything.
+        Lost::Unclear => {
+            let state = hub.crash_watch.lock();
+            let runs = |(key, _): &(RunKey, Content)| state.running.contains_key(*key);
+            state.answered && !ran.iter().any(runs)
+        }
+    };
+    if !crashed {
         return;
     }
-    hub.crash_watch.lock().told_at = Some(opened);
-    hub.shared.quarantine().crashed(ran).await;
+    {
+        let mut state = hub.crash_watch.lock();
+        // Also what was opened to find it out belongs to this crash.
+        state.told_at = Some(hub.pool.opened());
+        state.answered = false;
+    }
+    let ran = ran.into_iter().map(|(_, content)| content);
+    hub.shared.quarantine().crashed(ran.collect()).await;
 }
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Waker;
+use std::time::Duration;
 use std::time::Instant;
 
 use hyper::client::conn::http1;
@@ -33,6 +34,9 @@
 /// Which traffic thread a connection was made on; using it there is cheapest.
 pub(in crate::traffic) type WorkerIndex = usize;
 
+/// How long a new connection stays open at a target that is there.
+const STAYS_OPEN: Duration = Duration::from_millis(20);
+
 /// The pool.
 ///
 /// # Invariants
@@ -185,6 +189,9 @@
     Connection,
     /// The target, which refuses connections.
     Target,
+    /// The target, or it had no room: it takes connections and closes them at once. So
+    /// does whatever stands between, when there is no target behind it.
+    Unclear,
 }
 
 /// Finds out what was lost by opening a connection, which is kept for the next request.
@@ -198,10 +205,15 @@
         // It doesn't answer, and may still run all that it has.
         Err(_) => return Lost::Connection,
     };
-    match pool.shake_hands(stream, open).await {
-        Ok(conn) => put_back(conn),
-        Err(err) => tracing::debug!(%err, "not kept"),
+    let Ok(mut conn) = pool.shake_hands(stream, open).await else {
+        return Lost::Unclear;
+    };
+    tokio::time::sleep(STAYS_OPEN).await;
+    conn.drive(&mut Context::from_waker(Waker::noop()));
+    if !conn.is_usable() {
+        return Lost::Unclear;
     }
+    put_back(conn);
     Lost::Connection
 }
 
--- a/crates/node/tests/control/crashing.rs
+++ b/crates/node/tests/control/crashing.rs
@@ -191,3 +191,27 @@
     }
     fleet.cancel.cancel();
 }
+
+// Targets break off each answer of a lookup in the middle, for a while, and are well
+// otherwise. Nobody gets an answer meanwhile that would speak for it; but no target crashed,
+// and as soon as they are well, callers must be served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_targets_break_off_while_they_stay_up_is_served_on() {
+    let fleet = crashing_fleet().await;
+    for target in &fleet.targets {
+        target.set_cut_body(true).await;
+    }
+    for n in 0..4 * NODES {
+        let addr = fleet.nodes[n % NODES].addrs().ingress;
+        assert_eq!(try_http_text("GET", addr, HARMLESS).await, None);
+    }
+    for target in &fleet.targets {
+        target.set_cut_body(false).await;
+    }
+    for node in &fleet.nodes {
+        let answered = try_http_text("GET", node.addrs().ingress, HARMLESS).await;
+        let status = answered.map(|(status, _)| status);
+        assert_eq!(status, Some(StatusCode::OK));
+    }
+    fleet.cancel.cancel();
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -30,8 +30,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::crashing::CRASHING_PATH;
 pub use self::rude::Rude;
 
+mod crashing;
 mod rude;
 
 /// The verb by which this program makes calls.
@@ -93,7 +95,8 @@
     };
     let load = OpenLoop::run(plan, Arc::new(caller));
     let rude = rude::call(&part.entries, &run, length, seed);
-    let (load, rude) = tokio::join!(load, rude);
+    let crashing = crashing::call(&part.entries, &run, length, part.seed);
+    let (load, rude, ()) = tokio::join!(load, rude, crashing);
     let rude = serde_json::to_vec(&rude).into_diagnostic()?;
     std::fs::write(&part.rude, rude).into_diagnostic()?;
     let out = File::create(&part.records).into_diagnostic()?;
--- /dev/null
+++ b/crates/soak/src/callers/crashing.rs
@@ -0,0 +1,67 @@
+//! Callers that send one and the same request again and again, under which targets crash.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// What they ask for, by a route of lookups.
+pub const CRASHING_PATH: &str = "/workshop/policies/crashing";
+
+/// What they are drawn from, beside the seed.
+const CRASHING: u64 = 0xc7a5_4173;
+
+/// One run in so many has such callers.
+const ONE_IN: u32 = 2;
+
+/// When the first comes, in milliseconds.
+const FIRST_MS: std::ops::Range<u64> = 500..2_500;
+
+/// From one to the next, in milliseconds.
+const EVERY_MS: std::ops::Range<u64> = 20..200;
+
+/// How long an answer is waited for.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Calls until `length` is over, in the runs whose seed says so.
+pub(super) async fn call(entries: &[SocketAddr], run: &str, length: Duration, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CRASHING);
+    if entries.is_empty() || rng.random_range(0..ONE_IN) != 0 {
+        return;
+    }
+    let end = Instant::now() + length;
+    let mut calls = JoinSet::new();
+    tokio::time::sleep(Duration::from_millis(rng.random_range(FIRST_MS))).await;
+    for n in 0_u64.. {
+        if Instant::now() >= end {
+            break;
+        }
+        let entry = entries[rng.random_range(0..entries.len())];
+        let id = format!("{run}-crashing-{n}");
+        calls.spawn(async move {
+            // Whatever it is told, it comes again.
+            let _ = tokio::time::timeout(PATIENCE, ask(entry, &id)).await;
+        });
+        let pause = Duration::from_millis(rng.random_range(EVERY_MS));
+        tokio::time::sleep(pause).await;
+    }
+    calls.join_all().await;
+}
+
+async fn ask(entry: SocketAddr, id: &str) -> std::io::Result<usize> {
+    let mut io = TcpStream::connect(entry).await?;
+    let request = format!(
+        "GET {CRASHING_PATH} HTTP/1.1\r\nhost: a\r\nx-request-id: {id}\r\n\
+         x-kind: lookup\r\nconnection: close\r\n\r\n"
+    );
+    io.write_all(request.as_bytes()).await?;
+    let mut answer = Vec::new();
+    io.read_to_end(&mut answer).await
+}
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -11,16 +11,19 @@
 use sassafrasspool_bench::chaos::events::Stopped;
 use sassafrasspool_bench::chaos::log::Log;
 use sassafrasspool_bench::chaos::log::now_us;
+use sassafrasspool_bench::load::LedgerRun;
 use sassafrasspool_bench::load::Outage;
 use sassafrasspool_bench::load::OutageKind;
 use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::history::Event;
+use sassafrasspool_standin::target::RunEnd;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use self::operators::Operators;
 use self::switches::of_platform;
 use self::switches::of_target;
+use crate::callers::CRASHING_PATH;
 use crate::fleet::Fleet;
 use crate::fleet::Member;
 use crate::schedule::Fault;
@@ -31,6 +34,7 @@
 use crate::schedule::Step;
 use crate::schedule::TargetFault;
 use crate::schedule::Way;
+use crate::verdict::Hurt;
 
 mod operators;
 mod switches;
@@ -44,6 +48,10 @@
 /// long as it refuses, and ends within a moment after.
 const CLOSE_US: u64 = 500_000;
 
+/// How long a target that a request crashed is down, in microseconds: its restart and
+/// its cold start.
+const DOWN_US: u64 = 500_000;
+
 /// What faults are done with.
 #[derive(Debug)]
 pub struct Driver {
@@ -58,6 +66,8 @@
     platform: tokio::sync::Mutex<()>,
     /// By instance: what keeps its node from following, which may overlap.
     lost: Mutex<Vec<u32>>,
+    /// When something kept a node from following.
+    hurt: Mutex<Vec<Hurt>>,
 }
 
 impl Driver {
@@ -83,6 +93,7 @@
             targets: locks(),
             platform: tokio::sync::Mutex::new(()),
             lost: Mutex::new(vec![0; count]),
+            hurt: Mutex::default(),
         })
     }
 
@@ -91,6 +102,26 @@
         lock(&self.stops).clone()
     }
 
+    /// When something kept nodes from following.
+    pub fn hurt(&self) -> Vec<Hurt> {
+        lock(&self.hurt).clone()
+    }
+
+    /// Notes the crashes that requests brought about, as the targets' ledgers tell.
+    pub fn note_crashes(&self, runs: &[LedgerRun]) {
+        let crashed =
+            |run: &&LedgerRun| run.run.end == RunEnd::Crashed && run.run.path == CRASHING_PATH;
+        for run in runs.iter().filter(crashed) {
+            let Some(at_us) = run.run.ended_us else {
+                continue;
+            };
+            let target = self.member(run.instance).instance.id.clone();
+            self.log.record_at(at_us, Event::Crashed { target });
+            let kind = OutageKind::TargetCrashed;
+            self.note_until(run.instance, kind, at_us, at_us + DOWN_US);
+        }
+    }
+
     /// Does every step when it is due and waits until all faults are over.
     ///
     /// # Errors
@@ -323,6 +354,11 @@
     fn lose(&self, n: usize) {
         let mut lost = lock(&self.lost);
         lost[n] += 1;
+        lock(&self.hurt).push(Hurt {
+            instance: n,
+            from_us: now_us(),
+            to_us: u64::MAX,
+        });
         if lost[n] == 1 {
             let node = self.member(n).instance.id.clone();
             self.log.record(Event::NodeLost { node });
@@ -334,6 +370,7 @@
     fn regain_after_stop(&self, n: usize) {
         let mut lost = lock(&self.lost);
         lost[n] -= 1;
+        self.end_hurt(n);
         let node = self.member(n).instance.id.clone();
         self.log.record(Event::NodeBack { node: node.clone() });
         if lost[n] > 0 {
@@ -344,12 +381,23 @@
     fn regain(&self, n: usize) {
         let mut lost = lock(&self.lost);
         lost[n] -= 1;
+        self.end_hurt(n);
         if lost[n] == 0 {
             let node = self.member(n).instance.id.clone();
             self.log.record(Event::NodeBack { node });
         }
     }
 
+    /// Ends the oldest of what keeps a node from following: all that overlaps counts
+    /// until the last has ended.
+    fn end_hurt(&self, n: usize) {
+        let mut hurt = lock(&self.hurt);
+        let open = |hurt: &&mut Hurt| hurt.instance == n && hurt.to_us == u64::MAX;
+        if let Some(hurt) = hurt.iter_mut().find(open) {
+            hurt.to_us = now_us();
+        }
+    }
+
     /// Notes what was done to an instance, up to now.
     fn note(&self, n: usize, kind: OutageKind, from_us: u64) {
         self.note_until(n, kind, from_us, now_us());
--- a/crates/soak/src/fleet/maker.rs
+++ b/crates/soak/src/fleet/maker.rs
@@ -22,6 +22,7 @@
 use tokio::sync::Mutex;
 
 use super::Member;
+use crate::callers::CRASHING_PATH;
 use crate::schedule::Way;
 use crate::standin::StandIn;
 use crate::standin::StandInFiles;
@@ -36,6 +37,9 @@
 /// still hold there.
 const CONNECTIONS: u32 = 4 * SLOTS;
 
+/// How long a target that a request crashed is down, in milliseconds.
+const DOWN_MS: u64 = 300;
+
 /// How long a target refuses work after each start, in milliseconds.
 const COLD_START_MS: u64 = 100;
 
@@ -84,7 +88,8 @@
         let (addr, admin) = self.two_addrs()?;
         let more = format!(
             "slots: {SLOTS}\nconnections: {CONNECTIONS}\ncold_start_ms: {COLD_START_MS}\n\
-             service: {{kinds_us: {SERVICE_US}}}\n"
+             service: {{kinds_us: {SERVICE_US}}}\n\
+             crash_on: {{path: {CRASHING_PATH}, after_ms: 5, down_ms: {DOWN_MS}}}\n"
         );
         let target_name = format!("target-{n}");
         let target = self.standin("target", &target_name, addr, admin, &more);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -62,6 +62,7 @@
     cancel.cancel();
     while observers.join_next().await.is_some() {}
     let runs = fleet.runs().await?;
+    driver.note_crashes(&runs);
     let members = fleet.members.iter();
     let names: Vec<InstanceId> = members.map(|member| member.instance.id.clone()).collect();
     let seen = Seen {
@@ -71,6 +72,7 @@
         runs: &runs,
         names: &names,
         stops: &driver.stops(),
+        hurt: &driver.hurt(),
     };
     let bounds = Bounds {
         in_force: IN_FORCE,
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -19,6 +19,10 @@
 use crate::options::Options;
 use crate::schedule::Schedule;
 
+pub use self::crashing::Crashing;
+pub use self::crashing::Hurt;
+
+mod crashing;
 #[cfg(test)]
 mod tests;
 
@@ -40,6 +44,8 @@
     pub names: &'a [InstanceId],
     /// The planned stops.
     pub stops: &'a [Stopped],
+    /// When nodes were kept from following.
+    pub hurt: &'a [Hurt],
 }
 
 /// What is printed of a run.
@@ -59,6 +65,9 @@
     /// What callers saw that leave or send several requests at once.
     #[serde(flatten)]
     pub rude: Rude,
+    /// What became of a request that crashes targets.
+    #[serde(flatten)]
+    pub crashing: Crashing,
     /// Broken promises of the history by their names.
     pub violations: BTreeMap<&'static str, u64>,
     /// The first broken promises in words, with the ids of the requests.
@@ -88,13 +97,16 @@
         let faults = evidence.faults().map(|record| format!("{record:?}"));
         let told = faults.chain(found.iter().map(ToString::to_string));
         let verdict = evidence.verdict();
+        let crashing = Crashing::judge(seen.records, seen.runs, seen.hurt);
+        let kept = !verdict.has_fault() && found.is_empty() && crashing.is_kept();
         Report {
             seed: opts.seed,
             nodes: opts.nodes,
             seconds: opts.length.as_secs(),
-            kept: !verdict.has_fault() && found.is_empty() && seen.rude.out_of_order == 0,
+            kept: kept && seen.rude.out_of_order == 0,
             verdict,
             rude: seen.rude,
+            crashing,
             violations: by_promise(&found),
             told: told.take(TOLD).collect(),
             schedule: schedule.steps.iter().map(ToString::to_string).collect(),
--- a/crates/soak/src/verdict/tests.rs
+++ b/crates/soak/src/verdict/tests.rs
@@ -13,8 +13,11 @@
 use sassafrasspool_standin::target::Run;
 use sassafrasspool_standin::target::RunEnd;
 
+use super::Crashing;
+use super::Hurt;
 use super::Report;
 use super::Seen;
+use crate::callers::CRASHING_PATH;
 use crate::callers::Rude;
 use crate::options::Options;
 use crate::schedule::Schedule;
@@ -133,9 +136,82 @@
         rude: Rude::default(),
         runs: &case.runs,
         names: &[name(0), name(1)],
+        hurt: &[],
         stops: &case.stops,
     };
     let schedule = Schedule { steps: Vec::new() };
     let report = Report::judge(OPTIONS, &schedule, &seen, &Bounds::default());
     assert_eq!(report.kept, case.kept, "{:?}", report.told);
 }
+
+/// Copies of a request that crashes targets, handed to a target at these seconds.
+fn copies(at_s: &[u64], end: RunEnd) -> Vec<LedgerRun> {
+    let copy = |at_s: &u64| {
+        let started_us = 1_000_000 * at_s;
+        let mut run = run(0, 0);
+        run.run.path = CRASHING_PATH.to_owned();
+        run.run.started_us = started_us;
+        run.run.ended_us = Some(started_us + 5_000);
+        run.run.end = end;
+        run
+    };
+    at_s.iter().map(copy).collect()
+}
+
+#[derive(Debug)]
+struct Copies {
+    at_s: &'static [u64],
+    end: RunEnd,
+    hurt: &'static [Hurt],
+    kept: bool,
+}
+
+#[rstest]
+#[case::within_the_time_to_tell(Copies {
+    at_s: &[1, 2, 3, 4, 4, 5, 5, 6],
+    end: RunEnd::Crashed,
+    hurt: &[],
+    kept: true,
+})]
+#[case::three_later(Copies {
+    at_s: &[1, 2, 3, 7, 8, 9],
+    end: RunEnd::Crashed,
+    hurt: &[],
+    kept: true,
+})]
+#[case::four_later(Copies {
+    at_s: &[1, 2, 3, 7, 8, 9, 10],
+    end: RunEnd::Crashed,
+    hurt: &[],
+    kept: false,
+})]
+#[case::beside_a_node_that_was_cut_off_lately(Copies {
+    at_s: &[1, 2, 3, 7, 8, 9, 10],
+    end: RunEnd::Crashed,
+    hurt: &[Hurt { instance: 0, from_us: 6_000_000, to_us: 8_000_000 }],
+    kept: true,
+})]
+#[case::beside_another_than_that(Copies {
+    at_s: &[1, 2, 3, 7, 8, 9, 10],
+    end: RunEnd::Crashed,
+    hurt: &[Hurt { instance: 1, from_us: 6_000_000, to_us: 8_000_000 }],
+    kept: false,
+})]
+#[case::without_a_crash(Copies {
+    at_s: &[1, 2, 3, 7, 8, 9, 10, 11],
+    end: RunEnd::Cancelled,
+    hurt: &[],
+    kept: true,
+})]
+fn copies_that_come_too_late_break_a_promise(#[case] case: Copies) {
+    let judged = Crashing::judge(&[], &copies(case.at_s, case.end), case.hurt);
+    assert_eq!(judged.is_kept(), case.kept, "{judged:?}: {case:?}");
+}
+
+#[test]
+fn a_harmless_request_that_is_refused_breaks_a_promise() {
+    let mut refused = claim(Ending::NotRun);
+    assert!(Crashing::judge(&[refused.clone()], &[], &[]).is_kept());
+    refused.detail = "{\"reason\":\"quarantined\"}".to_owned();
+    assert!(!Crashing::judge(&[refused], &[], &[]).is_kept());
+}
