--- a/crates/core/src/admit/reserve.rs
+++ b/crates/core/src/admit/reserve.rs
@@ -18,9 +18,8 @@
 /// turned away, one slot more is kept for it; each second without that gives one
 /// back. Where urgent work finds its place, nothing is kept free in vain.
 ///
-/// With two of four targets left, archive retrievals of 0.5 to 1.6 s held most
-/// slots, and 57 in 100 calls of 30 ms were refused, each of which failed its
-/// parent.
+/// Without it, long background requests hold most slots once targets are lost, and
+/// short calls are refused, each of which fails its parent.
 #[derive(Debug, Default)]
 pub(super) struct Reserve {
     slots: u32,
--- a/crates/core/src/admit/settings.rs
+++ b/crates/core/src/admit/settings.rs
@@ -7,9 +7,7 @@
 pub struct AdmissionSettings {
     /// Requests that may wait, per slot.
     pub queue_per_slot: u32,
-    /// The longest that a request waits for a slot. Half of it and twice of it
-    /// both earned less on loaded days: 0.83 and 0.82 of what was to be had in
-    /// place of 0.85.
+    /// The longest that a request waits for a slot.
     pub max_wait: Duration,
     /// How many standard requests go before one of the background that waits.
     pub standard_weight: u32,
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -24,21 +24,17 @@
 
 mod place;
 
-/// The most that is kept free of background work: one of so many slots. Kept
-/// without a bound, long background requests were starved wherever short urgent
-/// ones came in number: 41 in 100 served in place of 84.
+/// The most that is kept free of background work: one of so many slots. Without a
+/// bound, long background requests starve wherever short urgent ones come in number.
 const RESERVED_PART: u32 = 3;
 
-/// What background work can come to hold in any case: one of so many slots.
-/// Kept from all while urgent work filled the others, background requests of
-/// 0.5 to 1.6 s were starved: 23 in 100 answered in time, 30 with a third of the
-/// slots and 27 with a quarter.
+/// What background work can come to hold in any case: one of so many slots. Kept
+/// from all while urgent work fills the others, long background requests starve.
 const FLOOR_PART: u32 = 3;
 
 /// Slots are kept free of background work only if it takes so many times as long
 /// as urgent work. Where both take as long, a slot frees up in time for whoever
-/// goes first, and one that is kept free serves nobody: at two targets of nine
-/// slots, a fifth of the background's refusals found one to three free.
+/// goes first, and one that is kept free serves nobody.
 const LONG_TIMES: u64 = 2;
 
 /// What is decided under the lock.
@@ -247,11 +243,8 @@
 
     /// Whether a request of that class may have a slot now.
     ///
-    /// A slot that is free is for whoever asks: background requests that had the
-    /// target for themselves got 90% of its slots, five of six, while 14 to 18 of
-    /// them waited. Over 25 runs under load the answers that callers got were worth
-    /// 0.761 of all that was asked for, late ones counted at a third and costs taken
-    /// off; with such a share 0.742.
+    /// A slot that is free is for whoever asks: with a share of their own, background
+    /// requests that have the target for themselves wait beside a free slot.
     fn has_slot(&mut self, class: Class) -> bool {
         let free = self.concurrency.saturating_sub(self.running);
         if class != Class::Background {
--- a/crates/core/src/admit/state/place.rs
+++ b/crates/core/src/admit/state/place.rs
@@ -45,9 +45,7 @@
         if late && !ask.settles {
             return Err(refusal(Reason::QueueFull).after(wait));
         }
-        // Nobody waits longer than that, and would be turned away then. Played at
-        // 1.5 times a target's room, 2,266 of 3,463 callers are answered in time,
-        // 2,029 of 3,485 without this.
+        // Nobody waits longer than that, and would be turned away then.
         if wait > self.settings.max_wait {
             return Err(refusal(Reason::QueueFull).after(wait));
         }
--- a/crates/core/src/patience.rs
+++ b/crates/core/src/patience.rs
@@ -29,9 +29,9 @@
 /// attempts all say nearly the same time, while what is left later is spread
 /// widely below it. The times that stand closest are those of first attempts.
 ///
-/// Callers that shorten the time by up to 15% at random were not told apart as
-/// long as only equal times counted: of 29 in 100 that had been refused before,
-/// one in thirty was seen, and took the slot of another that could be in time.
+/// Times that are alike count as well as equal ones: callers shorten theirs by some
+/// percent at random, and one that comes back unseen takes the slot of another that
+/// could be in time.
 ///
 /// # Example
 ///
--- a/crates/core/src/route/meter.rs
+++ b/crates/core/src/route/meter.rs
@@ -12,10 +12,8 @@
 use crate::eject::Health;
 
 /// The share of its slots that a cold endpoint starts with: targets that have just
-/// started take about twice as long. At a tenth, and for 10 s, the replaced targets
-/// of a service stood half idle: over 25 runs under load the answers that callers got
-/// were worth 0.762 of all that was asked for in place of 0.770, late ones counted at a
-/// third and costs taken off.
+/// started take about twice as long. With a smaller one the replaced targets of a
+/// service stand half idle.
 const COLD_SHARE: f32 = 0.5;
 
 /// The pace from which on an endpoint counts as fuller than it says. Targets of
--- a/crates/core/src/snapshot/whole.rs
+++ b/crates/core/src/snapshot/whole.rs
@@ -57,9 +57,8 @@
     /// The same catalogue, bound to another instance list.
     ///
     /// Lists change far more often than catalogues, and whenever a fleet is
-    /// renewed. Routes depend on the catalogue alone and are shared: with 1,600
-    /// of them a list is bound in 0.01 ms, where building the whole took 0.8 ms,
-    /// which a node with a tenth of a core feels as 8 ms without traffic.
+    /// renewed. Routes depend on the catalogue alone and are shared: to build all of
+    /// them anew would hold up a node with a tenth of a core for milliseconds.
     pub fn with_instances(&self, instances: &InstanceList) -> Snapshot {
         // What the endpoints are made of isn't copied only to be dropped.
         let mut bound = Snapshot {
--- a/crates/core/src/spread/config.rs
+++ b/crates/core/src/spread/config.rs
@@ -53,10 +53,8 @@
     ///
     /// A reader hears of a change within a round trip, others are told of it,
     /// and where a reader or a message was lost that takes a second more. A
-    /// small fleet has few readers to lose and makes few reads. In one of 26
-    /// nodes that all read, each change took 26 reads of a catalogue of 0.3 MB:
-    /// links of 5 Mbit/s were busy for half a second, and half of the requests
-    /// came 5 to 100 ms late by it, against 0.5 ms with three readers.
+    /// small fleet has few readers to lose and makes few reads. In a larger one each
+    /// change of a large catalogue would fill slow links, and requests wait behind it.
     pub all_read: u32,
     /// The platform's read budget in reads a second: 1 to 1,000,000.
     pub reads_per_s: u32,
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -124,10 +124,9 @@
 
     /// Whether peers lately told it, on its asking, what they hold.
     ///
-    /// It asks them often, and need not ask the platform. Of 1,840 calls of a fleet
-    /// of 195 in 40 s, nodes that waited to be listed made 600 and those beside
-    /// targets that had left 500, all following the list each for itself. In a fleet
-    /// that reads with all nodes, peers would only be a detour.
+    /// It asks them often, and need not ask the platform: nodes that wait to be listed
+    /// and those beside targets that have left would make most of a fleet's reads. In a
+    /// fleet that reads with all nodes, peers would only be a detour.
     fn is_answered(&self, now: Tick) -> bool {
         let answered = self.gossip.answered;
         !self.role.all_read() && answered.is_some_and(|at| now.since(at) < ANSWERED_WITHIN)
--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -14,8 +14,8 @@
 use crate::reader::Backoff;
 
 /// How long a platform that has nothing yet is left alone: its operators are about
-/// to publish for the first time, and 195 nodes that asked ten times a second made
-/// 700 calls until they had.
+/// to publish for the first time, and a fleet that asked more often would use up the
+/// read budget until they have.
 const NOTHING_WAIT: Duration = Duration::from_secs(1);
 
 /// The wait after an answer that came at once with nothing new, as a platform
@@ -65,8 +65,7 @@
 ///
 /// Therefore each checks after a failure. One in each failure domain checks after a
 /// pause as well, and has none after a single change; what it hears, it tells the
-/// others. If all readers did so, a minute of 14 nodes with 25 changes within 6 s would
-/// take 592 calls in place of 424; with one in each of four domains it takes 493.
+/// others. Were all readers to do so, changes in a row would take a third more reads.
 ///
 /// # Invariants
 ///
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -11,7 +11,7 @@
 ///
 /// All power is lost, targets start again under new names, and the platform goes
 /// away before their entries are read: requests name lives that have ended, and
-/// targets turned 4,308 of 12,742 of them away as meant for another, for 10 s. A
+/// targets turn them away as meant for another, for as long as the platform is. A
 /// target that declines a request says which life it is, and its node may name
 /// that one instead, as long as it is sure that the target still serves the same
 /// service.
--- a/crates/node/src/settings/drain.rs
+++ b/crates/node/src/settings/drain.rs
@@ -81,8 +81,7 @@
 /// How long requests in flight may take if the process is killed `grace` after it
 /// was told to stop.
 ///
-/// A bound that was fixed for a grace of 6 s cut a review that had run for 3.3 s
-/// with half of its grace of 10 s to go.
+/// A bound that doesn't follow the grace cuts requests with half of it to go.
 fn bound_within(grace: Duration, callers: Duration) -> Duration {
     let cut_at = grace.mul_f64(1.0 - AFTER_CUT);
     let least = Duration::from_millis(*BOUND_MS.start());
--- a/crates/node/src/traffic/arrival.rs
+++ b/crates/node/src/traffic/arrival.rs
@@ -18,8 +18,8 @@
 /// same link, so that all of them come later.
 const SLOTS_PER_BODY: u32 = 2;
 
-/// When to come back to a target that takes in as many bodies as it may: a body
-/// of 60 KB takes 70 ms at 7 Mbit/s.
+/// When to come back to a target that takes in as many bodies as it may: about what
+/// one takes on the slowest links.
 const COME_BACK: Duration = Duration::from_millis(100);
 
 /// Long bodies on their way to the own target.
@@ -48,9 +48,8 @@
 /// held.
 ///
 /// A body that comes while its request holds a slot holds it for as long as its
-/// link takes: uploads of 60 KB over links of 7 Mbit/s took two thirds of the slots
-/// of their targets, which had room for them otherwise. A request that would be
-/// refused is refused before its body is asked for.
+/// link takes, and targets that have room for the work have no slots. A request that
+/// would be refused is refused before its body is asked for.
 ///
 /// # Errors
 ///
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -144,10 +144,9 @@
 
     /// Asks whether there would be room for a request with a long body.
     ///
-    /// A body that is sent along takes the link of a target that may have no room.
-    /// Uploads of 60 KB that three nodes refused one after the other, 8 KB of each
-    /// sent in vain, took more of links of 7 Mbit/s than those that were served,
-    /// and lookups of 50 ms came 40 ms late.
+    /// A body that is sent along takes the link of a target that may have no room:
+    /// uploads that were refused everywhere took more of slow links than those that
+    /// were served, and kept lookups on the way.
     async fn ask_for_room(&self, picked: &Picked, req: &Request<Payload>) -> Result<(), Refusal> {
         let mut ask = Request::new(Payload::empty());
         *ask.method_mut() = req.method().clone();
--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -41,11 +41,9 @@
 /// Bytes of a request's body that another node may send before the request is
 /// admitted here, and that are under way at any time after that.
 ///
-/// A body that is sent at once takes the link of a target that may have no room:
-/// uploads of 60 KB at links of 7 Mbit/s, each refused and sent again up to three
-/// times, kept lookups of 30 ms on the way for 60 to 350 ms, and probes unanswered
-/// for so long that connections were dropped. At 1 ms for a round trip the window
-/// lets 8 MB a second through.
+/// A body that is sent at once takes the link of a target that may have no room: it
+/// keeps lookups on the way, and probes unanswered for so long that connections are
+/// dropped. At 1 ms for a round trip the window lets 8 MB a second through.
 pub(super) const UPLOAD_WINDOW: u32 = 8 * 1024;
 
 /// Flow control window of one connection between nodes, in bytes.
@@ -56,8 +54,7 @@
 
 /// How often a connection between nodes is probed while requests wait on it and
 /// nothing comes. An instance that loses power, or a connection that goes
-/// silent, takes all that is sent there until it is noticed: 30 payouts ran
-/// into their timeout of 0.8 s while probes came every 5 s.
+/// silent, takes all that is sent there until it is noticed.
 pub(super) const PING_INTERVAL: Duration = Duration::from_millis(300);
 
 /// How long the answer to a probe may take before the connection is dropped. A
--- a/crates/node/src/traffic/serve/ahead.rs
+++ b/crates/node/src/traffic/serve/ahead.rs
@@ -5,9 +5,6 @@
 //! for all those before it, though only the answers have to keep that order.
 //! Repeatable requests are therefore begun as soon as their head was read, and
 //! the library is given what has become of them when it comes to them.
-//!
-//! On a quiet day a seventh of the requests of callers that send several at once
-//! were late by waiting for one another.
 
 mod head;
 mod queue;
--- a/crates/node/src/traffic/serve/until_closed.rs
+++ b/crates/node/src/traffic/serve/until_closed.rs
@@ -47,9 +47,8 @@
 /// Waits until whatever has arrived was noticed.
 ///
 /// On a machine that is busy, a thread gets its turn late and finds both that it
-/// is to close and that a request has come. To close first left the request
-/// unread: one that was sent 0.46 s before went that way, with eight cores for
-/// 32 processes that wanted one.
+/// is to close and that a request has come. To close first would leave the request
+/// unread, however long before it was sent.
 async fn noticed() {
     tokio::time::sleep(NOTICE).await;
 }
--- a/crates/node/src/traffic/trail.rs
+++ b/crates/node/src/traffic/trail.rs
@@ -170,8 +170,8 @@
 /// has heard of a newer catalogue than the one in force, or of nothing for long.
 ///
 /// Contact with the platform alone doesn't show it, since each stream is read by
-/// itself: requests went to a target that had left by a list that nobody had
-/// vouched for in 22 s, with a contact of 0.3 s on their lines.
+/// itself: a list that nobody has vouched for in long may stand beside a catalogue of
+/// this moment.
 fn versions<'a>(shared: &Shared, routes: Option<&Routes>) -> RequestLine<'a> {
     let now = shared.clock().now();
     let millis = |age| micros(age) / 1_000;
