Bound what reports of crashes cost, and try a target beside its pool

- Every node of a large fleet would have told of its answer to a request that all of them answer, at the same moment.
Each waits for a random time, of which short ones are rare, and says nothing if somebody else's word has ended the doubt.
- A failure domain that is lost with hundreds of targets would have had every node tell on every report.
- Verdicts were worked out anew with each report; now only if it tells of a request under which two targets fell.

A connection by which it is found out whether the target is gone counted against the pool for 20 ms, so that a request could be sent elsewhere for want of one. It is outside of the pool until it has stayed open.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -22,7 +22,7 @@
 pub use self::wake::Waker;
 
 mod ask;
-mod bucket;
+pub(crate) mod bucket;
 mod control;
 mod permit;
 mod precedence;
--- a/crates/core/src/admit/bucket.rs
+++ b/crates/core/src/admit/bucket.rs
@@ -9,14 +9,14 @@
 
 /// A token bucket whose rate is given anew with each use.
 #[derive(Debug)]
-pub(super) struct Bucket {
+pub(crate) struct Bucket {
     micro_tokens: u64,
     at: Tick,
 }
 
 impl Bucket {
     /// A bucket that fills up at its first use.
-    pub(super) const fn full() -> Bucket {
+    pub(crate) const fn full() -> Bucket {
         Bucket {
             micro_tokens: u64::MAX,
             at: Tick::ZERO,
@@ -24,7 +24,7 @@
     }
 
     /// Fills the bucket, and tells how long it takes until there is a token.
-    pub(super) fn refill(&mut self, now: Tick, per_s: u32, burst: Duration) -> Option<Duration> {
+    pub(crate) fn refill(&mut self, now: Tick, per_s: u32, burst: Duration) -> Option<Duration> {
         let rate = u64::from(per_s.max(1));
         let cap = rate.saturating_mul(micros(burst)).max(TOKEN);
         let gained = rate.saturating_mul(micros(now.since(self.at)));
@@ -38,7 +38,7 @@
     }
 
     /// Takes a token, after [`Bucket::refill`] found that there is one.
-    pub(super) fn take(&mut self) {
+    pub(crate) fn take(&mut self) {
         self.micro_tokens = self.micro_tokens.saturating_sub(TOKEN);
     }
 }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -18,6 +18,7 @@
 pub use self::report::Report;
 pub use self::report::ReportId;
 pub use self::report::Sighting;
+pub(crate) use self::unsaid::Unsaid;
 pub use self::verdicts::CRASHES;
 pub use self::verdicts::Verdicts;
 
@@ -27,4 +28,5 @@
 mod report;
 #[cfg(test)]
 mod tests;
+mod unsaid;
 mod verdicts;
--- a/crates/core/src/quarantine/ledger.rs
+++ b/crates/core/src/quarantine/ledger.rs
@@ -1,6 +1,7 @@
 //! All reports that a node knows.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use super::Verdicts;
 use super::moment::Moment;
 use super::moment::REMEMBERED;
+use super::verdicts::DOUBTED;
 use crate::Digest;
 use crate::Tick;
 
@@ -21,8 +23,9 @@
 /// Requests of one crash that are told at most: all slots of large targets.
 const MOST_CONTENTS: usize = 256;
 
-/// Bytes of reports in one message, about: a fiftieth of a second of a link of 7 Mbit/s.
-const MOST_TOLD_BYTES: usize = 16 * 1024;
+/// Bytes of reports in one comparison, about: nodes that know different ones, since there
+/// are more than are kept, send so many every few seconds.
+const MOST_TOLD_BYTES: usize = 8 * 1024;
 
 /// Bytes of a report beside what it tells of requests, about.
 const REPORT_BYTES: usize = 32;
@@ -35,12 +38,16 @@
 /// # Invariants
 ///
 /// A report is never changed: the first copy of it counts. `root` is over the ids of those
-/// that are kept, so that two nodes with the same root know the same.
+/// that are kept, so that two nodes with the same root know the same. `crashes` counts the
+/// reports of crashes that tell of a request, and while `is_judged`, `verdicts` follow from
+/// the reports.
 #[derive(Debug, Default)]
 pub(crate) struct Ledger {
     reports: BTreeMap<ReportId, Kept>,
     root: u64,
+    crashes: HashMap<Fingerprint, usize>,
     verdicts: Verdicts,
+    is_judged: bool,
 }
 
 #[derive(Debug)]
@@ -66,6 +73,10 @@
         let kept = Kept { at, sighting };
         // INVARIANT: A report goes into the root once, as it comes.
         self.root ^= hash_of(&report.id);
+        for content in kept.crashed() {
+            *self.crashes.entry(content).or_default() += 1;
+        }
+        self.unsettle(&kept);
         self.reports.insert(report.id.clone(), kept);
         if self.reports.len() > MOST_REPORTS {
             self.drop_one();
@@ -73,23 +84,49 @@
         true
     }
 
-    /// Forgets what is too old to count; false if there was nothing.
-    pub(crate) fn forget(&mut self, now: Tick) -> bool {
-        let before = self.reports.len();
-        let root = &mut self.root;
-        self.reports.retain(|id, kept| {
-            let counts = kept.at.age(now) < REMEMBERED;
-            if !counts {
-                // INVARIANT: What goes leaves the root.
-                *root ^= hash_of(id);
+    /// Forgets what is too old to count.
+    pub(crate) fn forget(&mut self, now: Tick) {
+        let is_old = |kept: &Kept| kept.at.age(now) >= REMEMBERED;
+        let old = self.reports.iter().filter(|(_, kept)| is_old(kept));
+        let old: Vec<ReportId> = old.map(|(id, _)| id.clone()).collect();
+        for id in old {
+            self.remove(&id);
+        }
+    }
+
+    fn remove(&mut self, id: &ReportId) {
+        let Some(kept) = self.reports.remove(id) else {
+            return;
+        };
+        // INVARIANT: What goes leaves the root and the counts.
+        self.root ^= hash_of(id);
+        self.unsettle(&kept);
+        for content in kept.crashed() {
+            if let Some(crashes) = self.crashes.get_mut(&content) {
+                *crashes -= 1;
+                if *crashes == 0 {
+                    self.crashes.remove(&content);
+                }
             }
-            counts
-        });
-        self.reports.len() < before
+        }
     }
 
-    /// Judges anew; gives the verdicts if they are others than before.
-    pub(crate) fn judge(&mut self) -> Option<&Verdicts> {
+    /// Notes that a report has come or goes. Most tell of requests that fell with one target
+    /// alone, and change no verdict.
+    fn unsettle(&mut self, kept: &Kept) {
+        let matters = |content| self.crashes.get(&content).is_some_and(|n| *n >= DOUBTED);
+        let changes = match &kept.sighting {
+            Sighting::Crashed(_) => kept.crashed().any(matters),
+            Sighting::Answered(content) => matters(*content),
+        };
+        self.is_judged &= !changes;
+    }
+
+    /// Judges anew; gives the verdicts before and now if these are others.
+    pub(crate) fn judge(&mut self) -> Option<(Verdicts, &Verdicts)> {
+        if std::mem::replace(&mut self.is_judged, true) {
+            return None;
+        }
         let mut crashes: Vec<(Moment, &[Content])> = Vec::new();
         let mut answered: HashMap<Fingerprint, Moment> = HashMap::new();
         for kept in self.reports.values() {
@@ -105,8 +142,8 @@
         if verdicts == self.verdicts {
             return None;
         }
-        self.verdicts = verdicts;
-        Some(&self.verdicts)
+        let before = std::mem::replace(&mut self.verdicts, verdicts);
+        Some((before, &self.verdicts))
     }
 
     /// What follows from the reports, as it was judged last.
@@ -129,7 +166,7 @@
     /// the newest.
     pub(crate) fn tell_all(&self, now: Tick) -> Vec<Report> {
         let mut by_weight: Vec<(&ReportId, &Kept)> = self.reports.iter().collect();
-        by_weight.sort_by_key(|(_, kept)| (self.is_of_weight(kept), kept.at));
+        by_weight.sort_by_cached_key(|(_, kept)| (self.is_of_weight(kept), kept.at));
         let mut left = MOST_TOLD_BYTES;
         let mut told = Vec::new();
         for (id, kept) in by_weight.into_iter().rev() {
@@ -163,13 +200,21 @@
         let Some(id) = lightest.map(|(id, _)| id.clone()) else {
             return;
         };
-        // INVARIANT: What goes leaves the root.
-        self.root ^= hash_of(&id);
-        self.reports.remove(&id);
+        self.remove(&id);
     }
 }
 
 impl Kept {
+    /// What it tells a target crashed under, each once.
+    fn crashed(&self) -> impl Iterator<Item = Fingerprint> + use<> {
+        let ran = match &self.sighting {
+            Sighting::Crashed(ran) => ran.as_slice(),
+            Sighting::Answered(_) => &[],
+        };
+        let told: BTreeSet<Fingerprint> = ran.iter().flat_map(Content::fingerprints).collect();
+        told.into_iter()
+    }
+
     fn tell(&self, now: Tick, id: &ReportId) -> Report {
         let age_ms = self.at.age(now).as_millis();
         Report {
--- a/crates/core/src/quarantine/verdicts.rs
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -14,7 +14,7 @@
 
 /// Crashes after which an answer to it has to be told: one more would make
 /// [`CRASHES`].
-const DOUBTED: usize = CRASHES - 1;
+pub(super) const DOUBTED: usize = CRASHES - 1;
 
 /// How long a request is in quarantine after the last crash under it. Then it may show
 /// that its targets were mended; one more crash puts it back.
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -37,8 +37,10 @@
 use crate::SpreadStatus;
 use crate::Stream;
 use crate::Tick;
+use crate::admit::bucket::Bucket;
 use crate::membership::Members;
 use crate::quarantine::Ledger;
+use crate::quarantine::Unsaid;
 use crate::reader::ContactClock;
 use crate::reader::ReadBudget;
 use crate::reader::Role;
@@ -75,6 +77,9 @@
     gossip: Gossip,
     members: Members,
     reports: Ledger,
+    unsaid: Unsaid,
+    /// Bounds the reports that are told on at once.
+    telling: Bucket,
     /// Counts the reports of this process.
     reported: u64,
     own: EndpointState,
@@ -117,6 +122,8 @@
             gossip: Gossip::new(now),
             members,
             reports: Ledger::default(),
+            unsaid: Unsaid::default(),
+            telling: Bucket::full(),
             reported: 0,
             own,
             replaced_by: None,
--- a/crates/core/src/spread/machine/reports.rs
+++ b/crates/core/src/spread/machine/reports.rs
@@ -23,6 +23,14 @@
 /// miss some nodes, and the next copy of a request may come to one of these.
 const COMPARED_AFTER: Duration = Duration::from_millis(500);
 
+/// Reports that a node tells on at once, a second and in a burst. Of a failure domain that
+/// is lost with hundreds of targets no crash has to be known at once, and all of them would
+/// take more than a node may spend on control.
+const TOLD_PER_S: u32 = 4;
+
+/// How long reports may have gathered that are told in a burst.
+const TOLD_BURST: Duration = Duration::from_secs(8);
+
 impl Spread {
     /// The endpoint beside this node was seen to crash or to answer.
     pub(super) fn sighted(
@@ -32,11 +40,32 @@
         ago: Duration,
         out: &mut Vec<Action>,
     ) {
-        if let Sighting::Crashed(ran) = &sighting {
-            out.push(Action::Audit(AuditEvent::TargetCrashed {
-                ran: ran.clone(),
-            }));
+        match &sighting {
+            Sighting::Crashed(ran) => {
+                out.push(Action::Audit(AuditEvent::TargetCrashed {
+                    ran: ran.clone(),
+                }));
+                self.report(now, sighting, ago, out);
+            }
+            Sighting::Answered(content) => {
+                let since_start = now.since(Tick::ZERO).saturating_sub(ago);
+                let answered = Tick::ZERO + since_start;
+                let nodes = self.peers.len() + 1;
+                self.unsaid
+                    .note(now, *content, answered, nodes, &mut self.rng);
+            }
         }
+    }
+
+    /// Tells of answers that nobody else has told of meanwhile.
+    pub(super) fn tell_answers_that_are_due(&mut self, now: Tick, out: &mut Vec<Action>) {
+        for (content, answered) in self.unsaid.take_due(now, self.reports.verdicts()) {
+            let sighting = Sighting::Answered(content);
+            self.report(now, sighting, now.since(answered), out);
+        }
+    }
+
+    fn report(&mut self, now: Tick, sighting: Sighting, ago: Duration, out: &mut Vec<Action>) {
         self.reported += 1;
         let report = Report {
             id: ReportId {
@@ -72,13 +101,23 @@
             return;
         }
         if news.len() <= MAX_REPORTS {
-            for id in news {
-                self.gossip.add_report(id, now);
+            self.tell_on(now, news);
+        }
+        self.judge(origin, out);
+    }
+
+    fn tell_on(&mut self, now: Tick, news: Vec<ReportId>) {
+        for id in news {
+            let wait = self.telling.refill(now, TOLD_PER_S, TOLD_BURST);
+            if wait.is_some() {
+                // The rest is found by comparing.
+                return;
             }
+            self.telling.take();
+            self.gossip.add_report(id, now);
             let soon = now + self.jittered(COMPARED_AFTER);
             self.gossip.next_sync = self.gossip.next_sync.min(soon);
         }
-        self.judge(origin, out);
     }
 
     /// Takes in the reports of a peer, and tells it those that it lacks.
@@ -113,16 +152,14 @@
 
     /// Forgets what is too old to count.
     pub(super) fn forget_reports(&mut self, now: Tick, out: &mut Vec<Action>) {
-        if self.reports.forget(now) {
-            let origin = Origin::Peer(self.local.id.clone());
-            self.judge(&origin, out);
-        }
+        self.reports.forget(now);
+        let origin = Origin::Peer(self.local.id.clone());
+        self.judge(&origin, out);
     }
 
     /// Puts in force what follows from the reports, if that has changed.
     fn judge(&mut self, origin: &Origin, out: &mut Vec<Action>) {
-        let before = self.reports.verdicts().clone();
-        let Some(verdicts) = self.reports.judge() else {
+        let Some((before, verdicts)) = self.reports.judge() else {
             return;
         };
         for content in verdicts.held().filter(|it| !before.holds(*it)) {
--- a/crates/core/src/spread/machine/wakeup.rs
+++ b/crates/core/src/spread/machine/wakeup.rs
@@ -24,6 +24,7 @@
         let others = [
             self.calls.next_deadline(),
             self.gossip.announce_due(),
+            self.unsaid.due(),
             self.join_ends(),
             self.step_in_due(now),
         ];
@@ -47,6 +48,7 @@
             self.call_failed(now, &late, out);
         }
         self.join_if_due(now, out);
+        self.tell_answers_that_are_due(now, out);
         self.sync_what_is_due(now, out);
         self.announce_what_is_due(now, out);
         self.read_what_is_due(now, out);
--- a/crates/core/src/spread/tests/crashes.rs
+++ b/crates/core/src/spread/tests/crashes.rs
@@ -181,3 +181,53 @@
     let after = minute(&mut net);
     assert!(after < calm + calm / 20, "{calm} before, {after} after");
 }
+
+/// What a node may spend on control in a second, in bytes.
+const CONTROL_BYTES_PER_S: usize = 26 * 1024;
+
+fn bytes_of_busiest(net: &Net) -> usize {
+    net.up().map(|node| node.bytes).max().unwrap_or(0)
+}
+
+// A lookup that all nodes answer all the time falls with three targets at once. All nodes
+// begin to doubt it and all know better: the word of a few has to do.
+#[test]
+fn not_every_node_tells_of_its_answer() {
+    let mut net = joined_net_with(200, 6, few_reads());
+    for n in 0..CRASHES {
+        crash(&mut net, n);
+    }
+    net.run_until(TOLD_WITHIN, all_hold);
+    let before = bytes_of_busiest(&net);
+    for n in 0..200 {
+        sight(&mut net, n, Sighting::Answered(crashing().whole()));
+    }
+    net.run_until(Duration::from_secs(2), |net| {
+        !(0..200).any(|n| holds(net, n, crashing()))
+    });
+    let spent = bytes_of_busiest(&net) - before;
+    assert!(spent < CONTROL_BYTES_PER_S, "{spent} bytes");
+}
+
+// A failure domain is lost with all of its targets, each under twenty requests of its own,
+// while their nodes go on. What they report must not take more than control may, and what
+// crashed three targets before must still be known to all.
+#[test]
+fn the_loss_of_a_domain_stays_within_what_control_may_spend() {
+    let mut net = joined_net_with(80, 7, few_reads());
+    for n in 0..CRASHES {
+        crash(&mut net, n);
+    }
+    net.run_until(TOLD_WITHIN, all_hold);
+    let before = bytes_of_busiest(&net);
+    for n in 0..40 {
+        let ran = (0..20).map(|m| harmless(1_000 + 20 * n + m)).collect();
+        sight(&mut net, n, Sighting::Crashed(ran));
+    }
+    let seconds = 20;
+    net.run_for(Duration::from_secs(seconds));
+    let spent = bytes_of_busiest(&net) - before;
+    let may = CONTROL_BYTES_PER_S * usize::try_from(seconds).unwrap();
+    assert!(spent < may, "{spent} of {may} bytes");
+    assert!(all_hold(&net));
+}
--- a/crates/node/src/traffic/crash_watch.rs
+++ b/crates/node/src/traffic/crash_watch.rs
@@ -135,7 +135,6 @@
     }
     {
         let mut state = hub.crash_watch.lock();
-        // Also what was opened to find it out belongs to this crash.
         state.told_at = Some(hub.pool.opened());
         state.answered = false;
     }
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -194,26 +194,27 @@
     Unclear,
 }
 
-/// Finds out what was lost by opening a connection, which is kept for the next request.
+/// Finds out what was lost by opening a connection, which is kept for the next request if
+/// there is room for it. Until then it counts as none of the pool's, so that no request
+/// goes elsewhere for want of one.
 pub(in crate::traffic) async fn find_lost(pool: &Arc<Pool>, worker: WorkerIndex) -> Lost {
-    let Ok(open) = Open::try_new(pool, worker) else {
-        return Lost::Connection;
-    };
     let stream = match pool.connect().await {
         Ok(stream) => stream,
         Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => return Lost::Target,
         // It doesn't answer, and may still run all that it has.
         Err(_) => return Lost::Connection,
     };
-    let Ok(mut conn) = pool.shake_hands(stream, open).await else {
-        return Lost::Unclear;
-    };
-    tokio::time::sleep(STAYS_OPEN).await;
-    conn.drive(&mut Context::from_waker(Waker::noop()));
-    if !conn.is_usable() {
+    let mut unasked = [0];
+    let told = tokio::time::timeout(STAYS_OPEN, stream.peek(&mut unasked)).await;
+    if let Ok(Ok(0) | Err(_)) = told {
         return Lost::Unclear;
     }
-    put_back(conn);
+    if let Ok(open) = Open::try_new(pool, worker) {
+        match pool.shake_hands(stream, open).await {
+            Ok(conn) => put_back(conn),
+            Err(err) => tracing::debug!(%err, "not kept"),
+        }
+    }
     Lost::Connection
 }
 
