--- a/crates/core/src/quarantine/verdicts.rs
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -1,5 +1,7 @@
 //! What follows from the reports.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
@@ -33,8 +35,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Verdicts {
     /// Until when each is in quarantine.
-    held: HashMap<Fingerprint, Tick>,
-    doubted: HashSet<Fingerprint>,
+    held: BTreeMap<Fingerprint, Tick>,
+    doubted: BTreeSet<Fingerprint>,
 }
 
 impl Verdicts {
--- a/crates/core/src/spread/machine/reports.rs
+++ b/crates/core/src/spread/machine/reports.rs
@@ -106,12 +106,13 @@
         self.judge(origin, out);
     }
 
+    /// Tells on what is news: all that this node saw itself, and of what it was told as
+    /// much as it may. The rest is found by comparing.
     fn tell_on(&mut self, now: Tick, news: Vec<ReportId>) {
         for id in news {
             let wait = self.telling.refill(now, TOLD_PER_S, TOLD_BURST);
-            if wait.is_some() {
-                // The rest is found by comparing.
-                return;
+            if wait.is_some() && id.witness != self.local.id {
+                continue;
             }
             self.telling.take();
             self.gossip.add_report(id, now);
