Let only answers that show a run speak for a request

Refusals of the target's own, and whatever answers before one that is down, are 429 or from 500 on; none of these speaks for a request any more. A request that always fails with 500 isn't spoken for either, which matters only if three targets fall under it.

An answer that was under way as the target crashed no longer counts as a sign that it is back.

--- a/crates/node/src/traffic/crash_watch.rs
+++ b/crates/node/src/traffic/crash_watch.rs
@@ -6,6 +6,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use http::StatusCode;
 use sassafrasspool_core::Content;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -38,7 +39,9 @@
     /// Connections to the target that had been opened when its last crash was told. As
     /// long as there are no more, whatever breaks belongs to that crash.
     told_at: Option<u64>,
-    /// Whether the target has answered since its last crash.
+    /// Crashes that were told.
+    crashes: u64,
+    /// Whether the target has answered since the last of them what it was handed since.
     answered: bool,
 }
 
@@ -56,23 +59,45 @@
     worker: WorkerIndex,
     content: Content,
     key: RunKey,
+    /// Crashes that had been told as it was handed over.
+    crashes: u64,
+    /// Whether its answer shows that the target has run it and lives on.
+    shows_run: bool,
 }
 
 impl Watched {
     /// Enters a request that is handed over.
     pub(super) fn enter(hub: &Arc<Hub>, worker: WorkerIndex, content: Content) -> Box<Watched> {
-        let key = hub.crash_watch.lock().running.insert(content);
+        let mut state = hub.crash_watch.lock();
         Box::new(Watched {
             hub: Arc::clone(hub),
             worker,
             content,
-            key,
+            key: state.running.insert(content),
+            crashes: state.crashes,
+            shows_run: false,
         })
     }
 
+    /// Its answer begins with that status.
+    ///
+    /// A target that starts cold, or is full, refuses by itself what it doesn't run, and so
+    /// does whatever stands before one that is down. Such an answer says nothing of what
+    /// happens when the request is run.
+    pub(super) fn begins_answer(&mut self, status: StatusCode) {
+        let refused = status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error();
+        self.shows_run = !refused;
+    }
+
     /// Its answer came whole.
     pub(super) fn answered(&self) {
-        self.hub.crash_watch.lock().answered = true;
+        {
+            let mut state = self.hub.crash_watch.lock();
+            state.answered |= self.crashes == state.crashes;
+        }
+        if !self.shows_run {
+            return;
+        }
         let shared = &self.hub.shared;
         let now = shared.clock().now();
         shared.quarantine().answered(now, &self.content);
@@ -136,6 +161,7 @@
     {
         let mut state = hub.crash_watch.lock();
         state.told_at = Some(hub.pool.opened());
+        state.crashes += 1;
         state.answered = false;
     }
     let ran = ran.into_iter().map(|(_, content)| content);
--- a/crates/node/src/traffic/sent.rs
+++ b/crates/node/src/traffic/sent.rs
@@ -185,7 +185,10 @@
     fn answered(self, res: Response<TargetBody>) -> Response<Answer> {
         let clock = *self.hub.shared.clock();
         let stage = self.stage.answered();
-        let watched = self.watched;
+        let mut watched = self.watched;
+        if let Some(watched) = &mut watched {
+            watched.begins_answer(res.status());
+        }
         let mut res = res.map(|body| body.holding(stage, clock, watched));
         head::strip_own(res.headers_mut());
         head::strip_connection(res.headers_mut());
--- a/crates/node/tests/control/crashing.rs
+++ b/crates/node/tests/control/crashing.rs
@@ -48,6 +48,8 @@
     None,
     /// Two of the nodes are killed and start again, twice.
     Restarts,
+    /// Targets refuse all work for a while after each start, by themselves.
+    ColdStarts,
     /// Two of the nodes hear nothing from the others until the others know.
     Cut,
 }
@@ -57,8 +59,9 @@
     trouble: Trouble,
 }
 
-async fn crashing_fleet() -> Fleet {
+async fn crashing_fleet(cold_start_ms: u64) -> Fleet {
     let target = TargetSettings {
+        cold_start_ms,
         crash_on: Some(CrashOn {
             path: CRASHING.to_owned(),
             after_ms: 20,
@@ -85,7 +88,7 @@
 
 async fn trouble(fleet: &mut Fleet, trouble: Trouble) {
     match trouble {
-        Trouble::None => {}
+        Trouble::None | Trouble::ColdStarts => {}
         Trouble::Restarts => {
             tokio::time::sleep(Duration::from_secs(4)).await;
             fleet.crash_and_restart(0..2).await;
@@ -117,11 +120,18 @@
 #[case::all_are_well(Crashing { trouble: Trouble::None })]
 // A node that starts again knows nothing, and has to hear of it before it serves.
 #[case::nodes_restart(Crashing { trouble: Trouble::Restarts })]
+// A target that starts refuses the request by itself. Taken for an answer to it, that spoke
+// for the request, and each restart gave it another three crashes.
+#[case::targets_start_cold(Crashing { trouble: Trouble::ColdStarts })]
 // Both sides of a cut count for themselves, and one hears from the other when it heals.
 #[case::nodes_are_cut_off(Crashing { trouble: Trouble::Cut })]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_crashes_its_targets_is_kept_from_them(#[case] case: Crashing) {
-    let mut fleet = crashing_fleet().await;
+    let cold_start_ms = match case.trouble {
+        Trouble::ColdStarts => 150,
+        _ => 0,
+    };
+    let mut fleet = crashing_fleet(cold_start_ms).await;
     let ingress: Vec<SocketAddr> = fleet.nodes.iter().map(|it| it.addrs().ingress).collect();
     let mut callers = JoinSet::new();
     let calling = async {
@@ -166,7 +176,7 @@
 // their answers, however often a target fell under it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_runs_while_targets_crash_for_other_reasons_is_served_on() {
-    let fleet = crashing_fleet().await;
+    let fleet = crashing_fleet(0).await;
     let ask = |n: usize| {
         let addr = fleet.nodes[n % NODES].addrs().ingress;
         tokio::spawn(async move { try_http_text("GET", addr, HARMLESS).await })
@@ -197,7 +207,7 @@
 // and as soon as they are well, callers must be served.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_targets_break_off_while_they_stay_up_is_served_on() {
-    let fleet = crashing_fleet().await;
+    let fleet = crashing_fleet(0).await;
     for target in &fleet.targets {
         target.set_cut_body(true).await;
     }
