--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -189,10 +189,7 @@
     bytes.extend_from_slice(&state.incarnation.to_le_bytes());
     bytes.extend_from_slice(&state.sequence.to_le_bytes());
     bytes.push(state.phase as u8);
-    let digest = Digest::of(&bytes);
-    let mut head = [0; 8];
-    head.copy_from_slice(&digest.as_bytes()[..8]);
-    u64::from_le_bytes(head)
+    Digest::of(&bytes).head()
 }
 
 /// Half of the bits, for messages; what it misses, the next change shows.
--- a/crates/core/src/quarantine/ledger.rs
+++ b/crates/core/src/quarantine/ledger.rs
@@ -238,7 +238,5 @@
     bytes.extend_from_slice(id.witness.as_str().as_bytes());
     bytes.extend_from_slice(&id.incarnation.to_le_bytes());
     bytes.extend_from_slice(&id.number.to_le_bytes());
-    let mut head = [0; 8];
-    head.copy_from_slice(&Digest::of(&bytes).as_bytes()[..8]);
-    u64::from_le_bytes(head)
+    Digest::of(&bytes).head()
 }
--- a/crates/core/src/version/digest.rs
+++ b/crates/core/src/version/digest.rs
@@ -57,6 +57,12 @@
         &self.0
     }
 
+    /// Its first eight bytes as a number, where sixteen are more than is needed.
+    pub(crate) fn head(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    }
+
     fn from_hash(hash: &blake3::Hash) -> Digest {
         let mut bytes = [0; DIGEST_BYTES];
         bytes.copy_from_slice(&hash.as_bytes()[..DIGEST_BYTES]);
