Close the connection by which a target is tried

After a connection broke, a node opens another to find out whether the target is there. It was kept for the next request, so that a target that has few connections to give had one less for as long as no request came. Found by a_target_at_its_connection_limit_fails_fast, which failed once in the whole check beside load: there the node got its turn after the target had room again. The other test waits for it now and failed each time on the code before.

One connection more is opened for each that broke.

--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -132,9 +132,7 @@
         match stage.hand_over(now) {
             Ok(stage) => {
                 let left = call.deadline.remaining(now);
-                let watched = call
-                    .content
-                    .map(|content| Watched::enter(hub, worker.index, content));
+                let watched = call.content.map(|content| Watched::enter(hub, content));
                 let req = for_target(req, left, life.as_ref(), &call, hub.shared.dialect());
                 let sent = Sent {
                     hub: Arc::clone(hub),
--- a/crates/node/src/traffic/crash_watch.rs
+++ b/crates/node/src/traffic/crash_watch.rs
@@ -14,7 +14,6 @@
 use super::hub::Hub;
 use super::target;
 use super::target::Lost;
-use super::target::WorkerIndex;
 
 /// How long after a connection broke the target is tried: a process that crashes has
 /// closed its listener by then, and none is back yet.
@@ -56,7 +55,6 @@
 #[derive(Debug)]
 pub(super) struct Watched {
     hub: Arc<Hub>,
-    worker: WorkerIndex,
     content: Content,
     key: RunKey,
     /// Crashes that had been told as it was handed over.
@@ -67,11 +65,10 @@
 
 impl Watched {
     /// Enters a request that is handed over.
-    pub(super) fn enter(hub: &Arc<Hub>, worker: WorkerIndex, content: Content) -> Box<Watched> {
+    pub(super) fn enter(hub: &Arc<Hub>, content: Content) -> Box<Watched> {
         let mut state = hub.crash_watch.lock();
         Box::new(Watched {
             hub: Arc::clone(hub),
-            worker,
             content,
             key: state.running.insert(content),
             crashes: state.crashes,
@@ -124,11 +121,10 @@
             state.running.iter().map(|(key, of)| (key, *of)).collect()
         };
         let hub = Arc::clone(hub);
-        let worker = self.worker;
         let connections = self.hub.connections.clone();
         connections.spawn(async move {
             let cancel = hub.cut.clone();
-            cancel.run_until_cancelled(tell(&hub, worker, ran)).await;
+            cancel.run_until_cancelled(tell(&hub, ran)).await;
             hub.crash_watch.lock().asking = false;
         });
     }
@@ -141,9 +137,9 @@
 }
 
 /// Tells of a crash under `ran`, if it was one.
-async fn tell(hub: &Hub, worker: WorkerIndex, ran: Vec<(RunKey, Content)>) {
+async fn tell(hub: &Hub, ran: Vec<(RunKey, Content)>) {
     tokio::time::sleep(TRIED_AFTER).await;
-    let crashed = match target::find_lost(&hub.pool, worker).await {
+    let crashed = match target::find_lost(&hub.pool).await {
         Lost::Connection => false,
         Lost::Target => true,
         // A target without room goes on with what it has. One that has answered nothing
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -134,11 +134,6 @@
         let open = Open::try_new(self, worker)?;
         let fail = |e| self.error("cannot connect").with_cause(e);
         let stream = self.connect().await.map_err(fail)?;
-        self.shake_hands(stream, open).await
-    }
-
-    async fn shake_hands(&self, stream: TcpStream, open: Open) -> Result<Connection> {
-        let fail = |e| self.error("cannot connect").with_cause(e);
         stream.set_nodelay(true).map_err(fail)?;
         counter!(traffic::TARGET_CONNECTIONS).increment(1);
         self.opened.fetch_add(1, Ordering::Relaxed);
@@ -194,10 +189,10 @@
     Unclear,
 }
 
-/// Finds out what was lost by opening a connection, which is kept for the next request if
-/// there is room for it. Until then it counts as none of the pool's, so that no request
-/// goes elsewhere for want of one.
-pub(in crate::traffic) async fn find_lost(pool: &Arc<Pool>, worker: WorkerIndex) -> Lost {
+/// Finds out what was lost by opening a connection, which is closed again: it counts as
+/// none of the pool's, so that no request goes elsewhere for want of one, and a target that
+/// has few to give isn't kept from giving them.
+pub(in crate::traffic) async fn find_lost(pool: &Pool) -> Lost {
     let stream = match pool.connect().await {
         Ok(stream) => stream,
         Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => return Lost::Target,
@@ -205,17 +200,10 @@
         Err(_) => return Lost::Connection,
     };
     let mut unasked = [0];
-    let told = tokio::time::timeout(STAYS_OPEN, stream.peek(&mut unasked)).await;
-    if let Ok(Ok(0) | Err(_)) = told {
-        return Lost::Unclear;
-    }
-    if let Ok(open) = Open::try_new(pool, worker) {
-        match pool.shake_hands(stream, open).await {
-            Ok(conn) => put_back(conn),
-            Err(err) => tracing::debug!(%err, "not kept"),
-        }
+    match tokio::time::timeout(STAYS_OPEN, stream.peek(&mut unasked)).await {
+        Ok(Ok(0) | Err(_)) => Lost::Unclear,
+        _ => Lost::Connection,
     }
-    Lost::Connection
 }
 
 fn is_old(idle: &Connection, now: Instant) -> bool {
--- a/crates/node/tests/control/crashing.rs
+++ b/crates/node/tests/control/crashing.rs
@@ -17,6 +17,7 @@
 use crate::common::slow_target;
 use crate::common::try_http_text;
 use crate::support::Fleet;
+use crate::support::until;
 
 /// Nodes, each beside a target of the same service.
 const NODES: usize = 5;
@@ -215,6 +216,15 @@
         let addr = fleet.nodes[n % NODES].addrs().ingress;
         assert_eq!(try_http_text("GET", addr, HARMLESS).await, None);
     }
+    // What was opened to find out whether they are there must not stay open.
+    let connections = || {
+        fleet
+            .targets
+            .iter()
+            .map(|it| it.stats().connections)
+            .sum::<u64>()
+    };
+    until(|| connections() == 0).await;
     for target in &fleet.targets {
         target.set_cut_body(false).await;
     }
