--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -14,18 +14,18 @@
 
 pub use self::content::Content;
 pub use self::content::Fingerprint;
-pub(crate) use self::ledger::Ledger;
 pub use self::report::Report;
 pub use self::report::ReportId;
 pub use self::report::Sighting;
+pub(crate) use self::reports::Reports;
 pub(crate) use self::unsaid::Unsaid;
 pub use self::verdicts::CRASHES;
 pub use self::verdicts::Verdicts;
 
 mod content;
-mod ledger;
 mod moment;
 mod report;
+mod reports;
 #[cfg(test)]
 mod tests;
 mod unsaid;
--- a/crates/core/src/quarantine/ledger.rs
+++ b/crates/core/src/quarantine/reports.rs
@@ -42,7 +42,7 @@
 /// reports of crashes that tell of a request, and while `is_judged`, `verdicts` follow from
 /// the reports.
 #[derive(Debug, Default)]
-pub(crate) struct Ledger {
+pub(crate) struct Reports {
     reports: BTreeMap<ReportId, Kept>,
     root: u64,
     crashes: HashMap<Fingerprint, usize>,
@@ -56,7 +56,7 @@
     sighting: Sighting,
 }
 
-impl Ledger {
+impl Reports {
     /// Takes a report in; false if it says nothing new.
     pub(crate) fn merge(&mut self, now: Tick, report: &Report) -> bool {
         let age = Duration::from_millis(report.age_ms.into());
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -6,9 +6,9 @@
 use rstest::rstest;
 
 use super::Content;
-use super::Ledger;
 use super::Report;
 use super::ReportId;
+use super::Reports;
 use super::Sighting;
 use crate::InstanceId;
 use crate::Tick;
@@ -194,12 +194,12 @@
                 reports.swap(n, other);
             }
             let now = at(NOW_S - started_s);
-            let mut ledger = Ledger::default();
+            let mut known = Reports::default();
             for report in &reports {
-                assert!(ledger.merge(now, report));
-                ledger.judge();
+                assert!(known.merge(now, report));
+                known.judge();
             }
-            let held = |path: &&str| ledger.verdicts().held_until(now, &content(path)).is_some();
+            let held = |path: &&str| known.verdicts().held_until(now, &content(path)).is_some();
             assert!(case.held.iter().all(held), "{case:?}, {started_s}, {seed}");
             assert!(!case.free.iter().any(held), "{case:?}, {started_s}, {seed}");
         }
@@ -214,18 +214,18 @@
 // The reports of those three must not go to make room.
 #[test]
 fn reports_without_weight_make_room() {
-    let mut ledger = Ledger::default();
+    let mut known = Reports::default();
     for number in 0..3 {
-        ledger.merge(at(1), &crash(number, 1, "/a"));
+        known.merge(at(1), &crash(number, 1, "/a"));
     }
-    ledger.judge();
+    known.judge();
     for number in 3..3_000 {
-        ledger.merge(at(2), &crash(number, 2, &format!("/other/{number}")));
-        ledger.judge();
+        known.merge(at(2), &crash(number, 2, &format!("/other/{number}")));
+        known.judge();
     }
-    let held = ledger.verdicts().held_until(at(3), &content("/a"));
+    let held = known.verdicts().held_until(at(3), &content("/a"));
     assert!(held.is_some());
-    let told = ledger.tell_all(at(3));
+    let told = known.tell_all(at(3));
     let of_it = |it: &&Report| it.id.number < 3;
     assert_eq!(told.iter().filter(of_it).count(), 3);
 }
@@ -233,7 +233,7 @@
 // Two nodes that know the same have the same root, and one that forgot has another.
 #[test]
 fn the_root_is_that_of_what_is_known() {
-    let (mut one, mut other) = (Ledger::default(), Ledger::default());
+    let (mut one, mut other) = (Reports::default(), Reports::default());
     let reports: Vec<Report> = (0..5).map(|n| crash(n, 1, "/a")).collect();
     for report in &reports {
         one.merge(at(1), report);
@@ -246,7 +246,7 @@
     other.forget(at(3_000));
     assert_eq!(one.root(), other.root());
     other.forget(at(5_000));
-    assert_eq!(other.root(), Ledger::default().root());
+    assert_eq!(other.root(), Reports::default().root());
     other.judge();
     assert!(other.verdicts().held().next().is_none());
     assert!(other.verdicts().doubted().next().is_none());
@@ -269,12 +269,12 @@
 
 #[test]
 fn a_request_may_run_again_at_the_end_of_its_quarantine() {
-    let mut ledger = Ledger::default();
+    let mut known = Reports::default();
     for number in 0..3 {
-        ledger.merge(at(10), &crash(number, 10, "/a"));
+        known.merge(at(10), &crash(number, 10, "/a"));
     }
-    ledger.judge();
-    let until = ledger.verdicts().held_until(at(11), &content("/a"));
+    known.judge();
+    let until = known.verdicts().held_until(at(11), &content("/a"));
     assert_eq!(until, Some(at(10) + Duration::from_secs(600)));
-    assert_eq!(ledger.verdicts().held_until(at(610), &content("/a")), None);
+    assert_eq!(known.verdicts().held_until(at(610), &content("/a")), None);
 }
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -39,7 +39,7 @@
 use crate::Tick;
 use crate::admit::bucket::Bucket;
 use crate::membership::Members;
-use crate::quarantine::Ledger;
+use crate::quarantine::Reports;
 use crate::quarantine::Unsaid;
 use crate::reader::ContactClock;
 use crate::reader::ReadBudget;
@@ -76,7 +76,7 @@
     calls: Calls,
     gossip: Gossip,
     members: Members,
-    reports: Ledger,
+    reports: Reports,
     unsaid: Unsaid,
     /// Bounds the reports that are told on at once.
     telling: Bucket,
@@ -121,7 +121,7 @@
             calls: Calls::new(cfg.call_timeout),
             gossip: Gossip::new(now),
             members,
-            reports: Ledger::default(),
+            reports: Reports::default(),
             unsaid: Unsaid::default(),
             telling: Bucket::full(),
             reported: 0,
--- a/crates/node/src/shared/quarantine.rs
+++ b/crates/node/src/shared/quarantine.rs
@@ -22,8 +22,7 @@
 /// was an answer to.
 const REMEMBERED: Duration = Duration::from_secs(10);
 
-/// Answers that are remembered beside the half before: 20 s of the busiest nodes, in
-/// 0.2 MB.
+/// Answers in one half at most, which bounds the memory of the busiest nodes.
 const MOST_ANSWERS: usize = 4_096;
 
 /// What is in quarantine, and what this node's own target did.
