Say once how a stand-in's next life starts, which runs crashed and what hurts a node

Found on reading the change again; nothing behaves otherwise. The stand-in's target had two copies of a crash followed by the next start. The soak chose the runs that crashed a target in two places, and kept a count beside the list of what keeps a node from following that the list itself gives; the list is a type of its own now (driver/hurts.rs), and still held while it is logged.

--- a/crates/core/src/spread/tests/crashes.rs
+++ b/crates/core/src/spread/tests/crashes.rs
@@ -37,6 +37,16 @@
     net.event(n, Event::Sighted { sighting, ago });
 }
 
+/// A fleet that knows of a request under which three targets crashed.
+fn warned_net(nodes: usize, seed: u64) -> Net {
+    let mut net = joined_net_with(nodes, seed, few_reads());
+    for n in 0..CRASHES {
+        crash(&mut net, n);
+    }
+    net.run_until(TOLD_WITHIN, all_hold);
+    net
+}
+
 fn holds(net: &Net, n: usize, content: Content) -> bool {
     let node = net.nodes[n].as_ref();
     node.is_some_and(|node| node.verdicts.held_until(net.now, &content).is_some())
@@ -112,11 +122,7 @@
 #[test]
 fn a_node_that_starts_again_knows_before_it_serves() {
     for seed in 0..8 {
-        let mut net = joined_net_with(14, seed, few_reads());
-        for n in 0..CRASHES {
-            crash(&mut net, n);
-        }
-        net.run_until(TOLD_WITHIN, all_hold);
+        let mut net = warned_net(14, seed);
         // Also the nodes that saw it.
         for n in 0..8 {
             net.stop(n);
@@ -150,11 +156,7 @@
 // Another node has seen it answered: its word has to end the quarantine everywhere.
 #[test]
 fn an_answer_elsewhere_ends_it() {
-    let mut net = joined_net_with(14, 4, few_reads());
-    for n in 0..CRASHES {
-        crash(&mut net, n);
-    }
-    net.run_until(TOLD_WITHIN, all_hold);
+    let mut net = warned_net(14, 4);
     assert!(net.node(9).verdicts.doubts(crashing().whole()));
     sight(&mut net, 9, Sighting::Answered(crashing().whole()));
     net.run_until(Duration::from_secs(1), |net| {
@@ -193,11 +195,7 @@
 // begin to doubt it and all know better: the word of a few has to do.
 #[test]
 fn not_every_node_tells_of_its_answer() {
-    let mut net = joined_net_with(200, 6, few_reads());
-    for n in 0..CRASHES {
-        crash(&mut net, n);
-    }
-    net.run_until(TOLD_WITHIN, all_hold);
+    let mut net = warned_net(200, 6);
     let before = bytes_of_busiest(&net);
     for n in 0..200 {
         sight(&mut net, n, Sighting::Answered(crashing().whole()));
@@ -214,11 +212,7 @@
 // crashed three targets before must still be known to all.
 #[test]
 fn the_loss_of_a_domain_stays_within_what_control_may_spend() {
-    let mut net = joined_net_with(80, 7, few_reads());
-    for n in 0..CRASHES {
-        crash(&mut net, n);
-    }
-    net.run_until(TOLD_WITHIN, all_hold);
+    let mut net = warned_net(80, 7);
     let before = bytes_of_busiest(&net);
     for n in 0..40 {
         let ran = (0..20).map(|m| harmless(1_000 + 20 * n + m)).collect();
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -14,16 +14,16 @@
 use sassafrasspool_bench::load::LedgerRun;
 use sassafrasspool_bench::load::Outage;
 use sassafrasspool_bench::load::OutageKind;
+use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::history::Event;
-use sassafrasspool_standin::target::RunEnd;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use self::hurts::Hurts;
 use self::operators::Operators;
 use self::switches::of_platform;
 use self::switches::of_target;
-use crate::callers::CRASHING_PATH;
 use crate::fleet::Fleet;
 use crate::fleet::Member;
 use crate::schedule::Fault;
@@ -35,7 +35,9 @@
 use crate::schedule::TargetFault;
 use crate::schedule::Way;
 use crate::verdict::Hurt;
+use crate::verdict::crashes;
 
+mod hurts;
 mod operators;
 mod switches;
 
@@ -64,10 +66,8 @@
     /// The same for targets.
     targets: Vec<tokio::sync::Mutex<()>>,
     platform: tokio::sync::Mutex<()>,
-    /// By instance: what keeps its node from following, which may overlap.
-    lost: Mutex<Vec<u32>>,
-    /// When something kept a node from following.
-    hurt: Mutex<Vec<Hurt>>,
+    /// Held while it is logged what begins or ends, so that the log has their order.
+    hurts: Mutex<Hurts>,
 }
 
 impl Driver {
@@ -92,8 +92,7 @@
             nodes: locks(),
             targets: locks(),
             platform: tokio::sync::Mutex::new(()),
-            lost: Mutex::new(vec![0; count]),
-            hurt: Mutex::default(),
+            hurts: Mutex::default(),
         })
     }
 
@@ -104,18 +103,13 @@
 
     /// When something kept nodes from following.
     pub fn hurt(&self) -> Vec<Hurt> {
-        lock(&self.hurt).clone()
+        lock(&self.hurts).all().to_vec()
     }
 
     /// Notes the crashes that requests brought about, as the targets' ledgers tell.
     pub fn note_crashes(&self, runs: &[LedgerRun]) {
-        let crashed =
-            |run: &&LedgerRun| run.run.end == RunEnd::Crashed && run.run.path == CRASHING_PATH;
-        for run in runs.iter().filter(crashed) {
-            let Some(at_us) = run.run.ended_us else {
-                continue;
-            };
-            let target = self.member(run.instance).instance.id.clone();
+        for (at_us, run) in crashes(runs) {
+            let target = self.id(run.instance);
             self.log.record_at(at_us, Event::Crashed { target });
             let kind = OutageKind::TargetCrashed;
             self.note_until(run.instance, kind, at_us, at_us + DOWN_US);
@@ -173,6 +167,10 @@
         &self.fleet.members[n]
     }
 
+    fn id(&self, n: usize) -> InstanceId {
+        self.member(n).instance.id.clone()
+    }
+
     async fn of_node(&self, n: usize, what: NodeFault, length: Duration) -> miette::Result<()> {
         let member = self.member(n);
         match what {
@@ -199,7 +197,7 @@
     async fn stop(&self, n: usize, down: Duration) -> miette::Result<()> {
         let member = self.member(n);
         let from_us = now_us();
-        let target = member.instance.id.clone();
+        let target = self.id(n);
         self.list_as(n, Some(InstanceState::Leaving)).await?;
         // The bound counts from when the platform has taken the word; one that
         // stands still takes it late.
@@ -283,9 +281,7 @@
         let member = self.member(n);
         let from_us = now_us();
         member.target.crash().await?;
-        self.log.record(Event::Crashed {
-            target: member.instance.id.clone(),
-        });
+        self.log.record(Event::Crashed { target: self.id(n) });
         tokio::time::sleep(down).await;
         member.target.restart().await?;
         self.note(n, OutageKind::TargetCrashed, from_us);
@@ -352,49 +348,27 @@
 
     /// Something begins to keep a node from following.
     fn lose(&self, n: usize) {
-        let mut lost = lock(&self.lost);
-        lost[n] += 1;
-        lock(&self.hurt).push(Hurt {
-            instance: n,
-            from_us: now_us(),
-            to_us: u64::MAX,
-        });
-        if lost[n] == 1 {
-            let node = self.member(n).instance.id.clone();
-            self.log.record(Event::NodeLost { node });
+        let mut hurts = lock(&self.hurts);
+        if hurts.begin(n) {
+            self.log.record(Event::NodeLost { node: self.id(n) });
         }
     }
 
     /// A node is back from a planned stop and may work again, whatever else still
     /// keeps it from following.
     fn regain_after_stop(&self, n: usize) {
-        let mut lost = lock(&self.lost);
-        lost[n] -= 1;
-        self.end_hurt(n);
-        let node = self.member(n).instance.id.clone();
-        self.log.record(Event::NodeBack { node: node.clone() });
-        if lost[n] > 0 {
-            self.log.record(Event::NodeLost { node });
+        let mut hurts = lock(&self.hurts);
+        let follows = hurts.end(n);
+        self.log.record(Event::NodeBack { node: self.id(n) });
+        if !follows {
+            self.log.record(Event::NodeLost { node: self.id(n) });
         }
     }
 
     fn regain(&self, n: usize) {
-        let mut lost = lock(&self.lost);
-        lost[n] -= 1;
-        self.end_hurt(n);
-        if lost[n] == 0 {
-            let node = self.member(n).instance.id.clone();
-            self.log.record(Event::NodeBack { node });
-        }
-    }
-
-    /// Ends the oldest of what keeps a node from following: all that overlaps counts
-    /// until the last has ended.
-    fn end_hurt(&self, n: usize) {
-        let mut hurt = lock(&self.hurt);
-        let open = |hurt: &&mut Hurt| hurt.instance == n && hurt.to_us == u64::MAX;
-        if let Some(hurt) = hurt.iter_mut().find(open) {
-            hurt.to_us = now_us();
+        let mut hurts = lock(&self.hurts);
+        if hurts.end(n) {
+            self.log.record(Event::NodeBack { node: self.id(n) });
         }
     }
 
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -21,6 +21,7 @@
 
 pub use self::crashing::Crashing;
 pub use self::crashing::Hurt;
+pub use self::crashing::crashes;
 
 mod crashing;
 #[cfg(test)]
--- a/crates/soak/src/verdict/crashing.rs
+++ b/crates/soak/src/verdict/crashing.rs
@@ -1,7 +1,5 @@
 //! Whether a request that crashes targets was kept from them, and no other.
 
-use std::collections::HashMap;
-
 use sassafrasspool_bench::load::CallRecord;
 use sassafrasspool_bench::load::LedgerRun;
 use sassafrasspool_core::CRASHES;
@@ -43,27 +41,18 @@
 impl Crashing {
     /// Judges what targets ran and what callers of other requests saw.
     pub fn judge(records: &[CallRecord], runs: &[LedgerRun], hurt: &[Hurt]) -> Crashing {
-        let of_it = runs.iter().filter(|run| run.run.path == CRASHING_PATH);
-        let mut crashes: Vec<u64> = of_it
-            .clone()
-            .filter(|run| run.run.end == RunEnd::Crashed)
-            .filter_map(|run| run.run.ended_us)
-            .collect();
+        let mut crashes: Vec<u64> = crashes(runs).map(|(at_us, _)| at_us).collect();
         crashes.sort_unstable();
         let told_us = crashes.get(CRASHES - 1).map(|third| third + TOLD_WITHIN_US);
-        let mut by_instance: HashMap<usize, Vec<Hurt>> = HashMap::new();
-        for hurt in hurt {
-            by_instance.entry(hurt.instance).or_default().push(*hurt);
-        }
         let is_late = |run: &&LedgerRun| {
             let at_us = run.run.started_us;
-            let hurt = by_instance.get(&run.instance);
-            let mut hurt = hurt.into_iter().flatten();
             let lately = |hurt: &Hurt| {
-                hurt.from_us <= at_us && at_us < hurt.to_us.saturating_add(TOLD_WITHIN_US)
+                let until_us = hurt.to_us.saturating_add(TOLD_WITHIN_US);
+                hurt.instance == run.instance && hurt.from_us <= at_us && at_us < until_us
             };
-            told_us.is_some_and(|told_us| at_us > told_us) && !hurt.any(lately)
+            told_us.is_some_and(|told_us| at_us > told_us) && !hurt.iter().any(lately)
         };
+        let of_it = runs.iter().filter(is_of_it);
         let refused = |record: &&CallRecord| record.detail.contains(Reason::Quarantined.as_str());
         Crashing {
             crashes: count(crashes.len()),
@@ -78,6 +67,18 @@
     }
 }
 
+/// The crashes under such a request: when, in microseconds since the Unix epoch, and the
+/// run that brought each about.
+pub fn crashes(runs: &[LedgerRun]) -> impl Iterator<Item = (u64, &LedgerRun)> {
+    let crashed = |run: &&LedgerRun| run.run.end == RunEnd::Crashed;
+    let of_it = runs.iter().filter(is_of_it).filter(crashed);
+    of_it.filter_map(|run| Some((run.run.ended_us?, run)))
+}
+
+fn is_of_it(run: &&LedgerRun) -> bool {
+    run.run.path == CRASHING_PATH
+}
+
 fn count(n: usize) -> u64 {
     u64::try_from(n).unwrap_or(u64::MAX)
 }
--- a/crates/standin/src/target/control.rs
+++ b/crates/standin/src/target/control.rs
@@ -63,9 +63,7 @@
     /// Starts the next life, after a crash of the one that runs.
     pub(super) async fn restart(&self) -> Result<()> {
         let mut newest = self.newest.lock().await;
-        crash(&newest).await;
-        *newest = start(&self.shared, &self.port, newest.incarnation + 1)?;
-        Ok(())
+        self.succeed(&mut newest).await
     }
 
     /// Starts the next life whenever a request has crashed the newest.
@@ -82,19 +80,19 @@
                 continue;
             }
             tokio::time::sleep(crash_on.down()).await;
-            if let Err(err) = self.succeed(&life).await {
+            let mut newest = self.newest.lock().await;
+            // Unless somebody else has started the next meanwhile.
+            if Arc::ptr_eq(&newest, &life)
+                && let Err(err) = self.succeed(&mut newest).await
+            {
                 tracing::warn!(%err, "not started again");
             }
         }
     }
 
-    /// Starts the next life after one, unless somebody has already.
-    async fn succeed(&self, fallen: &Arc<Life>) -> Result<()> {
-        let mut newest = self.newest.lock().await;
-        if Arc::ptr_eq(&newest, fallen) {
-            crash(&newest).await;
-            *newest = start(&self.shared, &self.port, newest.incarnation + 1)?;
-        }
+    async fn succeed(&self, newest: &mut Arc<Life>) -> Result<()> {
+        crash(newest).await;
+        *newest = start(&self.shared, &self.port, newest.incarnation + 1)?;
         Ok(())
     }
 
