Hash a body once, and judge an answered or refused request once

Found on reading the change again; nothing behaves otherwise. A request with a query had its method, host, path and body hashed twice, up to 512 KB of body; what it asks for without the query is the first part of the same hash. A report's contents were worked out twice as it came and as it went. An answer with a query took the lock twice. A request that comes into quarantine while it waits was refused twice, one of both thrown away. For how long an answer excuses and for how long nodes remember it was written in two places, and the first eight bytes of a hash in a third. The bucket is reached as the other parts of its module are.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -15,6 +15,7 @@
 
 pub use self::ask::Ask;
 pub use self::ask::Offer;
+pub(crate) use self::bucket::Bucket;
 pub use self::control::Admission;
 pub use self::permit::Permit;
 pub use self::queued::Queued;
@@ -22,7 +23,7 @@
 pub use self::wake::Waker;
 
 mod ask;
-pub(crate) mod bucket;
+mod bucket;
 mod control;
 mod permit;
 mod precedence;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -134,6 +134,7 @@
 pub use crate::outcome::Reason;
 pub use crate::outcome::Refusal;
 pub use crate::patience::Patience;
+pub use crate::quarantine::ANSWER_EXCUSES;
 pub use crate::quarantine::CRASHES;
 pub use crate::quarantine::Content;
 pub use crate::quarantine::Fingerprint;
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -19,6 +19,7 @@
 pub use self::report::Sighting;
 pub(crate) use self::reports::Reports;
 pub(crate) use self::unsaid::Unsaid;
+pub use self::verdicts::ANSWER_EXCUSES;
 pub use self::verdicts::CRASHES;
 pub use self::verdicts::Verdicts;
 
--- a/crates/core/src/quarantine/content.rs
+++ b/crates/core/src/quarantine/content.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Digest;
 use crate::Error;
 use crate::Result;
 use crate::Step;
@@ -20,17 +21,9 @@
 pub struct Fingerprint(u64);
 
 impl Fingerprint {
-    /// The fingerprint of some parts in their order.
-    fn of(parts: &[&[u8]]) -> Fingerprint {
-        let mut hasher = blake3::Hasher::new();
-        for part in parts {
-            // With its length before it, no part can run into the next.
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        let mut head = [0; 8];
-        head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        Fingerprint(u64::from_le_bytes(head))
+    /// The fingerprint of what was hashed so far.
+    fn of(hasher: &blake3::Hasher) -> Fingerprint {
+        Fingerprint(Digest::from_hash(&hasher.finalize()).head())
     }
 
     /// Reads the hexadecimal form that [`fmt::Display`] writes.
@@ -73,13 +66,16 @@
     /// The content of a request; of one whose body isn't held as a whole, its length if
     /// that is known stands for the body.
     pub fn of(method: &str, host: &str, path: &str, query: Option<&str>, body: &[u8]) -> Content {
-        let [method, host, path] = [method, host, path].map(str::as_bytes);
-        let resource = Fingerprint::of(&[method, host, path, body]);
-        let with = |query: &str| Fingerprint::of(&[method, host, path, body, query.as_bytes()]);
-        Content {
-            whole: query.map_or(resource, with),
-            resource,
+        let mut hasher = blake3::Hasher::new();
+        for part in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
+            add(&mut hasher, part);
         }
+        let resource = Fingerprint::of(&hasher);
+        let whole = query.map_or(resource, |query| {
+            add(&mut hasher, query.as_bytes());
+            Fingerprint::of(&hasher)
+        });
+        Content { whole, resource }
     }
 
     /// All that it asks for.
@@ -121,3 +117,9 @@
         }
     }
 }
+
+/// Hashes one part; with its length before it, none can run into the next.
+fn add(hasher: &mut blake3::Hasher, part: &[u8]) {
+    hasher.update(&(part.len() as u64).to_le_bytes());
+    hasher.update(part);
+}
--- a/crates/core/src/quarantine/reports.rs
+++ b/crates/core/src/quarantine/reports.rs
@@ -73,10 +73,13 @@
         let kept = Kept { at, sighting };
         // INVARIANT: A report goes into the root once, as it comes.
         self.root ^= hash_of(&report.id);
-        for content in kept.crashed() {
-            *self.crashes.entry(content).or_default() += 1;
+        let contents = kept.contents();
+        if kept.is_crash() {
+            for content in &contents {
+                *self.crashes.entry(*content).or_default() += 1;
+            }
         }
-        self.unsettle(&kept);
+        self.unsettle(&contents);
         self.reports.insert(report.id.clone(), kept);
         if self.reports.len() > MOST_REPORTS {
             self.drop_one();
@@ -100,26 +103,26 @@
         };
         // INVARIANT: What goes leaves the root and the counts.
         self.root ^= hash_of(id);
-        self.unsettle(&kept);
-        for content in kept.crashed() {
-            if let Some(crashes) = self.crashes.get_mut(&content) {
+        let contents = kept.contents();
+        self.unsettle(&contents);
+        if !kept.is_crash() {
+            return;
+        }
+        for content in &contents {
+            if let Some(crashes) = self.crashes.get_mut(content) {
                 *crashes -= 1;
                 if *crashes == 0 {
-                    self.crashes.remove(&content);
+                    self.crashes.remove(content);
                 }
             }
         }
     }
 
-    /// Notes that a report has come or goes. Most tell of requests that fell with one target
-    /// alone, and change no verdict.
-    fn unsettle(&mut self, kept: &Kept) {
-        let matters = |content| self.crashes.get(&content).is_some_and(|n| *n >= DOUBTED);
-        let changes = match &kept.sighting {
-            Sighting::Crashed(_) => kept.crashed().any(matters),
-            Sighting::Answered(content) => matters(*content),
-        };
-        self.is_judged &= !changes;
+    /// Notes that a report of these has come or goes. Most tell of requests that fell with
+    /// one target alone, and change no verdict.
+    fn unsettle(&mut self, contents: &BTreeSet<Fingerprint>) {
+        let matters = |content| self.crashes.get(content).is_some_and(|n| *n >= DOUBTED);
+        self.is_judged &= !contents.iter().any(matters);
     }
 
     /// Judges anew; gives the verdicts before and now if these are others.
@@ -205,14 +208,16 @@
 }
 
 impl Kept {
-    /// What it tells a target crashed under, each once.
-    fn crashed(&self) -> impl Iterator<Item = Fingerprint> + use<> {
-        let ran = match &self.sighting {
-            Sighting::Crashed(ran) => ran.as_slice(),
-            Sighting::Answered(_) => &[],
-        };
-        let told: BTreeSet<Fingerprint> = ran.iter().flat_map(Content::fingerprints).collect();
-        told.into_iter()
+    fn is_crash(&self) -> bool {
+        matches!(self.sighting, Sighting::Crashed(_))
+    }
+
+    /// What it tells of, each once.
+    fn contents(&self) -> BTreeSet<Fingerprint> {
+        match &self.sighting {
+            Sighting::Crashed(ran) => ran.iter().flat_map(Content::fingerprints).collect(),
+            Sighting::Answered(content) => BTreeSet::from([*content]),
+        }
     }
 
     fn tell(&self, now: Tick, id: &ReportId) -> Report {
--- a/crates/core/src/quarantine/verdicts.rs
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -24,7 +24,7 @@
 
 /// How long an answer excuses a request from crashes after it. Targets that fall together
 /// fall under everything that is asked often, before another could answer.
-const ANSWER_EXCUSES: Duration = Duration::from_secs(10);
+pub const ANSWER_EXCUSES: Duration = Duration::from_secs(10);
 
 /// Which requests are in quarantine, and of which it matters to know that they were
 /// answered.
--- a/crates/core/src/spread/gossip.rs
+++ b/crates/core/src/spread/gossip.rs
@@ -22,7 +22,7 @@
     pub(super) next_sync: Tick,
     /// When the heads are to be announced.
     pub(super) heads_due: Option<Tick>,
-    /// When the endpoint states are to be announced.
+    /// When the endpoint states and reports are to be announced.
     pub(super) states_due: Option<Tick>,
     /// Nothing is announced before, unless a peer has told what it holds.
     pub(super) quiet_until: Option<Tick>,
@@ -42,7 +42,7 @@
     /// Counts comparisons.
     pub(super) syncs: u64,
     news: Vec<EndpointState>,
-    /// Reports that wait to be told, and are told at once.
+    /// Reports that wait to be told.
     reports: Vec<ReportId>,
 }
 
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -37,7 +37,7 @@
 use crate::SpreadStatus;
 use crate::Stream;
 use crate::Tick;
-use crate::admit::bucket::Bucket;
+use crate::admit::Bucket;
 use crate::membership::Members;
 use crate::quarantine::Reports;
 use crate::quarantine::Unsaid;
--- a/crates/core/src/spread/reply.rs
+++ b/crates/core/src/spread/reply.rs
@@ -48,6 +48,6 @@
     pub about_you: Option<EndpointState>,
     /// Digest over all reports of crashes that it knows.
     pub reports_root: u64,
-    /// These, newest first as far as they fit, if the asking node knows others.
+    /// These as far as they fit, if the asking node knows others.
     pub reports: Vec<Report>,
 }
--- a/crates/core/src/version/digest.rs
+++ b/crates/core/src/version/digest.rs
@@ -63,7 +63,8 @@
         u64::from_le_bytes([a, b, c, d, e, f, g, h])
     }
 
-    fn from_hash(hash: &blake3::Hash) -> Digest {
+    /// The digest of what was hashed.
+    pub(crate) fn from_hash(hash: &blake3::Hash) -> Digest {
         let mut bytes = [0; DIGEST_BYTES];
         bytes.copy_from_slice(&hash.as_bytes()[..DIGEST_BYTES]);
         Digest(bytes)
--- a/crates/node/src/shared/quarantine.rs
+++ b/crates/node/src/shared/quarantine.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use sassafrasspool_core::ANSWER_EXCUSES;
 use sassafrasspool_core::Content;
 use sassafrasspool_core::Event;
 use sassafrasspool_core::Fingerprint;
@@ -18,10 +19,6 @@
 use crate::control::ControlEvent;
 use crate::control::ControlHandle;
 
-/// How long an answer is remembered at least, in case that others begin to doubt what it
-/// was an answer to.
-const REMEMBERED: Duration = Duration::from_secs(10);
-
 /// Answers in one half at most, which bounds the memory of the busiest nodes.
 const MOST_ANSWERS: usize = 4_096;
 
@@ -66,16 +63,16 @@
 
     /// Notes that the own target gave a whole answer.
     pub(crate) fn answered(&self, now: Tick, content: &Content) {
-        let doubted = self.verdicts.load();
-        for content in content.fingerprints() {
-            {
-                let answered = self.answered.lock();
-                let mut answered = answered.unwrap_or_else(PoisonError::into_inner);
+        {
+            let answered = self.answered.lock();
+            let mut answered = answered.unwrap_or_else(PoisonError::into_inner);
+            for content in content.fingerprints() {
                 answered.note(now, content);
             }
-            if doubted.doubts(content) {
-                self.tell_answer(content, Duration::ZERO);
-            }
+        }
+        let verdicts = self.verdicts.load();
+        for content in content.fingerprints().filter(|it| verdicts.doubts(*it)) {
+            self.tell_answer(content, Duration::ZERO);
         }
     }
 
@@ -105,8 +102,8 @@
     }
 }
 
-/// When requests were answered last, in two halves of which the older goes as the newer is
-/// full and old enough.
+/// When requests were answered last, in case that others begin to doubt one: in two halves,
+/// of which the older goes as the newer is full or has filled for as long as answers excuse.
 #[derive(Debug, Default)]
 struct Answered {
     newer: HashMap<Fingerprint, Tick>,
@@ -117,7 +114,7 @@
 
 impl Answered {
     fn note(&mut self, now: Tick, content: Fingerprint) {
-        let is_old = now.since(self.since) >= REMEMBERED;
+        let is_old = now.since(self.since) >= ANSWER_EXCUSES;
         if is_old || self.newer.len() >= MOST_ANSWERS {
             std::mem::swap(&mut self.newer, &mut self.older);
             self.newer.clear();
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -88,12 +88,11 @@
             let refusal = stage.refuse(now, Step::Admission, Reason::Draining);
             return Err(Missed::unsent(refusal, self.req));
         }
-        let held = hub.check_quarantine(Step::Admission, self.call.content.as_ref());
-        if let Err(refusal) = held {
+        if let Some(left) = hub.quarantined_for(self.call.content.as_ref()) {
             // Targets crashed under it while it waited for its slot.
             let now = hub.shared.clock().now();
-            let _ = stage.refuse(now, Step::Admission, Reason::Quarantined);
-            return Err(Missed::unsent(refusal, self.req));
+            let refusal = stage.refuse(now, Step::Admission, Reason::Quarantined);
+            return Err(Missed::unsent(refusal.after(left), self.req));
         }
         match target::take(&hub.pool, self.worker.index).await {
             Ok(conn) => self.hand_over(stage, conn).await,
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -1,6 +1,7 @@
 //! What the traffic threads of one node share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::AdmissionSettings;
@@ -123,19 +124,23 @@
         }
     }
 
-    /// Refuses a request under which targets crash, and says for how long.
+    /// For how long no target is to run a request, if targets crash under it.
+    pub(super) fn quarantined_for(&self, content: Option<&Content>) -> Option<Duration> {
+        let now = self.shared.clock().now();
+        self.shared.quarantine().holds(now, content?)
+    }
+
+    /// Lets a request pass unless targets crash under it.
     ///
     /// # Errors
     ///
-    /// Refuses it as not run.
+    /// Refuses it as not run, and says for how long.
     pub(super) fn check_quarantine(
         &self,
         step: Step,
         content: Option<&Content>,
     ) -> std::result::Result<(), Refusal> {
-        let now = self.shared.clock().now();
-        let held = content.and_then(|content| self.shared.quarantine().holds(now, content));
-        match held {
+        match self.quarantined_for(content) {
             Some(left) => Err(Refusal::not_run(step, Reason::Quarantined).after(left)),
             None => Ok(()),
         }
