--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -27,24 +27,19 @@
 use crate::fleet::Fleet;
 use crate::fleet::Member;
 use crate::schedule::Fault;
-use crate::schedule::LinkFault;
 use crate::schedule::NodeFault;
 use crate::schedule::PlatformFault;
 use crate::schedule::Schedule;
 use crate::schedule::Step;
 use crate::schedule::TargetFault;
-use crate::schedule::Way;
 use crate::verdict::Hurt;
 use crate::verdict::crashes;
 
 mod hurts;
+mod links;
 mod operators;
 mod switches;
 
-/// By how much bytes are delayed: more than any wait inside of a failure
-/// domain, less than what callers wait for.
-const DELAY: Duration = Duration::from_millis(40);
-
 /// How long before its end a node that was told to stop closes connections that
 /// are idle at most, in microseconds: it says so on all that it answers on for as
 /// long as it refuses, and ends within a moment after.
@@ -288,38 +283,6 @@
         Ok(())
     }
 
-    async fn of_link(&self, n: usize, way: Way, what: LinkFault, length: Duration) {
-        let link = self.member(n).link(way);
-        let from_us = now_us();
-        self.lose(n);
-        match what {
-            LinkFault::Delay => link.delay(DELAY),
-            LinkFault::Reset => link.reset(),
-            LinkFault::Silence => link.silence(),
-            LinkFault::Cut => link.hold(true, true),
-            LinkFault::CutForth => link.hold(true, false),
-            LinkFault::CutBack => link.hold(false, true),
-        }
-        tokio::time::sleep(length).await;
-        match what {
-            LinkFault::Delay => link.delay(Duration::ZERO),
-            LinkFault::Reset | LinkFault::Silence => {}
-            LinkFault::Cut | LinkFault::CutForth | LinkFault::CutBack => link.hold(false, false),
-        }
-        self.regain(n);
-        match way {
-            // A connection that went silent may be used at any later time.
-            Way::Callers if what == LinkFault::Silence => {
-                self.note_until(n, OutageKind::CallersCut, from_us, u64::MAX);
-            }
-            // Nothing can be told to a caller whose own connection fails.
-            Way::Callers => self.note(n, OutageKind::CallersCut, from_us),
-            // An answer that has begun can't be made whole elsewhere.
-            Way::PeerTraffic | Way::Target => self.note(n, OutageKind::AnswersCut, from_us),
-            Way::PeerControl | Way::Platform => {}
-        }
-    }
-
     async fn of_platform(&self, what: PlatformFault, length: Duration) -> miette::Result<()> {
         let platform = &self.fleet.platform;
         self.log.record(Event::SourceLost);
