--- a/crates/core/src/spread/lapse.rs
+++ b/crates/core/src/spread/lapse.rs
@@ -76,8 +76,8 @@
             return None;
         }
         // The doubt begins with the first list that lacks many, also within the
-        // time after an outage. Begun at the end of that, it put the list off for
-        // 3.8 s in all, and the word of a target that leaves with it.
+        // time after an outage. Begun at the end of that, it would put the list off
+        // for both times, and the word of a target that leaves with it.
         if lost.is_many() {
             self.doubted.get_or_insert(now + DOUBTED_FOR);
         } else {
--- a/crates/core/src/spread/machine/announce.rs
+++ b/crates/core/src/spread/machine/announce.rs
@@ -90,10 +90,9 @@
 
     /// Tells nodes that they aren't listed any more.
     ///
-    /// They are nobody's peers from then on, and heard of it by comparing now
-    /// and then, up to 2.5 s late, in which they went on to hand requests to a
-    /// target that had vanished without a word. Once they know, they read for
-    /// themselves.
+    /// They are nobody's peers from then on. Left to comparing now and then, they
+    /// would go on for so long to hand requests to a target that has vanished
+    /// without a word. Once they know, they read for themselves.
     fn tell_unlisted(&mut self, now: Tick, message: Announce, out: &mut Vec<Action>) {
         for to in std::mem::take(&mut self.gossip.unlisted) {
             let message = PeerMessage::Announce(message.clone());
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -111,9 +111,9 @@
     ///
     /// Its target crashed, or hasn't registered yet, while callers at its
     /// instance are still served. Others don't count it among their peers, so
-    /// that it heard of changes by comparing now and then: up to 2.0 s late,
-    /// while it sent requests to targets that had long said that they leave. It
-    /// therefore asks them often, and reads for itself if none answers.
+    /// that it would hear of changes by comparing now and then, and meanwhile send
+    /// requests to targets that have long said that they leave. It therefore asks
+    /// them often, and reads for itself if none answers.
     ///
     /// One whose target drains is listed, and told as all are. In a fleet that
     /// reads with all nodes it reads as well, though it has no rank.
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -25,7 +25,7 @@
 use crate::spread::life::Life;
 
 /// How often a node compares itself that the list no longer names and that nobody
-/// tells: it knows of a change as soon as the others, within 0.3 s, for 3 KB/s.
+/// tells, so that it knows of a change about as soon as the others.
 const UNLISTED_PAUSE: Duration = Duration::from_millis(150);
 
 impl Spread {
