Show that a silence which begins with a change is noticed late, with a failing test

A change was in force 11.0 s after the platform's return, once, in a test of whole nodes beside load. The watches that were lost had been asked as the silence began: 10 s of a watch and 5 s for its answer less 4 s of silence. It was known as a gap of milliseconds between an answer and the next watch; when it meets the first-ranked readers of all failure domains, nobody is left to tell the others. Not mended here: the test shows it in three fleets and is listed.

--- a/crates/core/src/spread/tests/silence.rs
+++ b/crates/core/src/spread/tests/silence.rs
@@ -98,3 +98,19 @@
     net.publish(2, &good(2));
     net.run_until(IN_FORCE, |net| net.all_at(2));
 }
+
+// A catalogue was published, and the platform fell silent while its answers were on their
+// way. All nodes asked their next watch into the silence, within milliseconds of the answer
+// that they had just had, and waited for it to its end: the next change was 11 s late.
+#[rstest]
+fn a_silence_that_begins_with_a_change_is_noticed(#[values(3, 14, 79)] nodes: usize) {
+    let mut net = joined_net_with(nodes, 1, few_reads());
+    net.run_for(Duration::from_secs(5));
+    net.publish(2, &good(2));
+    net.set_silent(true);
+    net.run_for(Duration::from_secs(4));
+    net.set_silent(false);
+    net.run_for(IN_TOUCH);
+    net.publish(3, &good(3));
+    net.run_until(IN_FORCE, |net| net.all_at(3));
+}
