Check the platform after each value that a first reader gets

Callers saw: a change that was made right after a silence of the platform was in force 11.5 s late, if the silence had begun with another change.

Cause: after a single change the first-ranked readers asked their next watch within milliseconds of the answer. A value comes to all of them at once, so that a silence which begins then takes the next watch of each, and nobody is left to tell the others. A watch that is never answered looks like one on which nothing happens.

Each of them now asks a short watch first, as after a pause. The silence shows within 2 s, and a long watch only follows an answer without a value. Checks last between a quarter and half a second at random, so that the moments at which long watches begin differ between readers.

Cost: one more read after a single change for each failure domain. In a burst the next change answers it, as before.

Before: a_silence_that_begins_with_a_change_is_noticed failed in fleets of 3, 14 and 79.

--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -41,7 +41,7 @@
             }
             self.budget.take(now);
             let check = self.check();
-            self.reads[stream as usize].read(now, &self.holder, check, out);
+            self.reads[stream as usize].read(now, &self.holder, check, &mut self.rng, out);
         }
         self.budget.cancel();
     }
@@ -49,7 +49,7 @@
     /// When this node checks that the platform answers.
     fn check(&self) -> Check {
         match self.role.rank() {
-            Some(0) => Check::AfterPause,
+            Some(0) => Check::AfterEach,
             _ => Check::AfterFailure,
         }
     }
--- a/crates/core/src/spread/naive.rs
+++ b/crates/core/src/spread/naive.rs
@@ -59,7 +59,7 @@
         for stream in Stream::ALL {
             let reads = &mut self.reads[stream as usize];
             if reads.due().is_some_and(|due| due <= now) {
-                reads.read(now, &self.holder, Check::AfterPause, out);
+                reads.read(now, &self.holder, Check::AfterEach, &mut self.rng, out);
             }
         }
     }
--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
 use rand::rngs::SmallRng;
 
 use super::holder::Holder;
@@ -28,6 +29,10 @@
 /// platform's return, and a list may be put off for 2.3 s of these.
 const CHECK_WAIT: Duration = Duration::from_millis(500);
 
+/// The least part of [`CHECK_WAIT`] that a check lasts. Checks of several readers end at
+/// different times, so that a silence can't meet the next watch of all of them.
+const CHECK_WAIT_LEAST: f64 = 0.5;
+
 /// For how long after an answer the next read may be a watch without a check. The
 /// read budget puts reads off by 0.3 s at most where few nodes read much.
 const JUST_ANSWERED: Duration = Duration::from_secs(1);
@@ -39,14 +44,17 @@
 pub(super) enum Check {
     /// After a failure.
     AfterFailure,
-    /// After a failure or a pause, and it pauses less: see [`SourceReads::rest`].
-    AfterPause,
+    /// After a failure, a value or a pause, and it pauses less: see
+    /// [`SourceReads::rest`].
+    AfterEach,
 }
 
 /// What there was last on a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Last {
-    /// An answer of the platform, at that time.
+    /// A value.
+    Value,
+    /// An answer without a value, at that time.
     Answer(Tick),
     /// A pause after an answer, or nothing yet.
     Pause,
@@ -64,12 +72,14 @@
 /// a change.
 ///
 /// Therefore each checks after a failure. One in each failure domain checks after a
-/// pause as well, and has none after a single change; what it hears, it tells the
-/// others. Were all readers to do so, changes in a row would take a third more reads.
+/// value and after a pause as well, and has no pause after a single change; what it
+/// hears, it tells the others. Were all readers to do so, changes in a row would take
+/// a third more reads.
 ///
 /// # Invariants
 ///
-/// Who checks after a pause only watches a stream right after an answer on it.
+/// Who checks after each value only watches a stream right after an answer without one,
+/// which comes at a moment of the reader's own: a value comes to all readers at once.
 #[derive(Debug)]
 pub(super) struct SourceReads {
     stream: Stream,
@@ -149,7 +159,14 @@
 
     /// Asks for a read. It waits for something newer than what is held and
     /// than what was seen: a bad version must not be handed out for ever.
-    pub(super) fn read(&mut self, now: Tick, holder: &Holder, check: Check, out: &mut Vec<Action>) {
+    pub(super) fn read(
+        &mut self,
+        now: Tick,
+        holder: &Holder,
+        check: Check,
+        rng: &mut SmallRng,
+        out: &mut Vec<Action>,
+    ) {
         let held = holder.heads().of(self.stream);
         let held = held.map(|version| version.revision());
         let after = held.max(self.seen);
@@ -157,7 +174,7 @@
         self.freshness = self.freshness_after(after);
         self.count += 1;
         self.wait = match after {
-            Some(_) => self.wait_at(now, check),
+            Some(_) => self.wait_at(now, check, rng),
             None => Duration::ZERO,
         };
         out.push(Action::ReadSource {
@@ -170,15 +187,18 @@
     }
 
     /// How long the platform may hold a read that is asked now.
-    fn wait_at(&self, now: Tick, check: Check) -> Duration {
+    fn wait_at(&self, now: Tick, check: Check, rng: &mut SmallRng) -> Duration {
         let checks = match (check, self.last) {
             (_, Last::Failure) => true,
             (Check::AfterFailure, _) => false,
-            (Check::AfterPause, Last::Pause) => true,
-            (Check::AfterPause, Last::Answer(at)) => now.since(at) > JUST_ANSWERED,
+            (Check::AfterEach, Last::Pause | Last::Value) => true,
+            (Check::AfterEach, Last::Answer(at)) => now.since(at) > JUST_ANSWERED,
         };
         match checks {
-            true => CHECK_WAIT.min(self.watch),
+            true => {
+                let part = rng.random_range(CHECK_WAIT_LEAST..=1.0);
+                CHECK_WAIT.mul_f64(part).min(self.watch)
+            }
             false => self.watch,
         }
     }
@@ -196,13 +216,12 @@
     /// The pause after a value, if it is `rest` as a rule.
     ///
     /// A burst is read once in that time, which keeps slow links from being busy with
-    /// a large catalogue all the while. Who checks after a pause has none after a
-    /// single change, one whose watch took twice as long: the next watch follows at
-    /// once, while the platform is known to answer.
+    /// a large catalogue all the while. Who checks after each value has none after a
+    /// single change, one whose watch took twice as long: its check follows at once.
     pub(super) fn rest(&self, rest: Duration, check: Check) -> Duration {
         match check {
-            Check::AfterPause if self.took >= rest * 2 => Duration::ZERO,
-            Check::AfterPause | Check::AfterFailure => rest,
+            Check::AfterEach if self.took >= rest * 2 => Duration::ZERO,
+            Check::AfterEach | Check::AfterFailure => rest,
         }
     }
 
@@ -252,7 +271,10 @@
     pub(super) fn succeed(&mut self, now: Tick, seen: Option<Revision>) {
         self.took = self.elapsed(now);
         self.under_way = None;
-        self.last = Last::Answer(now);
+        self.last = match seen {
+            Some(_) => Last::Value,
+            None => Last::Answer(now),
+        };
         self.answered = true;
         self.seen = self.seen.max(seen);
         self.backoff.succeed();
