Keep work from failure domains that operators evacuate

Callers and operators saw: nothing.

Cause: the operators' order wasn't read. Only the configuration's own key was watched.

An evacuation is an item of the catalogue now, so that it spreads, is compared after a cut, survives restarts and is never taken back by an older version. Nobody chooses a target there; the node beside one refuses as not run what it hasn't handed over and what waits for a slot; later tries go by the newest catalogue; owners of request keys stay the same, since a lease proves the instance list alone.

The catalogue's text takes a list of evacuated failure domains. The audit trail tells of each order and its end, status and route explain of what is in force.

Without the check in the picker, the node beside the target or the later tries, one of requests/evacuation.rs fails each.

--- a/crates/bench/src/demo/changes.rs
+++ b/crates/bench/src/demo/changes.rs
@@ -40,8 +40,8 @@
             match item {
                 CatalogueItem::Kind(kind) => kinds.push(kind),
                 CatalogueItem::Service(entry) => services.push(entry),
-                // The examples name no bounds of callers.
-                CatalogueItem::Callers(_) => {}
+                // The examples have neither.
+                CatalogueItem::Callers(_) | CatalogueItem::Evacuation(_) => {}
             }
         }
         let routed = |entry: &ServiceEntry| !entry.routes.is_empty();
--- a/crates/core/src/admit/control.rs
+++ b/crates/core/src/admit/control.rs
@@ -113,9 +113,9 @@
         wakes.into_iter().for_each(Wake::call);
     }
 
-    /// Takes requests again after [`Admission::close`].
-    pub fn open(&self) {
-        self.0.lock().open();
+    /// Takes back [`Admission::close`] for that reason.
+    pub fn open(&self, reason: Reason) {
+        self.0.lock().open(reason);
     }
 }
 
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -60,7 +60,8 @@
     queue: Queue,
     bucket: Bucket,
     reserve: Reserve,
-    closed: Option<Reason>,
+    /// Why nothing is admitted, the first reason first.
+    closed: Vec<Reason>,
     now: Tick,
 }
 
@@ -76,7 +77,7 @@
             queue: Queue::new(),
             bucket: Bucket::full(),
             reserve: Reserve::default(),
-            closed: None,
+            closed: Vec::new(),
             now: Tick::ZERO,
         }
     }
@@ -117,8 +118,8 @@
     }
 
     fn refuse_at_once(&mut self, ask: &Ask<'_>) -> Option<Refusal> {
-        if let Some(reason) = self.closed {
-            return Some(refusal(reason));
+        if let Some(reason) = self.closed.first() {
+            return Some(refusal(*reason));
         }
         if ask.deadline.passed(self.now) {
             return Some(refusal(Reason::DeadlinePassed));
@@ -217,13 +218,15 @@
 
     /// Refuses everything from now on, and what waits.
     pub(super) fn close(&mut self, reason: Reason, wakes: &mut Vec<Wake>) {
-        self.closed = Some(reason);
+        if !self.closed.contains(&reason) {
+            self.closed.push(reason);
+        }
         let waiting = self.queue.clear();
         wakes.extend(waiting.into_iter().map(|w| refuse(w, refusal(reason))));
     }
 
-    pub(super) fn open(&mut self) {
-        self.closed = None;
+    pub(super) fn open(&mut self, reason: Reason) {
+        self.closed.retain(|held| *held != reason);
     }
 
     fn sweep(&mut self, wakes: &mut Vec<Wake>) {
--- a/crates/core/src/admit/state/place.rs
+++ b/crates/core/src/admit/state/place.rs
@@ -59,8 +59,8 @@
     /// What a request would be told that asked now, if that is no.
     pub(in crate::admit) fn foresee(&mut self, now: Tick, ask: &Ask<'_>) -> Option<Refusal> {
         self.now = self.now.max(now);
-        if let Some(reason) = self.closed {
-            return Some(refusal(reason));
+        if let Some(reason) = self.closed.first() {
+            return Some(refusal(*reason));
         }
         let work = self.took.work(ask.class, ask.kind);
         if self.queue.ahead_of(ask.class) == 0 && self.has_slot(ask.class) {
--- a/crates/core/src/admit/tests/cases.rs
+++ b/crates/core/src/admit/tests/cases.rs
@@ -197,7 +197,7 @@
         [(1, Reason::Draining), (2, Reason::Draining)]
     );
     permit.release(NOW);
-    bench.admission.open();
+    bench.admission.open(Reason::Draining);
     bench.offer(NOW, Class::Critical, &LIMITS);
     bench.take_permit().release(NOW);
 }
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -2,6 +2,7 @@
 //! routes, and the weights of kinds of requests.
 
 pub use self::callers::CallerLimits;
+pub use self::evacuation::Evacuation;
 pub use self::host::HostName;
 pub use self::item::CatalogueItem;
 pub use self::item::ItemKey;
@@ -21,6 +22,7 @@
 use crate::Document;
 
 mod callers;
+mod evacuation;
 mod host;
 mod item;
 mod kind;
--- a/crates/core/src/catalogue/item.rs
+++ b/crates/core/src/catalogue/item.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 
 use crate::CallerLimits;
+use crate::DomainName;
+use crate::Evacuation;
 use crate::Item;
 use crate::Kind;
 use crate::KindName;
@@ -21,6 +23,8 @@
     Kind(Kind),
     /// A service with its routes.
     Service(ServiceEntry),
+    /// A failure domain whose targets get no new work.
+    Evacuation(Evacuation),
 }
 
 /// What identifies an item of a catalogue.
@@ -32,6 +36,8 @@
     Kind(KindName),
     /// A service, by name.
     Service(ServiceName),
+    /// An evacuated failure domain, by name.
+    Evacuation(DomainName),
 }
 
 impl fmt::Display for ItemKey {
@@ -40,6 +46,7 @@
             ItemKey::Callers => f.write_str("callers"),
             ItemKey::Kind(name) => write!(f, "kind {name}"),
             ItemKey::Service(name) => write!(f, "service {name}"),
+            ItemKey::Evacuation(domain) => write!(f, "evacuation of {domain}"),
         }
     }
 }
@@ -52,6 +59,7 @@
             CatalogueItem::Callers(_) => ItemKey::Callers,
             CatalogueItem::Kind(kind) => ItemKey::Kind(kind.name.clone()),
             CatalogueItem::Service(entry) => ItemKey::Service(entry.name.clone()),
+            CatalogueItem::Evacuation(it) => ItemKey::Evacuation(it.domain.clone()),
         }
     }
 }
--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -7,6 +7,8 @@
 use crate::CallerLimits;
 use crate::CatalogueItem;
 use crate::Class;
+use crate::DomainName;
+use crate::Evacuation;
 use crate::Faults;
 use crate::HostName;
 use crate::ItemKey;
@@ -23,7 +25,9 @@
 use crate::Share;
 use crate::yaml;
 use crate::yaml::Field;
+use crate::yaml::Scalar;
 use crate::yaml::Table;
+use crate::yaml::Tree;
 
 /// Bounds of a kind's weight.
 const WEIGHT: std::ops::RangeInclusive<u64> = 1..=1_000;
@@ -94,11 +98,40 @@
         if let Some(mut services) = top.table("services", &mut reading.faults) {
             read_services(&mut services, &mut reading);
         }
+        read_evacuated(&mut top, &mut reading);
         top.finish(&mut reading.faults);
     }
     reading
 }
 
+/// The evacuated failure domains: a list of names.
+fn read_evacuated(top: &mut Table<'_>, reading: &mut Reading) {
+    for placed in top.list("evacuated", &mut reading.faults) {
+        let mut faults = Faults::new();
+        let name = match &placed.tree {
+            Tree::Scalar(Scalar::Text(name)) => {
+                DomainName::new(name).map_err(|err| err.to_string())
+            }
+            _ => Err("must be the name of a failure domain".to_owned()),
+        };
+        let domain = match name {
+            Ok(domain) => Some(domain),
+            Err(reason) => {
+                faults.add_at(Some(placed.place), "", "evacuated", reason);
+                None
+            }
+        };
+        let key = domain.clone().map(ItemKey::Evacuation);
+        let item = domain.map(|domain| {
+            CatalogueItem::Evacuation(Evacuation {
+                domain,
+                since: None,
+            })
+        });
+        reading.take(key, item, faults);
+    }
+}
+
 fn read_kinds(kinds: &mut Table<'_>, reading: &mut Reading) {
     for field in kinds.rest() {
         let mut faults = Faults::new();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -82,6 +82,7 @@
 pub use crate::catalogue::CallerLimits;
 pub use crate::catalogue::Catalogue;
 pub use crate::catalogue::CatalogueItem;
+pub use crate::catalogue::Evacuation;
 pub use crate::catalogue::HostName;
 pub use crate::catalogue::ItemKey;
 pub use crate::catalogue::Kind;
--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -56,11 +56,13 @@
     OtherLife,
     /// Targets crash under it, so that none is to run it.
     Quarantined,
+    /// Operators have evacuated the failure domain of the target.
+    Evacuated,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 25] = [
+    pub const ALL: [Reason; 26] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
@@ -86,6 +88,7 @@
         Reason::TargetShed,
         Reason::OtherLife,
         Reason::Quarantined,
+        Reason::Evacuated,
     ];
 
     /// The reason's name in headers, metrics and logs.
@@ -116,6 +119,7 @@
             Reason::TargetShed => "target-shed",
             Reason::OtherLife => "other-life",
             Reason::Quarantined => "quarantined",
+            Reason::Evacuated => "evacuated",
         }
     }
 
@@ -131,7 +135,11 @@
     pub const fn is_misplaced(self) -> bool {
         matches!(
             self,
-            Reason::Connect | Reason::Draining | Reason::Starting | Reason::NotOwner
+            Reason::Connect
+                | Reason::Draining
+                | Reason::Starting
+                | Reason::NotOwner
+                | Reason::Evacuated
         )
     }
 
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -201,7 +201,7 @@
             | Reason::CallerGone
             | Reason::Quarantined => true,
             // A key has one owner, and no other endpoint stands in for it.
-            Reason::Connect | Reason::Draining | Reason::Starting => keyed,
+            Reason::Connect | Reason::Draining | Reason::Starting | Reason::Evacuated => keyed,
             _ => false,
         }
     }
--- a/crates/core/src/route/picker.rs
+++ b/crates/core/src/route/picker.rs
@@ -49,12 +49,17 @@
         let mut services = SecondaryMap::new();
         for (key, service) in snapshot.services() {
             let mut candidates = Vec::new();
+            let mut evacuated = Vec::new();
             for (key, endpoint) in snapshot.endpoints_of(service) {
                 let instance = &endpoint.instance;
                 if instance.state == InstanceState::Leaving {
                     continue;
                 }
-                candidates.push(Candidate {
+                let among = match snapshot.is_evacuated(&instance.domain) {
+                    true => &mut evacuated,
+                    false => &mut candidates,
+                };
+                among.push(Candidate {
                     key,
                     id: instance.id.clone(),
                     tier: position.tier_of(instance),
@@ -68,6 +73,7 @@
             let view = ServiceView {
                 candidates,
                 subset,
+                evacuated,
                 meter: meters.service(&service.entry.name),
             };
             services.insert(key, Arc::new(view));
@@ -97,6 +103,9 @@
         let Some(view) = self.services.get(service) else {
             return Err(refusal);
         };
+        if view.candidates.is_empty() && !view.evacuated.is_empty() {
+            return Err(Refusal::not_run(Step::Route, Reason::Evacuated));
+        }
         let (subset, rest) = view.candidates.split_at(view.subset);
         let wanted = |c: &Candidate| !avoid.contains(&c.key);
         let usable = |c: &Candidate| wanted(c) && c.meter.is_usable(now);
@@ -140,7 +149,11 @@
             return Err(refusal);
         };
         let by_score = |c: &&Candidate| (c.score.against(key.score()), c.id.clone());
-        match view.candidates.iter().max_by_key(by_score) {
+        let owners = view.candidates.iter().chain(&view.evacuated);
+        match owners.max_by_key(by_score) {
+            Some(owner) if view.evacuated.iter().any(|c| c.key == owner.key) => {
+                Err(Refusal::not_run(Step::Route, Reason::Evacuated))
+            }
             Some(owner) => Ok(self.picked(view, owner, now)),
             None => Err(refusal),
         }
--- a/crates/core/src/route/service.rs
+++ b/crates/core/src/route/service.rs
@@ -50,5 +50,8 @@
 pub(super) struct ServiceView {
     pub(super) candidates: Vec<Candidate>,
     pub(super) subset: usize,
+    /// Endpoints that take no work since their failure domain is evacuated. They own
+    /// request keys all the same: ownership follows the instance list alone.
+    pub(super) evacuated: Vec<Candidate>,
     pub(super) meter: std::sync::Arc<ServiceMeter>,
 }
--- a/crates/core/src/snapshot/build.rs
+++ b/crates/core/src/snapshot/build.rs
@@ -13,6 +13,7 @@
 use crate::CallerLimits;
 use crate::Catalogue;
 use crate::CatalogueItem;
+use crate::Evacuation;
 use crate::Faults;
 use crate::InstanceList;
 use crate::ItemKey;
@@ -29,6 +30,7 @@
     by_name: HashMap<ServiceName, ServiceKey>,
     routes: RouteTable,
     callers: CallerLimits,
+    evacuations: Vec<Evacuation>,
 }
 
 impl<'a> Builder<'a> {
@@ -39,6 +41,7 @@
             by_name: HashMap::new(),
             routes: RouteTable::default(),
             callers: CallerLimits::default(),
+            evacuations: Vec::new(),
         }
     }
 
@@ -47,6 +50,7 @@
         if let Some(CatalogueItem::Callers(limits)) = self.catalogue.get(&ItemKey::Callers) {
             self.callers = *limits;
         }
+        self.add_evacuations();
         self.add_services();
         self.add_routes(&weights);
         // INVARIANT: Every key was given out by the maps that go in here.
@@ -59,11 +63,20 @@
             in_order: Vec::new(),
             routes: Arc::new(self.routes),
             callers: self.callers,
+            evacuations: Arc::from(self.evacuations),
         };
         snapshot.add_endpoints(instances);
         Ok(snapshot)
     }
 
+    fn add_evacuations(&mut self) {
+        let found = self.catalogue.iter().filter_map(|item| match item {
+            CatalogueItem::Evacuation(evacuation) => Some(evacuation.clone()),
+            _ => None,
+        });
+        self.evacuations.extend(found);
+    }
+
     fn add_services(&mut self) {
         for item in self.catalogue.iter() {
             let CatalogueItem::Service(entry) = item else {
--- a/crates/core/src/snapshot/whole.rs
+++ b/crates/core/src/snapshot/whole.rs
@@ -11,11 +11,15 @@
 use crate::BoundService;
 use crate::CallerLimits;
 use crate::Catalogue;
+use crate::DomainName;
 use crate::Endpoint;
 use crate::EndpointKey;
+use crate::Evacuation;
 use crate::Faults;
+use crate::Instance;
 use crate::InstanceId;
 use crate::InstanceList;
+use crate::InstanceState;
 use crate::ServiceKey;
 use crate::ServiceName;
 use crate::Version;
@@ -38,6 +42,8 @@
     pub(super) in_order: Vec<EndpointKey>,
     pub(super) routes: Arc<RouteTable>,
     pub(super) callers: CallerLimits,
+    /// The failure domains whose targets get no new work.
+    pub(super) evacuations: Arc<[Evacuation]>,
 }
 
 impl Snapshot {
@@ -70,6 +76,7 @@
             in_order: Vec::new(),
             routes: Arc::clone(&self.routes),
             callers: self.callers,
+            evacuations: Arc::clone(&self.evacuations),
         };
         for service in bound.services.values_mut() {
             service.endpoints.clear();
@@ -153,6 +160,27 @@
         self.routes.find(host, path)
     }
 
+    /// The failure domains whose targets get no new work.
+    pub fn evacuations(&self) -> &[Evacuation] {
+        &self.evacuations
+    }
+
+    /// Whether the targets of a failure domain get no new work.
+    pub fn is_evacuated(&self, domain: &DomainName) -> bool {
+        self.evacuations.iter().any(|it| it.domain == *domain)
+    }
+
+    /// Whether the target of an instance gets new work: it isn't about to leave, and its
+    /// failure domain isn't evacuated.
+    pub fn takes_work(&self, instance: &Instance) -> bool {
+        instance.state == InstanceState::Live && !self.is_evacuated(&instance.domain)
+    }
+
+    /// The number of endpoints of all services.
+    pub fn endpoint_count(&self) -> usize {
+        self.in_order.len()
+    }
+
     /// What callers may send.
     pub fn callers(&self) -> &CallerLimits {
         &self.callers
--- a/crates/core/src/spread/action.rs
+++ b/crates/core/src/spread/action.rs
@@ -5,6 +5,7 @@
 
 use crate::AuditEvent;
 use crate::Call;
+use crate::Catalogue;
 use crate::EndpointState;
 use crate::Freshness;
 use crate::InstanceList;
@@ -36,6 +37,8 @@
         /// The instance list that is held: a platform that publishes changes of
         /// it needn't be asked for all of it again.
         list: Option<Arc<InstanceList>>,
+        /// The same of the catalogue.
+        catalogue: Option<Arc<Catalogue>>,
     },
     /// Put a snapshot in force, at once and whole.
     Apply(Applied),
--- a/crates/core/src/spread/audit.rs
+++ b/crates/core/src/spread/audit.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::Content;
+use crate::DomainName;
 use crate::EndpointState;
 use crate::Fingerprint;
 use crate::InstanceId;
@@ -152,6 +153,22 @@
         /// What it asks for.
         content: Fingerprint,
     },
+    /// Operators have evacuated a failure domain: its targets get no new work.
+    Evacuated {
+        /// The failure domain.
+        domain: DomainName,
+        /// Instances there by the list that is held; zero if nobody knows that domain.
+        instances: u32,
+        /// Who told of it.
+        origin: Origin,
+    },
+    /// A failure domain is no longer evacuated.
+    TakenBack {
+        /// The failure domain.
+        domain: DomainName,
+        /// Who told of it.
+        origin: Origin,
+    },
     /// The process was stopped for a while and has woken.
     Paused {
         /// For how long.
--- a/crates/core/src/spread/machine/join.rs
+++ b/crates/core/src/spread/machine/join.rs
@@ -6,6 +6,8 @@
 use crate::Action;
 use crate::AuditEvent;
 use crate::Catalogue;
+use crate::CatalogueItem;
+use crate::DomainName;
 use crate::InstanceList;
 use crate::Origin;
 use crate::Stream;
@@ -127,10 +129,40 @@
     ) {
         if let Some(held) = self.holder.catalogue() {
             self.catalogues.advance(before, held);
+            self.tell_evacuations(before, held, origin, out);
         }
         self.taken(now, Stream::Catalogue, origin, out);
     }
 
+    fn tell_evacuations(
+        &self,
+        before: Option<&Catalogue>,
+        held: &Catalogue,
+        origin: &Origin,
+        out: &mut Vec<Action>,
+    ) {
+        for domain in evacuated(held) {
+            if !before.is_some_and(|before| evacuated(before).any(|it| it == domain)) {
+                let list = self.holder.instances();
+                let listed = list.into_iter().flat_map(|list| list.iter());
+                let there = listed.filter(|instance| instance.domain == *domain);
+                out.push(Action::Audit(AuditEvent::Evacuated {
+                    domain: domain.clone(),
+                    instances: u32::try_from(there.count()).unwrap_or(u32::MAX),
+                    origin: origin.clone(),
+                }));
+            }
+        }
+        for domain in before.into_iter().flat_map(evacuated) {
+            if !evacuated(held).any(|it| it == domain) {
+                out.push(Action::Audit(AuditEvent::TakenBack {
+                    domain: domain.clone(),
+                    origin: origin.clone(),
+                }));
+            }
+        }
+    }
+
     /// A newer instance list is held.
     pub(super) fn instances_taken(
         &mut self,
@@ -194,3 +226,11 @@
         _ => false,
     }
 }
+
+/// The evacuated failure domains.
+fn evacuated(catalogue: &Catalogue) -> impl Iterator<Item = &DomainName> {
+    catalogue.iter().filter_map(|item| match item {
+        CatalogueItem::Evacuation(evacuation) => Some(&evacuation.domain),
+        _ => None,
+    })
+}
--- a/crates/core/src/spread/source.rs
+++ b/crates/core/src/spread/source.rs
@@ -183,6 +183,7 @@
             wait: self.wait,
             freshness: self.freshness,
             list: holder.instances().cloned(),
+            catalogue: holder.catalogue().cloned(),
         });
     }
 
--- a/crates/ctl/src/diff/fields.rs
+++ b/crates/ctl/src/diff/fields.rs
@@ -19,6 +19,11 @@
         }
         CatalogueItem::Service(entry) => add_service(entry, &mut found),
         CatalogueItem::Callers(limits) => add_callers(limits, &mut found),
+        CatalogueItem::Evacuation(evacuation) => {
+            let since = evacuation.since.map(|since| since.to_string());
+            let since = since.unwrap_or_else(|| "not told".to_owned());
+            found.insert("since".to_owned(), since);
+        }
     }
     found
 }
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -105,6 +105,7 @@
     let phase = found.phase;
     let phase = phase.map_or("not heard".to_owned(), |phase| phase.to_string());
     let listed = match found.listed {
+        InstanceState::Live if found.evacuated => "live, evacuated",
         InstanceState::Live => "live",
         InstanceState::Leaving => "leaving",
     };
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -63,6 +63,12 @@
                 said.source_age_ms
                     .map_or("-".to_owned(), |ms| ms.to_string()),
             )?;
+            for evacuation in &said.evacuations {
+                let since = evacuation.since_revision;
+                let since = since.map(|revision| format!(" since revision {revision}"));
+                let since = since.unwrap_or_default();
+                writeln!(f, "    evacuated: {}{since}", evacuation.domain)?;
+            }
         }
         self.0.fmt_unreachable(f)
     }
--- a/crates/node/src/admin/answers.rs
+++ b/crates/node/src/admin/answers.rs
@@ -3,10 +3,13 @@
 use sassafrasspool_core::BoundRoute;
 use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Endpoint;
+use sassafrasspool_core::Evacuation;
 use sassafrasspool_core::Heads;
+use sassafrasspool_core::Revision;
 use sassafrasspool_core::SpreadStatus;
 use sassafrasspool_core::Tick;
 use sassafrasspool_wire::admin::EndpointInfo;
+use sassafrasspool_wire::admin::EvacuationInfo;
 use sassafrasspool_wire::admin::Held;
 use sassafrasspool_wire::admin::RouteInfo;
 use sassafrasspool_wire::admin::ServiceInfo;
@@ -32,6 +35,7 @@
         joined: spread.joined,
         reading: spread.reading,
         held: in_force(admin),
+        evacuations: evacuations(admin),
         in_flight: shared.in_flight().count(),
         peers: spread.peers as u64,
         source_age_ms: spread.source_age.map(|age| age.as_millis() as u64),
@@ -40,6 +44,16 @@
     }
 }
 
+fn evacuations(admin: &Admin) -> Vec<EvacuationInfo> {
+    let view = admin.outside.shared.view();
+    let found = view.iter().flat_map(|view| view.snapshot.evacuations());
+    let info = |it: &Evacuation| EvacuationInfo {
+        domain: it.domain.clone(),
+        since_revision: it.since.map(Revision::get),
+    };
+    found.map(info).collect()
+}
+
 /// What the node holds and what it heard of.
 pub(super) fn versions(admin: &Admin, spread: &SpreadStatus) -> Versions {
     Versions {
@@ -105,6 +119,7 @@
         instance: instance.id.clone(),
         region: instance.region.clone(),
         domain: instance.domain.clone(),
+        evacuated: view.snapshot.is_evacuated(&instance.domain),
         traffic: instance.traffic,
         slots: instance.slots,
         listed: instance.state,
--- a/crates/node/src/admin/explain.rs
+++ b/crates/node/src/admin/explain.rs
@@ -68,5 +68,6 @@
 
 /// Whether an endpoint may be sent requests, as far as this node knows.
 fn takes_requests(endpoint: &EndpointInfo) -> bool {
-    endpoint.listed == InstanceState::Live && endpoint.phase == Some(Phase::Ready)
+    let listed = endpoint.listed == InstanceState::Live && !endpoint.evacuated;
+    listed && endpoint.phase == Some(Phase::Ready)
 }
--- a/crates/node/src/audit/record.rs
+++ b/crates/node/src/audit/record.rs
@@ -66,6 +66,18 @@
             reason: before.map(|before| format!("was {before}")),
             ..named(ENDPOINT, origin)
         },
+        AuditEvent::Evacuated {
+            domain,
+            instances,
+            origin,
+        } => AuditRecord {
+            reason: Some(format!("{domain}, with {instances} listed instances")),
+            ..named("evacuated", origin)
+        },
+        AuditEvent::TakenBack { domain, origin } => AuditRecord {
+            reason: Some(domain.to_string()),
+            ..named("taken-back", origin)
+        },
         AuditEvent::Replaced { state } => AuditRecord {
             event: "replaced".to_owned(),
             instance: Some(state.instance.clone()),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -67,6 +67,8 @@
     in_force: Newest,
     proved_list: Newest,
     quarantine: Quarantine,
+    /// Whether the own failure domain is evacuated.
+    evacuated: watch::Sender<bool>,
 }
 
 impl Shared {
@@ -99,6 +101,7 @@
             in_force: Newest::default(),
             proved_list: Newest::default(),
             quarantine: Quarantine::default(),
+            evacuated: watch::Sender::new(false),
         }
     }
 
@@ -149,11 +152,36 @@
         let view = Arc::new(view);
         let now = self.clock.now();
         self.routing.bind(&view, now);
+        if let Some(routes) = self.routing.routes() {
+            self.follow_evacuation(&routes);
+        }
         let revision = view.snapshot.catalogue().revision();
         self.view.store(Some(view));
         self.in_force.note(now, revision);
     }
 
+    fn follow_evacuation(&self, routes: &Routes) {
+        let changed = self.evacuated.send_if_modified(|held| {
+            let before = std::mem::replace(held, routes.evacuated);
+            before != *held
+        });
+        if changed {
+            let revision = routes.view.snapshot.catalogue().revision().get();
+            let evacuated = routes.evacuated;
+            tracing::info!(evacuated, revision, "the own failure domain's evacuation");
+        }
+    }
+
+    /// Whether operators have evacuated the failure domain of the own target.
+    pub fn is_evacuated(&self) -> bool {
+        *self.evacuated.borrow()
+    }
+
+    /// Follows whether it is.
+    pub(crate) fn watch_evacuated(&self) -> watch::Receiver<bool> {
+        self.evacuated.subscribe()
+    }
+
     /// Says where the node stands in the fleet, before the first view, and
     /// which window remembers the requests with a key that it runs.
     pub fn place(&self, position: Position, repeat: RepeatWindow) {
--- a/crates/node/src/shared/routing.rs
+++ b/crates/node/src/shared/routing.rs
@@ -52,6 +52,8 @@
     pub own: Option<EndpointKey>,
     /// Since when the list names the own endpoint as leaving, or no longer.
     departing: Option<Tick>,
+    /// Whether the failure domain of this node is evacuated.
+    pub evacuated: bool,
 }
 
 impl Routes {
@@ -132,12 +134,14 @@
             }
         };
         let departing = departing(view, own, held.as_deref(), now);
+        let evacuated = view.snapshot.is_evacuated(&position.domain);
         let view = Arc::clone(view);
         self.routes.store(Some(Arc::new(Routes {
             view,
             picker,
             own,
             departing,
+            evacuated,
         })));
     }
 
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -275,7 +275,7 @@
         Failure::Lost(_) => Verdict::Failed,
         Failure::Refused(refusal) => match refusal.reason() {
             Reason::Connect => Verdict::NoConnection,
-            Reason::Draining | Reason::Starting => Verdict::Draining,
+            Reason::Draining | Reason::Starting | Reason::Evacuated => Verdict::Draining,
             // Neither says anything of the endpoint.
             Reason::DeadlinePassed | Reason::Quarantined => Verdict::Cancelled,
             _ => Verdict::Shed,
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -193,6 +193,9 @@
     if worker.hub.is_leaving() || worker.hub.has_departed() {
         return Some(Reason::Draining);
     }
+    if worker.hub.shared.is_evacuated() {
+        return Some(Reason::Evacuated);
+    }
     let starting = worker.hub.shared.phase() == Phase::Starting;
     starting.then_some(Reason::Starting)
 }
--- a/crates/node/src/traffic/departed.rs
+++ b/crates/node/src/traffic/departed.rs
@@ -6,7 +6,6 @@
 use sassafrasspool_core::Endpoint;
 use sassafrasspool_core::EndpointKey;
 use sassafrasspool_core::Instance;
-use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::Snapshot;
 
 /// The endpoints of a service of the snapshot `held` that get no new work by
@@ -35,7 +34,7 @@
     let Some(now) = found.and_then(|key| newest.endpoint(key)) else {
         return false;
     };
-    now.instance.state != InstanceState::Leaving && is_same_target(&now.instance, instance)
+    newest.takes_work(&now.instance) && is_same_target(&now.instance, instance)
 }
 
 /// Whether both name one start of one target, where starts are told apart.
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/threads.rs
@@ -101,6 +101,7 @@
         },
         serve::accept(Arc::clone(&worker), traffic, Port::Peer),
         close_admission(&hub),
+        follow_evacuation(&hub),
         close(&hub),
     );
 }
@@ -114,6 +115,25 @@
     hub.closing.cancel();
 }
 
+/// Refuses what waits for a slot as soon as the own failure domain is evacuated, and
+/// takes work again when it no longer is.
+async fn follow_evacuation(hub: &Hub) {
+    let mut evacuated = hub.shared.watch_evacuated();
+    let follow = async {
+        loop {
+            match *evacuated.borrow_and_update() {
+                true => hub.admission.close(Reason::Evacuated),
+                false => hub.admission.open(Reason::Evacuated),
+            }
+            // It changes only while the node runs.
+            if evacuated.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    hub.cancel.run_until_cancelled(follow).await;
+}
+
 /// Refuses what waits for a slot as soon as the own endpoint leaves: others
 /// may take it while there is time.
 async fn close_admission(hub: &Hub) {
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -204,11 +204,24 @@
         }
     }
 
+    /// Puts a catalogue in force everywhere that has these lines as well.
+    pub(crate) fn publish_with(&self, specs: &[Spec], revision: u64, lines: &str) {
+        let view = self.view_with(specs, revision, lines);
+        for member in &self.members {
+            member.shared.set_view(view.clone());
+        }
+    }
+
+    /// The view by a catalogue that has these lines as well.
+    pub(crate) fn view_with(&self, specs: &[Spec], revision: u64, lines: &str) -> View {
+        let text = format!("{CATALOGUE}{lines}");
+        let members = self.members.iter().zip(specs);
+        let instances = members.map(|(member, spec)| member.instance(spec));
+        bound(&text, revision, instances.collect())
+    }
+
     /// The view by a list in which the members named leave.
     pub(crate) fn view(&self, specs: &[Spec], revision: u64, leaving: &[&str]) -> View {
-        let revision = Revision::new(revision).expect("a revision");
-        let items = catalogue::parse(CATALOGUE).expect("a catalogue");
-        let catalogue = Catalogue::new(revision, items).expect("a catalogue");
         let members = self.members.iter().zip(specs);
         let instances = members.map(|(member, spec)| Instance {
             state: match leaving.contains(&member.id) {
@@ -217,12 +230,7 @@
             },
             ..member.instance(spec)
         });
-        let instances = InstanceList::new(revision, instances).expect("a list");
-        let snapshot = Snapshot::build(&catalogue, &instances).expect("a snapshot");
-        View {
-            snapshot: Arc::new(snapshot),
-            states: Arc::new(HashMap::new()),
-        }
+        bound(CATALOGUE, revision, instances.collect())
     }
 
     /// Proves from now on, for as long as the test runs, that the list in force
@@ -247,3 +255,16 @@
         runs.sum()
     }
 }
+
+/// A catalogue and a list, bound.
+fn bound(catalogue: &str, revision: u64, instances: Vec<Instance>) -> View {
+    let revision = Revision::new(revision).expect("a revision");
+    let items = catalogue::parse(catalogue).expect("a catalogue");
+    let catalogue = Catalogue::new(revision, items).expect("a catalogue");
+    let instances = InstanceList::new(revision, instances).expect("a list");
+    let snapshot = Snapshot::build(&catalogue, &instances).expect("a snapshot");
+    View {
+        snapshot: Arc::new(snapshot),
+        states: Arc::new(HashMap::new()),
+    }
+}
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -6,6 +6,7 @@
 mod cut;
 mod depth;
 mod drain;
+mod evacuation;
 mod fleet;
 mod forged;
 mod keyed;
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -12,6 +12,7 @@
 pub use self::snapshot::ServiceInfo;
 pub use self::snapshot::SnapshotInfo;
 pub use self::stats::ControlStats;
+pub use self::status::EvacuationInfo;
 pub use self::status::Status;
 pub use self::versions::Versions;
 
--- a/crates/wire/src/admin/snapshot.rs
+++ b/crates/wire/src/admin/snapshot.rs
@@ -76,6 +76,9 @@
     pub region: RegionName,
     /// Its failure domain.
     pub domain: DomainName,
+    /// Whether operators have evacuated that failure domain.
+    #[serde(default)]
+    pub evacuated: bool,
     /// Where its node takes requests.
     pub traffic: SocketAddr,
     /// Requests that its target runs at once.
--- a/crates/wire/src/admin/status.rs
+++ b/crates/wire/src/admin/status.rs
@@ -11,6 +11,15 @@
 use super::ControlStats;
 use super::Held;
 
+/// A failure domain that operators have evacuated.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EvacuationInfo {
+    /// The failure domain.
+    pub domain: DomainName,
+    /// The platform's revision at which it was ordered, where the platform tells.
+    pub since_revision: Option<u64>,
+}
+
 /// How a node is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
@@ -32,6 +41,9 @@
     pub reading: bool,
     /// What is in force.
     pub held: Held,
+    /// The failure domains that it sends nothing to, since operators have evacuated them.
+    #[serde(default)]
+    pub evacuations: Vec<EvacuationInfo>,
     /// Requests that it works on.
     pub in_flight: u64,
     /// Nodes that it may talk to.
--- a/crates/wire/src/platform/source.rs
+++ b/crates/wire/src/platform/source.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use sassafrasspool_core::Catalogue;
 use sassafrasspool_core::Freshness;
 use sassafrasspool_core::InstanceList;
 use sassafrasspool_core::Revision;
@@ -26,6 +27,8 @@
     pub freshness: Freshness,
     /// The instance list that is held, for platforms that publish changes.
     pub list: Option<Arc<InstanceList>>,
+    /// The same of the catalogue.
+    pub catalogue: Option<Arc<Catalogue>>,
 }
 
 /// What publishes the catalogue and the instance list.
