Limit what cold targets get, over all nodes together

Cause: a target that starts bears 10 requests a second where a warm one bears 57. Nodes gave a cold endpoint half of a warm one's share, each for itself, and the node beside it admitted by slots. Targets returned cold, got more than cold ones bear, crashed and returned cold: the loop fed itself.

The node beside a target sees all of its requests, and keeps the rate: a token bucket in admission, of half a second, so that no second takes more than one and a half times the rate. What finds no token waits in the order of slots or is refused as not run with the time to come back. First hops count cold endpoints among their candidates as often as these bear, by their own rate and the number of nodes, and pass over one that refused until it has a token. How cold a target is, its node takes from the list, a request that names an unknown start, the end of an evacuation and its own start; in the last three cases one probe asks the target for the rest. The list changes only as a target becomes cold or warm.

--- a/crates/bench/src/demo/fleet/plan.rs
+++ b/crates/bench/src/demo/fleet/plan.rs
@@ -1,5 +1,7 @@
 //! Which workers there are and where they stand.
 
+use std::time::Duration;
+
 use sassafrasspool_core::Instance;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::InstanceState;
@@ -56,6 +58,7 @@
             connections: workers.connections,
             state: InstanceState::Live,
             target: None,
+            cold_for: Duration::ZERO,
         },
         listen,
         target,
--- a/crates/bench/src/generate/catalogue.rs
+++ b/crates/bench/src/generate/catalogue.rs
@@ -103,6 +103,7 @@
         owner: OwnerName::new(&format!("team-{:02}", i % OWNERS))?,
         class,
         limits: limits(rng),
+        cold_start: None,
         routes,
         name,
     })
--- a/crates/bench/src/generate/fleet.rs
+++ b/crates/bench/src/generate/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use sassafrasspool_core::DomainName;
 use sassafrasspool_core::Instance;
@@ -73,5 +74,6 @@
         connections: CONNECTIONS,
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
     })
 }
--- a/crates/bench/src/load/fleet/whole.rs
+++ b/crates/bench/src/load/fleet/whole.rs
@@ -217,5 +217,6 @@
         connections: place.target.connections.get(),
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
     })
 }
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -14,6 +14,7 @@
 //! most of them in time.
 
 pub use self::ask::Ask;
+pub use self::ask::ColdLimit;
 pub use self::ask::Offer;
 pub(crate) use self::bucket::Bucket;
 pub use self::control::Admission;
@@ -36,3 +37,4 @@
 mod tests;
 mod took;
 mod wake;
+mod warm_up;
--- a/crates/core/src/admit/ask.rs
+++ b/crates/core/src/admit/ask.rs
@@ -27,6 +27,17 @@
     pub settles: bool,
     /// The target's slots by the instance list, where that tells them.
     pub slots: Option<u32>,
+    /// What the target bears while it is cold, if it is.
+    pub cold: Option<ColdLimit>,
+}
+
+/// What a cold target bears.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdLimit {
+    /// Requests a second that may begin.
+    pub per_s: u32,
+    /// Until when.
+    pub until: Tick,
 }
 
 /// The answer of admission.
--- a/crates/core/src/admit/control.rs
+++ b/crates/core/src/admit/control.rs
@@ -101,6 +101,15 @@
         self.0.lock().foresee(now, ask)
     }
 
+    /// Gives what is free to those who wait for a cold target, and tells when it bears the
+    /// next; nothing if nobody waits for that.
+    pub fn refill(&self, now: Tick) -> Option<Tick> {
+        let mut wakes = Vec::new();
+        let next = self.0.lock().refill(now, &self.0, &mut wakes);
+        wakes.into_iter().for_each(Wake::call);
+        next
+    }
+
     /// The load as answers carry it.
     pub fn load(&self) -> LoadReport {
         self.0.lock().load()
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -12,6 +12,7 @@
 use super::took::Work;
 use super::wake::Wake;
 use super::wake::Waker;
+use super::warm_up::WarmUp;
 use crate::AdmissionSettings;
 use crate::Ask;
 use crate::Class;
@@ -60,6 +61,7 @@
     queue: Queue,
     bucket: Bucket,
     reserve: Reserve,
+    warm_up: WarmUp,
     /// Why nothing is admitted, the first reason first.
     closed: Vec<Reason>,
     now: Tick,
@@ -77,6 +79,7 @@
             queue: Queue::new(),
             bucket: Bucket::full(),
             reserve: Reserve::default(),
+            warm_up: WarmUp::new(),
             closed: Vec::new(),
             now: Tick::ZERO,
         }
@@ -104,6 +107,7 @@
             self.slots = slots.clamp(1, u32::from(u16::MAX));
         }
         self.concurrency = self.slots.min(ask.limits.concurrency.max(1));
+        self.warm_up.follow(ask.cold);
         self.sweep(wakes);
         if let Some(refusal) = self.refuse_at_once(ask) {
             return Decision::Refuse(refusal);
@@ -186,8 +190,26 @@
         self.fill(shared, wakes);
     }
 
+    /// Gives what is free to those who wait, and tells when a cold target bears the next;
+    /// nothing if nobody waits for that.
+    pub(super) fn refill(
+        &mut self,
+        now: Tick,
+        shared: &Arc<Shared>,
+        wakes: &mut Vec<Wake>,
+    ) -> Option<Tick> {
+        self.now = self.now.max(now);
+        self.sweep(wakes);
+        self.fill(shared, wakes);
+        if self.queue.len() == 0 || self.running >= self.concurrency {
+            return None;
+        }
+        let wait = self.warm_up.wait(self.now)?;
+        Some(self.now + wait)
+    }
+
     fn fill(&mut self, shared: &Arc<Shared>, wakes: &mut Vec<Wake>) {
-        while self.running < self.concurrency {
+        while self.running < self.concurrency && self.warm_up.wait(self.now).is_none() {
             let background = self.has_slot(Class::Background);
             let next = self.queue.pop(
                 self.now,
@@ -249,6 +271,9 @@
     /// A slot that is free is for whoever asks: with a share of their own, background
     /// requests that have the target for themselves wait beside a free slot.
     fn has_slot(&mut self, class: Class) -> bool {
+        if self.warm_up.wait(self.now).is_some() {
+            return false;
+        }
         let free = self.concurrency.saturating_sub(self.running);
         if class != Class::Background {
             return free > 0;
@@ -280,6 +305,7 @@
     fn count(&mut self, class: Class) {
         self.running += 1;
         self.running_of[class.index()] += 1;
+        self.warm_up.begin();
     }
 
     fn queue_bound(&self) -> usize {
--- a/crates/core/src/admit/state/place.rs
+++ b/crates/core/src/admit/state/place.rs
@@ -29,12 +29,19 @@
     /// # Errors
     ///
     /// Refuses one that would wait in vain.
-    pub(super) fn place(&self, ask: &Ask<'_>, work: Work) -> Result<Place, Refusal> {
+    pub(super) fn place(&mut self, ask: &Ask<'_>, work: Work) -> Result<Place, Refusal> {
         let took = self.took.expect(work);
         let begin_by = ask.aim.map(|aim| before(aim, took));
         let in_time = begin_by.is_none_or(|begin_by| self.now <= begin_by);
         let precedence = Precedence::of(took, begin_by, self.now);
-        let wait = self.wait_of(ask.class, precedence);
+        let ahead = self.queue.ahead_of(ask.class);
+        let cold = self.warm_up.wait_behind(self.now, ahead);
+        let by_slots = self.wait_of(ask.class, precedence);
+        let wait = by_slots.max(cold);
+        let full = match cold > by_slots {
+            true => Reason::ColdStart,
+            false => Reason::QueueFull,
+        };
         if wait + took > ask.deadline.remaining(self.now) {
             return Err(refusal(Reason::DeadlineTooShort).after(wait));
         }
@@ -43,11 +50,11 @@
         // request that it was made for, whose slot was held in vain.
         let late = in_time && begin_by.is_some_and(|begin_by| self.now + wait > begin_by);
         if late && !ask.settles {
-            return Err(refusal(Reason::QueueFull).after(wait));
+            return Err(refusal(full).after(wait));
         }
         // Nobody waits longer than that, and would be turned away then.
         if wait > self.settings.max_wait {
-            return Err(refusal(Reason::QueueFull).after(wait));
+            return Err(refusal(full).after(wait));
         }
         Ok(Place {
             begin_by,
@@ -59,6 +66,7 @@
     /// What a request would be told that asked now, if that is no.
     pub(in crate::admit) fn foresee(&mut self, now: Tick, ask: &Ask<'_>) -> Option<Refusal> {
         self.now = self.now.max(now);
+        self.warm_up.follow(ask.cold);
         if let Some(reason) = self.closed.first() {
             return Some(refusal(*reason));
         }
--- a/crates/core/src/admit/tests.rs
+++ b/crates/core/src/admit/tests.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod cases;
+mod cold;
 mod drawn;
 mod load;
 mod overload;
--- a/crates/core/src/admit/tests/bench.rs
+++ b/crates/core/src/admit/tests/bench.rs
@@ -69,6 +69,7 @@
             aim,
             settles: false,
             slots: None,
+            cold: None,
             class,
             deadline: Deadline::within(now, limits.deadline),
             limits,
--- a/crates/core/src/admit/tests/load.rs
+++ b/crates/core/src/admit/tests/load.rs
@@ -134,6 +134,7 @@
             aim: Some(now + Duration::from_millis(of.aim_ms)),
             settles: true,
             slots: None,
+            cold: None,
         };
         let verdicts = self.verdicts.clone();
         let waker = move || -> crate::Waker {
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -2,6 +2,7 @@
 //! routes, and the weights of kinds of requests.
 
 pub use self::callers::CallerLimits;
+pub use self::cold_start::ColdStart;
 pub use self::evacuation::Evacuation;
 pub use self::host::HostName;
 pub use self::item::CatalogueItem;
@@ -22,6 +23,7 @@
 use crate::Document;
 
 mod callers;
+mod cold_start;
 mod evacuation;
 mod host;
 mod item;
--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -7,6 +7,7 @@
 use crate::CallerLimits;
 use crate::CatalogueItem;
 use crate::Class;
+use crate::ColdStart;
 use crate::DomainName;
 use crate::Evacuation;
 use crate::Faults;
@@ -48,6 +49,8 @@
 const HEAD_BYTES: std::ops::RangeInclusive<u64> = 8_192..=1_048_576;
 /// Bounds of the size of a request's body, in bytes.
 const BODY_BYTES: std::ops::RangeInclusive<u64> = 0..=1_099_511_627_776;
+/// Bounds of how long a target stays cold, in milliseconds.
+const COLD_MS: std::ops::RangeInclusive<u64> = 1..=600_000;
 /// Bounds of the retry budget, in percent of first tries.
 const BUDGET_PERCENT: std::ops::RangeInclusive<u64> = 0..=100;
 
@@ -175,6 +178,10 @@
     let limits = table
         .required_table("limits", faults)
         .and_then(|limits| read_limits(limits, faults));
+    let cold_start = match table.table("cold_start", faults) {
+        Some(table) => Some(read_cold_start(table, faults)?),
+        None => None,
+    };
     let mut routes = Vec::new();
     for (i, placed) in table.list("routes", faults).iter().enumerate() {
         let entry = format!("{}.routes[{i}]", table.entry());
@@ -189,10 +196,23 @@
         owner: owner?,
         class: class?,
         limits: limits?,
+        cold_start,
         routes,
     })
 }
 
+fn read_cold_start(mut table: Table<'_>, faults: &mut Faults) -> Option<ColdStart> {
+    let lasts = table.number("lasts_ms", COLD_MS, faults);
+    let per_s = number_u32(table.number("per_s", RATE, faults));
+    let probe_path = table.optional_text("probe_path", faults, probe_path_of);
+    table.finish(faults);
+    Some(ColdStart {
+        lasts: Duration::from_millis(lasts?),
+        per_s: per_s?,
+        probe_path,
+    })
+}
+
 fn read_limits(mut table: Table<'_>, faults: &mut Faults) -> Option<Limits> {
     let rate_per_s = number_u32(table.number("rate_per_s", RATE, faults));
     let concurrency = number_u32(table.number("concurrency", CONCURRENCY, faults));
@@ -315,6 +335,13 @@
     (n > 0).then_some(n)
 }
 
+fn probe_path_of(path: &str) -> Result<String, String> {
+    match path.starts_with('/') {
+        true => Ok(path.to_owned()),
+        false => Err(format!("must begin with a slash, is {path:?}")),
+    }
+}
+
 fn class_of(name: &str) -> Result<Class, String> {
     let known = "critical, standard or background";
     Class::from_name(name).ok_or_else(|| format!("must be {known}, is {name:?}"))
--- a/crates/core/src/catalogue/service.rs
+++ b/crates/core/src/catalogue/service.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::Class;
+use crate::ColdStart;
 use crate::Limits;
 use crate::OwnerName;
 use crate::Route;
@@ -20,6 +21,8 @@
     pub class: Class,
     /// What it may take.
     pub limits: Limits,
+    /// How its targets warm up, if they bear less at first.
+    pub cold_start: Option<ColdStart>,
     /// The routes that this entry brings.
     pub routes: Vec<Route>,
 }
--- a/crates/core/src/eject/verdict.rs
+++ b/crates/core/src/eject/verdict.rs
@@ -9,6 +9,8 @@
     Answered(Duration),
     /// It refused for its load, which is a sign of life.
     Shed,
+    /// It is cold and bears the next request after this time.
+    Cold(Duration),
     /// It refused since it is leaving.
     Draining,
     /// No connection could be made.
--- a/crates/core/src/instance/entry.rs
+++ b/crates/core/src/instance/entry.rs
@@ -1,6 +1,7 @@
 //! One instance as the platform lists it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -39,6 +40,10 @@
     /// The life of its target, where the platform tells lives apart.
     #[serde(default)]
     pub target: Option<TargetLife>,
+    /// How much longer the target was to stay cold as the platform first heard of it;
+    /// zero once it is warm.
+    #[serde(default)]
+    pub cold_for: Duration,
 }
 
 impl Instance {
--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -58,11 +58,13 @@
     Quarantined,
     /// Operators have evacuated the failure domain of the target.
     Evacuated,
+    /// The target is cold and bears no more requests now.
+    ColdStart,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 26] = [
+    pub const ALL: [Reason; 27] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
@@ -89,6 +91,7 @@
         Reason::OtherLife,
         Reason::Quarantined,
         Reason::Evacuated,
+        Reason::ColdStart,
     ];
 
     /// The reason's name in headers, metrics and logs.
@@ -120,6 +123,7 @@
             Reason::OtherLife => "other-life",
             Reason::Quarantined => "quarantined",
             Reason::Evacuated => "evacuated",
+            Reason::ColdStart => "cold-start",
         }
     }
 
@@ -166,6 +170,7 @@
                 | Reason::QueueTimeout
                 | Reason::DeadlineTooShort
                 | Reason::TargetShed
+                | Reason::ColdStart
         )
     }
 }
--- a/crates/core/src/reader/choice/tests.rs
+++ b/crates/core/src/reader/choice/tests.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::Place;
 use crate::DomainName;
@@ -22,6 +23,7 @@
         connections: 120,
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/core/src/repeat/tests.rs
+++ b/crates/core/src/repeat/tests.rs
@@ -46,6 +46,7 @@
     let listed = ids.iter().map(|id| Instance {
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
         ..instance(id, "adjuster-desk", "khan-uul")
     });
     InstanceList::new(Revision::new(revision).unwrap(), listed).unwrap()
--- a/crates/core/src/request/whole.rs
+++ b/crates/core/src/request/whole.rs
@@ -75,6 +75,7 @@
             aim: None,
             settles: false,
             slots: None,
+            cold: None,
         }
     }
 
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -22,6 +22,7 @@
 mod picked;
 mod picker;
 mod position;
+mod rate;
 mod rendezvous;
 mod service;
 mod settings;
--- a/crates/core/src/route/meter.rs
+++ b/crates/core/src/route/meter.rs
@@ -33,6 +33,7 @@
     closed: AtomicBool,
     closed_until: AtomicU64,
     cold_since: AtomicU64,
+    cold_until: AtomicU64,
     pub(super) health: Health,
     pub(super) pace: Pace,
 }
@@ -75,10 +76,26 @@
         self.cold_since.store(now.as_micros(), Ordering::Relaxed);
     }
 
+    /// Takes over until when the target is cold.
+    pub(super) fn set_cold(&self, until: Tick) {
+        self.cold_until.store(until.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Whether the target is cold, as far as is known.
+    pub(super) fn is_cold(&self, now: Tick) -> bool {
+        now.as_micros() < self.cold_until.load(Ordering::Relaxed)
+    }
+
     /// Leaves it out until `until`, unless something newer is heard.
     pub(super) fn pause(&self, until: Tick) {
         self.closed_until
-            .store(until.as_micros(), Ordering::Relaxed);
+            .fetch_max(until.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Until when it is left out.
+    pub(super) fn paused_until(&self) -> Option<Tick> {
+        let closed = self.closed.load(Ordering::Relaxed);
+        (!closed).then(|| Tick::from_micros(self.closed_until.load(Ordering::Relaxed)))
     }
 
     pub(super) fn enter(&self) {
--- a/crates/core/src/route/meters.rs
+++ b/crates/core/src/route/meters.rs
@@ -6,9 +6,11 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use super::meter::Meter;
 use super::service::ServiceMeter;
+use crate::ColdStart;
 use crate::Instance;
 use crate::InstanceId;
 use crate::ServiceName;
@@ -49,6 +51,10 @@
 struct Metered {
     meter: Arc<Meter>,
     life: Option<TargetLife>,
+    /// How long the target was to stay cold when it was last bound.
+    cold_for: Duration,
+    /// Whether its failure domain was evacuated then.
+    evacuated: bool,
 }
 
 impl Metered {
@@ -58,10 +64,26 @@
     /// list. Its load, pace and failures of before say nothing of the new process,
     /// which is cold: an endpoint that was ejected for its crash would stay away
     /// for up to half a minute, and one that was fast would be sent its full share.
-    fn follow(&mut self, life: Option<&TargetLife>, now: Tick) {
-        if life.is_some_and(|life| life.replaces(&mut self.life)) {
+    fn follow(&mut self, instance: &Instance, now: Tick) {
+        let life = instance.target.as_ref();
+        let another = life.is_some_and(|life| life.replaces(&mut self.life));
+        if another {
             self.meter.renew(now);
         }
+        if another || instance.cold_for != self.cold_for {
+            self.meter.set_cold(now + instance.cold_for);
+        }
+        self.cold_for = instance.cold_for;
+    }
+
+    /// Takes over whether the failure domain is evacuated; a target may be cold as it is
+    /// taken back.
+    fn evacuate(&mut self, evacuated: bool, cold_start: Option<&ColdStart>, now: Tick) {
+        if self.evacuated && !evacuated {
+            let lasts = cold_start.map_or(Duration::ZERO, |cold| cold.lasts);
+            self.meter.set_cold(now + lasts);
+        }
+        self.evacuated = evacuated;
     }
 }
 
@@ -100,15 +122,23 @@
 
     /// The meter of an endpoint; one that wasn't there before starts cold,
     /// unless this is the first list that the node sees.
-    pub(super) fn endpoint(&self, instance: &Instance, now: Tick) -> Arc<Meter> {
+    pub(super) fn endpoint(
+        &self,
+        instance: &Instance,
+        evacuated: bool,
+        cold_start: Option<&ColdStart>,
+        now: Tick,
+    ) -> Arc<Meter> {
         let mut inner = self.lock();
         let built = inner.built;
         if let Some(held) = inner.endpoints.get_mut(&instance.id) {
-            held.follow(instance.target.as_ref(), now);
+            held.follow(instance, now);
+            held.evacuate(evacuated, cold_start, now);
             return held.meter.clone();
         }
         let mut held = Metered::default();
-        held.follow(instance.target.as_ref(), now);
+        held.follow(instance, now);
+        held.evacuate(evacuated, cold_start, now);
         if built {
             held.meter.start_cold(now);
         }
--- a/crates/core/src/route/picked.rs
+++ b/crates/core/src/route/picked.rs
@@ -70,6 +70,11 @@
         self.meter.report(now, load);
     }
 
+    /// Takes over how much longer the target is cold, as the node beside it said.
+    pub fn cold_for(&self, now: Tick, left: Duration) {
+        self.meter.set_cold(now + left);
+    }
+
     /// Takes in how long an answer of that kind took, which tells how fast the
     /// endpoint is beside others.
     pub fn timed(&self, kind: &KindName, took: Duration) {
@@ -96,6 +101,11 @@
                 health.alive();
                 false
             }
+            Verdict::Cold(wait) => {
+                health.alive();
+                self.meter.pause(now + wait.min(self.cfg.drain_pause));
+                false
+            }
             Verdict::Draining => {
                 self.meter.pause(now + self.cfg.drain_pause);
                 false
--- a/crates/core/src/route/picker.rs
+++ b/crates/core/src/route/picker.rs
@@ -1,8 +1,10 @@
 //! The choice itself.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
+use rand::RngExt;
 use slotmap::SecondaryMap;
 
 use super::candidate::Candidate;
@@ -48,6 +50,7 @@
         let node = Score::of(position.instance.as_str());
         let mut services = SecondaryMap::new();
         for (key, service) in snapshot.services() {
+            let cold_start = service.entry.cold_start.as_ref();
             let mut candidates = Vec::new();
             let mut evacuated = Vec::new();
             for (key, endpoint) in snapshot.endpoints_of(service) {
@@ -55,7 +58,8 @@
                 if instance.state == InstanceState::Leaving {
                     continue;
                 }
-                let among = match snapshot.is_evacuated(&instance.domain) {
+                let is_evacuated = snapshot.is_evacuated(&instance.domain);
+                let among = match is_evacuated {
                     true => &mut evacuated,
                     false => &mut candidates,
                 };
@@ -65,7 +69,7 @@
                     tier: position.tier_of(instance),
                     slots: instance.slots,
                     score: Score::of(instance.id.as_str()),
-                    meter: meters.endpoint(instance, now),
+                    meter: meters.endpoint(instance, is_evacuated, cold_start, now),
                 });
             }
             // INVARIANT: The arrangement orders both parts by tier.
@@ -74,6 +78,8 @@
                 candidates,
                 subset,
                 evacuated,
+                cold_per_s: cold_start.map(|cold| cold.per_s),
+                fleet: snapshot.endpoint_count(),
                 meter: meters.service(&service.entry.name),
             };
             services.insert(key, Arc::new(view));
@@ -106,11 +112,14 @@
         if view.candidates.is_empty() && !view.evacuated.is_empty() {
             return Err(Refusal::not_run(Step::Route, Reason::Evacuated));
         }
+        view.meter.picks.note(now);
+        let takes_cold = rng.random_range(0.0..1.0) < view.cold_share(now);
         let (subset, rest) = view.candidates.split_at(view.subset);
         let wanted = |c: &Candidate| !avoid.contains(&c.key);
-        let usable = |c: &Candidate| wanted(c) && c.meter.is_usable(now);
+        let warm_enough = |c: &Candidate| takes_cold || !c.meter.is_cold(now);
+        let usable = |c: &Candidate| wanted(c) && c.meter.is_usable(now) && warm_enough(c);
         // When all that are left are ejected, the fault is likelier in what
-        // judged them: they are tried rather than nothing.
+        // judged them: they are tried rather than nothing. So are cold ones.
         let open = |c: &Candidate| wanted(c) && c.meter.is_open(now);
         let found = self
             .best_of(subset, now, usable, rng)
@@ -118,10 +127,21 @@
             .or_else(|| self.best_of(&view.candidates, now, open, rng));
         match found {
             Some(candidate) => Ok(self.picked(view, candidate, now)),
-            None => Err(refusal.after(self.cfg.drain_pause)),
+            None => Err(refusal.after(self.next_open(view, now))),
         }
     }
 
+    /// How long it takes until an endpoint that is left out for a time takes work again.
+    fn next_open(&self, view: &ServiceView, now: Tick) -> Duration {
+        let paused = view
+            .candidates
+            .iter()
+            .filter_map(|c| c.meter.paused_until());
+        let left = paused.map(|until| until.since(now));
+        let left = left.filter(|left| !left.is_zero()).min();
+        left.map_or(self.cfg.drain_pause, |left| left.min(self.cfg.drain_pause))
+    }
+
     /// Whether there is an endpoint to choose other than those in `avoid`.
     pub fn has_other(&self, service: ServiceKey, now: Tick, avoid: &[EndpointKey]) -> bool {
         let view = self.services.get(service);
--- a/crates/core/src/route/service.rs
+++ b/crates/core/src/route/service.rs
@@ -1,13 +1,16 @@
 //! A service as the picker holds it.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::candidate::Candidate;
 use super::pace::KindTimes;
+use super::rate::Rate;
 use crate::Budget;
 use crate::EjectSettings;
+use crate::Tick;
 
 /// The weight of the newest answer in the average, as a shift.
 const AVERAGE_SHIFT: u32 = 6;
@@ -17,6 +20,8 @@
 pub(super) struct ServiceMeter {
     pub(super) budget: Budget,
     pub(super) kinds: KindTimes,
+    /// Requests of the service that this node chose an endpoint for.
+    pub(super) picks: Rate,
     took_us: AtomicU64,
 }
 
@@ -53,5 +58,25 @@
     /// Endpoints that take no work since their failure domain is evacuated. They own
     /// request keys all the same: ownership follows the instance list alone.
     pub(super) evacuated: Vec<Candidate>,
-    pub(super) meter: std::sync::Arc<ServiceMeter>,
+    /// Requests a second that a cold endpoint bears, if it bears less than a warm one.
+    pub(super) cold_per_s: Option<u32>,
+    /// Endpoints of all services, beside each of which a node sends requests.
+    pub(super) fleet: usize,
+    pub(super) meter: Arc<ServiceMeter>,
+}
+
+impl ServiceView {
+    /// The part of requests for which cold endpoints are candidates, so that each gets
+    /// from all nodes together about as much as it bears.
+    ///
+    /// Nodes take about as many requests each, so that a node's own rate tells the
+    /// fleet's.
+    pub(super) fn cold_share(&self, now: Tick) -> f32 {
+        let Some(bears) = self.cold_per_s else {
+            return 1.0;
+        };
+        let of_fleet = self.meter.picks.per_s(now) * self.fleet as f32;
+        let of_endpoint = of_fleet / self.candidates.len().max(1) as f32;
+        (bears as f32 / of_endpoint.max(1.0)).min(1.0)
+    }
 }
--- a/crates/core/src/testing.rs
+++ b/crates/core/src/testing.rs
@@ -25,6 +25,7 @@
         connections: 120,
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/at_most_once/world/setup.rs
+++ b/crates/core/tests/at_most_once/world/setup.rs
@@ -1,6 +1,7 @@
 //! The fleet at its start, and lists that change.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use sassafrasspool_core::Catalogue;
 use sassafrasspool_core::Instance;
@@ -56,6 +57,7 @@
         connections: 120,
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/requests/sim/setup.rs
+++ b/crates/core/tests/requests/sim/setup.rs
@@ -1,6 +1,7 @@
 //! The fleet that is simulated.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::RngExt;
@@ -43,6 +44,7 @@
         connections: 120,
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/ctl/src/diff/fields.rs
+++ b/crates/ctl/src/diff/fields.rs
@@ -63,6 +63,14 @@
         ("limits.retry.burst", limits.retry.burst.to_string()),
     ];
     found.extend(values.map(|(name, value)| (name.to_owned(), value)));
+    if let Some(cold) = &entry.cold_start {
+        let lasts = cold.lasts.as_millis().to_string();
+        found.insert("cold_start.lasts_ms".to_owned(), lasts);
+        found.insert("cold_start.per_s".to_owned(), cold.per_s.to_string());
+        if let Some(path) = &cold.probe_path {
+            found.insert("cold_start.probe_path".to_owned(), path.clone());
+        }
+    }
     for route in &entry.routes {
         add_route(route, found);
     }
--- a/crates/node/src/control/life.rs
+++ b/crates/node/src/control/life.rs
@@ -89,6 +89,8 @@
             probe::until_ready(target).await;
             control.send(ControlEvent::TargetReady).await;
         });
+        let shared = Arc::clone(&outside.shared);
+        outside.spawn(probe::follow_coldness(shared, self.settings.target.addr));
     }
 
     /// Takes requests as soon as that is possible; nothing if it was cancelled.
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -17,6 +17,9 @@
     /// From the target: which life it is, on an answer that declines a request
     /// for another.
     pub answering_life: Option<HeaderName>,
+    /// From the target, when it is asked for its health: for how many milliseconds more it
+    /// is cold.
+    pub cold_left_ms: Option<HeaderName>,
     /// To the target: the service beside whose target the request began.
     pub origin: Option<HeaderName>,
     /// From the target: on an answer that says that it did not run the request.
@@ -40,6 +43,7 @@
     pub const OWN: Dialect = Dialect {
         target_life: None,
         answering_life: None,
+        cold_left_ms: None,
         origin: None,
         not_run: None,
         signature: None,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::log::LogSink;
 
 pub use self::clock::Clock;
+pub(crate) use self::coldness::OwnColdness;
 pub use self::contact::ContactAge;
 pub use self::in_flight::InFlight;
 pub use self::in_flight::InFlightGuard;
@@ -33,6 +34,7 @@
 pub use self::view::View;
 
 mod clock;
+mod coldness;
 mod contact;
 mod in_flight;
 mod newest;
@@ -67,6 +69,7 @@
     in_force: Newest,
     proved_list: Newest,
     quarantine: Quarantine,
+    coldness: OwnColdness,
     /// Whether the own failure domain is evacuated.
     evacuated: watch::Sender<bool>,
 }
@@ -101,6 +104,7 @@
             in_force: Newest::default(),
             proved_list: Newest::default(),
             quarantine: Quarantine::default(),
+            coldness: OwnColdness::default(),
             evacuated: watch::Sender::new(false),
         }
     }
@@ -153,6 +157,7 @@
         let now = self.clock.now();
         self.routing.bind(&view, now);
         if let Some(routes) = self.routing.routes() {
+            self.coldness.follow(now, &routes);
             self.follow_evacuation(&routes);
         }
         let revision = view.snapshot.catalogue().revision();
@@ -182,6 +187,11 @@
         self.evacuated.subscribe()
     }
 
+    /// How cold the own target is.
+    pub(crate) fn coldness(&self) -> &OwnColdness {
+        &self.coldness
+    }
+
     /// Says where the node stands in the fleet, before the first view, and
     /// which window remembers the requests with a key that it runs.
     pub fn place(&self, position: Position, repeat: RepeatWindow) {
--- a/crates/node/src/shared/routing/tests.rs
+++ b/crates/node/src/shared/routing/tests.rs
@@ -65,6 +65,7 @@
         connections: 20,
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/node/src/traffic/admission.rs
+++ b/crates/node/src/traffic/admission.rs
@@ -1,5 +1,7 @@
 //! Waiting for a slot beside the target.
 
+use std::convert::Infallible;
+
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::Ask;
 use sassafrasspool_core::Offer;
@@ -38,11 +40,25 @@
     match (offer, told) {
         (Offer::Admitted(permit), _) => Ok(permit),
         (Offer::Refused(refusal), _) => Err(refusal),
-        (Offer::Queued(queued), Some(rx)) => wait(queued, rx, clock).await,
+        (Offer::Queued(queued), Some(rx)) => {
+            tokio::select! {
+                biased;
+                told = wait(queued, rx, clock) => told,
+                never = refill(admission, clock) => match never {},
+            }
+        }
         (Offer::Queued(_), None) => Err(time_out()),
     }
 }
 
+/// Gives out what a cold target bears as time passes, while somebody waits.
+async fn refill(admission: &Admission, clock: &Clock) -> Infallible {
+    while let Some(next) = admission.refill(clock.now()) {
+        tokio::time::sleep_until(clock.instant(next).into()).await;
+    }
+    std::future::pending().await
+}
+
 async fn wait(queued: Queued, mut rx: oneshot::Receiver<Verdict>, clock: &Clock) -> Verdict {
     let until = clock.instant(queued.until());
     match tokio::time::timeout_at(until.into(), &mut rx).await {
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/at_target.rs
@@ -12,6 +12,7 @@
 use http::Version;
 use sassafrasspool_core::Admitted;
 use sassafrasspool_core::Class;
+use sassafrasspool_core::ColdLimit;
 use sassafrasspool_core::Limits;
 use sassafrasspool_core::Permit;
 use sassafrasspool_core::Reason;
@@ -64,10 +65,12 @@
         class: Class,
         limits: &Limits,
         slots: Option<u32>,
+        cold: Option<ColdLimit>,
     ) -> Result<Response<Answer>, Missed> {
         let hub = &self.worker.hub;
         let stage = Stage::received(class, self.call.deadline);
         let mut ask = self.call.ask(class, limits);
+        ask.cold = cold;
         if let Some(slots) = slots {
             ask.slots = Some(slots);
             hub.pool.resize(slots);
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt of a request at one endpoint.
 
+use std::time::Duration;
+
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -196,6 +198,8 @@
         };
         if let Some(load) = load_of(&res) {
             picked.report(clock.now(), load);
+            let cold_ms = head::number(res.headers(), &names::COLD_MS).unwrap_or(0);
+            picked.cold_for(clock.now(), Duration::from_millis(cold_ms));
         }
         Ok(res)
     }
@@ -276,6 +280,7 @@
         Failure::Refused(refusal) => match refusal.reason() {
             Reason::Connect => Verdict::NoConnection,
             Reason::Draining | Reason::Starting | Reason::Evacuated => Verdict::Draining,
+            Reason::ColdStart => Verdict::Cold(refusal.retry_after().unwrap_or_default()),
             // Neither says anything of the endpoint.
             Reason::DeadlinePassed | Reason::Quarantined => Verdict::Cancelled,
             _ => Verdict::Shed,
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -10,6 +10,7 @@
 use sassafrasspool_core::Begin;
 use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Class;
+use sassafrasspool_core::ColdLimit;
 use sassafrasspool_core::Content;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::KindName;
@@ -118,6 +119,7 @@
         aim: call.aim,
         list: call.routes.view.snapshot.instances().revision().get(),
     };
+    let cold = cold_limit(worker, service, &call);
     let at_target = AtTarget {
         worker,
         req,
@@ -126,7 +128,7 @@
     };
     let limits = &service.entry.limits;
     let trail = BesideTrail::new(worker, facts, at_target.id());
-    let ran = at_target.run(class, limits, slots).await;
+    let ran = at_target.run(class, limits, slots, cold).await;
     trail.end(&ran);
     let mut res = ran?;
     add_load(worker, res.headers_mut());
@@ -143,7 +145,8 @@
     worker.hub.check_quarantine(Step::Admission, content)?;
     let service = own_service(worker, call)?;
     let class = call.class.unwrap_or(service.entry.class);
-    let ask = call.ask(class, &service.entry.limits);
+    let mut ask = call.ask(class, &service.entry.limits);
+    ask.cold = cold_limit(worker, service, call);
     let now = worker.hub.shared.clock().now();
     match worker.hub.admission.foresee(now, &ask) {
         Some(refusal) => Err(refusal),
@@ -151,6 +154,14 @@
     }
 }
 
+/// What the own target bears, if it is cold.
+fn cold_limit(worker: &Worker, service: &BoundService, call: &Call<'_>) -> Option<ColdLimit> {
+    let shared = &worker.hub.shared;
+    let start = service.entry.cold_start.as_ref();
+    let life = call.life.as_ref().and_then(|life| life.to_str().ok());
+    shared.coldness().limit(shared.clock().now(), start, life)
+}
+
 /// The service of the own target, if that takes work.
 fn own_service<'a>(worker: &Worker, call: &Call<'a>) -> Result<&'a BoundService, Refusal> {
     if let Some(reason) = closed(worker) {
@@ -224,6 +235,12 @@
     if let Ok(value) = load.try_into() {
         headers.insert(names::LOAD, value);
     }
+    let shared = &worker.hub.shared;
+    let cold = shared.coldness().left(shared.clock().now()).as_millis();
+    if cold > 0 {
+        let cold = u64::try_from(cold).unwrap_or(u64::MAX);
+        headers.insert(names::COLD_MS, HeaderValue::from(cold));
+    }
 }
 
 fn refuse(reason: Reason) -> Refusal {
--- a/crates/node/tests/control/common.rs
+++ b/crates/node/tests/control/common.rs
@@ -68,6 +68,7 @@
         connections: 120,
         state: InstanceState::Live,
         target: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -15,6 +15,7 @@
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::Snapshot;
+use sassafrasspool_core::TargetLife;
 use sassafrasspool_core::catalogue;
 use sassafrasspool_node::Dialect;
 use sassafrasspool_node::RunningTraffic;
@@ -128,6 +129,7 @@
             connections: 2 * spec.slots,
             state: InstanceState::Live,
             target: None,
+            cold_for: Duration::ZERO,
         }
     }
 }
@@ -212,6 +214,29 @@
         }
     }
 
+    /// Puts a list in force everywhere with these starts of targets, each of which is cold
+    /// for so long, under a catalogue in which the desk has these fields as well.
+    pub(crate) fn publish_targets<const N: usize>(
+        &self,
+        specs: &[Spec; N],
+        revision: u64,
+        fields: &str,
+        targets: [(Option<TargetLife>, Duration); N],
+    ) {
+        let at = "    class: standard\n";
+        let text = CATALOGUE.replace(at, &format!("{at}{fields}"));
+        let members = self.members.iter().zip(specs).zip(targets);
+        let instances = members.map(|((member, spec), (target, cold_for))| Instance {
+            target,
+            cold_for,
+            ..member.instance(spec)
+        });
+        let view = bound(&text, revision, instances.collect());
+        for member in &self.members {
+            member.shared.set_view(view.clone());
+        }
+    }
+
     /// The view by a catalogue that has these lines as well.
     pub(crate) fn view_with(&self, specs: &[Spec], revision: u64, lines: &str) -> View {
         let text = format!("{CATALOGUE}{lines}");
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -3,6 +3,7 @@
 mod calling_target;
 mod cancel;
 mod client;
+mod cold;
 mod cut;
 mod depth;
 mod drain;
--- a/crates/soak/src/fleet/maker.rs
+++ b/crates/soak/src/fleet/maker.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use miette::IntoDiagnostic;
 use sassafrasspool_bench::chaos::bounds::SETTINGS;
@@ -114,6 +115,7 @@
             connections: CONNECTIONS,
             state: InstanceState::Live,
             target: None,
+            cold_for: Duration::ZERO,
         };
         let settings = self.dir.join(format!("{name}.yaml"));
         let text = node_settings(
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -28,6 +28,10 @@
 /// Between nodes: in flight, slots and queued beside the target.
 pub const LOAD: HeaderName = HeaderName::from_static("x-sassafrasspool-load");
 
+/// Between nodes: for how many milliseconds more the target counts as cold; absent if it
+/// is warm.
+pub const COLD_MS: HeaderName = HeaderName::from_static("x-sassafrasspool-cold-ms");
+
 /// Between nodes: the service that the request is for.
 pub const SERVICE: HeaderName = HeaderName::from_static("x-sassafrasspool-service");
 
