Give cold targets what they tolerate

Hypothesis: targets that return cold bear 10 requests a second and tolerate 23 within one; with the rate that they bear alone, callers are refused in the seconds after a return whom the targets could serve.

What is tolerated comes from the settings; without them it is one and a half times the rate. Deployments whose targets name no rate are the same as before. In virtual time 20 cold targets of 10 a second give 260 answers a second or more, 200 before.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -17,6 +17,7 @@
 pub use self::ask::ColdLimit;
 pub use self::ask::Offer;
 pub(crate) use self::bucket::Bucket;
+pub use self::cold_tolerance::ColdTolerance;
 pub use self::control::Admission;
 pub use self::permit::Permit;
 pub use self::queued::Queued;
@@ -25,6 +26,7 @@
 
 mod ask;
 mod bucket;
+mod cold_tolerance;
 mod control;
 mod permit;
 mod precedence;
--- a/crates/core/src/admit/ask.rs
+++ b/crates/core/src/admit/ask.rs
@@ -1,5 +1,7 @@
 //! What is asked of admission, and its answer.
 
+use std::time::Duration;
+
 use crate::Class;
 use crate::Deadline;
 use crate::KindName;
@@ -31,11 +33,13 @@
     pub cold: Option<ColdLimit>,
 }
 
-/// What a cold target bears.
+/// What may begin at a cold target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ColdLimit {
-    /// Requests a second that may begin.
+    /// Requests a second, in the long run.
     pub per_s: u32,
+    /// For how long that rate may be saved up.
+    pub burst: Duration,
     /// Until when.
     pub until: Tick,
 }
--- a/crates/core/src/admit/tests/cold.rs
+++ b/crates/core/src/admit/tests/cold.rs
@@ -16,7 +16,7 @@
 use crate::AdmissionSettings;
 use crate::Ask;
 use crate::Class;
-use crate::ColdLimit;
+use crate::ColdTolerance;
 use crate::Deadline;
 use crate::KindName;
 use crate::Offer;
@@ -36,8 +36,12 @@
 /// How long targets stay cold, and how many requests a second they bear then.
 const COLD: Duration = Duration::from_secs(3);
 const BEARS: u32 = 10;
-/// Requests within a second under which a cold target crashes.
-const CRASHES_AT: usize = 24;
+/// What they tolerate within a second; with more, they crash.
+const TOLERANCE: ColdTolerance = ColdTolerance {
+    over_percent: 150,
+    slack: 8,
+};
+const TOLERATED: usize = 23;
 /// How long a crashed target is away.
 const AWAY: Duration = Duration::from_secs(1);
 /// Nodes that a request asks for room at most.
@@ -145,10 +149,7 @@
             return false;
         }
         let until = held.started + COLD;
-        let limit = ColdLimit {
-            per_s: BEARS,
-            until,
-        };
+        let limit = TOLERANCE.limit(BEARS, until);
         let name = KindName::new("lookup").unwrap();
         let ask = Ask {
             class: Class::Standard,
@@ -207,7 +208,7 @@
         }
         held.begun.push_back(now);
         let cold = now.since(held.started) < COLD;
-        if cold && now >= held.started && held.begun.len() >= CRASHES_AT {
+        if cold && now >= held.started && held.begun.len() > TOLERATED {
             held.crashes += 1;
             held.started = now + AWAY;
             held.begun.clear();
@@ -243,12 +244,9 @@
 fn targets_that_return_cold_warm_up_under_full_load(#[values(1, 2, 3, 4, 5)] seed: u64) {
     let got = play(seed, true);
     assert_eq!(got.crashes, 0);
-    // While they are cold, all that they bear is given out, but for the last that wait.
-    let bears = BEARS * TARGETS as u32;
-    assert!(
-        got.served[1..3].iter().all(|n| *n * 10 >= bears * 8),
-        "{got:?}"
-    );
+    // While they are cold, all that they bear is given out and most of what they tolerate.
+    let bears = BEARS * TARGETS as u32 * 13 / 10;
+    assert!(got.served[1..3].iter().all(|n| *n >= bears), "{got:?}");
     // From a second after the cold time on, callers are served as if nothing had been.
     let warm = &got.served[4..];
     assert!(
--- a/crates/core/src/admit/warm_up.rs
+++ b/crates/core/src/admit/warm_up.rs
@@ -6,15 +6,12 @@
 use crate::ColdLimit;
 use crate::Tick;
 
-/// For how long a cold target may be sent at once what it bears over that time.
-const BURST: Duration = Duration::from_millis(500);
-
 /// The limit on a target that is cold.
 ///
 /// # Invariants
 ///
-/// While it is in force, no more requests begin in any second than the target bears in
-/// [`BURST`] and a second together.
+/// While it is in force, no more requests begin in any second than its rate gives in a
+/// second and [`ColdLimit::burst`] together.
 #[derive(Debug)]
 pub(super) struct WarmUp {
     limit: Option<ColdLimit>,
@@ -38,7 +35,7 @@
     /// How long it takes until a request may begin; nothing if one may at once.
     pub(super) fn wait(&mut self, now: Tick) -> Option<Duration> {
         let limit = self.limit.filter(|limit| now < limit.until)?;
-        let wait = self.bucket.refill(now, limit.per_s, BURST)?;
+        let wait = self.bucket.refill(now, limit.per_s, limit.burst)?;
         Some(wait.min(limit.until.since(now)))
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -77,6 +77,7 @@
 pub use crate::admit::AdmissionSettings;
 pub use crate::admit::Ask;
 pub use crate::admit::ColdLimit;
+pub use crate::admit::ColdTolerance;
 pub use crate::admit::Offer;
 pub use crate::admit::Permit;
 pub use crate::admit::Queued;
--- a/crates/node/src/settings/target.rs
+++ b/crates/node/src/settings/target.rs
@@ -4,6 +4,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use sassafrasspool_core::ColdTolerance;
 use sassafrasspool_core::Faults;
 use sassafrasspool_core::yaml::Table;
 
@@ -19,6 +20,11 @@
 const CONNECTIONS: RangeInclusive<u64> = 1..=10_000;
 /// Bounds of the time between two probes, in milliseconds.
 const PROBE_MS: RangeInclusive<u64> = 10..=60_000;
+/// Bounds of what a cold target tolerates within a second, as a multiple of the rate that
+/// it bears.
+const COLD_OVER: RangeInclusive<f64> = 1.0..=10.0;
+/// Bounds of the requests that it tolerates beyond that.
+const COLD_SLACK: RangeInclusive<f64> = 0.0..=1_000.0;
 /// Time between two probes of a target that is starting.
 const DEFAULT_PROBE: Duration = Duration::from_millis(200);
 
@@ -36,6 +42,8 @@
     pub ready_path: Option<String>,
     /// Time between two probes of that path while the target is starting.
     pub probe: Duration,
+    /// What it tolerates while it is cold.
+    pub cold: ColdTolerance,
 }
 
 impl TargetSettings {
@@ -46,6 +54,7 @@
         let connections = table.number_or("connections", CONNECTIONS, default, faults);
         let ready_path = table.optional_text("ready_path", faults, path);
         let probe = millis_or(&mut table, "probe_ms", PROBE_MS, DEFAULT_PROBE, faults);
+        let cold = read_cold(&mut table, faults);
         table.finish(faults);
         Some(TargetSettings {
             addr: addr?,
@@ -53,6 +62,32 @@
             connections: u32::try_from(connections?).ok()?,
             ready_path,
             probe: probe?,
+            cold,
         })
     }
 }
+
+/// What a cold target tolerates; each figure is text, and empty if the platform doesn't
+/// tell it.
+fn read_cold(table: &mut Table<'_>, faults: &mut Faults) -> ColdTolerance {
+    let default = ColdTolerance::default();
+    let over = table.optional_text("cold_over", faults, |text| factor(text, COLD_OVER));
+    let slack = table.optional_text("cold_slack", faults, |text| factor(text, COLD_SLACK));
+    let over = over.flatten().map(|over| (over * 100.0) as u32);
+    let slack = slack.flatten().map(|slack| slack as u32);
+    ColdTolerance {
+        over_percent: over.unwrap_or(default.over_percent),
+        slack: slack.unwrap_or(default.slack),
+    }
+}
+
+fn factor(text: &str, range: RangeInclusive<f64>) -> Result<Option<f64>, String> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let value = text.parse::<f64>().ok();
+    let value = value.filter(|value| range.contains(value));
+    let (min, max) = (range.start(), range.end());
+    let value = value.ok_or_else(|| format!("must be {min} to {max}, is {text:?}"))?;
+    Ok(Some(value))
+}
--- a/crates/node/src/shared/coldness.rs
+++ b/crates/node/src/shared/coldness.rs
@@ -7,6 +7,7 @@
 
 use sassafrasspool_core::ColdLimit;
 use sassafrasspool_core::ColdStart;
+use sassafrasspool_core::ColdTolerance;
 use sassafrasspool_core::Coldness;
 use sassafrasspool_core::Tick;
 use tokio::sync::Notify;
@@ -45,6 +46,7 @@
         &self,
         now: Tick,
         start: Option<&ColdStart>,
+        tolerance: ColdTolerance,
         life: Option<&str>,
     ) -> Option<ColdLimit> {
         let start = start?;
@@ -54,8 +56,7 @@
             }
             state.until()
         });
-        let per_s = start.per_s;
-        (now < until).then_some(ColdLimit { per_s, until })
+        (now < until).then(|| tolerance.limit(start.per_s, until))
     }
 
     /// For how much longer the target is cold, as far as is known.
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/beside.rs
@@ -159,7 +159,9 @@
     let shared = &worker.hub.shared;
     let start = service.entry.cold_start.as_ref();
     let life = call.life.as_ref().and_then(|life| life.to_str().ok());
-    shared.coldness().limit(shared.clock().now(), start, life)
+    let tolerance = worker.hub.cold_tolerance;
+    let now = shared.clock().now();
+    shared.coldness().limit(now, start, tolerance, life)
 }
 
 /// The service of the own target, if that takes work.
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -5,6 +5,7 @@
 
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::AdmissionSettings;
+use sassafrasspool_core::ColdTolerance;
 use sassafrasspool_core::Content;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Position;
@@ -39,6 +40,8 @@
     pub(super) pool: Arc<Pool>,
     pub(super) own_life: OwnLife,
     pub(super) admission: Admission,
+    /// What the own target tolerates while it is cold.
+    pub(super) cold_tolerance: ColdTolerance,
     pub(super) bodies: Bodies,
     pub(super) arrivals: Arrivals,
     pub(super) crash_watch: CrashWatch,
@@ -90,6 +93,7 @@
             pool: Pool::new(cfg.target.addr, limit),
             own_life: OwnLife::default(),
             admission,
+            cold_tolerance: cfg.target.cold,
             bodies: Bodies::new(),
             arrivals: Arrivals::new(cfg.target.slots),
             crash_watch: CrashWatch::default(),
