Lay out the traffic side of a node by the floors of a request's way

Forty files lay side by side. For that the watch for crashes and the lives of the target moved to the target's floor, and stored answers to what all exchange.

Renamed on the way: beside to inbound/forward, at_target to inbound/hand_over, sent to inbound/exchange, arrival to inbound/body_intake, own_life to target/lives, the two trails to access_log of their floors.

No log field, metric, test expectation or figure changes.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -1,54 +1,46 @@
 //! Requests: the listeners for callers and for other nodes, and the way to
 //! the target.
 //!
-//! A request comes from a caller to the first hop ([`caller_side`]), which
-//! matches its route and chooses an endpoint. One [`attempt`] goes over HTTP/2
-//! to the node beside that endpoint ([`peer_side`]), which admits it, or
-//! straight on if that node is this one. [`beside`] hands it to the [`target`].
+//! A request takes these floors, each of which knows those below it:
 //!
-//! [`caller_side`]: self::caller_side
-//! [`attempt`]: self::attempt
-//! [`peer_side`]: self::peer_side
-//! [`beside`]: self::beside
+//! | module | what it does |
+//! |---|---|
+//! | [`listener`] | accepts connections, serves requests on them, drains |
+//! | [`outbound`] | first hop: matches the route, chooses endpoints, tries again |
+//! | [`peer`] | passes an attempt on to the node beside an endpoint, over HTTP/2 |
+//! | [`inbound`] | beside the target: quarantine, admission, the hand-over |
+//! | [`target`] | connections to the own target, over HTTP/1.1 |
+//!
+//! The other modules are what the floors exchange: heads and bodies, answers, refusals,
+//! counters, and the state that the threads of a node share ([`hub`]).
+//!
+//! [`listener`]: self::listener
+//! [`outbound`]: self::outbound
+//! [`peer`]: self::peer
+//! [`inbound`]: self::inbound
 //! [`target`]: self::target
+//! [`hub`]: self::hub
 
-mod admission;
 mod answer;
-mod arrival;
-mod at_target;
-mod attempt;
-mod beside;
-mod beside_trail;
 mod bodies;
 mod bounds;
-mod caller_side;
 mod content;
 mod counters;
-mod crash_watch;
-mod departed;
-mod first_hop;
 mod head;
 mod hub;
+mod inbound;
 mod keyed;
-mod listeners;
+mod listener;
 mod missed;
-mod own_life;
+mod outbound;
 mod parents;
-mod patience;
 mod payload;
 mod peer;
-mod peer_side;
 mod refusal;
-mod running;
-mod sent;
-mod serve;
 mod stages;
 mod stall;
-mod stored;
+mod stored_answer;
 mod target;
-mod threads;
-mod trail;
-mod unsent_key;
 mod worker;
 
 use std::error;
@@ -59,12 +51,12 @@
 use tokio_util::sync::CancellationToken;
 
 use self::hub::Hub;
-use self::listeners::Listeners;
+use self::listener::listeners::Listeners;
 use crate::Settings;
 use crate::Shared;
 
-pub use self::listeners::TrafficAddrs;
-pub use self::running::RunningTraffic;
+pub use self::listener::listeners::TrafficAddrs;
+pub use self::listener::running::RunningTraffic;
 
 /// Why a body broke off.
 type BoxError = Box<dyn error::Error + Send + Sync>;
@@ -87,7 +79,7 @@
         let listeners = Listeners::bind(&settings.listen)?;
         let addrs = listeners.addrs();
         let hub = Arc::new(Hub::new(settings, shared, cancel)?);
-        let threads = threads::start(&hub, listeners, settings.traffic_threads)?;
+        let threads = listener::threads::start(&hub, listeners, settings.traffic_threads)?;
         Ok(RunningTraffic::new(addrs, hub, threads))
     }
 
@@ -106,7 +98,7 @@
         let listeners = Listeners::bind(&settings.listen)?;
         let addrs = listeners.addrs();
         let hub = Arc::new(Hub::new(settings, shared, cancel)?);
-        let ended = threads::start_on(handle, &hub, listeners);
+        let ended = listener::threads::start_on(handle, &hub, listeners);
         Ok(RunningTraffic::new(addrs, hub, vec![ended]))
     }
 }
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use super::BoxError;
-use super::serve::Behind;
+use super::listener::serve::Behind;
 use super::stall::Stall;
 use super::target::TargetBody;
 use crate::InFlightGuard;
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -19,15 +19,15 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::arrival::Arrivals;
 use super::bodies::Bodies;
 use super::counters::Counters;
-use super::crash_watch::CrashWatch;
-use super::own_life::OwnLife;
+use super::inbound::body_intake::Arrivals;
+use super::outbound::patience::Patiences;
 use super::parents::Parents;
-use super::patience::Patiences;
 use super::stages::Stages;
 use super::target::Pool;
+use super::target::crash_watch::CrashWatch;
+use super::target::lives::OwnLife;
 use crate::Settings;
 use crate::Shared;
 
--- a/crates/node/src/traffic/beside_trail.rs
+++ b/crates/node/src/traffic/inbound/access_log.rs
@@ -14,27 +14,27 @@
 use sassafrasspool_wire::log::BESIDE;
 use sassafrasspool_wire::log::RequestLine;
 
-use super::answer::Answer;
-use super::missed::Missed;
-use super::worker::Worker;
 use crate::log::Rank;
 use crate::log::Told;
 use crate::log::micros;
 use crate::log::told;
 use crate::log::unix_ms;
+use crate::traffic::answer::Answer;
+use crate::traffic::missed::Missed;
+use crate::traffic::worker::Worker;
 
 /// What the line tells besides the request's end.
 #[derive(Debug)]
-pub(super) struct Facts {
-    pub(super) class: Class,
-    pub(super) kind: Option<KindName>,
-    pub(super) content: Option<Content>,
-    pub(super) life: Option<HeaderValue>,
-    pub(super) deadline: Deadline,
+pub(in crate::traffic) struct Facts {
+    pub(in crate::traffic) class: Class,
+    pub(in crate::traffic) kind: Option<KindName>,
+    pub(in crate::traffic) content: Option<Content>,
+    pub(in crate::traffic) life: Option<HeaderValue>,
+    pub(in crate::traffic) deadline: Deadline,
     /// Until when the answer is worth most.
-    pub(super) aim: Option<Tick>,
+    pub(in crate::traffic) aim: Option<Tick>,
     /// The revision of the list in force.
-    pub(super) list: u64,
+    pub(in crate::traffic) list: u64,
 }
 
 /// What happens to a request beside its target.
@@ -43,7 +43,7 @@
 /// runs, has its line as well: it is written when this is dropped without an
 /// end.
 #[derive(Debug)]
-pub(super) struct BesideTrail<'a> {
+pub(in crate::traffic) struct BesideTrail<'a> {
     worker: &'a Worker,
     facts: Facts,
     /// Nothing if nothing is written, or everything is.
@@ -52,7 +52,7 @@
 }
 
 impl<'a> BesideTrail<'a> {
-    pub(super) fn new(
+    pub(in crate::traffic) fn new(
         worker: &'a Worker,
         facts: Facts,
         id: Option<HeaderValue>,
@@ -67,7 +67,7 @@
     }
 
     /// Tells how the request ended.
-    pub(super) fn end(mut self, ran: &Result<Response<Answer>, Missed>) {
+    pub(in crate::traffic) fn end(mut self, ran: &Result<Response<Answer>, Missed>) {
         let (rank, how) = match ran {
             Ok(_) => (Rank::Success, Told::ANSWERED),
             Err(missed) => (Rank::Failure, (&missed.failure).into()),
--- a/crates/node/src/traffic/admission.rs
+++ b/crates/node/src/traffic/inbound/admission.rs
@@ -23,7 +23,7 @@
 /// # Errors
 ///
 /// Refuses as not run, at once if that can be known at once.
-pub(super) async fn admit(
+pub(in crate::traffic) async fn admit(
     admission: &Admission,
     clock: &Clock,
     ask: &Ask<'_>,
--- a/crates/node/src/traffic/arrival.rs
+++ b/crates/node/src/traffic/inbound/body_intake.rs
@@ -10,9 +10,9 @@
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
 
-use super::hub::Hub;
-use super::missed::Missed;
-use super::payload::Payload;
+use crate::traffic::hub::Hub;
+use crate::traffic::missed::Missed;
+use crate::traffic::payload::Payload;
 
 /// Of so many slots one long body may be on its way at once: more would share the
 /// same link, so that all of them come later.
@@ -24,11 +24,11 @@
 
 /// Long bodies on their way to the own target.
 #[derive(Debug)]
-pub(super) struct Arrivals(Semaphore);
+pub(in crate::traffic) struct Arrivals(Semaphore);
 
 impl Arrivals {
     /// None so far, beside a target that has so many slots by the settings.
-    pub(super) fn new(slots: u32) -> Arrivals {
+    pub(in crate::traffic) fn new(slots: u32) -> Arrivals {
         let most = (slots / SLOTS_PER_BODY).max(1);
         Arrivals(Semaphore::new(usize::try_from(most).unwrap_or(1)))
     }
@@ -38,7 +38,7 @@
     /// # Errors
     ///
     /// Refuses it as not run, and says when to come back.
-    pub(super) fn enter(&self) -> Result<SemaphorePermit<'_>, Refusal> {
+    pub(in crate::traffic) fn enter(&self) -> Result<SemaphorePermit<'_>, Refusal> {
         let turn = self.0.try_acquire();
         turn.map_err(|_| refuse(Reason::QueueFull).after(COME_BACK))
     }
@@ -54,7 +54,7 @@
 /// # Errors
 ///
 /// Refuses it as not run.
-pub(super) async fn take_in(
+pub(in crate::traffic) async fn take_in(
     hub: &Hub,
     ask: &Ask<'_>,
     req: Request<Payload>,
--- a/crates/node/src/traffic/sent.rs
+++ b/crates/node/src/traffic/inbound/exchange.rs
@@ -20,31 +20,31 @@
 use sassafrasspool_core::Step;
 use sassafrasspool_wire::header::REQUEST_ID;
 
-use super::answer::Answer;
-use super::crash_watch::Watched;
-use super::head;
-use super::hub::Hub;
-use super::missed::Missed;
-use super::parents;
-use super::payload::Payload;
-use super::stored::Recorder;
-use super::target;
-use super::target::Connection;
-use super::target::TargetBody;
+use crate::traffic::answer::Answer;
+use crate::traffic::head;
+use crate::traffic::hub::Hub;
+use crate::traffic::missed::Missed;
+use crate::traffic::parents;
+use crate::traffic::payload::Payload;
+use crate::traffic::stored_answer::Recorder;
+use crate::traffic::target;
+use crate::traffic::target::Connection;
+use crate::traffic::target::TargetBody;
+use crate::traffic::target::crash_watch::Watched;
 
 /// A request that is handed over.
 #[derive(Debug)]
-pub(super) struct Sent {
-    pub(super) hub: Arc<Hub>,
-    pub(super) stage: Stage<HandedOver>,
+pub(in crate::traffic) struct Sent {
+    pub(in crate::traffic) hub: Arc<Hub>,
+    pub(in crate::traffic) stage: Stage<HandedOver>,
     /// The right to run its key, if it has one.
-    pub(super) running: Option<Running>,
-    pub(super) deadline: Deadline,
+    pub(in crate::traffic) running: Option<Running>,
+    pub(in crate::traffic) deadline: Deadline,
     /// Whether the target crashes under it, if it is known what it asks for.
-    pub(super) watched: Option<Box<Watched>>,
+    pub(in crate::traffic) watched: Option<Box<Watched>>,
     /// The life that it names, if it is meant for the own target's service.
-    pub(super) life: Option<HeaderValue>,
-    pub(super) _parent: Option<parents::Running>,
+    pub(in crate::traffic) life: Option<HeaderValue>,
+    pub(in crate::traffic) _parent: Option<parents::Running>,
 }
 
 impl Sent {
@@ -58,7 +58,7 @@
     /// # Errors
     ///
     /// Says what is known of the request if there is no answer.
-    pub(super) async fn run(
+    pub(in crate::traffic) async fn run(
         self,
         conn: Connection,
         req: Request<Payload>,
@@ -209,7 +209,7 @@
 }
 
 /// Leaves the key unused after a refusal.
-pub(super) fn take_back(running: Option<Running>, refusal: Refusal) -> Refusal {
+pub(in crate::traffic) fn take_back(running: Option<Running>, refusal: Refusal) -> Refusal {
     match running {
         Some(running) => running.refused(refusal),
         None => refusal,
--- a/crates/node/src/traffic/beside.rs
+++ b/crates/node/src/traffic/inbound/forward.rs
@@ -26,49 +26,49 @@
 use sassafrasspool_core::Tick;
 use sassafrasspool_wire::header as names;
 
-use super::answer::Answer;
-use super::at_target::AtTarget;
-use super::beside_trail::BesideTrail;
-use super::beside_trail::Facts;
-use super::head;
-use super::keyed::Keyed;
-use super::missed::Missed;
-use super::payload::Payload;
-use super::stored;
-use super::unsent_key::UnsentKey;
-use super::worker::Worker;
 use crate::Routes;
+use crate::traffic::answer::Answer;
+use crate::traffic::head;
+use crate::traffic::inbound::access_log::BesideTrail;
+use crate::traffic::inbound::access_log::Facts;
+use crate::traffic::inbound::hand_over::AtTarget;
+use crate::traffic::inbound::unsent_key::UnsentKey;
+use crate::traffic::keyed::Keyed;
+use crate::traffic::missed::Missed;
+use crate::traffic::payload::Payload;
+use crate::traffic::stored_answer;
+use crate::traffic::worker::Worker;
 
 /// What is known of a call beside its head and body.
 #[derive(Debug, Clone)]
-pub(super) struct Call<'a> {
+pub(in crate::traffic) struct Call<'a> {
     /// What is in force for it.
-    pub(super) routes: &'a Routes,
+    pub(in crate::traffic) routes: &'a Routes,
     /// When it is given up.
-    pub(super) deadline: Deadline,
+    pub(in crate::traffic) deadline: Deadline,
     /// How many nodes it has passed.
-    pub(super) hop: u32,
+    pub(in crate::traffic) hop: u32,
     /// How urgent it is by the route of the first hop, if that said so.
-    pub(super) class: Option<Class>,
+    pub(in crate::traffic) class: Option<Class>,
     /// Its kind by the route of the first hop, if that said so.
-    pub(super) kind: Option<KindName>,
+    pub(in crate::traffic) kind: Option<KindName>,
     /// Until when its answer is worth most to its caller.
-    pub(super) aim: Option<Tick>,
+    pub(in crate::traffic) aim: Option<Tick>,
     /// Whether nobody else is asked for room after this.
-    pub(super) settles: bool,
+    pub(in crate::traffic) settles: bool,
     /// What it asks for, if the node of the first hop said so.
-    pub(super) content: Option<Content>,
+    pub(in crate::traffic) content: Option<Content>,
     /// The life of the target that it is meant for, where lives are told apart.
-    pub(super) life: Option<HeaderValue>,
+    pub(in crate::traffic) life: Option<HeaderValue>,
     /// Whether it is meant for the service that the settings give the own target.
-    pub(super) for_own_service: bool,
+    pub(in crate::traffic) for_own_service: bool,
     /// The service beside whose target it began.
-    pub(super) origin: Option<HeaderValue>,
+    pub(in crate::traffic) origin: Option<HeaderValue>,
 }
 
 impl Call<'_> {
     /// What admission is asked for it.
-    pub(super) fn ask<'a>(&'a self, class: Class, limits: &'a Limits) -> Ask<'a> {
+    pub(in crate::traffic) fn ask<'a>(&'a self, class: Class, limits: &'a Limits) -> Ask<'a> {
         Ask {
             kind: self.kind.as_ref(),
             aim: self.aim,
@@ -83,7 +83,7 @@
 /// # Errors
 ///
 /// A refusal was not handed over; anything later is a loss.
-pub(super) async fn run(
+pub(in crate::traffic) async fn run(
     worker: &Worker,
     req: Request<Payload>,
     call: Call<'_>,
@@ -107,7 +107,7 @@
     let class = call.class.unwrap_or(by_route);
     let running = match begin(worker, route, &req) {
         Begun::Run(running) => running,
-        Begun::Answer(stored) => return Ok(stored::respond(&stored)),
+        Begun::Answer(stored) => return Ok(stored_answer::respond(&stored)),
         Begun::Refuse(refusal) => return Err(refusal.into()),
     };
     let facts = Facts {
@@ -140,7 +140,7 @@
 /// # Errors
 ///
 /// Tells what the request itself would be told.
-pub(super) fn room(worker: &Worker, call: &Call<'_>) -> Result<(), Refusal> {
+pub(in crate::traffic) fn room(worker: &Worker, call: &Call<'_>) -> Result<(), Refusal> {
     let content = call.content.as_ref();
     worker.hub.check_quarantine(Step::Admission, content)?;
     let service = own_service(worker, call)?;
@@ -232,7 +232,7 @@
 }
 
 /// Puts the load beside the target on an answer.
-pub(super) fn add_load(worker: &Worker, headers: &mut HeaderMap) {
+pub(in crate::traffic) fn add_load(worker: &Worker, headers: &mut HeaderMap) {
     let load = worker.hub.admission.load().to_string();
     if let Ok(value) = load.try_into() {
         headers.insert(names::LOAD, value);
--- a/crates/node/src/traffic/at_target.rs
+++ b/crates/node/src/traffic/inbound/hand_over.rs
@@ -22,36 +22,36 @@
 use sassafrasspool_wire::header::REQUEST_ID;
 use sassafrasspool_wire::header::REQUEST_TIMEOUT_MS;
 
-use super::admission;
-use super::answer::Answer;
-use super::arrival;
-use super::beside::Call;
-use super::crash_watch::Watched;
-use super::head;
-use super::hub::Hub;
-use super::missed::Missed;
-use super::parents::Parent;
-use super::payload::Payload;
-use super::sent::Sent;
-use super::sent::take_back;
-use super::target;
-use super::target::Connection;
-use super::unsent_key::UnsentKey;
-use super::worker::Worker;
 use crate::Dialect;
+use crate::traffic::answer::Answer;
+use crate::traffic::head;
+use crate::traffic::hub::Hub;
+use crate::traffic::inbound::admission;
+use crate::traffic::inbound::body_intake;
+use crate::traffic::inbound::exchange::Sent;
+use crate::traffic::inbound::exchange::take_back;
+use crate::traffic::inbound::forward::Call;
+use crate::traffic::inbound::unsent_key::UnsentKey;
+use crate::traffic::missed::Missed;
+use crate::traffic::parents::Parent;
+use crate::traffic::payload::Payload;
+use crate::traffic::target;
+use crate::traffic::target::Connection;
+use crate::traffic::target::crash_watch::Watched;
+use crate::traffic::worker::Worker;
 
 /// A request on its way through the stages that the core keeps apart.
 #[derive(Debug)]
-pub(super) struct AtTarget<'a> {
-    pub(super) worker: &'a Worker,
-    pub(super) req: Request<Payload>,
-    pub(super) call: Call<'a>,
-    pub(super) key: UnsentKey,
+pub(in crate::traffic) struct AtTarget<'a> {
+    pub(in crate::traffic) worker: &'a Worker,
+    pub(in crate::traffic) req: Request<Payload>,
+    pub(in crate::traffic) call: Call<'a>,
+    pub(in crate::traffic) key: UnsentKey,
 }
 
 impl AtTarget<'_> {
     /// The request's id, as its caller gave it.
-    pub(super) fn id(&self) -> Option<HeaderValue> {
+    pub(in crate::traffic) fn id(&self) -> Option<HeaderValue> {
         self.req.headers().get(REQUEST_ID).cloned()
     }
 
@@ -60,7 +60,7 @@
     /// # Errors
     ///
     /// A refusal was not handed over; anything later is a loss.
-    pub(super) async fn run(
+    pub(in crate::traffic) async fn run(
         mut self,
         class: Class,
         limits: &Limits,
@@ -75,7 +75,7 @@
             ask.slots = Some(slots);
             hub.pool.resize(slots);
         }
-        self.req = arrival::take_in(hub, &ask, self.req).await?;
+        self.req = body_intake::take_in(hub, &ask, self.req).await?;
         let asked = hub.shared.clock().now();
         let admitted = admission::admit(&hub.admission, hub.shared.clock(), &ask).await;
         let waited = hub.shared.clock().now().since(asked);
--- a/crates/node/src/traffic/peer_side.rs
+++ b/crates/node/src/traffic/inbound/peer_side.rs
@@ -17,16 +17,16 @@
 use sassafrasspool_core::Step;
 use sassafrasspool_wire::header as names;
 
-use super::answer::Answer;
-use super::beside;
-use super::beside::Call;
-use super::bounds::MAX_HOPS;
-use super::head;
-use super::payload::Payload;
-use super::refusal;
-use super::worker::Worker;
 use crate::Dialect;
 use crate::Routes;
+use crate::traffic::answer::Answer;
+use crate::traffic::bounds::MAX_HOPS;
+use crate::traffic::head;
+use crate::traffic::inbound::forward;
+use crate::traffic::inbound::forward::Call;
+use crate::traffic::payload::Payload;
+use crate::traffic::refusal;
+use crate::traffic::worker::Worker;
 
 /// What nodes tell one another: all of it, and times exactly.
 const BETWEEN_NODES: Dialect = Dialect {
@@ -35,13 +35,13 @@
 };
 
 /// Answers a request of another node.
-pub(super) async fn serve(worker: &Worker, req: Request<Incoming>) -> Response<Answer> {
+pub(in crate::traffic) async fn serve(worker: &Worker, req: Request<Incoming>) -> Response<Answer> {
     let guard = worker.hub.shared.in_flight().enter();
     let result = run(worker, req).await;
     worker.hub.peers.count(&result);
     let res = result.unwrap_or_else(|failure| {
         let mut res = refusal::respond(&failure, &BETWEEN_NODES);
-        beside::add_load(worker, res.headers_mut());
+        forward::add_load(worker, res.headers_mut());
         res
     });
     res.map(|body| body.held(guard))
@@ -54,7 +54,7 @@
     };
     let call = call_of(worker, &routes, req.headers())?;
     if req.headers().contains_key(names::ROOM) {
-        beside::room(worker, &call)?;
+        forward::room(worker, &call)?;
         return Ok(Response::new(Answer::text("")));
     }
     let (parts, body) = req.into_parts();
@@ -62,7 +62,7 @@
     let Ok(body) = Payload::stream(body).bounded(bound) else {
         return Err(refuse(Reason::TooLarge).into());
     };
-    let ran = beside::run(worker, Request::from_parts(parts, body), call).await;
+    let ran = forward::run(worker, Request::from_parts(parts, body), call).await;
     ran.map_err(|missed| missed.failure)
 }
 
--- a/crates/node/src/traffic/unsent_key.rs
+++ b/crates/node/src/traffic/inbound/unsent_key.rs
@@ -14,10 +14,10 @@
 /// when the request is refused or its caller goes away while it waits, leaves
 /// the key unused.
 #[derive(Debug)]
-pub(super) struct UnsentKey(Option<Running>);
+pub(in crate::traffic) struct UnsentKey(Option<Running>);
 
 impl UnsentKey {
-    pub(super) fn new(running: Option<Running>) -> UnsentKey {
+    pub(in crate::traffic) fn new(running: Option<Running>) -> UnsentKey {
         UnsentKey(running)
     }
 
@@ -26,7 +26,7 @@
     /// # Errors
     ///
     /// Refuses if this node may not run the key any more.
-    pub(super) fn hand_over(mut self, now: Tick) -> Result<Option<Running>, Refusal> {
+    pub(in crate::traffic) fn hand_over(mut self, now: Tick) -> Result<Option<Running>, Refusal> {
         // INVARIANT: Nothing is left to be given back by the drop.
         self.0.take().map(|running| running.check(now)).transpose()
     }
--- a/crates/node/src/traffic/listeners.rs
+++ b/crates/node/src/traffic/listener/listeners.rs
@@ -7,8 +7,8 @@
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
 
-use super::serve::bind;
 use crate::settings::Listen;
+use crate::traffic::listener::serve::bind;
 
 /// Where the traffic side listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,10 +23,10 @@
 
 /// The sockets.
 #[derive(Debug)]
-pub(super) struct Listeners {
-    pub(super) ingress: TcpListener,
-    pub(super) egress: Option<TcpListener>,
-    pub(super) traffic: TcpListener,
+pub(in crate::traffic) struct Listeners {
+    pub(in crate::traffic) ingress: TcpListener,
+    pub(in crate::traffic) egress: Option<TcpListener>,
+    pub(in crate::traffic) traffic: TcpListener,
     addrs: TrafficAddrs,
 }
 
@@ -36,7 +36,7 @@
     /// # Errors
     ///
     /// Fails if an address can't be bound.
-    pub(super) fn bind(listen: &Listen) -> Result<Listeners> {
+    pub(in crate::traffic) fn bind(listen: &Listen) -> Result<Listeners> {
         let ingress = bind(listen.ingress)?;
         let egress = listen.egress.map(bind).transpose()?;
         let traffic = bind(listen.traffic)?;
@@ -56,7 +56,7 @@
     }
 
     /// The addresses that were bound.
-    pub(super) fn addrs(&self) -> TrafficAddrs {
+    pub(in crate::traffic) fn addrs(&self) -> TrafficAddrs {
         self.addrs
     }
 
@@ -65,7 +65,7 @@
     /// # Errors
     ///
     /// Fails if there are no file descriptors left.
-    pub(super) fn try_clone(&self) -> Result<Listeners> {
+    pub(in crate::traffic) fn try_clone(&self) -> Result<Listeners> {
         let egress = self.egress.as_ref().map(TcpListener::try_clone);
         Ok(Listeners {
             ingress: self.ingress.try_clone().map_err(failed)?,
--- a/crates/node/src/traffic/running.rs
+++ b/crates/node/src/traffic/listener/running.rs
@@ -5,8 +5,8 @@
 
 use tokio::sync::oneshot;
 
-use super::hub::Hub;
-use super::listeners::TrafficAddrs;
+use crate::traffic::hub::Hub;
+use crate::traffic::listener::listeners::TrafficAddrs;
 
 /// A traffic side that runs until its token is cancelled.
 #[derive(Debug)]
@@ -18,7 +18,7 @@
 }
 
 impl RunningTraffic {
-    pub(super) fn new(
+    pub(in crate::traffic) fn new(
         addrs: TrafficAddrs,
         hub: Arc<Hub>,
         threads: Vec<oneshot::Receiver<()>>,
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/listener/serve.rs
@@ -7,15 +7,15 @@
 mod service;
 mod until_closed;
 
-use super::caller_side::Side;
+use crate::traffic::outbound::caller_side::Side;
 
-pub(super) use self::accept::accept;
-pub(super) use self::accept::bind;
-pub(super) use self::ahead::Behind;
+pub(in crate::traffic) use self::accept::accept;
+pub(in crate::traffic) use self::accept::bind;
+pub(in crate::traffic) use self::ahead::Behind;
 
 /// Who connects to a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Port {
+pub(in crate::traffic) enum Port {
     /// Callers, by HTTP/1.1 or HTTP/2.
     Caller(Side),
     /// Other nodes, by HTTP/2.
--- a/crates/node/src/traffic/serve/ahead/queue.rs
+++ b/crates/node/src/traffic/listener/serve/ahead/queue.rs
@@ -15,8 +15,8 @@
 use super::head;
 use super::head::Next;
 use crate::traffic::answer::Answer;
-use crate::traffic::caller_side;
-use crate::traffic::caller_side::Side;
+use crate::traffic::outbound::caller_side;
+use crate::traffic::outbound::caller_side::Side;
 use crate::traffic::payload::Payload;
 use crate::traffic::worker::Worker;
 
@@ -36,7 +36,7 @@
 /// Requests are numbered from 0 in the order of their bytes, and the library
 /// takes them in that order. What is in `begun` has not been taken yet.
 #[derive(Debug, Clone)]
-pub(in crate::traffic::serve) struct Ahead(Arc<Mutex<State>>);
+pub(in crate::traffic::listener::serve) struct Ahead(Arc<Mutex<State>>);
 
 #[derive(Debug)]
 struct State {
@@ -62,7 +62,7 @@
 pub(in crate::traffic) struct Behind(Ahead);
 
 impl Ahead {
-    pub(in crate::traffic::serve) fn new(worker: Arc<Worker>, side: Side) -> Ahead {
+    pub(in crate::traffic::listener::serve) fn new(worker: Arc<Worker>, side: Side) -> Ahead {
         Ahead(Arc::new(Mutex::new(State {
             worker,
             side,
@@ -78,7 +78,7 @@
 
     /// Takes the next request: what was begun of it, if it was, and what tells
     /// when its answer has ended.
-    pub(in crate::traffic::serve) fn take(&self) -> (Option<Begun>, Behind) {
+    pub(in crate::traffic::listener::serve) fn take(&self) -> (Option<Begun>, Behind) {
         let mut state = self.lock();
         let number = state.taken;
         state.taken += 1;
@@ -90,7 +90,7 @@
     /// Whether requests were begun that the library has yet to take. The
     /// connection must not be closed before they are answered: their targets
     /// have them.
-    pub(in crate::traffic::serve) fn has_begun(&self) -> bool {
+    pub(in crate::traffic::listener::serve) fn has_begun(&self) -> bool {
         !self.lock().begun.is_empty()
     }
 
--- a/crates/node/src/traffic/serve/caller.rs
+++ b/crates/node/src/traffic/listener/serve/caller.rs
@@ -18,8 +18,8 @@
 use crate::traffic::bounds::MAX_STREAMS;
 use crate::traffic::bounds::MIN_HEAD_BUFFER;
 use crate::traffic::bounds::STREAM_WINDOW;
-use crate::traffic::caller_side::Side;
 use crate::traffic::hub::Hub;
+use crate::traffic::outbound::caller_side::Side;
 use crate::traffic::worker::Worker;
 
 /// Serves a connection by the version of HTTP that the caller speaks.
--- a/crates/node/src/traffic/serve/service.rs
+++ b/crates/node/src/traffic/listener/serve/service.rs
@@ -14,10 +14,10 @@
 
 use super::ahead::Ahead;
 use crate::traffic::answer::Answer;
-use crate::traffic::caller_side;
-use crate::traffic::caller_side::Side;
+use crate::traffic::inbound::peer_side;
+use crate::traffic::outbound::caller_side;
+use crate::traffic::outbound::caller_side::Side;
 use crate::traffic::payload::Payload;
-use crate::traffic::peer_side;
 use crate::traffic::worker::Worker;
 
 /// Answers the requests of one connection.
--- a/crates/node/src/traffic/threads.rs
+++ b/crates/node/src/traffic/listener/threads.rs
@@ -12,14 +12,14 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
-use super::bounds::LINGER;
-use super::caller_side::Side;
-use super::hub::Hub;
-use super::listeners::Listeners;
-use super::serve;
-use super::serve::Port;
-use super::target::WorkerIndex;
-use super::worker::Worker;
+use crate::traffic::bounds::LINGER;
+use crate::traffic::hub::Hub;
+use crate::traffic::listener::listeners::Listeners;
+use crate::traffic::listener::serve;
+use crate::traffic::listener::serve::Port;
+use crate::traffic::outbound::caller_side::Side;
+use crate::traffic::target::WorkerIndex;
+use crate::traffic::worker::Worker;
 
 /// Starts `count` threads, each with a runtime of its own: a request stays on
 /// the thread that accepted it, so that no wake-up crosses threads.
@@ -27,7 +27,7 @@
 /// # Errors
 ///
 /// Fails if a thread or its runtime can't be started.
-pub(super) fn start(
+pub(in crate::traffic) fn start(
     hub: &Arc<Hub>,
     listeners: Listeners,
     count: usize,
@@ -42,7 +42,7 @@
 
 /// Does a thread's work as a task on `handle`. What is returned is closed once
 /// the listeners are, so that a node that ends leaves its ports free.
-pub(super) fn start_on(
+pub(in crate::traffic) fn start_on(
     handle: &Handle,
     hub: &Arc<Hub>,
     listeners: Listeners,
@@ -84,7 +84,7 @@
 }
 
 /// Serves the three listeners until the node closes.
-pub(super) async fn work(hub: Arc<Hub>, index: WorkerIndex, listeners: Listeners) {
+pub(in crate::traffic) async fn work(hub: Arc<Hub>, index: WorkerIndex, listeners: Listeners) {
     let worker = Arc::new(Worker::new(Arc::clone(&hub), index));
     let Listeners {
         ingress,
--- a/crates/node/src/traffic/trail.rs
+++ b/crates/node/src/traffic/outbound/access_log.rs
@@ -19,9 +19,6 @@
 use sassafrasspool_wire::log::RequestLine;
 use sassafrasspool_wire::log::TRIED;
 
-use super::answer::Answer;
-use super::first_hop::FirstHop;
-use super::worker::Worker;
 use crate::Routes;
 use crate::Shared;
 use crate::log::Rank;
@@ -29,18 +26,21 @@
 use crate::log::micros;
 use crate::log::told;
 use crate::log::unix_ms;
+use crate::traffic::answer::Answer;
+use crate::traffic::outbound::first_hop::FirstHop;
+use crate::traffic::worker::Worker;
 
 /// What a request's decisions are made from.
 #[derive(Debug)]
-pub(super) struct Facts<'a> {
-    pub(super) worker: &'a Worker,
-    pub(super) routes: &'a Routes,
-    pub(super) route: &'a Route,
-    pub(super) deadline: Deadline,
+pub(in crate::traffic) struct Facts<'a> {
+    pub(in crate::traffic) worker: &'a Worker,
+    pub(in crate::traffic) routes: &'a Routes,
+    pub(in crate::traffic) route: &'a Route,
+    pub(in crate::traffic) deadline: Deadline,
     /// Until when the answer is worth most.
-    pub(super) aim: Option<Tick>,
+    pub(in crate::traffic) aim: Option<Tick>,
     /// What it asks for.
-    pub(super) content: Option<&'a Content>,
+    pub(in crate::traffic) content: Option<&'a Content>,
 }
 
 /// What happened to a request so far.
@@ -48,7 +48,7 @@
 /// A request whose task is dropped, as when its caller leaves, has its line as
 /// well: the trail writes it when it is dropped without an end.
 #[derive(Debug)]
-pub(super) struct Trail<'a> {
+pub(in crate::traffic) struct Trail<'a> {
     first: &'a FirstHop<'a>,
     /// Nothing if nothing is written, or everything is.
     id: Option<HeaderValue>,
@@ -66,7 +66,7 @@
 }
 
 impl<'a> Trail<'a> {
-    pub(super) fn new<B>(first: &'a FirstHop<'a>, req: &Request<B>) -> Trail<'a> {
+    pub(in crate::traffic) fn new<B>(first: &'a FirstHop<'a>, req: &Request<B>) -> Trail<'a> {
         let worker = first.facts().worker;
         Trail {
             first,
@@ -78,7 +78,7 @@
     }
 
     /// Notes the endpoint of the next try.
-    pub(super) fn pick(&mut self, picked: &Picked) {
+    pub(in crate::traffic) fn pick(&mut self, picked: &Picked) {
         self.tries += 1;
         self.picked = Some(Chosen {
             endpoint: picked.endpoint(),
@@ -88,7 +88,7 @@
     }
 
     /// Tells of a try that brought no answer.
-    pub(super) fn miss(&mut self, failure: &Failure) {
+    pub(in crate::traffic) fn miss(&mut self, failure: &Failure) {
         let since = self
             .picked
             .as_ref()
@@ -100,7 +100,7 @@
     }
 
     /// Tells how the request ended.
-    pub(super) fn end(mut self, ended: &Result<Response<Answer>, Failure>) {
+    pub(in crate::traffic) fn end(mut self, ended: &Result<Response<Answer>, Failure>) {
         if let Some(mut line) = self.line(ENDED, self.begun) {
             let plain = ended
                 .as_ref()
@@ -158,7 +158,7 @@
 }
 
 /// The id under which the log tells of a request, if anything is written.
-pub(super) fn written_id<B>(worker: &Worker, req: &Request<B>) -> Option<HeaderValue> {
+pub(in crate::traffic) fn written_id<B>(worker: &Worker, req: &Request<B>) -> Option<HeaderValue> {
     let id = req.headers().get(REQUEST_ID);
     id.filter(|_| !worker.hub.shared.log().is_silent()).cloned()
 }
@@ -198,7 +198,7 @@
 
 /// Tells of a request that was refused before it had a route, or as one that has
 /// none by the `routes` in force.
-pub(super) fn tell_unrouted(
+pub(in crate::traffic) fn tell_unrouted(
     worker: &Worker,
     id: Option<&HeaderValue>,
     routes: Option<&Routes>,
--- a/crates/node/src/traffic/attempt.rs
+++ b/crates/node/src/traffic/outbound/attempt.rs
@@ -30,34 +30,34 @@
 use sassafrasspool_core::Verdict;
 use sassafrasspool_wire::header as names;
 
-use super::answer::Answer;
-use super::beside;
-use super::beside::Call;
-use super::head;
-use super::missed::Missed;
-use super::payload::Payload;
-use super::peer::LinkFailure;
-use super::refusal;
-use super::worker::Worker;
 use crate::Routes;
+use crate::traffic::answer::Answer;
+use crate::traffic::head;
+use crate::traffic::inbound::forward;
+use crate::traffic::inbound::forward::Call;
+use crate::traffic::missed::Missed;
+use crate::traffic::payload::Payload;
+use crate::traffic::peer::LinkFailure;
+use crate::traffic::refusal;
+use crate::traffic::worker::Worker;
 
 /// One attempt.
 #[derive(Debug)]
-pub(super) struct Attempt<'a> {
-    pub(super) worker: &'a Worker,
-    pub(super) routes: &'a Routes,
+pub(in crate::traffic) struct Attempt<'a> {
+    pub(in crate::traffic) worker: &'a Worker,
+    pub(in crate::traffic) routes: &'a Routes,
     /// Where it goes.
-    pub(super) instance: &'a Instance,
-    pub(super) deadline: Deadline,
-    pub(super) hop: u32,
-    pub(super) class: Class,
-    pub(super) kind: &'a KindName,
+    pub(in crate::traffic) instance: &'a Instance,
+    pub(in crate::traffic) deadline: Deadline,
+    pub(in crate::traffic) hop: u32,
+    pub(in crate::traffic) class: Class,
+    pub(in crate::traffic) kind: &'a KindName,
     /// Until when the answer is worth most.
-    pub(super) aim: Option<Tick>,
+    pub(in crate::traffic) aim: Option<Tick>,
     /// Whether nobody else is asked for room after this.
-    pub(super) settles: bool,
+    pub(in crate::traffic) settles: bool,
     /// What it asks for.
-    pub(super) content: Option<&'a Content>,
+    pub(in crate::traffic) content: Option<&'a Content>,
 }
 
 impl Attempt<'_> {
@@ -66,13 +66,13 @@
     /// # Errors
     ///
     /// Says what is known of the request if there is none.
-    pub(super) async fn run(
+    pub(in crate::traffic) async fn run(
         &self,
         picked: Picked,
         req: Request<Payload>,
     ) -> Result<Response<Answer>, Missed> {
         let result = if self.instance.id == *self.worker.hub.shared.me() {
-            beside::run(self.worker, req, self.call()).await
+            forward::run(self.worker, req, self.call()).await
         } else {
             self.run_at_peer(&picked, req).await
         };
--- a/crates/node/src/traffic/caller_side.rs
+++ b/crates/node/src/traffic/outbound/caller_side.rs
@@ -13,21 +13,21 @@
 use sassafrasspool_core::Step;
 use sassafrasspool_wire::header as names;
 
-use super::answer::Answer;
-use super::content;
-use super::first_hop::FirstHop;
-use super::head;
-use super::keyed;
-use super::payload::Payload;
-use super::refusal;
-use super::trail;
-use super::worker::Worker;
 use crate::Dialect;
 use crate::Routes;
+use crate::traffic::answer::Answer;
+use crate::traffic::content;
+use crate::traffic::head;
+use crate::traffic::keyed;
+use crate::traffic::outbound::access_log;
+use crate::traffic::outbound::first_hop::FirstHop;
+use crate::traffic::payload::Payload;
+use crate::traffic::refusal;
+use crate::traffic::worker::Worker;
 
 /// Which listener a caller came by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Side {
+pub(in crate::traffic) enum Side {
     /// Callers from outside.
     Ingress,
     /// The own target.
@@ -35,7 +35,11 @@
 }
 
 /// Answers a request of a caller.
-pub(super) async fn serve(worker: &Worker, side: Side, req: Request<Payload>) -> Response<Answer> {
+pub(in crate::traffic) async fn serve(
+    worker: &Worker,
+    side: Side,
+    req: Request<Payload>,
+) -> Response<Answer> {
     let guard = worker.hub.shared.in_flight().enter();
     let may_follow = keyed::may_follow_another(req.headers());
     let taken = req.body().taken();
@@ -77,7 +81,7 @@
 }
 
 /// Whether a request's route lets it run twice, by what is in force now.
-pub(super) fn may_repeat<B>(worker: &Worker, req: &Request<B>) -> bool {
+pub(in crate::traffic) fn may_repeat<B>(worker: &Worker, req: &Request<B>) -> bool {
     let Some(routes) = worker.hub.shared.routes() else {
         return false;
     };
@@ -91,9 +95,9 @@
     side: Side,
     req: Request<Payload>,
 ) -> Result<Response<Answer>, Failure> {
-    let id = trail::written_id(worker, &req);
+    let id = access_log::written_id(worker, &req);
     let unrouted = |routes: Option<&Routes>, refusal: Refusal| {
-        trail::tell_unrouted(worker, id.as_ref(), routes, refusal);
+        access_log::tell_unrouted(worker, id.as_ref(), routes, refusal);
         Failure::from(refusal)
     };
     // INVARIANT: The request is routed by these alone; newer ones only take
--- a/crates/node/src/traffic/departed.rs
+++ b/crates/node/src/traffic/outbound/departed.rs
@@ -14,7 +14,7 @@
 /// A request is routed by one snapshot from its arrival on, and may be sent
 /// again seconds later. A target that began to leave meanwhile would get the
 /// later try past its bound, and be cut with the request on it.
-pub(super) fn departed(
+pub(in crate::traffic) fn departed(
     held: &Arc<Snapshot>,
     service: &BoundService,
     newest: &Arc<Snapshot>,
--- a/crates/node/src/traffic/first_hop.rs
+++ b/crates/node/src/traffic/outbound/first_hop.rs
@@ -24,20 +24,20 @@
 use sassafrasspool_core::Tries;
 use sassafrasspool_wire::header as names;
 
-use super::answer::Answer;
-use super::attempt::Attempt;
-use super::bounds::MAX_HOPS;
-use super::caller_side::Side;
-use super::counters::count_retry;
-use super::departed::departed;
-use super::head;
-use super::keyed::Keyed;
-use super::missed::Missed;
-use super::payload::Payload;
-use super::trail::Facts;
-use super::trail::Trail;
-use super::worker::Worker;
 use crate::Routes;
+use crate::traffic::answer::Answer;
+use crate::traffic::bounds::MAX_HOPS;
+use crate::traffic::counters::count_retry;
+use crate::traffic::head;
+use crate::traffic::keyed::Keyed;
+use crate::traffic::missed::Missed;
+use crate::traffic::outbound::access_log::Facts;
+use crate::traffic::outbound::access_log::Trail;
+use crate::traffic::outbound::attempt::Attempt;
+use crate::traffic::outbound::caller_side::Side;
+use crate::traffic::outbound::departed::departed;
+use crate::traffic::payload::Payload;
+use crate::traffic::worker::Worker;
 
 /// What a request's way from its caller and the answer's way back take: up to
 /// 8 ms each at the deployments of today, and the time to read and write them.
@@ -45,7 +45,7 @@
 
 /// A request that is routed.
 #[derive(Debug)]
-pub(super) struct FirstHop<'a> {
+pub(in crate::traffic) struct FirstHop<'a> {
     worker: &'a Worker,
     routes: &'a Routes,
     route: &'a BoundRoute,
@@ -68,7 +68,7 @@
     /// # Errors
     ///
     /// Refuses it if no route takes its path or it has passed too many nodes.
-    pub(super) fn new<B>(
+    pub(in crate::traffic) fn new<B>(
         worker: &'a Worker,
         side: Side,
         routes: &'a Routes,
@@ -112,12 +112,12 @@
     }
 
     /// When the request is given up.
-    pub(super) fn deadline(&self) -> Deadline {
+    pub(in crate::traffic) fn deadline(&self) -> Deadline {
         self.deadline
     }
 
     /// The same for a request that asks for that.
-    pub(super) fn asking(mut self, content: Content) -> FirstHop<'a> {
+    pub(in crate::traffic) fn asking(mut self, content: Content) -> FirstHop<'a> {
         self.content = Some(content);
         self
     }
@@ -135,7 +135,10 @@
     /// # Errors
     ///
     /// Says what is known of the request if there is no answer.
-    pub(super) async fn run(&self, req: Request<Payload>) -> Result<Response<Answer>, Failure> {
+    pub(in crate::traffic) async fn run(
+        &self,
+        req: Request<Payload>,
+    ) -> Result<Response<Answer>, Failure> {
         let mut trail = Trail::new(self, &req);
         let ended = self.run_traced(req, &mut trail).await;
         let took = now(self.worker).since(self.begun);
@@ -187,7 +190,7 @@
     }
 
     /// What is known of the request and of what it is routed by.
-    pub(super) fn facts(&self) -> Facts<'_> {
+    pub(in crate::traffic) fn facts(&self) -> Facts<'_> {
         Facts {
             worker: self.worker,
             routes: self.routes,
--- a/crates/node/src/traffic/patience.rs
+++ b/crates/node/src/traffic/outbound/patience.rs
@@ -13,12 +13,12 @@
 
 /// What callers say of the time that they wait.
 #[derive(Debug, Default)]
-pub(super) struct Patiences(Mutex<HashMap<KindName, Patience>>);
+pub(in crate::traffic) struct Patiences(Mutex<HashMap<KindName, Patience>>);
 
 impl Patiences {
     /// Takes in how long a caller says that it waits, and tells how long ago its
     /// first attempt was by that.
-    pub(super) fn age(&self, kind: &KindName, wait: Duration) -> Duration {
+    pub(in crate::traffic) fn age(&self, kind: &KindName, wait: Duration) -> Duration {
         // A count is whole after each change.
         let mut held = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if !held.contains_key(kind) {
--- a/crates/node/src/traffic/stored.rs
+++ b/crates/node/src/traffic/stored_answer.rs
@@ -11,7 +11,7 @@
 use sassafrasspool_core::StoredAnswer;
 use sassafrasspool_core::Tick;
 
-use super::answer::Answer;
+use crate::traffic::answer::Answer;
 
 /// Collects an answer while it passes.
 #[derive(Debug)]
--- a/crates/node/src/traffic/target.rs
+++ b/crates/node/src/traffic/target.rs
@@ -2,7 +2,9 @@
 
 mod body;
 mod connection;
+pub(super) mod crash_watch;
 mod exchange;
+pub(super) mod lives;
 mod pool;
 
 pub(super) use self::body::TargetBody;
--- a/crates/node/src/traffic/target/body.rs
+++ b/crates/node/src/traffic/target/body.rs
@@ -18,8 +18,8 @@
 use super::pool::put_back;
 use crate::Clock;
 use crate::traffic::BoxError;
-use crate::traffic::crash_watch::Watched;
-use crate::traffic::stored::Recorder;
+use crate::traffic::stored_answer::Recorder;
+use crate::traffic::target::crash_watch::Watched;
 
 /// What the target answers, together with the connection that it comes by.
 ///
--- a/crates/node/src/traffic/crash_watch.rs
+++ b/crates/node/src/traffic/target/crash_watch.rs
@@ -11,9 +11,9 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
-use super::hub::Hub;
-use super::target;
-use super::target::Lost;
+use crate::traffic::hub::Hub;
+use crate::traffic::target;
+use crate::traffic::target::Lost;
 
 /// How long after a connection broke the target is tried: a process that crashes has
 /// closed its listener by then, and none is back yet.
@@ -26,7 +26,7 @@
 
 /// What the own target runs, and whether its last crash was told.
 #[derive(Debug, Default)]
-pub(super) struct CrashWatch {
+pub(in crate::traffic) struct CrashWatch {
     state: Mutex<State>,
 }
 
@@ -53,7 +53,7 @@
 
 /// One request that the own target runs, until this is dropped.
 #[derive(Debug)]
-pub(super) struct Watched {
+pub(in crate::traffic) struct Watched {
     hub: Arc<Hub>,
     content: Content,
     key: RunKey,
@@ -65,7 +65,7 @@
 
 impl Watched {
     /// Enters a request that is handed over.
-    pub(super) fn enter(hub: &Arc<Hub>, content: Content) -> Box<Watched> {
+    pub(in crate::traffic) fn enter(hub: &Arc<Hub>, content: Content) -> Box<Watched> {
         let mut state = hub.crash_watch.lock();
         Box::new(Watched {
             hub: Arc::clone(hub),
@@ -81,13 +81,13 @@
     /// A target that starts cold, or is full, refuses by itself what it doesn't run, and so
     /// does whatever stands before one that is down. Such an answer says nothing of what
     /// happens when the request is run.
-    pub(super) fn begins_answer(&mut self, status: StatusCode) {
+    pub(in crate::traffic) fn begins_answer(&mut self, status: StatusCode) {
         let refused = status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error();
         self.shows_run = !refused;
     }
 
     /// Its answer came whole.
-    pub(super) fn answered(&self) {
+    pub(in crate::traffic) fn answered(&self) {
         {
             let mut state = self.hub.crash_watch.lock();
             state.answered |= self.crashes == state.crashes;
@@ -106,7 +106,7 @@
     /// A target also breaks off single answers, and resets connections that it has no room
     /// for; so it is tried whether it still takes connections. The first of all that break
     /// together tells of all, and nobody's answer waits for it.
-    pub(super) fn lost(&self) {
+    pub(in crate::traffic) fn lost(&self) {
         let hub = &self.hub;
         if hub.is_leaving() || hub.has_departed() {
             // It was to end anyway, whatever it ran.
--- a/crates/node/src/traffic/own_life.rs
+++ b/crates/node/src/traffic/target/lives.rs
@@ -14,7 +14,7 @@
 
 /// The own target's lives as requests last saw them.
 #[derive(Debug, Default)]
-pub(super) struct OwnLife {
+pub(in crate::traffic) struct OwnLife {
     listed: Mutex<Option<TargetLife>>,
     seen: Mutex<Succession<HeaderValue>>,
 }
@@ -22,24 +22,29 @@
 impl OwnLife {
     /// Takes over the life that is listed now, and tells whether an earlier one
     /// ended.
-    pub(super) fn follow(&self, listed: &TargetLife) -> bool {
+    pub(in crate::traffic) fn follow(&self, listed: &TargetLife) -> bool {
         let mut held = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
         listed.replaces(&mut held)
     }
 
     /// The life to name to the target in a request that is meant for `asked`.
-    pub(super) fn meant(&self, now: Tick, asked: &HeaderValue) -> HeaderValue {
+    pub(in crate::traffic) fn meant(&self, now: Tick, asked: &HeaderValue) -> HeaderValue {
         self.seen().meant(now, asked).clone()
     }
 
     /// Notes that the target answered a request that named this life.
-    pub(super) fn answered(&self, named: &HeaderValue) {
+    pub(in crate::traffic) fn answered(&self, named: &HeaderValue) {
         self.seen().answered(named);
     }
 
     /// Notes that the target declined a request that named another life than its
     /// own, which is `answering`.
-    pub(super) fn declined(&self, now: Tick, named: &HeaderValue, answering: &HeaderValue) {
+    pub(in crate::traffic) fn declined(
+        &self,
+        now: Tick,
+        named: &HeaderValue,
+        answering: &HeaderValue,
+    ) {
         if self.seen().declined(now, named, answering) {
             tracing::info!(
                 ?named,
