--- a/crates/core/src/admit/control.rs
+++ b/crates/core/src/admit/control.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use super::queue::WaitKey;
 use super::state::Decision;
@@ -14,6 +15,7 @@
 use super::wake::Waker;
 use crate::AdmissionSettings;
 use crate::Ask;
+use crate::Class;
 use crate::Error;
 use crate::LoadReport;
 use crate::Offer;
@@ -110,6 +112,11 @@
         next
     }
 
+    /// How long a request of that class would wait behind all others of it.
+    pub fn expected_wait(&self, class: Class) -> Duration {
+        self.0.lock().wait_of_class(class)
+    }
+
     /// The load as answers carry it.
     pub fn load(&self) -> LoadReport {
         self.0.lock().load()
--- a/crates/core/src/admit/state/place.rs
+++ b/crates/core/src/admit/state/place.rs
@@ -96,7 +96,7 @@
     }
 
     /// How long one waits that goes behind all of its class.
-    pub(super) fn wait_of_class(&self, class: Class) -> Duration {
+    pub(in crate::admit) fn wait_of_class(&self, class: Class) -> Duration {
         self.wait_of(class, Precedence::LAST)
     }
 
--- a/crates/core/src/admit/tests.rs
+++ b/crates/core/src/admit/tests.rs
@@ -6,3 +6,4 @@
 mod drawn;
 mod load;
 mod overload;
+mod shed;
--- a/crates/node/src/traffic/inbound/exchange.rs
+++ b/crates/node/src/traffic/inbound/exchange.rs
@@ -168,7 +168,8 @@
             _ => Reason::TargetShed,
         };
         let now = self.hub.shared.clock().now();
-        let refusal = self.stage.declined(now, reason);
+        let wait = self.hub.admission.expected_wait(self.stage.class());
+        let refusal = self.stage.declined(now, reason).after(wait);
         Err(take_back(self.running, refusal).into())
     }
 
