--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -50,6 +50,28 @@
     assert_eq!(u64::try_from(bound), Ok(case.bound_ms), "{case:?}");
 }
 
+#[derive(Debug)]
+struct Cold {
+    fields: &'static str,
+    over_percent: u32,
+    slack: u32,
+}
+
+/// Guards against a node that gives cold targets more than its settings say they tolerate.
+#[rstest]
+#[case::told(Cold { fields: "cold_over: \"1.25\", cold_slack: \"8.0\"", over_percent: 125, slack: 8 })]
+#[case::not_told(Cold { fields: "cold_over: \"\", cold_slack: \"\"", over_percent: 150, slack: 0 })]
+#[case::one(Cold { fields: "cold_slack: \"3\"", over_percent: 150, slack: 3 })]
+fn what_cold_targets_tolerate_is_set(#[case] case: Cold) {
+    let text = WHOLE.replace("target: {", &format!("target: {{{}, ", case.fields));
+    assert_ne!(text, WHOLE);
+    let cold = Settings::parse(&text).expect("settings").target.cold;
+    assert_eq!(
+        (cold.over_percent, cold.slack),
+        (case.over_percent, case.slack)
+    );
+}
+
 #[rstest]
 #[case("0")]
 #[case("-1")]
