See callers leave who have further requests in line

Cause: these callers send several requests on one connection. The library reads no more of a connection while a whole request lies in its buffer, so that it sees no close behind it, and each request in line, begun early, ran to its end or deadline. Ruled out: nodes that were told to stop (the fault shows without).

While requests are in line the connection is peeked beside the library, and ends when its caller has closed it; where more bytes have arrived, it is looked at ten times a second. The socket is shared for that, not duplicated, so that no descriptor is added. Connections without requests in line are not looked at.

--- a/crates/node/src/traffic/listener/serve.rs
+++ b/crates/node/src/traffic/listener/serve.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod peer;
 mod service;
+mod shared_stream;
 mod until_closed;
 
 use crate::traffic::outbound::caller_side::Side;
--- a/crates/node/tests/requests/pipelined.rs
+++ b/crates/node/tests/requests/pipelined.rs
@@ -1,6 +1,7 @@
 //! Requests that are sent before those before them were answered.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use sassafrasspool_standin::TargetSettings;
 use sassafrasspool_standin::target::ServiceTimes;
@@ -10,10 +11,15 @@
 
 use crate::fleet::DESK;
 use crate::fleet::Fleet;
+use crate::wait;
 
 /// How long the target takes for each request.
 const SERVICE: Duration = Duration::from_millis(300);
 
+/// Within what a slot is free after its caller has left: far above a round trip, and far
+/// below the deadline of a request.
+const FREED_WITHIN: Duration = Duration::from_secs(2);
+
 async fn slow_fleet() -> Fleet {
     let cfg = TargetSettings {
         service: ServiceTimes {
@@ -93,3 +99,25 @@
         "{runs:?}"
     );
 }
+
+/// Guards against work for callers who have left, when they had sent further requests
+/// behind the one that is being answered.
+#[tokio::test]
+async fn a_caller_that_leaves_with_requests_in_line_frees_their_slots() {
+    let fleet = Fleet::start(&[DESK]).await;
+    let desk = &fleet.members[0];
+    desk.target.set_slow(Duration::from_secs(60)).await;
+    let mut caller = TcpStream::connect(desk.addrs.ingress)
+        .await
+        .expect("a connection");
+    for n in 0..3 {
+        let head =
+            format!("GET /desk/policy HTTP/1.1\r\nhost: desk\r\nx-request-id: r-{n}\r\n\r\n");
+        caller.write_all(head.as_bytes()).await.expect("sent");
+    }
+    wait::until("all run", || desk.target.stats().inflight == 3).await;
+    drop(caller);
+    let left = Instant::now();
+    wait::until("free slots", || desk.target.stats().inflight == 0).await;
+    assert!(left.elapsed() < FREED_WITHIN, "after {:?}", left.elapsed());
+}
--- a/crates/wire/src/socket/tapped.rs
+++ b/crates/wire/src/socket/tapped.rs
@@ -22,10 +22,10 @@
     fn written(&mut self, n: usize);
 }
 
-/// A TCP connection that tells what goes over it.
+/// A connection that tells what goes over it.
 #[derive(Debug)]
-pub struct Tapped<T> {
-    io: TcpStream,
+pub struct Tapped<T, I = TcpStream> {
+    io: I,
     tap: T,
 }
 
@@ -35,9 +35,9 @@
 /// nothing of what was to be sent.
 pub type Counted = Tapped<Arc<SocketBytes>>;
 
-impl<T> Tapped<T> {
+impl<T, I> Tapped<T, I> {
     /// Tells `tap` what goes over `io`.
-    pub const fn new(io: TcpStream, tap: T) -> Tapped<T> {
+    pub const fn new(io: I, tap: T) -> Tapped<T, I> {
         Tapped { io, tap }
     }
 }
@@ -52,7 +52,7 @@
     }
 }
 
-impl<T: Tap + Unpin> AsyncRead for Tapped<T> {
+impl<T: Tap + Unpin, I: AsyncRead + Unpin> AsyncRead for Tapped<T, I> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -68,7 +68,7 @@
     }
 }
 
-impl<T: Tap + Unpin> AsyncWrite for Tapped<T> {
+impl<T: Tap + Unpin, I: AsyncWrite + Unpin> AsyncWrite for Tapped<T, I> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
