Test how a node asks its target how cold it is

Over sockets: a target that tells, one that is warm and tells nothing, one that is ill or full, and one that tells no number.

--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -20,6 +20,9 @@
 use crate::Shared;
 use crate::settings::TargetSettings;
 
+#[cfg(test)]
+mod tests;
+
 /// How long one probe may take.
 const PROBE_LIMIT: Duration = Duration::from_secs(1);
 
