--- a/crates/core/src/spread/audit.rs
+++ b/crates/core/src/spread/audit.rs
@@ -163,7 +163,7 @@
         origin: Origin,
     },
     /// A failure domain is no longer evacuated.
-    TakenBack {
+    EvacuationEnded {
         /// The failure domain.
         domain: DomainName,
         /// Who told of it.
--- a/crates/core/src/spread/machine/join.rs
+++ b/crates/core/src/spread/machine/join.rs
@@ -129,12 +129,12 @@
     ) {
         if let Some(held) = self.holder.catalogue() {
             self.catalogues.advance(before, held);
-            self.tell_evacuations(before, held, origin, out);
+            self.audit_evacuations(before, held, origin, out);
         }
         self.taken(now, Stream::Catalogue, origin, out);
     }
 
-    fn tell_evacuations(
+    fn audit_evacuations(
         &self,
         before: Option<&Catalogue>,
         held: &Catalogue,
@@ -155,7 +155,7 @@
         }
         for domain in before.into_iter().flat_map(evacuated) {
             if !evacuated(held).any(|it| it == domain) {
-                out.push(Action::Audit(AuditEvent::TakenBack {
+                out.push(Action::Audit(AuditEvent::EvacuationEnded {
                     domain: domain.clone(),
                     origin: origin.clone(),
                 }));
--- a/crates/node/src/audit/record.rs
+++ b/crates/node/src/audit/record.rs
@@ -74,9 +74,9 @@
             reason: Some(format!("{domain}, with {instances} listed instances")),
             ..named("evacuated", origin)
         },
-        AuditEvent::TakenBack { domain, origin } => AuditRecord {
+        AuditEvent::EvacuationEnded { domain, origin } => AuditRecord {
             reason: Some(domain.to_string()),
-            ..named("taken-back", origin)
+            ..named("evacuation-ended", origin)
         },
         AuditEvent::Replaced { state } => AuditRecord {
             event: "replaced".to_owned(),
