Tell every fault of a service beside those of its cold start

The promise is to tell all at once. The case of the test has a route without a kind and an unknown field behind a faulty cold_start, and fails without the mend.

--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -179,8 +179,8 @@
         .required_table("limits", faults)
         .and_then(|limits| read_limits(limits, faults));
     let cold_start = match table.table("cold_start", faults) {
-        Some(table) => Some(read_cold_start(table, faults)?),
-        None => None,
+        Some(table) => read_cold_start(table, faults).map(Some),
+        None => Some(None),
     };
     let mut routes = Vec::new();
     for (i, placed) in table.list("routes", faults).iter().enumerate() {
@@ -196,7 +196,7 @@
         owner: owner?,
         class: class?,
         limits: limits?,
-        cold_start,
+        cold_start: cold_start?,
         routes,
     })
 }
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -24,10 +24,12 @@
     "1:20: evacuated: must be the name of a failure domain",
     "1:23: evacuated: check: failure domain \"North\" may only have a-z, 0-9, '-', '_' and '.', and begins with a letter or digit",
 ] })]
-#[case(Bad { text: "services:\n  desk:\n    owner: a\n    class: standard\n    limits: {rate_per_s: 1, concurrency: 1, deadline_ms: 1}\n    cold_start: {lasts_ms: 0, probe_path: health}\n", told: &[
+#[case(Bad { text: "services:\n  desk:\n    owner: a\n    class: standard\n    limits: {rate_per_s: 1, concurrency: 1, deadline_ms: 1}\n    cold_start: {lasts_ms: 0, probe_path: health}\n    routes: [{path: /}]\n    slots: 1\n", told: &[
     "6:28: desk.cold_start: lasts_ms: must be 1 to 600000, is 0",
     "6:17: desk.cold_start: per_s: is missing",
     "6:43: desk.cold_start: probe_path: must begin with a slash, is \"health\"",
+    "7:14: desk.routes[0]: kind: is missing",
+    "8:5: desk: slots: is unknown",
 ] })]
 #[case(Bad { text: "- 1\n", told: &["1:1: must be a table, is a list"] })]
 fn a_bad_text_tells_every_fault(#[case] case: Bad) {
