--- a/crates/node/src/settings/drain.rs
+++ b/crates/node/src/settings/drain.rs
@@ -6,6 +6,7 @@
 use sassafrasspool_core::Faults;
 use sassafrasspool_core::yaml::Table;
 
+use super::value::decimal;
 use super::value::millis_or;
 
 /// Bounds of the bound, in milliseconds.
@@ -68,14 +69,8 @@
 
 /// Reads a time in seconds; nothing if the platform doesn't tell it.
 fn grace(text: &str) -> Result<Option<Duration>, String> {
-    if text.is_empty() {
-        return Ok(None);
-    }
-    let secs = text.parse::<f64>().ok();
-    let secs = secs.filter(|secs| GRACE_S.contains(secs));
-    let (min, max) = (GRACE_S.start(), GRACE_S.end());
-    let secs = secs.ok_or_else(|| format!("must be {min} to {max} seconds, is {text:?}"))?;
-    Ok(Some(Duration::from_secs_f64(secs)))
+    let secs = decimal(text, &GRACE_S, " seconds")?;
+    Ok(secs.map(Duration::from_secs_f64))
 }
 
 /// How long requests in flight may take if the process is killed `grace` after it
--- a/crates/node/src/settings/target.rs
+++ b/crates/node/src/settings/target.rs
@@ -9,6 +9,7 @@
 use sassafrasspool_core::yaml::Table;
 
 use super::value::addr;
+use super::value::decimal;
 use super::value::millis_or;
 use super::value::path;
 
@@ -71,8 +72,8 @@
 /// tell it.
 fn read_cold(table: &mut Table<'_>, faults: &mut Faults) -> ColdTolerance {
     let default = ColdTolerance::default();
-    let over = table.optional_text("cold_over", faults, |text| factor(text, COLD_OVER));
-    let slack = table.optional_text("cold_slack", faults, |text| factor(text, COLD_SLACK));
+    let over = table.optional_text("cold_over", faults, |text| decimal(text, &COLD_OVER, ""));
+    let slack = table.optional_text("cold_slack", faults, |text| decimal(text, &COLD_SLACK, ""));
     let over = over.flatten().map(|over| (over * 100.0) as u32);
     let slack = slack.flatten().map(|slack| slack as u32);
     ColdTolerance {
@@ -80,14 +81,3 @@
         slack: slack.unwrap_or(default.slack),
     }
 }
-
-fn factor(text: &str, range: RangeInclusive<f64>) -> Result<Option<f64>, String> {
-    if text.is_empty() {
-        return Ok(None);
-    }
-    let value = text.parse::<f64>().ok();
-    let value = value.filter(|value| range.contains(value));
-    let (min, max) = (range.start(), range.end());
-    let value = value.ok_or_else(|| format!("must be {min} to {max}, is {text:?}"))?;
-    Ok(Some(value))
-}
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -36,6 +36,22 @@
     Ok(text.to_owned())
 }
 
+/// Reads a number with a fraction that the platform may leave empty.
+pub(super) fn decimal(
+    text: &str,
+    range: &RangeInclusive<f64>,
+    unit: &str,
+) -> Result<Option<f64>, String> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let value = text.parse::<f64>().ok();
+    let value = value.filter(|value| range.contains(value));
+    let (min, max) = (range.start(), range.end());
+    let value = value.ok_or_else(|| format!("must be {min} to {max}{unit}, is {text:?}"))?;
+    Ok(Some(value))
+}
+
 /// Takes a number that fits 32 bits, or `default` if it is missing.
 pub(super) fn u32_or(
     table: &mut Table<'_>,
