--- a/crates/core/src/admit/warm_up.rs
+++ b/crates/core/src/admit/warm_up.rs
@@ -32,16 +32,20 @@
         self.limit = limit;
     }
 
+    fn in_force(&self, now: Tick) -> Option<ColdLimit> {
+        self.limit.filter(|limit| now < limit.until)
+    }
+
     /// How long it takes until a request may begin; nothing if one may at once.
     pub(super) fn wait(&mut self, now: Tick) -> Option<Duration> {
-        let limit = self.limit.filter(|limit| now < limit.until)?;
+        let limit = self.in_force(now)?;
         let wait = self.bucket.refill(now, limit.per_s, limit.burst)?;
         Some(wait.min(limit.until.since(now)))
     }
 
     /// How long the one waits that begins after `ahead` others.
     pub(super) fn wait_behind(&mut self, now: Tick, ahead: usize) -> Duration {
-        let Some(limit) = self.limit.filter(|limit| now < limit.until) else {
+        let Some(limit) = self.in_force(now) else {
             return Duration::ZERO;
         };
         let first = self.wait(now).unwrap_or_default();
--- a/crates/core/src/route/meters.rs
+++ b/crates/core/src/route/meters.rs
@@ -130,21 +130,14 @@
         now: Tick,
     ) -> Arc<Meter> {
         let mut inner = self.lock();
-        let built = inner.built;
-        if let Some(held) = inner.endpoints.get_mut(&instance.id) {
-            held.follow(instance, now);
-            held.evacuate(evacuated, cold_start, now);
-            return held.meter.clone();
-        }
-        let mut held = Metered::default();
+        let is_new = inner.built && !inner.endpoints.contains_key(&instance.id);
+        let held = inner.endpoints.entry(instance.id.clone()).or_default();
         held.follow(instance, now);
         held.evacuate(evacuated, cold_start, now);
-        if built {
+        if is_new {
             held.meter.start_cold(now);
         }
-        let meter = held.meter.clone();
-        inner.endpoints.insert(instance.id.clone(), held);
-        meter
+        held.meter.clone()
     }
 
     pub(super) fn service(&self, name: &ServiceName) -> Arc<ServiceMeter> {
