See callers leave whatever they sent behind the request that runs

The test wrote three requests one after the other and counted on the library reading the last two together. It reads no more while its buffer holds bytes behind the request that runs, so that a third that comes by itself stays in the socket until the first is answered.

The same timing showed a fault: the end of the connection was looked for by peeking at the next byte, and that byte was the third request's. Part of a head, or a chunked body, behind the request that runs was not counted as being in line at all.

The end of the stream is now waited for by itself, which the kernel tells whatever lies unread before it. No byte is peeked, no timer runs on a connection with requests in line, and what is in line needn't be known.

Ruled out: load alone (the order of writes suffices), the target's slots (four, three are asked for).

The test sends pieces that can't be read together, in five cases, none of which depends on when bytes are read.

--- a/crates/node/src/traffic/listener/serve/ahead/queue.rs
+++ b/crates/node/src/traffic/listener/serve/ahead/queue.rs
@@ -10,7 +10,6 @@
 use http::Request;
 use http::Response;
 use sassafrasspool_wire::Tap;
-use tokio::sync::Notify;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::head;
@@ -56,8 +55,6 @@
     /// Requests whose answers have ended.
     ended: u64,
     begun: BTreeMap<u64, Begun>,
-    /// Told when a request was read that others are before.
-    changed: Arc<Notify>,
 }
 
 /// One request that was taken, until its answer has ended.
@@ -76,7 +73,6 @@
             taken: 0,
             ended: 0,
             begun: BTreeMap::new(),
-            changed: Arc::default(),
         })))
     }
 
@@ -91,20 +87,6 @@
         (begun, Behind(self.clone()))
     }
 
-    /// Waits until a request has been read that the library has yet to take.
-    pub(in crate::traffic::listener::serve) async fn in_line(&self) {
-        let changed = Arc::clone(&self.lock().changed);
-        while !self.is_in_line() {
-            changed.notified().await;
-        }
-    }
-
-    /// Whether a request has been read that the library has yet to take.
-    pub(in crate::traffic::listener::serve) fn is_in_line(&self) -> bool {
-        let state = self.lock();
-        state.seen > state.taken
-    }
-
     /// Whether requests were begun that the library has yet to take. The
     /// connection must not be closed before they are answered: their targets
     /// have them.
@@ -126,11 +108,7 @@
 
 impl Tap for Ahead {
     fn read(&mut self, bytes: &[u8]) {
-        let mut state = self.lock();
-        state.look_at(bytes);
-        if state.seen > state.ended + 1 {
-            state.changed.notify_one();
-        }
+        self.lock().look_at(bytes);
     }
 
     fn written(&mut self, _: usize) {}
--- a/crates/node/src/traffic/listener/serve/caller.rs
+++ b/crates/node/src/traffic/listener/serve/caller.rs
@@ -9,6 +9,7 @@
 use hyper_util::server::conn::auto;
 use sassafrasspool_core::CallerLimits;
 use sassafrasspool_wire::Tapped;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 use super::ahead::Ahead;
@@ -24,9 +25,8 @@
 use crate::traffic::outbound::caller_side::Side;
 use crate::traffic::worker::Worker;
 
-/// How often a connection with requests in line is looked at, if more have arrived behind
-/// those.
-const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// How long the library may take to see by itself that a caller has closed its connection.
+const CLOSE_GRACE: Duration = Duration::from_millis(100);
 
 /// Serves a connection by the version of HTTP that the caller speaks.
 pub(super) async fn serve(worker: Arc<Worker>, stream: TcpStream, side: Side) {
@@ -35,31 +35,28 @@
     let requests = Requests::of_caller(worker, side, ahead.clone());
     let builder = builder(&limits(&hub));
     let stream = Arc::new(stream);
-    let io = Tapped::new(SharedStream::new(&stream), ahead.clone());
+    let io = Tapped::new(SharedStream::new(&stream), ahead);
     let conn = builder.serve_connection(TokioIo::new(io), requests);
     tokio::select! {
         biased;
         () = until_closed(&hub.closing, &hub.cut, conn) => {}
         // What is in flight ends with the connection.
-        () = caller_left(&stream, &ahead) => {}
+        () = caller_left(&stream) => {}
     }
 }
 
-/// Waits until the caller has closed a connection on which requests are in line.
+/// Waits until the caller has closed the connection, whether or not all that it sent
+/// before has been read.
 ///
-/// The library reads no more of a connection while a whole request lies in its buffer, so
-/// that it sees no close behind it: what such callers had asked for ran on to its deadline.
-async fn caller_left(stream: &TcpStream, ahead: &Ahead) {
-    loop {
-        ahead.in_line().await;
-        let left = match stream.peek(&mut [0]).await {
-            Ok(n) => n == 0,
-            Err(_) => true,
-        };
-        if left && ahead.is_in_line() {
-            return;
-        }
-        tokio::time::sleep(LOOK_AGAIN).await;
+/// The library reads no more of a connection while its buffer holds bytes behind the
+/// request that is being answered, so that it doesn't see the end of such a connection.
+async fn caller_left(stream: &TcpStream) {
+    // A wait for `READABLE` would return at once as long as bytes lie unread. `PRIORITY`
+    // waits for the end of the stream as well, and urgent data are never registered for.
+    match stream.ready(Interest::PRIORITY).await {
+        Ok(_) => tokio::time::sleep(CLOSE_GRACE).await,
+        // The runtime is shutting down, and the connection ends with it.
+        Err(_) => std::future::pending().await,
     }
 }
 
--- a/crates/node/src/traffic/listener/serve/shared_stream.rs
+++ b/crates/node/src/traffic/listener/serve/shared_stream.rs
@@ -1,4 +1,4 @@
-//! A connection that can be looked at beside the library that serves it.
+//! A connection whose end can be waited for beside the library that serves it.
 
 use std::io;
 use std::io::IoSlice;
@@ -15,7 +15,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// A TCP connection that is read and written here, and may be peeked elsewhere.
+/// A TCP connection that is read and written here, and whose readiness others may watch.
 #[derive(Debug)]
 pub(super) struct SharedStream(Arc<TcpStream>);
 
--- a/crates/node/tests/requests/pipelined.rs
+++ b/crates/node/tests/requests/pipelined.rs
@@ -100,24 +100,75 @@
     );
 }
 
-/// Guards against work for callers who have left, when they had sent further requests
-/// behind the one that is being answered.
+/// What a caller sends before it leaves, each piece after the target took on the requests
+/// of the one before.
+#[derive(Debug)]
+struct Leaving {
+    what: &'static str,
+    pieces: &'static [&'static str],
+    /// Requests that run at the target once a piece has been read.
+    running: &'static [u64],
+}
+
+const LOOKUP: &str = "GET /desk/policy HTTP/1.1\r\nhost: desk\r\n\r\n";
+
+const LEAVING: [Leaving; 5] = [
+    Leaving {
+        what: "three at once",
+        pieces: &["GET /desk/1 HTTP/1.1\r\nhost: desk\r\n\r\n\
+             GET /desk/2 HTTP/1.1\r\nhost: desk\r\n\r\n\
+             GET /desk/3 HTTP/1.1\r\nhost: desk\r\n\r\n"],
+        running: &[3],
+    },
+    Leaving {
+        what: "one by one, the last of which is never read",
+        pieces: &[LOOKUP, LOOKUP, LOOKUP],
+        running: &[1, 2, 2],
+    },
+    Leaving {
+        what: "a part of a head behind a request",
+        pieces: &[LOOKUP, "GET /desk/po"],
+        running: &[1, 1],
+    },
+    Leaving {
+        what: "a chunked body behind a request",
+        pieces: &[
+            LOOKUP,
+            "POST /desk/lodge HTTP/1.1\r\nhost: desk\r\n\
+             transfer-encoding: chunked\r\n\r\n5\r\nclaim\r\n",
+        ],
+        running: &[1, 1],
+    },
+    Leaving {
+        what: "a request behind a chunked body",
+        pieces: &[
+            "POST /desk/lodge HTTP/1.1\r\nhost: desk\r\n\
+             transfer-encoding: chunked\r\n\r\n5\r\nclaim\r\n0\r\n\r\n",
+            LOOKUP,
+        ],
+        running: &[1, 1],
+    },
+];
+
+/// Guards against work for callers who have left, when they had sent more behind the
+/// request that is being answered.
 #[tokio::test]
 async fn a_caller_that_leaves_with_requests_in_line_frees_their_slots() {
-    let fleet = Fleet::start(&[DESK]).await;
-    let desk = &fleet.members[0];
-    desk.target.set_slow(Duration::from_secs(60)).await;
-    let mut caller = TcpStream::connect(desk.addrs.ingress)
-        .await
-        .expect("a connection");
-    for n in 0..3 {
-        let head =
-            format!("GET /desk/policy HTTP/1.1\r\nhost: desk\r\nx-request-id: r-{n}\r\n\r\n");
-        caller.write_all(head.as_bytes()).await.expect("sent");
+    for case in &LEAVING {
+        let fleet = Fleet::start(&[DESK]).await;
+        let desk = &fleet.members[0];
+        desk.target.set_slow(Duration::from_secs(60)).await;
+        let mut caller = TcpStream::connect(desk.addrs.ingress)
+            .await
+            .expect("a connection");
+        for (piece, &running) in case.pieces.iter().zip(case.running) {
+            caller.write_all(piece.as_bytes()).await.expect("sent");
+            wait::until(case.what, || desk.target.stats().inflight == running).await;
+        }
+        drop(caller);
+        let left = Instant::now();
+        wait::until(case.what, || desk.target.stats().inflight == 0).await;
+        let took = left.elapsed();
+        assert!(took < FREED_WITHIN, "{}: after {took:?}", case.what);
     }
-    wait::until("all run", || desk.target.stats().inflight == 3).await;
-    drop(caller);
-    let left = Instant::now();
-    wait::until("free slots", || desk.target.stats().inflight == 0).await;
-    assert!(left.elapsed() < FREED_WITHIN, "after {:?}", left.elapsed());
 }
