Serve requests in the regions that their route names

A route may name the regions that its requests must not leave, and neither the catalogue nor the adapter knew of it: on a deployment with two regions requests would have gone wherever there was room.

Routes have homes. The first hop chooses among endpoints there alone, for later tries too, so that a body goes to no node but one at home. The node beside a target checks by its own catalogue, since whoever sent the request may hold an earlier one. A request with a key whose owner isn't at home is refused as not run: owners go by the instance list alone. 'route explain' and 'diff' show homes.

Tested with two regions over sockets; without the check beside the target what_a_node_behind_sends_to_another_region_is_refused fails (late-0 ran abroad).

--- a/crates/bench/src/generate/catalogue.rs
+++ b/crates/bench/src/generate/catalogue.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use sassafrasspool_core::Class;
+use sassafrasspool_core::Homes;
 use sassafrasspool_core::Kind;
 use sassafrasspool_core::KindName;
 use sassafrasspool_core::Limits;
@@ -121,6 +122,7 @@
         idempotent: matches!(kind, "lookup" | "archive"),
         timeout: None,
         latency_target: None,
+        homes: Homes::default(),
         attempts: None,
     })
 }
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -4,6 +4,7 @@
 pub use self::callers::CallerLimits;
 pub use self::cold_start::ColdStart;
 pub use self::evacuation::Evacuation;
+pub use self::homes::Homes;
 pub use self::host::HostName;
 pub use self::item::CatalogueItem;
 pub use self::item::ItemKey;
@@ -25,6 +26,7 @@
 mod callers;
 mod cold_start;
 mod evacuation;
+mod homes;
 mod host;
 mod item;
 mod kind;
--- a/crates/core/src/catalogue/parse.rs
+++ b/crates/core/src/catalogue/parse.rs
@@ -11,6 +11,7 @@
 use crate::DomainName;
 use crate::Evacuation;
 use crate::Faults;
+use crate::Homes;
 use crate::HostName;
 use crate::ItemKey;
 use crate::Kind;
@@ -18,6 +19,7 @@
 use crate::Limits;
 use crate::OwnerName;
 use crate::Place;
+use crate::RegionName;
 use crate::RetryLimits;
 use crate::Route;
 use crate::RoutePath;
@@ -111,13 +113,7 @@
 fn read_evacuated(top: &mut Table<'_>, reading: &mut Reading) {
     for placed in top.list("evacuated", &mut reading.faults) {
         let mut faults = Faults::new();
-        let name = match &placed.tree {
-            Tree::Scalar(Scalar::Text(name)) => {
-                DomainName::new(name).map_err(|err| err.to_string())
-            }
-            _ => Err("must be the name of a failure domain".to_owned()),
-        };
-        let domain = match name {
+        let domain = match name(&placed.tree, "a failure domain", DomainName::new) {
             Ok(domain) => Some(domain),
             Err(reason) => {
                 faults.add_at(Some(placed.place), "", "evacuated", reason);
@@ -263,6 +259,7 @@
     let timeout = optional_number(&mut table, "timeout_ms", DEADLINE_MS, faults);
     let latency = optional_number(&mut table, "latency_target_ms", DEADLINE_MS, faults);
     let attempts = optional_number(&mut table, "attempts", ATTEMPTS, faults);
+    let homes = read_homes(&mut table, faults);
     let split = read_split(&mut table, faults);
     if service.is_some() && !split.is_empty() {
         faults.add_at(
@@ -284,10 +281,22 @@
         idempotent: idempotent?,
         timeout: timeout.map(Duration::from_millis),
         latency_target: latency.map(Duration::from_millis),
+        homes,
         attempts: number_u32(attempts),
     })
 }
 
+fn read_homes(table: &mut Table<'_>, faults: &mut Faults) -> Homes {
+    let mut regions = Vec::new();
+    for placed in table.list("homes", faults) {
+        match name(&placed.tree, "a region", RegionName::new) {
+            Ok(region) => regions.push(region),
+            Err(reason) => faults.add_at(Some(placed.place), table.entry(), "homes", reason),
+        }
+    }
+    Homes::new(regions)
+}
+
 fn read_split(table: &mut Table<'_>, faults: &mut Faults) -> Vec<Share> {
     let mut split = Vec::new();
     for (i, placed) in table.list("split", faults).iter().enumerate() {
@@ -335,6 +344,14 @@
     (n > 0).then_some(n)
 }
 
+/// The name of `what` that stands in a list.
+fn name<T>(tree: &Tree, what: &str, new: fn(&str) -> crate::Result<T>) -> Result<T, String> {
+    match tree {
+        Tree::Scalar(Scalar::Text(name)) => new(name).map_err(|err| err.to_string()),
+        _ => Err(format!("must be the name of {what}")),
+    }
+}
+
 fn probe_path_of(path: &str) -> Result<String, String> {
     match path.starts_with('/') {
         true => Ok(path.to_owned()),
--- a/crates/core/src/catalogue/route.rs
+++ b/crates/core/src/catalogue/route.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::Class;
+use crate::Homes;
 use crate::HostName;
 use crate::KindName;
 use crate::RoutePath;
@@ -34,6 +35,9 @@
     pub timeout: Option<Duration>,
     /// The time within which an answer is worth most to its caller.
     pub latency_target: Option<Duration>,
+    /// The regions in which its requests may be served, and which their bodies must not
+    /// leave but for where their callers connect.
+    pub homes: Homes,
     /// Tries in all, the first one counted, if that differs from the service's.
     pub attempts: Option<u32>,
 }
--- a/crates/core/src/catalogue/tests.rs
+++ b/crates/core/src/catalogue/tests.rs
@@ -31,6 +31,10 @@
     "7:14: desk.routes[0]: kind: is missing",
     "8:5: desk: slots: is unknown",
 ] })]
+#[case(Bad { text: "services:\n  desk:\n    owner: a\n    class: standard\n    limits: {rate_per_s: 1, concurrency: 1, deadline_ms: 1}\n    routes: [{path: /, kind: a, homes: [kerala, 7, Goa]}]\n", told: &[
+    "6:49: desk.routes[0]: homes: must be the name of a region",
+    "6:52: desk.routes[0]: homes: check: region \"Goa\" may only have a-z, 0-9, '-', '_' and '.', and begins with a letter or digit",
+] })]
 #[case(Bad { text: "- 1\n", told: &["1:1: must be a table, is a list"] })]
 fn a_bad_text_tells_every_fault(#[case] case: Bad) {
     let faults = super::parse(case.text).unwrap_err();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -87,6 +87,7 @@
 pub use crate::catalogue::CatalogueItem;
 pub use crate::catalogue::ColdStart;
 pub use crate::catalogue::Evacuation;
+pub use crate::catalogue::Homes;
 pub use crate::catalogue::HostName;
 pub use crate::catalogue::ItemKey;
 pub use crate::catalogue::Kind;
--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -60,11 +60,13 @@
     Evacuated,
     /// The target is cold and bears no more requests now.
     ColdStart,
+    /// Its route may only be served in other regions.
+    NotAtHome,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 27] = [
+    pub const ALL: [Reason; 28] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
@@ -92,6 +94,7 @@
         Reason::Quarantined,
         Reason::Evacuated,
         Reason::ColdStart,
+        Reason::NotAtHome,
     ];
 
     /// The reason's name in headers, metrics and logs.
@@ -124,6 +127,7 @@
             Reason::Quarantined => "quarantined",
             Reason::Evacuated => "evacuated",
             Reason::ColdStart => "cold-start",
+            Reason::NotAtHome => "not-at-home",
         }
     }
 
@@ -144,6 +148,7 @@
                 | Reason::Starting
                 | Reason::NotOwner
                 | Reason::Evacuated
+                | Reason::NotAtHome
         )
     }
 
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -201,7 +201,11 @@
             | Reason::CallerGone
             | Reason::Quarantined => true,
             // A key has one owner, and no other endpoint stands in for it.
-            Reason::Connect | Reason::Draining | Reason::Starting | Reason::Evacuated => keyed,
+            Reason::Connect
+            | Reason::Draining
+            | Reason::Starting
+            | Reason::Evacuated
+            | Reason::NotAtHome => keyed,
             _ => false,
         }
     }
--- a/crates/core/src/route/candidate.rs
+++ b/crates/core/src/route/candidate.rs
@@ -6,12 +6,14 @@
 use super::rendezvous::Score;
 use crate::EndpointKey;
 use crate::InstanceId;
+use crate::RegionName;
 
 /// An endpoint that requests may go to.
 #[derive(Debug, Clone)]
 pub(super) struct Candidate {
     pub(super) key: EndpointKey,
     pub(super) id: InstanceId,
+    pub(super) region: RegionName,
     pub(super) tier: usize,
     pub(super) slots: u32,
     pub(super) score: Score,
--- a/crates/core/src/route/picker.rs
+++ b/crates/core/src/route/picker.rs
@@ -14,6 +14,7 @@
 use super::subset::arrange;
 use crate::Budget;
 use crate::EndpointKey;
+use crate::Homes;
 use crate::InstanceState;
 use crate::Meters;
 use crate::Picked;
@@ -66,6 +67,7 @@
                 among.push(Candidate {
                     key,
                     id: instance.id.clone(),
+                    region: instance.region.clone(),
                     tier: position.tier_of(instance),
                     slots: instance.slots,
                     score: Score::of(instance.id.as_str()),
@@ -92,8 +94,8 @@
         }
     }
 
-    /// Chooses an endpoint other than those in `avoid` and counts the request
-    /// there.
+    /// Chooses an endpoint at home other than those in `avoid` and counts the
+    /// request there.
     ///
     /// # Errors
     ///
@@ -101,6 +103,7 @@
     pub fn pick(
         &self,
         service: ServiceKey,
+        homes: &Homes,
         now: Tick,
         avoid: &[EndpointKey],
         rng: &mut impl Rng,
@@ -112,10 +115,14 @@
         if view.candidates.is_empty() && !view.evacuated.is_empty() {
             return Err(Refusal::not_run(Step::Route, Reason::Evacuated));
         }
+        let is_listed = !view.candidates.is_empty();
+        if is_listed && !view.candidates.iter().any(|c| homes.allows(&c.region)) {
+            return Err(Refusal::not_run(Step::Route, Reason::NotAtHome));
+        }
         view.meter.picks.note(now);
         let takes_cold = rng.random_range(0.0..1.0) < view.cold_share(now);
         let (subset, rest) = view.candidates.split_at(view.subset);
-        let wanted = |c: &Candidate| !avoid.contains(&c.key);
+        let wanted = |c: &Candidate| !avoid.contains(&c.key) && homes.allows(&c.region);
         let warm_enough = |c: &Candidate| takes_cold || !c.meter.is_cold(now);
         let usable = |c: &Candidate| wanted(c) && c.meter.is_usable(now) && warm_enough(c);
         // When all that are left are ejected, the fault is likelier in what
@@ -142,11 +149,18 @@
         left.map_or(self.cfg.drain_pause, |left| left.min(self.cfg.drain_pause))
     }
 
-    /// Whether there is an endpoint to choose other than those in `avoid`.
-    pub fn has_other(&self, service: ServiceKey, now: Tick, avoid: &[EndpointKey]) -> bool {
+    /// Whether there is an endpoint at home to choose other than those in `avoid`.
+    pub fn has_other(
+        &self,
+        service: ServiceKey,
+        homes: &Homes,
+        now: Tick,
+        avoid: &[EndpointKey],
+    ) -> bool {
         let view = self.services.get(service);
         let mut candidates = view.into_iter().flat_map(|view| &view.candidates);
-        candidates.any(|c| !avoid.contains(&c.key) && c.meter.is_open(now))
+        candidates
+            .any(|c| !avoid.contains(&c.key) && homes.allows(&c.region) && c.meter.is_open(now))
     }
 
     /// The endpoint that owns a request key, and counts the request there.
@@ -156,11 +170,12 @@
     ///
     /// # Errors
     ///
-    /// Refuses as not run if the service has no live endpoint or the owner is
-    /// known not to take new work.
+    /// Refuses as not run if the service has no live endpoint, or the owner is
+    /// known not to take new work or isn't at home.
     pub fn pick_owner(
         &self,
         service: ServiceKey,
+        homes: &Homes,
         now: Tick,
         key: &RequestKey,
     ) -> Result<Picked, Refusal> {
@@ -174,6 +189,9 @@
             Some(owner) if view.evacuated.iter().any(|c| c.key == owner.key) => {
                 Err(Refusal::not_run(Step::Route, Reason::Evacuated))
             }
+            Some(owner) if !homes.allows(&owner.region) => {
+                Err(Refusal::not_run(Step::Route, Reason::NotAtHome))
+            }
             Some(owner) => Ok(self.picked(view, owner, now)),
             None => Err(refusal),
         }
--- a/crates/core/src/route/tests/bench.rs
+++ b/crates/core/src/route/tests/bench.rs
@@ -9,6 +9,7 @@
 use crate::Catalogue;
 use crate::DomainName;
 use crate::EndpointKey;
+use crate::Homes;
 use crate::Instance;
 use crate::InstanceId;
 use crate::InstanceList;
@@ -45,6 +46,8 @@
 pub(super) struct Bench {
     pub(super) snapshot: Snapshot,
     pub(super) service: ServiceKey,
+    /// Where its requests may be served.
+    pub(super) homes: Homes,
     pub(super) meters: Arc<Meters>,
     pub(super) picker: Picker,
     pub(super) rng: SmallRng,
@@ -57,6 +60,7 @@
         let picker = picker(node, &snapshot, &meters, NOW);
         Bench {
             service: service(&snapshot),
+            homes: Homes::default(),
             snapshot,
             meters,
             picker,
@@ -76,7 +80,9 @@
     }
 
     pub(super) fn pick_but(&mut self, now: Tick, avoid: &[EndpointKey]) -> Result<Picked, Reason> {
-        let picked = self.picker.pick(self.service, now, avoid, &mut self.rng);
+        let picked = self
+            .picker
+            .pick(self.service, &self.homes, now, avoid, &mut self.rng);
         picked.map_err(|refusal| refusal.reason())
     }
 
--- a/crates/core/src/route/tests/choice.rs
+++ b/crates/core/src/route/tests/choice.rs
@@ -7,15 +7,20 @@
 
 use super::bench::Bench;
 use super::bench::NOW;
+use super::bench::SERVICE;
 use super::bench::elsewhere;
 use super::bench::far;
 use super::bench::near;
+use crate::Homes;
 use crate::InstanceState;
 use crate::Intake;
 use crate::KindName;
 use crate::LoadReport;
 use crate::Reason;
+use crate::RegionName;
+use crate::RequestKey;
 use crate::RouteSettings;
+use crate::ServiceName;
 use crate::TargetId;
 use crate::TargetLife;
 use crate::Verdict;
@@ -37,6 +42,54 @@
     assert_eq!(bench.counts(NOW, 10), HashMap::from([("n".to_owned(), 10)]));
 }
 
+/// Guards against requests that leave the regions of their route, also when all endpoints
+/// there are full, avoided or left out.
+#[test]
+fn requests_stay_at_home() {
+    let all = [near(&["n"]), far(&["d"]), vec![elsewhere("r")]].concat();
+    let mut bench = Bench::new("caller", all);
+    let homes = |name| Homes::new([RegionName::new(name).unwrap()]);
+    bench.homes = homes("ernakulam");
+    let picks: Vec<_> = (0..30).map(|_| bench.pick(NOW)).collect();
+    assert!(
+        picks
+            .iter()
+            .all(|it| bench.id(it.endpoint()).as_str() == "r")
+    );
+    let avoid = [picks[0].endpoint()];
+    assert_eq!(bench.pick_but(NOW, &avoid).unwrap_err(), Reason::NoEndpoint);
+    let has_other = |bench: &Bench| {
+        let (service, homes) = (bench.service, &bench.homes);
+        bench.picker.has_other(service, homes, NOW, &avoid)
+    };
+    assert!(!has_other(&bench));
+    bench.homes = homes("ulaanbaatar");
+    assert!(has_other(&bench));
+    bench.homes = homes("nowhere");
+    assert_eq!(bench.pick_but(NOW, &[]).unwrap_err(), Reason::NotAtHome);
+}
+
+/// Guards against a request with a key that runs at an owner outside of its route's regions.
+#[test]
+fn an_owner_that_is_not_at_home_is_not_asked() {
+    let mut bench = Bench::new("caller", [near(&["n"]), vec![elsewhere("r")]].concat());
+    bench.homes = Homes::new([RegionName::new("ernakulam").unwrap()]);
+    let service = ServiceName::new(SERVICE).unwrap();
+    let asked = |n: u32| {
+        let key = RequestKey::new(&service, "POST /approvals", &n.to_string()).unwrap();
+        let picked = bench
+            .picker
+            .pick_owner(bench.service, &bench.homes, NOW, &key);
+        picked.map(|it| bench.id(it.endpoint()).to_string())
+    };
+    for n in 0..50 {
+        match asked(n) {
+            Ok(id) => assert_eq!(id, "r"),
+            Err(refusal) => assert_eq!(refusal.reason(), Reason::NotAtHome),
+        }
+    }
+}
+
 #[test]
 fn the_less_loaded_of_two_is_chosen() {
     let mut bench = Bench::new("caller", near(&["a", "b"]));
--- a/crates/core/src/route/tests/drawn.rs
+++ b/crates/core/src/route/tests/drawn.rs
@@ -99,7 +99,7 @@
         let drawn: Vec<Drawn> = drawn.into_iter().map(Drawn::from).collect();
         let (mut bench, avoid) = bench(&drawn);
         let some = drawn.iter().any(Drawn::may_be_picked);
-        assert_eq!(bench.picker.has_other(bench.service, NOW, &avoid), some);
+        assert_eq!(bench.picker.has_other(bench.service, &bench.homes, NOW, &avoid), some);
         for _ in 0..16 {
             match bench.pick_but(NOW, &avoid) {
                 Ok(picked) => {
--- a/crates/core/src/route/tests/fleet.rs
+++ b/crates/core/src/route/tests/fleet.rs
@@ -86,7 +86,10 @@
     for i in 0..600 {
         let key = RequestKey::new(&service, "POST /approvals", &i.to_string()).unwrap();
         let [a, b] = [&here, &there].map(|bench| {
-            let picked = bench.picker.pick_owner(bench.service, NOW, &key).unwrap();
+            let picked = bench
+                .picker
+                .pick_owner(bench.service, &bench.homes, NOW, &key)
+                .unwrap();
             bench.id(picked.endpoint()).clone()
         });
         assert_eq!(a, b);
--- a/crates/core/src/snapshot/table.rs
+++ b/crates/core/src/snapshot/table.rs
@@ -15,12 +15,15 @@
 pub(super) struct RouteTable {
     by_host: HashMap<HostName, ByPath>,
     any_host: ByPath,
+    /// Whether a route may not be served everywhere.
+    has_homes: bool,
 }
 
 impl RouteTable {
     /// Takes a route in under its host and path.
     pub(super) fn insert(&mut self, bound: BoundRoute) {
         let path = bound.route.path.clone();
+        self.has_homes |= !bound.route.homes.is_anywhere();
         let routes = match &bound.route.host {
             Some(host) => self.by_host.entry(host.clone()).or_default(),
             None => &mut self.any_host,
@@ -28,6 +31,11 @@
         routes.insert(path, bound);
     }
 
+    /// Whether a route may not be served everywhere.
+    pub(super) fn has_homes(&self) -> bool {
+        self.has_homes
+    }
+
     /// All routes, those of any host first, each in the order of their paths.
     pub(super) fn iter(&self) -> impl Iterator<Item = &BoundRoute> {
         let of_hosts = self.by_host.values().flat_map(ByPath::values);
--- a/crates/core/src/snapshot/whole.rs
+++ b/crates/core/src/snapshot/whole.rs
@@ -160,6 +160,11 @@
         self.routes.find(host, path)
     }
 
+    /// Whether a route may not be served in every region.
+    pub fn has_homes(&self) -> bool {
+        self.routes.has_homes()
+    }
+
     /// The failure domains whose targets get no new work.
     pub fn evacuations(&self) -> &[Evacuation] {
         &self.evacuations
--- a/crates/core/tests/at_most_once/world/calls.rs
+++ b/crates/core/tests/at_most_once/world/calls.rs
@@ -2,6 +2,7 @@
 
 use sassafrasspool_core::Attempt;
 use sassafrasspool_core::Begin;
+use sassafrasspool_core::Homes;
 use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
 use sassafrasspool_core::Outcome;
@@ -93,7 +94,9 @@
         let service = ServiceName::new("adjuster-desk").unwrap();
         let (service, _) = routing.snapshot.find_service(&service).unwrap();
         let key = key(operation);
-        let picked = routing.picker.pick_owner(service, self.now, &key)?;
+        let picked = routing
+            .picker
+            .pick_owner(service, &Homes::default(), self.now, &key)?;
         let chosen = routing.snapshot.endpoint(picked.endpoint()).unwrap();
         Ok((0..NODES).find(|i| id(*i) == chosen.instance.id).unwrap())
     }
--- a/crates/core/tests/requests/sim/calls.rs
+++ b/crates/core/tests/requests/sim/calls.rs
@@ -6,6 +6,7 @@
 use sassafrasspool_core::Class;
 use sassafrasspool_core::Deadline;
 use sassafrasspool_core::Failure;
+use sassafrasspool_core::Homes;
 use sassafrasspool_core::Hop;
 use sassafrasspool_core::Loss;
 use sassafrasspool_core::LossCause;
@@ -72,8 +73,9 @@
         if self.policy == Policy::Naive {
             call.endpoint = self.rng.random_range(0..ENDPOINTS);
         } else {
+            let homes = Homes::default();
             let picker = &self.callers[call.caller].1;
-            match picker.pick(self.service, self.now, &call.avoid, &mut self.rng) {
+            match picker.pick(self.service, &homes, self.now, &call.avoid, &mut self.rng) {
                 Ok(picked) => {
                     call.avoid.push(picked.endpoint());
                     let chosen = self.snapshot.endpoint(picked.endpoint()).unwrap();
--- a/crates/ctl/src/diff/fields.rs
+++ b/crates/ctl/src/diff/fields.rs
@@ -98,6 +98,10 @@
     let shares: Vec<String> = shares
         .map(|it| format!("{} {}", it.service, it.weight))
         .collect();
+    if !route.homes.is_anywhere() {
+        let homes = route.homes.regions().iter().map(ToString::to_string);
+        values.push(("homes", homes.collect::<Vec<String>>().join(", ")));
+    }
     if !shares.is_empty() {
         values.push(("split", shares.join(", ")));
     }
--- a/crates/node/src/admin/answers.rs
+++ b/crates/node/src/admin/answers.rs
@@ -96,6 +96,7 @@
         weight: bound.weight,
         class: route.class,
         idempotent: route.idempotent,
+        homes: route.homes.regions().to_vec(),
         timeout_ms: route
             .timeout
             .map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
--- a/crates/node/src/shared/routing/tests.rs
+++ b/crates/node/src/shared/routing/tests.rs
@@ -111,7 +111,10 @@
         .match_route(None, "/")
         .expect("a route");
     let mut rng = SmallRng::seed_from_u64(1);
-    let picked = routes.picker.pick(route.service, Tick::ZERO, &[], &mut rng);
+    let homes = &route.route.homes;
+    let picked = routes
+        .picker
+        .pick(route.service, homes, Tick::ZERO, &[], &mut rng);
     picked.is_ok()
 }
 
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -11,6 +11,7 @@
 use sassafrasspool_core::Position;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Refusal;
+use sassafrasspool_core::RegionName;
 use sassafrasspool_core::RepeatWindow;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::ServiceName;
@@ -37,6 +38,8 @@
     pub(super) shared: Arc<Shared>,
     /// The service of the own target.
     pub(super) service: ServiceName,
+    /// Where the own target serves.
+    pub(super) region: RegionName,
     pub(super) pool: Arc<Pool>,
     pub(super) own_life: OwnLife,
     pub(super) admission: Admission,
@@ -90,6 +93,7 @@
         Ok(Hub {
             shared,
             service: cfg.service.clone(),
+            region: cfg.region.clone(),
             pool: Pool::new(cfg.target.addr, limit),
             own_life: OwnLife::default(),
             admission,
--- a/crates/node/src/traffic/outbound/attempt.rs
+++ b/crates/node/src/traffic/outbound/attempt.rs
@@ -281,8 +281,8 @@
             Reason::Connect => Verdict::NoConnection,
             Reason::Draining | Reason::Starting | Reason::Evacuated => Verdict::Draining,
             Reason::ColdStart => Verdict::Cold(refusal.retry_after().unwrap_or_default()),
-            // Neither says anything of the endpoint.
-            Reason::DeadlinePassed | Reason::Quarantined => Verdict::Cancelled,
+            // None of them says anything of the endpoint.
+            Reason::DeadlinePassed | Reason::Quarantined | Reason::NotAtHome => Verdict::Cancelled,
             _ => Verdict::Shed,
         },
     }
--- a/crates/node/src/traffic/outbound/first_hop.rs
+++ b/crates/node/src/traffic/outbound/first_hop.rs
@@ -168,7 +168,8 @@
             trail.pick(&picked);
             let again = repeat(&req);
             let at = now(self.worker);
-            let others = self.routes.picker.has_other(self.to, at, &avoid);
+            let homes = &self.route.route.homes;
+            let others = self.routes.picker.has_other(self.to, homes, at, &avoid);
             let settles = again.is_none() || !others || !tries.may_ask_more(at);
             let missed = match self.attempt(picked, req, settles).await {
                 Ok(res) => return Ok(res),
@@ -229,13 +230,14 @@
         hub.check_quarantine(Step::Route, self.content.as_ref())?;
         let picker = &self.routes.picker;
         let service = self.to;
+        let homes = &self.route.route.homes;
         let now = now(self.worker);
         let Some(keyed) = &self.keyed else {
-            return picker.pick(service, now, avoid, &mut rand::rng());
+            return picker.pick(service, homes, now, avoid, &mut rand::rng());
         };
         // Only the owner can tell whether it ran before: there is nowhere else
         // to try.
-        let owner = picker.pick_owner(service, now, &keyed.key)?;
+        let owner = picker.pick_owner(service, homes, now, &keyed.key)?;
         match avoid.contains(&owner.endpoint()) {
             true => Err(refuse(Reason::NoEndpoint)),
             false => Ok(owner),
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -59,6 +59,7 @@
 pub(crate) struct Spec {
     pub(crate) id: &'static str,
     pub(crate) service: &'static str,
+    pub(crate) region: &'static str,
     pub(crate) domain: &'static str,
     /// Slots that the node believes its target to have.
     pub(crate) slots: u32,
@@ -68,6 +69,7 @@
 pub(crate) const DESK: Spec = Spec {
     id: "wd-1",
     service: "workshop-desk",
+    region: "ulaanbaatar",
     domain: "bayanzurkh",
     slots: SLOTS,
 };
@@ -76,6 +78,7 @@
 pub(crate) const ADJUSTER: Spec = Spec {
     id: "ad-1",
     service: "adjuster-desk",
+    region: "ulaanbaatar",
     domain: "khan-uul",
     slots: SLOTS,
 };
@@ -121,7 +124,7 @@
         Instance {
             id: name(self.id),
             service: name(self.service),
-            region: name("ulaanbaatar"),
+            region: name(spec.region),
             domain: name(spec.domain),
             traffic: self.addrs.traffic,
             control,
@@ -142,6 +145,7 @@
     let Spec {
         id,
         service,
+        region,
         domain,
         slots,
     } = spec;
@@ -150,7 +154,7 @@
         "
 instance: {id}
 service: {service}
-region: ulaanbaatar
+region: {region}
 domain: {domain}
 listen: {{ingress: {any}, egress: {any}, traffic: {any}, control: {any}, admin: {any}}}
 target: {{addr: {target}, slots: {slots}, ready_path: /healthz}}
@@ -214,6 +218,24 @@
         }
     }
 
+    /// Puts a catalogue in force everywhere whose route for lookups at the desk has these
+    /// fields as well.
+    pub(crate) fn publish_lookups(&self, specs: &[Spec], revision: u64, fields: &str) {
+        let view = self.view_of_lookups(specs, revision, fields);
+        for member in &self.members {
+            member.shared.set_view(view.clone());
+        }
+    }
+
+    /// The view by that catalogue.
+    pub(crate) fn view_of_lookups(&self, specs: &[Spec], revision: u64, fields: &str) -> View {
+        let at = "{path: /desk, ";
+        let text = CATALOGUE.replace(at, &format!("{at}{fields}"));
+        let members = self.members.iter().zip(specs);
+        let instances = members.map(|(member, spec)| member.instance(spec));
+        bound(&text, revision, instances.collect())
+    }
+
     /// Puts a list in force everywhere with these starts of targets, each of which is cold
     /// for so long, under a catalogue in which the desk has these fields as well.
     pub(crate) fn publish_targets<const N: usize>(
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod fleet;
 mod forged;
+mod homes;
 mod keyed;
 mod limits;
 mod lost;
--- a/crates/wire/src/admin/snapshot.rs
+++ b/crates/wire/src/admin/snapshot.rs
@@ -62,6 +62,8 @@
     pub class: Class,
     /// Whether one may run twice without harm.
     pub idempotent: bool,
+    /// The regions in which they may be served; all if there are none.
+    pub homes: Vec<RegionName>,
     /// The longest that a caller is kept waiting, in milliseconds, if the route
     /// says so itself.
     pub timeout_ms: Option<u64>,
