Let operators release requests from quarantine, and refuse those that wait at once

Two things were left of the incident with requests that crash their targets.

Operators saw what was in quarantine in the audit trail alone, and could only wait for ten minutes once the targets were mended. 'quarantine list' and 'quarantine release' ask the admin address; a release is a report like a crash or an answer, so that it reaches all nodes the same way. Unlike an answer it speaks for nothing that comes after it: three more crashes put the request back.

A request that waited for a slot when it entered quarantine was refused at its turn, up to 250 ms later. It now leaves the queue as soon as its node knows.

Tests: verdicts by table, a fleet of 14 on the fake network, five nodes over sockets, the queue by itself, and the verbs against fake nodes.

--- a/crates/core/src/quarantine/report.rs
+++ b/crates/core/src/quarantine/report.rs
@@ -7,19 +7,21 @@
 use super::Fingerprint;
 use crate::InstanceId;
 
-/// What the node beside a target has seen.
+/// What a node has seen, or was told by an operator.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Sighting {
     /// The target crashed while it ran these.
     Crashed(Vec<Content>),
     /// The target gave a whole answer to a request of this content.
     Answered(Fingerprint),
+    /// An operator let requests of this content run again.
+    Released(Fingerprint),
 }
 
 /// Which report it is.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ReportId {
-    /// The node that saw it.
+    /// The node that saw it, or was told.
     pub witness: InstanceId,
     /// Which start of that node.
     pub incarnation: u64,
--- a/crates/core/src/quarantine/reports.rs
+++ b/crates/core/src/quarantine/reports.rs
@@ -13,6 +13,7 @@
 use super::Verdicts;
 use super::moment::Moment;
 use super::moment::REMEMBERED;
+use super::verdicts::ANSWER_EXCUSES;
 use super::verdicts::DOUBTED;
 use crate::Digest;
 use crate::Tick;
@@ -131,17 +132,19 @@
             return None;
         }
         let mut crashes: Vec<(Moment, &[Content])> = Vec::new();
-        let mut answered: HashMap<Fingerprint, Moment> = HashMap::new();
+        let mut excused: HashMap<Fingerprint, Moment> = HashMap::new();
+        let mut excuse = |content: Fingerprint, until: Moment| {
+            let latest = excused.entry(content).or_insert(until);
+            *latest = until.max(*latest);
+        };
         for kept in self.reports.values() {
             match &kept.sighting {
                 Sighting::Crashed(ran) => crashes.push((kept.at, ran)),
-                Sighting::Answered(content) => {
-                    let newest = answered.entry(*content).or_insert(kept.at);
-                    *newest = kept.at.max(*newest);
-                }
+                Sighting::Answered(content) => excuse(*content, kept.at.plus(ANSWER_EXCUSES)),
+                Sighting::Released(content) => excuse(*content, kept.at),
             }
         }
-        let verdicts = Verdicts::judge(&crashes, &answered);
+        let verdicts = Verdicts::judge(&crashes, &excused);
         if verdicts == self.verdicts {
             return None;
         }
@@ -185,7 +188,7 @@
     /// Whether it tells of a request that is in quarantine or nearly so.
     fn is_of_weight(&self, kept: &Kept) -> bool {
         match &kept.sighting {
-            Sighting::Answered(_) => true,
+            Sighting::Answered(_) | Sighting::Released(_) => true,
             Sighting::Crashed(ran) => ran
                 .iter()
                 .flat_map(Content::fingerprints)
@@ -216,7 +219,7 @@
     fn contents(&self) -> BTreeSet<Fingerprint> {
         match &self.sighting {
             Sighting::Crashed(ran) => ran.iter().flat_map(Content::fingerprints).collect(),
-            Sighting::Answered(content) => BTreeSet::from([*content]),
+            Sighting::Answered(content) | Sighting::Released(content) => BTreeSet::from([*content]),
         }
     }
 
@@ -233,7 +236,7 @@
     fn bytes(&self) -> usize {
         match &self.sighting {
             Sighting::Crashed(ran) => REPORT_BYTES + CONTENT_BYTES * ran.len(),
-            Sighting::Answered(_) => REPORT_BYTES + CONTENT_BYTES,
+            Sighting::Answered(_) | Sighting::Released(_) => REPORT_BYTES + CONTENT_BYTES,
         }
     }
 }
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -46,6 +46,8 @@
     Crash(u64, &'static [&'static str]),
     /// An answer to it.
     Answer(u64, &'static str),
+    /// An operator's release.
+    Release(u64, &'static str),
 }
 
 impl Seen {
@@ -59,6 +61,10 @@
                 let answered = content(path).whole();
                 report(number, at_s, NOW_S, Sighting::Answered(answered))
             }
+            Seen::Release(at_s, path) => {
+                let released = content(path).whole();
+                report(number, at_s, NOW_S, Sighting::Released(released))
+            }
         }
     }
 }
@@ -112,6 +118,31 @@
     held: &[],
     free: &["/a"],
 })]
+// Targets were mended, and operators let the request run again.
+#[case::a_release_excuses_what_was_before(Case {
+    seen: &[
+        Seen::Crash(990, &["/a", "/b"]),
+        Seen::Crash(991, &["/a", "/b"]),
+        Seen::Crash(992, &["/a", "/b"]),
+        Seen::Release(993, "/a"),
+    ],
+    held: &["/b"],
+    free: &["/a"],
+})]
+// They weren't mended: unlike an answer, a release speaks for nothing that comes after it.
+#[case::a_release_excuses_nothing_after_it(Case {
+    seen: &[
+        Seen::Crash(980, &["/a"]),
+        Seen::Crash(981, &["/a"]),
+        Seen::Crash(982, &["/a"]),
+        Seen::Release(983, "/a"),
+        Seen::Crash(984, &["/a"]),
+        Seen::Crash(985, &["/a"]),
+        Seen::Crash(986, &["/a"]),
+    ],
+    held: &["/a"],
+    free: &[],
+})]
 // A new release of a service crashes under what the one before answered.
 #[case::an_answer_long_ago_excuses_nothing(Case {
     seen: &[
--- a/crates/core/src/quarantine/verdicts.rs
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -60,7 +60,13 @@
         self.doubted.iter().copied()
     }
 
-    /// Those in quarantine.
+    /// Those in quarantine at `now`, and until when.
+    pub fn held_at(&self, now: Tick) -> impl Iterator<Item = (Fingerprint, Tick)> {
+        let held = self.held.iter().map(|(content, until)| (*content, *until));
+        held.filter(move |(_, until)| now < *until)
+    }
+
+    /// Those in quarantine, or that were.
     pub fn held(&self) -> impl Iterator<Item = Fingerprint> {
         self.held.keys().copied()
     }
@@ -70,20 +76,20 @@
         self.held.contains_key(&content)
     }
 
-    /// Judges by crashes, and by the newest answer to each request.
+    /// Judges by crashes, and by the moment up to which each request is excused from them.
     pub(super) fn judge(
         crashes: &[(Moment, &[Content])],
-        answered: &HashMap<Fingerprint, Moment>,
+        excused: &HashMap<Fingerprint, Moment>,
     ) -> Verdicts {
         let mut verdicts = Verdicts::default();
-        let mut whole = Counts::new(answered);
+        let mut whole = Counts::new(excused);
         for (at, ran) in crashes {
             whole.count(*at, ran.iter().map(Content::whole));
         }
         whole.judge(&mut verdicts);
         // A crash under a request that is in quarantine is no sign against others that
         // differ from it by their query.
-        let mut wider = Counts::new(answered);
+        let mut wider = Counts::new(excused);
         for (at, ran) in crashes {
             let held = ran.iter().filter(|it| verdicts.holds(it.whole()));
             let explained: HashSet<Fingerprint> = held.map(Content::resource).collect();
@@ -98,14 +104,14 @@
 /// Crashes by fingerprint.
 #[derive(Debug)]
 struct Counts<'a> {
-    answered: &'a HashMap<Fingerprint, Moment>,
+    excused: &'a HashMap<Fingerprint, Moment>,
     crashes: HashMap<Fingerprint, Vec<Moment>>,
 }
 
 impl<'a> Counts<'a> {
-    fn new(answered: &'a HashMap<Fingerprint, Moment>) -> Counts<'a> {
+    fn new(excused: &'a HashMap<Fingerprint, Moment>) -> Counts<'a> {
         Counts {
-            answered,
+            excused,
             crashes: HashMap::new(),
         }
     }
@@ -114,8 +120,8 @@
     fn count(&mut self, at: Moment, ran: impl Iterator<Item = Fingerprint>) {
         let ran: HashSet<Fingerprint> = ran.collect();
         for content in ran {
-            let answer = self.answered.get(&content);
-            if answer.is_none_or(|answer| answer.plus(ANSWER_EXCUSES) < at) {
+            let excused_until = self.excused.get(&content);
+            if excused_until.is_none_or(|until| *until < at) {
                 self.crashes.entry(content).or_default().push(at);
             }
         }
--- a/crates/core/src/spread/audit.rs
+++ b/crates/core/src/spread/audit.rs
@@ -153,6 +153,11 @@
         /// What it asks for.
         content: Fingerprint,
     },
+    /// An operator told this node that a request may run again.
+    ReleaseOrdered {
+        /// What it asks for.
+        content: Fingerprint,
+    },
     /// Operators have evacuated a failure domain: its targets get no new work.
     Evacuated {
         /// The failure domain.
--- a/crates/core/src/spread/machine/reports.rs
+++ b/crates/core/src/spread/machine/reports.rs
@@ -32,7 +32,8 @@
 const TOLD_BURST: Duration = Duration::from_secs(8);
 
 impl Spread {
-    /// The endpoint beside this node was seen to crash or to answer.
+    /// The endpoint beside this node was seen to crash or to answer, or an operator
+    /// released a request here.
     pub(super) fn sighted(
         &mut self,
         now: Tick,
@@ -47,6 +48,12 @@
                 }));
                 self.report(now, sighting, ago, out);
             }
+            Sighting::Released(content) => {
+                out.push(Action::Audit(AuditEvent::ReleaseOrdered {
+                    content: *content,
+                }));
+                self.report(now, sighting, ago, out);
+            }
             Sighting::Answered(content) => {
                 let since_start = now.since(Tick::ZERO).saturating_sub(ago);
                 let answered = Tick::ZERO + since_start;
--- a/crates/core/src/spread/tests/crashes.rs
+++ b/crates/core/src/spread/tests/crashes.rs
@@ -225,3 +225,21 @@
     assert!(spent < may, "{spent} of {may} bytes");
     assert!(all_hold(&net));
 }
+
+/// Guards against a release that only the node knows which the operator told, and against
+/// one that is lost when the released request crashes targets again.
+#[test]
+fn a_release_is_known_everywhere_and_ends_with_further_crashes() {
+    let mut net = warned_net(14, 3);
+    let released = |net: &Net| (0..14).all(|n| !holds(net, n, crashing()));
+    sight(&mut net, 5, Sighting::Released(crashing().whole()));
+    let took = net.run_until(TOLD_WITHIN, released);
+    assert!(took < Duration::from_secs(1), "{took:?}");
+    net.run_for(Duration::from_secs(30));
+    assert!(released(&net));
+    for n in 0..CRASHES {
+        crash(&mut net, n);
+        net.run_for(APART);
+    }
+    net.run_until(TOLD_WITHIN, all_hold);
+}
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -73,6 +73,18 @@
             optional --after number: u64
         }
 
+        /// See and release requests that are kept from targets.
+        cmd quarantine {
+            /// Tell what each node keeps from targets, since they crash under it.
+            cmd list {}
+
+            /// Let requests run again; the node that is told tells the others.
+            cmd release {
+                /// What they ask for, as the list names it.
+                required content: String
+            }
+        }
+
         /// Begin a planned stop of a node.
         cmd drain {
             /// Its admin address, or its instance among --nodes.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -19,6 +19,7 @@
 mod explain;
 mod nodes;
 mod print;
+mod quarantine;
 mod report;
 mod run;
 mod status;
--- a/crates/ctl/src/nodes.rs
+++ b/crates/ctl/src/nodes.rs
@@ -55,6 +55,11 @@
         Ok(Nodes(found))
     }
 
+    /// The nodes, in the order given.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = SocketAddr> {
+        self.0.iter().copied()
+    }
+
     /// Asks every node, some at a time; answers come in the order of nodes.
     pub(crate) async fn ask<T, F>(&self, ask: impl Fn(SocketAddr) -> F) -> Answers<T>
     where
--- a/crates/ctl/src/run/ask.rs
+++ b/crates/ctl/src/run/ask.rs
@@ -13,6 +13,7 @@
 use super::Ended;
 use crate::AdminClient;
 use crate::args::Converged;
+use crate::args::QuarantineCmd;
 use crate::args::RouteCmd;
 use crate::args::Sassafrasspoolctl;
 use crate::args::SassafrasspoolctlCmd;
@@ -25,6 +26,8 @@
 use crate::explain::Explanations;
 use crate::nodes::Nodes;
 use crate::print::print;
+use crate::quarantine::Quarantines;
+use crate::quarantine::Released;
 use crate::status::Statuses;
 use crate::versions::HeldVersions;
 
@@ -66,6 +69,13 @@
             let found = Explanations::ask(&client, &nodes, &asked).await;
             print(out, json, &found)
         }
+        SassafrasspoolctlCmd::Quarantine(given) => match &given.subcommand {
+            QuarantineCmd::List(_) => print(out, json, &Quarantines::ask(&client, &nodes).await),
+            QuarantineCmd::Release(given) => {
+                let released = Released::order(&client, &nodes, &given.content).await?;
+                print(out, json, &released)
+            }
+        },
         SassafrasspoolctlCmd::Audit(given) => {
             print(out, json, &Trail::ask(&client, &nodes, given.after).await)
         }
--- a/crates/ctl/tests/nodes.rs
+++ b/crates/ctl/tests/nodes.rs
@@ -57,6 +57,12 @@
 #[case::explain_a_service(Case { verb: &["route", "explain", "adjuster-desk"], fakes: &[NEW], verdict: Verdict::Yes, told: &["adjuster-desk -"] })]
 #[case::audit(Case { verb: &["audit", "--after", "4"], fakes: &[NEW, GONE], verdict: Verdict::Unanswered,
     told: &["1.500  wd-1  #5  applied  stream=catalogue  version=7-aa", "no longer keeps 2 older records", "UNREACHABLE"] })]
+#[case::quarantine(Case { verb: &["quarantine", "list"], fakes: &[NEW, EMPTY, GONE], verdict: Verdict::Unanswered,
+    told: &["wd-1  00000000000000aa  for 7 ms", "wd-6  nothing", "UNREACHABLE"] })]
+#[case::release(Case { verb: &["quarantine", "release", "00000000000000aa"], fakes: &[GONE, NEW], verdict: Verdict::Yes,
+    told: &["wd-1  00000000000000aa  released"] })]
+#[case::release_of_another(Case { verb: &["quarantine", "release", "00000000000000ab-00000000000000ac"], fakes: &[NEW], verdict: Verdict::Yes,
+    told: &["00000000000000ab-00000000000000ac  was not in quarantine there"] })]
 #[case::drain(Case { verb: &["drain", "wd-1"], fakes: &[NEW, GONE], verdict: Verdict::Yes, told: &["wd-1  draining, 3 in flight"] })]
 fn a_verb_tells_of_every_node(#[case] case: Case) {
     let fleet = Fleet::start(case.fakes);
@@ -116,6 +122,8 @@
 #[case(Refused { args: &["converged", "--nodes", "127.0.0.1:1", "--revision", "1", "--within", "9999"], told: "--within must be 1 to 3600" })]
 #[case(Refused { args: &["converged", "--nodes", "127.0.0.1:1", "--revision", "1", "--within", "1", "--stream", "x"], told: "--stream must be" })]
 #[case(Refused { args: &["route", "explain", "Desk!", "--nodes", "127.0.0.1:1"], told: "check: service name" })]
+#[case(Refused { args: &["quarantine", "release", "aa", "--nodes", "127.0.0.1:1"], told: "is no request's content" })]
+#[case(Refused { args: &["quarantine", "release", "00000000000000aa", "--nodes", "127.0.0.1:1"], told: "no node took the order" })]
 #[case(Refused { args: &["drain", "wd-1"], told: "name nodes by" })]
 #[case(Refused { args: &["drain", "127.0.0.1:1"], told: "admin with 127.0.0.1:1: no answer" })]
 fn what_cant_be_asked_is_told_with_its_step_and_peer(#[case] case: Refused) {
--- a/crates/ctl/tests/support/fake.rs
+++ b/crates/ctl/tests/support/fake.rs
@@ -28,6 +28,9 @@
 use sassafrasspool_wire::admin::EndpointInfo;
 use sassafrasspool_wire::admin::Explanation;
 use sassafrasspool_wire::admin::Held;
+use sassafrasspool_wire::admin::QuarantineInfo;
+use sassafrasspool_wire::admin::QuarantinedInfo;
+use sassafrasspool_wire::admin::ReleaseAnswer;
 use sassafrasspool_wire::admin::ServiceInfo;
 use sassafrasspool_wire::admin::Status;
 use sassafrasspool_wire::admin::VersionInfo;
@@ -177,6 +180,7 @@
 struct Asked {
     service: Option<String>,
     path: Option<String>,
+    content: Option<String>,
     after: Option<u64>,
 }
 
@@ -195,6 +199,8 @@
             .route("/versions", get(versions))
             .route("/routes/explain", get(explain))
             .route("/audit", get(audit))
+            .route("/quarantine", get(quarantine))
+            .route("/quarantine/release", post(release))
             .route("/drain", post(drain))
             .with_state(node),
     };
@@ -279,6 +285,24 @@
     })
 }
 
+async fn quarantine(State(node): State<Arc<Node>>) -> Json<QuarantineInfo> {
+    let held = QuarantinedInfo {
+        content: "00000000000000aa".to_owned(),
+        left_ms: 7,
+    };
+    Json(QuarantineInfo {
+        instance: node.fake.id(),
+        held: Vec::from_iter((node.fake.revision > 0).then_some(held)),
+    })
+}
+
+async fn release(State(node): State<Arc<Node>>, Query(asked): Query<Asked>) -> Json<ReleaseAnswer> {
+    Json(ReleaseAnswer {
+        instance: node.fake.id(),
+        was_held: asked.content.as_deref() == Some("00000000000000aa"),
+    })
+}
+
 async fn drain(State(node): State<Arc<Node>>) -> Json<DrainAnswer> {
     Json(DrainAnswer {
         instance: node.fake.id(),
--- a/crates/node/src/admin/answers.rs
+++ b/crates/node/src/admin/answers.rs
@@ -11,6 +11,8 @@
 use sassafrasspool_wire::admin::EndpointInfo;
 use sassafrasspool_wire::admin::EvacuationInfo;
 use sassafrasspool_wire::admin::Held;
+use sassafrasspool_wire::admin::QuarantineInfo;
+use sassafrasspool_wire::admin::QuarantinedInfo;
 use sassafrasspool_wire::admin::RouteInfo;
 use sassafrasspool_wire::admin::ServiceInfo;
 use sassafrasspool_wire::admin::SnapshotInfo;
@@ -54,6 +56,20 @@
     found.map(info).collect()
 }
 
+/// What the node keeps from targets.
+pub(super) fn quarantine(admin: &Admin) -> QuarantineInfo {
+    let shared = &admin.outside.shared;
+    let held = shared.quarantine().list(shared.clock().now());
+    let held = held.into_iter().map(|(content, left)| QuarantinedInfo {
+        content: content.to_string(),
+        left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+    });
+    QuarantineInfo {
+        instance: shared.me().clone(),
+        held: held.collect(),
+    }
+}
+
 /// What the node holds and what it heard of.
 pub(super) fn versions(admin: &Admin, spread: &SpreadStatus) -> Versions {
     Versions {
--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -13,12 +13,15 @@
 use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
+use sassafrasspool_core::Content;
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Phase;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::ServiceName;
 use sassafrasspool_wire::admin;
 use sassafrasspool_wire::admin::DrainAnswer;
+use sassafrasspool_wire::admin::QuarantineInfo;
+use sassafrasspool_wire::admin::ReleaseAnswer;
 use sassafrasspool_wire::admin::Status;
 use sassafrasspool_wire::admin::Versions;
 use serde::Deserialize;
@@ -63,6 +66,12 @@
     path: Option<String>,
 }
 
+/// What is to run again.
+#[derive(Debug, Deserialize)]
+struct ReleaseQuery {
+    content: String,
+}
+
 /// An error as operators get it.
 #[derive(Debug)]
 struct Refused {
@@ -108,6 +117,8 @@
             .route(admin::METRICS_PATH, get(metrics_page))
             .route(admin::SNAPSHOT_PATH, get(snapshot))
             .route(admin::DRAIN_PATH, post(drain))
+            .route(admin::QUARANTINE_PATH, get(quarantine))
+            .route(admin::RELEASE_PATH, post(release))
             .with_state(Arc::new(self))
     }
 
@@ -166,6 +177,32 @@
     Ok(Json(answers::snapshot(&view)).into_response())
 }
 
+async fn quarantine(State(admin): State<Arc<Admin>>) -> Json<QuarantineInfo> {
+    Json(answers::quarantine(&admin))
+}
+
+async fn release(
+    State(admin): State<Arc<Admin>>,
+    Query(query): Query<ReleaseQuery>,
+) -> Result<Json<ReleaseAnswer>, Refused> {
+    let content = Content::parse(&query.content).map_err(|err| Refused {
+        status: StatusCode::BAD_REQUEST,
+        reason: err.to_string(),
+    })?;
+    let shared = &admin.outside.shared;
+    let held = shared.quarantine().holds(shared.clock().now(), &content);
+    if !shared.quarantine().release(&content).await {
+        return Err(Refused {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "the node has ended".to_owned(),
+        });
+    }
+    Ok(Json(ReleaseAnswer {
+        instance: shared.me().clone(),
+        was_held: held.is_some(),
+    }))
+}
+
 async fn drain(State(admin): State<Arc<Admin>>) -> Json<DrainAnswer> {
     let shared = &admin.outside.shared;
     admin.outside.control.send(ControlEvent::Drain).await;
--- a/crates/node/src/audit/record.rs
+++ b/crates/node/src/audit/record.rs
@@ -124,6 +124,7 @@
         AuditEvent::Quarantined { content, origin } => {
             ("quarantined", format!("{content}, last told by {origin}"))
         }
+        AuditEvent::ReleaseOrdered { content } => ("release-ordered", content.to_string()),
         AuditEvent::Released { content } => ("released", content.to_string()),
         AuditEvent::Paused { pause } => ("paused", format!("for {} ms", pause.as_millis())),
         other => ("other", format!("{other:?}")),
--- a/crates/node/src/shared/quarantine.rs
+++ b/crates/node/src/shared/quarantine.rs
@@ -15,7 +15,9 @@
 use sassafrasspool_core::Sighting;
 use sassafrasspool_core::Tick;
 use sassafrasspool_core::Verdicts;
+use tokio::sync::watch;
 
+use super::Clock;
 use crate::control::ControlEvent;
 use crate::control::ControlHandle;
 
@@ -26,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
     verdicts: ArcSwap<Verdicts>,
+    /// Told after other verdicts are in force.
+    judged: watch::Sender<()>,
     answered: Mutex<Answered>,
     /// Whom sightings are told; nobody in a node without a control side.
     control: OnceLock<ControlHandle>,
@@ -44,6 +48,26 @@
         Some(until.since(now))
     }
 
+    /// Waits until a request is in quarantine; returns for how long it is.
+    pub(crate) async fn entered(&self, clock: &Clock, content: &Content) -> Duration {
+        let mut judged = self.judged.subscribe();
+        loop {
+            if let Some(left) = self.holds(clock.now(), content) {
+                return left;
+            }
+            // The sender is a part of this, and outlives the wait.
+            let _ = judged.changed().await;
+        }
+    }
+
+    /// All that is in quarantine, and for how long.
+    pub(crate) fn list(&self, now: Tick) -> Vec<(Fingerprint, Duration)> {
+        let verdicts = self.verdicts.load();
+        let held = verdicts.held_at(now);
+        held.map(|(content, until)| (content, until.since(now)))
+            .collect()
+    }
+
     /// Puts other verdicts in force, and tells of what they doubt and the own target has
     /// answered lately.
     pub(crate) fn judge(&self, now: Tick, verdicts: Arc<Verdicts>) {
@@ -54,6 +78,7 @@
             verdicts.doubted().filter_map(at).collect()
         };
         let before = self.verdicts.swap(verdicts);
+        self.judged.send_replace(());
         for (content, at) in answered {
             if !before.doubts(content) {
                 self.tell_answer(content, now.since(at));
@@ -78,15 +103,28 @@
 
     /// Notes that the own target crashed while it ran these.
     pub(crate) async fn crashed(&self, ran: Vec<Content>) {
+        // A node that has ended tells nobody.
+        self.report(Sighting::Crashed(ran)).await;
+    }
+
+    /// Lets requests run again under which targets crashed; false if the node has ended.
+    pub(crate) async fn release(&self, content: &Content) -> bool {
+        for content in content.fingerprints() {
+            if !self.report(Sighting::Released(content)).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Reports what was just seen; false if nobody can be told.
+    async fn report(&self, sighting: Sighting) -> bool {
         let Some(control) = self.control.get() else {
-            return;
+            return false;
         };
-        let event = Event::Sighted {
-            sighting: Sighting::Crashed(ran),
-            ago: Duration::ZERO,
-        };
-        // A node that has ended tells nobody.
-        control.send(ControlEvent::Spread(event)).await;
+        let ago = Duration::ZERO;
+        let event = Event::Sighted { sighting, ago };
+        control.send(ControlEvent::Spread(event)).await
     }
 
     fn tell_answer(&self, content: Fingerprint, ago: Duration) {
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -138,6 +138,16 @@
         self.shared.quarantine().holds(now, content?)
     }
 
+    /// Waits until targets crash under a request; returns its refusal.
+    pub(super) async fn quarantined(&self, step: Step, content: Option<&Content>) -> Refusal {
+        let Some(content) = content else {
+            return std::future::pending().await;
+        };
+        let quarantine = self.shared.quarantine();
+        let left = quarantine.entered(self.shared.clock(), content).await;
+        Refusal::not_run(step, Reason::Quarantined).after(left)
+    }
+
     /// Lets a request pass unless targets crash under it.
     ///
     /// # Errors
--- a/crates/node/src/traffic/inbound/admission.rs
+++ b/crates/node/src/traffic/inbound/admission.rs
@@ -14,11 +14,14 @@
 
 use crate::Clock;
 
+#[cfg(test)]
+mod tests;
+
 /// What a queued request is told.
 type Verdict = Result<Permit, Refusal>;
 
-/// Gets a slot, or waits for one as long as admission allows; dropping the
-/// future leaves the queue.
+/// Gets a slot, or waits for one as long as admission allows and `barred` is pending;
+/// dropping the future leaves the queue.
 ///
 /// # Errors
 ///
@@ -27,6 +30,7 @@
     admission: &Admission,
     clock: &Clock,
     ask: &Ask<'_>,
+    barred: impl Future<Output = Refusal>,
 ) -> Result<Permit, Refusal> {
     let mut told = None;
     let offer = admission.offer(clock.now(), ask, || {
@@ -44,6 +48,7 @@
             tokio::select! {
                 biased;
                 told = wait(queued, rx, clock) => told,
+                refusal = barred => Err(refusal),
                 never = refill(admission, clock) => match never {},
             }
         }
--- a/crates/node/src/traffic/inbound/hand_over.rs
+++ b/crates/node/src/traffic/inbound/hand_over.rs
@@ -77,7 +77,9 @@
         }
         self.req = body_intake::take_in(hub, &ask, self.req).await?;
         let asked = hub.shared.clock().now();
-        let admitted = admission::admit(&hub.admission, hub.shared.clock(), &ask).await;
+        let clock = hub.shared.clock();
+        let barred = hub.quarantined(Step::Admission, self.call.content.as_ref());
+        let admitted = admission::admit(&hub.admission, clock, &ask, barred).await;
         let waited = hub.shared.clock().now().since(asked);
         hub.stages.queue.took(class, waited);
         let permit: Permit = match admitted {
--- a/crates/node/tests/control/crashing.rs
+++ b/crates/node/tests/control/crashing.rs
@@ -11,9 +11,14 @@
 use sassafrasspool_standin::target::CrashOn;
 use sassafrasspool_standin::target::Run;
 use sassafrasspool_standin::target::RunEnd;
+use sassafrasspool_wire::admin::QUARANTINE_PATH;
+use sassafrasspool_wire::admin::QuarantineInfo;
+use sassafrasspool_wire::admin::RELEASE_PATH;
+use sassafrasspool_wire::admin::ReleaseAnswer;
 use tokio::task::JoinSet;
 
 use crate::common::CATALOGUE;
+use crate::common::http_text;
 use crate::common::slow_target;
 use crate::common::try_http_text;
 use crate::support::Fleet;
@@ -235,3 +240,48 @@
     }
     fleet.cancel.cancel();
 }
+
+/// What a node keeps from targets.
+async fn quarantined(fleet: &Fleet, node: usize) -> QuarantineInfo {
+    let admin = fleet.nodes[node].addrs().admin;
+    let (_, text) = http_text("GET", admin, QUARANTINE_PATH).await;
+    serde_json::from_str(&text).expect("what operators read")
+}
+
+/// Waits until every node keeps so many requests from targets.
+async fn until_quarantined(fleet: &Fleet, requests: usize) {
+    for node in 0..NODES {
+        while quarantined(fleet, node).await.held.len() != requests {
+            tokio::time::sleep(EVERY).await;
+        }
+    }
+}
+
+/// Guards against a request that stays in quarantine although an operator has released it
+/// at one node, and against a release by something that isn't a request's content.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_released_request_runs_again() {
+    let fleet = crashing_fleet(0).await;
+    while quarantined(&fleet, 0).await.held.is_empty() {
+        let addr = fleet.nodes[0].addrs().ingress;
+        try_http_text("GET", addr, CRASHING).await;
+    }
+    until_quarantined(&fleet, 1).await;
+    let before = runs(&fleet, CRASHING).len();
+    let admin = fleet.nodes[1].addrs().admin;
+    let release = |content: String| async move {
+        let path = format!("{RELEASE_PATH}?content={content}");
+        http_text("POST", admin, &path).await
+    };
+    let (status, _) = release("crashing".to_owned()).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    let held = quarantined(&fleet, 0).await.held;
+    let (status, text) = release(held[0].content.clone()).await;
+    assert_eq!(status, StatusCode::OK);
+    let answer: ReleaseAnswer = serde_json::from_str(&text).expect("what operators read");
+    assert!(answer.was_held);
+    until_quarantined(&fleet, 0).await;
+    try_http_text("GET", fleet.nodes[2].addrs().ingress, CRASHING).await;
+    until(|| runs(&fleet, CRASHING).len() > before).await;
+    fleet.cancel.cancel();
+}
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -7,6 +7,9 @@
 pub use self::explain::Explanation;
 pub use self::held::Held;
 pub use self::held::VersionInfo;
+pub use self::quarantine::QuarantineInfo;
+pub use self::quarantine::QuarantinedInfo;
+pub use self::quarantine::ReleaseAnswer;
 pub use self::snapshot::EndpointInfo;
 pub use self::snapshot::RouteInfo;
 pub use self::snapshot::ServiceInfo;
@@ -20,6 +23,7 @@
 mod drain;
 mod explain;
 mod held;
+mod quarantine;
 mod snapshot;
 mod stats;
 mod status;
@@ -37,5 +41,9 @@
 pub const METRICS_PATH: &str = "/metrics";
 /// `GET`: [`SnapshotInfo`].
 pub const SNAPSHOT_PATH: &str = "/snapshot";
+/// `GET`: [`QuarantineInfo`].
+pub const QUARANTINE_PATH: &str = "/quarantine";
+/// `POST` with `content`: lets requests run again; [`ReleaseAnswer`].
+pub const RELEASE_PATH: &str = "/quarantine/release";
 /// `POST`: begins to drain; [`DrainAnswer`].
 pub const DRAIN_PATH: &str = "/drain";
