--- a/crates/bench/src/calls/run.rs
+++ b/crates/bench/src/calls/run.rs
@@ -24,7 +24,7 @@
 const WARM_UP: Duration = Duration::from_secs(1);
 
 /// How long the fleet may take to be ready.
-const READY: Duration = Duration::from_secs(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Runs the pairs and reports what the nodes added.
 ///
@@ -69,7 +69,7 @@
         nodes: true,
         settings: "",
         links: false,
-        patience: READY,
+        patience: READY_TIMEOUT,
     }
 }
 
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -70,7 +70,7 @@
 ];
 
 /// How long the fleet may take to be ready before the run.
-const READY: Duration = Duration::from_secs(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// How many violations and faults the report tells in words.
 const TOLD: usize = 5;
@@ -143,7 +143,7 @@
         nodes: !opts.naive,
         settings: SETTINGS,
         links: !opts.naive,
-        patience: READY,
+        patience: READY_TIMEOUT,
     }
 }
 
--- a/crates/bench/src/control_fleet/member.rs
+++ b/crates/bench/src/control_fleet/member.rs
@@ -26,7 +26,7 @@
 const START_TRIES: u32 = 40;
 
 /// Time between two tries of a restart.
-const TRY_AGAIN: Duration = Duration::from_millis(50);
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A node that can be crashed and started again under its addresses.
 #[derive(Debug)]
@@ -141,7 +141,7 @@
                 Err(_) if tries > 0 => tries -= 1,
                 Err(err) => return Err(err),
             }
-            thread::sleep(TRY_AGAIN);
+            thread::sleep(RETRY_INTERVAL);
         }
     }
 
--- a/crates/bench/src/core_cost/run.rs
+++ b/crates/bench/src/core_cost/run.rs
@@ -73,7 +73,7 @@
         announce_bytes = pair.change(&mut taken)?;
         pair.relist(i, &mut taken)?;
         pair.compare(&mut taken)?;
-        pair.tell_state(i, &mut taken);
+        pair.announce_state(i, &mut taken);
         pair.bind(&mut taken);
     }
     let sizes = Sizes::of(&pair.source)?;
@@ -126,7 +126,7 @@
             member,
         };
         pair.until_reading()?;
-        pair.tell_all_states();
+        pair.announce_all_states();
         Ok(pair)
     }
 
@@ -191,7 +191,7 @@
     }
 
     /// Both machines hear of all endpoints, as after some time in a fleet.
-    fn tell_all_states(&mut self) {
+    fn announce_all_states(&mut self) {
         let instances = self.source.instances.clone();
         for some in instances.chunks(STATES_AT_ONCE) {
             let states = some.iter().map(|it| state(it, 0));
@@ -224,7 +224,7 @@
     }
 
     /// One endpoint's change of phase, as an announcement brings it.
-    fn tell_state(&mut self, i: usize, taken: &mut Times) {
+    fn announce_state(&mut self, i: usize, taken: &mut Times) {
         self.settle();
         let instance = &self.source.instances[i % self.source.instances.len()];
         let told = announce(&self.source, vec![state(instance, 1 + i as u64)]);
--- a/crates/bench/src/demo/scenario.rs
+++ b/crates/bench/src/demo/scenario.rs
@@ -37,7 +37,7 @@
 /// The most requests a second.
 const MAX_RATE: u32 = 2_000;
 /// How long callers call before anything happens, and after everything did.
-const CALM: Duration = Duration::from_millis(500);
+const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// A deployment that is to be shown.
 #[derive(Debug)]
@@ -118,9 +118,9 @@
         let entries = entries.collect();
         let callers = Callers::start(self.kinds, entries, self.rate, self.seed, BOUND);
         let began = Instant::now();
-        sleep(CALM).await;
+        sleep(SETTLE_TIME).await;
         let played = Play::new(self.copy, fleet).run().await?;
-        sleep(CALM).await;
+        sleep(SETTLE_TIME).await;
         let called = began.elapsed();
         let load = callers.stop().await?;
         let evidence = Evidence::gather(fleet, load).await?;
--- a/crates/bench/src/demo/scenario/play.rs
+++ b/crates/bench/src/demo/scenario/play.rs
@@ -32,7 +32,7 @@
 /// How long a killed worker stays away.
 const AWAY: Duration = Duration::from_millis(700);
 /// How long callers call between two hardships.
-const CALM: Duration = Duration::from_millis(1_500);
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// How long a version may take until it is in force on every node.
 const IN_FORCE: Duration = Duration::from_secs(11);
 /// What the audit trail says of a version that came into force.
@@ -90,10 +90,10 @@
         self.bad_change().await?;
         self.change().await?;
         self.leave(&first).await?;
-        sleep(CALM).await;
+        sleep(SETTLE_TIME).await;
         self.die_and_return(&last).await?;
         self.change().await?;
-        sleep(CALM).await;
+        sleep(SETTLE_TIME).await;
         self.fleet.still_runs()?;
         Ok(self.played)
     }
--- a/crates/bench/src/load/admin.rs
+++ b/crates/bench/src/load/admin.rs
@@ -55,16 +55,16 @@
 
 /// Posts JSON to the admin port of a stand-in; `None` if that doesn't answer.
 pub async fn post(addr: SocketAddr, path: &str, json: String) -> Option<StatusCode> {
-    tell(addr, Request::post(path), json).await
+    send_json(addr, Request::post(path), json).await
 }
 
 /// Puts JSON or YAML to the admin port of a stand-in; `None` if that doesn't
 /// answer.
 pub async fn put(addr: SocketAddr, path: &str, body: String) -> Option<StatusCode> {
-    tell(addr, Request::put(path), body).await
+    send_json(addr, Request::put(path), body).await
 }
 
-async fn tell(addr: SocketAddr, req: Builder, body: String) -> Option<StatusCode> {
+async fn send_json(addr: SocketAddr, req: Builder, body: String) -> Option<StatusCode> {
     let req = req.header(CONTENT_TYPE, "application/json");
     let told = tokio::time::timeout(CHANGE_TIMEOUT, send(addr, req, body.into()));
     told.await.ok()?.map(|(status, _)| status)
--- a/crates/bench/src/overload/run.rs
+++ b/crates/bench/src/overload/run.rs
@@ -41,7 +41,7 @@
 const GRACE: Duration = Duration::from_millis(500);
 
 /// How long the fleet may take to be ready.
-const READY: Duration = Duration::from_secs(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Tries of the naive version.
 const NAIVE_TRIES: u32 = 3;
@@ -122,7 +122,7 @@
         nodes,
         settings: "",
         links: false,
-        patience: READY,
+        patience: READY_TIMEOUT,
     }
 }
 
--- a/crates/core/src/catalogue/review.rs
+++ b/crates/core/src/catalogue/review.rs
@@ -23,13 +23,13 @@
         unread,
         mut faults,
     } = read(text);
-    let first = Revision::new(1).map_err(told)?;
-    let held = Catalogue::new(first, items).map_err(told)?;
+    let first = Revision::new(1).map_err(single_fault)?;
+    let held = Catalogue::new(first, items).map_err(single_fault)?;
     faults.extend(check_across(&held, &unread));
     faults.into_result(held)
 }
 
-fn told(err: Error) -> Faults {
+fn single_fault(err: Error) -> Faults {
     let mut faults = Faults::new();
     faults.add("", "", err.to_string());
     faults
--- a/crates/core/src/history/rule/in_force_soon.rs
+++ b/crates/core/src/history/rule/in_force_soon.rs
@@ -89,7 +89,7 @@
         let published = Published { version, at };
         self.newest.insert(stream, published);
         for node in self.nodes.values_mut() {
-            node.owe(stream, published);
+            node.require(stream, published);
         }
     }
 
@@ -98,7 +98,7 @@
         let node = self.node(node);
         node.back = Some(at);
         for (stream, published) in newest {
-            node.owe(stream, published);
+            node.require(stream, published);
         }
     }
 
@@ -127,7 +127,7 @@
 }
 
 impl Node {
-    fn owe(&mut self, stream: Stream, published: Published) {
+    fn require(&mut self, stream: Stream, published: Published) {
         let revision = published.version.revision();
         if self.held.get(&stream).is_none_or(|held| *held < revision) {
             self.owed.entry(stream).or_default().push(published);
--- a/crates/core/src/patience.rs
+++ b/crates/core/src/patience.rs
@@ -12,15 +12,15 @@
 
 /// Times that are counted until all counts are halved, so that callers that change
 /// their ways are followed.
-const MOST: u32 = 512;
+const HALVE_AFTER_SAMPLES: u32 = 512;
 
 /// A step belongs to the first attempts if it has a quarter of the fullest one's
 /// count: what is left after a refusal spreads over fifteen steps or more.
-const PART: u32 = 4;
+const MODE_SHARE_DIVISOR: u32 = 4;
 
 /// The most steps that first attempts fill. Times that spread over more, by a
 /// third, have nothing usual about them.
-const WIDEST: usize = 8;
+const MAX_MODE_WIDTH_STEPS: usize = 8;
 
 /// How long callers of a route wait at their first attempt.
 ///
@@ -86,7 +86,7 @@
             }
         }
         self.total += 1;
-        if self.total >= MOST {
+        if self.total >= HALVE_AFTER_SAMPLES {
             self.forget();
         }
     }
@@ -114,14 +114,14 @@
         if fullest.count < 2 {
             return None;
         }
-        let least = fullest.count.div_ceil(PART);
+        let least = fullest.count.div_ceil(MODE_SHARE_DIVISOR);
         while let Some(below) = at.checked_sub(1).map(|below| &self.counted[below]) {
             if below.number + 1 != self.counted[at].number || below.count < least {
                 break;
             }
             at -= 1;
         }
-        if top - at >= WIDEST {
+        if top - at >= MAX_MODE_WIDTH_STEPS {
             return None;
         }
         Some(&self.counted[at..])
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -14,20 +14,20 @@
 
 pub use self::content::Content;
 pub use self::content::Fingerprint;
+pub(crate) use self::pending_answers::PendingAnswers;
 pub use self::report::Report;
 pub use self::report::ReportId;
 pub use self::report::Sighting;
 pub(crate) use self::reports::Reports;
-pub(crate) use self::unsaid::Unsaid;
 pub use self::verdicts::ANSWER_EXCUSES;
 pub use self::verdicts::CRASHES;
 pub use self::verdicts::Verdicts;
 
 mod content;
 mod moment;
+mod pending_answers;
 mod report;
 mod reports;
 #[cfg(test)]
 mod tests;
-mod unsaid;
 mod verdicts;
--- a/crates/core/src/quarantine/unsaid.rs
+++ b/crates/core/src/quarantine/pending_answers.rs
@@ -24,7 +24,7 @@
 /// Each waits for a random time, of which short ones are rare, and says nothing if the first
 /// report has ended the doubt by then.
 #[derive(Debug, Default)]
-pub(crate) struct Unsaid(BTreeMap<Fingerprint, Waiting>);
+pub(crate) struct PendingAnswers(BTreeMap<Fingerprint, Waiting>);
 
 #[derive(Debug)]
 struct Waiting {
@@ -32,7 +32,7 @@
     answered: Tick,
 }
 
-impl Unsaid {
+impl PendingAnswers {
     /// Notes an answer at `answered`, in a fleet of so many nodes.
     pub(crate) fn note(
         &mut self,
--- a/crates/core/src/quarantine/reports.rs
+++ b/crates/core/src/quarantine/reports.rs
@@ -163,14 +163,14 @@
     }
 
     /// A report as it is told at `now`.
-    pub(crate) fn tell(&self, now: Tick, id: &ReportId) -> Option<Report> {
+    pub(crate) fn report_at(&self, now: Tick, id: &ReportId) -> Option<Report> {
         let kept = self.reports.get(id)?;
-        Some(kept.tell(now, id))
+        Some(kept.report_at(now, id))
     }
 
     /// As many reports as fit into a message: those of what is in quarantine first, then
     /// the newest.
-    pub(crate) fn tell_all(&self, now: Tick) -> Vec<Report> {
+    pub(crate) fn reports_to_send(&self, now: Tick) -> Vec<Report> {
         let mut by_weight: Vec<(&ReportId, &Kept)> = self.reports.iter().collect();
         by_weight.sort_by_cached_key(|(_, kept)| (self.is_of_weight(kept), kept.at));
         let mut left = MOST_TOLD_BYTES;
@@ -180,7 +180,7 @@
                 break;
             };
             left = rest;
-            told.push(kept.tell(now, id));
+            told.push(kept.report_at(now, id));
         }
         told
     }
@@ -223,7 +223,7 @@
         }
     }
 
-    fn tell(&self, now: Tick, id: &ReportId) -> Report {
+    fn report_at(&self, now: Tick, id: &ReportId) -> Report {
         let age_ms = self.at.age(now).as_millis();
         Report {
             id: id.clone(),
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -256,7 +256,7 @@
     }
     let held = known.verdicts().held_until(at(3), &content("/a"));
     assert!(held.is_some());
-    let told = known.tell_all(at(3));
+    let told = known.reports_to_send(at(3));
     let of_it = |it: &&Report| it.id.number < 3;
     assert_eq!(told.iter().filter(of_it).count(), 3);
 }
--- a/crates/core/src/reader/contact.rs
+++ b/crates/core/src/reader/contact.rs
@@ -33,7 +33,7 @@
     }
 
     /// Notes what a peer told.
-    pub(crate) fn hear(&mut self, now: Tick, told: Option<Contact>) {
+    pub(crate) fn merge(&mut self, now: Tick, told: Option<Contact>) {
         if let Some(told) = told {
             self.note(Proof {
                 at_us: micros(now) - i64::from(told.age_ms) * 1_000,
@@ -50,7 +50,7 @@
     }
 
     /// The newest proof as it is told to peers.
-    pub(crate) fn tell(&self, now: Tick) -> Option<Contact> {
+    pub(crate) fn current(&self, now: Tick) -> Option<Contact> {
         let age = self.age(now)?;
         Some(Contact {
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
--- a/crates/core/src/reader/tests.rs
+++ b/crates/core/src/reader/tests.rs
@@ -60,10 +60,10 @@
         age_ms: 60_000,
         rank: 0,
     };
-    contact.hear(now, Some(told));
+    contact.merge(now, Some(told));
     assert_eq!(contact.age(now), Some(Duration::from_secs(60)));
     contact.prove(now, 1);
-    contact.hear(now + Duration::from_secs(1), Some(told));
+    contact.merge(now + Duration::from_secs(1), Some(told));
     let later = now + Duration::from_secs(2);
     assert_eq!(contact.age(later), Some(Duration::from_secs(2)));
 }
--- a/crates/core/src/retry/tries.rs
+++ b/crates/core/src/retry/tries.rs
@@ -116,7 +116,7 @@
         if again {
             return Next::Again;
         }
-        Next::Stop(self.told(failure))
+        Next::Stop(self.final_failure(failure))
     }
 
     /// What the caller is told if `failure` ends the request.
@@ -125,7 +125,7 @@
     /// was refused; the refusal is true of the second alone. Passed on, it
     /// would tell the caller that nothing ran. The same goes for a refused
     /// repeat, whose earlier attempt may have run.
-    pub fn told(&self, failure: Failure) -> Failure {
+    pub fn final_failure(&self, failure: Failure) -> Failure {
         if let Some(loss) = self.lost {
             return Failure::Lost(loss);
         }
--- a/crates/core/src/route/pace.rs
+++ b/crates/core/src/route/pace.rs
@@ -16,10 +16,10 @@
 const PACE_SHIFT: u32 = 3;
 
 /// The pace of an endpoint that is as fast as others.
-const USUAL: u32 = 256;
+const MEAN_PACE: u32 = 256;
 
 /// The least and the greatest pace that one answer counts for.
-const BOUNDS: [u32; 2] = [USUAL / 4, USUAL * 8];
+const BOUNDS: [u32; 2] = [MEAN_PACE / 4, MEAN_PACE * 8];
 
 /// Kinds whose times are kept.
 const MAX_KINDS: usize = 1_024;
@@ -43,7 +43,7 @@
             }
             return None;
         };
-        let ratio = us.saturating_mul(u64::from(USUAL)) / *average;
+        let ratio = us.saturating_mul(u64::from(MEAN_PACE)) / *average;
         // A slow endpoint must not raise the mark that it is judged by.
         let counted = us.min(average.saturating_mul(2));
         *average = (*average - (*average >> KIND_SHIFT) + (counted >> KIND_SHIFT)).max(1);
@@ -59,7 +59,7 @@
 
 impl Default for Pace {
     fn default() -> Pace {
-        Pace(AtomicU32::new(USUAL))
+        Pace(AtomicU32::new(MEAN_PACE))
     }
 }
 
@@ -73,11 +73,11 @@
 
     /// The pace as a factor.
     pub(super) fn factor(&self) -> f32 {
-        self.0.load(Ordering::Relaxed) as f32 / USUAL as f32
+        self.0.load(Ordering::Relaxed) as f32 / MEAN_PACE as f32
     }
 
     /// Forgets it, as for a new process.
     pub(super) fn reset(&self) {
-        self.0.store(USUAL, Ordering::Relaxed);
+        self.0.store(MEAN_PACE, Ordering::Relaxed);
     }
 }
--- a/crates/core/src/spread/lapse.rs
+++ b/crates/core/src/spread/lapse.rs
@@ -19,7 +19,7 @@
 const DOUBTED_FOR: Duration = Duration::from_millis(1_500);
 
 /// One of so many entries that go at once are many.
-const MANY: usize = 4;
+const DOUBTED_SHARE_DIVISOR: usize = 4;
 
 /// Tells lists that lack entries because of an outage from those that are so.
 ///
@@ -128,6 +128,6 @@
 
     /// Whether so many went at once that an outage is likelier than their end.
     fn is_many(&self) -> bool {
-        self.entries > 1 && self.entries * MANY >= self.live
+        self.entries > 1 && self.entries * DOUBTED_SHARE_DIVISOR >= self.live
     }
 }
--- a/crates/core/src/spread/list_proof.rs
+++ b/crates/core/src/spread/list_proof.rs
@@ -50,7 +50,7 @@
     }
 
     /// Notes a peer's answer to what it was asked at `asked`.
-    pub(super) fn hear(&mut self, asked: Tick, told: Option<ListProof>) {
+    pub(super) fn merge(&mut self, asked: Tick, told: Option<ListProof>) {
         if let Some(told) = told {
             self.note(Proof {
                 revision: told.revision,
@@ -60,7 +60,7 @@
     }
 
     /// The proof as it is told to those who ask, if it isn't too old to tell.
-    pub(super) fn tell(&self, now: Tick) -> Option<ListProof> {
+    pub(super) fn current(&self, now: Tick) -> Option<ListProof> {
         let proof = self.newest?;
         let age_ms = (micros(now) - proof.at_us) / 1_000 + 1;
         Some(ListProof {
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -39,8 +39,8 @@
 use crate::Tick;
 use crate::admit::Bucket;
 use crate::membership::Members;
+use crate::quarantine::PendingAnswers;
 use crate::quarantine::Reports;
-use crate::quarantine::Unsaid;
 use crate::reader::ContactClock;
 use crate::reader::ReadBudget;
 use crate::reader::Role;
@@ -77,7 +77,7 @@
     gossip: Gossip,
     members: Members,
     reports: Reports,
-    unsaid: Unsaid,
+    pending_answers: PendingAnswers,
     /// Bounds the reports that are told on at once.
     telling: Bucket,
     /// Counts the reports of this process.
@@ -122,7 +122,7 @@
             gossip: Gossip::new(now),
             members,
             reports: Reports::default(),
-            unsaid: Unsaid::default(),
+            pending_answers: PendingAnswers::default(),
             telling: Bucket::full(),
             reported: 0,
             own,
@@ -197,7 +197,7 @@
             refused: self.holder.last_refused(),
             peers: self.peers.len(),
             source_age: self.contact.age(now),
-            list: self.list.tell(now),
+            list: self.list.current(now),
             conflicts: self.holder.conflicts(),
             refusals: self.holder.refusals(),
             reads: self.reads.iter().map(SourceReads::count).sum(),
--- a/crates/core/src/spread/machine/announce.rs
+++ b/crates/core/src/spread/machine/announce.rs
@@ -28,12 +28,12 @@
         }
         let message = self.announcement(now);
         self.gossip.last = Some(message.clone());
-        let next = self.tell_successor(now, out);
+        let next = self.announce_to_successor(now, out);
         for to in self.listeners(now, next) {
             let message = PeerMessage::Announce(message.clone());
             self.calls.send(now, &to, Purpose::Announce, message, out);
         }
-        self.tell_unlisted(now, message, out);
+        self.announce_to_unlisted(now, message, out);
         self.gossip.heads_due = None;
         self.gossip.teller = None;
         self.gossip.states_due = match self.gossip.has_states() {
@@ -50,12 +50,14 @@
         let heads = self.holder.heads();
         self.gossip.announced = heads;
         let reports = self.gossip.take_reports();
-        let reports = reports.iter().filter_map(|id| self.reports.tell(now, id));
+        let reports = reports
+            .iter()
+            .filter_map(|id| self.reports.report_at(now, id));
         Announce {
             reports: reports.collect(),
             control: self.local.control,
             heads,
-            contact: self.contact.tell(now),
+            contact: self.contact.current(now),
             body,
             states: self.gossip.take_states(MAX_STATES),
         }
@@ -75,7 +77,11 @@
     }
 
     /// Tells the news to the successor, and returns who that is.
-    pub(super) fn tell_successor(&mut self, now: Tick, out: &mut Vec<Action>) -> Option<Address> {
+    pub(super) fn announce_to_successor(
+        &mut self,
+        now: Tick,
+        out: &mut Vec<Action>,
+    ) -> Option<Address> {
         let message = self.gossip.last.clone()?;
         let members = &self.members;
         let next = self.peers.successor(now, |peer| !is_gone(members, peer))?;
@@ -93,7 +99,7 @@
     /// They are nobody's peers from then on. Left to comparing now and then, they
     /// would go on for so long to hand requests to a target that has vanished
     /// without a word. Once they know, they read for themselves.
-    fn tell_unlisted(&mut self, now: Tick, message: Announce, out: &mut Vec<Action>) {
+    fn announce_to_unlisted(&mut self, now: Tick, message: Announce, out: &mut Vec<Action>) {
         for to in std::mem::take(&mut self.gossip.unlisted) {
             let message = PeerMessage::Announce(message.clone());
             self.calls.send(now, &to, Purpose::Announce, message, out);
--- a/crates/core/src/spread/machine/answer.rs
+++ b/crates/core/src/spread/machine/answer.rs
@@ -41,14 +41,14 @@
     ) -> PeerReply {
         self.peers.meet(from, told.control);
         let holder = self.address(from, told.control);
-        self.hear_contact(now, told.contact, out);
+        self.merge_contact(now, told.contact, out);
         let origin = Origin::Peer(from.clone());
-        self.hear_states(now, &told.states, &origin, out);
-        self.hear_reports(now, &told.reports, &origin, out);
+        self.merge_states(now, &told.states, &origin, out);
+        self.merge_reports(now, &told.reports, &origin, out);
         if let Some(body) = told.body {
             self.open_eagerly(now, &body, from, out);
         }
-        self.hear_heads(now, told.heads, &holder, out);
+        self.merge_heads(now, told.heads, &holder, out);
         let mine = self.holder.heads();
         PeerReply::Heads(is_ahead(mine, told.heads).then_some(mine))
     }
@@ -62,8 +62,8 @@
     ) -> PeerReply {
         self.peers.meet(from, told.control);
         let holder = self.address(from, told.control);
-        self.hear_contact(now, told.contact, out);
-        self.hear_heads(now, told.heads, &holder, out);
+        self.merge_contact(now, told.contact, out);
+        self.merge_heads(now, told.heads, &holder, out);
         let buckets = match self.members.root() == told.states {
             true => Vec::new(),
             false => self.members.digests(),
@@ -72,14 +72,14 @@
             from: self.local.id.clone(),
             joined: matches!(self.life, Life::Joined(_)),
             heads: self.holder.heads(),
-            contact: self.contact.tell(now),
-            list: self.list.tell(now),
+            contact: self.contact.current(now),
+            list: self.list.current(now),
             buckets,
             about_you: self.members.get(from).cloned(),
             reports_root: self.reports.root(),
             reports: match self.reports.root() == told.reports {
                 true => Vec::new(),
-                false => self.reports.tell_all(now),
+                false => self.reports.reports_to_send(now),
             },
         })
     }
@@ -111,7 +111,7 @@
         };
         let lacking = mine.filter(|state| theirs(state)).cloned().collect();
         let origin = Origin::Peer(from.clone());
-        self.hear_states(now, &told.states, &origin, out);
+        self.merge_states(now, &told.states, &origin, out);
         PeerReply::States(lacking)
     }
 }
--- a/crates/core/src/spread/machine/pull.rs
+++ b/crates/core/src/spread/machine/pull.rs
@@ -20,7 +20,7 @@
 
 impl Spread {
     /// Takes in what a peer holds, and gets what is lacked here.
-    pub(super) fn hear_heads(
+    pub(super) fn merge_heads(
         &mut self,
         now: Tick,
         heads: Heads,
@@ -34,7 +34,7 @@
                 continue;
             }
             if self.holder.lacks(head.stream, head.version) {
-                self.pulls[head.stream as usize].hear(head.version, holder);
+                self.pulls[head.stream as usize].note(head.version, holder);
                 if !self.calls.has(Purpose::Pull(head.stream)) {
                     self.pull_next(now, head.stream, out);
                 }
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -30,7 +30,7 @@
     pub(super) fn read_what_is_due(&mut self, now: Tick, out: &mut Vec<Action>) {
         let age = self.contact_age(now);
         if self.role.step_in(age) {
-            self.tell_reading(out);
+            self.audit_reading(out);
         }
         for stream in Stream::ALL {
             self.give_up_late_read(now, stream);
@@ -80,7 +80,7 @@
 
     /// Whether this node reads a stream: as a reader, or to join.
     fn wants(&self, now: Tick, stream: Stream) -> bool {
-        if self.role.reads() || self.hears_nobody() {
+        if self.role.reads() || self.has_no_peers() {
             return true;
         }
         if self.is_counted_on_by_nobody() && !self.is_answered(now) {
@@ -103,7 +103,7 @@
     /// Each node took its own read for a sign that all is well, asked nobody
     /// for the catalogue, and was ready only after a minute or more. A node
     /// alone reads for itself, within its part of the budget.
-    fn hears_nobody(&self) -> bool {
+    fn has_no_peers(&self) -> bool {
         self.holder.instances().is_some() && self.peers.len() == 0
     }
 
@@ -345,11 +345,11 @@
         self.role.set_place(place.clone());
         self.budget.place(now, &place, self.role.readers());
         if self.role.reads() != before {
-            self.tell_reading(out);
+            self.audit_reading(out);
         }
     }
 
-    pub(super) fn tell_reading(&self, out: &mut Vec<Action>) {
+    pub(super) fn audit_reading(&self, out: &mut Vec<Action>) {
         out.push(Action::Audit(AuditEvent::Reading {
             reading: self.role.reads(),
             rank: self.role.turn(),
--- a/crates/core/src/spread/machine/reports.rs
+++ b/crates/core/src/spread/machine/reports.rs
@@ -58,15 +58,15 @@
                 let since_start = now.since(Tick::ZERO).saturating_sub(ago);
                 let answered = Tick::ZERO + since_start;
                 let nodes = self.peers.len() + 1;
-                self.unsaid
+                self.pending_answers
                     .note(now, *content, answered, nodes, &mut self.rng);
             }
         }
     }
 
     /// Tells of answers that nobody else has told of meanwhile.
-    pub(super) fn tell_answers_that_are_due(&mut self, now: Tick, out: &mut Vec<Action>) {
-        for (content, answered) in self.unsaid.take_due(now, self.reports.verdicts()) {
+    pub(super) fn report_due_answers(&mut self, now: Tick, out: &mut Vec<Action>) {
+        for (content, answered) in self.pending_answers.take_due(now, self.reports.verdicts()) {
             let sighting = Sighting::Answered(content);
             self.report(now, sighting, now.since(answered), out);
         }
@@ -84,14 +84,14 @@
             sighting,
         };
         let origin = Origin::Peer(self.local.id.clone());
-        self.hear_reports(now, &[report], &origin, out);
+        self.merge_reports(now, &[report], &origin, out);
     }
 
     /// Takes in what others have seen.
     ///
     /// A few are news and told on at once: the next copy of a request may be under way.
     /// Many come from a comparison and are known to most.
-    pub(super) fn hear_reports(
+    pub(super) fn merge_reports(
         &mut self,
         now: Tick,
         reports: &[Report],
@@ -108,14 +108,14 @@
             return;
         }
         if news.len() <= MAX_REPORTS {
-            self.tell_on(now, news);
+            self.forward_reports(now, news);
         }
         self.judge(origin, out);
     }
 
     /// Tells on what is news: all that this node saw itself, and of what it was told as
     /// much as it may. The rest is found by comparing.
-    fn tell_on(&mut self, now: Tick, news: Vec<ReportId>) {
+    fn forward_reports(&mut self, now: Tick, news: Vec<ReportId>) {
         for id in news {
             let wait = self.telling.refill(now, TOLD_PER_S, TOLD_BURST);
             if wait.is_some() && id.witness != self.local.id {
@@ -143,17 +143,17 @@
             return;
         }
         let origin = Origin::Peer(told.from.clone());
-        self.hear_reports(now, &told.reports, &origin, out);
+        self.merge_reports(now, &told.reports, &origin, out);
         if told.reports_root == self.reports.root() {
             return;
         }
         let message = PeerMessage::Announce(Announce {
             control: self.local.control,
             heads: self.holder.heads(),
-            contact: self.contact.tell(now),
+            contact: self.contact.current(now),
             body: None,
             states: Vec::new(),
-            reports: self.reports.tell_all(now),
+            reports: self.reports.reports_to_send(now),
         });
         self.calls.send(now, peer, Purpose::Announce, message, out);
     }
--- a/crates/core/src/spread/machine/states.rs
+++ b/crates/core/src/spread/machine/states.rs
@@ -23,7 +23,7 @@
         }
         self.own.phase = phase;
         self.own.sequence += 1;
-        self.tell_own(now, out);
+        self.announce_own_state(now, out);
     }
 
     /// Takes in what others say of their endpoints.
@@ -31,7 +31,7 @@
     /// A few are news and told on. Many at once come from a comparison, as
     /// when this node has just joined: were they told on, each node that
     /// joins would make the whole fleet send all it knows.
-    pub(super) fn hear_states(
+    pub(super) fn merge_states(
         &mut self,
         now: Tick,
         states: &[EndpointState],
@@ -41,7 +41,7 @@
         let many = states.len() > MAX_STATES;
         for state in states {
             if state.instance == self.local.id {
-                self.hear_of_self(now, state, out);
+                self.resolve_own_state(now, state, out);
                 continue;
             }
             let list = self.holder.instances().map(AsRef::as_ref);
@@ -60,14 +60,14 @@
     /// Later in its life a higher incarnation means that another process took
     /// its place, as when this one was stopped and taken for dead. Were both
     /// to step above each other, they would never stop.
-    fn hear_of_self(&mut self, now: Tick, heard: &EndpointState, out: &mut Vec<Action>) {
+    fn resolve_own_state(&mut self, now: Tick, heard: &EndpointState, out: &mut Vec<Action>) {
         if !heard.is_newer_than(&self.own) {
             return;
         }
         if now.since(self.started) < CLAIMS_FOR {
             self.own.incarnation = heard.incarnation.saturating_add(1);
             self.own.sequence = 0;
-            self.tell_own(now, out);
+            self.announce_own_state(now, out);
             return;
         }
         if self.replaced_by != Some(heard.incarnation) {
@@ -78,7 +78,7 @@
         }
     }
 
-    fn tell_own(&mut self, now: Tick, out: &mut Vec<Action>) {
+    fn announce_own_state(&mut self, now: Tick, out: &mut Vec<Action>) {
         let own = self.own.clone();
         let list = self.holder.instances().map(AsRef::as_ref);
         if let Merged::News(before) = self.members.merge(now, &own, list) {
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -63,7 +63,7 @@
         let message = PeerMessage::Sync(Sync {
             control: self.local.control,
             heads: self.holder.heads(),
-            contact: self.contact.tell(now),
+            contact: self.contact.current(now),
             states: self.members.root(),
             reports: self.reports.root(),
         });
@@ -101,10 +101,10 @@
         self.peers.note_answered(&waiting.to);
         match (waiting.purpose, reply) {
             (Purpose::Announce | Purpose::AnnounceNext, PeerReply::Heads(Some(heads))) => {
-                self.hear_heads(now, heads, &waiting.to, out);
+                self.merge_heads(now, heads, &waiting.to, out);
             }
             (Purpose::Sync, PeerReply::Sync(told)) => {
-                self.list.hear(waiting.asked, told.list);
+                self.list.merge(waiting.asked, told.list);
                 self.synced(now, &waiting.to, &told, out);
             }
             (Purpose::Pull(stream), PeerReply::Body(body)) => {
@@ -112,7 +112,7 @@
             }
             (Purpose::Reconcile, PeerReply::States(states)) => {
                 if let Some(id) = waiting.to.id {
-                    self.hear_states(now, &states, &Origin::Peer(id), out);
+                    self.merge_states(now, &states, &Origin::Peer(id), out);
                 }
             }
             (Purpose::Pull(stream), _) => self.pull_next(now, stream, out),
@@ -125,16 +125,16 @@
             id: Some(told.from.clone()),
             control: to.control,
         };
-        self.hear_contact(now, told.contact, out);
+        self.merge_contact(now, told.contact, out);
         if let Life::Joining(joining) = &mut self.life {
             joining.note_answer(&told.from);
         }
         let origin = Origin::Peer(told.from.clone());
         if let Some(state) = &told.about_you {
-            self.hear_states(now, std::slice::from_ref(state), &origin, out);
+            self.merge_states(now, std::slice::from_ref(state), &origin, out);
         }
         self.compare_reports(now, &holder, told, out);
-        self.hear_heads(now, told.heads, &holder, out);
+        self.merge_heads(now, told.heads, &holder, out);
         self.gossip.answered = Some(now);
         self.gossip.has_heard_since_waking = true;
         self.speak_if_settled();
@@ -158,18 +158,23 @@
         match waiting.purpose {
             Purpose::Pull(stream) => self.pull_next(now, stream, out),
             Purpose::AnnounceNext => {
-                self.tell_successor(now, out);
+                self.announce_to_successor(now, out);
             }
             Purpose::Announce | Purpose::Sync | Purpose::Reconcile => {}
         }
     }
 
-    pub(super) fn hear_contact(&mut self, now: Tick, told: Option<Contact>, out: &mut Vec<Action>) {
-        self.contact.hear(now, told);
+    pub(super) fn merge_contact(
+        &mut self,
+        now: Tick,
+        told: Option<Contact>,
+        out: &mut Vec<Action>,
+    ) {
+        self.contact.merge(now, told);
         if let Some(told) = told {
             let age = std::time::Duration::from_millis(u64::from(told.age_ms));
             if self.role.step_back(told.rank, age) {
-                self.tell_reading(out);
+                self.audit_reading(out);
             }
         }
     }
--- a/crates/core/src/spread/machine/wakeup.rs
+++ b/crates/core/src/spread/machine/wakeup.rs
@@ -24,7 +24,7 @@
         let others = [
             self.calls.next_deadline(),
             self.gossip.announce_due(),
-            self.unsaid.due(),
+            self.pending_answers.due(),
             self.join_ends(),
             self.step_in_due(now),
         ];
@@ -48,7 +48,7 @@
             self.call_failed(now, &late, out);
         }
         self.join_if_due(now, out);
-        self.tell_answers_that_are_due(now, out);
+        self.report_due_answers(now, out);
         self.sync_what_is_due(now, out);
         self.announce_what_is_due(now, out);
         self.read_what_is_due(now, out);
--- a/crates/core/src/spread/pulls.rs
+++ b/crates/core/src/spread/pulls.rs
@@ -18,7 +18,7 @@
 
 impl Pulls {
     /// Notes that a peer holds a version that is lacked here.
-    pub(super) fn hear(&mut self, version: Version, holder: &Address) {
+    pub(super) fn note(&mut self, version: Version, holder: &Address) {
         if self
             .heard
             .is_none_or(|heard| heard.revision() < version.revision())
--- a/crates/core/src/spread/tests/proofs.rs
+++ b/crates/core/src/spread/tests/proofs.rs
@@ -130,14 +130,14 @@
         })
     };
     let mut clock = ListClock::default();
-    assert_eq!(clock.tell(Tick::ZERO), None);
-    clock.hear(Tick::from_millis(10_000), told(4, 3_000));
+    assert_eq!(clock.current(Tick::ZERO), None);
+    clock.merge(Tick::from_millis(10_000), told(4, 3_000));
     let now = Tick::from_millis(20_000);
-    assert_eq!(clock.tell(now), told(4, 13_001));
+    assert_eq!(clock.current(now), told(4, 13_001));
     clock.prove(Tick::from_millis(9_000), Revision::new(3).unwrap());
-    assert_eq!(clock.tell(now), told(4, 13_001), "of an older list");
+    assert_eq!(clock.current(now), told(4, 13_001), "of an older list");
     clock.prove(Tick::from_millis(5_000), Revision::new(5).unwrap());
-    assert_eq!(clock.tell(now), told(5, 15_001), "of a newer list");
-    clock.hear(Tick::ZERO, told(5, 60_000));
-    assert_eq!(clock.tell(now), told(5, 15_001), "from before the start");
+    assert_eq!(clock.current(now), told(5, 15_001), "of a newer list");
+    clock.merge(Tick::ZERO, told(5, 60_000));
+    assert_eq!(clock.current(now), told(5, 15_001), "from before the start");
 }
--- a/crates/ctl/src/report.rs
+++ b/crates/ctl/src/report.rs
@@ -39,7 +39,7 @@
     let mut rendered = String::new();
     for fault in faults.iter() {
         let report = FaultReport {
-            told: told(fault),
+            told: describe(fault),
             source: source.clone(),
             at: fault.place.map(|place| span(text, place)),
         };
@@ -49,7 +49,7 @@
 }
 
 /// The fault without its place, which the snippet shows.
-fn told(fault: &Fault) -> String {
+fn describe(fault: &Fault) -> String {
     let bare = Fault {
         place: None,
         ..fault.clone()
--- a/crates/ctl/src/versions.rs
+++ b/crates/ctl/src/versions.rs
@@ -106,7 +106,7 @@
             writeln!(
                 f,
                 "newest {stream}: {}",
-                told(held_of(&self.newest, stream))
+                version_text(held_of(&self.newest, stream))
             )?;
         }
         for node in &self.nodes {
@@ -122,10 +122,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}  {}", self.node, self.instance)?;
         for stream in Stream::ALL {
-            write!(f, "  {stream} {}", told(held_of(&self.held, stream)))?;
+            write!(
+                f,
+                "  {stream} {}",
+                version_text(held_of(&self.held, stream))
+            )?;
         }
         for stream in &self.lags {
-            let heard = told(held_of(&self.heard, *stream));
+            let heard = version_text(held_of(&self.heard, *stream));
             write!(f, "  LAGS {stream} (heard of {heard})")?;
         }
         if let Some(refused) = &self.refused {
@@ -138,6 +142,6 @@
     }
 }
 
-fn told(version: Option<&VersionInfo>) -> String {
+fn version_text(version: Option<&VersionInfo>) -> String {
     version.map_or("none".to_owned(), ToString::to_string)
 }
--- a/crates/node/src/control/life.rs
+++ b/crates/node/src/control/life.rs
@@ -29,11 +29,11 @@
 const DRAIN_LEAST: Duration = Duration::from_millis(300);
 
 /// How long the word of the end is waited for to reach the first peers.
-const LAST_WORD_LIMIT: Duration = Duration::from_millis(500);
+const FINAL_ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long the last word takes to be sent at least: it is held back for a
 /// moment, as all states are, to go out with others.
-const LAST_WORD_LEAST: Duration = Duration::from_millis(150);
+const FINAL_ANNOUNCE_MIN: Duration = Duration::from_millis(150);
 
 /// How a node has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -157,7 +157,7 @@
         if self.pump.run(Until::EVER, stopped).await == Rest::Cancelled {
             return self.cut().await;
         }
-        self.say_goodbye(draining).await;
+        self.announce_end(draining).await;
         StopReport {
             cut: self.pump.machine.traffic_cut().unwrap_or_default(),
         }
@@ -182,13 +182,13 @@
 
     /// Tells the others that the endpoint has ended, and waits a moment for
     /// the first of them to have heard it.
-    async fn say_goodbye(&mut self, draining: LocalEndpoint<Draining>) {
+    async fn announce_end(&mut self, draining: LocalEndpoint<Draining>) {
         let _gone = draining.end();
         self.pump.machine.enter(Phase::Gone, "drained");
         let now = self.pump.machine.now();
-        let least = now + LAST_WORD_LEAST;
+        let least = now + FINAL_ANNOUNCE_MIN;
         let until = Until {
-            limit: Some(now + LAST_WORD_LIMIT),
+            limit: Some(now + FINAL_ANNOUNCE_TIMEOUT),
             look: DRAIN_LOOK,
         };
         let told = |m: &Machine| m.now() >= least && m.calls() == 0;
--- a/crates/node/src/control/machine.rs
+++ b/crates/node/src/control/machine.rs
@@ -105,7 +105,7 @@
     /// Takes in one event.
     pub(super) fn take(&mut self, event: ControlEvent) {
         match event {
-            ControlEvent::Spread(event) => self.tell(event),
+            ControlEvent::Spread(event) => self.handle(event),
             ControlEvent::Message {
                 from,
                 message,
@@ -132,7 +132,7 @@
     }
 
     /// Tells the decisions of something that happened.
-    pub(super) fn tell(&mut self, event: Event) {
+    pub(super) fn handle(&mut self, event: Event) {
         if matches!(event, Event::Reply { .. } | Event::CallFailed { .. }) {
             self.calls = self.calls.saturating_sub(1);
         }
@@ -145,7 +145,7 @@
     /// Tells of a phase that the own endpoint has entered.
     pub(super) fn enter(&mut self, phase: Phase, reason: &str) {
         self.outside.audit.write_phase(phase, reason);
-        self.tell(Event::LocalPhase(phase));
+        self.handle(Event::LocalPhase(phase));
         self.publish();
     }
 
--- a/crates/node/src/control/pump.rs
+++ b/crates/node/src/control/pump.rs
@@ -88,7 +88,7 @@
                 () = sleep_until(wake.into()) => {}
             }
             if self.machine.next_wakeup() <= self.machine.now() {
-                self.machine.tell(Event::Wakeup);
+                self.machine.handle(Event::Wakeup);
             }
             self.machine.publish();
         }
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -104,7 +104,7 @@
 fn replaced_process_leaves() {
     let mut machine = machine(vec![replaced()]);
     assert!(!machine.is_leaving());
-    machine.tell(Event::Wakeup);
+    machine.handle(Event::Wakeup);
     assert_eq!(machine.leaving(), Some(Leaving::Replaced));
     machine.take(ControlEvent::Drain);
     assert_eq!(machine.leaving(), Some(Leaving::Replaced));
@@ -131,7 +131,7 @@
 #[case::both(Start { actions: vec![Action::Joined], target_ready: true, serves: true })]
 fn requests_are_taken_once_joined_and_started(#[case] case: Start) {
     let mut machine = machine(case.actions);
-    machine.tell(Event::Wakeup);
+    machine.handle(Event::Wakeup);
     if case.target_ready {
         machine.take(ControlEvent::TargetReady);
     }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -19,7 +19,7 @@
 pub(crate) use self::budget::Rank;
 pub(crate) use self::request::Told;
 pub(crate) use self::request::micros;
-pub(crate) use self::request::told;
 pub(crate) use self::request::unix_ms;
+pub(crate) use self::request::with_outcome;
 pub use self::sink::LogSink;
 pub(crate) use self::writer::StateWriter;
--- a/crates/node/src/log/buffer.rs
+++ b/crates/node/src/log/buffer.rs
@@ -56,13 +56,13 @@
             return false;
         }
         let before = self.waiting.len();
-        self.tell_left_out(now);
+        self.report_dropped(now);
         write(&mut self.waiting);
         self.budget.take(self.waiting.len() - before);
         true
     }
 
-    fn tell_left_out(&mut self, now: Tick) {
+    fn report_dropped(&mut self, now: Tick) {
         if self.told.is_some_and(|told| now.since(told) < TELL_EVERY) {
             return;
         }
--- a/crates/node/src/log/request.rs
+++ b/crates/node/src/log/request.rs
@@ -40,7 +40,7 @@
 }
 
 /// The same line with how it ended.
-pub(crate) fn told(mut line: RequestLine<'_>, told: Told) -> RequestLine<'_> {
+pub(crate) fn with_outcome(mut line: RequestLine<'_>, told: Told) -> RequestLine<'_> {
     line.outcome = told.outcome.into();
     line.step = told.step.map(Cow::from);
     line.reason = told.reason.map(Cow::from);
--- a/crates/node/src/log/sink.rs
+++ b/crates/node/src/log/sink.rs
@@ -17,7 +17,7 @@
 
 /// How long lines are collected before they are written together: each write
 /// wakes a thread, which costs a request's worth of processor time.
-const COLLECT: Duration = Duration::from_millis(100);
+const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How long the end of the process waits for its last lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(300);
@@ -77,7 +77,7 @@
     }
 
     /// Writes a line of JSON, unless the budget is used up.
-    pub(crate) fn tell(&self, rank: Rank, line: &impl Serialize) {
+    pub(crate) fn write(&self, rank: Rank, line: &impl Serialize) {
         self.add(rank, |waiting| {
             // What is told serialises; half a line would show as such.
             let _ = serde_json::to_writer(&mut *waiting, line);
@@ -86,7 +86,7 @@
     }
 
     /// Writes a line that is formatted already and ends with a line feed.
-    pub(crate) fn tell_text(&self, rank: Rank, line: &[u8]) {
+    pub(crate) fn write_text(&self, rank: Rank, line: &[u8]) {
         self.add(rank, |waiting| waiting.extend_from_slice(line));
     }
 
@@ -136,7 +136,7 @@
             drop(lines);
             self.rung.notify_all();
             if !ending {
-                thread::sleep(COLLECT);
+                thread::sleep(FLUSH_INTERVAL);
             }
         }
     }
--- a/crates/node/src/log/tests.rs
+++ b/crates/node/src/log/tests.rs
@@ -64,7 +64,7 @@
     let out = Written::default();
     let sink = LogSink::start(1_000_000, out.clone()).expect("a thread");
     for n in 0..100 {
-        sink.tell(Rank::State, &n);
+        sink.write(Rank::State, &n);
     }
     sink.flush();
     let text = out.text();
@@ -84,7 +84,7 @@
     let sink = LogSink::start(u64::from(u32::MAX), Stuck(stuck)).expect("a thread");
     let line = "x".repeat(1_000);
     for _ in 0..2_000 {
-        sink.tell(Rank::Failure, &line);
+        sink.write(Rank::Failure, &line);
     }
     let left_out = sink.left_out()[Rank::Failure as usize];
     assert!(left_out >= 1_400, "{left_out}");
--- a/crates/node/src/log/writer.rs
+++ b/crates/node/src/log/writer.rs
@@ -43,7 +43,7 @@
 impl Drop for StateLine<'_> {
     fn drop(&mut self) {
         if !self.text.is_empty() {
-            self.sink.tell_text(Rank::State, &self.text);
+            self.sink.write_text(Rank::State, &self.text);
         }
     }
 }
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -152,7 +152,7 @@
         // token: the caller's other nodes go on.
         let cancel = cancel.child_token();
         let control = ControlHandle::new(tx);
-        shared.quarantine().tell_to(control.clone());
+        shared.quarantine().set_control(control.clone());
         let outside = outside(&settings, &adapter, shared, control, cancel);
         let stop_traffic = outside.cancel.child_token();
         let traffic = start_traffic(&settings, Arc::clone(&outside.shared), stop_traffic.clone())?;
--- a/crates/node/src/shared/newest.rs
+++ b/crates/node/src/shared/newest.rs
@@ -41,7 +41,7 @@
     }
 
     /// The revision and how long before `now` it was noted, if there is one.
-    pub fn tell(&self, now: Tick) -> Option<(u64, Duration)> {
+    pub fn current(&self, now: Tick) -> Option<(u64, Duration)> {
         let revision = self.revision.load(Ordering::Relaxed);
         let at = Tick::from_micros(self.at_us.load(Ordering::Relaxed));
         (revision > 0).then(|| (revision, now.since(at)))
--- a/crates/node/src/shared/quarantine.rs
+++ b/crates/node/src/shared/quarantine.rs
@@ -37,7 +37,7 @@
 
 impl Quarantine {
     /// Says whom sightings are told.
-    pub(crate) fn tell_to(&self, control: ControlHandle) {
+    pub(crate) fn set_control(&self, control: ControlHandle) {
         // A node has one control side from its start to its end.
         let _ = self.control.set(control);
     }
@@ -81,7 +81,7 @@
         self.judged.send_replace(());
         for (content, at) in answered {
             if !before.doubts(content) {
-                self.tell_answer(content, now.since(at));
+                self.report_answer(content, now.since(at));
             }
         }
     }
@@ -97,7 +97,7 @@
         }
         let verdicts = self.verdicts.load();
         for content in content.fingerprints().filter(|it| verdicts.doubts(*it)) {
-            self.tell_answer(content, Duration::ZERO);
+            self.report_answer(content, Duration::ZERO);
         }
     }
 
@@ -127,7 +127,7 @@
         control.send(ControlEvent::Spread(event)).await
     }
 
-    fn tell_answer(&self, content: Fingerprint, ago: Duration) {
+    fn report_answer(&self, content: Fingerprint, ago: Duration) {
         let Some(control) = self.control.get() else {
             return;
         };
--- a/crates/node/src/shared/tests.rs
+++ b/crates/node/src/shared/tests.rs
@@ -63,12 +63,12 @@
         let revision = Revision::new(revision).expect("a revision");
         shared.prove_instances(Tick::from_millis(ms), revision);
     };
-    assert_eq!(shared.proved_list().tell(Tick::from_millis(5)), None);
+    assert_eq!(shared.proved_list().current(Tick::from_millis(5)), None);
     prove(10, 2);
     prove(30, 2);
     prove(20, 2);
     prove(40, 1);
-    let proved = shared.proved_list().tell(Tick::from_millis(50));
+    let proved = shared.proved_list().current(Tick::from_millis(50));
     assert_eq!(proved, Some((2, Duration::from_millis(20))));
 }
 
--- a/crates/node/src/traffic/inbound/access_log.rs
+++ b/crates/node/src/traffic/inbound/access_log.rs
@@ -17,8 +17,8 @@
 use crate::log::Rank;
 use crate::log::Told;
 use crate::log::micros;
-use crate::log::told;
 use crate::log::unix_ms;
+use crate::log::with_outcome;
 use crate::traffic::answer::Answer;
 use crate::traffic::missed::Missed;
 use crate::traffic::worker::Worker;
@@ -73,11 +73,11 @@
             Err(missed) => (Rank::Failure, (&missed.failure).into()),
         };
         let status = ran.as_ref().ok().map(|res| res.status().as_u16());
-        self.tell(rank, how, status);
+        self.write(rank, how, status);
         self.id = None;
     }
 
-    fn tell(&self, rank: Rank, how: Told, status: Option<u16>) {
+    fn write(&self, rank: Rank, how: Told, status: Option<u16>) {
         let Some(id) = &self.id else { return };
         let hub = &self.worker.hub;
         let shared = &hub.shared;
@@ -102,13 +102,13 @@
             list: Some(facts.list),
             ..RequestLine::default()
         };
-        shared.log().tell(rank, &told(line, how));
+        shared.log().write(rank, &with_outcome(line, how));
     }
 }
 
 impl Drop for BesideTrail<'_> {
     fn drop(&mut self) {
         let gone = Failure::from(Loss::new(Step::Forward, LossCause::CallerGone));
-        self.tell(Rank::Failure, (&gone).into(), None);
+        self.write(Rank::Failure, (&gone).into(), None);
     }
 }
--- a/crates/node/src/traffic/outbound/access_log.rs
+++ b/crates/node/src/traffic/outbound/access_log.rs
@@ -24,8 +24,8 @@
 use crate::log::Rank;
 use crate::log::Told;
 use crate::log::micros;
-use crate::log::told;
 use crate::log::unix_ms;
+use crate::log::with_outcome;
 use crate::traffic::answer::Answer;
 use crate::traffic::outbound::first_hop::FirstHop;
 use crate::traffic::worker::Worker;
@@ -95,7 +95,7 @@
             .map_or(self.begun, |picked| picked.since);
         if let Some(line) = self.line(TRIED, since) {
             let log = self.first.facts().worker.hub.shared.log();
-            log.tell(Rank::Failure, &told(line, failure.into()));
+            log.write(Rank::Failure, &with_outcome(line, failure.into()));
         }
     }
 
@@ -112,7 +112,7 @@
             line.status = ended.as_ref().ok().map(|res| res.status().as_u16());
             let how = ended.as_ref().map_or_else(Told::from, |_| Told::ANSWERED);
             let log = self.first.facts().worker.hub.shared.log();
-            log.tell(rank, &told(line, how));
+            log.write(rank, &with_outcome(line, how));
         }
         self.id = None;
     }
@@ -152,7 +152,7 @@
         if let Some(line) = self.line(ENDED, self.begun) {
             let gone = Failure::from(Loss::new(Step::Forward, LossCause::CallerGone));
             let log = self.first.facts().worker.hub.shared.log();
-            log.tell(Rank::Failure, &told(line, (&gone).into()));
+            log.write(Rank::Failure, &with_outcome(line, (&gone).into()));
         }
     }
 }
@@ -177,12 +177,12 @@
     let millis = |age| micros(age) / 1_000;
     let snapshot = routes.map(|routes| &routes.view.snapshot);
     let catalogue = snapshot.map(|snapshot| snapshot.catalogue().revision().get());
-    let in_force = shared.in_force().tell(now);
+    let in_force = shared.in_force().current(now);
     let in_force = in_force.filter(|(revision, _)| Some(*revision) == catalogue);
-    let heard = shared.heard().tell(now);
+    let heard = shared.heard().current(now);
     let heard = heard.filter(|(revision, _)| Some(*revision) != catalogue);
     let list = snapshot.map(|snapshot| snapshot.instances().revision().get());
-    let proved = shared.proved_list().tell(now);
+    let proved = shared.proved_list().current(now);
     let proved = proved.filter(|(revision, _)| Some(*revision) == list);
     RequestLine {
         catalogue,
@@ -198,7 +198,7 @@
 
 /// Tells of a request that was refused before it had a route, or as one that has
 /// none by the `routes` in force.
-pub(in crate::traffic) fn tell_unrouted(
+pub(in crate::traffic) fn log_unrouted(
     worker: &Worker,
     id: Option<&HeaderValue>,
     routes: Option<&Routes>,
@@ -216,5 +216,5 @@
     let failure = Failure::from(refusal);
     shared
         .log()
-        .tell(Rank::Failure, &told(line, (&failure).into()));
+        .write(Rank::Failure, &with_outcome(line, (&failure).into()));
 }
--- a/crates/node/src/traffic/outbound/caller_side.rs
+++ b/crates/node/src/traffic/outbound/caller_side.rs
@@ -56,7 +56,7 @@
     let res = result.unwrap_or_else(|failure| refusal::respond(&failure, dialect));
     let mut res = for_caller(res, dialect);
     if is_own && taken.is_some_and(|taken| !taken.is_whole()) {
-        tell_of_close(res.headers_mut());
+        announce_close(res.headers_mut());
     }
     res.map(|body| body.held(guard))
 }
@@ -66,7 +66,7 @@
 /// The library closes one whose request was answered with a part of its body
 /// unread, and doesn't say so. The next request on it was then cut: a caller
 /// that hears of it opens another.
-fn tell_of_close(headers: &mut HeaderMap) {
+fn announce_close(headers: &mut HeaderMap) {
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
@@ -97,7 +97,7 @@
 ) -> Result<Response<Answer>, Failure> {
     let id = access_log::written_id(worker, &req);
     let unrouted = |routes: Option<&Routes>, refusal: Refusal| {
-        access_log::tell_unrouted(worker, id.as_ref(), routes, refusal);
+        access_log::log_unrouted(worker, id.as_ref(), routes, refusal);
         Failure::from(refusal)
     };
     // INVARIANT: The request is routed by these alone; newer ones only take
--- a/crates/node/src/traffic/outbound/first_hop.rs
+++ b/crates/node/src/traffic/outbound/first_hop.rs
@@ -162,7 +162,7 @@
                 Ok(picked) => picked,
                 // What the last endpoint said tells more than that there is
                 // no other one.
-                Err(refusal) => return Err(tries.told(last.unwrap_or(refusal.into()))),
+                Err(refusal) => return Err(tries.final_failure(last.unwrap_or(refusal.into()))),
             };
             avoid.push(picked.endpoint());
             trail.pick(&picked);
@@ -183,7 +183,7 @@
             req = match again.or(missed.unsent.map(|req| *req)) {
                 Some(same) => same,
                 // A part of the body is used up.
-                None => return Err(tries.told(failure)),
+                None => return Err(tries.final_failure(failure)),
             };
             count_retry(&failure);
             last = Some(failure);
--- a/crates/node/src/traffic/refusal.rs
+++ b/crates/node/src/traffic/refusal.rs
@@ -46,7 +46,7 @@
         step: refusal.step().as_str(),
         reason: refusal.reason().as_str(),
     };
-    let mut res = told_response(&told, refused_status(refusal));
+    let mut res = failure_response(&told, refused_status(refusal));
     let after = refusal.retry_after().unwrap_or(RETRY_AFTER);
     set_retry_after(res.headers_mut(), after, dialect.fractional_retry);
     res
@@ -62,7 +62,7 @@
         LossCause::Timeout => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    told_response(&told, status)
+    failure_response(&told, status)
 }
 
 fn refused_status(refusal: &Refusal) -> StatusCode {
@@ -77,7 +77,7 @@
     }
 }
 
-fn told_response(told: &Told, status: StatusCode) -> Response<Answer> {
+fn failure_response(told: &Told, status: StatusCode) -> Response<Answer> {
     // Three short words can't fail to serialise; an empty body would still
     // leave the outcome in its header.
     let text = serde_json::to_string(told).unwrap_or_default();
--- a/crates/node/src/traffic/target/crash_watch.rs
+++ b/crates/node/src/traffic/target/crash_watch.rs
@@ -124,7 +124,7 @@
         let connections = self.hub.connections.clone();
         connections.spawn(async move {
             let cancel = hub.cut.clone();
-            cancel.run_until_cancelled(tell(&hub, ran)).await;
+            cancel.run_until_cancelled(report_crash(&hub, ran)).await;
             hub.crash_watch.lock().asking = false;
         });
     }
@@ -137,7 +137,7 @@
 }
 
 /// Tells of a crash under `ran`, if it was one.
-async fn tell(hub: &Hub, ran: Vec<(RunKey, Content)>) {
+async fn report_crash(hub: &Hub, ran: Vec<(RunKey, Content)>) {
     tokio::time::sleep(TRIED_AFTER).await;
     let crashed = match target::find_lost(&hub.pool).await {
         Lost::Connection => false,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -28,7 +28,7 @@
 const SEEDS: usize = 3;
 
 /// How long the nodes may take until all are ready.
-const READY: Duration = Duration::from_secs(30);
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// All processes but the callers'; they are killed when this is dropped.
 #[derive(Debug)]
@@ -126,7 +126,7 @@
     }
 
     async fn until_ready(&self) -> miette::Result<()> {
-        let end = Instant::now() + READY;
+        let end = Instant::now() + READY_TIMEOUT;
         for member in &self.members {
             if !admin::is_ready_before(member.admin, end).await {
                 let log = std::fs::read_to_string(&member.log).unwrap_or_default();
--- a/crates/soak/src/fleet/member.rs
+++ b/crates/soak/src/fleet/member.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
-use super::READY;
+use super::READY_TIMEOUT;
 use crate::child::Child;
 use crate::schedule::Way;
 use crate::standin::StandIn;
@@ -63,7 +63,7 @@
         ];
         let node = Child::start(NODE, &args, &self.log)?;
         *self.node.lock().await = Some(node);
-        let end = Instant::now() + READY;
+        let end = Instant::now() + READY_TIMEOUT;
         while let Err(err) = TcpStream::connect(self.ingress).await {
             if Instant::now() >= end {
                 return Err(err);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -20,7 +20,7 @@
 const LEAD: Duration = Duration::from_millis(500);
 
 /// How many faults come one right after the other when they come in series.
-const SERIES: u32 = 4;
+const SERIES_LENGTH: u32 = 4;
 
 /// One fault in so many begins a series.
 const SERIES_EVERY: u32 = 12;
@@ -174,7 +174,7 @@
             let step = drawn.step(at);
             steps.push(step);
             if drawn.one_in(SERIES_EVERY) {
-                for _ in 1..SERIES {
+                for _ in 1..SERIES_LENGTH {
                     at += drawn.millis(LEAST_GAP_MS, 2 * LEAST_GAP_MS);
                     steps.push(Step { at, ..step });
                 }
--- a/crates/soak/src/standin.rs
+++ b/crates/soak/src/standin.rs
@@ -21,7 +21,7 @@
 const PROGRAM: &str = "sassafrasspool-standin";
 
 /// How long a stand-in may take until it answers.
-const READY: Duration = Duration::from_secs(10);
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How often one that isn't ready is asked again.
 const POLL: Duration = Duration::from_millis(20);
@@ -64,7 +64,7 @@
             files.settings.clone().into_os_string(),
         ];
         let child = Child::start(PROGRAM, &args, &files.log).into_diagnostic()?;
-        let end = Instant::now() + READY;
+        let end = Instant::now() + READY_TIMEOUT;
         while admin::get(admin, "/stats").await.is_none() {
             if Instant::now() >= end {
                 return Err(miette!("{} isn't ready", files.settings.display()));
--- a/crates/wire/src/peer/connection.rs
+++ b/crates/wire/src/peer/connection.rs
@@ -22,7 +22,7 @@
 use super::PeerClient;
 use super::transport::framed;
 use crate::SocketBytes;
-use crate::chain::told;
+use crate::chain::error_chain;
 
 /// Calls that wait on one connection at most.
 const MAX_IN_FLIGHT: usize = 32;
@@ -82,7 +82,7 @@
 
     fn broken(&self, cause: RpcError) -> ExchangeError {
         let closed = !matches!(cause, RpcError::DeadlineExceeded);
-        let err = Error::new(Step::Exchange, told(&cause));
+        let err = Error::new(Step::Exchange, error_chain(&cause));
         self.failed(err, closed)
     }
 
--- a/crates/wire/src/peer/server.rs
+++ b/crates/wire/src/peer/server.rs
@@ -28,7 +28,7 @@
 use super::PeerLimits;
 use super::transport::framed;
 use crate::SocketBytes;
-use crate::chain::told;
+use crate::chain::error_chain;
 
 /// How long to leave a listener alone that can't take a connection, as when
 /// the process has no file descriptor left.
@@ -114,7 +114,7 @@
             next = timeout(limits.idle, requests.next()) => match next {
                 Ok(Some(Ok(request))) => answers.push(request.execute(service.clone().serve())),
                 Ok(Some(Err(cause))) => {
-                    return Err(Error::new(Step::Exchange, told(&cause)));
+                    return Err(Error::new(Step::Exchange, error_chain(&cause)));
                 }
                 // Closed by the peer, or silent for too long.
                 Ok(None) | Err(_) => return Ok(()),
--- a/crates/wire/src/platform/get.rs
+++ b/crates/wire/src/platform/get.rs
@@ -27,7 +27,7 @@
 
 use crate::Counted;
 use crate::SocketBytes;
-use crate::chain::told;
+use crate::chain::error_chain;
 use crate::keep_alive;
 
 /// The largest head of an answer, in bytes.
@@ -112,7 +112,7 @@
         let req = req
             .body(Empty::new())
             .map_err(|cause| self.failed("can't be asked").with_cause(cause))?;
-        let failed = |cause: hyper::Error| self.failed(&told(&cause));
+        let failed = |cause: hyper::Error| self.failed(&error_chain(&cause));
         let res = sender.send_request(req).await.map_err(failed)?;
         let (head, body) = res.into_parts();
         let limited = Limited::new(body, self.max_bytes);
