Evacuate failure domains in the soak, and judge what their targets begin

The soak drew no evacuations: that a target of an evacuated failure domain begins nothing was proved on fleets at rest alone. A run breaks the promise if its target begins it later than 1 s after the node beside it was seen to have the evacuation in force and before it may be taken back.

The judge is tested by table.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -8,6 +8,7 @@
 pub use self::client::Client;
 pub use self::ending::Ending;
 pub use self::entries::Entries;
+pub use self::fleet::DOMAINS;
 pub use self::fleet::Fleet;
 pub use self::fleet::Layout;
 pub use self::fleet::Listen;
--- a/crates/bench/src/load/fleet.rs
+++ b/crates/bench/src/load/fleet.rs
@@ -5,6 +5,7 @@
 //! the field, and so that their processor time can be told from that of the
 //! callers and targets.
 
+pub use self::layout::DOMAINS;
 pub use self::layout::Layout;
 pub use self::layout::Place;
 pub use self::member::Member;
--- a/crates/bench/src/load/fleet/layout.rs
+++ b/crates/bench/src/load/fleet/layout.rs
@@ -33,7 +33,7 @@
 }
 
 /// The failure domains that instances stand in, in turn.
-const DOMAINS: [&str; 3] = ["bayanzurkh", "khan-uul", "sukhbaatar"];
+pub const DOMAINS: [&str; 3] = ["bayanzurkh", "khan-uul", "sukhbaatar"];
 
 impl Place {
     /// The `n`th instance of a fleet, standing in a failure domain in turn.
--- a/crates/core/src/history/record.rs
+++ b/crates/core/src/history/record.rs
@@ -45,7 +45,7 @@
     }
 
     /// The records in the order of their time.
-    pub(super) fn in_order(&self) -> Vec<&Record> {
+    pub fn in_order(&self) -> Vec<&Record> {
         let mut ordered: Vec<&Record> = self.records.iter().collect();
         ordered.sort_by_key(|record| record.at);
         ordered
--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -11,6 +11,7 @@
 use sassafrasspool_bench::chaos::events::Stopped;
 use sassafrasspool_bench::chaos::log::Log;
 use sassafrasspool_bench::chaos::log::now_us;
+use sassafrasspool_bench::load::DOMAINS;
 use sassafrasspool_bench::load::LedgerRun;
 use sassafrasspool_bench::load::Outage;
 use sassafrasspool_bench::load::OutageKind;
@@ -33,6 +34,7 @@
 use crate::schedule::Step;
 use crate::schedule::TargetFault;
 use crate::verdict::Hurt;
+use crate::verdict::PublishedCatalogue;
 use crate::verdict::crashes;
 
 mod hurts;
@@ -63,6 +65,10 @@
     platform: tokio::sync::Mutex<()>,
     /// Held while it is logged what begins or ends, so that the log has their order.
     hurts: Mutex<Hurts>,
+    kills: Mutex<Vec<Stopped>>,
+    /// When nodes, their targets or the links between them stood still, so that a request
+    /// begins later than it was handed over.
+    stalled: Mutex<Vec<Hurt>>,
 }
 
 impl Driver {
@@ -88,6 +94,8 @@
             targets: locks(),
             platform: tokio::sync::Mutex::new(()),
             hurts: Mutex::default(),
+            kills: Mutex::default(),
+            stalled: Mutex::default(),
         })
     }
 
@@ -96,6 +104,21 @@
         lock(&self.stops).clone()
     }
 
+    /// The catalogues that bind, as they were published.
+    pub async fn catalogues(&self) -> Vec<PublishedCatalogue> {
+        self.operators.catalogues().await
+    }
+
+    /// When nodes' processes were killed.
+    pub fn kills(&self) -> Vec<Stopped> {
+        lock(&self.kills).clone()
+    }
+
+    /// When nodes, their targets or the links between them stood still.
+    pub fn stalled(&self) -> Vec<Hurt> {
+        lock(&self.stalled).clone()
+    }
+
     /// When something kept nodes from following.
     pub fn hurt(&self) -> Vec<Hurt> {
         lock(&self.hurts).all().to_vec()
@@ -151,6 +174,17 @@
                 let _turn = self.platform.lock().await;
                 self.of_platform(what, step.length).await
             }
+            Fault::Evacuate(domain) => {
+                let platform = &self.fleet.platform;
+                let domain = DOMAINS[domain];
+                self.operators
+                    .evacuate(domain, true, platform, &self.log)
+                    .await?;
+                tokio::time::sleep(step.length).await;
+                self.operators
+                    .evacuate(domain, false, platform, &self.log)
+                    .await
+            }
             Fault::Publish(good) => {
                 let platform = &self.fleet.platform;
                 self.operators.publish(good, platform, &self.log).await
@@ -178,6 +212,7 @@
                 tokio::time::sleep(length).await;
                 member.signal_node(Signal::CONT).await.into_diagnostic()?;
                 self.regain(n);
+                self.note_stall(n, from_us);
                 self.note(n, OutageKind::NodePaused, from_us);
                 Ok(())
             }
@@ -220,6 +255,10 @@
         let from_us = now_us();
         self.lose(n);
         self.member(n).kill_node().await.into_diagnostic()?;
+        lock(&self.kills).push(Stopped {
+            instance: n,
+            at_us: now_us(),
+        });
         tokio::time::sleep(down).await;
         self.member(n).start_node().await.into_diagnostic()?;
         self.regain(n);
@@ -249,9 +288,12 @@
         match what {
             TargetFault::Crash => self.crash(n, length).await,
             TargetFault::Freeze => {
+                let from_us = now_us();
                 target.freeze(true).into_diagnostic()?;
                 tokio::time::sleep(length).await;
-                target.freeze(false).into_diagnostic()
+                target.freeze(false).into_diagnostic()?;
+                self.note_stall(n, from_us);
+                Ok(())
             }
             TargetFault::Replace => {
                 self.list_as(n, None).await?;
@@ -335,6 +377,15 @@
         }
     }
 
+    /// Notes that a node, its target or the link between them stood still, up to now.
+    fn note_stall(&self, n: usize, from_us: u64) {
+        lock(&self.stalled).push(Hurt {
+            instance: n,
+            from_us,
+            to_us: now_us(),
+        });
+    }
+
     /// Notes what was done to an instance, up to now.
     fn note(&self, n: usize, kind: OutageKind, from_us: u64) {
         self.note_until(n, kind, from_us, now_us());
--- a/crates/soak/src/driver/links.rs
+++ b/crates/soak/src/driver/links.rs
@@ -34,6 +34,9 @@
             LinkFault::Cut | LinkFault::CutForth | LinkFault::CutBack => link.hold(false, false),
         }
         self.regain(n);
+        if way == Way::Target {
+            self.note_stall(n, from_us);
+        }
         match way {
             // A connection that went silent may be used at any later time.
             Way::Callers if what == LinkFault::Silence => {
--- a/crates/soak/src/driver/operators.rs
+++ b/crates/soak/src/driver/operators.rs
@@ -2,6 +2,7 @@
 
 use sassafrasspool_bench::chaos::catalogue;
 use sassafrasspool_bench::chaos::log::Log;
+use sassafrasspool_bench::chaos::log::now_us;
 use sassafrasspool_bench::chaos::published;
 use sassafrasspool_core::Instance;
 use sassafrasspool_core::InstanceState;
@@ -11,6 +12,7 @@
 
 use crate::fleet::Fleet;
 use crate::standin::StandIn;
+use crate::verdict::PublishedCatalogue;
 
 /// Publishes, and records each version before it can be seen.
 #[derive(Debug)]
@@ -21,6 +23,10 @@
     changes: u64,
     catalogue: u64,
     instances: u64,
+    /// The failure domains that are evacuated, each as often as it was ordered.
+    evacuated: Vec<&'static str>,
+    /// The catalogues that bind.
+    bound: Vec<PublishedCatalogue>,
     /// All instances; those that are off the list have no state.
     all: Vec<(Instance, Option<InstanceState>)>,
 }
@@ -34,6 +40,12 @@
             changes: 0,
             catalogue: 1,
             instances: 1,
+            evacuated: Vec::new(),
+            bound: vec![PublishedCatalogue {
+                revision: 1,
+                at_us: now_us(),
+                evacuated: Vec::new(),
+            }],
             all: all.collect(),
         })))
     }
@@ -46,26 +58,40 @@
         log: &Log,
     ) -> miette::Result<()> {
         let mut published = self.0.lock().await;
+        if good {
+            return published.publish_good(platform, log).await;
+        }
         published.catalogue += 1;
-        let revision = published.catalogue;
-        let text = match good {
-            true => {
-                published.changes += 1;
-                let text = catalogue::text(published.changes);
-                log.record(published::good_catalogue(revision, &text)?);
-                text
-            }
-            false => {
-                let text = catalogue::bad_text(published.changes);
-                let version = published::catalogue_of(revision, &text)?.version();
-                let stream = Stream::Catalogue;
-                log.record(Event::PublishedBad { stream, version });
-                text
-            }
-        };
+        let text = catalogue::bad_text(published.changes);
+        let version = published::catalogue_of(published.catalogue, &text)?.version();
+        let stream = Stream::Catalogue;
+        log.record(Event::PublishedBad { stream, version });
         platform.publish("/catalogue", text).await
     }
 
+    /// Evacuates a failure domain, or takes back one such order.
+    pub(super) async fn evacuate(
+        &self,
+        domain: &'static str,
+        ordered: bool,
+        platform: &StandIn,
+        log: &Log,
+    ) -> miette::Result<()> {
+        let mut published = self.0.lock().await;
+        let held = published.evacuated.iter().position(|it| *it == domain);
+        match (ordered, held) {
+            (true, _) => published.evacuated.push(domain),
+            (false, Some(at)) => drop(published.evacuated.remove(at)),
+            (false, None) => {}
+        }
+        published.publish_good(platform, log).await
+    }
+
+    /// The catalogues that bind, as they were published.
+    pub(super) async fn catalogues(&self) -> Vec<PublishedCatalogue> {
+        self.0.lock().await.bound.clone()
+    }
+
     /// Lists an instance in a state, or takes it off the list.
     pub(super) async fn list_as(
         &self,
@@ -90,3 +116,25 @@
         platform.publish("/instances", body).await
     }
 }
+
+impl Published {
+    /// Publishes the next catalogue that binds, with the evacuations in force.
+    async fn publish_good(&mut self, platform: &StandIn, log: &Log) -> miette::Result<()> {
+        self.catalogue += 1;
+        self.changes += 1;
+        let mut evacuated = self.evacuated.clone();
+        evacuated.sort_unstable();
+        evacuated.dedup();
+        let mut text = catalogue::text(self.changes);
+        if !evacuated.is_empty() {
+            text += &format!("evacuated: [{}]\n", evacuated.join(", "));
+        }
+        log.record(published::good_catalogue(self.catalogue, &text)?);
+        self.bound.push(PublishedCatalogue {
+            revision: self.catalogue,
+            at_us: now_us(),
+            evacuated,
+        });
+        platform.publish("/catalogue", text).await
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -65,6 +65,8 @@
     driver.note_crashes(&runs);
     let members = fleet.members.iter();
     let names: Vec<InstanceId> = members.map(|member| member.instance.id.clone()).collect();
+    let domains = fleet.members.iter();
+    let domains: Vec<&str> = domains.map(|it| it.instance.domain.as_str()).collect();
     let seen = Seen {
         log: &log,
         records: &records,
@@ -73,6 +75,10 @@
         names: &names,
         stops: &driver.stops(),
         hurt: &driver.hurt(),
+        kills: &driver.kills(),
+        stalled: &driver.stalled(),
+        domains: &domains,
+        catalogues: &driver.catalogues().await,
     };
     let bounds = Bounds {
         in_force: IN_FORCE,
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use sassafrasspool_bench::load::DOMAINS;
 
 #[cfg(test)]
 mod tests;
@@ -32,6 +33,12 @@
 /// the other faults of a seed as they are: seeds that ever failed are played again.
 const SILENCES: u64 = 0x5113_7ce5;
 
+/// The mean time between two evacuations.
+const EVACUATION_EVERY: Duration = Duration::from_secs(6);
+
+/// What evacuations are drawn from, beside the seed, as silences are.
+const EVACUATIONS: u64 = 0x0e7a_c0a7;
+
 /// What is done to a node's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NodeFault {
@@ -134,6 +141,8 @@
     Platform(PlatformFault),
     /// A catalogue is published, one that binds or one that doesn't.
     Publish(bool),
+    /// A failure domain is evacuated, by its number, and taken back.
+    Evacuate(usize),
 }
 
 /// A fault, when it comes and how long it lasts.
@@ -182,6 +191,7 @@
             at += drawn.millis(LEAST_GAP_MS, MOST_GAP_MS);
         }
         steps.extend(silences(length, seed));
+        steps.extend(evacuations(length, seed));
         steps.sort_by_key(|step| step.at);
         Schedule { steps }
     }
@@ -207,6 +217,26 @@
     steps
 }
 
+/// Evacuations, of which two may overlap.
+fn evacuations(length: Duration, seed: u64) -> Vec<Step> {
+    let mut drawn = Drawn {
+        rng: SmallRng::seed_from_u64(seed ^ EVACUATIONS),
+        instances: 0,
+    };
+    let mean_ms = u64::try_from(EVACUATION_EVERY.as_millis()).unwrap_or(u64::MAX);
+    let mut steps = Vec::new();
+    let mut at = LEAD + drawn.millis(0, mean_ms);
+    while at < length {
+        steps.push(Step {
+            at,
+            length: drawn.millis(300, 5_000),
+            fault: Fault::Evacuate(drawn.rng.random_range(0..DOMAINS.len())),
+        });
+        at += drawn.millis(mean_ms / 4, 7 * mean_ms / 4);
+    }
+    steps
+}
+
 /// Draws one step after the other.
 #[derive(Debug)]
 struct Drawn {
--- a/crates/soak/src/schedule/tests.rs
+++ b/crates/soak/src/schedule/tests.rs
@@ -28,7 +28,7 @@
             other => format!("{other:?}"),
         })
         .collect();
-    let all = 5 + 1 + 9 + 5 * 6 + 6 + 2;
+    let all = 5 + 1 + 9 + 5 * 6 + 6 + 2 + 3;
     assert_eq!(kinds.len(), all);
 }
 
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -22,8 +22,12 @@
 pub use self::crashing::Crashing;
 pub use self::crashing::Hurt;
 pub use self::crashing::crashes;
+pub use self::evacuated::Evacuated;
+pub use self::evacuated::Evacuee;
+pub use self::evacuated::PublishedCatalogue;
 
 mod crashing;
+mod evacuated;
 #[cfg(test)]
 mod tests;
 
@@ -47,6 +51,35 @@
     pub stops: &'a [Stopped],
     /// When nodes were kept from following.
     pub hurt: &'a [Hurt],
+    /// When nodes' processes were killed.
+    pub kills: &'a [Stopped],
+    /// When nodes, their targets or the links between them stood still.
+    pub stalled: &'a [Hurt],
+    /// The failure domains of the instances, in the order of their numbers.
+    pub domains: &'a [&'a str],
+    /// The catalogues that bind.
+    pub catalogues: &'a [PublishedCatalogue],
+}
+
+impl Seen<'_> {
+    fn evacuated(&self) -> Evacuated {
+        let (history, _) = self.log.copy();
+        let instances = self.names.iter().zip(self.domains).enumerate();
+        let evacuees = instances.map(|(instance, (id, domain))| Evacuee {
+            instance,
+            id,
+            domain,
+        });
+        let ends = [self.kills, self.stops].concat();
+        Evacuated::judge(
+            evacuees,
+            self.catalogues,
+            &history,
+            self.runs,
+            &ends,
+            self.stalled,
+        )
+    }
 }
 
 /// What is printed of a run.
@@ -69,6 +102,9 @@
     /// What became of a request that crashes targets.
     #[serde(flatten)]
     pub crashing: Crashing,
+    /// What became of evacuations.
+    #[serde(flatten)]
+    pub evacuated: Evacuated,
     /// Broken promises of the history by their names.
     pub violations: BTreeMap<&'static str, u64>,
     /// The first broken promises in words, with the ids of the requests.
@@ -99,7 +135,9 @@
         let told = faults.chain(found.iter().map(ToString::to_string));
         let verdict = evidence.verdict();
         let crashing = Crashing::judge(seen.records, seen.runs, seen.hurt);
-        let kept = !verdict.has_fault() && found.is_empty() && crashing.is_kept();
+        let evacuated = seen.evacuated();
+        let kept =
+            !verdict.has_fault() && found.is_empty() && crashing.is_kept() && evacuated.is_kept();
         Report {
             seed: opts.seed,
             nodes: opts.nodes,
@@ -108,6 +146,7 @@
             verdict,
             rude: seen.rude,
             crashing,
+            evacuated,
             violations: by_promise(&found),
             told: told.take(TOLD).collect(),
             schedule: schedule.steps.iter().map(ToString::to_string).collect(),
--- a/crates/soak/src/verdict/tests.rs
+++ b/crates/soak/src/verdict/tests.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -7,14 +8,21 @@
 use sassafrasspool_bench::load::CallRecord;
 use sassafrasspool_bench::load::Ending;
 use sassafrasspool_bench::load::LedgerRun;
+use sassafrasspool_core::Digest;
 use sassafrasspool_core::InstanceId;
+use sassafrasspool_core::Revision;
+use sassafrasspool_core::Version;
 use sassafrasspool_core::history::Bounds;
 use sassafrasspool_core::history::Event;
+use sassafrasspool_core::history::Held;
 use sassafrasspool_standin::target::Run;
 use sassafrasspool_standin::target::RunEnd;
 
 use super::Crashing;
+use super::Evacuated;
+use super::Evacuee;
 use super::Hurt;
+use super::PublishedCatalogue;
 use super::Report;
 use super::Seen;
 use crate::callers::CRASHING_PATH;
@@ -138,6 +146,10 @@
         names: &[name(0), name(1)],
         hurt: &[],
         stops: &case.stops,
+        kills: &[],
+        stalled: &[],
+        domains: &["north", "north"],
+        catalogues: &[],
     };
     let schedule = Schedule { steps: Vec::new() };
     let report = Report::judge(OPTIONS, &schedule, &seen, &Bounds::default());
@@ -215,3 +227,106 @@
     refused.detail = "{\"reason\":\"quarantined\"}".to_owned();
     assert!(!Crashing::judge(&[refused], &[], &[]).is_kept());
 }
+
+/// When a node is seen to have the catalogue of a revision in force, in seconds.
+fn in_force(at_s: u64, revision: u64) -> (u64, Event) {
+    let revision = Revision::new(revision).expect("a revision");
+    let version = Version::new(revision, Digest::of(b""));
+    let held = Held {
+        catalogue: version,
+        instances: version,
+        content: Digest::of(b""),
+        dangling: Vec::new(),
+    };
+    let held = Arc::new(held);
+    let node = name(0);
+    (at_s, Event::InForce { node, held })
+}
+
+/// A request that its target begins, in milliseconds, after what happened at the node
+/// beside it.
+#[derive(Debug)]
+struct Begun {
+    in_force: Vec<(u64, Event)>,
+    at_ms: u64,
+    /// When the node's process is killed, in seconds.
+    killed_s: Option<u64>,
+    stalled: &'static [Hurt],
+    kept: bool,
+}
+
+fn begun(at_ms: u64, in_force: Vec<(u64, Event)>, kept: bool) -> Begun {
+    Begun {
+        in_force,
+        at_ms,
+        killed_s: None,
+        stalled: &[],
+        kept,
+    }
+}
+
+/// Guards against a judge that misses work in an evacuated failure domain, or finds some
+/// where it is allowed. The second catalogue evacuates it from 10 s on, the fourth takes it
+/// back at 20 s.
+#[rstest]
+#[case::before(begun(9_000, vec![in_force(1, 1), in_force(10, 2)], true))]
+#[case::on_its_way(begun(10_900, vec![in_force(10, 2)], true))]
+#[case::while_evacuated(begun(12_000, vec![in_force(10, 2)], false))]
+#[case::under_a_later_catalogue(begun(15_500, vec![in_force(10, 2), in_force(14, 3)], false))]
+#[case::not_known_to_its_node(begun(12_000, vec![in_force(1, 1)], true))]
+#[case::taken_back(begun(20_100, vec![in_force(10, 2)], true))]
+#[case::after_a_restart(Begun {
+    killed_s: Some(12),
+    ..begun(15_000, vec![in_force(10, 2)], true)
+})]
+#[case::known_after_a_restart(Begun {
+    killed_s: Some(12),
+    ..begun(18_000, vec![in_force(10, 2), in_force(13, 3)], false)
+})]
+#[case::held_up(Begun {
+    stalled: &[Hurt { instance: 0, from_us: 9_000_000, to_us: 11_500_000 }],
+    ..begun(12_000, vec![in_force(10, 2)], true)
+})]
+#[case::held_up_before(Begun {
+    stalled: &[Hurt { instance: 0, from_us: 9_000_000, to_us: 10_500_000 }],
+    ..begun(12_000, vec![in_force(10, 2)], false)
+})]
+#[case::held_up_elsewhere(Begun {
+    stalled: &[Hurt { instance: 1, from_us: 9_000_000, to_us: 11_500_000 }],
+    ..begun(12_000, vec![in_force(10, 2)], false)
+})]
+fn work_in_an_evacuated_domain_breaks_a_promise(#[case] case: Begun) {
+    let log = Log::default();
+    for (at_s, event) in &case.in_force {
+        log.record_at(1_000_000 * at_s, event.clone());
+    }
+    let catalogue = |revision, at_s: u64, evacuated: &[&'static str]| PublishedCatalogue {
+        revision,
+        at_us: 1_000_000 * at_s,
+        evacuated: evacuated.to_vec(),
+    };
+    let catalogues = [
+        catalogue(1, 0, &[]),
+        catalogue(2, 10, &["north"]),
+        catalogue(3, 14, &["south", "north"]),
+        catalogue(4, 20, &["south"]),
+    ];
+    let mut of_it = run(0, 0);
+    of_it.run.started_us = 1_000 * case.at_ms;
+    let id = name(0);
+    let evacuee = Evacuee {
+        instance: 0,
+        id: &id,
+        domain: "north",
+    };
+    let (history, _) = log.copy();
+    let evacuees = std::iter::once(evacuee);
+    let kills = case.killed_s.map(|at_s| Stopped {
+        instance: 0,
+        at_us: 1_000_000 * at_s,
+    });
+    let kills = Vec::from_iter(kills);
+    let runs = [of_it];
+    let judged = Evacuated::judge(evacuees, &catalogues, &history, &runs, &kills, case.stalled);
+    assert_eq!(judged.is_kept(), case.kept, "{judged:?}: {case:?}");
+}
