Choose among four endpoints, and count those up to half full as idle

The choice took the less of two by load times pace: both are slow in 44 of 100 draws where two in three targets are, and an idle slow target went before a fast one with two requests.

A test plays the load on the decision code in virtual time and checks how many callers get their answers late.

--- a/crates/core/src/quarantine/reports.rs
+++ b/crates/core/src/quarantine/reports.rs
@@ -162,7 +162,7 @@
         self.root
     }
 
-    /// A report as it is told at `now`.
+    /// A report with its age at `now`.
     pub(crate) fn report_at(&self, now: Tick, id: &ReportId) -> Option<Report> {
         let kept = self.reports.get(id)?;
         Some(kept.report_at(now, id))
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -3,8 +3,9 @@
 //! [`Meters`] is what a node knows of endpoints and outlives every snapshot: its
 //! own requests in flight, the load that answers reported, what went wrong. A
 //! [`Picker`] binds it to one snapshot. It chooses in the node's own failure
-//! domain first, then in its region, then elsewhere, each time the less loaded
-//! of two drawn at random, and goes on to the next when that one is full.
+//! domain first, then in its region, then elsewhere, each time the one of least cost,
+//! by load and speed, among some drawn at random, and goes on to the next when that one
+//! is full.
 
 pub use self::meters::Intake;
 pub use self::meters::Meters;
@@ -29,3 +30,8 @@
 mod subset;
 #[cfg(test)]
 mod tests;
+
+/// A share that is given in percent.
+fn percent(n: u32) -> f32 {
+    n as f32 / 100.0
+}
--- a/crates/core/src/route/meter.rs
+++ b/crates/core/src/route/meter.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use super::pace::Pace;
+use super::percent;
 use crate::LoadReport;
 use crate::RouteSettings;
 use crate::Tick;
@@ -143,9 +144,11 @@
     }
 
     /// The load as it is compared with that of another endpoint: of two that
-    /// are as full, the faster one answers earlier and is free again earlier.
+    /// are as full, or both idle, the faster one answers earlier and is free again
+    /// earlier.
     pub(super) fn cost(&self, now: Tick, slots: u32, cfg: &RouteSettings) -> f32 {
-        self.load(now, slots, cfg) * self.pace.factor().min(SLOW_PACE)
+        let load = self.load(now, slots, cfg).max(percent(cfg.idle_percent));
+        load * self.pace.factor().min(SLOW_PACE)
     }
 
     /// The share of its slots that it gets: it grows after a cold start and
--- a/crates/core/src/route/picker.rs
+++ b/crates/core/src/route/picker.rs
@@ -8,6 +8,7 @@
 use slotmap::SecondaryMap;
 
 use super::candidate::Candidate;
+use super::percent;
 use super::position::TIERS;
 use super::rendezvous::Score;
 use super::service::ServiceView;
@@ -227,7 +228,7 @@
         let mut best: Option<(f32, &Candidate)> = None;
         for tier in 0..TIERS {
             let in_tier = |c: &&Candidate| c.tier == tier && fits(c);
-            let Some(found) = self.less_loaded(among, now, in_tier, rng) else {
+            let Some(found) = self.least_of_drawn(among, now, in_tier, rng) else {
                 continue;
             };
             let load = found.meter.load(now, found.slots, &self.cfg);
@@ -243,8 +244,8 @@
         best.map(|(_, found)| found)
     }
 
-    /// The less loaded of two that are drawn at random.
-    fn less_loaded<'a>(
+    /// The one of least cost among some that are drawn at random.
+    fn least_of_drawn<'a>(
         &self,
         among: &'a [Candidate],
         now: Tick,
@@ -252,26 +253,28 @@
         rng: &mut impl Rng,
     ) -> Option<&'a Candidate> {
         let count = among.iter().filter(fits).count();
-        if count == 0 {
-            return None;
-        }
-        let draw = rng.next_u64();
-        let first = below(draw as u32, count);
-        let skip = below((draw >> 32) as u32, count.max(2) - 1);
-        let second = (first + 1 + skip) % count;
-        let weigh = |c: &'a Candidate| (c.meter.cost(now, c.slots, &self.cfg), c);
-        let mut fitting = among.iter().filter(fits);
-        let low = fitting.nth(first.min(second)).map(weigh)?;
-        if first == second {
-            return Some(low.1);
+        let mut left_to_draw = self.cfg.choices.min(count);
+        let mut best: Option<(f32, u32, &Candidate)> = None;
+        // Each of those that are left is drawn with the same probability.
+        for (passed, candidate) in among.iter().filter(fits).enumerate() {
+            // Meters may have changed since they were counted, and none may be left.
+            let left = count.saturating_sub(passed);
+            let bits = rng.next_u64();
+            if below(bits as u32, left) >= left_to_draw {
+                continue;
+            }
+            left_to_draw -= 1;
+            let cost = candidate.meter.cost(now, candidate.slots, &self.cfg);
+            // Of equals a random one goes first, not the one that stands first.
+            let turn = (bits >> 32) as u32;
+            if best.is_none_or(|(held, held_turn, _)| (cost, turn) < (held, held_turn)) {
+                best = Some((cost, turn, candidate));
+            }
+            if left_to_draw == 0 {
+                break;
+            }
         }
-        // Meters may have changed since they were counted: one is enough.
-        let Some(high) = fitting.nth(first.abs_diff(second) - 1).map(weigh) else {
-            return Some(low.1);
-        };
-        // An equal load must not favour the one that stands first.
-        let lower = low.0 < high.0 || (low.0 == high.0 && first < second);
-        Some(if lower { low.1 } else { high.1 })
+        best.map(|(_, _, candidate)| candidate)
     }
 }
 
@@ -280,7 +283,3 @@
     let wide = u64::from(bits) * u64::try_from(bound).unwrap_or(u64::MAX);
     usize::try_from(wide >> 32).unwrap_or(0)
 }
-
-fn percent(n: u32) -> f32 {
-    n as f32 / 100.0
-}
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -11,6 +11,12 @@
     pub subset_size: usize,
     /// How many of these stand in other failure domains at least.
     pub subset_elsewhere: usize,
+    /// Endpoints that are drawn at random for a request, of which the one of least cost gets
+    /// it.
+    pub choices: usize,
+    /// The load over slots, in percent, up to which endpoints count as equally full: a
+    /// target answers the same while it has slots to spare.
+    pub idle_percent: u32,
     /// How long a load report counts; it fades until then.
     pub reading_ttl: Duration,
     /// How long a cold endpoint takes to get its full share: targets in use are
@@ -34,6 +40,8 @@
         RouteSettings {
             subset_size: 12,
             subset_elsewhere: 4,
+            choices: 4,
+            idle_percent: 50,
             reading_ttl: Duration::from_secs(1),
             slow_start: Duration::from_secs(3),
             spill_percent: 90,
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -4,3 +4,4 @@
 mod choice;
 mod drawn;
 mod fleet;
+mod load;
--- a/crates/core/src/route/tests/bench.rs
+++ b/crates/core/src/route/tests/bench.rs
@@ -50,20 +50,26 @@
     pub(super) homes: Homes,
     pub(super) meters: Arc<Meters>,
     pub(super) picker: Picker,
+    cfg: RouteSettings,
     pub(super) rng: SmallRng,
 }
 
 impl Bench {
     pub(super) fn new(node: &str, instances: Vec<Instance>) -> Bench {
+        Bench::with(node, instances, RouteSettings::default())
+    }
+
+    pub(super) fn with(node: &str, instances: Vec<Instance>, cfg: RouteSettings) -> Bench {
         let snapshot = snapshot(instances);
         let meters = Arc::new(Meters::new());
-        let picker = picker(node, &snapshot, &meters, NOW);
+        let picker = picker(node, &snapshot, &meters, cfg, NOW);
         Bench {
             service: service(&snapshot),
             homes: Homes::default(),
             snapshot,
             meters,
             picker,
+            cfg,
             rng: SmallRng::seed_from_u64(1),
         }
     }
@@ -72,7 +78,7 @@
     pub(super) fn list_anew(&mut self, node: &str, instances: Vec<Instance>, now: Tick) {
         self.snapshot = snapshot(instances);
         self.service = service(&self.snapshot);
-        self.picker = picker(node, &self.snapshot, &self.meters, now);
+        self.picker = picker(node, &self.snapshot, &self.meters, self.cfg, now);
     }
 
     pub(super) fn pick(&mut self, now: Tick) -> Picked {
@@ -130,13 +136,19 @@
     snapshot.find_service(&name).unwrap().0
 }
 
-fn picker(node: &str, snapshot: &Snapshot, meters: &Arc<Meters>, now: Tick) -> Picker {
+fn picker(
+    node: &str,
+    snapshot: &Snapshot,
+    meters: &Arc<Meters>,
+    cfg: RouteSettings,
+    now: Tick,
+) -> Picker {
     let position = Position {
         instance: InstanceId::new(node).unwrap(),
         domain: DomainName::new(NEAR).unwrap(),
         region: RegionName::new("ulaanbaatar").unwrap(),
     };
-    Picker::build(snapshot, &position, RouteSettings::default(), meters, now)
+    Picker::build(snapshot, &position, cfg, meters, now)
 }
 
 pub(super) fn near(ids: &[&str]) -> Vec<Instance> {
