Report crashes that a busy node sees late on some connections

A node whose connection to its target broke tries the target 20 ms later. Behind something that takes connections whether or not the target is up, that tells nothing, and the node decides by whether all that ran has ended. It looked once: on a busy machine other threads had yet to see that their connections broke, and the crash counted for none. It now looks again for half a second, and an answer to any of those requests ends the suspicion.

A target that refuses connections was told apart by that alone, before and now.

Five cases in virtual time; without the second look 'seen_late' fails.

--- a/crates/node/src/traffic/target/crash_watch.rs
+++ b/crates/node/src/traffic/target/crash_watch.rs
@@ -10,6 +10,7 @@
 use sassafrasspool_core::Content;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
+use tokio::time::Instant;
 
 use crate::traffic::hub::Hub;
 use crate::traffic::target;
@@ -19,6 +20,16 @@
 /// closed its listener by then, and none is back yet.
 const TRIED_AFTER: Duration = Duration::from_millis(20);
 
+/// How long all that ran in a target that may have crashed has to end: on a busy machine
+/// each thread of the node sees late that its connections broke.
+const ENDED_WITHIN: Duration = Duration::from_millis(500);
+
+/// How often it is looked at meanwhile.
+const ENDED_POLL: Duration = Duration::from_millis(10);
+
+#[cfg(test)]
+mod tests;
+
 new_key_type! {
     /// Names a request that the own target runs.
     struct RunKey;
@@ -33,8 +44,8 @@
 #[derive(Debug, Default)]
 struct State {
     running: SlotMap<RunKey, Content>,
-    /// Whether it is being found out why a connection broke.
-    asking: bool,
+    /// What ran as a connection broke, while it is being found out why it did.
+    suspected: Option<Suspected>,
     /// Connections to the target that had been opened when its last crash was told. As
     /// long as there are no more, whatever breaks belongs to that crash.
     told_at: Option<u64>,
@@ -44,7 +55,47 @@
     answered: bool,
 }
 
+/// What ran as a connection broke.
+#[derive(Debug)]
+struct Suspected {
+    ran: Vec<(RunKey, Content)>,
+    /// Whether the target has answered one of them since.
+    survived: bool,
+}
+
+impl State {
+    fn is_any_running(&self, ran: &[(RunKey, Content)]) -> bool {
+        ran.iter().any(|(key, _)| self.running.contains_key(*key))
+    }
+}
+
 impl CrashWatch {
+    /// Whether all of `ran` end without an answer, at a target that has answered something
+    /// since its last crash.
+    ///
+    /// A target without room goes on with what it has. One that has answered nothing since
+    /// its last crash may still be down, behind something that takes connections: whatever
+    /// is sent there is lost, and no sign against anything.
+    async fn all_end(&self, ran: &[(RunKey, Content)]) -> bool {
+        let until = Instant::now() + ENDED_WITHIN;
+        loop {
+            {
+                let state = self.lock();
+                let survived = state.suspected.as_ref().is_some_and(|it| it.survived);
+                if !state.answered || survived {
+                    return false;
+                }
+                if !state.is_any_running(ran) {
+                    return true;
+                }
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            tokio::time::sleep(ENDED_POLL).await;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         // Nothing can panic halfway through a change of it.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -91,6 +142,9 @@
         {
             let mut state = self.hub.crash_watch.lock();
             state.answered |= self.crashes == state.crashes;
+            if let Some(suspected) = &mut state.suspected {
+                suspected.survived |= suspected.ran.iter().any(|(key, _)| *key == self.key);
+            }
         }
         if !self.shows_run {
             return;
@@ -114,18 +168,22 @@
         }
         let ran = {
             let mut state = hub.crash_watch.lock();
-            if state.asking || state.told_at == Some(hub.pool.opened()) {
+            if state.suspected.is_some() || state.told_at == Some(hub.pool.opened()) {
                 return;
             }
-            state.asking = true;
-            state.running.iter().map(|(key, of)| (key, *of)).collect()
+            let ran: Vec<_> = state.running.iter().map(|(key, of)| (key, *of)).collect();
+            state.suspected = Some(Suspected {
+                ran: ran.clone(),
+                survived: false,
+            });
+            ran
         };
         let hub = Arc::clone(hub);
         let connections = self.hub.connections.clone();
         connections.spawn(async move {
             let cancel = hub.cut.clone();
             cancel.run_until_cancelled(report_crash(&hub, ran)).await;
-            hub.crash_watch.lock().asking = false;
+            hub.crash_watch.lock().suspected = None;
         });
     }
 }
@@ -136,20 +194,13 @@
     }
 }
 
-/// Tells of a crash under `ran`, if it was one.
+/// Reports a crash under `ran`, if it was one.
 async fn report_crash(hub: &Hub, ran: Vec<(RunKey, Content)>) {
     tokio::time::sleep(TRIED_AFTER).await;
     let crashed = match target::find_lost(&hub.pool).await {
         Lost::Connection => false,
         Lost::Target => true,
-        // A target without room goes on with what it has. One that has answered nothing
-        // since its last crash may still be down, behind something that takes connections:
-        // whatever is sent there is lost, and no sign against anything.
-        Lost::Unclear => {
-            let state = hub.crash_watch.lock();
-            let runs = |(key, _): &(RunKey, Content)| state.running.contains_key(*key);
-            state.answered && !ran.iter().any(runs)
-        }
+        Lost::Unclear => hub.crash_watch.all_end(&ran).await,
     };
     if !crashed {
         return;
