--- a/crates/soak/src/driver.rs
+++ b/crates/soak/src/driver.rs
@@ -65,6 +65,7 @@
     platform: tokio::sync::Mutex<()>,
     /// Held while it is logged what begins or ends, so that the log has their order.
     hurts: Mutex<Hurts>,
+    /// When the processes of nodes were killed.
     kills: Mutex<Vec<Stopped>>,
     /// When nodes, their targets or the links between them stood still, so that a request
     /// begins later than it was handed over.
