Test the deadline of a request at a target that stays silent

The slow stand-in stops by itself as the time it was told is over, a millisecond after the node's deadline, and answers 504: a node whose timer is later than that passes this answer on, as it should. The target now never answers, which asks the same of the node: 504 with the outcome 'unknown' at the deadline, one run, and a free slot after it.

--- a/crates/node/tests/requests/cancel.rs
+++ b/crates/node/tests/requests/cancel.rs
@@ -45,13 +45,15 @@
     assert_eq!(res.expect("an answer").status(), StatusCode::OK);
 }
 
-// A target answers long after the deadline. The caller hears in time that the
+// A target does not answer by the deadline. The caller hears in time that the
 // outcome is unknown, and the approval isn't tried a second time.
 #[tokio::test]
 async fn a_slow_target_is_unknown_at_the_deadline() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
     let adjuster = &fleet.members[1];
-    adjuster.target.set_slow(LONG).await;
+    // It stays silent: one that is only slow answers 504 by itself as its time is over, a
+    // millisecond after the node's deadline.
+    adjuster.target.set_hang_after_run(true).await;
     for member in &fleet.members {
         let mut req = client::get("/adjuster/approve", member.id);
         let timeout = "150".parse().expect("a value");
