--- a/crates/node/src/control/probe/tests.rs
+++ b/crates/node/src/control/probe/tests.rs
@@ -9,19 +9,10 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use rstest::rstest;
-use sassafrasspool_core::Catalogue;
 use sassafrasspool_core::Incarnation;
 use sassafrasspool_core::Instance;
-use sassafrasspool_core::InstanceList;
-use sassafrasspool_core::InstanceState;
-use sassafrasspool_core::Position;
-use sassafrasspool_core::RepeatSettings;
-use sassafrasspool_core::RepeatWindow;
-use sassafrasspool_core::Revision;
-use sassafrasspool_core::Snapshot;
 use sassafrasspool_core::TargetId;
 use sassafrasspool_core::TargetLife;
-use sassafrasspool_core::catalogue;
 use tokio::net::TcpListener;
 
 use super::follow_coldness;
@@ -29,6 +20,10 @@
 use crate::Shared;
 use crate::View;
 use crate::log::LogSink;
+use crate::testing::instance;
+use crate::testing::name;
+use crate::testing::place;
+use crate::testing::snapshot;
 
 const CATALOGUE: &str = "
 services:
@@ -50,10 +45,6 @@
     known_ms: Option<u64>,
 }
 
-fn name<T: TryFrom<Arc<str>, Error: std::fmt::Debug>>(text: &str) -> T {
-    T::try_from(Arc::from(text)).expect("a name")
-}
-
 /// The state of a node whose own target is listed.
 fn shared() -> Arc<Shared> {
     let dialect = Dialect {
@@ -62,43 +53,22 @@
     };
     let incarnation = Incarnation::from_start_millis(1);
     let shared = Shared::speaking(dialect, LogSink::silent(), name("wd-1"), incarnation);
-    let position = Position {
-        instance: name("wd-1"),
-        domain: name("bayanzurkh"),
-        region: name("ulaanbaatar"),
-    };
-    let settings = RepeatSettings::default();
-    let repeat = RepeatWindow::new(settings, name("wd-1"), name("workshop-desk"));
-    shared.place(position, repeat.expect("a window"));
+    let (position, repeat) = place("wd-1");
+    shared.place(position, repeat);
     Arc::new(shared)
 }
 
 fn view() -> View {
-    let addr = "127.0.0.1:9".parse().expect("an address");
     let instance = Instance {
-        id: name("wd-1"),
-        service: name("workshop-desk"),
-        region: name("ulaanbaatar"),
-        domain: name("bayanzurkh"),
-        traffic: addr,
-        control: addr,
-        slots: 10,
-        connections: 20,
-        state: InstanceState::Live,
         target: Some(TargetLife {
             id: TargetId::new("i-1").expect("a name"),
             listed_at: 1,
             born: None,
         }),
-        cold_for: Duration::ZERO,
+        ..instance("wd-1")
     };
-    let revision = Revision::new(1).expect("a revision");
-    let items = catalogue::parse(CATALOGUE).expect("a catalogue");
-    let catalogue = Catalogue::new(revision, items).expect("a catalogue");
-    let list = InstanceList::new(revision, [instance]).expect("a list");
-    let snapshot = Snapshot::build(&catalogue, &list).expect("a snapshot");
     View {
-        snapshot: Arc::new(snapshot),
+        snapshot: snapshot(CATALOGUE, 1, vec![instance]),
         states: Arc::new(HashMap::new()),
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,8 @@
 mod reach;
 pub mod settings;
 mod shared;
+#[cfg(test)]
+mod testing;
 mod traffic;
 
 pub use crate::audit::AuditTrail;
--- a/crates/node/src/shared/routing/tests.rs
+++ b/crates/node/src/shared/routing/tests.rs
@@ -5,22 +5,19 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rstest::rstest;
-use sassafrasspool_core::Catalogue;
 use sassafrasspool_core::EndpointState;
 use sassafrasspool_core::Instance;
-use sassafrasspool_core::InstanceList;
 use sassafrasspool_core::InstanceState;
 use sassafrasspool_core::Phase;
-use sassafrasspool_core::Position;
-use sassafrasspool_core::RepeatSettings;
-use sassafrasspool_core::RepeatWindow;
-use sassafrasspool_core::Revision;
 use sassafrasspool_core::Snapshot;
 use sassafrasspool_core::Tick;
-use sassafrasspool_core::catalogue;
 
 use super::Routing;
 use crate::View;
+use crate::testing;
+use crate::testing::instance;
+use crate::testing::name;
+use crate::testing::place;
 
 const CATALOGUE: &str = "
 kinds: {lookup: {weight: 1}}
@@ -32,43 +29,13 @@
     routes: [{path: /, kind: lookup, idempotent: true}]
 ";
 
-fn name<T: TryFrom<Arc<str>, Error: std::fmt::Debug>>(text: &str) -> T {
-    T::try_from(Arc::from(text)).expect("a name")
-}
-
 fn placed() -> Routing {
     let routing = Routing::default();
-    let position = Position {
-        instance: name("wd-0"),
-        domain: name("bayanzurkh"),
-        region: name("ulaanbaatar"),
-    };
-    let repeat = RepeatWindow::new(
-        RepeatSettings::default(),
-        name("wd-0"),
-        name("workshop-desk"),
-    );
-    routing.place(position, repeat.expect("a window"));
+    let (position, repeat) = place("wd-0");
+    routing.place(position, repeat);
     routing
 }
 
-fn instance(id: &str) -> Instance {
-    let addr = "127.0.0.1:9".parse().expect("an address");
-    Instance {
-        id: name(id),
-        service: name("workshop-desk"),
-        region: name("ulaanbaatar"),
-        domain: name("bayanzurkh"),
-        traffic: addr,
-        control: addr,
-        slots: 10,
-        connections: 20,
-        state: InstanceState::Live,
-        target: None,
-        cold_for: Duration::ZERO,
-    }
-}
-
 /// A snapshot whose list names these instances.
 fn snapshot(revision: u64, listed: &[&str]) -> Arc<Snapshot> {
     let listed = listed.iter().map(|id| instance(id));
@@ -76,12 +43,7 @@
 }
 
 fn snapshot_of(revision: u64, listed: Vec<Instance>) -> Arc<Snapshot> {
-    let revision = Revision::new(revision).expect("a revision");
-    let items = catalogue::parse(CATALOGUE).expect("a catalogue");
-    let catalogue = Catalogue::new(revision, items).expect("a catalogue");
-    let list = InstanceList::new(revision, listed);
-    let snapshot = Snapshot::build(&catalogue, &list.expect("a list"));
-    Arc::new(snapshot.expect("a snapshot"))
+    testing::snapshot(CATALOGUE, revision, listed)
 }
 
 /// What wd-1 said last, if it said anything.
