Keep what a crash is suspected of in one place

What ran as a connection broke was held twice: in the watch, and in the task that finds out why it broke. The task reads it from the watch. Same verdicts, same cases.

--- a/crates/node/src/traffic/target/crash_watch.rs
+++ b/crates/node/src/traffic/target/crash_watch.rs
@@ -63,29 +63,26 @@
     survived: bool,
 }
 
-impl State {
-    fn is_any_running(&self, ran: &[(RunKey, Content)]) -> bool {
-        ran.iter().any(|(key, _)| self.running.contains_key(*key))
-    }
-}
-
 impl CrashWatch {
-    /// Whether all of `ran` end without an answer, at a target that has answered something
-    /// since its last crash.
+    /// Whether all that is suspected ends without an answer, at a target that has answered
+    /// something since its last crash.
     ///
     /// A target without room goes on with what it has. One that has answered nothing since
     /// its last crash may still be down, behind something that takes connections: whatever
     /// is sent there is lost, and no sign against anything.
-    async fn all_end(&self, ran: &[(RunKey, Content)]) -> bool {
+    async fn all_end(&self) -> bool {
         let until = Instant::now() + ENDED_WITHIN;
         loop {
             {
                 let state = self.lock();
-                let survived = state.suspected.as_ref().is_some_and(|it| it.survived);
-                if !state.answered || survived {
+                let Some(suspected) = &state.suspected else {
+                    return false;
+                };
+                if !state.answered || suspected.survived {
                     return false;
                 }
-                if !state.is_any_running(ran) {
+                let runs = |(key, _): &(RunKey, Content)| state.running.contains_key(*key);
+                if !suspected.ran.iter().any(runs) {
                     return true;
                 }
             }
@@ -166,23 +163,22 @@
             // It was to end anyway, whatever it ran.
             return;
         }
-        let ran = {
+        {
             let mut state = hub.crash_watch.lock();
             if state.suspected.is_some() || state.told_at == Some(hub.pool.opened()) {
                 return;
             }
-            let ran: Vec<_> = state.running.iter().map(|(key, of)| (key, *of)).collect();
+            let ran = state.running.iter().map(|(key, of)| (key, *of));
             state.suspected = Some(Suspected {
-                ran: ran.clone(),
+                ran: ran.collect(),
                 survived: false,
             });
-            ran
-        };
+        }
         let hub = Arc::clone(hub);
         let connections = self.hub.connections.clone();
         connections.spawn(async move {
             let cancel = hub.cut.clone();
-            cancel.run_until_cancelled(report_crash(&hub, ran)).await;
+            cancel.run_until_cancelled(report_crash(&hub)).await;
             hub.crash_watch.lock().suspected = None;
         });
     }
@@ -194,23 +190,25 @@
     }
 }
 
-/// Reports a crash under `ran`, if it was one.
-async fn report_crash(hub: &Hub, ran: Vec<(RunKey, Content)>) {
+/// Reports a crash under all that is suspected, if it was one.
+async fn report_crash(hub: &Hub) {
     tokio::time::sleep(TRIED_AFTER).await;
     let crashed = match target::find_lost(&hub.pool).await {
         Lost::Connection => false,
         Lost::Target => true,
-        Lost::Unclear => hub.crash_watch.all_end(&ran).await,
+        Lost::Unclear => hub.crash_watch.all_end().await,
     };
     if !crashed {
         return;
     }
-    {
+    let ran = {
         let mut state = hub.crash_watch.lock();
         state.told_at = Some(hub.pool.opened());
         state.crashes += 1;
         state.answered = false;
-    }
-    let ran = ran.into_iter().map(|(_, content)| content);
-    hub.shared.quarantine().crashed(ran.collect()).await;
+        let suspected = state.suspected.iter();
+        let ran = suspected.flat_map(|suspected| &suspected.ran);
+        ran.map(|(_, content)| *content).collect()
+    };
+    hub.shared.quarantine().crashed(ran).await;
 }
--- a/crates/node/src/traffic/target/crash_watch/tests.rs
+++ b/crates/node/src/traffic/target/crash_watch/tests.rs
@@ -35,15 +35,15 @@
 async fn a_target_has_crashed_if_all_that_it_ran_ends(#[case] case: Case) {
     let watch = CrashWatch::default();
     let content = Content::of("GET", "desk.example", "/covers/7", None, b"");
-    let ran = {
+    let key = {
         let mut state = watch.lock();
         state.answered = case.answered;
-        let ran = vec![(state.running.insert(content), content)];
+        let key = state.running.insert(content);
         state.suspected = Some(Suspected {
-            ran: ran.clone(),
+            ran: vec![(key, content)],
             survived: false,
         });
-        ran
+        key
     };
     let (after_ms, answered) = match case.other {
         Other::EndsAfter(ms) => (ms, false),
@@ -52,11 +52,11 @@
     let ends = async {
         tokio::time::sleep(Duration::from_millis(after_ms)).await;
         let mut state = watch.lock();
-        state.running.remove(ran[0].0);
+        state.running.remove(key);
         if let Some(suspected) = &mut state.suspected {
             suspected.survived = answered;
         }
     };
-    let (crashed, ()) = tokio::join!(watch.all_end(&ran), ends);
+    let (crashed, ()) = tokio::join!(watch.all_end(), ends);
     assert_eq!(crashed, case.crashed, "{case:?}");
 }
