Look for a request's own route once beside its target

With homes in the catalogue the route was matched twice for each request. One match serves class, key and homes, and is left out as before where none of them needs it.

--- a/crates/node/src/traffic/inbound/forward.rs
+++ b/crates/node/src/traffic/inbound/forward.rs
@@ -94,18 +94,21 @@
         Ok(service) => service,
         Err(refusal) => return Err(Missed::unsent(refusal, req)),
     };
-    if let Err(refusal) = check_homes(worker, &req, service, &call) {
-        return Err(Missed::unsent(refusal, req));
+    let has_key = req.headers().contains_key(names::IDEMPOTENCY_KEY);
+    let has_homes = call.routes.view.snapshot.has_homes();
+    let route = match call.class {
+        Some(_) if !has_key && !has_homes => None,
+        _ => own_route(&req, service, &call),
+    };
+    // The node that sent it may route by an earlier catalogue.
+    if route.is_some_and(|route| !route.homes.allows(&hub.region)) {
+        return Err(Missed::unsent(refuse(Reason::NotAtHome), req));
     }
     let listed = call.routes.own().map(|(endpoint, _)| &endpoint.instance);
     let slots = listed.map(|instance| instance.slots);
     if let Some(life) = listed.and_then(|instance| instance.target.as_ref()) {
         worker.hub.follow_target(life);
     }
-    let route = match call.class {
-        Some(_) if !req.headers().contains_key(names::IDEMPOTENCY_KEY) => None,
-        _ => own_route(&req, service, &call),
-    };
     let by_route = route.map_or(service.entry.class, |route| route.class);
     let class = call.class.unwrap_or(by_route);
     let running = match begin(worker, route, &req) {
@@ -234,23 +237,6 @@
     leads_here.then_some(route)
 }
 
-/// Refuses what may only be served in other regions: the node that sent it may route by
-/// an earlier catalogue.
-fn check_homes(
-    worker: &Worker,
-    req: &Request<Payload>,
-    service: &BoundService,
-    call: &Call<'_>,
-) -> Result<(), Refusal> {
-    if !call.routes.view.snapshot.has_homes() {
-        return Ok(());
-    }
-    match own_route(req, service, call) {
-        Some(route) if !route.homes.allows(&worker.hub.region) => Err(refuse(Reason::NotAtHome)),
-        _ => Ok(()),
-    }
-}
-
 /// Puts the load beside the target on an answer.
 pub(in crate::traffic) fn add_load(worker: &Worker, headers: &mut HeaderMap) {
     let load = worker.hub.admission.load().to_string();
