Draw recurring faults of the soak by one function, and split its driver

Silences and evacuations were drawn by two copies of one loop. A number for reports is converted by one function, and the history is put in order once a run instead of once an instance.

--- /dev/null
+++ b/crates/soak/src/driver/nodes.rs
@@ -0,0 +1,122 @@
+//! Hurting the processes of nodes.
+
+use std::time::Duration;
+
+use miette::IntoDiagnostic;
+use rustix::process::Signal;
+use sassafrasspool_bench::chaos::events::Stopped;
+use sassafrasspool_bench::chaos::log::now_us;
+use sassafrasspool_bench::load::OutageKind;
+use sassafrasspool_core::InstanceState;
+use sassafrasspool_core::history::Event;
+
+use super::Driver;
+use super::lock;
+use crate::schedule::NodeFault;
+
+/// How long before its end a node that was told to stop closes connections that
+/// are idle at most, in microseconds: it says so on all that it answers on for as
+/// long as it refuses, and ends within a moment after.
+const CLOSE_US: u64 = 500_000;
+
+impl Driver {
+    /// Does something to the process of a node.
+    pub(super) async fn of_node(
+        &self,
+        n: usize,
+        what: NodeFault,
+        length: Duration,
+    ) -> miette::Result<()> {
+        let member = self.member(n);
+        match what {
+            NodeFault::Stop => self.stop(n, length).await,
+            NodeFault::Kill => self.kill(n, length).await,
+            NodeFault::Freeze => {
+                let from_us = now_us();
+                self.lose(n);
+                member.signal_node(Signal::STOP).await.into_diagnostic()?;
+                tokio::time::sleep(length).await;
+                member.signal_node(Signal::CONT).await.into_diagnostic()?;
+                self.regain(n);
+                self.note_stall(n, from_us);
+                self.note(n, OutageKind::NodePaused, from_us);
+                Ok(())
+            }
+            NodeFault::ReloadBySignal => {
+                member.change_settings(now_us() % 1_000).into_diagnostic()?;
+                member.signal_node(Signal::HUP).await.into_diagnostic()
+            }
+            NodeFault::ReloadByFile => member.change_settings(now_us() % 1_000).into_diagnostic(),
+        }
+    }
+
+    async fn stop(&self, n: usize, down: Duration) -> miette::Result<()> {
+        let member = self.member(n);
+        let from_us = now_us();
+        let target = self.id(n);
+        self.list_as(n, Some(InstanceState::Leaving)).await?;
+        // The bound counts from when the platform has taken the word; one that
+        // stands still takes it late.
+        let began = Event::DrainBegan {
+            target: target.clone(),
+        };
+        self.log.record(began);
+        let whole = member.stop_node().await.into_diagnostic()?;
+        self.note(n, OutageKind::IdleClosed, now_us().saturating_sub(CLOSE_US));
+        lock(&self.stops).push(Stopped {
+            instance: n,
+            at_us: now_us(),
+        });
+        let cut = u64::from(!whole);
+        self.log.record(Event::DrainEnded { target, cut });
+        self.lose(n);
+        tokio::time::sleep(down).await;
+        member.start_node().await.into_diagnostic()?;
+        self.regain_after_stop(n);
+        self.note(n, OutageKind::CallersCut, from_us);
+        self.list_as(n, Some(InstanceState::Live)).await
+    }
+
+    async fn kill(&self, n: usize, down: Duration) -> miette::Result<()> {
+        let from_us = now_us();
+        self.lose(n);
+        self.member(n).kill_node().await.into_diagnostic()?;
+        lock(&self.kills).push(Stopped {
+            instance: n,
+            at_us: now_us(),
+        });
+        tokio::time::sleep(down).await;
+        self.member(n).start_node().await.into_diagnostic()?;
+        self.regain(n);
+        self.note(n, OutageKind::NodeKilled, from_us);
+        Ok(())
+    }
+
+    /// Kills every other node at once, but for those that something is done
+    /// to already.
+    pub(super) async fn herd(&self, down: Duration) -> miette::Result<()> {
+        let herd = (0..self.fleet.members.len()).step_by(2);
+        let mut kills = Vec::new();
+        for n in herd {
+            kills.push(async move {
+                match self.nodes[n].try_lock() {
+                    Ok(_turn) => self.kill(n, down).await,
+                    Err(_) => Ok(()),
+                }
+            });
+        }
+        let done = futures::future::join_all(kills).await;
+        done.into_iter().collect()
+    }
+
+    /// A node is back from a planned stop and may work again, whatever else still
+    /// keeps it from following.
+    fn regain_after_stop(&self, n: usize) {
+        let mut hurts = lock(&self.hurts);
+        let follows = hurts.end(n);
+        self.log.record(Event::NodeBack { node: self.id(n) });
+        if !follows {
+            self.log.record(Event::NodeLost { node: self.id(n) });
+        }
+    }
+}
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -199,42 +199,65 @@
 
 /// Silences of the platform, each shorter than the pause before the next one.
 fn silences(length: Duration, seed: u64) -> Vec<Step> {
-    let mut drawn = Drawn {
-        rng: SmallRng::seed_from_u64(seed ^ SILENCES),
-        instances: 0,
+    let silence = Recurrence {
+        every: SILENCE_EVERY,
+        lengths_ms: [200, 4_000],
+        pauses_percent: [50, 150],
     };
-    let mean_ms = u64::try_from(SILENCE_EVERY.as_millis()).unwrap_or(u64::MAX);
-    let mut steps = Vec::new();
-    let mut at = LEAD + drawn.millis(0, mean_ms);
-    while at < length {
-        steps.push(Step {
-            at,
-            length: drawn.millis(200, 4_000),
-            fault: Fault::Platform(PlatformFault::Silence),
-        });
-        at += drawn.millis(mean_ms / 2, 3 * mean_ms / 2);
-    }
-    steps
+    silence.draw(length, seed ^ SILENCES, |_| {
+        Fault::Platform(PlatformFault::Silence)
+    })
 }
 
 /// Evacuations, of which two may overlap.
 fn evacuations(length: Duration, seed: u64) -> Vec<Step> {
-    let mut drawn = Drawn {
-        rng: SmallRng::seed_from_u64(seed ^ EVACUATIONS),
-        instances: 0,
+    let evacuation = Recurrence {
+        every: EVACUATION_EVERY,
+        lengths_ms: [300, 5_000],
+        pauses_percent: [25, 175],
     };
-    let mean_ms = u64::try_from(EVACUATION_EVERY.as_millis()).unwrap_or(u64::MAX);
-    let mut steps = Vec::new();
-    let mut at = LEAD + drawn.millis(0, mean_ms);
-    while at < length {
-        steps.push(Step {
-            at,
-            length: drawn.millis(300, 5_000),
-            fault: Fault::Evacuate(drawn.rng.random_range(0..DOMAINS.len())),
-        });
-        at += drawn.millis(mean_ms / 4, 7 * mean_ms / 4);
+    evacuation.draw(length, seed ^ EVACUATIONS, |rng| {
+        Fault::Evacuate(rng.random_range(0..DOMAINS.len()))
+    })
+}
+
+/// How often a fault comes that is drawn from a source of its own.
+#[derive(Debug)]
+struct Recurrence {
+    /// The mean time from one to the next.
+    every: Duration,
+    /// The shortest and the longest that one lasts, in milliseconds.
+    lengths_ms: [u64; 2],
+    /// The shortest and the longest time from one to the next, in percent of the mean.
+    pauses_percent: [u64; 2],
+}
+
+impl Recurrence {
+    /// Draws such faults over `length`.
+    fn draw(
+        &self,
+        length: Duration,
+        seed: u64,
+        fault: impl Fn(&mut SmallRng) -> Fault,
+    ) -> Vec<Step> {
+        let mut drawn = Drawn {
+            rng: SmallRng::seed_from_u64(seed),
+            instances: 0,
+        };
+        let mean_ms = u64::try_from(self.every.as_millis()).unwrap_or(u64::MAX);
+        let [least_ms, most_ms] = self.pauses_percent.map(|percent| mean_ms * percent / 100);
+        let mut steps = Vec::new();
+        let mut at = LEAD + drawn.millis(0, mean_ms);
+        while at < length {
+            steps.push(Step {
+                at,
+                length: drawn.millis(self.lengths_ms[0], self.lengths_ms[1]),
+                fault: fault(&mut drawn.rng),
+            });
+            at += drawn.millis(least_ms, most_ms);
+        }
+        steps
     }
-    steps
 }
 
 /// Draws one step after the other.
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -154,3 +154,8 @@
         }
     }
 }
+
+/// A number of things as reports have it.
+fn count(n: usize) -> u64 {
+    u64::try_from(n).unwrap_or(u64::MAX)
+}
--- a/crates/soak/src/verdict/crashing.rs
+++ b/crates/soak/src/verdict/crashing.rs
@@ -7,6 +7,7 @@
 use sassafrasspool_standin::target::RunEnd;
 use serde::Serialize;
 
+use super::count;
 use crate::callers::CRASHING_PATH;
 
 /// How long nodes have to tell one another of it, in microseconds, from the third crash on
@@ -78,7 +79,3 @@
 fn is_of_it(run: &&LedgerRun) -> bool {
     run.run.path == CRASHING_PATH
 }
-
-fn count(n: usize) -> u64 {
-    u64::try_from(n).unwrap_or(u64::MAX)
-}
--- a/crates/soak/src/verdict/evacuated.rs
+++ b/crates/soak/src/verdict/evacuated.rs
@@ -3,12 +3,13 @@
 use sassafrasspool_bench::chaos::events::Stopped;
 use sassafrasspool_bench::load::LedgerRun;
 use sassafrasspool_core::InstanceId;
-use sassafrasspool_core::Tick;
 use sassafrasspool_core::history::Event;
 use sassafrasspool_core::history::History;
+use sassafrasspool_core::history::Record;
 use serde::Serialize;
 
 use super::Hurt;
+use super::count;
 
 /// How long a request may be on its way from a node to its target, in microseconds.
 const HAND_OVER_US: u64 = 1_000_000;
@@ -64,8 +65,9 @@
         stalled: &[Hurt],
     ) -> Evacuated {
         let mut judged = Evacuated::default();
+        let records = history.in_order();
         for evacuee in evacuees {
-            let windows = windows(evacuee, catalogues, history, kills);
+            let windows = windows(evacuee, catalogues, &records, kills);
             judged.evacuations += count(windows.len());
             let begun = runs.iter().filter(|run| run.instance == evacuee.instance);
             let begun = begun.filter(|run| run.run.began());
@@ -100,7 +102,7 @@
 fn windows(
     evacuee: Evacuee<'_>,
     catalogues: &[PublishedCatalogue],
-    history: &History,
+    records: &[&Record],
     kills: &[Stopped],
 ) -> Vec<Window> {
     let ends = kills.iter().filter(|it| it.instance == evacuee.instance);
@@ -109,7 +111,7 @@
         later.min().unwrap_or(u64::MAX)
     };
     let mut windows: Vec<Window> = Vec::new();
-    for record in history.in_order() {
+    for record in records {
         let Event::InForce { node, held } = &record.event else {
             continue;
         };
@@ -120,8 +122,7 @@
         let Some(until_us) = evacuated_until(evacuee.domain, catalogues, revision) else {
             continue;
         };
-        let from_us = u64::try_from(record.at.since(Tick::ZERO).as_micros());
-        let from_us = from_us.unwrap_or(u64::MAX);
+        let from_us = record.at.as_micros();
         // The next start of its process has to hear of it first.
         let to_us = until_us.min(next_end_us(from_us));
         match windows.last_mut() {
@@ -144,7 +145,3 @@
     let withdrawn = later.find(|it| !evacuates(it));
     Some(withdrawn.map_or(u64::MAX, |it| it.at_us))
 }
-
-fn count(n: usize) -> u64 {
-    u64::try_from(n).unwrap_or(u64::MAX)
-}
