Show that silent connections are noticed late, with two failing tests

A message between nodes over a kept connection that fell silent fails at its limit, though a fresh connection works; a silent connection to the platform is noticed after 3 s.

--- a/crates/wire/src/peer/tests/pool.rs
+++ b/crates/wire/src/peer/tests/pool.rs
@@ -1,12 +1,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use sassafrasspool_core::PeerReply;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
 use tokio::net::TcpListener;
 
+use super::support::Firewall;
 use super::support::Served;
 use super::support::me;
 use super::support::pull;
@@ -120,3 +122,20 @@
         accepted.expect("in time").expect("a fresh connection");
     }
 }
+
+// Guards against a change that spreads late because a kept connection fell silent.
+#[tokio::test]
+async fn message_over_a_silent_connection_is_answered_over_a_fresh_one() {
+    let served = Served::start(PeerLimits::default()).await;
+    let firewall = Firewall::start(served.addr).await;
+    let pool = pool(PeerLimits::default());
+    ask(&pool, firewall.addr).await.expect("an answer");
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    firewall.forget_open();
+    let asked = Instant::now();
+    ask(&pool, firewall.addr).await.expect("an answer");
+    assert!(asked.elapsed() < LIMIT / 2, "after {:?}", asked.elapsed());
+    ask(&pool, firewall.addr).await.expect("an answer");
+    assert_eq!(firewall.opened(), 2);
+    assert_eq!(pool.held(), 1);
+}
--- a/crates/wire/src/peer/tests/support.rs
+++ b/crates/wire/src/peer/tests/support.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Heads;
@@ -12,6 +14,8 @@
 use sassafrasspool_core::Pull;
 use sassafrasspool_core::Stream;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::SocketBytes;
@@ -106,3 +110,57 @@
     }
     panic!("it didn't come true within ten seconds");
 }
+
+/// A way to a server whose open connections can fall silent for good, as behind a
+/// firewall that has forgotten them, while new ones work.
+#[derive(Debug)]
+pub(super) struct Firewall {
+    pub(super) addr: SocketAddr,
+    /// Connections up to this number carry nothing any more.
+    forgotten: watch::Sender<usize>,
+    opened: Arc<AtomicUsize>,
+}
+
+impl Firewall {
+    pub(super) async fn start(to: SocketAddr) -> Firewall {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let addr = listener.local_addr().expect("its address");
+        let (forgotten, rx) = watch::channel(0);
+        let opened = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&opened);
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let number = count.fetch_add(1, Ordering::SeqCst) + 1;
+                tokio::spawn(carry(near, to, number, rx.clone()));
+            }
+        });
+        Firewall {
+            addr,
+            forgotten,
+            opened,
+        }
+    }
+
+    /// Lets the connections that are open now fall silent.
+    pub(super) fn forget_open(&self) {
+        self.forgotten.send_replace(self.opened());
+    }
+
+    /// How many connections were opened so far.
+    pub(super) fn opened(&self) -> usize {
+        self.opened.load(Ordering::SeqCst)
+    }
+}
+
+async fn carry(mut near: TcpStream, to: SocketAddr, number: usize, mut rx: watch::Receiver<usize>) {
+    let mut far = TcpStream::connect(to).await.expect("a server");
+    let forgotten = async { rx.wait_for(|upto| number <= *upto).await.is_ok() };
+    let is_forgotten = tokio::select! {
+        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => false,
+        is_forgotten = forgotten => is_forgotten,
+    };
+    if is_forgotten {
+        // Both ends stay open.
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/wire/src/socket/keep_alive.rs
+++ b/crates/wire/src/socket/keep_alive.rs
@@ -7,6 +7,9 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
+#[cfg(test)]
+mod tests;
+
 /// How long a connection is silent before it is probed. Promises are kept
 /// within two seconds at the least; a dead connection must show in less.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
