Send messages between nodes over a fresh connection if a kept one is silent

Cause: a message over a kept connection that has fallen silent used up its whole limit (0.5 s) and failed. A failed announcement isn't repeated, its receiver isn't picked for 5 s, and nodes that were left out found the change by comparing, over silent connections again. Class: one dead connection taken for a dead peer.

Mended: if a kept connection has carried no answer for a second, and none comes within a quarter of the limit, the message goes over a fresh connection as well, and the first answer counts. Messages between nodes are idempotent.

--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
@@ -107,6 +108,8 @@
     pub(super) cut_off: Vec<u32>,
     /// Nodes that the platform turns away.
     pub(super) turned_away: Vec<usize>,
+    /// The pairs of nodes with a connection that was opened since the others fell silent.
+    fresh: Option<BTreeSet<(usize, usize)>>,
     pub(super) loss_percent: u32,
     pub(super) double_percent: u32,
     pub(super) naive: bool,
@@ -147,6 +150,7 @@
             group: vec![0; n],
             cut_off: Vec::new(),
             turned_away: Vec::new(),
+            fresh: None,
             loss_percent: 0,
             double_percent: 0,
             naive: false,
--- a/crates/core/src/spread/tests/net/carry.rs
+++ b/crates/core/src/spread/tests/net/carry.rs
@@ -1,5 +1,6 @@
 //! Carrying messages and reads, with what goes wrong on the way.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Due;
@@ -16,6 +17,12 @@
 /// How long a node's client waits for an answer beyond the time of a watch.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// When a watch on a connection that fell silent fails, as the nodes' probes show it.
+const SILENCE_NOTICED: Duration = Duration::from_secs(2);
+
+/// When a message that was sent on a silent connection is sent on a fresh one.
+const SENT_AFRESH: Duration = Duration::from_millis(125);
+
 impl Net {
     pub(super) fn send(&mut self, from: usize, call: Call) {
         *self.messages.entry(call.message.kind()).or_default() += 1;
@@ -41,6 +48,11 @@
             );
             return;
         }
+        let fresh = self.fresh.as_mut();
+        let afresh = match fresh.is_some_and(|fresh| fresh.insert((from, to))) {
+            true => SENT_AFRESH,
+            false => Duration::ZERO,
+        };
         let copies = 1 + usize::from(self.drawn(self.double_percent));
         let receiver = self.nodes[to].as_ref().unwrap().generation;
         for _ in 0..copies {
@@ -50,11 +62,28 @@
                 generation,
                 message: call.message.clone(),
             };
-            let at = self.now + self.delay();
+            let at = self.now + afresh + self.delay();
             self.push(at, to, receiver, Due::Arrive(Box::new(arrival)));
         }
     }
 
+    /// Lets all connections that are open now fall silent, while new ones work.
+    pub(in crate::spread::tests) fn silence_connections(&mut self) {
+        self.fresh = Some(BTreeSet::new());
+        let watches = self
+            .due
+            .iter()
+            .filter_map(|(key, (n, generation, due))| match due {
+                Due::Watch { stream, .. } => Some((*key, *n, *generation, *stream)),
+                Due::Wake(_) | Due::Arrive(_) => None,
+            });
+        let watches: Vec<_> = watches.collect();
+        for (key, n, generation, stream) in watches {
+            self.due.remove(&key);
+            self.fail_read(n, generation, stream, SILENCE_NOTICED);
+        }
+    }
+
     pub(super) fn read(
         &mut self,
         n: usize,
@@ -93,11 +122,15 @@
 
     /// Has a node wait in vain for an answer that may take `wait`.
     pub(super) fn give_up(&mut self, n: usize, generation: u32, stream: Stream, wait: Duration) {
+        self.fail_read(n, generation, stream, wait + ANSWER_LIMIT);
+    }
+
+    fn fail_read(&mut self, n: usize, generation: u32, stream: Stream, after: Duration) {
         let result = crate::SourceResult::Failed {
             reason: "no answer".to_owned(),
         };
         let arrival = Arrival::Event(Event::SourceRead { stream, result });
-        let at = self.now + wait + ANSWER_LIMIT;
+        let at = self.now + after;
         self.push(at, n, generation, Due::Arrive(Box::new(arrival)));
     }
 
--- a/crates/core/src/spread/tests/silence.rs
+++ b/crates/core/src/spread/tests/silence.rs
@@ -114,3 +114,27 @@
     net.publish(3, &good(3));
     net.run_until(IN_FORCE, |net| net.all_at(3));
 }
+
+// Guards against changes that are missed on connections which fell silent while new ones work.
+#[rstest]
+fn changes_over_silent_connections_are_in_force_in_time(
+    #[values(3, 14, 79, 195)] nodes: usize,
+    #[values(1, 2, 3)] seed: u64,
+    #[values(10, 500, 990)] change_after_ms: u64,
+) {
+    let change_after = Duration::from_millis(change_after_ms);
+    let mut net = joined_net_with(nodes, seed, few_reads());
+    net.run_for(Duration::from_secs(15));
+    net.silence_connections();
+    net.run_for(change_after);
+    let mut leaving = net.platform.newest_list();
+    leaving[1].state = InstanceState::Leaving;
+    net.list(leaving);
+    net.publish(2, &good(2));
+    let newest = (2, net.platform.lists());
+    net.run_until(IN_TOUCH - change_after, |net| {
+        let holds = |node: &Node| node.applied.last() == Some(&newest);
+        net.up().all(holds)
+    });
+    net.assert_no_step_back();
+}
--- a/crates/wire/src/peer/pool.rs
+++ b/crates/wire/src/peer/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,6 +10,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::FutureExt;
+use futures::TryFutureExt;
+use futures::future::select_ok;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use sassafrasspool_core::Error;
@@ -25,6 +29,14 @@
 use super::PeerLimits;
 use crate::SocketBytes;
 
+/// How long after an answer a kept connection is trusted to carry the next message.
+const TRUSTED_FOR: Duration = Duration::from_secs(1);
+
+/// The part of a message's limit after which it is sent over a fresh connection as well,
+/// if the kept one isn't trusted. A change takes up to eight messages, one after the
+/// other, to reach a fleet, and all of them may meet connections that fell silent.
+const FRESH_AFTER_DIVISOR: u32 = 4;
+
 /// Open connections by address, of which the least recently used go first.
 ///
 /// # Invariants
@@ -58,6 +70,8 @@
     /// Counts the connections opened, so that a caller whose connection broke
     /// doesn't close the one that another caller has opened since.
     opened: u64,
+    /// When the last message over the open connection was answered.
+    answered: Option<Instant>,
     backoff: Backoff,
     closed_until: Option<Instant>,
 }
@@ -67,6 +81,27 @@
 struct Opened {
     connection: PeerConnection,
     number: u64,
+    kept: Kept,
+}
+
+/// Whether a connection was open before, and how far it is trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kept {
+    /// It was opened for this message.
+    Fresh,
+    /// It carried an answer within [`TRUSTED_FOR`].
+    Trusted,
+    /// It may have fallen silent unseen.
+    Doubted,
+}
+
+impl Kept {
+    fn since(answered: Option<Instant>) -> Kept {
+        match answered {
+            Some(at) if at.elapsed() < TRUSTED_FOR => Kept::Trusted,
+            _ => Kept::Doubted,
+        }
+    }
 }
 
 /// What is sent.
@@ -101,9 +136,10 @@
 
     /// Sends a message over a connection that is open or is opened now.
     ///
-    /// A kept connection may have ended unseen, as when its peer restarted;
-    /// the message is then sent once more over a fresh one. Nodes' messages
-    /// are idempotent, so that it doesn't matter whether the first arrived.
+    /// A kept connection may have ended unseen, as when its peer restarted, or fallen
+    /// silent without a reset; the message is then sent once more over a fresh one.
+    /// Nodes' messages are idempotent, so that it doesn't matter whether the first
+    /// arrived.
     ///
     /// # Errors
     ///
@@ -121,7 +157,7 @@
             message,
             limit,
         };
-        let tries = self.try_twice(addr, ask);
+        let tries = self.ask(addr, ask);
         match tokio::time::timeout(limit, tries).await {
             Ok(result) => result,
             Err(_) => {
@@ -137,25 +173,45 @@
         self.lock().slots.len()
     }
 
-    async fn try_twice(&self, addr: SocketAddr, ask: Ask<'_>) -> Result<PeerReply> {
+    async fn ask(&self, addr: SocketAddr, ask: Ask<'_>) -> Result<PeerReply> {
         let link = self.link(addr);
-        let mut fresh_at = link.lock().await.opened;
-        loop {
-            let opened = self.open(addr, &link).await?;
-            let was_kept = opened.number == fresh_at;
-            let result = ask.over(&opened.connection).await;
-            let failure = match result {
-                Ok(reply) => return Ok(reply),
-                Err(failure) => failure,
-            };
-            forget(&link, opened.number).await;
-            if !(failure.closed && was_kept) {
-                return Err(failure.error);
+        let opened = self.open(addr, &link).await?;
+        let number = opened.number;
+        let patience = match opened.kept {
+            Kept::Doubted => ask.limit / FRESH_AFTER_DIVISOR,
+            Kept::Fresh | Kept::Trusted => ask.limit,
+        };
+        let mut asked = pin!(over(&link, &opened, ask));
+        match tokio::time::timeout(patience, asked.as_mut()).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(failure)) if failure.closed && opened.kept != Kept::Fresh => {
+                self.ask_afresh(addr, &link, number, ask).await
+            }
+            Ok(Err(failure)) => Err(failure.error),
+            Err(_) => {
+                // A peer that is only slow may still answer over the kept one.
+                let late = asked.map_err(|failure| failure.error).boxed();
+                let afresh = self.ask_afresh(addr, &link, number, ask).boxed();
+                let (reply, _) = select_ok([late, afresh]).await?;
+                Ok(reply)
             }
-            fresh_at = u64::MAX;
         }
     }
 
+    /// Asks over a connection that is opened after connection number `number`.
+    async fn ask_afresh(
+        &self,
+        addr: SocketAddr,
+        link: &AsyncMutex<Link>,
+        number: u64,
+        ask: Ask<'_>,
+    ) -> Result<PeerReply> {
+        forget(link, number).await;
+        let opened = self.open(addr, link).await?;
+        let asked = over(link, &opened, ask).await;
+        asked.map_err(|failure| failure.error)
+    }
+
     /// What is held for `addr`, which counts as used now.
     fn link(&self, addr: SocketAddr) -> Arc<AsyncMutex<Link>> {
         let mut held = self.lock();
@@ -169,6 +225,7 @@
             shared: Arc::new(AsyncMutex::new(Link {
                 open: None,
                 opened: 0,
+                answered: None,
                 backoff: self.backoff(),
                 closed_until: None,
             })),
@@ -180,8 +237,11 @@
     async fn open(&self, addr: SocketAddr, link: &AsyncMutex<Link>) -> Result<Opened> {
         let mut link = link.lock().await;
         if let Some(connection) = link.open.clone() {
-            let number = link.opened;
-            return Ok(Opened { connection, number });
+            return Ok(Opened {
+                connection,
+                number: link.opened,
+                kept: Kept::since(link.answered),
+            });
         }
         if link
             .closed_until
@@ -195,10 +255,14 @@
             Ok(connection) => {
                 link.opened += 1;
                 link.open = Some(connection.clone());
+                link.answered = None;
                 link.backoff = self.backoff();
                 link.closed_until = None;
-                let number = link.opened;
-                Ok(Opened { connection, number })
+                Ok(Opened {
+                    connection,
+                    number: link.opened,
+                    kept: Kept::Fresh,
+                })
             }
             Err(err) => {
                 let wait = link.backoff.fail(&mut self.lock().rng);
@@ -236,6 +300,30 @@
     }
 }
 
+/// Asks over a connection of a link; one that fails is closed.
+async fn over(
+    link: &AsyncMutex<Link>,
+    opened: &Opened,
+    ask: Ask<'_>,
+) -> Result<PeerReply, ExchangeError> {
+    let result = ask.over(&opened.connection).await;
+    match result {
+        Ok(_) => note_answer(link, opened.number),
+        Err(_) => forget(link, opened.number).await,
+    }
+    result
+}
+
+/// Notes that connection number `number` of a link carried an answer, which must not wait
+/// for another that is being opened.
+fn note_answer(link: &AsyncMutex<Link>, number: u64) {
+    if let Ok(mut link) = link.try_lock()
+        && link.opened == number
+    {
+        link.answered = Some(Instant::now());
+    }
+}
+
 /// Closes connection number `number` of a link, if it is still that one.
 async fn forget(link: &AsyncMutex<Link>, number: u64) {
     let mut link = link.lock().await;
