Keep requests at peers that stall, and read answers to probes after a stall of one's own

Cause: a connection between nodes is dropped if the answer to a probe takes longer than 0.7 s. A node short of processor answers late, though it lives and its system has acknowledged the probe; all requests on the connection are lost with it. And a node that is itself short of processor finds the timer of the probe due and the answer unread: the HTTP/2 library looks at the timer first.

Mended: bytes that stay unacknowledged for 1 s end the connection (loss of power, cuts, connections that fell silent), probes may be answered within 2 s, and a timer that fires late gives 0.2 s to read what arrived meanwhile.

a_request_at_a_peer_that_stalls_is_answered (nearly_two_seconds) and a_request_on_a_node_that_stalls_is_answered failed before, with KeepAliveTimedOut.

--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -57,9 +57,14 @@
 /// silent, takes all that is sent there until it is noticed.
 pub(super) const PING_INTERVAL: Duration = Duration::from_millis(300);
 
-/// How long the answer to a probe may take before the connection is dropped. A
-/// packet that is lost twice is there within 0.6 s.
-pub(super) const PING_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long bytes to another node may stay unacknowledged before the connection is
+/// dropped. A packet that is lost twice is there within 0.6 s.
+pub(super) const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
+
+/// How long the answer to a probe may take before the connection is dropped. The system
+/// acknowledges the probe for a node that is short of processor, whose requests would be
+/// lost with the connection.
+pub(super) const PING_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How long a stopping node still refuses before it closes idle connections.
 /// A caller that just sent a request on one would otherwise see it closed and
--- a/crates/node/src/traffic/peer.rs
+++ b/crates/node/src/traffic/peer.rs
@@ -2,6 +2,7 @@
 
 mod link;
 mod links;
+mod stall_timer;
 #[cfg(test)]
 mod tests;
 
--- a/crates/node/src/traffic/peer/link.rs
+++ b/crates/node/src/traffic/peer/link.rs
@@ -11,13 +11,15 @@
 use hyper::client::conn::http2;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use metrics::counter;
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::error_chain;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use super::stall_timer::StallTimer;
 use crate::metrics::traffic;
 use crate::reach::Reach;
 use crate::traffic::bounds::CONNECT_TIMEOUT;
@@ -26,6 +28,7 @@
 use crate::traffic::bounds::PING_INTERVAL;
 use crate::traffic::bounds::PING_TIMEOUT;
 use crate::traffic::bounds::STREAM_WINDOW;
+use crate::traffic::bounds::UNACKNOWLEDGED;
 use crate::traffic::payload::Payload;
 
 type Sender = http2::SendRequest<Payload>;
@@ -76,8 +79,11 @@
         };
         sender.try_send_request(req).await.map_err(|mut failed| {
             let message = failed.take_message();
-            let error = self.error("the exchange failed");
-            let error = error.with_cause(failed.into_error());
+            let cause = failed.into_error();
+            if sender.is_closed() {
+                self.reach.missed(self.addr, error_chain(&cause));
+            }
+            let error = self.error("the exchange failed").with_cause(cause);
             match message {
                 Some(req) => LinkFailure::NotSent(error, Box::new(req)),
                 None => LinkFailure::Sent(error),
@@ -125,11 +131,13 @@
         let stream = TcpStream::connect(self.addr)
             .await
             .map_err(|e| self.error("cannot connect").with_cause(e))?;
-        stream
-            .set_nodelay(true)
+        let socket = SockRef::from(&stream);
+        socket
+            .set_tcp_nodelay(true)
+            .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)))
             .map_err(|e| self.error("cannot connect").with_cause(e))?;
         let handshake = http2::Builder::new(TokioExecutor::new())
-            .timer(TokioTimer::new())
+            .timer(StallTimer)
             .initial_stream_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
             .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX))
--- a/crates/wire/src/chain.rs
+++ b/crates/wire/src/chain.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 
 /// An error's text with those of all errors behind it, each once.
-pub(crate) fn error_chain(err: &(dyn Error + 'static)) -> String {
+pub fn error_chain(err: &(dyn Error + 'static)) -> String {
     let mut text = err.to_string();
     let mut next = err.source();
     while let Some(cause) = next {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod socket;
 mod unfold;
 
+pub use crate::chain::error_chain;
 pub use crate::socket::Counted;
 pub use crate::socket::SocketBytes;
 pub use crate::socket::Tap;
