Let targets turn cold in the soak, and judge what they begin

Once the evacuation of its failure domain has ended, a target is cold for 3 s. From when a node is seen to have the end in force until the target may be warm, it may begin 30 requests within any second, which is what the node is set up with (1.5 times 20).

--- a/crates/bench/src/chaos/catalogue.rs
+++ b/crates/bench/src/chaos/catalogue.rs
@@ -63,6 +63,11 @@
 
 /// The `change`th text of the catalogue, which differs in a limit.
 pub fn text(change: u64) -> String {
+    text_with(change, "")
+}
+
+/// The same with one more line for each service, or none if it is empty.
+pub fn text_with(change: u64, line: &str) -> String {
     let mut text = String::from("kinds:\n");
     for kind in &KINDS {
         let CallKind { name, weight, .. } = kind;
@@ -74,6 +79,9 @@
         text += &format!("  {service}:\n    owner: team-{i}\n    class: standard\n");
         text +=
             &format!("    limits: {{rate_per_s: {rate}, concurrency: 50, deadline_ms: 2000}}\n");
+        if !line.is_empty() {
+            text += &format!("    {line}\n");
+        }
         text += "    routes:\n";
         for kind in KINDS.iter().filter(|kind| service_of(kind) == i) {
             text += &route(kind);
--- a/crates/soak/src/driver/operators.rs
+++ b/crates/soak/src/driver/operators.rs
@@ -1,6 +1,6 @@
 //! What operators and the platform publish in a run.
 
-use sassafrasspool_bench::chaos::catalogue;
+use sassafrasspool_bench::chaos;
 use sassafrasspool_bench::chaos::log::Log;
 use sassafrasspool_bench::chaos::log::now_us;
 use sassafrasspool_bench::chaos::published;
@@ -10,6 +10,7 @@
 use sassafrasspool_core::history::Event;
 use tokio::sync::Mutex;
 
+use crate::catalogue;
 use crate::fleet::Fleet;
 use crate::standin::StandIn;
 use crate::verdict::PublishedCatalogue;
@@ -33,7 +34,7 @@
 
 impl Operators {
     pub(super) fn new(list: Vec<Instance>, log: &Log) -> miette::Result<Operators> {
-        log.record(published::good_catalogue(1, &catalogue::text(0))?);
+        log.record(published::good_catalogue(1, &catalogue::text(0, &[]))?);
         log.record(published::good_list(1, &list)?);
         let all = list.into_iter().map(|it| (it, Some(InstanceState::Live)));
         Ok(Operators(Mutex::new(Published {
@@ -62,7 +63,7 @@
             return published.publish_good(platform, log).await;
         }
         published.catalogue += 1;
-        let text = catalogue::bad_text(published.changes);
+        let text = chaos::catalogue::bad_text(published.changes);
         let version = published::catalogue_of(published.catalogue, &text)?.version();
         let stream = Stream::Catalogue;
         log.record(Event::PublishedBad { stream, version });
@@ -125,10 +126,7 @@
         let mut evacuated = self.evacuated.clone();
         evacuated.sort_unstable();
         evacuated.dedup();
-        let mut text = catalogue::text(self.changes);
-        if !evacuated.is_empty() {
-            text += &format!("evacuated: [{}]\n", evacuated.join(", "));
-        }
+        let text = catalogue::text(self.changes, &evacuated);
         log.record(published::good_catalogue(self.catalogue, &text)?);
         self.bound.push(PublishedCatalogue {
             revision: self.catalogue,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -7,7 +7,6 @@
 
 use miette::IntoDiagnostic;
 use miette::miette;
-use sassafrasspool_bench::chaos::catalogue;
 use sassafrasspool_bench::load::LedgerRun;
 use sassafrasspool_bench::load::Ports;
 use sassafrasspool_bench::load::admin;
@@ -17,6 +16,7 @@
 use tokio::time::Instant;
 
 use self::maker::Maker;
+use crate::catalogue;
 use crate::standin::StandIn;
 
 pub use self::member::Member;
@@ -104,7 +104,9 @@
     async fn publish(&self) -> miette::Result<()> {
         let list: Vec<Instance> = self.members.iter().map(|m| m.instance.clone()).collect();
         let platform = &self.platform;
-        platform.publish("/catalogue", catalogue::text(0)).await?;
+        platform
+            .publish("/catalogue", catalogue::text(0, &[]))
+            .await?;
         platform
             .publish("/instances", Fleet::list_body(&list))
             .await
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 
 pub mod callers;
+pub mod catalogue;
 pub mod child;
 pub mod driver;
 pub mod fleet;
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -19,6 +19,7 @@
 use crate::options::Options;
 use crate::schedule::Schedule;
 
+pub use self::cold::ColdReturns;
 pub use self::crashing::Crashing;
 pub use self::crashing::Hurt;
 pub use self::crashing::crashes;
@@ -26,6 +27,7 @@
 pub use self::evacuated::Evacuee;
 pub use self::evacuated::PublishedCatalogue;
 
+mod cold;
 mod crashing;
 mod evacuated;
 #[cfg(test)]
@@ -62,23 +64,34 @@
 }
 
 impl Seen<'_> {
-    fn evacuated(&self) -> Evacuated {
+    fn evacuated(&self) -> (Evacuated, ColdReturns) {
         let (history, _) = self.log.copy();
-        let instances = self.names.iter().zip(self.domains).enumerate();
-        let evacuees = instances.map(|(instance, (id, domain))| Evacuee {
-            instance,
-            id,
-            domain,
-        });
+        let evacuees = || {
+            let instances = self.names.iter().zip(self.domains).enumerate();
+            instances.map(|(instance, (id, domain))| Evacuee {
+                instance,
+                id,
+                domain,
+            })
+        };
         let ends = [self.kills, self.stops].concat();
-        Evacuated::judge(
-            evacuees,
+        let evacuated = Evacuated::judge(
+            evacuees(),
             self.catalogues,
             &history,
             self.runs,
             &ends,
             self.stalled,
-        )
+        );
+        let cold = ColdReturns::judge(
+            evacuees(),
+            self.catalogues,
+            &history,
+            self.runs,
+            &ends,
+            self.stalled,
+        );
+        (evacuated, cold)
     }
 }
 
@@ -105,6 +118,9 @@
     /// What became of evacuations.
     #[serde(flatten)]
     pub evacuated: Evacuated,
+    /// What became of targets that turned cold.
+    #[serde(flatten)]
+    pub cold: ColdReturns,
     /// Broken promises of the history by their names.
     pub violations: BTreeMap<&'static str, u64>,
     /// The first broken promises in words, with the ids of the requests.
@@ -135,9 +151,12 @@
         let told = faults.chain(found.iter().map(ToString::to_string));
         let verdict = evidence.verdict();
         let crashing = Crashing::judge(seen.records, seen.runs, seen.hurt);
-        let evacuated = seen.evacuated();
-        let kept =
-            !verdict.has_fault() && found.is_empty() && crashing.is_kept() && evacuated.is_kept();
+        let (evacuated, cold) = seen.evacuated();
+        let kept = !verdict.has_fault()
+            && found.is_empty()
+            && crashing.is_kept()
+            && evacuated.is_kept()
+            && cold.is_kept();
         Report {
             seed: opts.seed,
             nodes: opts.nodes,
@@ -147,6 +166,7 @@
             rude: seen.rude,
             crashing,
             evacuated,
+            cold,
             violations: by_promise(&found),
             told: told.take(TOLD).collect(),
             schedule: schedule.steps.iter().map(ToString::to_string).collect(),
--- /dev/null
+++ b/crates/soak/src/verdict/cold.rs
@@ -0,0 +1,141 @@
+//! Whether targets that turned cold got no more than they tolerate.
+
+use sassafrasspool_bench::chaos::events::Stopped;
+use sassafrasspool_bench::load::LedgerRun;
+use sassafrasspool_core::history::Event;
+use sassafrasspool_core::history::History;
+use serde::Serialize;
+
+use super::Evacuee;
+use super::Hurt;
+use super::PublishedCatalogue;
+use super::count;
+use crate::catalogue::COLD_FOR;
+use crate::catalogue::COLD_MOST_PER_S;
+
+/// The span over which what a cold target gets is bounded, in microseconds.
+const SECOND_US: u64 = 1_000_000;
+
+/// [`COLD_FOR`] in microseconds.
+const COLD_FOR_US: u64 = COLD_FOR.as_secs() * SECOND_US;
+
+/// What became of targets that turned cold as an evacuation ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct ColdReturns {
+    /// How often a node was seen to have the end of its own evacuation in force while its
+    /// target was cold.
+    pub cold_returns: u64,
+    /// Requests that cold targets began beyond what they tolerate within a second.
+    pub begun_too_cold: u64,
+}
+
+/// While a target is cold for sure, in microseconds since the Unix epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Window {
+    from_us: u64,
+    to_us: u64,
+}
+
+impl ColdReturns {
+    /// Judges what targets began from when the node beside them was seen to have the end of
+    /// an evacuation in force until they may be warm. A process that starts meanwhile may
+    /// not know of the evacuation.
+    pub fn judge<'a>(
+        evacuees: impl Iterator<Item = Evacuee<'a>>,
+        catalogues: &[PublishedCatalogue],
+        history: &History,
+        runs: &[LedgerRun],
+        ends: &[Stopped],
+        stalled: &[Hurt],
+    ) -> ColdReturns {
+        let mut judged = ColdReturns::default();
+        for evacuee in evacuees {
+            let windows = windows(evacuee, catalogues, history, ends);
+            judged.cold_returns += count(windows.len());
+            let of_it = runs.iter().filter(|run| run.instance == evacuee.instance);
+            let begun = of_it.filter(|run| run.run.began());
+            let mut begun: Vec<u64> = begun.map(|run| run.run.started_us).collect();
+            begun.sort_unstable();
+            let held_up = |from_us: u64| {
+                stalled.iter().any(|stall| {
+                    stall.instance == evacuee.instance
+                        && stall.from_us <= from_us + SECOND_US
+                        && from_us <= stall.to_us.saturating_add(SECOND_US)
+                })
+            };
+            for window in windows {
+                let excess = window.excess(&begun, held_up);
+                judged.begun_too_cold += count(excess);
+            }
+        }
+        judged
+    }
+
+    /// Whether none got more.
+    pub fn is_kept(&self) -> bool {
+        self.begun_too_cold == 0
+    }
+}
+
+impl Window {
+    /// Requests beyond the limit within the worst second, of those that began at the sorted
+    /// times `begun`. A second in which what was sent earlier was held up counts for nothing.
+    fn excess(self, begun: &[u64], held_up: impl Fn(u64) -> bool) -> usize {
+        let inside = begun
+            .iter()
+            .filter(|at| (self.from_us..self.to_us).contains(*at));
+        let inside: Vec<u64> = inside.copied().collect();
+        let excess = inside.iter().enumerate().map(|(first, from_us)| {
+            let within = inside[first..].partition_point(|at| *at < from_us + SECOND_US);
+            match held_up(*from_us) {
+                true => 0,
+                false => within.saturating_sub(COLD_MOST_PER_S),
+            }
+        });
+        excess.max().unwrap_or(0)
+    }
+}
+
+/// While an instance's target is cold for sure, since one process beside it held both an
+/// evacuation of its failure domain and the end of that.
+fn windows(
+    evacuee: Evacuee<'_>,
+    catalogues: &[PublishedCatalogue],
+    history: &History,
+    ends: &[Stopped],
+) -> Vec<Window> {
+    let ends = ends.iter().filter(|it| it.instance == evacuee.instance);
+    let next_end_us = |at_us: u64| {
+        let later = ends.clone().map(|it| it.at_us).filter(|it| *it >= at_us);
+        later.min().unwrap_or(u64::MAX)
+    };
+    let mut windows = Vec::new();
+    let mut evacuated_us = None;
+    for record in history.in_order() {
+        let Event::InForce { node, held } = &record.event else {
+            continue;
+        };
+        let revision = held.catalogue.revision().get();
+        let published = catalogues.iter().find(|it| it.revision == revision);
+        let Some(published) = published.filter(|_| node == evacuee.id) else {
+            continue;
+        };
+        let at_us = record.at.as_micros();
+        if published.evacuated.contains(&evacuee.domain) {
+            evacuated_us = Some(at_us);
+            continue;
+        }
+        let Some(evacuated_us) = evacuated_us.take() else {
+            continue;
+        };
+        let cold_until_us = published.at_us + COLD_FOR_US;
+        let window = Window {
+            from_us: at_us,
+            to_us: cold_until_us.min(next_end_us(evacuated_us)),
+        };
+        if window.from_us < window.to_us {
+            windows.push(window);
+        }
+    }
+    windows
+}
--- a/crates/soak/src/verdict/tests.rs
+++ b/crates/soak/src/verdict/tests.rs
@@ -18,6 +18,7 @@
 use sassafrasspool_standin::target::Run;
 use sassafrasspool_standin::target::RunEnd;
 
+use super::ColdReturns;
 use super::Crashing;
 use super::Evacuated;
 use super::Evacuee;
@@ -330,3 +331,86 @@
     let judged = Evacuated::judge(evacuees, &catalogues, &history, &runs, &kills, case.stalled);
     assert_eq!(judged.is_kept(), case.kept, "{judged:?}: {case:?}");
 }
+
+/// Requests that a target begins evenly from a time on, in milliseconds, after what happened
+/// at the node beside it.
+#[derive(Debug)]
+struct BegunCold {
+    in_force: Vec<(u64, Event)>,
+    from_ms: u64,
+    every_ms: u64,
+    /// When the node's process is killed, in seconds.
+    killed_s: Option<u64>,
+    stalled: &'static [Hurt],
+    excess: u64,
+}
+
+fn begun_cold(from_ms: u64, every_ms: u64, excess: u64) -> BegunCold {
+    BegunCold {
+        in_force: vec![in_force(10, 2), in_force(20, 4)],
+        from_ms,
+        every_ms,
+        killed_s: None,
+        stalled: &[],
+        excess,
+    }
+}
+
+/// Guards against a judge that misses what cold targets get, or finds too much where it is
+/// allowed. The second catalogue evacuates the failure domain from 10 s on, the fourth takes
+/// it back at 20 s, and 40 requests begin.
+#[rstest]
+#[case::as_much_as_it_tolerates(begun_cold(20_500, 34, 0))]
+#[case::at_once(begun_cold(20_500, 1, 10))]
+#[case::over_more_than_a_second(begun_cold(20_500, 30, 4))]
+#[case::before_it_is_seen(begun_cold(19_100, 10, 0))]
+#[case::when_it_may_be_warm(begun_cold(23_000, 1, 0))]
+#[case::never_evacuated(BegunCold {
+    in_force: vec![in_force(1, 1), in_force(20, 4)],
+    ..begun_cold(20_500, 1, 0)
+})]
+#[case::restarted_meanwhile(BegunCold {
+    killed_s: Some(15),
+    ..begun_cold(20_500, 1, 0)
+})]
+#[case::held_up(BegunCold {
+    stalled: &[Hurt { instance: 0, from_us: 19_000_000, to_us: 20_300_000 }],
+    ..begun_cold(20_500, 1, 0)
+})]
+fn work_beyond_what_a_cold_target_tolerates_breaks_a_promise(#[case] case: BegunCold) {
+    let log = Log::default();
+    for (at_s, event) in &case.in_force {
+        log.record_at(1_000_000 * at_s, event.clone());
+    }
+    let catalogue = |revision, at_s: u64, evacuated: &[&'static str]| PublishedCatalogue {
+        revision,
+        at_us: 1_000_000 * at_s,
+        evacuated: evacuated.to_vec(),
+    };
+    let catalogues = [
+        catalogue(1, 0, &[]),
+        catalogue(2, 10, &["north"]),
+        catalogue(4, 20, &[]),
+    ];
+    let runs = (0..40).map(|n| {
+        let mut run = run(0, 0);
+        run.run.started_us = 1_000 * (case.from_ms + n * case.every_ms);
+        run
+    });
+    let runs: Vec<LedgerRun> = runs.collect();
+    let id = name(0);
+    let evacuee = Evacuee {
+        instance: 0,
+        id: &id,
+        domain: "north",
+    };
+    let (history, _) = log.copy();
+    let ends = case.killed_s.map(|at_s| Stopped {
+        instance: 0,
+        at_us: 1_000_000 * at_s,
+    });
+    let ends = Vec::from_iter(ends);
+    let evacuees = std::iter::once(evacuee);
+    let judged = ColdReturns::judge(evacuees, &catalogues, &history, &runs, &ends, case.stalled);
+    assert_eq!(judged.begun_too_cold, case.excess, "{judged:?}: {case:?}");
+}
