--- a/crates/core/src/spread/tests/basics.rs
+++ b/crates/core/src/spread/tests/basics.rs
@@ -38,9 +38,7 @@
     }
 }
 
-// A fifth of the instances has died and is still listed. The successors of
-// some nodes are among them; whoever comes next takes their place, and nobody
-// has to wait for the next comparison.
+/// Guards against news that end at a successor that has died.
 #[test]
 fn dead_successors_are_stepped_over() {
     let mut net = joined_net(60, 6);
@@ -65,9 +63,7 @@
     assert!(net.all_at(1));
 }
 
-// A fleet starts while the platform's list, which lags, names none of it. Each
-// node must be ready soon, although it knows nobody, and must find the others
-// soon after the list has caught up.
+/// Guards against a starting fleet that waits for a lagging list.
 #[test]
 fn nodes_that_nobody_lists_yet_join_and_find_each_other() {
     let mut net = Net::idle(6, 12, SpreadConfig::default());
@@ -113,10 +109,7 @@
     assert!(net.platform.reads.len() >= 20 * 4);
 }
 
-// The targets of some instances drain, or have crashed, while their nodes go on
-// to serve callers there. An operator changes the catalogue. Each of these
-// nodes has the change in force as soon as the others; ranked nowhere and
-// unlisted, they heard of it by chance, and routed by the old one for seconds.
+/// Guards against nodes beside drained or crashed targets that route by old versions.
 #[rstest]
 #[case::leaving(|list: &mut Vec<Instance>| list.iter_mut().take(6).for_each(|it| it.state = InstanceState::Leaving))]
 #[case::unlisted(|list: &mut Vec<Instance>| drop(list.drain(..6)))]
@@ -140,9 +133,7 @@
     assert!(slowest < Duration::from_millis(300), "{slowest:?}");
 }
 
-// Some targets vanish from the list without a word. Their nodes are no longer
-// among the peers of the others, so that nobody told them; they went on handing
-// requests to these targets until they compared themselves with somebody.
+/// Guards against nodes that aren't told that the list dropped them.
 #[test]
 fn unlisted_nodes_hear_of_it_as_soon_as_others() {
     let cfg = SpreadConfig {
--- a/crates/core/src/spread/tests/crashes.rs
+++ b/crates/core/src/spread/tests/crashes.rs
@@ -56,8 +56,7 @@
     (0..net.nodes.len()).all(|n| net.nodes[n].is_none() || holds(net, n, crashing()))
 }
 
-// A lookup crashes three targets, each beside another node and each while it runs another
-// request as well. Wherever it comes next, it must be known, and the others must not be.
+/// Guards against a request that crashes targets and is known at few nodes.
 #[rstest]
 #[case::small(4)]
 #[case::of_today(14)]
@@ -78,8 +77,7 @@
     assert!(all_hold(&net) && innocent(&net));
 }
 
-// More than half of all messages are lost while it becomes known. Nodes that missed it have
-// to know within the time that they have from when messages arrive again.
+/// Guards against reports of crashes that are lost on the way.
 #[test]
 fn a_lost_report_is_found_by_comparing() {
     let mut missed = 0;
@@ -97,9 +95,7 @@
     assert!(missed > 0, "nothing was lost that mattered");
 }
 
-// Nodes are cut from the others while the targets crash, some on either side. Neither side
-// has seen three crashes. Once the cut heals, both have to know within the time that nodes
-// have, whoever compares itself with whom.
+/// Guards against reports of crashes that a partition keeps apart.
 #[test]
 fn both_sides_of_a_cut_know_soon_after_it_healed() {
     for seed in 0..16 {
@@ -117,8 +113,7 @@
     }
 }
 
-// A node is killed and starts again: it knows nothing, and must not serve before it has
-// heard from those that do.
+/// Guards against a restarted node that hands out a quarantined request.
 #[test]
 fn a_node_that_starts_again_knows_before_it_serves() {
     for seed in 0..8 {
@@ -152,8 +147,7 @@
     net.run_until(TOLD_WITHIN, all_hold);
 }
 
-// Three targets fall at once for a reason of their own, under a lookup that all of them run.
-// Another node has seen it answered: its word has to end the quarantine everywhere.
+/// Guards against a harmless request in quarantine, though another node saw it answered.
 #[test]
 fn an_answer_elsewhere_ends_it() {
     let mut net = warned_net(14, 4);
@@ -191,8 +185,7 @@
     net.up().map(|node| node.bytes).max().unwrap_or(0)
 }
 
-// A lookup that all nodes answer all the time falls with three targets at once. All nodes
-// begin to doubt it and all know better: the word of a few has to do.
+/// Guards against an answer for a doubted request that all nodes report at once.
 #[test]
 fn not_every_node_tells_of_its_answer() {
     let mut net = warned_net(200, 6);
@@ -207,9 +200,7 @@
     assert!(spent < CONTROL_BYTES_PER_S, "{spent} bytes");
 }
 
-// A failure domain is lost with all of its targets, each under twenty requests of its own,
-// while their nodes go on. What they report must not take more than control may, and what
-// crashed three targets before must still be known to all.
+/// Guards against reports of a lost failure domain that exceed the control budget.
 #[test]
 fn the_loss_of_a_domain_stays_within_what_control_may_spend() {
     let mut net = warned_net(80, 7);
@@ -226,8 +217,7 @@
     assert!(all_hold(&net));
 }
 
-/// Guards against a release that only the node knows which the operator told, and against
-/// one that is lost when the released request crashes targets again.
+/// Guards against a release that one node alone knows, or that outlasts further crashes.
 #[test]
 fn a_release_is_known_everywhere_and_ends_with_further_crashes() {
     let mut net = warned_net(14, 3);
--- a/crates/core/src/spread/tests/endpoints.rs
+++ b/crates/core/src/spread/tests/endpoints.rs
@@ -20,9 +20,7 @@
     others.into_iter().all(|n| knows(net, n, of, phase))
 }
 
-// An instance is replaced. It drains while the platform's list still shows it
-// as live; callers that are sent to it meanwhile are refused and have to be
-// sent again. Its own word reaches every node within seconds.
+/// Guards against callers sent to a draining instance that is listed as live.
 #[test]
 fn a_leaving_instance_is_known_everywhere_before_the_list_says_so() {
     let mut net = joined_net(60, 1);
@@ -32,8 +30,7 @@
     net.run_until(SECONDS, |net| all_know(net, 7, Phase::Draining));
 }
 
-// The announcement that an instance leaves is lost on its way to half of the
-// fleet. Comparing records finds it.
+/// Guards against a lost announcement that an instance leaves.
 #[test]
 fn a_lost_word_is_found_by_comparing() {
     let mut net = joined_net(30, 2);
@@ -48,9 +45,7 @@
     });
 }
 
-// A node restarts on a machine whose clock was set back by an hour. Peers
-// remember its former start as the later one: that it is ready again would be
-// taken for old news, and its target would get no work.
+/// Guards against a restarted node that is ignored because its clock was set back.
 #[test]
 fn a_restart_with_the_clock_set_back_is_still_heard() {
     let mut net = joined_net(12, 3);
@@ -64,8 +59,7 @@
     net.run_until(SECONDS, |net| all_know(net, 4, Phase::Ready));
 }
 
-// An instance has stopped and the list dropped it. Its record is forgotten
-// everywhere, and no node brings it back to those that forgot it.
+/// Guards against records of stopped instances that nodes bring back to each other.
 #[test]
 fn a_record_goes_after_the_list_dropped_its_instance() {
     let mut net = joined_net(12, 4);
--- a/crates/core/src/spread/tests/lag.rs
+++ b/crates/core/src/spread/tests/lag.rs
@@ -19,9 +19,7 @@
     (net, all)
 }
 
-// A whole fleet starts. Each of its nodes reads the list, and had the
-// platform prove to each that it was the newest, though a few read on and tell the
-// rest. Of 2,800 calls of 195 nodes in 40 s, a third came in the first two.
+/// Guards against a starting fleet whose every node makes full-price reads.
 #[test]
 fn a_fleet_that_starts_reads_the_list_by_answers_that_may_lag() {
     let net = joined_net_with(195, 1, ample_reads());
@@ -33,8 +31,7 @@
     );
 }
 
-// All is lost just after a change, and the answers that nodes start from are
-// older than it. Whoever reads on hears of the change at once, and tells it.
+/// Guards against nodes that stay at the lagging answers they started from.
 #[test]
 fn a_fleet_that_starts_from_old_answers_has_the_newest_at_once() {
     let mut net = Net::new(60, 2, ample_reads());
@@ -51,8 +48,7 @@
     net.assert_no_step_back();
 }
 
-// The very first catalogue has just been published, and the answers that may
-// lag know of none yet. They are not asked for again and again.
+/// Guards against lagging reads that are repeated until they catch up.
 #[test]
 fn what_an_old_answer_lacks_is_asked_of_the_newest() {
     let mut net = Net::idle(6, 3, ample_reads());
@@ -64,9 +60,7 @@
     assert!(net.all_at(1));
 }
 
-// All targets of a large fleet start together and are listed one after the other
-// within a second. Nodes that followed the list until they stood in it, each for
-// itself, asked the platform three times each, and for the catalogue as well.
+/// Guards against unlisted nodes that each follow the platform's list.
 #[test]
 fn a_fleet_that_waits_to_be_listed_asks_its_peers() {
     let (mut net, listed) = partly_listed(195, 4, 5);
@@ -87,8 +81,7 @@
     assert_eq!(whole, 195, "nodes that hold the whole list");
 }
 
-// A target joins a running fleet, and a version is published before it is listed.
-// Nobody counts its node among the peers that are told.
+/// Guards against a new node that misses a version before it is listed.
 #[test]
 fn a_node_that_waits_to_be_listed_hears_of_a_version_soon() {
     let (mut net, listed) = partly_listed(40, 5, 39);
--- a/crates/core/src/spread/tests/outages.rs
+++ b/crates/core/src/spread/tests/outages.rs
@@ -27,10 +27,7 @@
     }
 }
 
-// All nodes are replaced in one moment and come back together, with nothing.
-// Were each to read the platform at once, it would refuse most of them, and
-// the refused would come again. They stay within their share of the budget,
-// and are back within seconds all the same.
+/// Guards against a restarting fleet that uses up the platform's read budget.
 #[test]
 fn a_herd_that_restarts_stays_within_its_share() {
     let mut net = Net::new(400, 1, small_budget());
@@ -48,9 +45,7 @@
     assert!(net.platform.peak_per_s(again) <= 100);
 }
 
-// A switch breaks down: no node reaches another, and each one hears of nobody
-// who reads the platform. All step in, one after the other, and then all
-// read. Together they still stay within the fleet's share.
+/// Guards against nodes cut off from each other that together exceed the read budget.
 #[test]
 fn the_fleet_stays_within_its_share_though_each_node_believes_itself_alone() {
     let mut net = Net::new(400, 2, small_budget());
@@ -65,9 +60,7 @@
     net.run_until(MINUTE, |net| net.all_at(2));
 }
 
-// The platform is out, comes back, and is out again. What is in force stays,
-// nobody comes back in step with the others, and the version that was
-// published between the outages arrives.
+/// Guards against versions that are dropped, or missed, in repeated outages of the platform.
 #[test]
 fn two_outages_change_nothing_in_force() {
     let mut net = joined_net(30, 3);
@@ -88,10 +81,7 @@
     net.assert_no_step_back();
 }
 
-// Every reader of the fleet dies in the moment in which a version is
-// published, whatever the state of their watches. Others step in, and the
-// version arrives within the time that a change may take; a few step in, not
-// a herd.
+/// Guards against a version that is missed because all readers die as it is published.
 #[test]
 fn a_version_arrives_though_all_readers_die_as_it_is_published() {
     let mut slowest = Duration::ZERO;
@@ -128,10 +118,7 @@
     assert_eq!(net.readers(), readers);
 }
 
-// The platform is away for ten seconds, and the entries of all targets lapse
-// meanwhile, since none can be renewed. Back again, it lists nobody for two
-// seconds. Every desk would answer 503 for as long; the list before stays in
-// force instead, and an entry that isn't back after that is gone.
+/// Guards against an empty list after an outage, taken at its word or doubted for ever.
 #[test]
 fn entries_that_lapse_in_an_outage_are_waited_for_and_no_longer() {
     let mut net = joined_net(12, 4);
@@ -169,9 +156,7 @@
     });
 }
 
-// The platform stops to answer, so that watches wait, and answers them when it is
-// back: no read failed, and the list is empty. It is doubted while entries can
-// come back, and taken when they have not.
+/// Guards against an empty list after an outage in which no read failed.
 #[test]
 fn a_list_that_lacks_many_at_once_is_doubted_for_a_while() {
     let cfg = SpreadConfig {
@@ -205,9 +190,7 @@
     });
 }
 
-// The platform turns a third of the nodes away, readers among them, and a target
-// says that it leaves. Nodes that went on by the old list would send it requests
-// until it is cut. All hold the new one in time, by those who are served.
+/// Guards against work for a leaving target from nodes that the platform turns away.
 #[rstest]
 #[case::small_fleet(10)]
 #[case::large_fleet(79)]
@@ -229,9 +212,7 @@
     net.assert_no_step_back();
 }
 
-// All instances lose their power, come back with empty memory, and lose it again
-// while they are joining. Meanwhile the operators publish. Each time, callers
-// find nodes that serve by the newest version soon after the power is back.
+/// Guards against a fleet that stays down, or behind, after losing power while it joins.
 #[rstest]
 #[case::small_fleet(10)]
 #[case::large_fleet(79)]
--- a/crates/core/src/spread/tests/partitions.rs
+++ b/crates/core/src/spread/tests/partitions.rs
@@ -19,9 +19,7 @@
     net.cut_off.clear();
 }
 
-// A failure domain loses the others and the platform for an hour, while
-// versions are published. It stays at what it has, and is at the newest some
-// seconds after the healing.
+/// Guards against a failure domain that stays behind after a long partition.
 #[test]
 fn a_domain_that_was_cut_off_for_an_hour_catches_up() {
     let mut net = joined_net(30, 1);
@@ -38,8 +36,7 @@
     net.assert_no_step_back();
 }
 
-// Failure domains lose each other, but each reaches the platform: each has
-// readers of its own and follows.
+/// Guards against failure domains without a reader of their own in a partition.
 #[test]
 fn domains_that_lost_each_other_follow_by_their_own_readers() {
     let mut net = joined_net(30, 2);
@@ -50,9 +47,7 @@
     }
 }
 
-// A process is stopped for five minutes, and wakes with answers and messages
-// from before in its buffers. It must tell nobody of old versions as news,
-// and is at the newest at once.
+/// Guards against old versions that a woken process announces as news.
 #[test]
 fn a_process_that_slept_wakes_to_the_newest_version() {
     for sleeper in 0..12 {
@@ -76,9 +71,7 @@
     }
 }
 
-// All readers are stopped, a version is published, and they wake after the
-// others stepped in. The answers to their watches, which came meanwhile, are
-// old; nothing steps back.
+/// Guards against old answers that woken readers take for new ones.
 #[test]
 fn readers_that_slept_bring_nothing_old() {
     let mut net = joined_net(30, 4);
@@ -105,8 +98,7 @@
     net.assert_no_step_back();
 }
 
-// A third of all messages is lost and a third comes twice, in any order, while
-// versions are published quickly: deltas cross and come doubled.
+/// Guards against deltas that arrive twice, crossed or not at all.
 #[test]
 fn crossed_and_doubled_deltas_lead_to_the_same_version() {
     for seed in 1..6 {
--- a/crates/core/src/spread/tests/proofs.rs
+++ b/crates/core/src/spread/tests/proofs.rs
@@ -53,10 +53,7 @@
     oldest
 }
 
-// The owner of request keys runs them as long as it has a fresh proof of its
-// list. It is paused or cut off with answers and messages in its buffers, and
-// wakes after the list has moved its keys elsewhere. Were what lay there taken
-// for fresh, it and the new owner would both run them.
+/// Guards against two owners that run one request key, by a proof from before a pause.
 #[test]
 fn a_proof_is_never_fresher_than_what_it_proves() {
     for seed in 0..20 {
@@ -83,9 +80,7 @@
     }
 }
 
-// A node that starts reads a list that may be old, after its keys have moved. It is
-// cut off from its peers, which could tell it of the newest. Taken for a proof, the
-// old list would let it run keys that another owns by now.
+/// Guards against an old list that is taken for a proof of the newest.
 #[test]
 fn an_answer_that_may_lag_proves_nothing() {
     let mut net = joined_net_with(6, 9, ample_reads());
@@ -119,8 +114,7 @@
     );
 }
 
-// A peer answers at once, but the answer lies in a buffer for ten seconds: the
-// peer's word is as old as the question at least.
+/// Guards against an answer that counts as fresh although it lay in a buffer.
 #[test]
 fn an_answer_is_no_fresher_than_its_question() {
     let told = |revision, age_ms| {
--- a/crates/core/src/spread/tests/silence.rs
+++ b/crates/core/src/spread/tests/silence.rs
@@ -14,12 +14,7 @@
 /// How long a change may take from its acceptance until it is in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
-// A firmware depot's target said that it leaves, three seconds after the platform
-// had come back from a silence, and was sent requests for 2.2 s. The watches of the
-// list that had been asked during the silence were never answered, and nodes waited
-// for them as long as for a watch on which nothing happens: 11.5 s. Their lines had a
-// list that nobody had vouched for in 22 s, `regained` came 6 s after the platform's
-// return, and catalogues, whose watches were asked before, came in time.
+/// Guards against a watch that is asked during a silence and waited for to its end.
 #[rstest]
 fn changes_after_a_silence_are_in_force_in_time(
     #[values(3, 14, 79)] nodes: usize,
@@ -48,11 +43,7 @@
     net.assert_no_step_back();
 }
 
-// A third of the targets ended while the platform was silent, and the rest renewed
-// their entries when it was back. One of these then said that it leaves, and was sent
-// requests for more than 2 s: the list was put off for 2.3 s after the outage, and,
-// read again, for 1.5 s more as one that lacks many. Only nodes that noticed the
-// return 1.2 s late or more showed it.
+/// Guards against a list that is put off for two reasons, one after the other.
 #[rstest]
 fn a_list_that_lacks_many_after_a_silence_is_put_off_once(
     #[values(3, 6, 14)] nodes: usize,
@@ -78,10 +69,7 @@
     });
 }
 
-// All targets have ended, so that the list names nobody and each node reads for
-// itself. The platform falls silent and comes back: were watches asked into the
-// silence, every node would hold the old catalogue for up to 11.5 s, and callers that
-// come with the first targets would be refused by it.
+/// Guards against unlisted nodes that hold an old catalogue after a silence.
 #[rstest]
 fn nodes_that_nobody_lists_follow_after_a_silence(
     #[values(3, 14)] nodes: usize,
@@ -99,9 +87,7 @@
     net.run_until(IN_FORCE, |net| net.all_at(2));
 }
 
-// A catalogue was published, and the platform fell silent while its answers were on their
-// way. All nodes asked their next watch into the silence, within milliseconds of the answer
-// that they had just had, and waited for it to its end: the next change was 11 s late.
+/// Guards against watches that all nodes ask into a silence, right after an answer.
 #[rstest]
 fn a_silence_that_begins_with_a_change_is_noticed(#[values(3, 14, 79)] nodes: usize) {
     let mut net = joined_net_with(nodes, 1, few_reads());
--- a/crates/core/src/spread/tests/versions.rs
+++ b/crates/core/src/spread/tests/versions.rs
@@ -27,8 +27,7 @@
     net.node(n).audit.iter().filter(refused).count()
 }
 
-// An operator removes a service that a route still names. The version is bad;
-// no node may hold any of it, nor stop at it: the next one is in force.
+/// Guards against a bad version that is put in force, or that holds up the next one.
 #[test]
 fn a_bad_version_between_two_good_ones_is_passed_over() {
     let mut net = joined_net(30, 1);
@@ -47,9 +46,7 @@
     net.assert_no_step_back();
 }
 
-// The newest version of the platform is bad, and an instance is replaced. The
-// new node reads the bad version and has nothing else; its peers hold the last
-// good one and give it.
+/// Guards against a new node that has nothing since the newest version is bad.
 #[test]
 fn a_node_that_joins_at_a_bad_version_gets_the_last_good_one() {
     let mut net = joined_net(12, 2);
@@ -64,9 +61,7 @@
     }
 }
 
-// The platform serves an old state for an hour, as if nothing had been
-// published since; it says that there is nothing newer, or gives the old value
-// as the newest. Nodes stay where they are and follow again afterwards.
+/// Guards against a step back to what a stale platform serves.
 #[rstest]
 #[case(false)]
 #[case(true)]
@@ -91,9 +86,7 @@
     net.assert_no_step_back();
 }
 
-// An instance is replaced while the platform is stale. The new node has no
-// memory; by the platform alone it would put an old version in force where
-// its predecessor had a newer one. It asks peers first.
+/// Guards against an old version in force after a restart at a stale platform.
 #[test]
 fn a_node_that_restarts_at_a_stale_platform_takes_what_peers_hold() {
     let mut net = joined_net(12, 4);
@@ -110,8 +103,7 @@
     net.assert_no_step_back();
 }
 
-// The same, but no peer answers. The old version comes into force after a
-// bounded wait, and the first peer that answers brings the node forward.
+/// Guards against a lone node that never starts, or stays behind, at a stale platform.
 #[test]
 fn a_node_without_peers_joins_at_what_a_stale_platform_gives() {
     let mut net = joined_net(6, 5);
@@ -128,8 +120,7 @@
     net.assert_no_step_back();
 }
 
-// The platform gives one revision two contents. Each node keeps the one that
-// it had first, says so, and the next revision brings all together.
+/// Guards against nodes that stay apart after one revision had two contents.
 #[test]
 fn a_conflict_is_told_and_ends_with_the_next_revision() {
     let mut net = joined_net(12, 6);
--- a/crates/node/tests/control/apply.rs
+++ b/crates/node/tests/control/apply.rs
@@ -12,9 +12,7 @@
 use crate::support::revisions;
 use crate::support::until;
 
-// An operator publishes a good catalogue, then a bad one, then a good one. The
-// second must not come into force anywhere, not even in part, and must not
-// stand in the way of the third.
+/// Guards against a bad catalogue that is put in force, or that holds up the next one.
 #[rstest]
 #[case::route_without_its_service(broken())]
 #[case::no_yaml("kinds: [".to_owned())]
@@ -63,9 +61,7 @@
     fleet.cancel.cancel();
 }
 
-// The instance list comes without a catalogue, and the target hasn't started
-// yet. The node must not take requests before it holds both inputs and its
-// target has answered.
+/// Guards against a node that takes requests before it can serve them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn node_without_catalogue_is_not_ready() {
     let fleet = Fleet::start(1).await;
@@ -78,8 +74,7 @@
     fleet.cancel.cancel();
 }
 
-// A node is stopped as planned. The others hear from it that it drains and
-// that it is gone, whatever the platform's list still says.
+/// Guards against peers that don't know of a planned stop while the list lags.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn planned_stop_is_told_to_the_others() {
     let fleet = Fleet::start(3).await;
@@ -106,8 +101,7 @@
     fleet.cancel.cancel();
 }
 
-// The caller's token ends a node at once, as a crash does: nothing is told to
-// the others and nothing goes on to run.
+/// Guards against a cancelled node that works on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cancelled_node_ends_at_once() {
     let fleet = Fleet::start(1).await;
--- a/crates/node/tests/control/crashing.rs
+++ b/crates/node/tests/control/crashing.rs
@@ -117,11 +117,7 @@
     runs
 }
 
-// Callers send one and the same lookup again and again, through all nodes. It crashes each
-// target that begins to run it, and all that the target runs besides is lost with it. Targets
-// went down as often as they came back: each copy was a new request to the nodes, and a crash
-// told them of a target alone. Evidence: 78 of 131 copies ran later than 3 s after the third
-// crash, at any node, and no line of any node joined two of them.
+/// Guards against copies of one request that crash target after target.
 #[rstest]
 #[case::all_are_well(Crashing { trouble: Trouble::None })]
 // A node that starts again knows nothing, and has to hear of it before it serves.
@@ -177,9 +173,7 @@
     fleet.cancel.cancel();
 }
 
-// A popular lookup runs everywhere while targets crash one after the other for reasons of
-// their own. It is lost with each of them, and answered by all others: callers must get
-// their answers, however often a target fell under it.
+/// Guards against a harmless request in quarantine for crashes of other causes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_runs_while_targets_crash_for_other_reasons_is_served_on() {
     let fleet = crashing_fleet(0).await;
@@ -208,9 +202,7 @@
     fleet.cancel.cancel();
 }
 
-// Targets break off each answer of a lookup in the middle, for a while, and are well
-// otherwise. Nobody gets an answer meanwhile that would speak for it; but no target crashed,
-// and as soon as they are well, callers must be served.
+/// Guards against a request in quarantine for answers that were broken off.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_targets_break_off_while_they_stay_up_is_served_on() {
     let fleet = crashing_fleet(0).await;
--- a/crates/node/tests/control/herd.rs
+++ b/crates/node/tests/control/herd.rs
@@ -12,9 +12,7 @@
 /// Nodes of the herd.
 const HERD: usize = 40;
 
-// All nodes of a fleet start at the same moment, as after a power cut. Each
-// knows nobody and wants to read the platform. They must all become ready,
-// and the platform must not see more than the fleet's share of its budget.
+/// Guards against a starting fleet that exceeds the read budget or stays unready.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn herd_start_becomes_ready_within_the_read_budget() {
     let begun = Instant::now();
@@ -33,9 +31,7 @@
     }
 }
 
-// All nodes die at one moment and come back at once, each with every
-// connection broken. They must all be ready again with the newest version, and
-// the platform must not see more than the fleet's share of its budget.
+/// Guards against a restarting fleet that exceeds the read budget or stays behind.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn herd_restart_comes_back_within_the_read_budget() {
     let mut fleet = Fleet::start(HERD).await;
@@ -51,9 +47,7 @@
     fleet.cancel.cancel();
 }
 
-// Half of the nodes die while the platform is out. They remember nothing and
-// can't read it. They must come back with the version that the other half has
-// in force, which they hear from their seeds.
+/// Guards against nodes that restart empty while the platform is out.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn restart_during_an_outage_takes_what_peers_hold() {
     let mut fleet = Fleet::start(6).await;
@@ -70,9 +64,7 @@
     fleet.cancel.cancel();
 }
 
-// The platform serves an old catalogue for a long time, and a node dies and
-// comes back meanwhile. What it reads is older than what the others have in
-// force; it must compare and never put the old one in force.
+/// Guards against an old catalogue in force after a restart beside a stale platform.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn restart_beside_a_stale_platform_never_goes_back() {
     let mut fleet = Fleet::start(3).await;
--- a/crates/node/tests/control/hostile.rs
+++ b/crates/node/tests/control/hostile.rs
@@ -86,9 +86,7 @@
     connection.exchange(&from, message, LIMIT).await.ok()
 }
 
-// A peer announces a higher revision with a body that is damaged, cut short,
-// too large or made from another base. Nothing of it may come into force, and
-// the next version that is really published must.
+/// Guards against a damaged body that comes into force in part, or holds up the next version.
 #[rstest]
 #[case::other_digest(other_digest())]
 #[case::other_base(other_base())]
@@ -113,8 +111,7 @@
     fleet.cancel.cancel();
 }
 
-// Two processes were given one instance's name. Each refuses the other, so
-// that neither undoes what the other says.
+/// Guards against two processes of one name that undo each other's word.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn message_under_the_own_name_is_refused() {
     let fleet = Fleet::start(1).await;
--- a/crates/node/tests/control/silence.rs
+++ b/crates/node/tests/control/silence.rs
@@ -28,10 +28,7 @@
     in_force: Duration,
 }
 
-// A route is added, and then the platform falls silent for four seconds. Whoever asks
-// the next route finds it refused for 11 s: all nodes paused after the first change, and
-// asked the platform for the next while it was silent. It is back, never answers those
-// reads, and they are waited for as watches are.
+/// Guards against a change that is missed by reads which the platform never answers.
 #[rstest]
 // A watch that was asked before is answered as soon as the platform is back.
 #[case::after_a_single_change(Silence {
--- a/crates/node/tests/control/stop.rs
+++ b/crates/node/tests/control/stop.rs
@@ -22,8 +22,7 @@
     fleet
 }
 
-// A request is running when the node is told to stop. Its caller gets the
-// whole answer, and only then does the node end.
+/// Guards against a request that a planned stop cuts.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_in_flight_is_finished_before_the_end() {
     let fleet = slow_fleet(Duration::from_millis(700), Duration::from_secs(30)).await;
@@ -38,8 +37,7 @@
     fleet.cancel.cancel();
 }
 
-// A draining node gets another request. It must refuse it at once and say
-// that it wasn't run.
+/// Guards against a draining node that doesn't say that it ran nothing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn draining_node_refuses_as_not_run() {
     let fleet = slow_fleet(Duration::ZERO, Duration::from_secs(30)).await;
@@ -56,8 +54,7 @@
     fleet.cancel.cancel();
 }
 
-// A target hangs. The node waits for it no longer than it was told, and its
-// report says that a request was cut.
+/// Guards against a stop that waits for a hanging target beyond its bound.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bound_ends_what_does_not_finish() {
     let fleet = slow_fleet(Duration::from_secs(50), Duration::from_millis(500)).await;
@@ -72,10 +69,7 @@
     fleet.cancel.cancel();
 }
 
-// Instances are restarted one after the other. Callers take seconds to notice
-// that a node isn't ready any more, and go on to send; its target could serve
-// them. The node says at once that it isn't ready, closes connections with its
-// answers, and works on until its callers have had the time to go.
+/// Guards against callers that are refused before they can notice a planned stop.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stopping_node_serves_until_its_callers_have_gone() {
     let tune = |settings: &mut Settings| settings.drain.callers = Duration::from_millis(800);
--- a/crates/node/tests/requests/cut.rs
+++ b/crates/node/tests/requests/cut.rs
@@ -13,9 +13,7 @@
 /// Far more than fits into any buffer on the way.
 const LARGE: &str = "16000000";
 
-// An agent loads a report of photographs and the target dies halfway. Half a
-// report must not pass for a whole one: the caller gets an error, whatever the
-// size and whether one or two nodes stand in between.
+/// Guards against half an answer that passes for a whole one.
 #[tokio::test]
 async fn an_answer_cut_short_is_an_error() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -39,9 +37,7 @@
     }
 }
 
-// A caller reads the beginning of a large answer and stops. The nodes must not
-// take the whole answer into memory meanwhile, so that the target can't have
-// handed it all over; once the caller is gone, so is the request.
+/// Guards against answers that pile up in memory behind a slow caller.
 #[tokio::test]
 async fn a_caller_that_reads_slowly_holds_the_target_back() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
--- a/crates/node/tests/requests/drain.rs
+++ b/crates/node/tests/requests/drain.rs
@@ -34,9 +34,7 @@
     traffic.stopped_within(BOUND).await
 }
 
-// A node is told to leave and its peers don't know it yet. They still send it
-// work; it refuses at once, truthfully as not run, and they go elsewhere. Where
-// there is nowhere else, the caller hears that it wasn't run.
+/// Guards against work that a leaving node runs, or refuses without saying that it didn't.
 #[tokio::test]
 async fn a_leaving_node_refuses_and_runs_nothing() {
     let fleet = Fleet::start(&[DESK]).await;
@@ -56,10 +54,7 @@
     assert!(desk.target.ledger().runs.is_empty());
 }
 
-// A node is frozen while the list says that another node's target leaves. It
-// wakes and still sends a claim there by its old list. The target would be cut
-// with the claim on it; the node beside knows better and refuses, truthfully as
-// not run, once all that were awake must have heard.
+/// Guards against work for a departed target from a node with an old list.
 #[tokio::test]
 async fn what_a_node_behind_sends_to_a_departed_target_is_refused() {
     let specs = [DESK, SECOND];
@@ -119,8 +114,7 @@
     }
 }
 
-// Claims come in without a break while two of three nodes are stopped, the
-// second before the first has ended. Nothing is cut, refused or run twice.
+/// Guards against requests that are cut or doubled by overlapping planned stops.
 #[tokio::test]
 async fn two_stops_at_once_under_load_cut_nothing() {
     let mut fleet = Fleet::start(&[DESK, SECOND, THIRD]).await;
@@ -144,8 +138,7 @@
     assert_eq!(u64::try_from(ran).expect("few runs"), answered);
 }
 
-// A long answer is on its way when its node is told to stop. The stop waits
-// for the last byte.
+/// Guards against an answer that a planned stop cuts.
 #[tokio::test]
 async fn a_stop_waits_for_the_answer_in_flight() {
     let mut fleet = Fleet::start(&[DESK]).await;
@@ -164,9 +157,7 @@
     assert_eq!(res.body().len(), 3_000_000 + "r-1\n".len());
 }
 
-// A node is told to stop just when a caller's request is on its way, on a
-// connection that was idle. The caller hears that it was not run and that the
-// connection ends, rather than to find it closed and know nothing.
+/// Guards against a connection that closes unread as a request crosses the stop.
 #[tokio::test]
 async fn a_request_that_meets_the_stop_is_refused() {
     let mut fleet = Fleet::start(&[DESK]).await;
@@ -185,8 +176,7 @@
     assert_eq!(fleet.runs_of("r-2"), 0);
 }
 
-// A target hangs and the operator's patience is at its end: the stop ends at
-// its bound and says how much it cut. The caller isn't left waiting.
+/// Guards against a stop that waits for a hanging target for ever, or hides what it cut.
 #[tokio::test]
 async fn a_stop_at_its_bound_says_what_it_cut() {
     let mut fleet = Fleet::start(&[DESK]).await;
--- a/crates/node/tests/requests/forged.rs
+++ b/crates/node/tests/requests/forged.rs
@@ -11,9 +11,7 @@
 use crate::fleet::Fleet;
 use crate::nosy_target;
 
-// A fitter's client sends a deadline of 1 ms, a high hop count and an outcome
-// of its own, by mistake or to get ahead. Its request is treated like any
-// other, and none of the headers reaches the target.
+/// Guards against callers that set headers which nodes trust.
 #[tokio::test]
 async fn a_caller_cannot_forge_headers_of_nodes() {
     let target = nosy_target::start().await;
@@ -39,8 +37,7 @@
     }
 }
 
-// A target runs an approval and claims in its answer that it didn't run. A
-// caller that believed this would send it again; the claim doesn't reach it.
+/// Guards against a target whose answer claims that an approval wasn't run.
 #[tokio::test]
 async fn a_target_cannot_forge_an_outcome() {
     let target = nosy_target::start().await;
@@ -62,9 +59,7 @@
     most: u64,
 }
 
-// A caller waits for a while, or leaves it to the catalogue's entry, which
-// allows five seconds. What has passed on the way is gone: the target hears of
-// no more than is left, so that it can stop in time.
+/// Guards against targets that work on after their caller's deadline.
 #[rstest]
 #[case(Waits { asked: None, most: 5_000 })]
 #[case(Waits { asked: Some("3000"), most: 3_000 })]
--- a/crates/node/tests/requests/keyed.rs
+++ b/crates/node/tests/requests/keyed.rs
@@ -44,9 +44,7 @@
     }
 }
 
-// An adjuster's approval is answered, but the answer is lost on the way to the
-// browser, which sends it again through another node. The approval isn't run a
-// second time: the second answer is that of the first attempt.
+/// Guards against a second run of an approval whose answer was lost.
 #[tokio::test]
 async fn a_repeat_gets_the_answer_of_the_first_attempt() {
     let fleet = Fleet::start(&[DESK, ADJUSTER, SECOND]).await;
@@ -63,9 +61,7 @@
     assert_eq!((fleet.runs_of("r-1"), fleet.runs_of("r-2")), (1, 0));
 }
 
-// A browser sends one approval many times at once, through all nodes, and the
-// attempts cross. One is run; the others get its answer or hear that nothing is
-// known yet.
+/// Guards against attempts of one approval that run side by side.
 #[tokio::test]
 async fn crossed_attempts_run_once() {
     let fleet = Fleet::start(&[DESK, ADJUSTER, SECOND]).await;
@@ -94,9 +90,7 @@
     assert_eq!(ran, 1);
 }
 
-// An adjuster's connection breaks while an approval runs, and the browser sends
-// it again. The approval has gone on meanwhile: it ran once, and the repeat gets
-// its answer.
+/// Guards against a second run of an approval whose connection broke.
 #[tokio::test]
 async fn a_repeat_after_a_broken_connection_gets_the_answer() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -124,8 +118,7 @@
     assert_eq!((fleet.runs_of("r-1"), fleet.runs_of("r-2")), (1, 0));
 }
 
-// The target crashes with an approval on it. Nobody knows whether it ran, and
-// the repeat hears just that, although another target could run it.
+/// Guards against a second run of an approval that may have run as its target crashed.
 #[tokio::test]
 async fn a_repeat_of_a_lost_attempt_is_unknown() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -145,9 +138,7 @@
     assert_eq!((fleet.runs_of("r-1"), fleet.runs_of("r-2")), (1, 0));
 }
 
-// A node is cut off and can't tell whether its instance list is still in force:
-// another may own the key by now. It runs nothing. A first attempt is told that
-// it wasn't run, one that may be a repeat that nothing is known.
+/// Guards against two owners of a request key, of which one is cut off.
 #[tokio::test]
 async fn an_owner_without_proof_runs_nothing() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -161,9 +152,7 @@
     assert!(fleet.members[1].target.ledger().runs.is_empty());
 }
 
-// The first attempt of an approval ran and its answer got lost. The node that
-// the repeat comes to is about to stop and refuses it. To say that it was not
-// run would be true of this attempt and false of the approval.
+/// Guards against a refusal that calls an approval not run, of which an attempt ran.
 #[tokio::test]
 async fn a_refused_repeat_is_not_called_not_run() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -177,8 +166,7 @@
     }
 }
 
-// A client sends an empty key. To run its request as if it had none would run
-// it again with each repeat.
+/// Guards against repeats that run again since their key is empty.
 #[tokio::test]
 async fn an_empty_key_is_refused() {
     let fleet = Fleet::start(&[ADJUSTER]).await;
--- a/crates/node/tests/requests/lost.rs
+++ b/crates/node/tests/requests/lost.rs
@@ -34,9 +34,7 @@
     answer.await.expect("a task").expect("an answer")
 }
 
-// An adjuster approves a payment; the target takes it and crashes before it
-// answers. Nobody knows whether the money moved: the caller is told so, and
-// no other target gets the approval.
+/// Guards against a second run of an approval that a crashed target may have run.
 #[tokio::test]
 async fn a_crash_after_hand_over_is_unknown_and_not_retried() {
     let fleet = Fleet::start(&[DESK, SECOND]).await;
@@ -46,8 +44,7 @@
     assert!(fleet.members[1].runs_of("r-1").is_empty());
 }
 
-// A fitter looks up a policy and the target crashes with the lookup on it.
-// Looking it up twice harms nobody, so that another target answers.
+/// Guards against an idempotent request that fails with its target.
 #[tokio::test]
 async fn a_crash_under_an_idempotent_request_is_retried_elsewhere() {
     let fleet = Fleet::start(&[DESK, SECOND]).await;
@@ -56,9 +53,7 @@
     assert_eq!(fleet.members[1].runs_of("r-1").len(), 1);
 }
 
-// A target crashed a moment ago and its node doesn't know it yet. A lodged
-// claim finds the port closed: not a byte of it was sent, so that it may go to
-// another target although it must not run twice.
+/// Guards against a claim that fails at a closed port, though it never left.
 #[tokio::test]
 async fn a_request_that_was_never_sent_is_retried_elsewhere() {
     let fleet = Fleet::start(&[DESK, SECOND]).await;
@@ -70,9 +65,7 @@
     assert_eq!(fleet.runs_of("r-1"), 1);
 }
 
-// A fitter looks up a policy and the target crashes with the lookup on it. The
-// only other endpoint is leaving and refuses. That refusal is of the second try
-// alone: as the first may have run, the caller is told that nobody knows.
+/// Guards against a refusal of the second try that speaks for the first.
 #[tokio::test]
 async fn a_refusal_after_a_loss_does_not_say_that_nothing_ran() {
     let fleet = Fleet::start(&[DESK, SECOND]).await;
@@ -81,10 +74,7 @@
     assert_eq!(client::header(&res, "x-sassafrasspool-outcome"), "unknown");
 }
 
-// A lookup runs for two seconds and its target crashes. Meanwhile the list said
-// that the other target leaves, and all nodes held it. The second try still went
-// there, by the list that was in force when the lookup came, long after a leaving
-// target is to get nothing new.
+/// Guards against a late retry at a target that leaves, by an old list.
 #[tokio::test]
 async fn a_later_try_does_not_go_to_a_target_that_has_left_the_list_meanwhile() {
     let specs = [DESK, SECOND];
--- a/crates/node/tests/requests/pipelined.rs
+++ b/crates/node/tests/requests/pipelined.rs
@@ -60,10 +60,7 @@
     ids.iter().map(|id| place(id).expect(id)).collect()
 }
 
-// An adjuster's program asks for three files at once over one connection. Each
-// was only begun when the one before had been answered, so that the third came
-// after three times the time of one, and late. Begun together, they are answered
-// in the order in which they were asked for.
+/// Guards against pipelined requests that wait for each other, or are answered out of order.
 #[tokio::test]
 async fn repeatable_requests_run_together_and_are_answered_in_order() {
     let fleet = slow_fleet().await;
@@ -83,9 +80,7 @@
     );
 }
 
-// Behind a lookup a fitter's program sends a claim. Its connection may end
-// before the claim's turn, and then the claim counts as unread and is sent
-// again; so it must not have been begun.
+/// Guards against a pipelined claim that runs although its connection ends before its turn.
 #[tokio::test]
 async fn what_may_run_once_waits_for_its_turn() {
     let fleet = slow_fleet().await;
--- a/crates/node/tests/requests/upload.rs
+++ b/crates/node/tests/requests/upload.rs
@@ -41,8 +41,7 @@
     stream
 }
 
-// A fitter uploads photographs, small and large. Each byte reaches the target,
-// whether the body is held or passed on as it comes.
+/// Guards against bytes of an upload that are lost or changed on the way.
 #[tokio::test]
 async fn uploads_arrive_whole() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -59,8 +58,7 @@
     }
 }
 
-// A fitter's connection breaks during an upload. A part of the photographs must
-// not pass for all of them: the target never begins to work on them.
+/// Guards against a part of an upload that passes for the whole.
 #[tokio::test]
 async fn an_upload_cut_short_is_not_run() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -79,8 +77,7 @@
     assert!(target.ledger().runs.iter().all(|run| !run.began()));
 }
 
-// Someone sends far more than the bound. The refusal comes at once, before any
-// of it was passed on.
+/// Guards against an upload over the bound that is read or passed on.
 #[tokio::test]
 async fn an_upload_over_the_bound_is_refused_at_once() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -97,9 +94,7 @@
     assert_eq!(fleet.runs_of("r-1"), 0);
 }
 
-// A workshop lodges a claim with photographs at a path that no route takes. The
-// answer comes before they were read, and the connection ends with it. Were that
-// not said, the next claim would go out on it and be cut.
+/// Guards against a request that is cut behind an upload which was refused early.
 #[tokio::test]
 async fn an_answer_before_the_end_of_an_upload_says_that_the_connection_ends() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -131,9 +126,7 @@
     String::from_utf8_lossy(&buf[..len]).into_owned()
 }
 
-// A workshop's program asks for leave before it sends photographs. Without an
-// answer to that it would wait for its own timeout; it sends them at once, and
-// they reach the target.
+/// Guards against callers that wait for `100 Continue` in vain.
 #[tokio::test]
 async fn who_waits_for_leave_to_send_gets_it() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -146,8 +139,7 @@
     assert!(answer.contains("x-received-bytes: 4"), "{answer}");
 }
 
-// The same at a path that no route takes: the answer comes without the leave, so
-// that nothing is sent in vain.
+/// Guards against bodies that are sent although the request is refused.
 #[tokio::test]
 async fn who_is_refused_gets_no_leave_to_send() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -156,9 +148,7 @@
     assert!(answer.contains("connection: close"), "{answer}");
 }
 
-// Workshops on slow lines upload photographs, as many at once as the adjuster desk
-// has slots. A slot was held from the first byte on, so that approvals found none
-// for as long as the lines took.
+/// Guards against slots that uploads hold before they have arrived.
 #[tokio::test]
 async fn uploads_that_come_slowly_hold_no_slot() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
@@ -179,9 +169,7 @@
     }
 }
 
-// A large upload is routed to a node that begins to drain just then. A part of it
-// was on its way before the refusal came, so that it couldn't go to the other
-// adjuster desk, which had room.
+/// Guards against an upload that fails since a part of it went to a draining node.
 #[tokio::test]
 async fn a_long_upload_that_is_refused_goes_to_the_next_whole() {
     let near = Spec {
--- a/crates/wire/src/peer/tests/pool.rs
+++ b/crates/wire/src/peer/tests/pool.rs
@@ -55,9 +55,7 @@
     }
 }
 
-// A peer restarts while a connection to it is kept. Whoever sends it the next
-// message would see that fail, although the peer is up again. The message is
-// sent once more over a fresh connection.
+/// Guards against a message that fails on a connection to a process that has ended.
 #[tokio::test]
 async fn restarted_peer_is_reached_at_once() {
     let pool = pool(PeerLimits::default());
@@ -81,9 +79,7 @@
     assert_eq!(again.seen.messages(), 1);
 }
 
-// A peer is gone. Every node that has something to say to it would open a
-// connection each time, and all would come back together once it returns.
-// After a failure it is left alone for a time that is partly random.
+/// Guards against nodes that keep connecting to a peer that is gone.
 #[tokio::test]
 async fn unreachable_peer_is_left_alone() {
     let closed = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
@@ -103,10 +99,7 @@
     assert!(second.to_string().contains("left alone"), "{second}");
 }
 
-// A peer takes connections but never answers, as a stopped process does: its
-// kernel goes on to accept. The call ends at its limit with the peer's name.
-// The next call opens another connection: after a partition the first one may
-// stay silent for minutes although the peer is back.
+/// Guards against calls that go on failing over a connection after a partition has healed.
 #[tokio::test]
 async fn silent_peer_costs_a_call_and_its_connection() {
     let silent = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
