--- a/crates/bench/src/chaos/tests.rs
+++ b/crates/bench/src/chaos/tests.rs
@@ -58,9 +58,7 @@
     assert!(!binds(&catalogue::bad_text(7)));
 }
 
-// What callers of a hastily written proxy see: an impatient adjuster sends an
-// approval again with its key, and it is paid twice, since nothing knows the
-// key. A judge that passes this would pass anything.
+/// Guards against a chaos judge that passes a naive proxy.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_naive_version_is_caught() {
     let report = run(Options {
--- a/crates/bench/src/load/tests.rs
+++ b/crates/bench/src/load/tests.rs
@@ -143,9 +143,7 @@
     link.open().await.unwrap();
 }
 
-// A target does the work and answers late. A hastily written proxy takes that
-// for a failure: it sends the approval again, twice, and then tells the caller
-// that it wasn't run.
+/// Guards against a judge that passes a naive proxy.
 #[tokio::test]
 async fn the_naive_version_doubles_and_refuses_falsely() {
     let target = start_target().await;
--- a/crates/bench/src/slopes/series/tests.rs
+++ b/crates/bench/src/slopes/series/tests.rs
@@ -4,9 +4,7 @@
 use crate::fit::Point;
 use crate::slopes::Axis;
 
-// A fixed amount is shared by all nodes. A line over the number of nodes would
-// lead below zero at the target's size; over its inverse it leads to what is
-// left for each.
+/// Guards against a slope that leads below zero at the target's size.
 #[test]
 fn a_shared_cost_is_drawn_over_the_inverse() {
     let nodes = [25.0, 50.0, 100.0, 200.0];
--- a/crates/bench/tests/demo.rs
+++ b/crates/bench/tests/demo.rs
@@ -61,9 +61,7 @@
     assert!(ran.stdout.is_empty());
 }
 
-/// The demo's own process is killed, so that it can't end its children. Each
-/// child sees the end of its standard input and goes; without that, a platform
-/// would go on serving for ever.
+/// Guards against children that outlive a killed demo.
 #[test]
 fn a_child_ends_when_its_demo_is_gone() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/core/src/admit/tests/cases.rs
+++ b/crates/core/src/admit/tests/cases.rs
@@ -45,8 +45,7 @@
     drop((permit, other, third));
 }
 
-// Archive retrievals fill the queue. A sign-off that arrives then takes the
-// place of the youngest of them, which is refused at once and not run.
+/// Guards against urgent work that is refused by a queue full of background work.
 #[test]
 fn urgent_work_displaces_the_youngest_of_the_least_urgent() {
     let mut bench = Bench::new(1);
@@ -95,8 +94,7 @@
     assert!(bench.waits[2].is_some());
 }
 
-// A target needs 300 ms for a request and one waits already. A caller that has
-// 400 ms left would wait in vain: it is told at once, while it can still act.
+/// Guards against callers that wait for what can't be served before their deadline.
 #[test]
 fn what_can_t_be_served_in_time_is_refused_at_once() {
     let mut bench = Bench::new(1);
@@ -125,8 +123,7 @@
     Sweep,
 }
 
-// A request waits and its time is over, or its caller goes away. It gets its
-// refusal at once, and the slot that frees up goes to the next that waits.
+/// Guards against a slot that goes to a request whose caller has left.
 #[rstest]
 #[case(End::Timer)]
 #[case(End::Drop)]
@@ -156,8 +153,7 @@
     assert_eq!(verdicts.len(), usize::from(matches!(end, End::Sweep)));
 }
 
-// A caller goes away just after its request got a slot: the permit that nobody
-// wants any more is dropped, and the slot must not be lost with it.
+/// Guards against a slot that is lost with the caller that it was meant for.
 #[test]
 fn a_permit_that_nobody_takes_goes_to_the_next() {
     let admission = Admission::new(SETTINGS, 1).unwrap();
@@ -213,10 +209,7 @@
     )
 }
 
-// More comes than a target bears. Those who came first have waited so long that
-// their answers are late whatever happens; were they served first, those behind
-// them would be late as well. So who can be in time goes first, in the order in
-// which they have to begin, and the late ones have what is left.
+/// Guards against a queue in which everybody is late under overload.
 #[test]
 fn who_can_be_in_time_goes_before_who_is_late() {
     let mut bench = Bench::new(1);
@@ -236,8 +229,7 @@
     assert_eq!(order, [urgent, relaxed, late]);
 }
 
-// A target takes 200 ms for a request, and four wait already. A fifth would be
-// late here: its node is told at once, and may ask another while there is time.
+/// Guards against requests that wait until no other target can be asked in time.
 #[test]
 fn who_would_be_late_is_refused_while_there_is_time() {
     let mut bench = Bench::new(1);
@@ -252,9 +244,7 @@
     drop(permit);
 }
 
-// Lookups that a report needs are all turned away by full targets, since each
-// would come a little late; the report then fails, though its slot was held. The
-// last target that is asked lets them wait.
+/// Guards against calls that fail everywhere since each target would be a little late.
 #[test]
 fn the_last_that_is_asked_lets_a_late_request_wait() {
     let mut bench = Bench::new(1);
@@ -282,11 +272,7 @@
     drop(permit);
 }
 
-// All slots are held by archive retrievals of a second each, and calls of 30 ms
-// come in number. Going first doesn't help them while no slot frees up: they are
-// turned away, and each fails the report that it was made for. One slot after
-// the other is then left to them, though never more than a third; and none where
-// the background takes no longer than they do, since a slot frees up soon.
+/// Guards against urgent calls that find all slots held by long background work.
 #[rstest]
 #[case::long(Duration::from_millis(1_000), 4)]
 #[case::as_long(Duration::from_millis(30), 6)]
@@ -318,10 +304,7 @@
     drop(held);
 }
 
-// Twice as many short calls come as a target bears, so some are always turned
-// away and slots are kept free of background work. No more than one slot is ever
-// free at a time then: the background got none at all, and of archive retrievals
-// 23 in 100 were answered in time. It gets its turn up to a quarter of the slots.
+/// Guards against background work that starves while urgent work is turned away.
 #[test]
 fn the_background_has_its_turn_while_urgent_work_is_turned_away() {
     let mut bench = Bench::new(8);
@@ -357,9 +340,7 @@
     assert_eq!(background, 2);
 }
 
-// Lookups of the least urgent rank have a target of six slots for themselves, and
-// more of them come than it bears. It ran five, and the sixth slot stood empty for
-// as long as nobody more urgent came, beside a full queue.
+/// Guards against a slot that stays empty beside a queue of background work.
 #[test]
 fn the_background_alone_has_every_slot() {
     let mut bench = Bench::new(6);
--- a/crates/core/src/admit/tests/drawn.rs
+++ b/crates/core/src/admit/tests/drawn.rs
@@ -23,8 +23,7 @@
         ..ProptestConfig::default()
     })]
 
-    // Whatever happens, each request gets one verdict, no more run than there
-    // are slots, and no slot stays free while somebody may have it.
+    /// Guards against requests without a verdict, and slots that stay free beside a queue.
     #[test]
     fn each_request_gets_one_verdict(steps in vec(any::<(u8, u8)>(), 1..200)) {
         let mut bench = Bench::new(3);
@@ -67,10 +66,7 @@
         assert!(told.iter().copied().eq(0..bench.waits.len()));
     }
 
-    // Under whatever load without critical work, background work that waits and
-    // holds less than a quarter of the slots is not passed over more often than
-    // its weight says. Before there was such a part, it could be passed over
-    // without end while calls were turned away.
+    /// Guards against background work that is passed over without end.
     #[test]
     fn the_background_is_passed_over_so_often_at_most(
         steps in vec(any::<(u8, u8)>(), 1..400),
--- a/crates/core/src/admit/tests/overload.rs
+++ b/crates/core/src/admit/tests/overload.rs
@@ -42,10 +42,7 @@
     DEPOT.iter().map(more).collect()
 }
 
-// A target of six slots is asked for 1.44 times what it bears, by three kinds of
-// the same class. Lookups that waited behind longer work came late and failed the
-// requests that they were made for, which held their own slots in vain; with the
-// most to gain for their time they go first, and uploads have their turn still.
+/// Guards against short requests that wait behind long ones, and long ones that starve.
 #[test]
 fn short_requests_pass_and_long_ones_are_not_starved() {
     let got = play(6, &times(1.0), 60, 5);
@@ -55,8 +52,7 @@
     assert!((0.2..0.6).contains(&served("upload")), "{got:?}");
 }
 
-// Twice and three times as much comes. What is answered a second may not fall for
-// it, as it did where slots went to what came too late to be of use.
+/// Guards against goodput that falls as more is asked for.
 #[test]
 fn what_is_answered_stays_flat_under_overload() {
     let answered = |factor| {
@@ -70,10 +66,7 @@
     );
 }
 
-// One kind of request alone, at half as much again as its target bears. Five in six
-// of those that were turned away had waited for 250 ms first, and came back when
-// there was no time left to be served in; the queue was full of them, so that one
-// answer in six came late. What can't be begun in time is told at once.
+/// Guards against callers that wait for a refusal until it is too late to go elsewhere.
 #[test]
 fn who_is_turned_away_hears_of_it_at_once() {
     let checks = Kind {
--- a/crates/core/src/document/tests.rs
+++ b/crates/core/src/document/tests.rs
@@ -33,9 +33,7 @@
     }
 }
 
-// A node asks for a delta, and meanwhile applies another version. The delta
-// that then arrives was made from what is no longer held; were it applied,
-// the node would hold a mix of two versions.
+/// Guards against a version that is mixed from two by a late delta.
 #[test]
 fn a_delta_that_crossed_another_is_refused() {
     let first = document(1, &[1, 2]);
@@ -45,8 +43,7 @@
     assert!(second.apply(&crossed).is_err());
 }
 
-// A delta loses an item on its way. Its base fits, so that only the digest of
-// the result tells that the version is not whole.
+/// Guards against a damaged delta that passes for whole.
 #[test]
 fn a_damaged_delta_is_refused() {
     let old = document(1, &[1, 2]);
--- a/crates/core/src/drain/tests.rs
+++ b/crates/core/src/drain/tests.rs
@@ -39,9 +39,7 @@
     }
 }
 
-// A target is told to leave while requests arrive on every traffic thread. If
-// one could slip in after the drain saw nothing in flight, the stop would cut
-// it. Every interleaving that the explorer draws must end with none inside.
+/// Guards against a request that slips in after a drain saw nothing in flight.
 #[test]
 fn nothing_enters_once_a_closed_gate_is_empty() {
     shuttle::check_random(race::<AtomicU64>, 2_000);
@@ -106,8 +104,7 @@
     }
 }
 
-// An operator stops an instance, and while it drains an orchestrator stops it
-// again with a shorter bound. The request that was in flight still finishes.
+/// Guards against a request that a second stop cuts.
 #[test]
 fn a_second_planned_stop_cuts_nothing() {
     let serving = Drain::<Serving>::serving();
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -72,9 +72,7 @@
     assert_eq!(one.root(), other.root());
 }
 
-// An instance is dropped from the list while some node still tells of it. Its
-// record must neither be compared nor stay for ever, or the table would grow
-// with every replaced instance.
+/// Guards against a table of records that grows with every replaced instance.
 #[test]
 fn a_dropped_record_is_kept_a_while_and_then_goes() {
     let mut members = Members::new();
--- a/crates/core/src/patience/tests.rs
+++ b/crates/core/src/patience/tests.rs
@@ -6,9 +6,7 @@
     Duration::from_millis(n)
 }
 
-// A service is overloaded, and its callers come back twice each: two of three
-// attempts are later ones. What first attempts say still stands out, and a
-// caller who has waited for a second isn't taken for one that has just come.
+/// Guards against first attempts that can't be told from later ones under overload.
 #[test]
 fn first_attempts_stand_out_among_many_later_ones() {
     let mut patience = Patience::default();
@@ -39,10 +37,7 @@
     assert!(patience.since_first(ms(3_500)) <= ms(500));
 }
 
-// Callers shorten the time that they name by up to 15% at random, and one in four
-// attempts is a second one. Only equal times counted as usual: a caller who had
-// been refused before was taken for one that had just come, and was given the slot
-// of another whose answer could still be in time.
+/// Guards against deadlines that vary a little and are taken for later attempts.
 #[test]
 fn first_attempts_need_not_say_the_same_to_the_millisecond() {
     let mut patience = Patience::default();
--- a/crates/core/src/reader/tests.rs
+++ b/crates/core/src/reader/tests.rs
@@ -116,9 +116,7 @@
     reads
 }
 
-// All 4,100 nodes lose each other and the platform in one moment, and all want
-// to read from the same moment on. The platform answers 2,000 reads a second,
-// and a quarter of that is the fleet's.
+/// Guards against a fleet of nodes without peers that exceeds the read budget.
 #[test]
 fn the_whole_fleet_stays_within_its_share() {
     let fleet = 4_100;
@@ -169,9 +167,7 @@
     expected: usize,
 }
 
-// A catalogue of 0.3 MB changes once a second, and all 79 nodes read it: the
-// links are busy with it and requests wait behind it. With few readers in a
-// fleet of ten, the loss of two of them leaves the others without news.
+/// Guards against large fleets that read with every node, and small ones with too few.
 #[rstest]
 #[case::small(Readers { fleet: 10, expected: 10 })]
 #[case::at_the_bound(Readers { fleet: 16, expected: 16 })]
--- a/crates/core/src/repeat/tests.rs
+++ b/crates/core/src/repeat/tests.rs
@@ -99,8 +99,7 @@
 const FIRST: Attempt = Attempt::First;
 const REPEAT: Attempt = Attempt::MayRepeat;
 
-// An owner came up at 0 s. What it does with a key that it hasn't seen depends
-// on how long it has owned it and how fresh the proof of its list is.
+/// Guards against an owner that runs an unseen key without a fresh proof of its list.
 #[rstest]
 #[case(Unseen { proof_s: 5, now_s: 5, attempt: FIRST,
     refused: Some((Outcome::NotRun, Reason::Settling)) })]
@@ -142,8 +141,7 @@
     assert_eq!(*again, answer(9));
 }
 
-// A target breaks off after the hand-over, or the task that serves the request
-// is cancelled. The caller asks again, and must not make the payment twice.
+/// Guards against a payment that is made again after its first attempt was lost.
 #[rstest]
 #[case(true)]
 #[case(false)]
@@ -168,8 +166,7 @@
     run(&window, 101, "a").lost(at(101));
 }
 
-// The window fills up with approvals. Were the oldest forgotten to make room,
-// its caller's repeat would look new and run again; new keys wait instead.
+/// Guards against a repeat that runs again since its key was dropped for room.
 #[test]
 fn a_full_window_refuses_new_keys_and_keeps_the_old() {
     let window = proved(100);
@@ -185,8 +182,7 @@
     ));
 }
 
-// Answers outgrow the bound. The oldest goes, but its key stays known: its
-// repeat is told that the outcome is unknown.
+/// Guards against a repeat that runs again since its answer was dropped for room.
 #[test]
 fn answers_go_before_keys() {
     let window = proved(100);
@@ -201,9 +197,7 @@
     );
 }
 
-// A caller repeats its approval at the end of the hold time, and the repeat is
-// under way for some seconds. An owner that forgot the key at the very end of
-// the hold time would take the late repeat for a new request.
+/// Guards against a late repeat that runs again at the end of the hold time.
 #[test]
 fn a_key_outlives_its_hold_time_by_a_lease() {
     let window = proved(100);
@@ -217,8 +211,7 @@
     run(&window, 171, "a").lost(at(171));
 }
 
-// The list moves keys to another endpoint and back while this node reads both
-// lists, or while it is cut off and sees only the last.
+/// Guards against a key that runs at two owners as it moves away and back.
 #[test]
 fn a_key_that_was_another_s_settles_again() {
     let both = ["ad-1", "ad-2"];
--- a/crates/core/src/request/tests.rs
+++ b/crates/core/src/request/tests.rs
@@ -25,10 +25,7 @@
     request.admit(permit)
 }
 
-// A node is paused (a full host, a debugger, a live migration) right after it
-// admitted an approval, and wakes up ten seconds later. Its caller has given
-// up by then; run now, the approval would come on top of what the caller did
-// instead.
+/// Guards against an approval that runs after its caller has given up.
 #[test]
 fn a_pause_before_the_hand_over_ends_the_request() {
     let admission = Admission::new(AdmissionSettings::default(), 1).unwrap();
--- a/crates/core/src/retry/tests.rs
+++ b/crates/core/src/retry/tests.rs
@@ -74,8 +74,7 @@
     assert_eq!(tries.after(NOW, lost(), &budget), Next::Stop(lost()));
 }
 
-// A service is down. Without a budget every call would be sent twice, and the
-// service would come back under double load.
+/// Guards against retries that double the load of a service that is down.
 #[test]
 fn a_budget_bounds_the_retries_of_a_service() {
     let budget = Budget::new();
@@ -87,8 +86,7 @@
     assert!((100..=120).contains(&retried), "{retried}");
 }
 
-// Several endpoints leave at once, and their nodes refuse what still reaches
-// them. Moving on is no retry: nothing was run, and the budget is hardly used.
+/// Guards against a retry budget that refusals of leaving endpoints use up.
 #[test]
 fn moving_on_from_a_leaving_endpoint_is_cheap_and_bounded() {
     let budget = Budget::new();
@@ -109,9 +107,7 @@
     outcome: Outcome,
 }
 
-// A caller repeats a payment after it got no answer, and the repeat finds the
-// owner of its key leaving. Were it told "not run", it would take that for the
-// payment and make a new one, while the first attempt may have paid.
+/// Guards against a repeat that is called not run while its first attempt may have run.
 #[rstest]
 #[case(Told { attempt: Attempt::MayRepeat, reason: Reason::Draining, outcome: Outcome::Unknown })]
 #[case(Told { attempt: Attempt::MayRepeat, reason: Reason::Connect, outcome: Outcome::Unknown })]
@@ -127,9 +123,7 @@
     assert_eq!(failure.outcome(), case.outcome, "{case:?}");
 }
 
-// A service fails everywhere after a long quiet time. Each node has saved up all
-// the retries that it may, and all of them spend theirs in one moment: ten nodes
-// with a hundred each would double the load of the service for seconds.
+/// Guards against retries saved up by many nodes and spent at once.
 #[test]
 fn what_is_saved_up_is_bounded_by_the_service_s_limits() {
     let limits = RetryLimits { burst: 2, ..LIMITS };
--- a/crates/core/src/retry/tests/drawn.rs
+++ b/crates/core/src/retry/tests/drawn.rs
@@ -107,9 +107,7 @@
         ..ProptestConfig::default()
     })]
 
-    // Whatever fails in whatever order: what may have run goes again only if that
-    // harms nobody, few targets are troubled, and who is told that nothing ran
-    // can rely on it.
+    /// Guards against retries that double what may have run, and false refusals.
     #[test]
     fn nothing_runs_twice_and_nobody_is_told_falsely(drawn in request()) {
         let (again, told) = drawn.play(&Budget::new());
@@ -124,8 +122,7 @@
         assert!(again.len() - troubled <= MOST_BESIDES);
     }
 
-    // A service fails as a whole. Naive retries double what its targets get; by
-    // the budget it is a tenth more, and what was saved up before.
+    /// Guards against retries that double the load of a failing service.
     #[test]
     fn a_failing_service_gets_a_tenth_more_where_naive_retries_double_it(
         kinds in vec(any::<bool>(), 400..600),
--- a/crates/core/src/route/tests/choice.rs
+++ b/crates/core/src/route/tests/choice.rs
@@ -126,8 +126,7 @@
     Avoided,
 }
 
-// An endpoint leaves, and this node hears of it in one way or another. No new
-// request goes there, and when it was the last one the request is refused.
+/// Guards against new requests for an endpoint that leaves.
 #[rstest]
 #[case(Out::Closed)]
 #[case(Out::ListedAsLeaving)]
@@ -156,9 +155,7 @@
     );
 }
 
-// An instance is replaced under its name and comes back cold: its caches are
-// empty, and its full share at once would be answered late. It gets half of it,
-// as it takes twice as long, and all after three seconds.
+/// Guards against a cold endpoint that gets its full share at once.
 #[test]
 fn a_cold_endpoint_gets_its_share_slowly() {
     let mut bench = Bench::new("caller", near(&["a", "b"]));
@@ -176,8 +173,7 @@
     assert!((5..=6).contains(&held(&mut bench, warm)));
 }
 
-// The node's own network fails, and every endpoint looks broken from here.
-// At most half of them are left out, and if all are, they are tried anyway.
+/// Guards against a node that ejects all endpoints since its own network fails.
 #[test]
 fn never_more_than_a_share_is_ejected() {
     let mut bench = Bench::new("caller", near(&["a", "b", "c", "d"]));
@@ -211,9 +207,7 @@
     assert!(!bench.counts(NOW, 200).contains_key("b"));
 }
 
-// One target of three has become five times slower, while its health is good and
-// its load looks like that of the others. Chosen as often, it held a third of
-// all requests until they were late.
+/// Guards against a slow endpoint that holds most requests since it looks healthy.
 #[test]
 fn a_slow_endpoint_is_chosen_less() {
     let mut bench = Bench::new("caller", near(&["a", "b", "slow"]));
@@ -232,9 +226,7 @@
     assert!(chosen["slow"] < 60, "{chosen:?}");
 }
 
-// A target crashes and starts again under its name within a heartbeat, so that it
-// never leaves the list. It was ejected for its crash, for half a minute by then;
-// the new process would have stayed without work for as long.
+/// Guards against a new process that inherits the ejection of the one before.
 #[rstest]
 #[case::another_start(200, true)]
 #[case::the_same_start(100, false)]
--- a/crates/core/src/route/tests/drawn.rs
+++ b/crates/core/src/route/tests/drawn.rs
@@ -89,9 +89,7 @@
         ..ProptestConfig::default()
     })]
 
-    // Targets leave, drain by themselves, and some were tried already. A request
-    // goes only where the naive version would let it go too, and it is refused
-    // only where that finds nothing either.
+    /// Guards against requests that are refused, or sent where they may not go.
     #[test]
     fn whoever_may_be_picked_is_picked_and_nobody_else(
         drawn in vec(any::<(bool, bool, bool, bool)>(), 0..24),
@@ -115,8 +113,7 @@
         }
     }
 
-    // Requests stay where they went. The choice of two keeps the fullest of equal
-    // targets near the mean, where one at random piles up.
+    /// Guards against load that piles up at one of equal targets.
     #[test]
     fn two_choices_spread_load_better_than_one(seed in any::<u64>()) {
         let open = Drawn { far: false, leaving: false, open: true, tried: false };
--- a/crates/core/src/snapshot/tests.rs
+++ b/crates/core/src/snapshot/tests.rs
@@ -58,9 +58,7 @@
     told: &'static str,
 }
 
-// An operator removes a service, or a kind, that a route still names. Were the
-// version applied, callers of the route would meet a dead end; it is refused
-// whole, and the fault names the route.
+/// Guards against a version in force whose route leads nowhere.
 #[rstest]
 #[case(Broken { from: "service: adjuster-desk}", to: "service: appeals}",
     told: "workshop-desk.routes[1]: service: there is no service appeals" })]
@@ -96,9 +94,7 @@
     InstanceList::new(Revision::new(revision).unwrap(), instances).unwrap()
 }
 
-// A fleet is renewed, and each of its lists is bound to the catalogue that is
-// held. Were a service to keep endpoints of the list before, requests would go
-// on to targets that are gone.
+/// Guards against endpoints of an old list that a new snapshot keeps.
 #[test]
 fn another_list_gives_what_building_anew_does() {
     let revision = Revision::new(1).unwrap();
--- a/crates/core/src/succession/tests.rs
+++ b/crates/core/src/succession/tests.rs
@@ -20,11 +20,7 @@
     meant: &'static str,
 }
 
-// All power is lost and the platform goes away. Nodes hold a list with the lives of
-// before, and each target declined every request for ten seconds, though it was the
-// one that was meant. A node that never saw the ended life names the one that answers.
-// Where it did see it, the address may have gone to a target of another service: a
-// request that ran there would have gone where no route leads.
+/// Guards against requests that name an ended life while the platform is away.
 #[rstest]
 #[case::nothing_seen(Case { seen: &[], meant: "t-1" })]
 #[case::started_anew(Case { seen: &[Seen::Declined("t-1", "t-2")], meant: "t-2" })]
@@ -56,9 +52,7 @@
     assert_eq!(*lives.meant(settled, &"t-1"), case.meant, "{case:?}");
 }
 
-// A node starts beside a target that has ended, whose address goes to a target of
-// another service. Its settings tell that within a second; were the life that answers
-// named before, a request would run where no route leads.
+/// Guards against requests that run at another service's target at a reused address.
 #[test]
 fn a_life_is_not_named_before_the_settings_had_time_to_change() {
     let mut lives = Succession::default();
--- a/crates/core/tests/at_most_once/main.rs
+++ b/crates/core/tests/at_most_once/main.rs
@@ -75,11 +75,7 @@
         ..ProptestConfig::default()
     })]
 
-    // A caller gets no answer and sends its request again under the same key,
-    // through another node. Meanwhile answers are lost and requests overtake
-    // each other, owners pause, restart, are cut off or lose the key to another
-    // instance. The payment must not be made twice, and a caller that is told
-    // "not run" must be able to rely on it.
+    /// Guards against a payment that is made twice under random faults.
     #[test]
     fn a_key_runs_at_most_once(sequential 1..150 => Fleet);
 }
@@ -93,8 +89,7 @@
     world
 }
 
-// The same runs with one rule left out at a time: each must be seen to break
-// the promise, or the check could not fail and would show nothing.
+/// Guards against a check that passes with a rule left out.
 #[rstest]
 #[case(Fault::LeaseIgnored)]
 #[case(Fault::TenureIgnored)]
--- a/crates/core/tests/requests/main.rs
+++ b/crates/core/tests/requests/main.rs
@@ -36,9 +36,7 @@
     Fault { ms, kind }
 }
 
-// Instances crash, drain, come back cold, slow down and lie about their load,
-// all at random. Whoever routes, nothing may be lost, doubled or called not
-// run when it ran, and no drain may cut a request or take new ones for long.
+/// Guards against requests that are lost, doubled or falsely refused under random faults.
 #[test]
 fn neither_version_breaks_a_promise_and_ours_serves_more() {
     let mut served = [0, 0];
@@ -62,7 +60,7 @@
     breaks: Promise,
 }
 
-// The same runs with a rule left out must be found to break its promise.
+/// Guards against a check that passes with a rule left out.
 #[rstest]
 #[case(LeftOut { policy: Policy::RetryUnknown, breaks: Promise::AtMostOnce })]
 #[case(LeftOut { policy: Policy::UnknownAsNotRun, breaks: Promise::TrueRefusal })]
@@ -78,9 +76,7 @@
     assert!(found, "{case:?} goes unseen");
 }
 
-// Twice as much work arrives as the targets can do, a third of it approvals.
-// The approvals must get through, and the targets must not be kept busy with
-// work whose callers have given up.
+/// Guards against critical work that is crowded out under overload.
 #[test]
 fn at_twice_the_capacity_critical_work_gets_through() {
     let load = Load::mixed(2.0 * CAPACITY_PER_S, Duration::from_secs(10));
@@ -92,9 +88,7 @@
     assert_eq!(tally.violations, []);
 }
 
-// An archive sends retrievals without pause while lookups and approvals come
-// in at half the capacity. The interactive work must not wait for the archive,
-// and the archive must not stop for good.
+/// Guards against background work that holds interactive work up, or stops for good.
 #[test]
 fn background_work_yields_and_goes_on() {
     let load = Load {
@@ -107,8 +101,7 @@
     assert!(tally.share_served(Class::Background) > 0.15);
 }
 
-// An instance crashes. Callers nearby keep choosing it until enough connections
-// failed; none of them should notice, since what couldn't connect wasn't run.
+/// Guards against requests that fail at an endpoint which nobody could connect to.
 #[test]
 fn a_crashed_endpoint_costs_only_what_it_ran() {
     let load = Load::mixed(0.5 * CAPACITY_PER_S, Duration::from_secs(5));
@@ -118,8 +111,7 @@
     assert!(tally.unknown() <= 10, "at most what its slots held");
 }
 
-// An instance is told to leave while it works, and a second stop comes during
-// the first. Of another instance no node hears that it leaves. Nobody notices: what runs ends, what waits goes elsewhere.
+/// Guards against requests that fail while instances drain, one of them unheard.
 #[test]
 fn a_drain_is_not_noticed() {
     let load = Load::mixed(0.5 * CAPACITY_PER_S, Duration::from_secs(5));
@@ -135,8 +127,7 @@
     assert_eq!(tally.violations, []);
 }
 
-// An instance says that it is idle, whatever it does. Callers believe it over
-// others, but count their own requests there and go on when it refuses.
+/// Guards against an endpoint that draws all requests by claiming to be idle.
 #[test]
 fn a_lying_load_report_starves_nobody() {
     let load = Load::mixed(0.7 * CAPACITY_PER_S, Duration::from_secs(5));
@@ -152,8 +143,7 @@
     );
 }
 
-// An instance answers twenty times slower than the others. It is left out
-// after some answers, so that the rest of the work keeps its pace.
+/// Guards against a slow endpoint that slows all requests down.
 #[test]
 fn a_slow_endpoint_is_left_out() {
     let load = Load::mixed(0.5 * CAPACITY_PER_S, Duration::from_secs(10));
@@ -162,9 +152,7 @@
     assert!(tally.runs_at(0) * 12 < tally.served() as usize, "{tally:?}");
 }
 
-// One instance crashes while two others begin to leave, one of them unheard. A
-// request that can't connect to the first is tried again, and meets the next
-// just as that drains. It goes on until it finds one that takes it.
+/// Guards against a retry that fails at an endpoint which has begun to drain.
 #[test]
 fn a_drain_during_a_retry_is_not_noticed() {
     let load = Load::mixed(0.25 * CAPACITY_PER_S, Duration::from_secs(3));
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -97,9 +97,7 @@
     })
 }
 
-// A process is stopped for minutes and taken for dead; another is started for
-// its instance. When it wakes, both believe that they own the same request
-// keys. The one that hears of the other must take nothing new, and say why.
+/// Guards against a woken process that works on beside the one that replaced it.
 #[test]
 fn replaced_process_leaves() {
     let mut machine = machine(vec![replaced()]);
@@ -138,8 +136,7 @@
     assert_eq!(machine.may_serve(), case.serves);
 }
 
-// The platform serves the instance list and not the catalogue. Were one answer
-// taken for all of it, the log would flap with each read.
+/// Guards against a log that flaps since one stream of two fails.
 #[test]
 fn a_stream_that_fails_alone_is_lost_alone() {
     let reach = SourceReach::new();
--- a/crates/node/src/log/tests.rs
+++ b/crates/node/src/log/tests.rs
@@ -75,9 +75,7 @@
     assert!(numbers.into_iter().eq(0..100));
 }
 
-// Whoever reads the log of a node stands still, as a shell does whose terminal
-// was stopped. Nobody may wait for it: lines are dropped and counted, memory is
-// bounded, and the process can end.
+/// Guards against a node that waits for whoever reads its log.
 #[test]
 fn a_reader_that_stands_still_costs_lines_alone() {
     let (reader, stuck) = mpsc::channel();
--- a/crates/node/src/reach/tests.rs
+++ b/crates/node/src/reach/tests.rs
@@ -3,9 +3,7 @@
 use super::Change;
 use super::Reach;
 
-// The platform was away for five minutes. The logs of the nodes had no line of
-// it, as failed reads were told at a level that nobody turns on; told each time,
-// they would have been all there is in the log.
+/// Guards against an outage that leaves no line in the log, or fills it.
 #[test]
 fn an_outage_has_one_line_at_its_begin_and_one_at_its_end() {
     let reach = Reach::new("platform");
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -32,10 +32,7 @@
     bound_ms: u64,
 }
 
-// A node is told to stop, and a review that it passed on takes 3.3 s. The platform
-// grants ten seconds, but the bound was fixed for six: its caller's connection was
-// cut after five, with no answer. The bound follows what is granted, and leaves a
-// sixth of it for the last words.
+/// Guards against requests that are cut by a bound which doesn't follow the granted grace.
 #[rstest]
 #[case::six(Grace { drain: "{callers_ms: 2200, grace_s: \"6\"}", bound_ms: 2_800 })]
 #[case::ten(Grace { drain: "{callers_ms: 2200, grace_s: \"10\"}", bound_ms: 6_133 })]
--- a/crates/node/src/shared/routing/tests.rs
+++ b/crates/node/src/shared/routing/tests.rs
@@ -80,8 +80,7 @@
     picked.is_ok()
 }
 
-// A node starts and says that it isn't ready, before the platform's list names
-// its instance. Once the list does, requests must still not be sent there.
+/// Guards against requests to a node that said it isn't ready before it was listed.
 #[rstest]
 #[case::starting(Phase::Starting, false)]
 #[case::ready(Phase::Ready, true)]
@@ -96,8 +95,7 @@
     assert_eq!(picks(&routing), picked);
 }
 
-// Only states change. The picker is kept, since building it costs time for
-// every endpoint there is, and it must go by the new states.
+/// Guards against a picker that is rebuilt, or not updated, as states change.
 #[test]
 fn change_of_states_keeps_the_picker() {
     let routing = placed();
@@ -121,10 +119,7 @@
     late: bool,
 }
 
-// A target leaves, or vanishes from the list without notice. Its node goes on
-// handing requests to it for a second, in which the other nodes hear of it, and
-// not until the target is cut. One that is listed again takes work at once; one
-// that was never listed is not judged by the list.
+/// Guards against a node that hands work to a departed target until it is cut.
 #[rstest]
 #[case::live(Departure {
     lists: &[Some(InstanceState::Live)],
--- a/crates/node/src/traffic/bodies/tests.rs
+++ b/crates/node/src/traffic/bodies/tests.rs
@@ -2,9 +2,7 @@
 use super::MAX_HELD_BYTES;
 use super::MAX_REPLAY_BYTES;
 
-// Many partners upload images at once. Their bodies may take so much memory of a
-// node and no more, and it is free again when they are sent; one of the largest
-// size more is passed on as it comes.
+/// Guards against uploads that take all of a node's memory.
 #[test]
 fn held_bodies_are_bounded_each_and_in_all() {
     let bodies = Bodies::new();
--- a/crates/node/src/traffic/listener/serve/until_closed/tests.rs
+++ b/crates/node/src/traffic/listener/serve/until_closed/tests.rs
@@ -25,9 +25,7 @@
     Ok(Response::new(Full::new(Bytes::from_static(b"answered"))))
 }
 
-// A node stops on a machine that is too busy to give its thread a turn. Claims
-// arrive on open connections before that thread learns that it is to close them.
-// They were closed unread, and the callers couldn't tell that nothing had run.
+/// Guards against a request that is closed unread as its node stops.
 #[tokio::test]
 async fn a_request_that_came_before_the_close_is_answered() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/node/src/traffic/peer/tests.rs
+++ b/crates/node/src/traffic/peer/tests.rs
@@ -24,10 +24,7 @@
 use crate::traffic::bounds::CONNECT_TIMEOUT;
 use crate::traffic::payload::Payload;
 
-// A machine loses power, and many requests want to go to the node there. Each
-// tried to connect after the one before had given up, so that the last waited
-// for all: a report for 1.2 s of the 1.0 s that its caller had. Those that have
-// waited for a connection in vain are all told at once.
+/// Guards against requests that try one after the other to connect to a lost peer.
 #[tokio::test]
 async fn a_herd_waits_once_for_a_peer_that_does_not_answer() {
     let silent = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
--- a/crates/node/src/traffic/target/lives/tests.rs
+++ b/crates/node/src/traffic/target/lives/tests.rs
@@ -11,9 +11,7 @@
     }
 }
 
-// The target beside a node crashes and starts again under its name. The node kept
-// idle connections to the process before: the next request went out on one and had
-// no answer until its deadline. Its entry listed anew is no new start.
+/// Guards against requests that go out on connections to a process that has ended.
 #[test]
 fn another_start_is_told_once() {
     let own = OwnLife::default();
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -195,8 +195,7 @@
     assert_eq!(node.ended().await.code(), Some(0));
 }
 
-// The platform and the target are both away. A node that can't become ready
-// must still end when it is told to.
+/// Guards against a node that can't be stopped before it is ready.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn node_that_never_was_ready_ends_too() {
     let nowhere = "127.0.0.1:1".parse().expect("an address");
@@ -206,9 +205,7 @@
     assert_eq!(node.ended().await.code(), Some(0));
 }
 
-// A request hangs in the target while the node drains, and the operator has no
-// time: a second signal ends the process at once, and its exit code says that
-// something was cut.
+/// Guards against a drain that an operator can't cut short.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn second_signal_ends_the_node_at_once() {
     let around = Around::start(slow_target(Duration::from_secs(50))).await;
@@ -232,8 +229,7 @@
     answer.await.expect("no panic");
 }
 
-// An operator reads the log of a node that has gone: each change of state is a
-// line of its own there, with the fields of its record.
+/// Guards against changes of state that leave no line in the log.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn changes_of_state_are_logged() {
     let around = Around::start(TargetSettings::default()).await;
@@ -254,9 +250,7 @@
     node.until_logged(gone).await;
 }
 
-// The instance stops the process for a while, and a catalogue is published
-// meanwhile. The node wakes with old beliefs; it must notice, and must have
-// the new catalogue in force soon, as everybody else has.
+/// Guards against a woken process that goes on by old beliefs.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn paused_process_wakes_and_catches_up() {
     let around = Around::start(TargetSettings::default()).await;
@@ -302,10 +296,7 @@
     }
 }
 
-// Operators change the settings of a running node, once with a signal and once
-// without, and once by mistake. The default of the signal ended the process; now
-// the node takes over what it can, says what waits for a restart, keeps what was
-// in force over a faulty text, and goes on.
+/// Guards against a change of settings that ends the process or is taken in part.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn settings_change_under_a_running_node() {
     let around = Around::start(TargetSettings::default()).await;
--- a/crates/node/tests/requests/depth.rs
+++ b/crates/node/tests/requests/depth.rs
@@ -16,9 +16,7 @@
 /// Nodes that a call may pass.
 const MAX_HOPS: u32 = 24;
 
-// Two routes lead to one another by mistake, so that each call makes another.
-// The chain ends at its bound instead of at the last free slot, and the lookups
-// on it, although idempotent, aren't multiplied by retries at each node.
+/// Guards against a loop of routes that takes every slot.
 #[tokio::test]
 async fn a_loop_of_calls_ends_and_does_not_multiply() {
     let (addr, target) = calling_target::start().await;
--- a/crates/node/tests/requests/limits.rs
+++ b/crates/node/tests/requests/limits.rs
@@ -13,9 +13,7 @@
 use crate::fleet::SLOTS;
 use crate::wait;
 
-// Others hold all connections that the target allows, and it closes each new
-// one on arrival. Requests fail at once, none is run twice, and when the others
-// have gone requests are answered again.
+/// Guards against requests that wait, or run twice, at a target without free connections.
 #[tokio::test]
 async fn a_target_at_its_connection_limit_fails_fast() {
     let cfg = TargetSettings {
@@ -45,8 +43,7 @@
     assert_eq!(res.status(), StatusCode::OK);
 }
 
-// More callers come at once than there are slots. Nothing but the slots' worth
-// runs at a time on few connections, and whoever isn't run is told so.
+/// Guards against a target that gets more requests than it has slots.
 #[tokio::test]
 async fn a_target_never_gets_more_than_its_slots() {
     let fleet = Fleet::start(&[DESK, ADJUSTER]).await;
--- a/crates/node/tests/requests/shedding.rs
+++ b/crates/node/tests/requests/shedding.rs
@@ -16,9 +16,7 @@
 /// that is tried when it comes back.
 const MOST_FAILED: usize = 10;
 
-// A target drains without telling its node: it answers each request with 503,
-// at once. Fitters see nearly all of their lookups fail although the other
-// desk is idle, since the failing one is always the least loaded.
+/// Guards against a failing target that draws all requests since it fails fast.
 #[tokio::test]
 async fn a_target_that_drains_by_itself_draws_no_work() {
     let fleet = Fleet::start(&[DESK, SECOND]).await;
--- a/crates/node/tests/requests/told.rs
+++ b/crates/node/tests/requests/told.rs
@@ -48,8 +48,7 @@
     fleet
 }
 
-// A caller complains that its request vanished. It had left by itself, while the
-// request ran two hops away, and the log had no line of it.
+/// Guards against a request that vanishes from the log since its caller left.
 #[tokio::test]
 async fn a_request_whose_caller_left_has_its_line() {
     let fleet = left_while_it_ran().await;
@@ -59,8 +58,7 @@
     assert_eq!(lines(), [told]);
 }
 
-// The same caller's request, looked for in the log of the node beside the target.
-// It had run there for a while, and nothing told of it.
+/// Guards against a run that the log beside the target doesn't show, since its caller left.
 #[tokio::test]
 async fn a_request_whose_caller_left_has_a_line_beside_its_target() {
     let fleet = left_while_it_ran().await;
@@ -70,8 +68,7 @@
     assert_eq!(lines(), [told]);
 }
 
-// An operator looks for a request that got 404 while a route was taken back. It
-// had no line, since it had no route.
+/// Guards against a 404 that the log doesn't show.
 #[tokio::test]
 async fn a_request_without_a_route_has_its_line() {
     let fleet = Fleet::start(&[DESK]).await;
@@ -84,9 +81,7 @@
     assert_eq!(ends_of(&desk.written, "lost"), [told]);
 }
 
-// A caller is told that its route doesn't exist, though the operators added it
-// seconds ago. By the log of that node alone it shows whether it was behind: which
-// catalogue was in force, since when, and that it had heard of no newer one.
+/// Guards against a 404 whose line doesn't show by which catalogue.
 #[tokio::test]
 async fn the_line_of_a_request_without_a_route_tells_what_was_in_force() {
     let fleet = Fleet::start(&[DESK]).await;
--- a/crates/soak/src/verdict/tests.rs
+++ b/crates/soak/src/verdict/tests.rs
@@ -115,8 +115,7 @@
     }
 }
 
-// A judge that finds nothing is worth nothing. Each case breaks one promise, or
-// comes close to it and keeps it.
+/// Guards against a judge that finds nothing.
 #[rstest]
 #[case::answered(seen(Ending::Answered, vec![run(0, 1_000)], true))]
 #[case::answered_by_nobody(seen(Ending::Answered, Vec::new(), false))]
--- a/crates/standin/src/platform/tests.rs
+++ b/crates/standin/src/platform/tests.rs
@@ -181,9 +181,7 @@
     assert_eq!(rig.shared.stats().waiting, 0);
 }
 
-/// A herd of nodes comes back at once and reads more than the source gives.
-/// Those over the budget are told so, not served, and told when to come back;
-/// the budget refills as time passes.
+/// Guards against a stand-in that serves reads beyond its budget.
 #[tokio::test(start_paused = true)]
 async fn reads_over_the_budget_are_refused() {
     let cfg = PlatformSettings {
--- a/crates/standin/src/platform/tests/faults.rs
+++ b/crates/standin/src/platform/tests/faults.rs
@@ -14,8 +14,7 @@
 
 const EMPTY_LIST: &str = r#"{"instances":[]}"#;
 
-/// The source goes out while a node waits on it. The waiting call fails at
-/// once, as do new ones; when the source is back, nothing was lost.
+/// Guards against an outage that leaves reads waiting.
 #[tokio::test(start_paused = true)]
 async fn an_outage_fails_every_read() {
     let rig = Rig::published().await;
@@ -34,8 +33,7 @@
     assert_eq!(rig.get("/v1/catalogue").await.revision, Some(1));
 }
 
-/// The source falls silent. A read that is asked meanwhile has no answer even when
-/// the source is back, and a watch from before is answered then.
+/// Guards against a silence that answers the reads it swallowed.
 #[tokio::test(start_paused = true)]
 async fn a_silent_source_never_answers_what_it_was_asked_meanwhile() {
     let rig = Rig::published().await;
@@ -54,9 +52,7 @@
     assert!(!meanwhile.is_finished());
 }
 
-/// The source serves old content for a while although newer was accepted.
-/// Readers see the old revision, and their watches wait in vain until the
-/// source has caught up.
+/// Guards against a stale source that shows what was accepted since.
 #[tokio::test(start_paused = true)]
 async fn a_stale_source_serves_what_it_had() {
     let rig = Rig::published().await;
@@ -76,8 +72,7 @@
     assert_eq!(watch.await.unwrap().text, "two");
 }
 
-/// A reader moves to a replica of the source that is further behind than the
-/// one before: it is shown an older revision than the one it had.
+/// Guards against a stand-in that never shows an older revision.
 #[tokio::test(start_paused = true)]
 async fn a_source_can_go_back() {
     let rig = Rig::published().await;
@@ -94,8 +89,7 @@
     assert!(back(3).is_err());
 }
 
-/// An instance goes, but readers of the list learn it only after the lag;
-/// a watch wakes at just that moment.
+/// Guards against a list that shows a change before its lag is over.
 #[tokio::test(start_paused = true)]
 async fn the_instance_list_lags() {
     let rig = Rig::published().await;
@@ -109,8 +103,7 @@
     assert_eq!(got.elapsed, Duration::from_millis(300));
 }
 
-/// The platform is stopped as planned while a node waits on it and another's
-/// answer is held back for an hour: both are answered at once.
+/// Guards against callers that wait for a platform that has stopped.
 #[tokio::test(start_paused = true)]
 async fn a_stop_lets_nobody_wait() {
     let cancel = CancellationToken::new();
@@ -131,8 +124,7 @@
     );
 }
 
-/// An answer is on its way while the next revision is published and read by
-/// another. It arrives later and carries the older revision.
+/// Guards against answers that never overtake each other.
 #[tokio::test(start_paused = true)]
 async fn a_delayed_answer_is_crossed_by_a_newer_one() {
     let rig = Rig::published().await;
