Trust a connection between nodes that was just opened

Messages sent together to a peer that answers late opened a connection each after a quarter of their limit, since one that has carried no answer yet counted as doubted. It counts as alive from its opening on. messages_sent_together_share_a_connection_that_was_just_opened failed before (two connections for eight messages).

--- a/crates/core/src/spread/tests/silence.rs
+++ b/crates/core/src/spread/tests/silence.rs
@@ -101,7 +101,7 @@
     net.run_until(IN_FORCE, |net| net.all_at(3));
 }
 
-// Guards against changes that are missed on connections which fell silent while new ones work.
+/// Guards against changes that are missed on connections which fell silent while new ones work.
 #[rstest]
 fn changes_over_silent_connections_are_in_force_in_time(
     #[values(3, 14, 79, 195)] nodes: usize,
--- a/crates/node/src/traffic/peer/tests.rs
+++ b/crates/node/src/traffic/peer/tests.rs
@@ -82,7 +82,7 @@
     addr
 }
 
-// Guards against requests that are lost because a node short of processor answers late.
+/// Guards against requests that are lost because a node short of processor answers late.
 #[rstest]
 #[case::half_a_second(500)]
 #[case::a_second(1_000)]
@@ -94,7 +94,7 @@
     assert!(sent.is_ok(), "{sent:?}");
 }
 
-// Guards against requests that are lost because this node itself, short of processor, reads
+/// Guards against requests that are lost because this node itself, short of processor, reads
 // an answer to its probe late.
 #[tokio::test]
 async fn a_request_on_a_node_that_stalls_is_answered() {
--- a/crates/wire/src/peer/pool.rs
+++ b/crates/wire/src/peer/pool.rs
@@ -29,7 +29,8 @@
 use super::PeerLimits;
 use crate::SocketBytes;
 
-/// How long after an answer a kept connection is trusted to carry the next message.
+/// How long a connection is trusted to carry messages after it was opened or carried an
+/// answer.
 const TRUSTED_FOR: Duration = Duration::from_secs(1);
 
 /// The part of a message's limit after which it is sent over a fresh connection as well,
@@ -70,8 +71,8 @@
     /// Counts the connections opened, so that a caller whose connection broke
     /// doesn't close the one that another caller has opened since.
     opened: u64,
-    /// When the last message over the open connection was answered.
-    answered: Option<Instant>,
+    /// When the open connection was opened, or last carried an answer.
+    alive_at: Instant,
     backoff: Backoff,
     closed_until: Option<Instant>,
 }
@@ -89,17 +90,17 @@
 enum Kept {
     /// It was opened for this message.
     Fresh,
-    /// It carried an answer within [`TRUSTED_FOR`].
+    /// It was opened or carried an answer within [`TRUSTED_FOR`].
     Trusted,
     /// It may have fallen silent unseen.
     Doubted,
 }
 
 impl Kept {
-    fn since(answered: Option<Instant>) -> Kept {
-        match answered {
-            Some(at) if at.elapsed() < TRUSTED_FOR => Kept::Trusted,
-            _ => Kept::Doubted,
+    fn since(alive_at: Instant) -> Kept {
+        match alive_at.elapsed() < TRUSTED_FOR {
+            true => Kept::Trusted,
+            false => Kept::Doubted,
         }
     }
 }
@@ -181,7 +182,7 @@
             Kept::Doubted => ask.limit / FRESH_AFTER_DIVISOR,
             Kept::Fresh | Kept::Trusted => ask.limit,
         };
-        let mut asked = pin!(over(&link, &opened, ask));
+        let mut asked = pin!(exchange_over(&link, &opened, ask));
         match tokio::time::timeout(patience, asked.as_mut()).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(failure)) if failure.closed && opened.kept != Kept::Fresh => {
@@ -208,7 +209,7 @@
     ) -> Result<PeerReply> {
         forget(link, number).await;
         let opened = self.open(addr, link).await?;
-        let asked = over(link, &opened, ask).await;
+        let asked = exchange_over(link, &opened, ask).await;
         asked.map_err(|failure| failure.error)
     }
 
@@ -225,7 +226,7 @@
             shared: Arc::new(AsyncMutex::new(Link {
                 open: None,
                 opened: 0,
-                answered: None,
+                alive_at: Instant::now(),
                 backoff: self.backoff(),
                 closed_until: None,
             })),
@@ -240,7 +241,7 @@
             return Ok(Opened {
                 connection,
                 number: link.opened,
-                kept: Kept::since(link.answered),
+                kept: Kept::since(link.alive_at),
             });
         }
         if link
@@ -255,7 +256,7 @@
             Ok(connection) => {
                 link.opened += 1;
                 link.open = Some(connection.clone());
-                link.answered = None;
+                link.alive_at = Instant::now();
                 link.backoff = self.backoff();
                 link.closed_until = None;
                 Ok(Opened {
@@ -301,7 +302,7 @@
 }
 
 /// Asks over a connection of a link; one that fails is closed.
-async fn over(
+async fn exchange_over(
     link: &AsyncMutex<Link>,
     opened: &Opened,
     ask: Ask<'_>,
@@ -320,7 +321,7 @@
     if let Ok(mut link) = link.try_lock()
         && link.opened == number
     {
-        link.answered = Some(Instant::now());
+        link.alive_at = Instant::now();
     }
 }
 
--- a/crates/wire/src/peer/tests/pool.rs
+++ b/crates/wire/src/peer/tests/pool.rs
@@ -116,7 +116,7 @@
     }
 }
 
-// Guards against a change that spreads late because a kept connection fell silent.
+/// Guards against a change that spreads late because a kept connection fell silent.
 #[tokio::test]
 async fn message_over_a_silent_connection_is_answered_over_a_fresh_one() {
     let served = Served::start(PeerLimits::default()).await;
@@ -132,3 +132,17 @@
     assert_eq!(firewall.opened(), 2);
     assert_eq!(pool.held(), 1);
 }
+
+/// Guards against a connection for each of many messages to a peer that answers late.
+#[tokio::test]
+async fn messages_sent_together_share_a_connection_that_was_just_opened() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let firewall = Firewall::start(silent.local_addr().expect("its address")).await;
+    let limit = Duration::from_millis(400);
+    let pool = pool(PeerLimits::default());
+    let (me, message) = (me(), pull());
+    let asked = (0..8).map(|_| pool.exchange(firewall.addr, &me, &message, limit));
+    let answers = futures::future::join_all(asked).await;
+    assert!(answers.iter().all(Result::is_err));
+    assert_eq!(firewall.opened(), 1);
+}
--- a/crates/wire/src/socket/keep_alive/tests.rs
+++ b/crates/wire/src/socket/keep_alive/tests.rs
@@ -10,7 +10,7 @@
 /// after it fell silent, and what was missed has to reach all of them within these.
 const NOTICED_WITHIN: Duration = Duration::from_secs(2);
 
-// Guards against a change that is missed for long on a connection that fell silent.
+/// Guards against a change that is missed for long on a connection that fell silent.
 #[tokio::test]
 async fn silent_connection_is_noticed_in_time() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
