--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -32,6 +32,7 @@
 mod evacuated;
 #[cfg(test)]
 mod tests;
+mod window;
 
 /// How many broken promises the report tells in words.
 const TOLD: usize = 10;
--- a/crates/soak/src/verdict/cold.rs
+++ b/crates/soak/src/verdict/cold.rs
@@ -10,6 +10,7 @@
 use super::Hurt;
 use super::PublishedCatalogue;
 use super::count;
+use super::window::Window;
 use crate::catalogue::COLD_FOR;
 use crate::catalogue::COLD_MOST_PER_S;
 
@@ -29,13 +30,6 @@
     pub begun_too_cold: u64,
 }
 
-/// While a target is cold for sure, in microseconds since the Unix epoch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Window {
-    from_us: u64,
-    to_us: u64,
-}
-
 impl ColdReturns {
     /// Judges what targets began from when the node beside them was seen to have the end of
     /// an evacuation in force until they may be warm. A process that starts meanwhile may
@@ -56,15 +50,9 @@
             let begun = of_it.filter(|run| run.run.began());
             let mut begun: Vec<u64> = begun.map(|run| run.run.started_us).collect();
             begun.sort_unstable();
-            let held_up = |from_us: u64| {
-                stalled.iter().any(|stall| {
-                    stall.instance == evacuee.instance
-                        && stall.from_us <= from_us + SECOND_US
-                        && from_us <= stall.to_us.saturating_add(SECOND_US)
-                })
-            };
+            let held_up = |from_us: u64| evacuee.is_held_up(stalled, from_us, from_us + SECOND_US);
             for window in windows {
-                let excess = window.excess(&begun, held_up);
+                let excess = excess(window, &begun, held_up);
                 judged.begun_too_cold += count(excess);
             }
         }
@@ -77,23 +65,19 @@
     }
 }
 
-impl Window {
-    /// Requests beyond the limit within the worst second, of those that began at the sorted
-    /// times `begun`. A second in which what was sent earlier was held up counts for nothing.
-    fn excess(self, begun: &[u64], held_up: impl Fn(u64) -> bool) -> usize {
-        let inside = begun
-            .iter()
-            .filter(|at| (self.from_us..self.to_us).contains(*at));
-        let inside: Vec<u64> = inside.copied().collect();
-        let excess = inside.iter().enumerate().map(|(first, from_us)| {
-            let within = inside[first..].partition_point(|at| *at < from_us + SECOND_US);
-            match held_up(*from_us) {
-                true => 0,
-                false => within.saturating_sub(COLD_MOST_PER_S),
-            }
-        });
-        excess.max().unwrap_or(0)
-    }
+/// Requests beyond the limit within the worst second of a window, of those that began at the
+/// sorted times `begun`. A second in which what was sent earlier was held up counts for nothing.
+fn excess(window: Window, begun: &[u64], held_up: impl Fn(u64) -> bool) -> usize {
+    let is_inside = |at: &&u64| (window.from_us..window.to_us).contains(*at);
+    let inside: Vec<u64> = begun.iter().filter(is_inside).copied().collect();
+    let excess = inside.iter().enumerate().map(|(first, from_us)| {
+        let within = inside[first..].partition_point(|at| *at < from_us + SECOND_US);
+        match held_up(*from_us) {
+            true => 0,
+            false => within.saturating_sub(COLD_MOST_PER_S),
+        }
+    });
+    excess.max().unwrap_or(0)
 }
 
 /// While an instance's target is cold for sure, since one process beside it held both an
@@ -104,11 +88,6 @@
     history: &History,
     ends: &[Stopped],
 ) -> Vec<Window> {
-    let ends = ends.iter().filter(|it| it.instance == evacuee.instance);
-    let next_end_us = |at_us: u64| {
-        let later = ends.clone().map(|it| it.at_us).filter(|it| *it >= at_us);
-        later.min().unwrap_or(u64::MAX)
-    };
     let mut windows = Vec::new();
     let mut evacuated_us = None;
     for record in history.in_order() {
@@ -131,7 +110,7 @@
         let cold_until_us = published.at_us + COLD_FOR_US;
         let window = Window {
             from_us: at_us,
-            to_us: cold_until_us.min(next_end_us(evacuated_us)),
+            to_us: cold_until_us.min(evacuee.next_end_us(ends, evacuated_us)),
         };
         if window.from_us < window.to_us {
             windows.push(window);
--- a/crates/soak/src/verdict/evacuated.rs
+++ b/crates/soak/src/verdict/evacuated.rs
@@ -10,6 +10,7 @@
 
 use super::Hurt;
 use super::count;
+use super::window::Window;
 
 /// How long a request may be on its way from a node to its target, in microseconds.
 const HAND_OVER_US: u64 = 1_000_000;
@@ -36,6 +37,24 @@
     pub domain: &'a str,
 }
 
+impl Evacuee<'_> {
+    /// When the process beside it next ends, from `at_us` on.
+    pub(super) fn next_end_us(&self, ends: &[Stopped], at_us: u64) -> u64 {
+        let of_it = ends.iter().filter(|it| it.instance == self.instance);
+        let later = of_it.map(|it| it.at_us).filter(|it| *it >= at_us);
+        later.min().unwrap_or(u64::MAX)
+    }
+
+    /// Whether what its target began in that span may have been held up on its way.
+    pub(super) fn is_held_up(&self, stalled: &[Hurt], from_us: u64, to_us: u64) -> bool {
+        stalled.iter().any(|stall| {
+            stall.instance == self.instance
+                && stall.from_us <= to_us
+                && from_us <= stall.to_us.saturating_add(HAND_OVER_US)
+        })
+    }
+}
+
 /// What became of evacuations.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Evacuated {
@@ -45,14 +64,6 @@
     pub begun_while_evacuated: u64,
 }
 
-/// From when a node has an evacuation in force until it may have none, in microseconds since
-/// the Unix epoch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Window {
-    from_us: u64,
-    to_us: u64,
-}
-
 impl Evacuated {
     /// Judges what targets began while the node beside them had an evacuation in force. That
     /// nodes have it in force in time is judged with all other changes of the catalogue.
@@ -78,11 +89,7 @@
                 });
                 let held_up = |run: &&LedgerRun| {
                     let at_us = run.run.started_us;
-                    stalled.iter().any(|stall| {
-                        stall.instance == evacuee.instance
-                            && stall.from_us <= at_us
-                            && at_us <= stall.to_us.saturating_add(HAND_OVER_US)
-                    })
+                    evacuee.is_held_up(stalled, at_us, at_us)
                 };
                 late.filter(|run| !held_up(run)).count()
             };
@@ -105,11 +112,6 @@
     records: &[&Record],
     kills: &[Stopped],
 ) -> Vec<Window> {
-    let ends = kills.iter().filter(|it| it.instance == evacuee.instance);
-    let next_end_us = |at_us: u64| {
-        let later = ends.clone().map(|it| it.at_us).filter(|it| *it >= at_us);
-        later.min().unwrap_or(u64::MAX)
-    };
     let mut windows: Vec<Window> = Vec::new();
     for record in records {
         let Event::InForce { node, held } = &record.event else {
@@ -124,7 +126,7 @@
         };
         let from_us = record.at.as_micros();
         // The next start of its process has to hear of it first.
-        let to_us = until_us.min(next_end_us(from_us));
+        let to_us = until_us.min(evacuee.next_end_us(kills, from_us));
         match windows.last_mut() {
             Some(last) if from_us <= last.to_us => last.to_us = last.to_us.max(to_us),
             _ => windows.push(Window { from_us, to_us }),
