Judge evacuations and cold returns of a soak by the same facts

Two judges took the same catalogues, history, runs, ends and stalls, decoded the records of a node each in its own way, and one of them sorted the whole history again for each instance. What happened beside targets is held once now, sorted once, and asked by both; the log is copied once less a report.

--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -26,10 +26,12 @@
 pub use self::evacuated::Evacuated;
 pub use self::evacuated::Evacuee;
 pub use self::evacuated::PublishedCatalogue;
+pub use self::facts::Facts;
 
 mod cold;
 mod crashing;
 mod evacuated;
+mod facts;
 #[cfg(test)]
 mod tests;
 mod window;
@@ -65,34 +67,13 @@
 }
 
 impl Seen<'_> {
-    fn evacuated(&self) -> (Evacuated, ColdReturns) {
-        let (history, _) = self.log.copy();
-        let evacuees = || {
-            let instances = self.names.iter().zip(self.domains).enumerate();
-            instances.map(|(instance, (id, domain))| Evacuee {
-                instance,
-                id,
-                domain,
-            })
-        };
-        let ends = [self.kills, self.stops].concat();
-        let evacuated = Evacuated::judge(
-            evacuees(),
-            self.catalogues,
-            &history,
-            self.runs,
-            &ends,
-            self.stalled,
-        );
-        let cold = ColdReturns::judge(
-            evacuees(),
-            self.catalogues,
-            &history,
-            self.runs,
-            &ends,
-            self.stalled,
-        );
-        (evacuated, cold)
+    fn evacuees(&self) -> impl Iterator<Item = Evacuee<'_>> {
+        let instances = self.names.iter().zip(self.domains).enumerate();
+        instances.map(|(instance, (id, domain))| Evacuee {
+            instance,
+            id,
+            domain,
+        })
     }
 }
 
@@ -136,7 +117,7 @@
 impl Report {
     /// Judges what was seen.
     pub fn judge(opts: Options, schedule: &Schedule, seen: &Seen<'_>, bounds: &Bounds) -> Report {
-        let (_, outages) = seen.log.copy();
+        let (observed, outages) = seen.log.copy();
         let evidence = Evidence::new(seen.records, seen.runs, &outages);
         let excused = |record: &CallRecord| evidence.is_excused(record);
         let history = events::history(
@@ -152,7 +133,10 @@
         let told = faults.chain(found.iter().map(ToString::to_string));
         let verdict = evidence.verdict();
         let crashing = Crashing::judge(seen.records, seen.runs, seen.hurt);
-        let (evacuated, cold) = seen.evacuated();
+        let ends = [seen.kills, seen.stops].concat();
+        let facts = Facts::new(seen.catalogues, &observed, seen.runs, &ends, seen.stalled);
+        let evacuated = Evacuated::judge(seen.evacuees(), &facts);
+        let cold = ColdReturns::judge(seen.evacuees(), &facts);
         let kept = !verdict.has_fault()
             && found.is_empty()
             && crashing.is_kept()
--- a/crates/soak/src/verdict/cold.rs
+++ b/crates/soak/src/verdict/cold.rs
@@ -1,15 +1,10 @@
 //! Whether targets that turned cold got no more than they tolerate.
 
-use sassafrasspool_bench::chaos::events::Stopped;
-use sassafrasspool_bench::load::LedgerRun;
-use sassafrasspool_core::history::Event;
-use sassafrasspool_core::history::History;
 use serde::Serialize;
 
 use super::Evacuee;
-use super::Hurt;
-use super::PublishedCatalogue;
 use super::count;
+use super::facts::Facts;
 use super::window::Window;
 use crate::catalogue::COLD_FOR;
 use crate::catalogue::COLD_MOST_PER_S;
@@ -36,24 +31,18 @@
     /// not know of the evacuation.
     pub fn judge<'a>(
         evacuees: impl Iterator<Item = Evacuee<'a>>,
-        catalogues: &[PublishedCatalogue],
-        history: &History,
-        runs: &[LedgerRun],
-        ends: &[Stopped],
-        stalled: &[Hurt],
+        facts: &Facts<'_>,
     ) -> ColdReturns {
         let mut judged = ColdReturns::default();
         for evacuee in evacuees {
-            let windows = windows(evacuee, catalogues, history, ends);
+            let windows = windows(evacuee, facts);
             judged.cold_returns += count(windows.len());
-            let of_it = runs.iter().filter(|run| run.instance == evacuee.instance);
-            let begun = of_it.filter(|run| run.run.began());
-            let mut begun: Vec<u64> = begun.map(|run| run.run.started_us).collect();
+            let mut begun: Vec<u64> = facts.begun(evacuee.instance).collect();
             begun.sort_unstable();
-            let held_up = |from_us: u64| evacuee.is_held_up(stalled, from_us, from_us + SECOND_US);
+            let held_up =
+                |from_us: u64| facts.is_held_up(evacuee.instance, from_us, from_us + SECOND_US);
             for window in windows {
-                let excess = excess(window, &begun, held_up);
-                judged.begun_too_cold += count(excess);
+                judged.begun_too_cold += count(excess(window, &begun, held_up));
             }
         }
         judged
@@ -82,35 +71,21 @@
 
 /// While an instance's target is cold for sure, since one process beside it held both an
 /// evacuation of its failure domain and the end of that.
-fn windows(
-    evacuee: Evacuee<'_>,
-    catalogues: &[PublishedCatalogue],
-    history: &History,
-    ends: &[Stopped],
-) -> Vec<Window> {
+fn windows(evacuee: Evacuee<'_>, facts: &Facts<'_>) -> Vec<Window> {
     let mut windows = Vec::new();
     let mut evacuated_us = None;
-    for record in history.in_order() {
-        let Event::InForce { node, held } = &record.event else {
-            continue;
-        };
-        let revision = held.catalogue.revision().get();
-        let published = catalogues.iter().find(|it| it.revision == revision);
-        let Some(published) = published.filter(|_| node == evacuee.id) else {
-            continue;
-        };
-        let at_us = record.at.as_micros();
-        if published.evacuated.contains(&evacuee.domain) {
+    for (at_us, held) in facts.in_force(evacuee.id) {
+        if held.evacuated.contains(&evacuee.domain) {
             evacuated_us = Some(at_us);
             continue;
         }
         let Some(evacuated_us) = evacuated_us.take() else {
             continue;
         };
-        let cold_until_us = published.at_us + COLD_FOR_US;
+        let cold_until_us = held.at_us + COLD_FOR_US;
         let window = Window {
             from_us: at_us,
-            to_us: cold_until_us.min(evacuee.next_end_us(ends, evacuated_us)),
+            to_us: cold_until_us.min(facts.next_end_us(evacuee.instance, evacuated_us)),
         };
         if window.from_us < window.to_us {
             windows.push(window);
