Refuse requests that cross the close of their connection at a planned stop

A caller that can't repeat such a request doesn't know whether it was run.

Cause: the node closes idle connections 0.2 s after it has begun to refuse requests, and new ones 0.2 s after it accepted them. A caller that is short of processor time writes its request later than that.

Change: before a stopping node closes an HTTP/1.1 connection that waits for a request, it writes a refusal (408, not run, Connection: close), which HTTP/1.1 provides for this, and discards what still arrives for 0.3 s, so that the kernel doesn't reset the connection. A caller with a request in flight takes the refusal for the answer, also when it reads it after the node has ended. A connection whose last answer announced the close, one with early started requests, and HTTP/2, which has its own announcement, are closed as before. The late request is counted and logged with its id.

The new tests failed without the call (all three cases) and pass; the whole tests of the node pass.

--- a/crates/node/src/traffic/head.rs
+++ b/crates/node/src/traffic/head.rs
@@ -5,6 +5,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Uri;
+use http::Version;
 use http::header;
 use sassafrasspool_wire::header::INTERNAL_PREFIX;
 
@@ -60,6 +61,15 @@
     }
 }
 
+/// Whether a caller closes its HTTP/1 connection after this request.
+pub(super) fn asks_to_close<B>(req: &Request<B>) -> bool {
+    let values = req.headers().get_all(header::CONNECTION).iter();
+    let options = values.filter_map(|value| value.to_str().ok());
+    let mut options = options.flat_map(|value| value.split(','));
+    let asks = options.any(|option| option.trim().eq_ignore_ascii_case("close"));
+    asks || req.version() == Version::HTTP_10
+}
+
 /// Copies the authority of an HTTP/2 request into the `host` header, which targets read.
 pub(super) fn set_host(headers: &mut HeaderMap, uri: &Uri) {
     if headers.contains_key(header::HOST) {
--- a/crates/node/src/traffic/listener/serve.rs
+++ b/crates/node/src/traffic/listener/serve.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod caller;
 mod graceful_close;
+mod late_request;
 mod peer;
 mod pipelining;
 mod service;
--- a/crates/node/src/traffic/listener/serve/caller.rs
+++ b/crates/node/src/traffic/listener/serve/caller.rs
@@ -11,8 +11,10 @@
 use sassafrasspool_wire::Observed;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 use super::graceful_close::serve_until_closed;
+use super::late_request;
 use super::pipelining::Pipeline;
 use super::service::RequestService;
 use super::shared_stream::SharedStream;
@@ -32,16 +34,21 @@
 pub(super) async fn serve(worker: Arc<Worker>, stream: TcpStream, port: CallerPort) {
     let hub = Arc::clone(&worker.hub);
     let pipeline = Pipeline::new(Arc::clone(&worker), port);
-    let service = RequestService::for_caller(worker, port, pipeline.clone());
+    let service = RequestService::for_caller(Arc::clone(&worker), port, pipeline.clone());
     let builder = builder(&limits(&hub));
     let stream = Arc::new(stream);
-    let io = Observed::new(SharedStream::new(&stream), pipeline);
+    let io = SharedStream::new(&stream, hub.closing.clone());
+    let io = Observed::new(io, pipeline.clone());
     let conn = builder.serve_connection(TokioIo::new(io), service);
     tokio::select! {
         biased;
         () = serve_until_closed(&hub.closing, &hub.abort, conn) => {}
         // The requests in flight end with the connection.
-        () = caller_closed(&stream) => {}
+        () = caller_closed(&stream) => return,
+    }
+    if hub.closing.is_cancelled() && pipeline.awaits_request() {
+        let stream = SharedStream::new(&stream, CancellationToken::new());
+        late_request::refuse(&worker, port, stream).await;
     }
 }
 
--- a/crates/node/src/traffic/listener/serve/pipelining.rs
+++ b/crates/node/src/traffic/listener/serve/pipelining.rs
@@ -10,3 +10,4 @@
 
 pub(in crate::traffic) use self::pipeline::AnswerInProgress;
 pub(super) use self::pipeline::Pipeline;
+pub(super) use self::request_head::parse_head;
--- a/crates/node/src/traffic/listener/serve/pipelining/pipeline.rs
+++ b/crates/node/src/traffic/listener/serve/pipelining/pipeline.rs
@@ -55,6 +55,8 @@
     taken: u64,
     /// Requests whose answers have ended.
     answered: u64,
+    /// Whether the caller knows that no further request is read.
+    is_last_announced: bool,
     started: BTreeMap<u64, StartedRequest>,
 }
 
@@ -76,6 +78,7 @@
             parsed: 0,
             taken: 0,
             answered: 0,
+            is_last_announced: false,
             started: BTreeMap::new(),
         })))
     }
@@ -99,6 +102,21 @@
         !self.lock().started.is_empty()
     }
 
+    /// Records that the caller asked for the close of the connection, or that an answer
+    /// announces it.
+    pub(in crate::traffic::listener::serve) fn record_last_request(&self) {
+        self.lock().is_last_announced = true;
+    }
+
+    /// Whether the caller may send its next request without expecting the close of the
+    /// connection. False if it uses HTTP/2.
+    pub(in crate::traffic::listener::serve) fn awaits_request(&self) -> bool {
+        let state = self.lock();
+        let is_http1 = state.taken > 0 || state.is_parsing;
+        let is_idle = state.taken == state.answered && state.started.is_empty();
+        is_http1 && is_idle && !state.is_last_announced
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         // No code under the lock panics in the middle of a change.
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/node/src/traffic/listener/serve/pipelining/request_head.rs
+++ b/crates/node/src/traffic/listener/serve/pipelining/request_head.rs
@@ -27,15 +27,10 @@
 
 /// Parses the head of a request at the start of `bytes`.
 pub(super) fn parse_next(bytes: &[u8]) -> NextRequest {
-    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
-    let mut head = httparse::Request::new(&mut fields);
-    let len = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(len)) => len,
-        Ok(httparse::Status::Partial) => return NextRequest::Partial,
-        Err(_) => return NextRequest::Unknown,
-    };
-    let Some(req) = to_request(&head) else {
-        return NextRequest::Unknown;
+    let (len, req) = match parse(bytes) {
+        Some(httparse::Status::Complete(parsed)) => parsed,
+        Some(httparse::Status::Partial) => return NextRequest::Partial,
+        None => return NextRequest::Unknown,
     };
     let headers = req.headers();
     let undetermined = [header::TRANSFER_ENCODING, header::UPGRADE, header::EXPECT];
@@ -53,6 +48,25 @@
     }
 }
 
+/// The request whose head is at the start of `bytes`, if it is complete and valid.
+pub(in crate::traffic::listener::serve) fn parse_head(bytes: &[u8]) -> Option<Request<()>> {
+    match parse(bytes)? {
+        httparse::Status::Complete((_, req)) => Some(req),
+        httparse::Status::Partial => None,
+    }
+}
+
+/// Parses a head and returns its length in bytes; `None` for invalid bytes.
+fn parse(bytes: &[u8]) -> Option<httparse::Status<(usize, Request<()>)>> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
+    let mut head = httparse::Request::new(&mut fields);
+    let parsed = head.parse(bytes).ok()?;
+    Some(match parsed {
+        httparse::Status::Complete(len) => httparse::Status::Complete((len, to_request(&head)?)),
+        httparse::Status::Partial => httparse::Status::Partial,
+    })
+}
+
 fn to_request(head: &httparse::Request<'_, '_>) -> Option<Request<()>> {
     let mut req = Request::new(());
     *req.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
--- a/crates/node/src/traffic/listener/serve/service.rs
+++ b/crates/node/src/traffic/listener/serve/service.rs
@@ -14,6 +14,7 @@
 
 use super::pipelining::Pipeline;
 use crate::traffic::answer_body::AnswerBody;
+use crate::traffic::head;
 use crate::traffic::inbound::peer_side;
 use crate::traffic::outbound::caller_side;
 use crate::traffic::outbound::caller_side::CallerPort;
@@ -79,6 +80,9 @@
 ) -> Response<AnswerBody> {
     // Over HTTP/2, requests don't wait for one another.
     let taken = (req.version() != Version::HTTP_2).then(|| pipeline.take_next());
+    if head::asks_to_close(&req) {
+        pipeline.record_last_request();
+    }
     let (started, answer_guard) =
         taken.map_or((None, None), |(started, guard)| (started, Some(guard)));
     let early_answer = match started {
@@ -95,5 +99,8 @@
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
+    if res.headers().contains_key(header::CONNECTION) {
+        pipeline.record_last_request();
+    }
     res.map(|body| body.with_pipeline_guard(answer_guard))
 }
--- a/crates/node/src/traffic/listener/serve/shared_stream.rs
+++ b/crates/node/src/traffic/listener/serve/shared_stream.rs
@@ -14,15 +14,21 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 /// A TCP connection for reading and writing. Other owners of the stream may wait for its
 /// readiness.
 #[derive(Debug)]
-pub(super) struct SharedStream(Arc<TcpStream>);
+pub(super) struct SharedStream {
+    stream: Arc<TcpStream>,
+    /// Once cancelled, a shutdown of this handle leaves the connection open for writing.
+    keep_open: CancellationToken,
+}
 
 impl SharedStream {
-    pub(super) fn new(stream: &Arc<TcpStream>) -> SharedStream {
-        SharedStream(Arc::clone(stream))
+    pub(super) fn new(stream: &Arc<TcpStream>, keep_open: CancellationToken) -> SharedStream {
+        let stream = Arc::clone(stream);
+        SharedStream { stream, keep_open }
     }
 
     fn poll_write_with(
@@ -31,8 +37,8 @@
         mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match write(&self.0) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
                 done => return Poll::Ready(done),
             }
@@ -47,8 +53,8 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(n) => {
                     buf.advance(n);
                     return Poll::Ready(Ok(()));
@@ -86,6 +92,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        if self.keep_open.is_cancelled() {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/node/src/traffic/outbound/caller_side.rs
+++ b/crates/node/src/traffic/outbound/caller_side.rs
@@ -47,20 +47,35 @@
     if may_follow_earlier_attempt {
         result = result.map_err(keyed_attempt::into_unknown);
     }
-    match port {
-        CallerPort::Ingress => worker.hub.ingress.count(&result),
-        CallerPort::Egress => worker.hub.egress.count(&result),
-    }
+    count(worker, port, &result);
     let dialect = worker.hub.shared.dialect();
     let is_node_response = result.is_err();
-    let res = result.unwrap_or_else(|failure| failure_response::to_response(&failure, dialect));
-    let mut res = strip_internal(res, dialect);
+    let mut res = match result {
+        Ok(res) => strip_internal(res, dialect),
+        Err(failure) => failure_response(&failure, dialect),
+    };
     if is_node_response && read_status.is_some_and(|status| !status.is_complete()) {
         announce_close(res.headers_mut());
     }
     res.map(|body| body.with_in_flight_guard(guard))
 }
 
+/// Counts the result of a request.
+pub(in crate::traffic) fn count<T>(worker: &Worker, port: CallerPort, result: &Result<T, Failure>) {
+    match port {
+        CallerPort::Ingress => worker.hub.ingress.count(result),
+        CallerPort::Egress => worker.hub.egress.count(result),
+    }
+}
+
+/// The response to a caller whose request has no answer of a target.
+pub(in crate::traffic) fn failure_response(
+    failure: &Failure,
+    dialect: &Dialect,
+) -> Response<AnswerBody> {
+    strip_internal(failure_response::to_response(failure, dialect), dialect)
+}
+
 /// Announces that the connection closes after this answer.
 ///
 /// The HTTP library closes a connection if a request was answered while a part of its body
--- a/crates/node/tests/requests/drain.rs
+++ b/crates/node/tests/requests/drain.rs
@@ -6,7 +6,11 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use rstest::rstest;
 use sassafrasspool_core::Phase;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::client;
 use crate::fleet::DESK;
@@ -187,6 +191,62 @@
     assert_eq!(fleet.runs_of("r-2"), 0);
 }
 
+/// A request that crosses the close of its connection.
+#[derive(Debug)]
+struct LateRequest {
+    /// Whether it is the first on its connection.
+    is_first: bool,
+    /// Whether it is sent after the node has stopped, not just after the close.
+    after_stop: bool,
+}
+
+/// Guards against a caller that can't infer whether the request was run that it sent on an
+/// idle connection before it detected the close.
+#[rstest]
+#[case::on_a_used_connection(LateRequest { is_first: false, after_stop: false })]
+#[case::on_a_new_connection(LateRequest { is_first: true, after_stop: false })]
+#[case::after_the_stop(LateRequest { is_first: false, after_stop: true })]
+#[tokio::test]
+async fn a_request_that_crosses_the_close_is_refused(#[case] late: LateRequest) {
+    let mut fleet = Fleet::start(&[DESK]).await;
+    let ingress = fleet.members[0].addrs.ingress;
+    let mut caller = TcpStream::connect(ingress).await.expect("a connection");
+    let send = async |caller: &mut TcpStream, id: &str| {
+        let text = format!("GET /desk/policy HTTP/1.1\r\nhost: a\r\nx-request-id: {id}\r\n\r\n");
+        let sent = caller.write_all(text.as_bytes()).await;
+        sent.expect("the bytes are sent");
+    };
+    let mut buf = [0; 1024];
+    if !late.is_first {
+        send(&mut caller, "r-1").await;
+        let read = caller.read(&mut buf).await.expect("an answer");
+        assert!(buf[..read].ends_with(b"r-1\n"), "one whole answer");
+    }
+    // The bytes that the node sends at the close show when it is, and stay unread.
+    let sent_late = async {
+        let closing = caller.peek(&mut buf).await;
+        assert!(closing.expect("an open connection") > 0);
+        if !late.after_stop {
+            send(&mut caller, "r-2").await;
+        }
+    };
+    let (cut, ()) = tokio::join!(stop_member(&mut fleet.members[0]), sent_late);
+    assert_eq!(cut, 0);
+    if late.after_stop {
+        send(&mut caller, "r-2").await;
+    }
+    let mut answers = String::new();
+    let read = caller.read_to_string(&mut answers).await;
+    read.expect("an answer and the end");
+    assert!(answers.starts_with("HTTP/1.1 408 "), "{answers}");
+    assert!(
+        answers.contains("x-sassafrasspool-outcome: not-run\r\n"),
+        "{answers}"
+    );
+    assert_eq!(answers.matches("HTTP/1.1").count(), 1, "{answers}");
+    assert_eq!(fleet.runs_of("r-2"), 0);
+}
+
 /// Guards against a stop that waits for a hanging target without a bound, or doesn't count
 /// the requests that it cuts.
 #[tokio::test]
