Keep the whole logs of soaks, and how much of an answer a caller got

A request that is on no node's log was taken for one that no node had read. Under load a node drops most lines beyond 32 KB a second, about 24 lines in 250 ms in the soaks, so that a missing line proves nothing. Nodes of a soak may now write 4 MB a second.

A caller that gives up on an answer after 5 s records how many bytes of its body it got, which tells an answer that hangs from one that is slow.

--- a/crates/bench/src/load/client.rs
+++ b/crates/bench/src/load/client.rs
@@ -52,6 +52,8 @@
     pub status: Option<u16>,
     /// How the attempt ended.
     pub ending: Ending,
+    /// Bytes of the answer's body that were received.
+    pub received_bytes: usize,
     /// What went wrong, as text; empty if nothing did.
     pub detail: String,
 }
@@ -63,6 +65,7 @@
             entry: None,
             status: None,
             ending: Ending::NotSent,
+            received_bytes: 0,
             detail: String::new(),
         }
     }
@@ -85,7 +88,8 @@
                 (_, None) => Ending::Silence,
                 (_, Some(_)) => Ending::Broken,
             };
-            exchange.detail = "patience ended".to_owned();
+            let received = exchange.received_bytes;
+            exchange.detail = format!("patience ended after {received} bytes of the answer");
         }
         exchange
     }
@@ -126,7 +130,7 @@
     ) {
         let (head, body) = answer.into_parts();
         exchange.status = Some(head.status.as_u16());
-        let body = match read_to_end(body).await {
+        let body = match read_to_end(body, &mut exchange.received_bytes).await {
             Ok(body) => body,
             Err(err) => {
                 exchange.ending = Ending::Broken;
@@ -188,11 +192,13 @@
     Ok(sender)
 }
 
-async fn read_to_end(mut body: Incoming) -> hyper::Result<BytesMut> {
+/// Reads a body, and keeps `received_bytes` up to date in case that the read is dropped.
+async fn read_to_end(mut body: Incoming, received_bytes: &mut usize) -> hyper::Result<BytesMut> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Some(data) = frame?.data_ref() {
             bytes.extend_from_slice(data);
+            *received_bytes = bytes.len();
         }
     }
     Ok(bytes)
--- a/crates/soak/src/fleet/builder.rs
+++ b/crates/soak/src/fleet/builder.rs
@@ -50,6 +50,10 @@
 /// Bounds the drain of a node, so that a planned stop ends before the run does.
 const DRAIN_SETTINGS: &str = "drain: {bound_ms: 5000}\n";
 
+/// Keeps the log lines of all requests. With the default limit most are dropped, and a missing
+/// line would prove nothing about a request.
+const LOG_SETTINGS: &str = "log: {bytes_per_s: 4194304}\n";
+
 /// Starts the processes of a fleet, and assigns their ports and files.
 #[derive(Debug)]
 pub(super) struct FleetBuilder {
@@ -125,7 +129,7 @@
             of(LinkRole::Target),
             of(LinkRole::Platform),
             &[],
-            &format!("{NODE_SETTINGS}{DRAIN_SETTINGS}"),
+            &format!("{NODE_SETTINGS}{DRAIN_SETTINGS}{LOG_SETTINGS}"),
         );
         std::fs::write(&settings, text).into_diagnostic()?;
         Ok(Member {
