Report crashes of targets that a busy node probes late

Cause: the nodes didn't report the crashes. With a line for each diagnosis of a broken connection: a node probes the target 20 ms after a break and took a probe that stayed open for 20 ms as proof that the target was up. Nearly all probes ended so, 47 ms to 3.4 s after the break: the target had restarted by then (it is down for 0.3 s), or the link between them closed the probe late. Where the target's end was found, an answer that was sent before the crash and read after it cleared the target. Breaks during the diagnosis of an earlier one were ignored.

Change: a process that has ended has closed all of its connections. A target that accepts the probe has crashed if at least two concurrent requests lost their connections before their answers began, and no connection is left that was open at the last of these breaks, within 0.5 s of it; one that closes the probe at once, if no connection is left. A running target keeps its other connections, also when it aborts requests or truncates answers one by one. Answers don't count against a crash any more, but take their requests out of the suspects. A break during a diagnosis extends it.

A request that crashes a restarted target in which nothing else runs is still not seen.

--- a/crates/node/src/traffic/target.rs
+++ b/crates/node/src/traffic/target.rs
@@ -12,6 +12,7 @@
 pub(super) use self::exchange::ExchangeFailure;
 pub(super) use self::exchange::exchange;
 pub(super) use self::pool::BreakScope;
+pub(super) use self::pool::ConnectionNumber;
 pub(super) use self::pool::Pool;
 pub(super) use self::pool::WorkerIndex;
 pub(super) use self::pool::acquire;
--- a/crates/node/src/traffic/target/crash_watch.rs
+++ b/crates/node/src/traffic/target/crash_watch.rs
@@ -15,17 +15,25 @@
 use crate::traffic::hub::Hub;
 use crate::traffic::target;
 use crate::traffic::target::BreakScope;
+use crate::traffic::target::ConnectionNumber;
+use crate::traffic::target::Pool;
 
 /// Delay between a broken connection and the probe of the target. By then a crashed
 /// process has closed its listener, and no restarted process listens yet.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
 
-/// Time within which all requests that ran in a target must have ended if it crashed. On a
-/// busy machine each thread of the node notices late that its connections broke.
-const RUNS_END_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time within which all connections to a target must have closed if it crashed. On a busy
+/// machine each thread of the node, or an intermediary, notices late that they broke.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Interval between checks whether these requests have ended.
-const RUNS_END_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between checks whether these connections have closed.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The fewest concurrent requests whose connections must have broken before their answers
+/// began, if the target accepts connections. On a busy machine it may have restarted before it
+/// is probed, or an intermediary closes the probe late. But a target also aborts requests one
+/// by one, and truncates answers.
+const MIN_BROKEN: usize = 2;
 
 #[cfg(test)]
 mod tests;
@@ -43,56 +51,204 @@
 
 #[derive(Debug, Default)]
 struct State {
-    running: SlotMap<RunKey, Content>,
-    /// The requests that ran when a connection broke, while the cause is determined.
+    running: SlotMap<RunKey, Running>,
+    /// The requests that ran when connections broke, while the cause is determined.
     suspects: Option<Suspects>,
     /// Total of connections opened to the target when its last crash was reported. Until
     /// another one is opened, every broken connection belongs to that crash.
     opened_at_report: Option<u64>,
     /// Crashes reported so far.
     crashes: u64,
-    /// Whether the target has answered a request that was handed over after its last
+    /// Whether the target has begun to answer a request that was handed over after its last
     /// reported crash.
     answered: bool,
 }
 
-/// The requests that ran when a connection broke.
+/// A request that the local target runs.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    content: Content,
+    started: Instant,
+}
+
+impl State {
+    fn start_run(&mut self, content: Content) -> RunKey {
+        let started = Instant::now();
+        self.running.insert(Running { content, started })
+    }
+
+    /// Records that the connection of a request broke, before or after its answer began.
+    fn record_break(
+        &mut self,
+        broken: RunKey,
+        answer_began: bool,
+        last_connection: ConnectionNumber,
+    ) {
+        let new = || Suspects::new(last_connection);
+        let suspects = self.suspects.get_or_insert_with(new);
+        suspects.record_break(broken, &self.running, last_connection);
+        if let Some(run) = suspects.find(broken) {
+            run.broke = !answer_began;
+        }
+    }
+
+    /// Records that the target has answered a request.
+    fn clear_suspect(&mut self, answered: RunKey) {
+        if let Some(suspects) = &mut self.suspects {
+            // INVARIANT: An answered request is no suspect.
+            suspects.runs.retain(|run| run.key != answered);
+        }
+    }
+
+    /// Records that the node no longer waits for an answer.
+    fn end_run(&mut self, key: RunKey) {
+        self.running.remove(key);
+        let suspects = self.suspects.as_mut();
+        if let Some(run) = suspects.and_then(|it| it.find(key)) {
+            run.ended = Some(Instant::now());
+        }
+    }
+}
+
+/// The requests that ran when connections broke.
+///
+/// # Invariants
+///
+/// `runs` has no request that was answered, none that ended before the one whose connection
+/// broke last was started, and none that ended more than [`CLOSE_TIMEOUT`] before that.
 #[derive(Debug)]
 struct Suspects {
-    runs: Vec<(RunKey, Content)>,
-    /// Whether the target has answered one of them since then.
-    survived: bool,
+    runs: Vec<Suspect>,
+    last_break: Instant,
+    /// The last connection that existed at that time.
+    last_connection: ConnectionNumber,
 }
 
-impl CrashWatch {
-    /// Whether all suspects end without an answer, in a target that has answered a request
-    /// since its last crash.
+#[derive(Debug)]
+struct Suspect {
+    key: RunKey,
+    content: Content,
+    /// When the node stopped waiting for the answer.
+    ended: Option<Instant>,
+    /// Whether its connection broke before the answer began.
+    broke: bool,
+}
+
+impl Suspects {
+    fn new(last_connection: ConnectionNumber) -> Suspects {
+        Suspects {
+            runs: Vec::new(),
+            last_break: Instant::now(),
+            last_connection,
+        }
+    }
+
+    /// Records that the connection of the request `broken` broke while `running` ran.
+    fn record_break(
+        &mut self,
+        broken: RunKey,
+        running: &SlotMap<RunKey, Running>,
+        last_connection: ConnectionNumber,
+    ) {
+        self.last_break = Instant::now();
+        self.last_connection = last_connection;
+        let started = running.get(broken).map(|run| run.started);
+        let timed_out = self.last_break.checked_sub(CLOSE_TIMEOUT);
+        // INVARIANT: What ended earlier has nothing to do with this break.
+        let earliest_end = started.max(timed_out);
+        self.runs
+            .retain(|run| run.ended.is_none() || run.ended >= earliest_end);
+        for (key, run) in running {
+            if !self.runs.iter().any(|suspect| suspect.key == key) {
+                self.runs.push(Suspect {
+                    key,
+                    content: run.content,
+                    ended: None,
+                    broke: false,
+                });
+            }
+        }
+    }
+
+    fn find(&mut self, key: RunKey) -> Option<&mut Suspect> {
+        self.runs.iter_mut().find(|run| run.key == key)
+    }
+
+    /// The number of requests whose connections broke before their answers began.
+    fn broken(&self) -> usize {
+        self.runs.iter().filter(|run| run.broke).count()
+    }
+}
+
+/// The evidence on which a broken connection is or isn't taken for a crash.
+#[derive(Debug)]
+struct Evidence {
+    suspects: usize,
+    broken: usize,
+    /// Whether a connection is open that existed when the last one broke.
+    open: bool,
+    answered: bool,
+}
+
+impl Evidence {
+    /// Whether the process that served all these connections has ended.
     ///
-    /// A target without capacity for connections continues the requests that it runs. A
-    /// target that has answered nothing since its last crash may still be down, behind an
-    /// intermediary that accepts connections. Every request sent there is lost, which is no
-    /// evidence against any request.
-    async fn all_suspects_end(&self) -> bool {
-        let until = Instant::now() + RUNS_END_TIMEOUT;
+    /// A target without capacity for connections keeps those that it has. A target that has
+    /// answered nothing since its last crash may still be down, behind an intermediary that
+    /// accepts connections. Every request sent there is lost, which is no evidence against
+    /// any request.
+    fn shows_crash(&self, min_broken: usize) -> bool {
+        self.answered && !self.open && self.broken >= min_broken
+    }
+}
+
+impl CrashWatch {
+    /// Waits until the evidence shows a crash, for [`CLOSE_TIMEOUT`] after the last break.
+    /// Returns the last evidence and whether it shows one.
+    async fn wait_for_crash(&self, pool: &Pool, min_broken: usize) -> (Evidence, bool) {
         loop {
-            {
-                let state = self.lock();
-                let Some(suspects) = &state.suspects else {
-                    return false;
-                };
-                if !state.answered || suspects.survived {
-                    return false;
-                }
-                let is_running = |(key, _): &(RunKey, Content)| state.running.contains_key(*key);
-                if !suspects.runs.iter().any(is_running) {
-                    return true;
-                }
+            let evidence = self.evidence(pool);
+            if evidence.shows_crash(min_broken) {
+                return (evidence, true);
             }
-            if Instant::now() >= until {
-                return false;
+            if self.dismiss_suspects_after_timeout() {
+                return (evidence, false);
             }
-            tokio::time::sleep(RUNS_END_POLL_INTERVAL).await;
+            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        }
+    }
+
+    fn evidence(&self, pool: &Pool) -> Evidence {
+        let state = self.lock();
+        let suspects = state.suspects.as_ref();
+        Evidence {
+            suspects: suspects.map_or(0, |it| it.runs.len()),
+            broken: suspects.map_or(0, Suspects::broken),
+            open: suspects.is_some_and(|it| pool.has_open_up_to(it.last_connection)),
+            answered: state.answered,
+        }
+    }
+
+    /// Ends the diagnosis unless a connection broke within [`CLOSE_TIMEOUT`].
+    fn dismiss_suspects_after_timeout(&self) -> bool {
+        let mut state = self.lock();
+        let last_break = state.suspects.as_ref().map(|it| it.last_break);
+        let is_over = last_break.is_none_or(|at| at.elapsed() >= CLOSE_TIMEOUT);
+        if is_over {
+            state.suspects = None;
         }
+        is_over
+    }
+
+    /// Counts a crash and ends the diagnosis. Returns the requests that may have caused it.
+    fn take_crash(&self, opened_total: u64) -> Vec<Content> {
+        let mut state = self.lock();
+        state.opened_at_report = Some(opened_total);
+        state.crashes += 1;
+        state.answered = false;
+        let suspects = state.suspects.take();
+        let runs = suspects.into_iter().flat_map(|suspects| suspects.runs);
+        runs.map(|run| run.content).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -109,6 +265,7 @@
     key: RunKey,
     /// Crashes reported before it was handed over.
     crashes: u64,
+    answer_began: bool,
     /// Whether its answer shows that the target has run it without a crash.
     shows_run: bool,
 }
@@ -120,8 +277,9 @@
         Box::new(WatchedRequest {
             hub: Arc::clone(hub),
             content,
-            key: state.running.insert(content),
+            key: state.start_run(content),
             crashes: state.crashes,
+            answer_began: false,
             shows_run: false,
         })
     }
@@ -134,17 +292,14 @@
     pub(in crate::traffic) fn record_status(&mut self, status: StatusCode) {
         let refused = status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error();
         self.shows_run = !refused;
+        self.answer_began = true;
+        let mut state = self.hub.crash_watch.lock();
+        state.answered |= self.crashes == state.crashes;
     }
 
     /// Records that the answer was received completely.
     pub(in crate::traffic) fn record_answer(&self) {
-        {
-            let mut state = self.hub.crash_watch.lock();
-            state.answered |= self.crashes == state.crashes;
-            if let Some(suspects) = &mut state.suspects {
-                suspects.survived |= suspects.runs.iter().any(|(key, _)| *key == self.key);
-            }
-        }
+        self.hub.crash_watch.lock().clear_suspect(self.key);
         if !self.shows_run {
             return;
         }
@@ -159,7 +314,7 @@
     /// A target also aborts single answers, and resets connections for which it has no
     /// capacity. The target is therefore probed for whether it still accepts connections.
     /// Of the connections that break together, the first one starts the probe and the
-    /// report for all. No answer is delayed by the probe.
+    /// report for all, which end the diagnosis. No answer is delayed by the probe.
     pub(in crate::traffic) fn record_broken_connection(&self) {
         let hub = &self.hub;
         if hub.is_leaving() || hub.has_departed() {
@@ -168,50 +323,56 @@
         }
         {
             let mut state = hub.crash_watch.lock();
-            if state.suspects.is_some() || state.opened_at_report == Some(hub.pool.opened_total()) {
+            if state.opened_at_report == Some(hub.pool.opened_total()) {
+                return;
+            }
+            let last_connection = hub.pool.last_connection();
+            let is_first = state.suspects.is_none();
+            state.record_break(self.key, self.answer_began, last_connection);
+            if !is_first {
                 return;
             }
-            let runs = state.running.iter().map(|(key, content)| (key, *content));
-            state.suspects = Some(Suspects {
-                runs: runs.collect(),
-                survived: false,
-            });
         }
         let hub = Arc::clone(hub);
         let connections = self.hub.connections.clone();
         connections.spawn(async move {
             let cancel = hub.abort.clone();
             cancel.run_until_cancelled(report_crash(&hub)).await;
-            hub.crash_watch.lock().suspects = None;
         });
     }
 }
 
 impl Drop for WatchedRequest {
     fn drop(&mut self) {
-        self.hub.crash_watch.lock().running.remove(self.key);
+        self.hub.crash_watch.lock().end_run(self.key);
     }
 }
 
 /// Reports a crash together with all suspects, if the target crashed.
 async fn report_crash(hub: &Hub) {
+    let broke_at = Instant::now();
     tokio::time::sleep(PROBE_DELAY).await;
-    let crashed = match target::diagnose_break(&hub.pool).await {
-        BreakScope::Connection => false,
-        BreakScope::Target => true,
-        BreakScope::Unclear => hub.crash_watch.all_suspects_end().await,
+    let scope = target::diagnose_break(&hub.pool).await;
+    let probed_ms = broke_at.elapsed().as_millis();
+    let watch = &hub.crash_watch;
+    let (evidence, crashed) = match scope {
+        BreakScope::Target => (watch.evidence(&hub.pool), true),
+        BreakScope::Unclear => watch.wait_for_crash(&hub.pool, 0).await,
+        BreakScope::Connection => watch.wait_for_crash(&hub.pool, MIN_BROKEN).await,
     };
+    tracing::info!(
+        ?scope,
+        probed_ms,
+        suspects = evidence.suspects,
+        broken = evidence.broken,
+        open = evidence.open,
+        answered = evidence.answered,
+        crashed,
+        "a connection to the target broke"
+    );
     if !crashed {
         return;
     }
-    let contents = {
-        let mut state = hub.crash_watch.lock();
-        state.opened_at_report = Some(hub.pool.opened_total());
-        state.crashes += 1;
-        state.answered = false;
-        let suspects = state.suspects.iter();
-        let runs = suspects.flat_map(|suspects| &suspects.runs);
-        runs.map(|(_, content)| *content).collect()
-    };
+    let contents = watch.take_crash(hub.pool.opened_total());
     hub.shared.quarantine().record_crash(contents).await;
 }
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -1,5 +1,6 @@
 //! The connections to the local target, limited by the settings.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,6 +35,9 @@
 /// The traffic thread on which a connection was opened; using it there is cheapest.
 pub(in crate::traffic) type WorkerIndex = usize;
 
+/// The number of a connection in the order of their openings, from 1.
+pub(in crate::traffic) type ConnectionNumber = u64;
+
 /// How long a new connection has to stay open to show that the target is up.
 const OPEN_CHECK_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -41,8 +45,8 @@
 ///
 /// # Invariants
 ///
-/// `open` counts the connections that exist, idle or in use, and is at most
-/// `limit`. A connection in `idle` has no exchange on it.
+/// `open` has the connections that exist, idle or in use, at most `limit`. A connection in
+/// `idle` has no exchange on it.
 #[derive(Debug)]
 pub(in crate::traffic) struct Pool {
     addr: SocketAddr,
@@ -55,10 +59,18 @@
 
 #[derive(Debug, Default)]
 struct State {
-    open: u32,
+    open: BTreeSet<ConnectionNumber>,
+    /// The number of the connection that was opened last, successfully or not.
+    last: ConnectionNumber,
     idle: Vec<Connection>,
 }
 
+impl State {
+    fn has_room(&self, limit: u32) -> bool {
+        u32::try_from(self.open.len()).is_ok_and(|open| open < limit)
+    }
+}
+
 impl Pool {
     /// A pool of at most `limit` connections to `addr`. No connection is opened yet.
     pub(in crate::traffic) fn new(addr: SocketAddr, limit: u32) -> Arc<Pool> {
@@ -83,6 +95,33 @@
         self.opened_total.load(Ordering::Relaxed)
     }
 
+    /// The connection that was opened last.
+    pub(in crate::traffic) fn last_connection(&self) -> ConnectionNumber {
+        self.lock().last
+    }
+
+    /// Whether the target still keeps a connection open that was opened no later than
+    /// `last`.
+    pub(in crate::traffic) fn has_open_up_to(&self, last: ConnectionNumber) -> bool {
+        self.close_ended_idle();
+        let state = self.lock();
+        state.open.first().is_some_and(|oldest| *oldest <= last)
+    }
+
+    /// Closes the idle connections that the target has closed.
+    fn close_ended_idle(&self) {
+        let mut cx = Context::from_waker(Waker::noop());
+        let mut state = self.lock();
+        let is_ended = |conn: &mut Connection| {
+            conn.drive(&mut cx);
+            !conn.is_usable()
+        };
+        let ended: Vec<Connection> = state.idle.extract_if(.., is_ended).collect();
+        drop(state);
+        // Closing a connection locks the state.
+        drop(ended);
+    }
+
     fn limit(&self) -> u32 {
         self.limit.load(Ordering::Relaxed)
     }
@@ -109,7 +148,7 @@
         let own = state.idle.iter().rposition(|idle| idle.worker() == worker);
         let found = match own {
             Some(at) => Some(state.idle.remove(at)),
-            None if state.open < self.limit() => None,
+            None if state.has_room(self.limit()) => None,
             None => state.idle.pop(),
         };
         drop(state);
@@ -220,18 +259,25 @@
 pub(super) struct OpenGuard {
     pool: Arc<Pool>,
     worker: WorkerIndex,
+    number: ConnectionNumber,
 }
 
 impl OpenGuard {
-    fn try_new(pool: &Arc<Pool>, worker: WorkerIndex) -> Result<OpenGuard> {
+    pub(super) fn try_new(pool: &Arc<Pool>, worker: WorkerIndex) -> Result<OpenGuard> {
         let mut state = pool.lock();
-        if state.open >= pool.limit() {
+        if !state.has_room(pool.limit()) {
             return Err(pool.error("all connections are in use"));
         }
-        state.open += 1;
+        state.last += 1;
+        let number = state.last;
         // INVARIANT: The count was below the limit.
+        state.open.insert(number);
         let pool = Arc::clone(pool);
-        Ok(OpenGuard { pool, worker })
+        Ok(OpenGuard {
+            pool,
+            worker,
+            number,
+        })
     }
 
     /// The traffic thread on which the connection was opened.
@@ -247,7 +293,7 @@
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.pool.lock().open -= 1;
+        self.pool.lock().open.remove(&self.number);
     }
 }
 
--- a/crates/node/tests/control/quarantine.rs
+++ b/crates/node/tests/control/quarantine.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::net::TcpListener as StdListener;
 use std::time::Duration;
 use std::time::Instant;
 
 use http::StatusCode;
 use rstest::rstest;
+use sassafrasspool_node::Settings;
 use sassafrasspool_standin::TargetSettings;
 use sassafrasspool_standin::target::CrashOn;
 use sassafrasspool_standin::target::Run;
@@ -15,6 +17,9 @@
 use sassafrasspool_wire::admin::QuarantineInfo;
 use sassafrasspool_wire::admin::RELEASE_PATH;
 use sassafrasspool_wire::admin::ReleaseAnswer;
+use tokio::io::copy_bidirectional;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::common::CATALOGUE;
@@ -45,6 +50,10 @@
 /// Time between two calls.
 const CALL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// How late an intermediary closes a connection, longer than a node waits for the close of
+/// one that it opens to probe the target.
+const CLOSE_DELAY: Duration = Duration::from_millis(200);
+
 /// How long new calls are started.
 const CALLING_PERIOD: Duration = Duration::from_secs(8);
 
@@ -68,6 +77,10 @@
 }
 
 async fn crashing_fleet(cold_start_ms: u64) -> Fleet {
+    crashing_fleet_with(cold_start_ms, |_| ()).await
+}
+
+async fn crashing_fleet_with(cold_start_ms: u64, change: impl Fn(&mut Settings)) -> Fleet {
     let target = TargetSettings {
         cold_start_ms,
         crash_on: Some(CrashOn {
@@ -77,7 +90,7 @@
         }),
         ..slow_target(Duration::from_millis(30))
     };
-    let fleet = Fleet::start_with(NODES, &target, |_| ()).await;
+    let fleet = Fleet::start_with(NODES, &target, change).await;
     let first = fleet.publish(&CATALOGUE.replace("rate_per_s: 100", "rate_per_s: 1000"));
     fleet.wait_until_in_force(first).await;
     fleet.wait_until_ready().await;
@@ -251,6 +264,51 @@
     fleet.cancel.cancel();
 }
 
+/// Starts an intermediary before a target, which closes its connections late.
+fn start_slow_intermediary(target: SocketAddr) -> SocketAddr {
+    let listener = StdListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    listener.set_nonblocking(true).expect("a socket option");
+    let listener = TcpListener::from_std(listener).expect("a listener");
+    tokio::spawn(async move {
+        while let Ok((mut caller, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                if let Ok(mut conn) = TcpStream::connect(target).await {
+                    // A crash of the target ends the copy.
+                    let _ = copy_bidirectional(&mut caller, &mut conn).await;
+                }
+                tokio::time::sleep(CLOSE_DELAY).await;
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against crashes that aren't reported because the probe of the target stays open for
+/// a moment, as on a busy machine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashes_behind_a_slow_intermediary_are_reported() {
+    let fleet = crashing_fleet_with(0, |cfg| {
+        cfg.target.addr = start_slow_intermediary(cfg.target.addr);
+    })
+    .await;
+    let start = Instant::now();
+    while quarantine_of(&fleet, 0).await.held.is_empty() {
+        assert!(start.elapsed() < CALLING_PERIOD, "no quarantine");
+        for node in &fleet.nodes {
+            try_request_text("GET", node.addrs().ingress, HARMLESS_PATH).await;
+        }
+        // Several requests run in each target when it crashes.
+        let mut callers = JoinSet::new();
+        for n in 0..4 * NODES {
+            let addr = fleet.nodes[n % NODES].addrs().ingress;
+            callers.spawn(async move { try_request_text("GET", addr, CRASHING_PATH).await });
+        }
+        callers.join_all().await;
+    }
+    fleet.cancel.cancel();
+}
+
 /// The quarantine of a node.
 async fn quarantine_of(fleet: &Fleet, node: usize) -> QuarantineInfo {
     let admin = fleet.nodes[node].addrs().admin;
