Report the requests that ran at a crash, not those that were lost after it

Requests that were sent to the target while it was down broke as well, and since they had been started after the crash, they replaced the suspects of that crash. The same requests brought a second report once the target had answered again.

Change: breaks of requests that were started after the first break are collected apart, and are diagnosed only if the first ones turn out to be no crash. A crash is shown by the connections that were open at the first break. Whether the target had answered before is taken at the break and not at the end of the diagnosis.

Tests in virtual time: requests lost before the target answers, requests lost after a crash, and a connection that is opened before a break is noticed.

--- a/crates/node/src/traffic/target/crash_watch.rs
+++ b/crates/node/src/traffic/target/crash_watch.rs
@@ -54,6 +54,9 @@
     running: SlotMap<RunKey, Running>,
     /// The requests that ran when connections broke, while the cause is determined.
     suspects: Option<Suspects>,
+    /// Those that ran when connections broke under later requests, in case that `suspects`
+    /// turn out not to have been in a crash.
+    later_suspects: Option<Suspects>,
     /// Total of connections opened to the target when its last crash was reported. Until
     /// another one is opened, every broken connection belongs to that crash.
     opened_at_report: Option<u64>,
@@ -69,12 +72,17 @@
 struct Running {
     content: Content,
     started: Instant,
+    /// The last connection that was opened before.
+    last_connection: ConnectionNumber,
 }
 
 impl State {
-    fn start_run(&mut self, content: Content) -> RunKey {
-        let started = Instant::now();
-        self.running.insert(Running { content, started })
+    fn start_run(&mut self, content: Content, last_connection: ConnectionNumber) -> RunKey {
+        self.running.insert(Running {
+            content,
+            started: Instant::now(),
+            last_connection,
+        })
     }
 
     /// Records that the connection of a request broke, before or after its answer began.
@@ -84,17 +92,30 @@
         answer_began: bool,
         last_connection: ConnectionNumber,
     ) {
-        let new = || Suspects::new(last_connection);
-        let suspects = self.suspects.get_or_insert_with(new);
-        suspects.record_break(broken, &self.running, last_connection);
+        let Some(run) = self.running.get(broken) else {
+            return;
+        };
+        let suspects = match &mut self.suspects {
+            Some(suspects) if !suspects.contains(broken) => {
+                // It was started after the first break, maybe in the next process of the target.
+                let new = || Suspects::new(run.last_connection);
+                self.later_suspects.get_or_insert_with(new)
+            }
+            suspects => suspects.get_or_insert_with(|| Suspects::new(last_connection)),
+        };
+        suspects.record_break(broken, run, &self.running, self.answered);
         if let Some(run) = suspects.find(broken) {
             run.broke = !answer_began;
         }
     }
 
+    fn all_suspects(&mut self) -> impl Iterator<Item = &mut Suspects> {
+        self.suspects.iter_mut().chain(&mut self.later_suspects)
+    }
+
     /// Records that the target has answered a request.
     fn clear_suspect(&mut self, answered: RunKey) {
-        if let Some(suspects) = &mut self.suspects {
+        for suspects in self.all_suspects() {
             // INVARIANT: An answered request is no suspect.
             suspects.runs.retain(|run| run.key != answered);
         }
@@ -103,8 +124,7 @@
     /// Records that the node no longer waits for an answer.
     fn end_run(&mut self, key: RunKey) {
         self.running.remove(key);
-        let suspects = self.suspects.as_mut();
-        if let Some(run) = suspects.and_then(|it| it.find(key)) {
+        for run in self.all_suspects().filter_map(|it| it.find(key)) {
             run.ended = Some(Instant::now());
         }
     }
@@ -114,14 +134,17 @@
 ///
 /// # Invariants
 ///
-/// `runs` has no request that was answered, none that ended before the one whose connection
-/// broke last was started, and none that ended more than [`CLOSE_TIMEOUT`] before that.
+/// `runs` has no request that was answered, and none that ended before another was started.
 #[derive(Debug)]
 struct Suspects {
     runs: Vec<Suspect>,
     last_break: Instant,
-    /// The last connection that existed at that time.
+    /// A target that crashed under these requests has closed all connections up to this one.
     last_connection: ConnectionNumber,
+    /// Whether the target had answered a request since its last reported crash. If not, it may
+    /// still be down, behind an intermediary that accepts connections. Every request sent there
+    /// is lost, which is no evidence against any request.
+    answered: bool,
 }
 
 #[derive(Debug)]
@@ -140,26 +163,33 @@
             runs: Vec::new(),
             last_break: Instant::now(),
             last_connection,
+            answered: false,
         }
     }
 
-    /// Records that the connection of the request `broken` broke while `running` ran.
+    /// Records that the connection of a request broke while `running` ran.
     fn record_break(
         &mut self,
-        broken: RunKey,
+        key: RunKey,
+        broken: &Running,
         running: &SlotMap<RunKey, Running>,
-        last_connection: ConnectionNumber,
+        answered: bool,
     ) {
         self.last_break = Instant::now();
-        self.last_connection = last_connection;
-        let started = running.get(broken).map(|run| run.started);
+        if self.contains(key) {
+            return;
+        }
+        if !self.runs.is_empty() {
+            self.last_connection = broken.last_connection;
+        }
+        self.answered = answered;
         let timed_out = self.last_break.checked_sub(CLOSE_TIMEOUT);
-        // INVARIANT: What ended earlier has nothing to do with this break.
-        let earliest_end = started.max(timed_out);
+        // INVARIANT: What ended before this request was started isn't kept.
+        let earliest_end = Some(broken.started).max(timed_out);
         self.runs
             .retain(|run| run.ended.is_none() || run.ended >= earliest_end);
         for (key, run) in running {
-            if !self.runs.iter().any(|suspect| suspect.key == key) {
+            if !self.contains(key) {
                 self.runs.push(Suspect {
                     key,
                     content: run.content,
@@ -170,6 +200,10 @@
         }
     }
 
+    fn contains(&self, key: RunKey) -> bool {
+        self.runs.iter().any(|run| run.key == key)
+    }
+
     fn find(&mut self, key: RunKey) -> Option<&mut Suspect> {
         self.runs.iter_mut().find(|run| run.key == key)
     }
@@ -185,7 +219,7 @@
 struct Evidence {
     suspects: usize,
     broken: usize,
-    /// Whether a connection is open that existed when the last one broke.
+    /// Whether a connection is open that a crash would have closed.
     open: bool,
     answered: bool,
 }
@@ -193,17 +227,15 @@
 impl Evidence {
     /// Whether the process that served all these connections has ended.
     ///
-    /// A target without capacity for connections keeps those that it has. A target that has
-    /// answered nothing since its last crash may still be down, behind an intermediary that
-    /// accepts connections. Every request sent there is lost, which is no evidence against
-    /// any request.
+    /// A target without capacity for connections keeps those that it has.
     fn shows_crash(&self, min_broken: usize) -> bool {
         self.answered && !self.open && self.broken >= min_broken
     }
 }
 
 impl CrashWatch {
-    /// Waits until the evidence shows a crash, for [`CLOSE_TIMEOUT`] after the last break.
+    /// Waits until the evidence shows a crash, for [`CLOSE_TIMEOUT`] after the last break under
+    /// the suspects.
     /// Returns the last evidence and whether it shows one.
     async fn wait_for_crash(&self, pool: &Pool, min_broken: usize) -> (Evidence, bool) {
         loop {
@@ -225,19 +257,19 @@
             suspects: suspects.map_or(0, |it| it.runs.len()),
             broken: suspects.map_or(0, Suspects::broken),
             open: suspects.is_some_and(|it| pool.has_open_up_to(it.last_connection)),
-            answered: state.answered,
+            answered: suspects.is_some_and(|it| it.answered),
         }
     }
 
-    /// Ends the diagnosis unless a connection broke within [`CLOSE_TIMEOUT`].
+    /// Dismisses the suspects unless one of their connections broke within [`CLOSE_TIMEOUT`].
+    /// Returns whether that ends the diagnosis.
     fn dismiss_suspects_after_timeout(&self) -> bool {
         let mut state = self.lock();
         let last_break = state.suspects.as_ref().map(|it| it.last_break);
-        let is_over = last_break.is_none_or(|at| at.elapsed() >= CLOSE_TIMEOUT);
-        if is_over {
-            state.suspects = None;
+        if last_break.is_none_or(|at| at.elapsed() >= CLOSE_TIMEOUT) {
+            state.suspects = state.later_suspects.take();
         }
-        is_over
+        state.suspects.is_none()
     }
 
     /// Counts a crash and ends the diagnosis. Returns the requests that may have caused it.
@@ -246,6 +278,8 @@
         state.opened_at_report = Some(opened_total);
         state.crashes += 1;
         state.answered = false;
+        // Requests that were lost later may have met the target when it was down.
+        state.later_suspects = None;
         let suspects = state.suspects.take();
         let runs = suspects.into_iter().flat_map(|suspects| suspects.runs);
         runs.map(|run| run.content).collect()
@@ -273,11 +307,12 @@
 impl WatchedRequest {
     /// Adds a request that is handed over to the running ones.
     pub(in crate::traffic) fn start(hub: &Arc<Hub>, content: Content) -> Box<WatchedRequest> {
+        let last_connection = hub.pool.last_connection();
         let mut state = hub.crash_watch.lock();
         Box::new(WatchedRequest {
             hub: Arc::clone(hub),
             content,
-            key: state.start_run(content),
+            key: state.start_run(content, last_connection),
             crashes: state.crashes,
             answer_began: false,
             shows_run: false,
@@ -326,9 +361,8 @@
             if state.opened_at_report == Some(hub.pool.opened_total()) {
                 return;
             }
-            let last_connection = hub.pool.last_connection();
             let is_first = state.suspects.is_none();
-            state.record_break(self.key, self.answer_began, last_connection);
+            state.record_break(self.key, self.answer_began, hub.pool.last_connection());
             if !is_first {
                 return;
             }
--- a/crates/node/src/traffic/target/crash_watch/tests.rs
+++ b/crates/node/src/traffic/target/crash_watch/tests.rs
@@ -25,6 +25,9 @@
     StartsAndBreaksAfter(u64),
     /// The node notices so many milliseconds later that its connection broke.
     BreaksAfter(u64),
+    /// Its connection breaks so many milliseconds later, after a request was started on a
+    /// new connection, which stays open.
+    BreaksBesideNewConnection(u64),
     /// The target answers it so many milliseconds later, and keeps the connection.
     IsAnsweredAfter(u64),
     /// The target answers it at once, and its connection closes so many milliseconds later.
@@ -51,10 +54,11 @@
 /// Starts a request for `path`.
 fn start(watch: &CrashWatch, pool: &Arc<Pool>, path: &str) -> Run {
     let content = Content::of("GET", "desk.example", path, None, b"");
+    let conn = OpenGuard::try_new(pool, 0).expect("room for a connection");
     Run {
-        key: watch.lock().start_run(content),
+        key: watch.lock().start_run(content, pool.last_connection()),
         content,
-        conn: OpenGuard::try_new(pool, 0).expect("room for a connection"),
+        conn,
     }
 }
 
@@ -87,6 +91,7 @@
 #[case::answers(Case { other: Other::IsAnsweredAfter(200), min_broken: 0, answered: true, crashed: false })]
 #[case::still_down(Case { other: Other::BreaksAfter(0), min_broken: 0, answered: false, crashed: false })]
 #[case::restarted(Case { other: Other::BreaksAfter(200), min_broken: MIN_BROKEN, answered: true, crashed: true })]
+#[case::noticed_after_a_new_connection(Case { other: Other::BreaksBesideNewConnection(200), min_broken: MIN_BROKEN, answered: true, crashed: true })]
 #[case::aborted_alone(Case { other: Other::None, min_broken: MIN_BROKEN, answered: true, crashed: false })]
 #[case::aborted_one_by_one(Case { other: Other::StartsAndBreaksAfter(50), min_broken: MIN_BROKEN, answered: true, crashed: false })]
 #[case::closes_after_an_answer(Case { other: Other::IsAnsweredAndCloses(0), min_broken: MIN_BROKEN, answered: true, crashed: false })]
@@ -100,7 +105,10 @@
     let runs_beside = !matches!(case.other, Other::None | Other::StartsAndBreaksAfter(_));
     let other = runs_beside.then(|| start(&watch, &pool, "/covers/8"));
     let mut suspects = vec![broken.content];
-    if matches!(case.other, Other::BreaksAfter(_)) {
+    if matches!(
+        case.other,
+        Other::BreaksAfter(_) | Other::BreaksBesideNewConnection(_)
+    ) {
         suspects.extend(other.as_ref().map(|run| run.content));
     }
     break_connection(&watch, &pool, broken);
@@ -119,6 +127,13 @@
                     break_connection(&watch, &pool, other);
                 }
             }
+            Other::BreaksBesideNewConnection(ms) => {
+                let later = start(&watch, &pool, "/covers/9");
+                wait(ms).await;
+                break_connection(&watch, &pool, other);
+                wait(5_000).await;
+                answer(&watch, &later);
+            }
             Other::IsAnsweredAfter(ms) => {
                 wait(ms).await;
                 answer(&watch, &other);
@@ -168,3 +183,44 @@
     assert!(contents.contains(&survivor_content), "{contents:?}");
     assert!(!contents.contains(&aborted_content), "{contents:?}");
 }
+
+/// Guards against a crash report about requests that were lost with a target that was down,
+/// since the target has answered others by the time of the diagnosis.
+#[tokio::test(start_paused = true)]
+async fn requests_lost_before_the_target_answers_are_no_evidence() {
+    let watch = CrashWatch::default();
+    let pool = Pool::new(TARGET, 10);
+    for path in ["/covers/1", "/covers/2", "/covers/3"] {
+        let lost = start(&watch, &pool, path);
+        break_connection(&watch, &pool, lost);
+    }
+    watch.lock().answered = true;
+    let (_, crashed) = watch.wait_for_crash(&pool, 0).await;
+    assert!(!crashed);
+}
+
+/// Guards against a crash report that names the requests that were lost while the target was
+/// down in place of those that ran when it crashed.
+#[tokio::test(start_paused = true)]
+async fn requests_lost_after_a_crash_are_no_suspects() {
+    let watch = CrashWatch::default();
+    watch.lock().answered = true;
+    let pool = Pool::new(TARGET, 10);
+    let crashing = start(&watch, &pool, "/covers/1");
+    let beside = start(&watch, &pool, "/covers/2");
+    let suspects = vec![crashing.content, beside.content];
+    break_connection(&watch, &pool, crashing);
+    let events = async {
+        for path in ["/covers/3", "/covers/4"] {
+            wait(20).await;
+            let lost = start(&watch, &pool, path);
+            wait(20).await;
+            break_connection(&watch, &pool, lost);
+        }
+        break_connection(&watch, &pool, beside);
+    };
+    let diagnosis = watch.wait_for_crash(&pool, MIN_BROKEN);
+    let ((_, crashed), ()) = tokio::join!(diagnosis, events);
+    assert!(crashed);
+    assert_eq!(watch.take_crash(0), suspects);
+}
