Quarantine a request only after answers to it can have been reported

Cause: three targets crashed within 0.2 s under a request that crashes them, and each ran the frequent lookup as well. It entered quarantine with the third report, and left it 25 to 42 ms later with the first report of an answer.

Change: a request enters quarantine 0.5 s after the second crash at the earliest. Reports of answers are due from the second crash on, after 10 ms a node at most and 1 s in large fleets, where the first is sent nearly at once. A request that crashes one target after another is refused as early as before.

The new test fails without the delay by its construction: the request is then in quarantine at the crashes.

--- a/crates/core/src/quarantine/quarantine_state.rs
+++ b/crates/core/src/quarantine/quarantine_state.rs
@@ -18,6 +18,11 @@
 /// reported: one more crash makes [`CRASHES_TO_QUARANTINE`].
 pub(super) const CRASHES_TO_SUSPECT: usize = CRASHES_TO_QUARANTINE - 1;
 
+/// How long after a request has become suspect it may enter quarantine. Targets that crash
+/// together do so while they run all frequent requests, and answers to these have to be
+/// reported first.
+const ANSWER_REPORT_TIME: Duration = Duration::from_millis(500);
+
 /// How long a request stays in quarantine after the last crash while it ran. Then it may run
 /// again, as its targets may have been fixed. One more crash renews the quarantine.
 const QUARANTINE_PERIOD: Duration = Duration::from_secs(600);
@@ -33,20 +38,43 @@
 /// Every request in quarantine is suspect as well.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct QuarantineState {
-    /// The end of the quarantine of each request.
-    quarantined: BTreeMap<Fingerprint, Tick>,
+    quarantined: BTreeMap<Fingerprint, Period>,
     suspects: BTreeSet<Fingerprint>,
 }
 
+/// When a request is in quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Period {
+    from: Tick,
+    until: Tick,
+}
+
+impl Period {
+    fn contains(&self, now: Tick) -> bool {
+        self.from <= now && now < self.until
+    }
+}
+
 impl QuarantineState {
     /// The time until which no target may run a request, if it is in quarantine at `now`.
     pub fn quarantined_until(&self, now: Tick, content: &Content) -> Option<Tick> {
         if self.quarantined.is_empty() {
             return None;
         }
-        let until = |content| self.quarantined.get(&content).copied();
-        let until = content.fingerprints().filter_map(until).max();
-        until.filter(|until| now < *until)
+        let periods = self.periods(content);
+        let current = periods.filter(|period| period.contains(now));
+        current.map(|period| period.until).max()
+    }
+
+    /// When a request will enter quarantine, if it will after `now`.
+    pub fn quarantined_from(&self, now: Tick, content: &Content) -> Option<Tick> {
+        let starts = self.periods(content).map(|period| period.from);
+        starts.filter(|from| now < *from).min()
+    }
+
+    fn periods(&self, content: &Content) -> impl Iterator<Item = Period> {
+        let fingerprints = content.fingerprints();
+        fingerprints.filter_map(|content| self.quarantined.get(&content).copied())
     }
 
     /// Whether a request is suspect, so that answers to it have to be reported.
@@ -61,19 +89,17 @@
 
     /// The requests in quarantine at `now`, each with the end of its quarantine.
     pub fn quarantined_at(&self, now: Tick) -> impl Iterator<Item = (Fingerprint, Tick)> {
-        let quarantined = self
-            .quarantined
-            .iter()
-            .map(|(content, until)| (*content, *until));
-        quarantined.filter(move |(_, until)| now < *until)
+        let quarantined = self.quarantined.iter();
+        let current = quarantined.filter(move |(_, period)| period.contains(now));
+        current.map(|(content, period)| (*content, period.until))
     }
 
-    /// The requests that are in quarantine, or whose quarantine has ended.
+    /// The requests that are or will be in quarantine, or whose quarantine has ended.
     pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
         self.quarantined.keys().copied()
     }
 
-    /// Whether a request is in quarantine, or its quarantine has ended.
+    /// Whether a request is or will be in quarantine, or its quarantine has ended.
     pub(crate) fn contains(&self, content: Fingerprint) -> bool {
         self.quarantined.contains_key(&content)
     }
@@ -131,16 +157,20 @@
     }
 
     fn evaluate(self, state: &mut QuarantineState) {
-        for (content, crashes) in self.crashes {
+        for (content, mut crashes) in self.crashes {
+            crashes.sort_unstable();
             if crashes.len() >= CRASHES_TO_SUSPECT {
                 state.suspects.insert(content);
             }
             if crashes.len() >= CRASHES_TO_QUARANTINE
-                && let Some(last) = crashes.iter().max()
+                && let Some(last) = crashes.last()
             {
-                state
-                    .quarantined
-                    .insert(content, last.later_by(QUARANTINE_PERIOD).tick());
+                let suspect = crashes[CRASHES_TO_SUSPECT - 1];
+                let period = Period {
+                    from: suspect.later_by(ANSWER_REPORT_TIME).tick(),
+                    until: last.later_by(QUARANTINE_PERIOD).tick(),
+                };
+                state.quarantined.insert(content, period);
             }
         }
     }
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -330,3 +330,39 @@
         None
     );
 }
+
+/// Targets that crash at once while all of them run the same request.
+#[derive(Debug)]
+struct Burst {
+    /// Whether an answer to the request is reported before it enters quarantine.
+    answered: bool,
+    quarantined: bool,
+}
+
+/// Guards against a quarantine of a frequent request between the crashes of several targets
+/// and the reports that others have answered it.
+#[rstest]
+#[case::of_a_request_that_others_answer(Burst { answered: true, quarantined: false })]
+#[case::of_a_request_without_answers(Burst { answered: false, quarantined: true })]
+fn crashes_at_once_quarantine_after_answers_were_reported(#[case] burst: Burst) {
+    let mut known = Reports::default();
+    for number in 0..3 {
+        known.merge(at(10), &crash(number, 10, "/a"));
+    }
+    known.evaluate();
+    let request = content("/a");
+    let begin = at(10) + Duration::from_millis(500);
+    let before = at(10) + Duration::from_millis(499);
+    assert_eq!(known.state().quarantined_until(before, &request), None);
+    assert_eq!(
+        known.state().quarantined_from(before, &request),
+        Some(begin)
+    );
+    if burst.answered {
+        let observation = Observation::Answered(request.whole());
+        known.merge(before, &report(3, 10, 10, observation));
+        known.evaluate();
+    }
+    let quarantined = known.state().quarantined_until(begin, &request);
+    assert_eq!(quarantined.is_some(), burst.quarantined, "{burst:?}");
+}
--- a/crates/node/src/shared/quarantine.rs
+++ b/crates/node/src/shared/quarantine.rs
@@ -57,11 +57,22 @@
     ) -> Duration {
         let mut updates = self.updated.subscribe();
         loop {
-            if let Some(left) = self.time_left(clock.now(), content) {
+            let now = clock.now();
+            if let Some(left) = self.time_left(now, content) {
                 return left;
             }
-            // It can't fail: `self` owns the sender and outlives the wait.
-            let _ = updates.changed().await;
+            let from = self.state.load().quarantined_from(now, content);
+            let begin = async {
+                match from {
+                    Some(from) => tokio::time::sleep_until(clock.instant(from).into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                // It can't fail: `self` owns the sender and outlives the wait.
+                _ = updates.changed() => {}
+                () = begin => {}
+            }
         }
     }
 
