Limit the starts at a cold target also where requests reach it late

A target that bears no more crashes, and all of its requests are lost.

Cause: suspected, not shown. The limit holds where the node admits requests. On a machine short of processor time they reach the target late and start together with those that were admitted after them: a stall of 0.4 s makes 36 starts within a second of 28 that were admitted within any second, in virtual time with the real admission control.

Change: a request counts for the limit until one second after its latest possible start. That is 1 s after its admission while it runs, and once it has ended its end less the shortest time that a request of its kind has taken.

--- a/crates/core/src/admit/request.rs
+++ b/crates/core/src/admit/request.rs
@@ -44,6 +44,16 @@
     pub until: Tick,
 }
 
+impl ColdLimit {
+    /// The most requests that may start within a second, at least one.
+    pub(super) fn max_per_second(&self) -> usize {
+        let burst = Duration::from_secs(1).saturating_add(self.burst);
+        let micros = u128::from(self.per_s) * burst.as_micros();
+        let requests = micros.div_ceil(Duration::from_secs(1).as_micros()).max(1);
+        usize::try_from(requests).unwrap_or(usize::MAX)
+    }
+}
+
 /// The decision of admission control.
 #[derive(Debug)]
 pub enum AdmissionDecision {
--- a/crates/core/src/admit/service_times.rs
+++ b/crates/core/src/admit/service_times.rs
@@ -1,4 +1,4 @@
-//! Average service times of requests.
+//! Average and shortest service times of requests.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -13,6 +13,10 @@
 /// class.
 const MAX_KINDS: usize = 256;
 
+/// Service times of one type from which the shortest is determined at least. The first ones
+/// may all include the same delay.
+const MIN_SHORTEST_COUNT: u32 = 16;
+
 /// What admission control distinguishes requests by.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WorkType {
@@ -20,9 +24,18 @@
     kind: Option<usize>,
 }
 
-/// Average service times, by kind and by class.
+/// The shortest of some service times.
+#[derive(Debug, Clone, Copy, Default)]
+struct Shortest {
+    time: Duration,
+    count: u32,
+}
+
+/// Average and shortest service times, by kind and by class.
 #[derive(Debug, Default)]
 pub(super) struct ServiceTimes {
+    /// By class and index of the kind.
+    shortest: HashMap<(Class, Option<usize>), Shortest>,
     class_means_us: [u64; Class::ALL.len()],
     kinds: HashMap<KindName, usize>,
     /// Zero until a request of the kind has ended.
@@ -61,8 +74,23 @@
         self.class_means_us[class.index()]
     }
 
-    /// Adds the service time of a request to the averages.
+    /// The shortest service time of a request of that type so far; zero until
+    /// [`MIN_SHORTEST_COUNT`] have ended.
+    pub(super) fn shortest(&self, work: WorkType) -> Duration {
+        let shortest = self.shortest.get(&(work.class, work.kind));
+        let shortest = shortest.filter(|it| it.count >= MIN_SHORTEST_COUNT);
+        shortest.map_or(Duration::ZERO, |it| it.time)
+    }
+
+    /// Adds the service time of a request.
     pub(super) fn record(&mut self, work: WorkType, took: Duration) {
+        let shortest = self.shortest.entry((work.class, work.kind));
+        let shortest = shortest.or_default();
+        shortest.time = match shortest.count {
+            0 => took,
+            _ => took.min(shortest.time),
+        };
+        shortest.count = shortest.count.saturating_add(1);
         let us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX >> AVERAGE_SHIFT);
         update_average(&mut self.class_means_us[work.class.index()], us);
         if let Some(of_kind) = work.kind.and_then(|kind| self.kind_means_us.get_mut(kind)) {
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -196,6 +196,8 @@
         if let Some(now) = now {
             self.now = self.now.max(now);
             self.service_times.record(work, now.since(acquired_at));
+            let shortest = self.service_times.shortest(work);
+            self.warm_up.record_end(now, acquired_at, shortest);
         }
         self.expire_overdue(wakes);
         self.dispatch(shared, wakes);
@@ -316,7 +318,7 @@
     fn count_start(&mut self, class: Class) {
         self.running += 1;
         self.running_by_class[class.index()] += 1;
-        self.warm_up.record_start();
+        self.warm_up.record_admission(self.now);
     }
 
     fn max_queued(&self) -> usize {
--- a/crates/core/src/admit/tests.rs
+++ b/crates/core/src/admit/tests.rs
@@ -2,6 +2,7 @@
 
 mod cases;
 mod cold;
+mod cold_delays;
 mod fixture;
 mod load;
 mod overload;
--- a/crates/core/src/admit/warm_up.rs
+++ b/crates/core/src/admit/warm_up.rs
@@ -6,16 +6,36 @@
 use crate::ColdLimit;
 use crate::Tick;
 
+/// The span in which the starts of requests are limited.
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The longest time from the admission of a request to its start at the target that the limit
+/// allows for. On a busy machine requests reach their target late, and start together with
+/// those that were admitted after them.
+const MAX_START_DELAY: Duration = Duration::from_secs(1);
+
 /// The rate limit on a target while it is cold.
 ///
 /// # Invariants
 ///
-/// While the limit is in force, no more requests start within any second than its rate
-/// yields in one second and [`ColdLimit::burst`] together.
+/// While the limit is in force, no more requests are admitted or start within any second than
+/// [`ColdLimit::max_per_second`]. Requests that start later than [`MAX_START_DELAY`] after
+/// their admission are excepted.
 #[derive(Debug)]
 pub(super) struct WarmUp {
     limit: Option<ColdLimit>,
     bucket: TokenBucket,
+    /// The requests that may start, or may have started, within the last second.
+    admitted: Vec<Admitted>,
+}
+
+/// A request that was admitted to a cold target.
+#[derive(Debug)]
+struct Admitted {
+    at: Tick,
+    has_ended: bool,
+    /// A second after its latest possible start.
+    counts_until: Tick,
 }
 
 impl WarmUp {
@@ -24,6 +44,7 @@
         WarmUp {
             limit: None,
             bucket: TokenBucket::full(),
+            admitted: Vec::new(),
         }
     }
 
@@ -39,10 +60,21 @@
     /// How long it takes until a request may start; nothing if one may start now.
     pub(super) fn wait(&mut self, now: Tick) -> Option<Duration> {
         let limit = self.active_limit(now)?;
-        let wait = self.bucket.refill(now, limit.per_s, limit.burst)?;
+        let rate_wait = self.bucket.refill(now, limit.per_s, limit.burst);
+        let wait = rate_wait.max(self.window_wait(now, limit))?;
         Some(wait.min(limit.until.since(now)))
     }
 
+    /// How long it takes at most until fewer requests may start within a second than the limit
+    /// allows; nothing if it is so now. The end of a request may shorten the wait.
+    fn window_wait(&mut self, now: Tick, limit: ColdLimit) -> Option<Duration> {
+        self.admitted.retain(|it| now < it.counts_until);
+        let over = self.admitted.len().checked_sub(limit.max_per_second())?;
+        let mut ends: Vec<Tick> = self.admitted.iter().map(|it| it.counts_until).collect();
+        ends.sort_unstable();
+        Some(ends[over].since(now))
+    }
+
     /// How long a request waits that starts after `ahead` others.
     pub(super) fn wait_behind(&mut self, now: Tick, ahead: usize) -> Duration {
         let Some(limit) = self.active_limit(now) else {
@@ -55,10 +87,27 @@
         wait.min(limit.until.since(now))
     }
 
-    /// Records that a request starts.
-    pub(super) fn record_start(&mut self) {
+    /// Records that a request was admitted.
+    pub(super) fn record_admission(&mut self, now: Tick) {
         if self.limit.is_some() {
             self.bucket.take();
+            self.admitted.push(Admitted {
+                at: now,
+                has_ended: false,
+                counts_until: now + MAX_START_DELAY + SECOND,
+            });
         }
     }
+
+    /// Records that a request has ended that was admitted at `admitted_at` and ran at the target
+    /// for at least `shortest`.
+    pub(super) fn record_end(&mut self, now: Tick, admitted_at: Tick, shortest: Duration) {
+        let mut admitted = self.admitted.iter_mut();
+        let Some(ended) = admitted.find(|it| it.at == admitted_at && !it.has_ended) else {
+            return;
+        };
+        let latest_start = admitted_at + now.since(admitted_at).saturating_sub(shortest);
+        ended.has_ended = true;
+        ended.counts_until = ended.counts_until.min(latest_start + SECOND);
+    }
 }
