Name the cold target that a soak judges, and keep the ledgers

A run that breaks a promise now names each such target with the spans in which it was cold, and keeps what targets ran.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,9 @@
 //! One run, from the start of the fleet to the report.
 
+use std::fs::File;
+use std::io::BufWriter;
+use std::io::Write;
+use std::path::Path;
 use std::sync::Arc;
 
 use miette::IntoDiagnostic;
@@ -9,6 +13,7 @@
 use sassafrasspool_bench::chaos::bounds::SETTLE_TIME;
 use sassafrasspool_bench::chaos::log::Log;
 use sassafrasspool_bench::chaos::observer::record_snapshots;
+use sassafrasspool_bench::load::LedgerRun;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::history::Bounds;
 use tokio::task::JoinSet;
@@ -28,6 +33,9 @@
 /// The name of this program.
 const OWN_PROGRAM: &str = "sassafrasspool-soak";
 
+/// The file of the requests that targets ran, among the kept files.
+const RUNS_FILE: &str = "runs.json";
+
 /// Injects the faults of the schedule of `opts.seed` while callers make calls, and judges
 /// the run.
 ///
@@ -94,11 +102,23 @@
     drop(driver);
     if !report.passed || opts.keep_logs {
         let fleet = Arc::into_inner(fleet).ok_or_else(|| miette!("the fleet is still in use"))?;
+        write_runs(&fleet.dir().join(RUNS_FILE), &runs)?;
         report.files_dir = Some(fleet.keep_files().display().to_string());
     }
     Ok(report)
 }
 
+/// Writes the requests that targets ran, one line of JSON for each: the number of the instance
+/// and the entry of the ledger.
+fn write_runs(file: &Path, runs: &[LedgerRun]) -> miette::Result<()> {
+    let mut out = BufWriter::new(File::create(file).into_diagnostic()?);
+    for run in runs {
+        serde_json::to_writer(&mut out, &(run.instance, &run.run)).into_diagnostic()?;
+        out.write_all(b"\n").into_diagnostic()?;
+    }
+    out.flush().into_diagnostic()
+}
+
 /// Starts the caller processes, and returns each with its job.
 fn start_callers(opts: Options, fleet: &Fleet) -> miette::Result<Vec<(Child, CallerJob)>> {
     let members = fleet.members.iter();
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -133,7 +133,6 @@
         );
         let violations_found = check(&history, bounds);
         let faults = joined.faults().map(|record| format!("{record:?}"));
-        let first_violations = faults.chain(violations_found.iter().map(ToString::to_string));
         let verdict = joined.verdict();
         let quarantine = QuarantineVerdict::judge(
             observations.records,
@@ -150,6 +149,10 @@
         );
         let evacuation = EvacuationVerdict::judge(observations.instances(), &timeline);
         let cold_start = ColdStartVerdict::judge(observations.instances(), &timeline);
+        let too_cold = ColdStartVerdict::describe(observations.instances(), &timeline);
+        let first_violations = too_cold.into_iter().chain(faults);
+        let first_violations =
+            first_violations.chain(violations_found.iter().map(ToString::to_string));
         let passed = !verdict.has_fault()
             && violations_found.is_empty()
             && quarantine.has_passed()
--- a/crates/soak/src/verdict/cold_start.rs
+++ b/crates/soak/src/verdict/cold_start.rs
@@ -51,6 +51,26 @@
         verdict
     }
 
+    /// Each cold target that started too many requests, in words.
+    pub fn describe<'a>(
+        instances: impl Iterator<Item = JudgedInstance<'a>>,
+        timeline: &Timeline<'_>,
+    ) -> Vec<String> {
+        let mut described = Vec::new();
+        for instance in instances {
+            let one = || std::iter::once(instance);
+            let excess = ColdStartVerdict::judge(one(), timeline).excess_requests;
+            if excess > 0 {
+                let id = instance.id;
+                let windows = windows(instance, timeline);
+                described.push(format!(
+                    "cold target of {id}: {excess} too many, {windows:?}"
+                ));
+            }
+        }
+        described
+    }
+
     /// Whether no cold target got too many requests.
     pub fn has_passed(&self) -> bool {
         self.excess_requests == 0
