Hold copies of a request until its quarantine is settled

What callers saw: a request that crashes targets, repeated at once, crashed all targets of a service within half a second, and until they were back every caller was refused with 503 (connect).

Cause: since a quarantine begins 0.5 s after the second crash, and copies went on to targets between the third crash and that time.

Change: from the third reported crash to the begin of the quarantine the node of a target holds copies, before they ask for a slot and once more when they have one. They run as soon as an answer of another target is reported, and are refused if none is.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -154,6 +154,7 @@
 pub use crate::quarantine::Content;
 pub use crate::quarantine::Fingerprint;
 pub use crate::quarantine::Observation;
+pub use crate::quarantine::QuarantineDecision;
 pub use crate::quarantine::QuarantineState;
 pub use crate::quarantine::Report;
 pub use crate::quarantine::ReportId;
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -18,6 +18,7 @@
 pub(crate) use self::pending_answers::PendingAnswers;
 pub use self::quarantine_state::ANSWER_EXEMPTION;
 pub use self::quarantine_state::CRASHES_TO_QUARANTINE;
+pub use self::quarantine_state::QuarantineDecision;
 pub use self::quarantine_state::QuarantineState;
 pub use self::report::Observation;
 pub use self::report::Report;
--- a/crates/core/src/quarantine/quarantine_state.rs
+++ b/crates/core/src/quarantine/quarantine_state.rs
@@ -20,7 +20,7 @@
 
 /// How long after a request has become suspect it may enter quarantine. Targets that crash
 /// together do so while they run all frequent requests, and answers to these have to be
-/// reported first.
+/// reported first. Copies are held in the meantime.
 const ANSWER_REPORT_TIME: Duration = Duration::from_millis(500);
 
 /// How long a request stays in quarantine after the last crash while it ran. Then it may run
@@ -42,6 +42,18 @@
     suspects: BTreeSet<Fingerprint>,
 }
 
+/// What a target's node does with a request, by the crashes that count against it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuarantineDecision {
+    /// It may run.
+    Run,
+    /// It must not start before this time. If no answer to it is reported by then, it enters
+    /// quarantine.
+    HoldUntil(Tick),
+    /// It is in quarantine until this time, and is refused.
+    RefuseUntil(Tick),
+}
+
 /// When a request is in quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Period {
@@ -56,18 +68,29 @@
 }
 
 impl QuarantineState {
-    /// The time until which no target may run a request, if it is in quarantine at `now`.
-    pub fn quarantined_until(&self, now: Tick, content: &Content) -> Option<Tick> {
+    /// Decides on a request at `now`.
+    pub fn decide(&self, now: Tick, content: &Content) -> QuarantineDecision {
         if self.quarantined.is_empty() {
-            return None;
+            return QuarantineDecision::Run;
+        }
+        if let Some(until) = self.quarantined_until(now, content) {
+            return QuarantineDecision::RefuseUntil(until);
         }
+        match self.quarantined_from(now, content) {
+            Some(from) => QuarantineDecision::HoldUntil(from),
+            None => QuarantineDecision::Run,
+        }
+    }
+
+    /// The time until which a request is in quarantine, if it is in quarantine at `now`.
+    pub(crate) fn quarantined_until(&self, now: Tick, content: &Content) -> Option<Tick> {
         let periods = self.periods(content);
         let current = periods.filter(|period| period.contains(now));
         current.map(|period| period.until).max()
     }
 
     /// When a request will enter quarantine, if it will after `now`.
-    pub fn quarantined_from(&self, now: Tick, content: &Content) -> Option<Tick> {
+    pub(crate) fn quarantined_from(&self, now: Tick, content: &Content) -> Option<Tick> {
         let starts = self.periods(content).map(|period| period.from);
         starts.filter(|from| now < *from).min()
     }
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -7,6 +7,7 @@
 
 use super::Content;
 use super::Observation;
+use super::QuarantineDecision;
 use super::Report;
 use super::ReportId;
 use super::Reports;
@@ -366,3 +367,50 @@
     let quarantined = known.state().quarantined_until(begin, &request);
     assert_eq!(quarantined.is_some(), burst.quarantined, "{burst:?}");
 }
+
+/// How soon a caller sends a request again that crashes targets.
+#[derive(Debug)]
+struct Repeats {
+    /// Time between the crash of a target and the next copy.
+    after_ms: u64,
+    /// The most targets that the copies may crash: one more than quarantine takes may run
+    /// while the last of these crashes is reported.
+    max_crashes: usize,
+}
+
+/// Guards against a request that crashes one target after another between the third crash
+/// and the begin of its quarantine.
+#[rstest]
+#[case::at_once(Repeats { after_ms: 0, max_crashes: 4 })]
+#[case::after_the_report(Repeats { after_ms: 40, max_crashes: 3 })]
+#[case::slowly(Repeats { after_ms: 400, max_crashes: 3 })]
+fn a_request_that_is_repeated_crashes_few_targets(#[case] repeats: Repeats) {
+    const CRASH_MS: u64 = 20;
+    const REPORT_MS: u64 = 20;
+    let mut known = Reports::default();
+    let request = content("/a");
+    let mut crashes_ms: Vec<u64> = Vec::new();
+    let mut next_ms = 10_000;
+    for now_ms in 10_000..20_000 {
+        let now = Tick::from_millis(now_ms);
+        for (number, _) in (0..)
+            .zip(&crashes_ms)
+            .filter(|(_, at)| **at + REPORT_MS == now_ms)
+        {
+            let ran = Observation::Crashed(vec![request]);
+            let mut crash = report(number, 0, 0, ran);
+            crash.age_ms = u32::try_from(REPORT_MS).unwrap();
+            known.merge(now, &crash);
+        }
+        known.evaluate();
+        let decision = known.state().decide(now, &request);
+        if now_ms >= next_ms && decision == QuarantineDecision::Run {
+            crashes_ms.push(now_ms + CRASH_MS);
+            next_ms = now_ms + CRASH_MS + repeats.after_ms;
+        }
+    }
+    let crashes = crashes_ms.len();
+    assert!(crashes <= repeats.max_crashes, "{repeats:?}: {crashes}");
+    let end = known.state().decide(Tick::from_millis(20_000), &request);
+    assert!(matches!(end, QuarantineDecision::RefuseUntil(_)), "{end:?}");
+}
--- a/crates/node/src/shared/quarantine.rs
+++ b/crates/node/src/shared/quarantine.rs
@@ -13,6 +13,7 @@
 use sassafrasspool_core::Event;
 use sassafrasspool_core::Fingerprint;
 use sassafrasspool_core::Observation;
+use sassafrasspool_core::QuarantineDecision;
 use sassafrasspool_core::QuarantineState;
 use sassafrasspool_core::Tick;
 use tokio::sync::watch;
@@ -43,10 +44,31 @@
         let _ = self.control.set(control);
     }
 
-    /// How much longer no target is to run a request, if it is in quarantine at `now`.
+    /// How much longer a request is in quarantine, if it is at `now`.
     pub(crate) fn time_left(&self, now: Tick, content: &Content) -> Option<Duration> {
-        let until = self.state.load().quarantined_until(now, content)?;
-        Some(until.since(now))
+        match self.decide(now, content) {
+            QuarantineDecision::RefuseUntil(until) => Some(until.since(now)),
+            QuarantineDecision::Run | QuarantineDecision::HoldUntil(_) => None,
+        }
+    }
+
+    /// Waits until a request may run. Returns how much longer it is in quarantine, if it is.
+    pub(crate) async fn hold(&self, clock: &Clock, content: &Content) -> Option<Duration> {
+        loop {
+            let now = clock.now();
+            if self.decide(now, content) == QuarantineDecision::Run {
+                return None;
+            }
+            let mut updates = self.updated.subscribe();
+            // Decides again, since the state may have changed before the subscription.
+            let from = match self.decide(now, content) {
+                QuarantineDecision::Run => return None,
+                QuarantineDecision::RefuseUntil(until) => return Some(until.since(now)),
+                QuarantineDecision::HoldUntil(from) => clock.instant(from),
+            };
+            // Either the time has come or the state has changed.
+            let _ = tokio::time::timeout_at(from.into(), updates.changed()).await;
+        }
     }
 
     /// Waits until a request is in quarantine; returns how much longer it is.
@@ -57,25 +79,18 @@
     ) -> Duration {
         let mut updates = self.updated.subscribe();
         loop {
-            let now = clock.now();
-            if let Some(left) = self.time_left(now, content) {
+            if let Some(left) = self.hold(clock, content).await {
                 return left;
             }
-            let from = self.state.load().quarantined_from(now, content);
-            let begin = async {
-                match from {
-                    Some(from) => tokio::time::sleep_until(clock.instant(from).into()).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                // It can't fail: `self` owns the sender and outlives the wait.
-                _ = updates.changed() => {}
-                () = begin => {}
-            }
+            // It can't fail: `self` owns the sender and outlives the wait.
+            let _ = updates.changed().await;
         }
     }
 
+    fn decide(&self, now: Tick, content: &Content) -> QuarantineDecision {
+        self.state.load().decide(now, content)
+    }
+
     /// All requests in quarantine, and how much longer each is.
     pub(crate) fn list(&self, now: Tick) -> Vec<(Fingerprint, Duration)> {
         let state = self.state.load();
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -133,13 +133,6 @@
         }
     }
 
-    /// The remaining time for which a request is quarantined because targets crash under
-    /// it.
-    pub(super) fn remaining_quarantine(&self, content: Option<&Content>) -> Option<Duration> {
-        let now = self.shared.clock().now();
-        self.shared.quarantine().time_left(now, content?)
-    }
-
     /// Waits until a request is quarantined. Returns its refusal.
     pub(super) async fn wait_quarantined(&self, step: Step, content: Option<&Content>) -> Refusal {
         let Some(content) = content else {
@@ -152,6 +145,15 @@
         Refusal::not_run(step, Reason::Quarantined).with_retry_after(left)
     }
 
+    /// Waits until a request may run. A request under which targets have just crashed is held
+    /// until answers of other targets to it would be reported.
+    ///
+    /// Returns how much longer it is in quarantine, if it is.
+    pub(super) async fn hold_suspect(&self, content: Option<&Content>) -> Option<Duration> {
+        let quarantine = self.shared.quarantine();
+        quarantine.hold(self.shared.clock(), content?).await
+    }
+
     /// Checks that a request isn't quarantined.
     ///
     /// # Errors
@@ -162,7 +164,8 @@
         step: Step,
         content: Option<&Content>,
     ) -> std::result::Result<(), Refusal> {
-        match self.remaining_quarantine(content) {
+        let now = self.shared.clock().now();
+        match content.and_then(|content| self.shared.quarantine().time_left(now, content)) {
             Some(left) => Err(Refusal::not_run(step, Reason::Quarantined).with_retry_after(left)),
             None => Ok(()),
         }
--- a/crates/node/src/traffic/inbound/forward.rs
+++ b/crates/node/src/traffic/inbound/forward.rs
@@ -93,8 +93,11 @@
     call: CallContext<'_>,
 ) -> Result<Response<AnswerBody>, FailedAttempt> {
     let hub = &worker.hub;
-    let checked = hub.check_quarantine(Step::Admission, call.content.as_ref());
-    let service = match checked.and_then(|()| local_service(worker, &call)) {
+    if let Some(left) = hub.hold_suspect(call.content.as_ref()).await {
+        let refusal = refuse(Reason::Quarantined).with_retry_after(left);
+        return Err(FailedAttempt::unsent(refusal, req));
+    }
+    let service = match local_service(worker, &call) {
         Ok(service) => service,
         Err(refusal) => return Err(FailedAttempt::unsent(refusal, req)),
     };
--- a/crates/node/src/traffic/inbound/inbound_request.rs
+++ b/crates/node/src/traffic/inbound/inbound_request.rs
@@ -88,13 +88,7 @@
             Err(refusal) => return Err(FailedAttempt::unsent(refusal, self.req)),
         };
         let stage = stage.admit(permit);
-        if hub.has_departed() {
-            // The target departed while the request was queued.
-            let now = hub.shared.clock().now();
-            let refusal = stage.refuse(now, Step::Admission, Reason::Draining);
-            return Err(FailedAttempt::unsent(refusal, self.req));
-        }
-        if let Some(left) = hub.remaining_quarantine(self.call.content.as_ref()) {
+        if let Some(left) = hub.hold_suspect(self.call.content.as_ref()).await {
             // The request was quarantined while it was queued.
             let now = hub.shared.clock().now();
             let refusal = stage.refuse(now, Step::Admission, Reason::Quarantined);
@@ -103,6 +97,12 @@
                 self.req,
             ));
         }
+        if hub.has_departed() {
+            // The target departed while the request was queued.
+            let now = hub.shared.clock().now();
+            let refusal = stage.refuse(now, Step::Admission, Reason::Draining);
+            return Err(FailedAttempt::unsent(refusal, self.req));
+        }
         match target::acquire(&hub.pool, self.worker.index).await {
             Ok(conn) => self.hand_over(stage, conn).await,
             Err(err) => {
