Limit the starts at a cold target that isn't listed during an evacuation

What callers saw: a cold target got the load of a warm one and failed, with all of its requests.

Cause: the node tracked evacuations of its target only while the instance list named the target. If the evacuation ends before the target is listed, or the target isn't listed at its end, no cold time was tracked, while requests were admitted by the name of the service.

Change: evacuations are tracked by the failure domain and the service of the node's settings, listed or not.

--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -158,7 +158,8 @@
         let now = self.clock.now();
         self.routing.bind(&view, now);
         if let Some(routes) = self.routing.routes() {
-            self.cold_tracker.update(now, &routes);
+            let service = self.service();
+            self.cold_tracker.update(now, &routes, service.as_deref());
             self.update_evacuated(&routes);
         }
         let revision = view.snapshot.catalogue().revision();
--- a/crates/node/src/shared/local_cold_tracker.rs
+++ b/crates/node/src/shared/local_cold_tracker.rs
@@ -9,11 +9,15 @@
 use sassafrasspool_core::ColdStart;
 use sassafrasspool_core::ColdTolerance;
 use sassafrasspool_core::ColdTracker;
+use sassafrasspool_core::ServiceName;
 use sassafrasspool_core::Tick;
 use tokio::sync::Notify;
 
 use super::Routes;
 
+#[cfg(test)]
+mod tests;
+
 /// The tracked cold time of the local target.
 #[derive(Debug, Default)]
 pub(crate) struct LocalColdTracker {
@@ -23,21 +27,25 @@
 }
 
 impl LocalColdTracker {
-    /// Applies the instance list and the evacuations of the routes in force.
-    pub(super) fn update(&self, now: Tick, routes: &Routes) {
-        let Some((endpoint, service)) = routes.local_endpoint() else {
+    /// Applies the instance list and the evacuations of the routes in force. A target that
+    /// isn't listed is evacuated as well, and `service` is the one that it serves.
+    pub(super) fn update(&self, now: Tick, routes: &Routes, service: Option<&ServiceName>) {
+        let listed = routes.local_endpoint();
+        let snapshot = &routes.view.snapshot;
+        let by_name = || snapshot.find_service(service?).map(|(_, found)| found);
+        let Some(service) = listed.map(|(_, found)| found).or_else(by_name) else {
             return;
         };
         let Some(start) = &service.entry.cold_start else {
             return;
         };
-        let instance = &endpoint.instance;
         self.update_state(|state| {
-            if let Some(generation) = &instance.target {
-                state.update_from_list(now, start, generation, instance.cold_for);
+            if let Some((endpoint, _)) = listed
+                && let Some(generation) = &endpoint.instance.target
+            {
+                state.update_from_list(now, start, generation, endpoint.instance.cold_for);
             }
-            let evacuated = routes.view.snapshot.is_evacuated(&instance.domain);
-            state.update_evacuation(now, start, evacuated);
+            state.update_evacuation(now, start, routes.evacuated);
         });
     }
 
