Count lost requests for the limit of a cold target until they can't start any more

Cause: since an ended request counts until one second after its end, as it had started by then. This holds for answered requests alone. A request that the node has given up on, at its deadline or with its connection, starts when the target reads it.

Change: a request without an answer counts for as long as a running one.

--- a/crates/core/src/admit/admission.rs
+++ b/crates/core/src/admit/admission.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use super::permit::RunEnd;
 use super::queue::WaitKey;
 use super::service_times::WorkType;
 use super::state::Decision;
@@ -151,15 +152,10 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn release(
-        self: &Arc<Shared>,
-        now: Option<Tick>,
-        work: WorkType,
-        acquired_at: Tick,
-    ) {
+    pub(super) fn release(self: &Arc<Shared>, end: RunEnd, work: WorkType, acquired_at: Tick) {
         let mut wakes = Vec::new();
         self.lock()
-            .release(now, work, acquired_at, self, &mut wakes);
+            .release(end, work, acquired_at, self, &mut wakes);
         wakes.into_iter().for_each(Wake::call);
     }
 
--- a/crates/core/src/admit/permit.rs
+++ b/crates/core/src/admit/permit.rs
@@ -6,6 +6,17 @@
 use super::service_times::WorkType;
 use crate::Tick;
 
+/// How a request ended that held a slot.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum RunEnd {
+    /// The target has answered it, or doesn't start it any more.
+    Settled(Tick),
+    /// It was sent, and the target may still start it.
+    Unanswered(Tick),
+    /// The permit was dropped.
+    Dropped,
+}
+
 /// A slot of the target, held until the permit is released or dropped.
 ///
 /// # Invariants
@@ -31,17 +42,28 @@
     }
 
     /// Records the service time and gives the slot to the next queued request.
-    pub fn release(mut self, now: Tick) {
+    pub fn release(self, now: Tick) {
+        self.end(RunEnd::Settled(now));
+    }
+
+    /// As [`Permit::release`], for a request that was sent and got no answer. The target may
+    /// start it later.
+    pub fn release_unanswered(self, now: Tick) {
+        self.end(RunEnd::Unanswered(now));
+    }
+
+    fn end(mut self, end: RunEnd) {
         // INVARIANT: The drop that follows finds `held` unset and doesn't free the slot again.
         self.held = false;
-        self.shared.release(Some(now), self.work, self.acquired_at);
+        self.shared.release(end, self.work, self.acquired_at);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         if self.held {
-            self.shared.release(None, self.work, self.acquired_at);
+            self.shared
+                .release(RunEnd::Dropped, self.work, self.acquired_at);
         }
     }
 }
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::admission::Shared;
+use super::permit::RunEnd;
 use super::queue::Queue;
 use super::queue::WaitKey;
 use super::queue::Waiting;
@@ -184,7 +185,7 @@
     /// Frees a slot and gives free slots to queued requests.
     pub(super) fn release(
         &mut self,
-        now: Option<Tick>,
+        end: RunEnd,
         work: WorkType,
         acquired_at: Tick,
         shared: &Arc<Shared>,
@@ -193,9 +194,11 @@
         // INVARIANT: Only a permit calls this, and each calls it once.
         self.running -= 1;
         self.running_by_class[work.class.index()] -= 1;
-        if let Some(now) = now {
+        if let RunEnd::Settled(now) | RunEnd::Unanswered(now) = end {
             self.now = self.now.max(now);
             self.service_times.record(work, now.since(acquired_at));
+        }
+        if let RunEnd::Settled(now) = end {
             let shortest = self.service_times.shortest(work);
             self.warm_up.record_end(now, acquired_at, shortest);
         }
--- a/crates/core/src/admit/tests/cold_delays.rs
+++ b/crates/core/src/admit/tests/cold_delays.rs
@@ -29,6 +29,9 @@
 /// How long the target is cold and is offered a request every millisecond.
 const COLD_MS: u64 = 3_000;
 
+/// How long a node waits for the answers of a target that stalls.
+const STALL_TIMEOUT_MS: u64 = 50;
+
 /// Why requests start later than they are admitted.
 #[derive(Debug, Clone, Copy)]
 enum Delay {
@@ -38,6 +41,11 @@
         from_ms: u64,
         to_ms: u64,
     },
+    /// A stall at which the node gives up on requests before the target starts them.
+    StallWithTimeouts {
+        from_ms: u64,
+        to_ms: u64,
+    },
     /// The machine is short of processor time: each request is delayed by up to so many
     /// milliseconds.
     UpTo(u64),
@@ -50,10 +58,12 @@
     min_started: usize,
 }
 
-/// A request that was admitted, and the time at which it starts.
+/// A request that was admitted, with the times at which it starts and at which its node gives
+/// up on it.
 struct Handover {
     permit: Permit,
     starts_ms: u64,
+    gives_up_ms: u64,
 }
 
 /// Starts of requests at a target whose node admits them while it is cold, in milliseconds.
@@ -90,18 +100,33 @@
         admission.admit_queued(now);
         for permit in std::mem::take(&mut *admitted.lock().unwrap()) {
             let starts_ms = match delay {
-                Delay::Stall { from_ms, to_ms } if (from_ms..to_ms).contains(&now_ms) => to_ms,
-                Delay::None | Delay::Stall { .. } => now_ms,
+                Delay::Stall { from_ms, to_ms } | Delay::StallWithTimeouts { from_ms, to_ms }
+                    if (from_ms..to_ms).contains(&now_ms) =>
+                {
+                    to_ms
+                }
+                Delay::None | Delay::Stall { .. } | Delay::StallWithTimeouts { .. } => now_ms,
                 Delay::UpTo(ms) => now_ms + rng.random_range(0..=ms),
             };
+            let gives_up_ms = match delay {
+                Delay::StallWithTimeouts { .. } => now_ms + STALL_TIMEOUT_MS,
+                Delay::None | Delay::Stall { .. } | Delay::UpTo(_) => u64::MAX,
+            };
             starts.push(starts_ms);
-            handovers.push(Handover { permit, starts_ms });
+            handovers.push(Handover {
+                permit,
+                starts_ms,
+                gives_up_ms,
+            });
         }
         let is_over = |it: &mut Handover| it.starts_ms + SERVICE_TIME_MS <= now_ms;
-        let over: Vec<Handover> = handovers.extract_if(.., is_over).collect();
-        for ended in over {
+        for ended in handovers.extract_if(.., is_over) {
             ended.permit.release(now);
         }
+        let is_given_up = |it: &mut Handover| it.gives_up_ms <= now_ms;
+        for ended in handovers.extract_if(.., is_given_up) {
+            ended.permit.release_unanswered(now);
+        }
     }
     starts.retain(|at| *at < COLD_MS);
     starts.sort_unstable();
@@ -120,6 +145,10 @@
     delay: Delay::Stall { from_ms: 1_000, to_ms: 1_700 },
     min_started: 50,
 })]
+#[case::stall_with_timeouts(DelayCase {
+    delay: Delay::StallWithTimeouts { from_ms: 500, to_ms: 1_400 },
+    min_started: 40,
+})]
 #[case::short_of_processor(DelayCase { delay: Delay::UpTo(300), min_started: 50 })]
 #[case::very_short_of_processor(DelayCase { delay: Delay::UpTo(900), min_started: 25 })]
 fn starts_at_a_cold_target_stay_within_its_limit(
--- a/crates/core/src/admit/warm_up.rs
+++ b/crates/core/src/admit/warm_up.rs
@@ -100,7 +100,7 @@
     }
 
     /// Records that a request has ended that was admitted at `admitted_at` and ran at the target
-    /// for at least `shortest`.
+    /// for at least `shortest`. It doesn't start any more.
     pub(super) fn record_end(&mut self, now: Tick, admitted_at: Tick, shortest: Duration) {
         let mut admitted = self.admitted.iter_mut();
         let Some(ended) = admitted.find(|it| it.at == admitted_at && !it.has_ended) else {
--- a/crates/core/src/request/handed_over.rs
+++ b/crates/core/src/request/handed_over.rs
@@ -81,7 +81,7 @@
 
     /// Ends the request without an answer; its outcome is unknown.
     pub fn lose(self, now: Tick, cause: LossCause) -> Loss {
-        self.state.permit.release(now);
+        self.state.permit.release_unanswered(now);
         Loss::new(Step::Forward, cause)
     }
 }
