Send requests on another connection when one between nodes falls silent

Cause: a connection between nodes whose bytes are dropped without a reset is given up 1 s after the first request that isn't acknowledged (UNACKNOWLEDGED_TIMEOUT), or 2.3 s after it if something between the nodes acknowledges (PING_TIMEOUT). Until then every further request to that peer was sent on it, although a new connection worked.

If nothing is received for 0.45 s after a request was sent, further requests use a new connection. Those on the old one stay there until they are answered or it is given up; no request is sent twice for this.

The new test failed before (no answer within 1 s of the silence, with a relay that drops bytes but accepts new connections) and passes; a connection that answers slowly or rarely is kept.

--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -66,6 +66,11 @@
 /// be lost with the connection.
 pub(super) const PING_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long nothing may be received on a connection between nodes while requests wait on it,
+/// before further requests use another connection. A probe is answered in that time. It costs
+/// one more connection if the peer is only short of processor time or a packet was lost.
+pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(450);
+
 /// How long a stopping node still refuses requests before it closes idle connections.
 /// Otherwise a caller that has just sent a request would find its connection closed, and
 /// couldn't infer that the request wasn't run.
--- a/crates/node/src/traffic/peer.rs
+++ b/crates/node/src/traffic/peer.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod connections;
+mod silence_watch;
 mod stall_timer;
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/traffic/peer/connection.rs
+++ b/crates/node/src/traffic/peer/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to one other node.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Instant;
@@ -15,10 +16,13 @@
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::Observed;
 use sassafrasspool_wire::error_chain;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use super::silence_watch::ReceiptObserver;
+use super::silence_watch::SilenceWatch;
 use super::stall_timer::StallTimer;
 use crate::dependency_monitor::DependencyMonitor;
 use crate::metrics::traffic;
@@ -31,9 +35,20 @@
 use crate::traffic::bounds::UNACKNOWLEDGED_TIMEOUT;
 use crate::traffic::payload::Payload;
 
-type Sender = http2::SendRequest<Payload>;
+/// Sends requests on one connection.
+#[derive(Debug, Clone)]
+struct Sender {
+    http: http2::SendRequest<Payload>,
+    watch: Arc<SilenceWatch>,
+}
+
+impl Sender {
+    fn is_usable(&self) -> bool {
+        !self.http.is_closed() && !self.watch.is_silent()
+    }
+}
 
-/// A connection to one node, opened on first use and reopened after it broke.
+/// A connection to one node, opened on first use and replaced after it broke or fell silent.
 #[derive(Debug)]
 pub(in crate::traffic) struct PeerConnection {
     addr: SocketAddr,
@@ -77,18 +92,23 @@
             Ok(sender) => sender,
             Err(err) => return Err(SendError::NotSent(err, Box::new(req))),
         };
-        sender.try_send_request(req).await.map_err(|mut failed| {
-            let message = failed.take_message();
-            let cause = failed.into_error();
-            if sender.is_closed() {
-                self.monitor.record_failure(self.addr, error_chain(&cause));
-            }
-            let error = self.error("request to the peer failed").with_cause(cause);
-            match message {
-                Some(req) => SendError::NotSent(error, Box::new(req)),
-                None => SendError::Sent(error),
-            }
-        })
+        sender.watch.record_request();
+        sender
+            .http
+            .try_send_request(req)
+            .await
+            .map_err(|mut failed| {
+                let message = failed.take_message();
+                let cause = failed.into_error();
+                if sender.http.is_closed() {
+                    self.monitor.record_failure(self.addr, error_chain(&cause));
+                }
+                let error = self.error("request to the peer failed").with_cause(cause);
+                match message {
+                    Some(req) => SendError::NotSent(error, Box::new(req)),
+                    None => SendError::Sent(error),
+                }
+            })
     }
 
     async fn sender(&self) -> Result<Sender> {
@@ -121,10 +141,7 @@
 
     fn open_sender(&self) -> Option<Sender> {
         let sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
-        sender
-            .as_ref()
-            .filter(|sender| !sender.is_closed())
-            .cloned()
+        sender.as_ref().filter(|sender| sender.is_usable()).cloned()
     }
 
     async fn connect(&self) -> Result<Sender> {
@@ -136,6 +153,8 @@
             .set_tcp_nodelay(true)
             .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)))
             .map_err(|e| self.error("cannot connect").with_cause(e))?;
+        let watch = Arc::new(SilenceWatch::default());
+        let observer = ReceiptObserver(Arc::clone(&watch));
         let handshake = http2::Builder::new(TokioExecutor::new())
             .timer(StallTimer)
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
@@ -144,14 +163,22 @@
             // Detects a peer that was paused, or cut off without a reset.
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
-            .handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake
+            .handshake(TokioIo::new(Observed::new(stream, observer)));
+        let (http, connection) = handshake
             .await
             .map_err(|e| self.error("cannot connect").with_cause(e))?;
         counter!(traffic::PEER_CONNECTIONS).increment(1);
+        let sender = Sender {
+            http,
+            watch: Arc::clone(&watch),
+        };
+        let addr = self.addr;
         tokio::spawn(async move {
-            // The requests on the connection get its failure as their own error.
-            let _ = connection.await;
+            tokio::select! {
+                // The requests on the connection get its failure as their own error.
+                _ = connection => {}
+                never = watch.run(addr) => match never {},
+            }
         });
         Ok(sender)
     }
--- a/crates/node/src/traffic/peer/tests.rs
+++ b/crates/node/src/traffic/peer/tests.rs
@@ -1,5 +1,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,12 +19,15 @@
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
+use tokio::io::copy_bidirectional;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use super::SendError;
 use super::connection::PeerConnection;
 use crate::traffic::bounds::CONNECT_TIMEOUT;
+use crate::traffic::bounds::SILENCE_TIMEOUT;
+use crate::traffic::bounds::UNACKNOWLEDGED_TIMEOUT;
 use crate::traffic::payload::Payload;
 
 /// Guards against concurrent requests that connect to an unreachable peer one after the
@@ -109,3 +115,94 @@
     let sent = sent.await;
     assert!(sent.is_ok(), "{sent:?}");
 }
+
+/// Starts a relay to `peer`, whose connections stop carrying bytes when the returned flag is
+/// set. Connections that are opened later work.
+fn start_relay(peer: SocketAddr) -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind a port");
+    let addr = listener.local_addr().expect("read the address");
+    listener.set_nonblocking(true).expect("set non-blocking");
+    let listener = TcpListener::from_std(listener).expect("register the listener");
+    let silence = Arc::new(AtomicBool::new(false));
+    let silenced = Arc::clone(&silence);
+    tokio::spawn(async move {
+        while let Ok((mut node, _)) = listener.accept().await {
+            let silenced = Arc::clone(&silenced);
+            let works_for_good = silenced.load(Ordering::Relaxed);
+            tokio::spawn(async move {
+                let mut conn = TcpStream::connect(peer).await.expect("connect to the peer");
+                let until_silence = async {
+                    while works_for_good || !silenced.load(Ordering::Relaxed) {
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                };
+                tokio::select! {
+                    _ = copy_bidirectional(&mut node, &mut conn) => {}
+                    () = until_silence => std::future::pending().await,
+                }
+            });
+        }
+    });
+    (addr, silence)
+}
+
+/// Starts a peer that answers each request at once.
+async fn start_peer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
+    let addr = listener.local_addr().expect("read the address");
+    tokio::spawn(async move {
+        while let Ok((io, _)) = listener.accept().await {
+            let service = service_fn(|_: Request<Incoming>| async {
+                Ok::<_, Infallible>(Response::new(Empty::<Bytes>::new()))
+            });
+            let server = http2::Builder::new(TokioExecutor::new());
+            tokio::spawn(server.serve_connection(TokioIo::new(io), service));
+        }
+    });
+    addr
+}
+
+/// Guards against requests that are sent on a connection that fell silent until it is given
+/// up, while a new one would work.
+#[tokio::test]
+async fn requests_avoid_a_silent_connection() {
+    let (relay, silence) = start_relay(start_peer().await);
+    let connection = PeerConnection::new(relay);
+    let send = || connection.send(Request::new(Payload::empty()));
+    let first = send().await;
+    assert!(first.is_ok(), "{first:?}");
+    silence.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let silent_at = Instant::now();
+    let mut lost = std::pin::pin!(send());
+    loop {
+        // The request that finds the connection silent stays on it.
+        let early = tokio::time::timeout(Duration::from_millis(20), lost.as_mut()).await;
+        assert!(early.is_err(), "{early:?}");
+        let next = tokio::time::timeout(Duration::from_millis(50), send()).await;
+        if let Ok(Ok(_)) = next {
+            break;
+        }
+        assert!(silent_at.elapsed() < UNACKNOWLEDGED_TIMEOUT, "{next:?}");
+    }
+}
+
+/// Guards against connections that are replaced although their peer answers, if only slowly
+/// or rarely.
+#[tokio::test]
+async fn a_connection_that_works_is_kept() {
+    let (relay, silence) = start_relay(start_peer().await);
+    let connection = PeerConnection::new(relay);
+    for _ in 0..4 {
+        let sent = connection.send(Request::new(Payload::empty())).await;
+        assert!(sent.is_ok(), "{sent:?}");
+        tokio::time::sleep(SILENCE_TIMEOUT / 2).await;
+    }
+    tokio::time::sleep(2 * SILENCE_TIMEOUT).await;
+    // A request on the first connection isn't answered any more.
+    silence.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let sent = connection.send(Request::new(Payload::empty()));
+    let early = tokio::time::timeout(SILENCE_TIMEOUT / 2, sent).await;
+    assert!(early.is_err(), "another connection was opened: {early:?}");
+}
