Record the processor time of the processes of a soak

Answers that come too late or not whole in soaks beside load couldn't be traced: nodes, targets, links and callers share the processor, and nothing told which of them was too slow. A run that breaks a promise now keeps, for each of its processes and every 0.5 s, how long its threads ran and how long they waited for a processor.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod driver;
 pub mod fleet;
 pub mod options;
+mod processor_time;
 pub mod regression;
 pub mod run;
 pub mod schedule;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,6 +5,8 @@
 use std::io::Write;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 
 use miette::IntoDiagnostic;
 use miette::miette;
@@ -13,9 +15,9 @@
 use sassafrasspool_bench::chaos::bounds::SETTLE_TIME;
 use sassafrasspool_bench::chaos::log::Log;
 use sassafrasspool_bench::chaos::observer::record_snapshots;
-use sassafrasspool_bench::load::LedgerRun;
 use sassafrasspool_core::InstanceId;
 use sassafrasspool_core::history::Bounds;
+use serde::Serialize;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -26,6 +28,7 @@
 use crate::driver::Driver;
 use crate::fleet::Fleet;
 use crate::options::Options;
+use crate::processor_time::record_processor_time;
 use crate::schedule::Schedule;
 use crate::verdict::Report;
 use crate::verdict::RunObservations;
@@ -36,6 +39,9 @@
 /// The file of the requests that targets ran, among the kept files.
 const RUNS_FILE: &str = "runs.json";
 
+/// The file of the processor times of all processes, among the kept files.
+const PROCESSOR_TIME_FILE: &str = "processor-time.json";
+
 /// Injects the faults of the schedule of `opts.seed` while callers make calls, and judges
 /// the run.
 ///
@@ -59,6 +65,14 @@
             cancel.clone(),
         ));
     }
+    let samples = Arc::new(Mutex::new(Vec::new()));
+    let sampled = Arc::clone(&samples);
+    let until = cancel.clone();
+    observers.spawn(async move {
+        until
+            .run_until_cancelled(record_processor_time(&sampled))
+            .await;
+    });
     let schedule = Schedule::draw(opts.nodes, opts.length, opts.seed);
     let caller_processes = start_callers(opts, &fleet)?;
     driver.run_schedule(&schedule).await?;
@@ -102,18 +116,24 @@
     drop(driver);
     if !report.passed || opts.keep_logs {
         let fleet = Arc::into_inner(fleet).ok_or_else(|| miette!("the fleet is still in use"))?;
-        write_runs(&fleet.dir().join(RUNS_FILE), &runs)?;
+        let runs = runs.iter().map(|run| (run.instance, &run.run));
+        write_json_lines(&fleet.dir().join(RUNS_FILE), runs)?;
+        let samples = samples.lock().unwrap_or_else(PoisonError::into_inner);
+        write_json_lines(&fleet.dir().join(PROCESSOR_TIME_FILE), samples.iter())?;
         report.files_dir = Some(fleet.keep_files().display().to_string());
     }
     Ok(report)
 }
 
-/// Writes the requests that targets ran, one line of JSON for each: the number of the instance
-/// and the entry of the ledger.
-fn write_runs(file: &Path, runs: &[LedgerRun]) -> miette::Result<()> {
+/// Writes one line of JSON for each item. The lines of [`RUNS_FILE`] have the number of an
+/// instance and the entry of its target's ledger.
+fn write_json_lines(
+    file: &Path,
+    items: impl Iterator<Item = impl Serialize>,
+) -> miette::Result<()> {
     let mut out = BufWriter::new(File::create(file).into_diagnostic()?);
-    for run in runs {
-        serde_json::to_writer(&mut out, &(run.instance, &run.run)).into_diagnostic()?;
+    for item in items {
+        serde_json::to_writer(&mut out, &item).into_diagnostic()?;
         out.write_all(b"\n").into_diagnostic()?;
     }
     out.flush().into_diagnostic()
