Replace a silent connection between nodes once in two seconds at most

Cause: on a machine short of processor time peers answer no probe for seconds.

Change: a connection younger than 2 s isn't replaced for its silence. If a new connection is silent as well, another one won't help.

--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -71,6 +71,11 @@
 /// one more connection if the peer is only short of processor time or a packet was lost.
 pub(super) const SILENCE_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// The age below which a connection between nodes isn't replaced for its silence. If a new
+/// connection is silent as well, the peer is short of processor time or unreachable, and
+/// further connections would only add to its work.
+pub(super) const MIN_REPLACED_AGE: Duration = Duration::from_secs(2);
+
 /// How long a stopping node still refuses requests before it closes idle connections.
 /// Otherwise a caller that has just sent a request would find its connection closed, and
 /// couldn't infer that the request wasn't run.
--- a/crates/node/src/traffic/peer/connection.rs
+++ b/crates/node/src/traffic/peer/connection.rs
@@ -153,7 +153,7 @@
             .set_tcp_nodelay(true)
             .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)))
             .map_err(|e| self.error("cannot connect").with_cause(e))?;
-        let watch = Arc::new(SilenceWatch::default());
+        let watch = Arc::new(SilenceWatch::new());
         let observer = ReceiptObserver(Arc::clone(&watch));
         let handshake = http2::Builder::new(TokioExecutor::new())
             .timer(StallTimer)
--- a/crates/node/src/traffic/peer/silence_watch.rs
+++ b/crates/node/src/traffic/peer/silence_watch.rs
@@ -13,11 +13,13 @@
 use tokio::sync::Notify;
 
 use super::stall_timer::StallTimer;
+use crate::traffic::bounds::MIN_REPLACED_AGE;
 use crate::traffic::bounds::SILENCE_TIMEOUT;
 
 /// Whether a connection has carried anything since a request was sent on it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct SilenceWatch {
+    opened_at: Instant,
     state: Mutex<State>,
     /// Notified when the first request is sent after something was received.
     awaiting: Notify,
@@ -34,6 +36,15 @@
 }
 
 impl SilenceWatch {
+    /// The watch of a connection that is being opened.
+    pub(super) fn new() -> SilenceWatch {
+        SilenceWatch {
+            opened_at: Instant::now(),
+            state: Mutex::default(),
+            awaiting: Notify::new(),
+        }
+    }
+
     /// Records that a request is being sent.
     pub(super) fn record_request(&self) {
         let mut state = self.lock();
@@ -43,7 +54,8 @@
         }
     }
 
-    /// Whether nothing was received for [`SILENCE_TIMEOUT`] while requests waited.
+    /// Whether nothing was received for [`SILENCE_TIMEOUT`] while requests waited, and the
+    /// connection has reached [`MIN_REPLACED_AGE`].
     pub(super) fn is_silent(&self) -> bool {
         self.lock().is_silent
     }
@@ -56,7 +68,8 @@
                 continue;
             };
             // The peer answers probes in the meantime, even if it answers no request.
-            StallTimer.sleep_until(since + SILENCE_TIMEOUT).await;
+            let due = (since + SILENCE_TIMEOUT).max(self.opened_at + MIN_REPLACED_AGE);
+            StallTimer.sleep_until(due).await;
             if self.awaiting_since() == Some(since) {
                 break;
             }
--- a/crates/node/src/traffic/peer/tests.rs
+++ b/crates/node/src/traffic/peer/tests.rs
@@ -26,6 +26,7 @@
 use super::SendError;
 use super::connection::PeerConnection;
 use crate::traffic::bounds::CONNECT_TIMEOUT;
+use crate::traffic::bounds::MIN_REPLACED_AGE;
 use crate::traffic::bounds::SILENCE_TIMEOUT;
 use crate::traffic::bounds::UNACKNOWLEDGED_TIMEOUT;
 use crate::traffic::payload::Payload;
@@ -171,6 +172,7 @@
     let send = || connection.send(Request::new(Payload::empty()));
     let first = send().await;
     assert!(first.is_ok(), "{first:?}");
+    tokio::time::sleep(MIN_REPLACED_AGE).await;
     silence.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(20)).await;
     let silent_at = Instant::now();
@@ -198,7 +200,7 @@
         assert!(sent.is_ok(), "{sent:?}");
         tokio::time::sleep(SILENCE_TIMEOUT / 2).await;
     }
-    tokio::time::sleep(2 * SILENCE_TIMEOUT).await;
+    tokio::time::sleep(MIN_REPLACED_AGE).await;
     // A request on the first connection isn't answered any more.
     silence.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(20)).await;
@@ -206,3 +208,30 @@
     let early = tokio::time::timeout(SILENCE_TIMEOUT / 2, sent).await;
     assert!(early.is_err(), "another connection was opened: {early:?}");
 }
+
+/// Guards against connection after connection to a peer that is short of processor time.
+#[tokio::test]
+async fn a_stalled_peer_gets_one_connection_more() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
+    let addr = listener.local_addr().expect("read the address");
+    let connection = PeerConnection::new(addr);
+    let calling = async {
+        let end = Instant::now() + MIN_REPLACED_AGE + MIN_REPLACED_AGE / 2;
+        while Instant::now() < end {
+            let sent = connection.send(Request::new(Payload::empty()));
+            // The peer reads nothing, so that no request is answered.
+            let _ = tokio::time::timeout(Duration::from_millis(50), sent).await;
+        }
+    };
+    let mut accepted = Vec::new();
+    let accepting = async {
+        while let Ok(connection) = listener.accept().await {
+            accepted.push(connection);
+        }
+    };
+    tokio::select! {
+        () = calling => {}
+        () = accepting => {}
+    }
+    assert_eq!(accepted.len(), 2);
+}
