Log why a target is treated as cold, and how many requests were admitted

What callers saw: cold desks that crash under load. The lines of a node couldn't tell the three hypotheses apart: they had neither how long the node treats its target as cold and why, nor how many requests it had admitted in the second. Each change of the tracked cold time now has a line with its cause, lines of requests on the target's node have cold_us and recent, and admissions_total counts by what the node believed. Nothing is decided otherwise.

--- a/crates/core/src/admit/admission.rs
+++ b/crates/core/src/admit/admission.rs
@@ -132,6 +132,11 @@
         self.0.lock().load()
     }
 
+    /// How many requests were admitted within the last second.
+    pub fn recent_admissions(&self, now: Tick) -> usize {
+        self.0.lock().recent_admissions(now)
+    }
+
     /// Refuses new and queued requests from now on; running requests continue.
     pub fn close(&self, reason: Reason) {
         let mut wakes = Vec::new();
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// How many requests were admitted within the last second.
+    pub(super) fn recent_admissions(&self, now: Tick) -> usize {
+        self.warm_up.recent_admissions(now)
+    }
+
     /// Decides on a new request; `waker` is only called if it is queued.
     pub(super) fn decide(
         &mut self,
--- a/crates/core/src/admit/warm_up.rs
+++ b/crates/core/src/admit/warm_up.rs
@@ -1,5 +1,6 @@
 //! The rate at which requests may start at a cold target.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::token_bucket::TokenBucket;
@@ -25,14 +26,17 @@
 pub(super) struct WarmUp {
     limit: Option<ColdLimit>,
     bucket: TokenBucket,
-    /// The requests that may start, or may have started, within the last second.
-    admitted: Vec<Admitted>,
+    /// The requests that may start, or may have started, within the last second, in the order
+    /// of their admissions.
+    admitted: VecDeque<Admitted>,
 }
 
-/// A request that was admitted to a cold target.
+/// A request that was admitted.
 #[derive(Debug)]
 struct Admitted {
     at: Tick,
+    /// Whether a limit was in force.
+    limited: bool,
     has_ended: bool,
     /// A second after its latest possible start.
     counts_until: Tick,
@@ -44,7 +48,7 @@
         WarmUp {
             limit: None,
             bucket: TokenBucket::full(),
-            admitted: Vec::new(),
+            admitted: VecDeque::new(),
         }
     }
 
@@ -67,10 +71,11 @@
 
     /// How long it takes at most until fewer requests may start within a second than the limit
     /// allows; nothing if it is so now. The end of a request may shorten the wait.
-    fn window_wait(&mut self, now: Tick, limit: ColdLimit) -> Option<Duration> {
-        self.admitted.retain(|it| now < it.counts_until);
-        let over = self.admitted.len().checked_sub(limit.max_per_second())?;
-        let mut ends: Vec<Tick> = self.admitted.iter().map(|it| it.counts_until).collect();
+    fn window_wait(&self, now: Tick, limit: ColdLimit) -> Option<Duration> {
+        let counted = |it: &&Admitted| it.limited && now < it.counts_until;
+        let counted = self.admitted.iter().filter(counted);
+        let mut ends: Vec<Tick> = counted.map(|it| it.counts_until).collect();
+        let over = ends.len().checked_sub(limit.max_per_second())?;
         ends.sort_unstable();
         Some(ends[over].since(now))
     }
@@ -91,12 +96,21 @@
     pub(super) fn record_admission(&mut self, now: Tick) {
         if self.limit.is_some() {
             self.bucket.take();
-            self.admitted.push(Admitted {
-                at: now,
-                has_ended: false,
-                counts_until: now + MAX_START_DELAY + SECOND,
-            });
         }
+        let is_over = |it: &mut Admitted| it.at + MAX_START_DELAY + SECOND <= now;
+        while self.admitted.pop_front_if(is_over).is_some() {}
+        self.admitted.push_back(Admitted {
+            at: now,
+            limited: self.limit.is_some(),
+            has_ended: false,
+            counts_until: now + MAX_START_DELAY + SECOND,
+        });
+    }
+
+    /// How many requests were admitted within the last second.
+    pub(super) fn recent_admissions(&self, now: Tick) -> usize {
+        let is_recent = |it: &&Admitted| now.since(it.at) < SECOND;
+        self.admitted.iter().rev().take_while(is_recent).count()
     }
 
     /// Records that a request has ended that was admitted at `admitted_at` and ran at the target
--- a/crates/core/src/cold_tracker.rs
+++ b/crates/core/src/cold_tracker.rs
@@ -7,6 +7,9 @@
 use crate::TargetId;
 use crate::Tick;
 
+pub use self::cold_cause::ColdCause;
+
+mod cold_cause;
 #[cfg(test)]
 mod tests;
 
@@ -53,6 +56,7 @@
     evacuated: bool,
     cold_until: Tick,
     unconfirmed: bool,
+    cause: ColdCause,
 }
 
 impl ColdTracker {
@@ -80,7 +84,7 @@
         if is_first_list {
             // This node has just started, and its list may be older than the event that
             // made the target cold.
-            return self.assume_cold(now, start);
+            return self.assume_cold(now, start, ColdCause::FirstList);
         }
         let until = now + cold_for;
         match was_named && !same_generation {
@@ -89,6 +93,7 @@
             false => self.cold_until = until,
         }
         self.unconfirmed = false;
+        self.cause = ColdCause::Listed;
     }
 
     /// Updates whether the target's failure domain is evacuated.
@@ -96,7 +101,7 @@
         let evacuation_ended = self.evacuated && !evacuated;
         self.evacuated = evacuated;
         if evacuation_ended {
-            self.assume_cold(now, start);
+            self.assume_cold(now, start, ColdCause::EvacuationEnded);
         }
     }
 
@@ -109,7 +114,7 @@
         }
         if let Ok(id) = TargetId::new(generation) {
             self.record_generation(&id);
-            self.assume_cold(now, start);
+            self.assume_cold(now, start, ColdCause::RequestedGeneration);
         }
     }
 
@@ -117,6 +122,7 @@
     pub fn record_probe(&mut self, now: Tick, left: Duration) {
         self.cold_until = now + left;
         self.unconfirmed = false;
+        self.cause = ColdCause::Probed;
     }
 
     /// Until when the target is treated as cold.
@@ -129,9 +135,20 @@
         self.unconfirmed
     }
 
-    fn assume_cold(&mut self, now: Tick, start: &ColdStart) {
+    /// The event from which the cold time follows.
+    pub const fn cause(&self) -> ColdCause {
+        self.cause
+    }
+
+    /// The current generation of the target, as named by requests or the list.
+    pub fn generation(&self) -> Option<&TargetId> {
+        self.recent_generations[0].as_ref()
+    }
+
+    fn assume_cold(&mut self, now: Tick, start: &ColdStart, cause: ColdCause) {
         self.cold_until = now + start.duration;
         self.unconfirmed = true;
+        self.cause = cause;
     }
 
     fn record_generation(&mut self, id: &TargetId) {
--- /dev/null
+++ b/crates/core/src/cold_tracker/cold_cause.rs
@@ -0,0 +1,33 @@
+//! Why a target is treated as cold.
+
+/// The event from which the tracked cold time of a target follows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ColdCause {
+    /// No event is known.
+    #[default]
+    Unknown,
+    /// The first list that contained the target, which may be older than its cold start.
+    FirstList,
+    /// The instance list reported a cold time.
+    Listed,
+    /// A request named a generation that the list didn't contain yet.
+    RequestedGeneration,
+    /// The evacuation of the target's failure domain ended.
+    EvacuationEnded,
+    /// The target itself reported its remaining cold time.
+    Probed,
+}
+
+impl ColdCause {
+    /// The cause as it appears in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            ColdCause::Unknown => "unknown",
+            ColdCause::FirstList => "first-list",
+            ColdCause::Listed => "listed",
+            ColdCause::RequestedGeneration => "requested-generation",
+            ColdCause::EvacuationEnded => "evacuation-ended",
+            ColdCause::Probed => "probed",
+        }
+    }
+}
--- a/crates/ctl/src/request_trace.rs
+++ b/crates/ctl/src/request_trace.rs
@@ -214,6 +214,12 @@
     if let Some([running, slots, waiting]) = line.load {
         write!(f, "; {running} of {slots} slots, {waiting} waiting")?;
     }
+    if let Some(recent) = line.recent {
+        write!(f, ", {recent} admitted within a second")?;
+    }
+    if let Some(cold_us) = line.cold_us {
+        write!(f, ", cold for {} ms", format_ms(cold_us))?;
+    }
     if let (Some(catalogue), Some(list)) = (line.catalogue, line.list) {
         write!(f, "; catalogue {catalogue}")?;
         if let Some(age) = line.catalogue_ms {
--- a/crates/node/src/metrics/traffic.rs
+++ b/crates/node/src/metrics/traffic.rs
@@ -14,6 +14,8 @@
 pub(crate) const PEER_CONNECTIONS: &str = "sassafrasspool_peer_connections_opened_total";
 /// Connections opened to the local target.
 pub(crate) const TARGET_CONNECTIONS: &str = "sassafrasspool_target_connections_opened_total";
+/// Requests that were admitted to the local target, by whether it was treated as cold.
+pub(crate) const ADMISSIONS: &str = "sassafrasspool_admissions_total";
 
 /// Seconds from a request's arrival at its caller's node to the head of its
 /// response, by `class`.
@@ -41,4 +43,5 @@
         "From the hand-over to the answer's head"
     );
     describe_counter!(TARGET_CONNECTIONS, "Connections opened to the target");
+    describe_counter!(ADMISSIONS, "Requests admitted to the target");
 }
--- a/crates/node/src/shared/local_cold_tracker.rs
+++ b/crates/node/src/shared/local_cold_tracker.rs
@@ -39,7 +39,7 @@
         let Some(start) = &service.entry.cold_start else {
             return;
         };
-        self.update_state(|state| {
+        self.update_state(now, |state| {
             if let Some((endpoint, _)) = listed
                 && let Some(generation) = &endpoint.instance.target
             {
@@ -59,7 +59,7 @@
         generation: Option<&str>,
     ) -> Option<ColdLimit> {
         let start = start?;
-        let until = self.update_state(|state| {
+        let until = self.update_state(now, |state| {
             if let Some(generation) = generation {
                 state.record_requested_generation(now, start, generation);
             }
@@ -86,14 +86,19 @@
 
     /// Records the remaining cold time that the target reported to a probe.
     pub(crate) fn record_probe(&self, now: Tick, left: Duration) {
-        self.lock().record_probe(now, left);
+        self.update_state(now, |state| state.record_probe(now, left));
     }
 
-    /// Updates the state; notifies if it has become unconfirmed.
-    fn update_state<T>(&self, update: impl FnOnce(&mut ColdTracker) -> T) -> T {
+    /// Updates the state, logs a change of the tracked cold time, and notifies if it has become
+    /// unconfirmed.
+    fn update_state<T>(&self, now: Tick, update: impl FnOnce(&mut ColdTracker) -> T) -> T {
         let mut state = self.lock();
         let was_unconfirmed = state.is_unconfirmed();
+        let before = (state.cold_until(), state.cause());
         let result = update(&mut state);
+        if (state.cold_until(), state.cause()) != before {
+            log_cold_time(now, &state);
+        }
         if state.is_unconfirmed() && !was_unconfirmed {
             self.unconfirmed.notify_one();
         }
@@ -105,3 +110,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Logs how long the target is treated as cold, and why.
+fn log_cold_time(now: Tick, state: &ColdTracker) {
+    let left = state.cold_until().since(now);
+    tracing::info!(
+        left_ms = left.as_millis(),
+        cause = state.cause().as_str(),
+        confirmed = !state.is_unconfirmed(),
+        generation = state.generation().map(|id| id.as_str()),
+        "the tracked cold time of the target changed"
+    );
+}
--- a/crates/node/src/traffic/inbound/access_log.rs
+++ b/crates/node/src/traffic/inbound/access_log.rs
@@ -100,6 +100,8 @@
             status,
             took_us: micros(now.since(self.started)),
             load: Some([load.in_flight, load.slots, load.queued]),
+            recent: u32::try_from(hub.admission.recent_admissions(now)).ok(),
+            cold_us: Some(micros(shared.cold_tracker().cold_left(now))).filter(|us| *us > 0),
             left_us: micros(facts.deadline.remaining(now)),
             aim_left_us: facts.soft_deadline.map(|at| micros(at.since(now))),
             list: Some(facts.list_revision),
--- a/crates/node/src/traffic/inbound/inbound_request.rs
+++ b/crates/node/src/traffic/inbound/inbound_request.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::Uri;
 use http::Version;
+use metrics::counter;
 use sassafrasspool_core::Admitted;
 use sassafrasspool_core::Class;
 use sassafrasspool_core::Limits;
@@ -22,6 +23,7 @@
 use sassafrasspool_wire::header::REQUEST_TIMEOUT_MS;
 
 use crate::Dialect;
+use crate::metrics::traffic;
 use crate::traffic::answer_body::AnswerBody;
 use crate::traffic::failed_attempt::FailedAttempt;
 use crate::traffic::head;
@@ -87,6 +89,7 @@
             Ok(permit) => permit,
             Err(refusal) => return Err(FailedAttempt::unsent(refusal, self.req)),
         };
+        count_admission(hub);
         let stage = stage.admit(permit);
         if let Some(left) = hub.hold_suspect(self.call.content.as_ref()).await {
             // The request was quarantined while it was queued.
@@ -160,6 +163,15 @@
     }
 }
 
+fn count_admission(hub: &Hub) {
+    let now = hub.shared.clock().now();
+    let target = match hub.shared.cold_tracker().cold_left(now).is_zero() {
+        true => "warm",
+        false => "cold",
+    };
+    counter!(traffic::ADMISSIONS, "target" => target).increment(1);
+}
+
 /// The target generation that a request names to the target.
 ///
 /// It differs from the requested one only where the target certainly serves the
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -72,6 +72,12 @@
     /// Load of the target: requests in flight, slots, and queued requests.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load: Option<[u16; 3]>,
+    /// Requests that the target's node admitted within the last second.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub recent: Option<u32>,
+    /// Microseconds for which the node treats the target as cold; absent if it is warm.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_us: Option<u64>,
     /// Microseconds left until its deadline; 0 without a route, since the route sets
     /// the deadline.
     pub left_us: u64,
