Show that cold targets are flooded after a restart, with failing tests

What callers saw: cold desks that crash under load. The soak judged the cold time of a target until the next end of its node's process only, and its words excused what a new process doesn't know. The users' rule sums over all, whatever was restarted, so the verdict now does: a case of its own test that expected no excess beside a restart expects the ten that there are, and one more is added. Two tests without the soak fail as well: a process that has just started takes its target for warm, listed or not, and a late answer of a previous generation ends the cold time of the next.

--- a/crates/node/src/control/probe/tests.rs
+++ b/crates/node/src/control/probe/tests.rs
@@ -14,6 +14,7 @@
 use sassafrasspool_core::TargetGeneration;
 use sassafrasspool_core::TargetId;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 use super::track_cold_state;
 use crate::Dialect;
@@ -60,16 +61,22 @@
 }
 
 fn view() -> View {
+    view_of("i-1", 1, Duration::ZERO)
+}
+
+/// The view of a list that names this generation of the target with this cold time.
+fn view_of(generation: &str, revision: u64, cold_for: Duration) -> View {
     let instance = Instance {
         target: Some(TargetGeneration {
-            id: TargetId::new("i-1").expect("valid target id"),
-            listed_revision: 1,
+            id: TargetId::new(generation).expect("valid target id"),
+            listed_revision: revision,
             started_ms: None,
         }),
+        cold_for,
         ..instance("wd-1")
     };
     View {
-        snapshot: snapshot(CATALOGUE, 1, vec![instance]),
+        snapshot: snapshot(CATALOGUE, revision, vec![instance]),
         states: Arc::new(HashMap::new()),
     }
 }
@@ -116,3 +123,30 @@
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
 }
+
+/// Guards against a flood at the next generation of a target, because a probe that the previous
+/// one answered as warm was still on its way when the list named the next one.
+#[tokio::test]
+async fn probe_of_a_previous_generation_does_not_end_the_cold_time() {
+    let shared = shared();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let addr = listener.local_addr().expect("bound address");
+    let probed = Arc::new(Notify::new());
+    let replaced = Arc::new(Notify::new());
+    let [was_probed, was_replaced] = [Arc::clone(&probed), Arc::clone(&replaced)];
+    let answer = move || async move {
+        probed.notify_one();
+        replaced.notified().await;
+        StatusCode::OK
+    };
+    let app = Router::new().route("/health", get(answer));
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    tokio::spawn(track_cold_state(Arc::clone(&shared), addr));
+    shared.set_view(view());
+    was_probed.notified().await;
+    shared.set_view(view_of("i-2", 2, Duration::from_secs(50)));
+    was_replaced.notify_one();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let left = shared.cold_tracker().cold_left(shared.clock().now());
+    assert!(left > Duration::from_secs(40), "{left:?}");
+}
--- a/crates/node/src/shared/local_cold_tracker/tests.rs
+++ b/crates/node/src/shared/local_cold_tracker/tests.rs
@@ -41,20 +41,44 @@
 #[case::before_the_end(Listing { during_evacuation: true, at_its_end: false })]
 #[case::never(Listing { during_evacuation: false, at_its_end: false })]
 fn target_is_cold_after_an_evacuation(#[case] listing: Listing) {
+    let shared = starting_node();
+    let evacuated = format!("{CATALOGUE}{EVACUATION}");
+    put_in_force(&shared, 1, &evacuated, listing.during_evacuation);
+    put_in_force(&shared, 2, CATALOGUE, listing.at_its_end);
+    assert!(limits_requests(&shared), "{listing:?}");
+}
+
+/// Guards against a process that applies the load of a warm target to a cold one, since it
+/// started after the evacuation that made the target cold.
+#[rstest]
+#[case::listed(true)]
+#[case::not_listed(false)]
+fn target_is_cold_to_a_process_that_has_just_started(#[case] listed: bool) {
+    let shared = starting_node();
+    put_in_force(&shared, 2, CATALOGUE, listed);
+    assert!(limits_requests(&shared));
+}
+
+/// The state of a node before its first view.
+fn starting_node() -> Shared {
     let shared = Shared::new(name("wd-1"), Incarnation::from_start_millis(1));
     let (locality, dedup) = locality_and_window("wd-1");
     shared.configure_routing(locality, dedup);
     shared.set_service(name("workshop-desk"));
-    let put_in_force = |revision, text: &str, listed: bool| {
-        let listed = listed.then(|| instance("wd-1"));
-        shared.set_view(View {
-            snapshot: testing::snapshot(text, revision, listed.into_iter().collect()),
-            states: Arc::new(HashMap::new()),
-        });
-    };
-    let evacuated = format!("{CATALOGUE}{EVACUATION}");
-    put_in_force(1, &evacuated, listing.during_evacuation);
-    put_in_force(2, CATALOGUE, listing.at_its_end);
+    shared
+}
+
+/// Puts a catalogue in force, with a list that names the local target or is empty.
+fn put_in_force(shared: &Shared, revision: u64, text: &str, listed: bool) {
+    let listed = listed.then(|| instance("wd-1"));
+    shared.set_view(View {
+        snapshot: testing::snapshot(text, revision, listed.into_iter().collect()),
+        states: Arc::new(HashMap::new()),
+    });
+}
+
+/// Whether requests to the local target are limited because it is cold.
+fn limits_requests(shared: &Shared) -> bool {
     let routes = shared.routes().expect("routes");
     let service = routes.view.snapshot.find_service(&name("workshop-desk"));
     let start: Option<&ColdStart> = service.and_then(|(_, found)| found.entry.cold_start.as_ref());
@@ -63,5 +87,5 @@
     let limit = shared
         .cold_tracker()
         .cold_limit(now, start, tolerance, None);
-    assert!(limit.is_some(), "{listing:?}");
+    limit.is_some()
 }
--- a/crates/soak/src/verdict/cold_start.rs
+++ b/crates/soak/src/verdict/cold_start.rs
@@ -29,8 +29,8 @@
 
 impl ColdStartVerdict {
     /// Judges the requests that targets started, from when their node was observed to have
-    /// the end of an evacuation in force until the targets may be warm. A node process that
-    /// starts in between may not have received the evacuation.
+    /// the end of an evacuation in force until the targets may be warm, whichever processes of
+    /// the node sent them.
     pub fn judge<'a>(
         instances: impl Iterator<Item = JudgedInstance<'a>>,
         timeline: &Timeline<'_>,
@@ -93,23 +93,23 @@
     excess.max().unwrap_or(0)
 }
 
-/// When the target of an instance is certainly cold, because one process of its node had
-/// first an evacuation of its failure domain in force and then the end of it.
+/// When the target of an instance is certainly cold, because its node had first an evacuation
+/// of its failure domain in force and then the end of it.
 fn windows(instance: JudgedInstance<'_>, timeline: &Timeline<'_>) -> Vec<Window> {
     let mut windows = Vec::new();
-    let mut evacuated_us = None;
+    let mut evacuated = false;
     for (at_us, held) in timeline.catalogues_in_force(instance.id) {
         if held.evacuated.contains(&instance.domain) {
-            evacuated_us = Some(at_us);
+            evacuated = true;
             continue;
         }
-        let Some(evacuated_us) = evacuated_us.take() else {
+        if !std::mem::take(&mut evacuated) {
             continue;
-        };
+        }
         let cold_until_us = held.at_us + COLD_DURATION_US;
         let window = Window {
             from_us: at_us,
-            to_us: cold_until_us.min(timeline.next_process_end_us(instance.number, evacuated_us)),
+            to_us: cold_until_us,
         };
         if window.from_us < window.to_us {
             windows.push(window);
--- a/crates/soak/src/verdict/tests/evacuations.rs
+++ b/crates/soak/src/verdict/tests/evacuations.rs
@@ -189,7 +189,11 @@
 })]
 #[case::restarted_meanwhile(StartedCold {
     killed_s: Some(15),
-    ..started_cold(20_500, 1, 0)
+    ..started_cold(20_500, 1, 10)
+})]
+#[case::restarted_after_the_end(StartedCold {
+    killed_s: Some(21),
+    ..started_cold(20_980, 1, 10)
 })]
 #[case::delayed(StartedCold {
     stalls: &[Impairment { instance: 0, from_us: 19_000_000, to_us: 20_300_000 }],
