Treat the target of a node that has just started as cold until it is known

What callers saw: requests lost at targets that crash under full load while they are cold, after a restart of their node. The cause: a node tracks evacuations and generations from its start on, so that a process that starts after the evacuation of its failure domain has ended took its target for warm: from the list alone it assumed a cold time only where the list names generations and the target. A process now takes its own start for an event that may have made the target cold, as soon as it knows the target's service, listed or not. A probe ends that within milliseconds where targets answer one; elsewhere the limit of a cold target holds for one cold time.

--- a/crates/core/src/cold_tracker.rs
+++ b/crates/core/src/cold_tracker.rs
@@ -17,7 +17,8 @@
 ///
 /// A target is cold for a time after its start, and may become cold again without any
 /// effect on its connections. The instance list lags, so each event that may have made
-/// the target cold marks it as cold, until the list or a probe gives a better bound.
+/// the target cold marks it as cold, until the list or a probe gives a better bound. The
+/// start of the node is such an event, since the node doesn't know what happened before it.
 ///
 /// # Invariants
 ///
@@ -54,12 +55,25 @@
     /// The current generation, as named by requests or the list, and the one before it.
     recent_generations: [Option<TargetId>; 2],
     evacuated: bool,
+    /// Whether the service of the target was found in a catalogue since the node's start.
+    service_known: bool,
     cold_until: Tick,
     unconfirmed: bool,
     cause: ColdCause,
 }
 
 impl ColdTracker {
+    /// Updates the state from the catalogue entry of the target's service, which has no
+    /// `start` if its targets are never cold.
+    pub fn update_service(&mut self, now: Tick, start: Option<&ColdStart>) {
+        let was_known = std::mem::replace(&mut self.service_known, true);
+        if let Some(start) = start
+            && !was_known
+        {
+            self.assume_cold(now, start, ColdCause::NodeStarted);
+        }
+    }
+
     /// Updates the state from the entry of the target in the instance list.
     pub fn update_from_list(
         &mut self,
--- a/crates/core/src/cold_tracker/cold_cause.rs
+++ b/crates/core/src/cold_tracker/cold_cause.rs
@@ -6,6 +6,8 @@
     /// No event is known.
     #[default]
     Unknown,
+    /// The node has started, and its target may have become cold just before.
+    NodeStarted,
     /// The first list that contained the target, which may be older than its cold start.
     FirstList,
     /// The instance list reported a cold time.
@@ -23,6 +25,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             ColdCause::Unknown => "unknown",
+            ColdCause::NodeStarted => "node-started",
             ColdCause::FirstList => "first-list",
             ColdCause::Listed => "listed",
             ColdCause::RequestedGeneration => "requested-generation",
--- a/crates/core/src/cold_tracker/tests.rs
+++ b/crates/core/src/cold_tracker/tests.rs
@@ -53,6 +53,29 @@
     assert!(!cold.is_unconfirmed());
 }
 
+/// Guards against the load of a warm target on a cold one after a restart of its node, where no
+/// list names generations.
+#[test]
+fn a_target_without_a_generation_is_cold_after_a_restart_of_its_node() {
+    let mut cold = ColdTracker::default();
+    cold.update_service(at(200), Some(&start()));
+    assert_eq!(cold.cold_until(), at(200) + LASTS);
+    // Later catalogues with the same service aren't a start of the node.
+    cold.record_probe(at(210), Duration::ZERO);
+    cold.update_service(at(900), Some(&start()));
+    assert_eq!(cold.cold_until(), at(210));
+}
+
+/// Guards against limits on all targets of a service at the moment at which operators first say
+/// that its targets start cold.
+#[test]
+fn a_target_stays_warm_when_its_service_gets_a_cold_start() {
+    let mut cold = ColdTracker::default();
+    cold.update_service(at(200), None);
+    cold.update_service(at(9_000), Some(&start()));
+    assert_eq!(cold.cold_until(), Tick::ZERO);
+}
+
 /// Guards against sending the load of a warm target to the next generation at its address.
 #[test]
 fn a_new_generation_is_cold_for_the_listed_time() {
--- a/crates/node/src/shared/local_cold_tracker.rs
+++ b/crates/node/src/shared/local_cold_tracker.rs
@@ -36,10 +36,12 @@
         let Some(service) = listed.map(|(_, found)| found).or_else(by_name) else {
             return;
         };
-        let Some(start) = &service.entry.cold_start else {
-            return;
-        };
+        let start = service.entry.cold_start.as_ref();
         self.update_state(now, |state| {
+            state.update_service(now, start);
+            let Some(start) = start else {
+                return;
+            };
             if let Some((endpoint, _)) = listed
                 && let Some(generation) = &endpoint.instance.target
             {
