Count what the previous process of a node may have admitted to a cold target

The cause: the limit on a cold target is kept by the process beside it, which forgets it with its end: the next one starts with a full burst and no admissions in the last second. In virtual time 34 requests start within a second of one restart and 39 of two, where 30 are tolerated. A process now admits nothing to a cold target until a second after its start: the previous one has ended by then, since both listen on the same ports, and may have used all that the target tolerates. It joins in a part of that second anyway. processes_of_a_node_keep_to_the_limit_of_a_cold_target_together fails in two of five cases without it.

--- a/crates/core/src/admit/admission.rs
+++ b/crates/core/src/admit/admission.rs
@@ -82,6 +82,14 @@
         Ok(Admission(Arc::new(Shared(Mutex::new(state)))))
     }
 
+    /// Takes into account that a previous process of the node may have admitted requests to the
+    /// target until `at`.
+    #[must_use]
+    pub fn with_predecessor_end(self, at: Tick) -> Admission {
+        self.0.lock().set_predecessor_end(at);
+        self
+    }
+
     /// Requests a slot.
     ///
     /// `waker` is only called if the request is queued.
--- a/crates/core/src/admit/state.rs
+++ b/crates/core/src/admit/state.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Sets when the previous process of the node had ended at the latest.
+    pub(super) fn set_predecessor_end(&mut self, at: Tick) {
+        self.warm_up.set_predecessor_end(at);
+    }
+
     /// How many requests were admitted within the last second.
     pub(super) fn recent_admissions(&self, now: Tick) -> usize {
         self.warm_up.recent_admissions(now)
--- a/crates/core/src/admit/tests.rs
+++ b/crates/core/src/admit/tests.rs
@@ -3,6 +3,7 @@
 mod cases;
 mod cold;
 mod cold_delays;
+mod cold_restarts;
 mod fixture;
 mod load;
 mod overload;
--- a/crates/core/src/admit/warm_up.rs
+++ b/crates/core/src/admit/warm_up.rs
@@ -20,7 +20,7 @@
 /// # Invariants
 ///
 /// While the limit is in force, no more requests are admitted or start within any second than
-/// [`ColdLimit::max_per_second`]. Requests that start later than [`MAX_START_DELAY`] after
+/// [`ColdLimit::max_per_second`], those of the previous process included. Requests that start later than [`MAX_START_DELAY`] after
 /// their admission are excepted.
 #[derive(Debug)]
 pub(super) struct WarmUp {
@@ -29,6 +29,8 @@
     /// The requests that may start, or may have started, within the last second, in the order
     /// of their admissions.
     admitted: VecDeque<Admitted>,
+    /// When the previous process of the node had ended at the latest, if there may be one.
+    predecessor_end: Option<Tick>,
 }
 
 /// A request that was admitted.
@@ -49,9 +51,15 @@
             limit: None,
             bucket: TokenBucket::full(),
             admitted: VecDeque::new(),
+            predecessor_end: None,
         }
     }
 
+    /// Sets when the previous process of the node had ended at the latest.
+    pub(super) fn set_predecessor_end(&mut self, at: Tick) {
+        self.predecessor_end = Some(at);
+    }
+
     /// Replaces the limit by the one that is currently known for the target.
     pub(super) fn set_limit(&mut self, limit: Option<ColdLimit>) {
         self.limit = limit;
@@ -65,10 +73,19 @@
     pub(super) fn wait(&mut self, now: Tick) -> Option<Duration> {
         let limit = self.active_limit(now)?;
         let rate_wait = self.bucket.refill(now, limit.per_s, limit.burst);
-        let wait = rate_wait.max(self.window_wait(now, limit))?;
+        let window_wait = self.window_wait(now, limit);
+        let wait = rate_wait.max(window_wait).max(self.predecessor_wait(now))?;
         Some(wait.min(limit.until.since(now)))
     }
 
+    /// How long it takes until a second has passed since the end of the previous process, which
+    /// may have admitted as many requests as the limit allows; nothing if it has passed.
+    fn predecessor_wait(&self, now: Tick) -> Option<Duration> {
+        let since_end = now.since(self.predecessor_end?);
+        let left = SECOND.saturating_sub(since_end);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// How long it takes at most until fewer requests may start within a second than the limit
     /// allows; nothing if it is so now. The end of a request may shorten the wait.
     fn window_wait(&self, now: Tick, limit: ColdLimit) -> Option<Duration> {
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -17,6 +17,7 @@
 use sassafrasspool_core::ServiceName;
 use sassafrasspool_core::Step;
 use sassafrasspool_core::TargetGeneration;
+use sassafrasspool_core::Tick;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -88,7 +89,9 @@
         let dedup_window = DedupWindow::new(cfg.repeat, cfg.instance.clone(), cfg.service.clone())?;
         shared.configure_routing(locality, dedup_window.clone());
         shared.set_service(cfg.service.clone());
-        let admission = Admission::new(AdmissionSettings::default(), cfg.target.slots)?;
+        // A previous process of the node used the ports that this one listens on.
+        let admission = Admission::new(AdmissionSettings::default(), cfg.target.slots)?
+            .with_predecessor_end(Tick::ZERO);
         let limit = cfg.target.slots.min(cfg.target.connections);
         Ok(Hub {
             shared,
