Ignore answers to probes from before a target became cold

What callers saw: requests lost at a cold target that was flooded. The cause: a node took the answer to a probe for the truth at its arrival, though the target may have become cold, or been replaced, since the probe was sent: a late answer of the previous generation, 'warm', ended the cold time of the next. A busy machine makes that likelier, since answers wait there. A probe now counts what was known when it was begun. Its answer is dropped if an event that may have made the target cold came in between, or if it names the previous generation, and the target is probed again.

--- a/crates/core/src/cold_tracker.rs
+++ b/crates/core/src/cold_tracker.rs
@@ -8,8 +8,10 @@
 use crate::Tick;
 
 pub use self::cold_cause::ColdCause;
+pub use self::cold_probe::ColdProbe;
 
 mod cold_cause;
+mod cold_probe;
 #[cfg(test)]
 mod tests;
 
@@ -44,7 +46,8 @@
 /// cold.update_evacuation(Tick::from_millis(9_000), &start, false);
 /// assert!(cold.is_unconfirmed());
 /// assert_eq!(cold.cold_until(), Tick::from_millis(12_000));
-/// cold.record_probe(Tick::from_millis(9_010), Duration::ZERO);
+/// let probe = cold.begin_probe();
+/// cold.record_probe(Tick::from_millis(9_010), probe, Duration::ZERO, None);
 /// assert_eq!(cold.cold_until(), Tick::from_millis(9_010));
 /// ```
 #[derive(Debug, Default)]
@@ -60,6 +63,8 @@
     cold_until: Tick,
     unconfirmed: bool,
     cause: ColdCause,
+    /// Events that may have made the target cold.
+    events: u64,
 }
 
 impl ColdTracker {
@@ -108,6 +113,7 @@
         }
         self.unconfirmed = false;
         self.cause = ColdCause::Listed;
+        self.events += 1;
     }
 
     /// Updates whether the target's failure domain is evacuated.
@@ -132,11 +138,36 @@
         }
     }
 
-    /// Records the remaining cold time that the target itself reported.
-    pub fn record_probe(&mut self, now: Tick, left: Duration) {
+    /// Begins a probe, whose answer is passed to [`ColdTracker::record_probe`].
+    pub const fn begin_probe(&self) -> ColdProbe {
+        ColdProbe {
+            events: self.events,
+        }
+    }
+
+    /// Records the remaining cold time that the target itself reported, and its generation if
+    /// the answer names it. Returns whether it is used.
+    ///
+    /// The answer proves nothing if the target may have become cold since the probe was begun,
+    /// or if the previous generation gave it.
+    pub fn record_probe(
+        &mut self,
+        now: Tick,
+        probe: ColdProbe,
+        left: Duration,
+        generation: Option<TargetId>,
+    ) -> bool {
+        let is_previous = generation.is_some() && generation == self.recent_generations[1];
+        if probe.events != self.events || is_previous {
+            return false;
+        }
+        if let Some(id) = &generation {
+            self.record_generation(id);
+        }
         self.cold_until = now + left;
         self.unconfirmed = false;
         self.cause = ColdCause::Probed;
+        true
     }
 
     /// Until when the target is treated as cold.
@@ -163,6 +194,7 @@
         self.cold_until = now + start.duration;
         self.unconfirmed = true;
         self.cause = cause;
+        self.events += 1;
     }
 
     fn record_generation(&mut self, id: &TargetId) {
--- a/crates/core/src/cold_tracker/tests.rs
+++ b/crates/core/src/cold_tracker/tests.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use rstest::rstest;
+
 use crate::ColdStart;
 use crate::ColdTracker;
 use crate::TargetGeneration;
@@ -32,11 +34,17 @@
     Duration::from_millis(ms)
 }
 
+/// Records the answer to a probe during which nothing happened.
+fn probe(cold: &mut ColdTracker, now: Tick, left: Duration) {
+    let probe = cold.begin_probe();
+    assert!(cold.record_probe(now, probe, left, None));
+}
+
 /// A target that is listed as warm and that a probe confirmed as warm.
 fn warm() -> ColdTracker {
     let mut cold = ColdTracker::default();
     cold.update_from_list(at(0), &start(), &generation("i-1"), Duration::ZERO);
-    cold.record_probe(at(10), Duration::ZERO);
+    probe(&mut cold, at(10), Duration::ZERO);
     cold
 }
 
@@ -48,7 +56,7 @@
     cold.update_from_list(at(500), &start(), &generation("i-1"), Duration::ZERO);
     assert!(cold.is_unconfirmed());
     assert_eq!(cold.cold_until(), at(500) + LASTS);
-    cold.record_probe(at(510), millis(700));
+    probe(&mut cold, at(510), millis(700));
     assert_eq!(cold.cold_until(), at(1_210));
     assert!(!cold.is_unconfirmed());
 }
@@ -61,7 +69,7 @@
     cold.update_service(at(200), Some(&start()));
     assert_eq!(cold.cold_until(), at(200) + LASTS);
     // Later catalogues with the same service aren't a start of the node.
-    cold.record_probe(at(210), Duration::ZERO);
+    probe(&mut cold, at(210), Duration::ZERO);
     cold.update_service(at(900), Some(&start()));
     assert_eq!(cold.cold_until(), at(210));
 }
@@ -121,6 +129,68 @@
         cold.update_evacuation(at(begin + 900), &start(), false);
         assert_eq!(cold.cold_until(), at(begin + 900) + LASTS);
         assert!(cold.is_unconfirmed());
-        cold.record_probe(at(begin + 910), Duration::ZERO);
+        probe(&mut cold, at(begin + 910), Duration::ZERO);
+    }
+}
+
+/// What happens while a probe is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Meanwhile {
+    Nothing,
+    EvacuationEnds,
+    NextGenerationIsListed,
+    NextGenerationIsRequested,
+    ColdAgain,
+}
+
+/// An answer to a probe, and whether it is used.
+#[derive(Debug)]
+struct AnswerCase {
+    meanwhile: Meanwhile,
+    generation: Option<&'static str>,
+    used: bool,
+}
+
+/// Guards against a flood at a target that became cold, or was replaced, after it had answered
+/// a probe.
+#[rstest]
+#[case::no_event(AnswerCase { meanwhile: Meanwhile::Nothing, generation: None, used: true })]
+#[case::current(AnswerCase { meanwhile: Meanwhile::Nothing, generation: Some("i-1"), used: true })]
+#[case::next(AnswerCase { meanwhile: Meanwhile::Nothing, generation: Some("i-2"), used: true })]
+#[case::previous(AnswerCase { meanwhile: Meanwhile::Nothing, generation: Some("i-0"), used: false })]
+#[case::evacuated(AnswerCase { meanwhile: Meanwhile::EvacuationEnds, generation: None, used: false })]
+#[case::replaced(AnswerCase {
+    meanwhile: Meanwhile::NextGenerationIsListed,
+    generation: Some("i-1"),
+    used: false,
+})]
+#[case::replaced_in_requests(AnswerCase {
+    meanwhile: Meanwhile::NextGenerationIsRequested,
+    generation: None,
+    used: false,
+})]
+#[case::cold_again(AnswerCase { meanwhile: Meanwhile::ColdAgain, generation: Some("i-1"), used: false })]
+fn answers_from_before_a_cold_time_do_not_end_it(#[case] case: AnswerCase) {
+    let mut cold = ColdTracker::default();
+    cold.update_from_list(at(0), &start(), &generation("i-0"), Duration::ZERO);
+    cold.update_from_list(at(100), &start(), &generation("i-1"), millis(2_500));
+    cold.update_evacuation(at(150), &start(), true);
+    let probe = cold.begin_probe();
+    match case.meanwhile {
+        Meanwhile::Nothing => {}
+        Meanwhile::EvacuationEnds => cold.update_evacuation(at(200), &start(), false),
+        Meanwhile::NextGenerationIsListed => {
+            cold.update_from_list(at(200), &start(), &generation("i-2"), millis(2_500));
+        }
+        Meanwhile::NextGenerationIsRequested => {
+            cold.record_requested_generation(at(200), &start(), "i-2");
+        }
+        Meanwhile::ColdAgain => {
+            cold.update_from_list(at(200), &start(), &generation("i-1"), millis(3_000));
+        }
     }
+    let id = case.generation.map(|id| TargetId::new(id).unwrap());
+    let used = cold.record_probe(at(210), probe, Duration::ZERO, id);
+    assert_eq!(used, case.used, "{case:?}");
+    assert_eq!(cold.cold_until() == at(210), case.used, "{case:?}");
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -102,6 +102,7 @@
 pub use crate::catalogue::Share;
 pub use crate::class::Class;
 pub use crate::cold_tracker::ColdCause;
+pub use crate::cold_tracker::ColdProbe;
 pub use crate::cold_tracker::ColdTracker;
 pub use crate::deadline::Deadline;
 pub use crate::dedup::Attempt;
--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -14,6 +14,7 @@
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use sassafrasspool_core::TargetId;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -53,35 +54,52 @@
     loop {
         shared.cold_tracker().wait_until_unconfirmed().await;
         while shared.cold_tracker().is_unconfirmed(shared.clock().now()) {
-            let probe = timeout(PROBE_TIMEOUT, fetch_cold_remaining(&shared, addr)).await;
-            if let Ok(Some(remaining)) = probe {
-                shared
-                    .cold_tracker()
-                    .record_probe(shared.clock().now(), remaining);
-                tracing::info!(
-                    left_ms = remaining.as_millis(),
-                    "target reported its remaining cold time"
-                );
-            } else {
+            let tracker = shared.cold_tracker();
+            let probe = tracker.begin_probe();
+            let reported = timeout(PROBE_TIMEOUT, fetch_cold_report(&shared, addr)).await;
+            let Ok(Some(report)) = reported else {
+                tokio::time::sleep(COLD_PROBE_RETRY_INTERVAL).await;
+                continue;
+            };
+            let left_ms = report.left.as_millis();
+            let now = shared.clock().now();
+            let used = tracker.record_probe(now, probe, report.left, report.generation);
+            tracing::info!(left_ms, used, "target reported its remaining cold time");
+            if !used {
                 tokio::time::sleep(COLD_PROBE_RETRY_INTERVAL).await;
             }
         }
     }
 }
 
-/// The remaining cold time that the target reports; `None` if it reports none.
-async fn fetch_cold_remaining(shared: &Shared, addr: SocketAddr) -> Option<Duration> {
-    let name = shared.dialect().cold_left_ms.as_ref()?;
+/// What the target reports of its cold time.
+#[derive(Debug)]
+struct ColdReport {
+    left: Duration,
+    /// The generation that answered, if the answer names it.
+    generation: Option<TargetId>,
+}
+
+/// Asks the target for its remaining cold time; `None` if it reports none.
+async fn fetch_cold_report(shared: &Shared, addr: SocketAddr) -> Option<ColdReport> {
+    let dialect = shared.dialect();
+    let name = dialect.cold_left_ms.as_ref()?;
     let routes = shared.routes()?;
-    let (_, service) = routes.local_endpoint()?;
+    let service = routes.local_service(shared.service().as_deref())?;
     let path = service.entry.cold_start.as_ref()?.probe_path.as_ref()?;
     let (status, headers) = fetch_head(addr, path).await?;
-    match headers.get(name) {
+    let left = match headers.get(name) {
         Some(value) => value.to_str().ok()?.parse().ok().map(Duration::from_millis),
         // A 200 without the header means that the target is warm. Any other status means
         // that the target rejected the probe, which proves nothing.
         None => (status == StatusCode::OK).then_some(Duration::ZERO),
-    }
+    };
+    let answering = dialect.answering_generation.as_ref();
+    let answering = answering.and_then(|name| headers.get(name)?.to_str().ok());
+    Some(ColdReport {
+        left: left?,
+        generation: answering.and_then(|id| TargetId::new(id).ok()),
+    })
 }
 
 /// Sends a GET request over a new connection and returns the status and headers
--- a/crates/node/src/shared/local_cold_tracker.rs
+++ b/crates/node/src/shared/local_cold_tracker.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use sassafrasspool_core::ColdLimit;
+use sassafrasspool_core::ColdProbe;
 use sassafrasspool_core::ColdStart;
 use sassafrasspool_core::ColdTolerance;
 use sassafrasspool_core::ColdTracker;
 use sassafrasspool_core::ServiceName;
+use sassafrasspool_core::TargetId;
 use sassafrasspool_core::Tick;
 use tokio::sync::Notify;
 
@@ -31,9 +33,7 @@
     /// isn't listed is evacuated as well, and `service` is the one that it serves.
     pub(super) fn update(&self, now: Tick, routes: &Routes, service: Option<&ServiceName>) {
         let listed = routes.local_endpoint();
-        let snapshot = &routes.view.snapshot;
-        let by_name = || snapshot.find_service(service?).map(|(_, found)| found);
-        let Some(service) = listed.map(|(_, found)| found).or_else(by_name) else {
+        let Some(service) = routes.local_service(service) else {
             return;
         };
         let start = service.entry.cold_start.as_ref();
@@ -86,9 +86,23 @@
         state.is_unconfirmed() && now < state.cold_until()
     }
 
-    /// Records the remaining cold time that the target reported to a probe.
-    pub(crate) fn record_probe(&self, now: Tick, left: Duration) {
-        self.update_state(now, |state| state.record_probe(now, left));
+    /// Begins a probe of the target's cold time.
+    pub(crate) fn begin_probe(&self) -> ColdProbe {
+        self.lock().begin_probe()
+    }
+
+    /// Records the remaining cold time that the target reported to a probe, and its generation
+    /// if the answer names it. Returns whether the answer is used.
+    pub(crate) fn record_probe(
+        &self,
+        now: Tick,
+        probe: ColdProbe,
+        left: Duration,
+        generation: Option<TargetId>,
+    ) -> bool {
+        self.update_state(now, |state| {
+            state.record_probe(now, probe, left, generation)
+        })
     }
 
     /// Updates the state, logs a change of the tracked cold time, and notifies if it has become
--- a/crates/node/src/shared/routing.rs
+++ b/crates/node/src/shared/routing.rs
@@ -23,6 +23,7 @@
 use sassafrasspool_core::Picker;
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::RouteSettings;
+use sassafrasspool_core::ServiceName;
 use sassafrasspool_core::Tick;
 
 use super::View;
@@ -84,6 +85,14 @@
         let service = self.view.snapshot.service(endpoint.service)?;
         Some((endpoint, service))
     }
+
+    /// The service of the local target: the one that the instance list gives it, or `service` if
+    /// the list doesn't have it.
+    pub fn local_service(&self, service: Option<&ServiceName>) -> Option<&BoundService> {
+        let listed = self.local_endpoint().map(|(_, found)| found);
+        let by_name = || self.view.snapshot.find_service(service?);
+        listed.or_else(|| by_name().map(|(_, found)| found))
+    }
 }
 
 /// The node's locality and its deduplication window of keyed requests.
--- a/crates/node/src/traffic/inbound/forward.rs
+++ b/crates/node/src/traffic/inbound/forward.rs
@@ -232,9 +232,7 @@
     if let Some(reason) = refusal_reason(worker) {
         return Err(refuse(reason));
     }
-    let listed = call.routes.local_endpoint().map(|(_, service)| service);
-    let by_name = || call.routes.view.snapshot.find_service(&worker.hub.service);
-    let service = listed.or_else(|| by_name().map(|(_, service)| service));
+    let service = call.routes.local_service(Some(&worker.hub.service));
     service.ok_or_else(|| refuse(Reason::NoConfiguration))
 }
 
