Keep a cold time that a list doesn't know of yet

What callers saw: requests lost at a cold target that was flooded. The cause: a list replaced what the node had assumed or the target had reported, also where it is older than that: one from before the end of an evacuation, or from before a probe, that newly gives the target a short cold time or another generation ended a cold time of 3 s after 0.3 s, and marked it as confirmed. A list now only extends what was assumed from another event, and what a probe of the same generation reported; the target is probed as long as it is assumed. lists_from_before_a_cold_time_do_not_end_it failed in all four cases.

--- a/crates/core/src/cold_tracker.rs
+++ b/crates/core/src/cold_tracker.rs
@@ -106,14 +106,22 @@
             return self.assume_cold(now, start, ColdCause::FirstList);
         }
         let until = now + cold_for;
-        match was_named && !same_generation {
-            // Requests named this generation before. Both times bound the same cold period.
-            true => self.cold_until = self.cold_until.min(until),
-            false => self.cold_until = until,
+        let assumed = self.unconfirmed && self.cause != ColdCause::RequestedGeneration;
+        self.events += 1;
+        if assumed {
+            // The list may be older than the event from which the cold time is assumed.
+            self.cold_until = self.cold_until.max(until);
+            return;
         }
+        self.cold_until = match (same_generation, was_named) {
+            // The list may be older than a probe.
+            (true, _) => self.cold_until.max(until),
+            // Requests named this generation before. Both times bound the same cold period.
+            (false, true) => self.cold_until.min(until),
+            (false, false) => until,
+        };
         self.unconfirmed = false;
         self.cause = ColdCause::Listed;
-        self.events += 1;
     }
 
     /// Updates whether the target's failure domain is evacuated.
--- a/crates/core/src/cold_tracker/tests.rs
+++ b/crates/core/src/cold_tracker/tests.rs
@@ -194,3 +194,44 @@
     assert_eq!(used, case.used, "{case:?}");
     assert_eq!(cold.cold_until() == at(210), case.used, "{case:?}");
 }
+
+/// What made the target cold before a list that is older than that.
+#[derive(Debug, Clone, Copy)]
+enum Before {
+    NodeStarted,
+    EvacuationEnded,
+    Probed,
+}
+
+/// A list that arrives while the target is cold until 3 s after the event at 1 s.
+#[derive(Debug)]
+struct OlderList {
+    before: Before,
+    generation: &'static str,
+    cold_for: Duration,
+}
+
+/// Guards against a flood at a cold target because of a list from before it became cold.
+#[rstest]
+#[case::started(OlderList { before: Before::NodeStarted, generation: "i-1", cold_for: millis(200) })]
+#[case::evacuated(OlderList { before: Before::EvacuationEnded, generation: "i-1", cold_for: millis(200) })]
+#[case::replaced(OlderList { before: Before::EvacuationEnded, generation: "i-2", cold_for: Duration::ZERO })]
+#[case::probed(OlderList { before: Before::Probed, generation: "i-1", cold_for: millis(200) })]
+fn lists_from_before_a_cold_time_do_not_end_it(#[case] case: OlderList) {
+    let mut cold = warm();
+    match case.before {
+        Before::NodeStarted => {
+            cold = ColdTracker::default();
+            cold.update_service(at(1_000), Some(&start()));
+            cold.update_from_list(at(1_000), &start(), &generation("i-1"), Duration::ZERO);
+        }
+        Before::EvacuationEnded => {
+            cold.update_evacuation(at(500), &start(), true);
+            cold.update_evacuation(at(1_000), &start(), false);
+        }
+        Before::Probed => probe(&mut cold, at(1_000), LASTS),
+    }
+    let listed = generation(case.generation);
+    cold.update_from_list(at(1_100), &start(), &listed, case.cold_for);
+    assert_eq!(cold.cold_until(), at(1_000) + LASTS, "{case:?}");
+}
