Treat a target as cold whose generation only its refusals name

What callers saw: a cold target that is flooded while nodes can't read the platform. Where targets start again meanwhile, requests name the ended generation, the target declines them, and after two seconds its node names the one that answers. The cause: the tracker of the cold time learns generations from the list and from requests alone, and never from these refusals, so that requests to a target that started again went on at the rate of a warm one. It is one sender, the node beside the target, as in the users' record, and nothing corrects it before the platform is back. The generation that answers now begins a cold time as one that a request names. target_whose_generation_is_not_listed_is_cold: 1348 requests within a second before, where 30 are tolerated.

--- a/crates/core/src/cold_tracker.rs
+++ b/crates/core/src/cold_tracker.rs
@@ -106,7 +106,7 @@
             return self.assume_cold(now, start, ColdCause::FirstList);
         }
         let until = now + cold_for;
-        let assumed = self.unconfirmed && self.cause != ColdCause::RequestedGeneration;
+        let assumed = self.unconfirmed && !self.cause.is_generation();
         self.events += 1;
         if assumed {
             // The list may be older than the event from which the cold time is assumed.
@@ -136,13 +136,28 @@
     /// Records the generation of the target that a request names. The local instance
     /// list may not contain that generation yet.
     pub fn record_requested_generation(&mut self, now: Tick, start: &ColdStart, generation: &str) {
+        self.record_unlisted_generation(now, start, generation, ColdCause::RequestedGeneration);
+    }
+
+    /// Records the generation that declined a request for another one.
+    pub fn record_answering_generation(&mut self, now: Tick, start: &ColdStart, generation: &str) {
+        self.record_unlisted_generation(now, start, generation, ColdCause::AnsweringGeneration);
+    }
+
+    fn record_unlisted_generation(
+        &mut self,
+        now: Tick,
+        start: &ColdStart,
+        generation: &str,
+        cause: ColdCause,
+    ) {
         let is_known = |id: &TargetId| id.as_str() == generation;
         if self.recent_generations.iter().flatten().any(is_known) {
             return;
         }
         if let Ok(id) = TargetId::new(generation) {
             self.record_generation(&id);
-            self.assume_cold(now, start, ColdCause::RequestedGeneration);
+            self.assume_cold(now, start, cause);
         }
     }
 
--- a/crates/core/src/cold_tracker/cold_cause.rs
+++ b/crates/core/src/cold_tracker/cold_cause.rs
@@ -14,6 +14,8 @@
     Listed,
     /// A request named a generation that the list didn't contain yet.
     RequestedGeneration,
+    /// A generation that isn't listed yet declined a request for another one.
+    AnsweringGeneration,
     /// The evacuation of the target's failure domain ended.
     EvacuationEnded,
     /// The target itself reported its remaining cold time.
@@ -21,6 +23,14 @@
 }
 
 impl ColdCause {
+    /// Whether a generation that isn't listed yet was seen.
+    pub(super) const fn is_generation(self) -> bool {
+        matches!(
+            self,
+            ColdCause::RequestedGeneration | ColdCause::AnsweringGeneration
+        )
+    }
+
     /// The cause as it appears in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -29,6 +39,7 @@
             ColdCause::FirstList => "first-list",
             ColdCause::Listed => "listed",
             ColdCause::RequestedGeneration => "requested-generation",
+            ColdCause::AnsweringGeneration => "answering-generation",
             ColdCause::EvacuationEnded => "evacuation-ended",
             ColdCause::Probed => "probed",
         }
--- a/crates/node/src/shared/local_cold_tracker.rs
+++ b/crates/node/src/shared/local_cold_tracker.rs
@@ -70,6 +70,21 @@
         (now < until).then(|| tolerance.limit(start.per_s, until))
     }
 
+    /// Records the generation of the target that declined a request for another one. It may be
+    /// cold, and the list doesn't name it yet.
+    pub(crate) fn record_answering_generation(
+        &self,
+        now: Tick,
+        start: Option<&ColdStart>,
+        generation: &str,
+    ) {
+        if let Some(start) = start {
+            self.update_state(now, |state| {
+                state.record_answering_generation(now, start, generation);
+            });
+        }
+    }
+
     /// The remaining cold time of the target, as tracked.
     pub(crate) fn cold_left(&self, now: Tick) -> Duration {
         self.lock().cold_until().since(now)
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::AdmissionSettings;
 use sassafrasspool_core::ColdTolerance;
@@ -138,6 +139,20 @@
         }
     }
 
+    /// Records the generation that the target states when it declines a request for another. It
+    /// may have started a moment ago.
+    pub(super) fn record_answering_generation(&self, now: Tick, answering: &HeaderValue) {
+        let routes = self.shared.routes();
+        let service = routes
+            .as_ref()
+            .and_then(|it| it.local_service(Some(&self.service)));
+        let start = service.and_then(|service| service.entry.cold_start.as_ref());
+        if let Ok(generation) = answering.to_str() {
+            let tracker = self.shared.cold_tracker();
+            tracker.record_answering_generation(now, start, generation);
+        }
+    }
+
     /// Waits until a request is quarantined. Returns its refusal.
     pub(super) async fn wait_quarantined(&self, step: Step, content: Option<&Content>) -> Refusal {
         let Some(content) = content else {
--- a/crates/node/tests/requests/fleet.rs
+++ b/crates/node/tests/requests/fleet.rs
@@ -84,7 +84,12 @@
 };
 
 impl Member {
-    async fn start(spec: Spec, cfg: TargetSettings, shared_target: Option<SocketAddr>) -> Member {
+    async fn start(
+        spec: Spec,
+        cfg: TargetSettings,
+        shared_target: Option<SocketAddr>,
+        dialect: Dialect,
+    ) -> Member {
         let target = Target::start(cfg, CancellationToken::new())
             .await
             .expect("the target starts");
@@ -92,7 +97,7 @@
         let written = CapturedOutput::default();
         let log = LogSink::start(LOG_BYTES_PER_S, written.clone());
         let shared = Arc::new(Shared::with_dialect(
-            Dialect::NATIVE,
+            dialect,
             log.expect("the log thread starts"),
             settings.instance.clone(),
             Incarnation::from_start_millis(1),
@@ -184,22 +189,34 @@
 
     /// Starts one member for each spec, all with the target at this address.
     pub(crate) async fn start_with_shared_target(specs: &[Spec], target: SocketAddr) -> Fleet {
-        Fleet::start_all(specs, TargetSettings::default(), Some(target)).await
+        Fleet::start_with_dialect(specs, target, Dialect::NATIVE).await
+    }
+
+    /// Starts one member for each spec, all with the target at this address, which speaks this
+    /// dialect.
+    pub(crate) async fn start_with_dialect(
+        specs: &[Spec],
+        target: SocketAddr,
+        dialect: Dialect,
+    ) -> Fleet {
+        Fleet::start_all(specs, TargetSettings::default(), Some(target), dialect).await
     }
 
     /// Starts one member for each spec, with a target of these settings.
     pub(crate) async fn start_with_settings(specs: &[Spec], cfg: TargetSettings) -> Fleet {
-        Fleet::start_all(specs, cfg, None).await
+        Fleet::start_all(specs, cfg, None, Dialect::NATIVE).await
     }
 
     async fn start_all(
         specs: &[Spec],
         cfg: TargetSettings,
         shared_target: Option<SocketAddr>,
+        dialect: Dialect,
     ) -> Fleet {
         let mut members = Vec::new();
         for &spec in specs {
-            members.push(Member::start(spec, cfg.clone(), shared_target).await);
+            let member = Member::start(spec, cfg.clone(), shared_target, dialect.clone());
+            members.push(member.await);
         }
         let fleet = Fleet { members };
         fleet.publish_list(specs, 1, &[]);
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -21,5 +21,6 @@
 mod target_leaving;
 mod target_rate_limit;
 mod truncation;
+mod unlisted_generation;
 mod upload;
 mod wait;
