Count requests from before the limit of a cold target is known

What callers saw: a cold target that gets a full burst on top of the requests that its node admitted a moment before. The cause: admissions were only recorded while a limit was in force, so that the second before the node learnt of the cold time counted as empty.

--- a/crates/core/src/admit/tests.rs
+++ b/crates/core/src/admit/tests.rs
@@ -5,6 +5,7 @@
 mod cold_delays;
 mod cold_restarts;
 mod fixture;
+mod late_limit;
 mod load;
 mod overload;
 mod properties;
--- a/crates/core/src/admit/warm_up.rs
+++ b/crates/core/src/admit/warm_up.rs
@@ -37,8 +37,6 @@
 #[derive(Debug)]
 struct Admitted {
     at: Tick,
-    /// Whether a limit was in force.
-    limited: bool,
     has_ended: bool,
     /// A second after its latest possible start.
     counts_until: Tick,
@@ -89,8 +87,7 @@
     /// How long it takes at most until fewer requests may start within a second than the limit
     /// allows; nothing if it is so now. The end of a request may shorten the wait.
     fn window_wait(&self, now: Tick, limit: ColdLimit) -> Option<Duration> {
-        let counted = |it: &&Admitted| it.limited && now < it.counts_until;
-        let counted = self.admitted.iter().filter(counted);
+        let counted = self.admitted.iter().filter(|it| now < it.counts_until);
         let mut ends: Vec<Tick> = counted.map(|it| it.counts_until).collect();
         let over = ends.len().checked_sub(limit.max_per_second())?;
         ends.sort_unstable();
@@ -118,7 +115,6 @@
         while self.admitted.pop_front_if(is_over).is_some() {}
         self.admitted.push_back(Admitted {
             at: now,
-            limited: self.limit.is_some(),
             has_ended: false,
             counts_until: now + MAX_START_DELAY + SECOND,
         });
