Determine the limits on starts after the body of a request has arrived

What callers saw: a cold target that gets more than it tolerates from requests whose bodies were on their way when it became cold. The cause: the limits of a request were determined before its body was received, so that a request from before the cold time was admitted without any, and lifted the limit for those that were queued.

--- a/crates/node/src/traffic/inbound/forward.rs
+++ b/crates/node/src/traffic/inbound/forward.rs
@@ -138,18 +138,14 @@
         soft_deadline: call.soft_deadline,
         list_revision: call.routes.view.snapshot.instances().revision().get(),
     };
-    let start_limits = StartLimits::find(worker, service, &call);
     let inbound = InboundRequest {
         worker,
         req,
         call,
         key: UnsentKey::new(run_permit),
     };
-    let limits = &service.entry.limits;
     let log_entry = InboundLogEntry::new(worker, facts, inbound.request_id());
-    let result = inbound
-        .admit_and_send(class, limits, slots, start_limits)
-        .await;
+    let result = inbound.admit_and_send(class, service, slots).await;
     log_entry.finish(&result);
     let mut res = result?;
     add_load_headers(worker, res.headers_mut());
@@ -191,7 +187,11 @@
 
 impl StartLimits {
     /// The limits that are known now.
-    fn find(worker: &Worker, service: &BoundService, call: &CallContext<'_>) -> StartLimits {
+    pub(in crate::traffic) fn find(
+        worker: &Worker,
+        service: &BoundService,
+        call: &CallContext<'_>,
+    ) -> StartLimits {
         let shared = &worker.hub.shared;
         if let Some(known) = call.known_rate_limit {
             shared
--- a/crates/node/src/traffic/inbound/inbound_request.rs
+++ b/crates/node/src/traffic/inbound/inbound_request.rs
@@ -12,8 +12,8 @@
 use http::Version;
 use metrics::counter;
 use sassafrasspool_core::Admitted;
+use sassafrasspool_core::BoundService;
 use sassafrasspool_core::Class;
-use sassafrasspool_core::Limits;
 use sassafrasspool_core::Permit;
 use sassafrasspool_core::Reason;
 use sassafrasspool_core::Request as Stage;
@@ -65,19 +65,21 @@
     pub(in crate::traffic) async fn admit_and_send(
         mut self,
         class: Class,
-        limits: &Limits,
+        service: &BoundService,
         slots: Option<u32>,
-        start_limits: StartLimits,
     ) -> Result<Response<AnswerBody>, FailedAttempt> {
         let hub = &self.worker.hub;
         let stage = Stage::received(class, self.call.deadline);
+        let limits = &service.entry.limits;
         let mut admission_request = self.call.admission_request(class, limits);
-        start_limits.apply_to(&mut admission_request);
+        StartLimits::find(self.worker, service, &self.call).apply_to(&mut admission_request);
         if let Some(slots) = slots {
             admission_request.slots = Some(slots);
             hub.pool.resize(slots);
         }
         self.req = body_intake::receive_body(hub, &admission_request, self.req).await?;
+        // The target may have become cold while the body was received.
+        StartLimits::find(self.worker, service, &self.call).apply_to(&mut admission_request);
         let queued_at = hub.shared.clock().now();
         let clock = hub.shared.clock();
         let quarantined = hub.wait_quarantined(Step::Admission, self.call.content.as_ref());
--- a/crates/node/tests/requests/cold_start.rs
+++ b/crates/node/tests/requests/cold_start.rs
@@ -1,13 +1,29 @@
 //! The rate limit of cold targets.
 
+use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use bytes::Bytes;
+use futures::SinkExt;
+use futures::channel::mpsc;
+use http::Request;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::client::conn::http2;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use sassafrasspool_core::TargetGeneration;
 use sassafrasspool_core::TargetId;
+use sassafrasspool_wire::header::DEADLINE_MS;
+use sassafrasspool_wire::header::SERVICE;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use crate::client;
 use crate::fleet::DESK;
@@ -32,6 +48,16 @@
 /// How long a target is cold after its start.
 const COLD_PERIOD: Duration = Duration::from_millis(2_500);
 
+/// Catalogue fields of the desk with [`SLOWEST_COLD_RATE_PER_S`]. Its period is longer than a
+/// request may be queued.
+const SLOWEST_COLD_START: &str = "    cold_start: {lasts_ms: 2500, per_s: 1}\n";
+
+/// Requests that may be sent to a cold target within a second by [`SLOWEST_COLD_START`].
+const SLOWEST_COLD_RATE_PER_S: usize = 1;
+
+/// A part of a request body.
+type Part = Result<Frame<Bytes>, Infallible>;
+
 /// Generation `n` of a target.
 fn generation(n: u64) -> TargetGeneration {
     TargetGeneration {
@@ -109,3 +135,59 @@
         assert!(received >= least, "{} received only {received}", member.id);
     }
 }
+
+fn byte() -> Part {
+    Ok(Frame::data(Bytes::from_static(b"x")))
+}
+
+/// Sends a request with the first of two bytes to the target of a node, as another node does.
+/// Returns the sender of the second byte, and the status of the answer.
+async fn begin_peer_upload(node: SocketAddr) -> (mpsc::Sender<Part>, JoinHandle<StatusCode>) {
+    let stream = TcpStream::connect(node).await.expect("a connection");
+    let io = TokioIo::new(stream);
+    let handshake = http2::handshake(TokioExecutor::new(), io).await;
+    let (mut sender, conn) = handshake.expect("a connection");
+    tokio::spawn(conn);
+    let (mut tx, rx) = mpsc::channel(1);
+    tx.send(byte())
+        .await
+        .expect("the begin of the body is sent");
+    let req = Request::post("http://desk.example/desk/lodge")
+        .header(DEADLINE_MS, "5000")
+        .header(SERVICE, DESK.service)
+        .header(CONTENT_LENGTH, 2)
+        .body(StreamBody::new(rx))
+        .expect("a valid request");
+    let answer = async move { sender.send_request(req).await.expect("an answer").status() };
+    (tx, tokio::spawn(answer))
+}
+
+/// Guards against a cold target that gets more than it tolerates from requests whose bodies were
+/// still on their way when it became cold.
+#[tokio::test]
+async fn uploads_that_began_before_a_cold_time_keep_to_the_limit() {
+    let specs = [DESK];
+    let fleet = Fleet::start(&specs).await;
+    let member = &fleet.members[0];
+    let warm = (Some(generation(1)), Duration::ZERO);
+    fleet.publish_generations(&specs, 2, SLOWEST_COLD_START, [warm]);
+    // The node has run for a second then, and its target is warm.
+    tokio::time::sleep(COLD_PERIOD).await;
+    let (mut body, answer) = begin_peer_upload(member.addrs.traffic).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let cold = (Some(generation(2)), COLD_PERIOD);
+    fleet.publish_generations(&specs, 3, SLOWEST_COLD_START, [cold]);
+    for n in 0..10 {
+        let req = client::get("/desk/lodge", &format!("r-{n}"));
+        client::call(member.addrs.ingress, req)
+            .await
+            .expect("an answer");
+    }
+    let before = member.target.ledger().runs.len();
+    assert_eq!(before, SLOWEST_COLD_RATE_PER_S, "the limit isn't reached");
+    body.send(byte()).await.expect("the body is sent");
+    drop(body);
+    let status = answer.await.expect("the task doesn't panic");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(member.target.ledger().runs.len(), before);
+}
