Treat a target as cold that accepts connections again after refusing them

What callers saw: a target that crashes again and again, since it gets the load of a warm one right after each start. The cause: a node learnt of a start only from a generation, in the list or in requests. On a platform that names none, or while the platform is away, it saw its connections refused and then accepted again, and made nothing of it. The first connection after a refused one, and a crash that was seen by broken connections, now begin a cold time, and a probe tells the rest.

--- a/crates/core/src/cold_tracker.rs
+++ b/crates/core/src/cold_tracker.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Records that the process of the target has ended and another one runs.
+    pub fn record_restart(&mut self, now: Tick, start: &ColdStart) {
+        self.assume_cold(now, start, ColdCause::Restarted);
+    }
+
     /// Begins a probe, whose answer is passed to [`ColdTracker::record_probe`].
     pub const fn begin_probe(&self) -> ColdProbe {
         ColdProbe {
--- a/crates/core/src/cold_tracker/cold_cause.rs
+++ b/crates/core/src/cold_tracker/cold_cause.rs
@@ -16,6 +16,8 @@
     RequestedGeneration,
     /// A generation that isn't listed yet declined a request for another one.
     AnsweringGeneration,
+    /// The target accepted connections again after it had refused them.
+    Restarted,
     /// The evacuation of the target's failure domain ended.
     EvacuationEnded,
     /// The target itself reported its remaining cold time.
@@ -40,6 +42,7 @@
             ColdCause::Listed => "listed",
             ColdCause::RequestedGeneration => "requested-generation",
             ColdCause::AnsweringGeneration => "answering-generation",
+            ColdCause::Restarted => "restarted",
             ColdCause::EvacuationEnded => "evacuation-ended",
             ColdCause::Probed => "probed",
         }
--- a/crates/node/src/shared/local_cold_tracker.rs
+++ b/crates/node/src/shared/local_cold_tracker.rs
@@ -85,6 +85,13 @@
         }
     }
 
+    /// Records that the process of the target has ended and another one runs.
+    pub(crate) fn record_restart(&self, now: Tick, start: Option<&ColdStart>) {
+        if let Some(start) = start {
+            self.update_state(now, |state| state.record_restart(now, start));
+        }
+    }
+
     /// The remaining cold time of the target, as tracked.
     pub(crate) fn cold_left(&self, now: Tick) -> Duration {
         self.lock().cold_until().since(now)
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -6,6 +6,7 @@
 use http::HeaderValue;
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::AdmissionSettings;
+use sassafrasspool_core::ColdStart;
 use sassafrasspool_core::ColdTolerance;
 use sassafrasspool_core::Content;
 use sassafrasspool_core::DedupWindow;
@@ -33,6 +34,7 @@
 use super::target::local_generations::LocalGenerations;
 use crate::Settings;
 use crate::Shared;
+use crate::shared::LocalColdTracker;
 
 /// The shared state of a node's traffic side.
 #[derive(Debug)]
@@ -141,18 +143,31 @@
 
     /// Records the generation that the target states when it declines a request for another. It
     /// may have started a moment ago.
-    pub(super) fn record_answering_generation(&self, now: Tick, answering: &HeaderValue) {
-        let routes = self.shared.routes();
-        let service = routes
-            .as_ref()
-            .and_then(|it| it.local_service(Some(&self.service)));
-        let start = service.and_then(|service| service.entry.cold_start.as_ref());
+    pub(super) fn record_answering_generation(&self, answering: &HeaderValue) {
         if let Ok(generation) = answering.to_str() {
-            let tracker = self.shared.cold_tracker();
-            tracker.record_answering_generation(now, start, generation);
+            self.update_cold_tracker(|tracker, now, start| {
+                tracker.record_answering_generation(now, start, generation);
+            });
         }
     }
 
+    /// Records that the process of the target has ended and another one runs.
+    pub(super) fn record_target_restart(&self) {
+        self.update_cold_tracker(LocalColdTracker::record_restart);
+    }
+
+    fn update_cold_tracker(
+        &self,
+        update: impl FnOnce(&LocalColdTracker, Tick, Option<&ColdStart>),
+    ) {
+        let routes = self.shared.routes();
+        let routes = routes.as_ref();
+        let service = routes.and_then(|routes| routes.local_service(Some(&self.service)));
+        let start = service.and_then(|service| service.entry.cold_start.as_ref());
+        let now = self.shared.clock().now();
+        update(self.shared.cold_tracker(), now, start);
+    }
+
     /// Waits until a request is quarantined. Returns its refusal.
     pub(super) async fn wait_quarantined(&self, step: Step, content: Option<&Content>) -> Refusal {
         let Some(content) = content else {
--- a/crates/node/src/traffic/inbound/exchange.rs
+++ b/crates/node/src/traffic/inbound/exchange.rs
@@ -214,7 +214,7 @@
             self.hub
                 .local_generations
                 .record_declined(now, named, answering);
-            self.hub.record_answering_generation(now, answering);
+            self.hub.record_answering_generation(answering);
         }
     }
 
--- a/crates/node/src/traffic/inbound/inbound_request.rs
+++ b/crates/node/src/traffic/inbound/inbound_request.rs
@@ -109,7 +109,12 @@
             return Err(FailedAttempt::unsent(refusal, self.req));
         }
         match target::acquire(&hub.pool, self.worker.index).await {
-            Ok(conn) => self.hand_over(stage, conn).await,
+            Ok(conn) => {
+                if hub.pool.take_restarted() {
+                    hub.record_target_restart();
+                }
+                self.hand_over(stage, conn).await
+            }
             Err(err) => {
                 tracing::debug!(%err, "not handed over");
                 let now = hub.shared.clock().now();
--- a/crates/node/src/traffic/target/crash_watch.rs
+++ b/crates/node/src/traffic/target/crash_watch.rs
@@ -407,6 +407,10 @@
     if !crashed {
         return;
     }
+    if scope != BreakScope::Target {
+        // It accepts connections already.
+        hub.record_target_restart();
+    }
     let contents = watch.take_crash(hub.pool.opened_total());
     hub.shared.quarantine().record_crash(contents).await;
 }
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -54,6 +55,10 @@
     /// Connections opened since the pool was created.
     opened_total: AtomicU64,
     monitor: DependencyMonitor,
+    /// The target refused the last connection, so that no process listens.
+    refused: AtomicBool,
+    /// The target accepted a connection after it had refused one.
+    restarted: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -79,6 +84,8 @@
             limit: AtomicU32::new(limit),
             opened_total: AtomicU64::new(0),
             monitor: DependencyMonitor::new("target"),
+            refused: AtomicBool::new(false),
+            restarted: AtomicBool::new(false),
             state: Mutex::default(),
         })
     }
@@ -166,9 +173,31 @@
             Ok(_) => self.monitor.record_success(self.addr),
             Err(err) => self.monitor.record_failure(self.addr, err),
         };
+        self.record_refused(&stream);
         stream
     }
 
+    /// Records whether the target refused a connection. Other errors don't show that its process
+    /// has ended.
+    fn record_refused(&self, stream: &io::Result<TcpStream>) {
+        match stream {
+            Ok(_) if self.refused.load(Ordering::Relaxed) => {
+                self.restarted.store(true, Ordering::Relaxed);
+                self.refused.store(false, Ordering::Relaxed);
+            }
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
+                self.refused.store(true, Ordering::Relaxed);
+            }
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    /// Whether the target accepts connections again after it had refused them; true once for
+    /// each time.
+    pub(in crate::traffic) fn take_restarted(&self) -> bool {
+        self.restarted.load(Ordering::Relaxed) && self.restarted.swap(false, Ordering::Relaxed)
+    }
+
     async fn open(self: &Arc<Pool>, worker: WorkerIndex) -> Result<Connection> {
         let open = OpenGuard::try_new(self, worker)?;
         let fail = |e| self.error("cannot connect").with_cause(e);
--- a/crates/node/tests/requests/cold_start.rs
+++ b/crates/node/tests/requests/cold_start.rs
@@ -191,3 +191,32 @@
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(member.target.ledger().runs.len(), before);
 }
+
+/// Guards against a flood at a target that restarted, where no list names generations.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn target_that_refused_connections_is_cold_when_it_accepts_them() {
+    let specs = [DESK];
+    let fleet = Fleet::start(&specs).await;
+    let member = &fleet.members[0];
+    fleet.publish_generations(&specs, 2, COLD_START_FIELDS, [(None, Duration::ZERO)]);
+    let ingress = member.addrs.ingress;
+    let call = move |n: usize| client::call(ingress, client::get("/desk/lodge", &format!("r-{n}")));
+    assert_eq!(call(0).await.expect("an answer").status(), StatusCode::OK);
+    // The node has run for a second then.
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    member.target.crash().await;
+    let refused = call(1).await.expect("an answer");
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    member.target.restart().await.expect("the target restarts");
+    let end = Instant::now() + Duration::from_millis(1_500);
+    let mut n = 2;
+    while Instant::now() < end {
+        call(n).await.expect("an answer");
+        n += 1;
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let runs = member.target.ledger().runs.into_iter();
+    let most = max_in_one_second(runs.map(|run| run.started_us).collect());
+    assert!(most > 1, "the target didn't restart");
+    assert!(most <= MAX_COLD_RATE_PER_S * 3 / 2, "{most} in one second");
+}
