Probe a cold target once more before its cold time ends

What callers saw: requests lost at a target that crashes again right after its cold time. The cause: a target that turns cold once more before its first cold time has ended reports less time than its entry already has, so that the list, which changes only when a target turns cold or warm, doesn't show it, and the node goes to full load in the middle of the second cold time. Lists that come late do the same. The node now probes its target 0.3 s before the tracked end, unless the target itself reported the end within the last 0.6 s, and whatever the source of the tracked time is.

--- a/crates/core/src/cold_tracker.rs
+++ b/crates/core/src/cold_tracker.rs
@@ -15,6 +15,10 @@
 #[cfg(test)]
 mod tests;
 
+/// How long before the tracked end of a cold time the target is probed again. It may have become
+/// cold once more meanwhile, which lists report late or not at all.
+const END_PROBE_LEAD: Duration = Duration::from_millis(300);
+
 /// Until when a target is cold, as far as its node can determine.
 ///
 /// A target is cold for a time after its start, and may become cold again without any
@@ -62,6 +66,8 @@
     service_known: bool,
     cold_until: Tick,
     unconfirmed: bool,
+    /// Whether the target itself reported the end of its cold time shortly before it.
+    end_confirmed: bool,
     cause: ColdCause,
     /// Events that may have made the target cold.
     events: u64,
@@ -121,6 +127,7 @@
             (false, false) => until,
         };
         self.unconfirmed = false;
+        self.end_confirmed = false;
         self.cause = ColdCause::Listed;
     }
 
@@ -194,6 +201,7 @@
         }
         self.cold_until = now + left;
         self.unconfirmed = false;
+        self.end_confirmed = left <= END_PROBE_LEAD * 2;
         self.cause = ColdCause::Probed;
         true
     }
@@ -208,6 +216,19 @@
         self.unconfirmed
     }
 
+    /// When the target is to be probed for its remaining cold time; `None` if it is warm, or if
+    /// its own report gives the end.
+    pub fn next_probe(&self, now: Tick) -> Option<Tick> {
+        if now >= self.cold_until || self.end_confirmed {
+            return None;
+        }
+        let left = self.cold_until.since(now);
+        match self.unconfirmed {
+            true => Some(now),
+            false => Some(now + left.saturating_sub(END_PROBE_LEAD)),
+        }
+    }
+
     /// The event from which the cold time follows.
     pub const fn cause(&self) -> ColdCause {
         self.cause
@@ -221,6 +242,7 @@
     fn assume_cold(&mut self, now: Tick, start: &ColdStart, cause: ColdCause) {
         self.cold_until = now + start.duration;
         self.unconfirmed = true;
+        self.end_confirmed = false;
         self.cause = cause;
         self.events += 1;
     }
--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -48,30 +48,33 @@
     }
 }
 
-/// Probes the target for its remaining cold time whenever it may be warm earlier
-/// than is assumed.
+/// Probes the target for its remaining cold time whenever that is only assumed, and shortly
+/// before it ends.
 pub(super) async fn track_cold_state(shared: Arc<Shared>, addr: SocketAddr) {
+    let tracker = shared.cold_tracker();
     loop {
-        shared.cold_tracker().wait_until_unconfirmed().await;
-        while shared.cold_tracker().is_unconfirmed(shared.clock().now()) {
-            let tracker = shared.cold_tracker();
-            let probe = tracker.begin_probe();
-            let reported = timeout(PROBE_TIMEOUT, fetch_cold_report(&shared, addr)).await;
-            let Ok(Some(report)) = reported else {
-                tokio::time::sleep(COLD_PROBE_RETRY_INTERVAL).await;
-                continue;
-            };
-            let left_ms = report.left.as_millis();
-            let now = shared.clock().now();
-            let used = tracker.record_probe(now, probe, report.left, report.generation);
-            tracing::info!(left_ms, used, "target reported its remaining cold time");
-            if !used {
-                tokio::time::sleep(COLD_PROBE_RETRY_INTERVAL).await;
-            }
+        tracker.wait_until_probe_due(shared.clock()).await;
+        if !probe_cold_state(&shared, addr).await {
+            tokio::time::sleep(COLD_PROBE_RETRY_INTERVAL).await;
         }
     }
 }
 
+/// Probes the target once. Returns whether its answer is used.
+async fn probe_cold_state(shared: &Shared, addr: SocketAddr) -> bool {
+    let tracker = shared.cold_tracker();
+    let probe = tracker.begin_probe();
+    let reported = timeout(PROBE_TIMEOUT, fetch_cold_report(shared, addr)).await;
+    let Ok(Some(report)) = reported else {
+        return false;
+    };
+    let left_ms = report.left.as_millis();
+    let now = shared.clock().now();
+    let used = tracker.record_probe(now, probe, report.left, report.generation);
+    tracing::info!(left_ms, used, "target reported its remaining cold time");
+    used
+}
+
 /// What the target reports of its cold time.
 #[derive(Debug)]
 struct ColdReport {
--- a/crates/node/src/control/probe/tests.rs
+++ b/crates/node/src/control/probe/tests.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -150,3 +152,27 @@
     let left = shared.cold_tracker().cold_left(shared.clock().now());
     assert!(left > Duration::from_secs(40), "{left:?}");
 }
+
+/// Guards against a flood at a target that became cold again shortly before its first cold time
+/// ended, which no list reported.
+#[tokio::test]
+async fn target_that_is_cold_again_at_the_end_of_a_cold_time_stays_cold() {
+    let shared = shared();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let addr = listener.local_addr().expect("bound address");
+    let probes = Arc::new(AtomicUsize::new(0));
+    let answer = move || async move {
+        let left = match probes.fetch_add(1, Ordering::Relaxed) {
+            0 => "800",
+            _ => "30000",
+        };
+        (StatusCode::OK, [(COLD_HEADER, left)])
+    };
+    let app = Router::new().route("/health", get(answer));
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    tokio::spawn(track_cold_state(Arc::clone(&shared), addr));
+    shared.set_view(view());
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let left = shared.cold_tracker().cold_left(shared.clock().now());
+    assert!(left > Duration::from_secs(20), "{left:?}");
+}
--- a/crates/node/src/shared/local_cold_tracker.rs
+++ b/crates/node/src/shared/local_cold_tracker.rs
@@ -14,7 +14,9 @@
 use sassafrasspool_core::TargetId;
 use sassafrasspool_core::Tick;
 use tokio::sync::Notify;
+use tokio::time::timeout_at;
 
+use super::Clock;
 use super::Routes;
 
 #[cfg(test)]
@@ -24,8 +26,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct LocalColdTracker {
     state: Mutex<ColdTracker>,
-    /// Notified when the target may be warm before the tracked end of its cold time.
-    unconfirmed: Notify,
+    /// Notified when the tracked cold time has changed.
+    changed: Notify,
 }
 
 impl LocalColdTracker {
@@ -97,15 +99,20 @@
         self.lock().cold_until().since(now)
     }
 
-    /// Waits until the target may be warm before the tracked end of its cold time.
-    pub(crate) async fn wait_until_unconfirmed(&self) {
-        self.unconfirmed.notified().await;
-    }
-
-    /// Whether the target may be warm before the tracked end of its cold time.
-    pub(crate) fn is_unconfirmed(&self, now: Tick) -> bool {
-        let state = self.lock();
-        state.is_unconfirmed() && now < state.cold_until()
+    /// Waits until the target is to be probed for its remaining cold time.
+    pub(crate) async fn wait_until_probe_due(&self, clock: &Clock) {
+        loop {
+            let now = clock.now();
+            let Some(at) = self.lock().next_probe(now) else {
+                self.changed.notified().await;
+                continue;
+            };
+            if at <= now {
+                return;
+            }
+            // The time may change while this waits.
+            let _ = timeout_at(clock.instant(at).into(), self.changed.notified()).await;
+        }
     }
 
     /// Begins a probe of the target's cold time.
@@ -127,18 +134,14 @@
         })
     }
 
-    /// Updates the state, logs a change of the tracked cold time, and notifies if it has become
-    /// unconfirmed.
+    /// Updates the state; logs and notifies if the tracked cold time has changed.
     fn update_state<T>(&self, now: Tick, update: impl FnOnce(&mut ColdTracker) -> T) -> T {
         let mut state = self.lock();
-        let was_unconfirmed = state.is_unconfirmed();
         let before = (state.cold_until(), state.cause());
         let result = update(&mut state);
         if (state.cold_until(), state.cause()) != before {
             log_cold_time(now, &state);
-        }
-        if state.is_unconfirmed() && !was_unconfirmed {
-            self.unconfirmed.notify_one();
+            self.changed.notify_one();
         }
         result
     }
