Keep what a probe of a generation reported when a list first names it

Found by reading: a generation that requests named before the list, and that a probe had reported on, got the shorter of both times when a list first named it, though that list may be older than the probe. An assumed time that has passed no longer counts as one that a list may only extend. The case probed_unlisted of lists_from_before_a_cold_time_do_not_end_it fails without it.

--- a/crates/core/src/admit/warm_up.rs
+++ b/crates/core/src/admit/warm_up.rs
@@ -20,8 +20,8 @@
 /// # Invariants
 ///
 /// While the limit is in force, no more requests are admitted or start within any second than
-/// [`ColdLimit::max_per_second`], those of the previous process included. Requests that start later than [`MAX_START_DELAY`] after
-/// their admission are excepted.
+/// [`ColdLimit::max_per_second`], those of the previous process included. Requests that start
+/// later than [`MAX_START_DELAY`] after their admission are excepted.
 #[derive(Debug)]
 pub(super) struct WarmUp {
     limit: Option<ColdLimit>,
@@ -129,7 +129,7 @@
     /// Records that a request has ended that was admitted at `admitted_at` and ran at the target
     /// for at least `shortest`. It doesn't start any more.
     pub(super) fn record_end(&mut self, now: Tick, admitted_at: Tick, shortest: Duration) {
-        let mut admitted = self.admitted.iter_mut();
+        let mut admitted = self.admitted.iter_mut().rev();
         let Some(ended) = admitted.find(|it| it.at == admitted_at && !it.has_ended) else {
             return;
         };
--- a/crates/core/src/cold_tracker.rs
+++ b/crates/core/src/cold_tracker.rs
@@ -112,9 +112,9 @@
             return self.assume_cold(now, start, ColdCause::FirstList);
         }
         let until = now + cold_for;
-        let assumed = self.unconfirmed && !self.cause.is_generation();
+        let is_assumed = self.unconfirmed && now < self.cold_until;
         self.events += 1;
-        if assumed {
+        if is_assumed && !self.cause.is_generation() {
             // The list may be older than the event from which the cold time is assumed.
             self.cold_until = self.cold_until.max(until);
             return;
@@ -123,7 +123,9 @@
             // The list may be older than a probe.
             (true, _) => self.cold_until.max(until),
             // Requests named this generation before. Both times bound the same cold period.
-            (false, true) => self.cold_until.min(until),
+            (false, true) if self.cause.is_generation() => self.cold_until.min(until),
+            // This generation was probed before.
+            (false, true) => return,
             (false, false) => until,
         };
         self.unconfirmed = false;
--- a/crates/core/src/cold_tracker/tests.rs
+++ b/crates/core/src/cold_tracker/tests.rs
@@ -201,6 +201,8 @@
     NodeStarted,
     EvacuationEnded,
     Probed,
+    /// As the generation `i-2`, which requests named and the list didn't.
+    ProbedUnlisted,
 }
 
 /// A list that arrives while the target is cold until 3 s after the event at 1 s.
@@ -217,6 +219,11 @@
 #[case::evacuated(OlderList { before: Before::EvacuationEnded, generation: "i-1", cold_for: millis(200) })]
 #[case::replaced(OlderList { before: Before::EvacuationEnded, generation: "i-2", cold_for: Duration::ZERO })]
 #[case::probed(OlderList { before: Before::Probed, generation: "i-1", cold_for: millis(200) })]
+#[case::probed_unlisted(OlderList {
+    before: Before::ProbedUnlisted,
+    generation: "i-2",
+    cold_for: millis(200),
+})]
 fn lists_from_before_a_cold_time_do_not_end_it(#[case] case: OlderList) {
     let mut cold = warm();
     match case.before {
@@ -230,6 +237,10 @@
             cold.update_evacuation(at(1_000), &start(), false);
         }
         Before::Probed => probe(&mut cold, at(1_000), LASTS),
+        Before::ProbedUnlisted => {
+            cold.record_requested_generation(at(900), &start(), "i-2");
+            probe(&mut cold, at(1_000), LASTS);
+        }
     }
     let listed = generation(case.generation);
     cold.update_from_list(at(1_100), &start(), &listed, case.cold_for);
