--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -112,8 +112,10 @@
 
     /// Sends a signal to the target, by the name that `kill` knows.
     pub(crate) fn signal_target(&self, signal: &str) -> io::Result<()> {
-        let pid = self.target.id().to_string();
-        let sent = Command::new("kill").args(["-s", signal, &pid]).status()?;
+        let pid = self.target.id();
+        // The shell has the command built in.
+        let command = format!("kill -s {signal} {pid}");
+        let sent = Command::new("sh").args(["-c", &command]).status()?;
         match sent.success() {
             true => Ok(()),
             false => Err(io::Error::other("the signal wasn't sent")),
