--- a/review/standin-2/src/cases/slow_readers.rs
+++ b/review/standin-2/src/cases/slow_readers.rs
@@ -182,15 +182,14 @@
 
 fn judge(deployment: &Deployment, answers: &[(f64, String, Seen)]) -> io::Result<Verdict> {
     let record = &deployment.record;
-    let ran = deployment.workers[1].arrivals();
+    let ran = deployment.workers[1].ran();
     let late_by = |slack: f64| {
         let late = answers.iter();
         late.filter(move |it| it.2.took.as_secs_f64() > SMALL_TIMEOUT_S + slack)
     };
     let at_timeout = late_by(0.0).count();
     let late = late_by(LATE_S).count();
-    let lost =
-        late_by(LATE_S).filter(|it| !it.2.whole && ran.iter().any(|run| run.request == it.1));
+    let lost = late_by(LATE_S).filter(|it| !it.2.whole && ran.contains(&it.1));
     let lost: Vec<_> = lost.collect();
     let unsafe_ones = lost.iter().filter(|it| it.1.starts_with("s1")).count();
     record.note(&format!("{} small requests sent", answers.len()));
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -95,7 +95,7 @@
                 work: work.collect::<HashMap<_, _>>(),
             };
             let worker = Worker::new(spec, &store, record);
-            worker.start(0)?;
+            worker.start()?;
             deployment.workers.push(worker);
             let place = Place {
                 ip: ip.clone(),
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -24,12 +24,11 @@
     created: u64,
 }
 
-/// A change: the item as it was written, or nothing if the key was removed.
+/// A change: the item as it was written.
 #[derive(Debug, Clone)]
 struct Change {
     key: String,
-    revision: u64,
-    item: Option<Item>,
+    item: Item,
 }
 
 #[derive(Debug, Default)]
@@ -83,29 +82,12 @@
         state.items.insert(key.to_owned(), item.clone());
         state.changes.push(Change {
             key: key.to_owned(),
-            revision,
-            item: Some(item),
+            item,
         });
         self.shared.1.notify_all();
         revision
     }
 
-    /// Removes an item.
-    pub fn remove(&self, key: &str) {
-        let mut state = self.lock();
-        if state.items.remove(key).is_none() {
-            return;
-        }
-        state.revision += 1;
-        let revision = state.revision;
-        state.changes.push(Change {
-            key: key.to_owned(),
-            revision,
-            item: None,
-        });
-        self.shared.1.notify_all();
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -171,7 +153,7 @@
         let mut state = self.lock();
         loop {
             let found = state.changes.iter();
-            let found = found.filter(|it| it.revision > after && it.key.starts_with(prefix));
+            let found = found.filter(|it| it.item.revision > after && it.key.starts_with(prefix));
             let events: Vec<String> = found.map(change_text).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -197,16 +179,7 @@
 }
 
 fn change_text(change: &Change) -> String {
-    match &change.item {
-        Some(item) => wire::fill("item", &item_vars(&change.key, item)),
-        None => {
-            let vars = [
-                ("key", change.key.clone()),
-                ("revision", change.revision.to_string()),
-            ];
-            wire::fill("removed", &vars)
-        }
-    }
+    wire::fill("item", &item_vars(&change.key, &change.item))
 }
 
 /// The path and the parameters of a request's target.
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -11,8 +10,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -24,9 +21,6 @@
 use crate::store::Store;
 use crate::wire;
 
-/// How often the listener of a worker is polled.
-const ACCEPT_POLL: Duration = Duration::from_millis(2);
-
 /// What a worker does with the requests of a path.
 #[derive(Debug, Clone, Copy)]
 pub struct Work {
@@ -48,34 +42,14 @@
     pub work: HashMap<String, Work>,
 }
 
-/// A request that reached a worker and was meant for it.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    /// Seconds since the start of the record.
-    pub at: f64,
-    pub request: String,
-    /// Which start of the worker it reached, from 1.
-    pub start: u32,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    /// The connections of the present start.
-    streams: Vec<TcpStream>,
-    start: u32,
-    sequence: u64,
-    born: u64,
-    arrivals: Vec<Arrival>,
-}
-
-/// A worker. It may be stopped and started again under its id.
+/// A worker.
 #[derive(Debug, Clone)]
 pub struct Worker {
     spec: Arc<Spec>,
     store: Store,
     record: Arc<Record>,
-    state: Arc<Mutex<State>>,
-    running: Arc<Mutex<Arc<AtomicBool>>>,
+    /// The ids of the requests that it ran.
+    ran: Arc<Mutex<Vec<String>>>,
     slots: Arc<(Mutex<u32>, Condvar)>,
 }
 
@@ -86,113 +60,57 @@
             spec: Arc::new(spec),
             store: store.clone(),
             record: Arc::clone(record),
-            state: Arc::default(),
-            running: Arc::default(),
+            ran: Arc::default(),
         }
     }
 
-    /// Starts the process of the worker. Its clock differs from the true time by so much.
-    pub fn start(&self, clock_error_ms: i64) -> io::Result<()> {
+    /// Starts to serve, and registers itself in the store.
+    pub fn start(&self) -> io::Result<()> {
         let listener = TcpListener::bind(self.spec.addr)?;
-        listener.set_nonblocking(true)?;
-        let running = Arc::new(AtomicBool::new(true));
-        *lock(&self.running) = Arc::clone(&running);
-        let start = {
-            let mut state = lock(&self.state);
-            state.start += 1;
-            state.sequence = 0;
-            state.born = unix_ms().saturating_add_signed(clock_error_ms);
-            state.start
-        };
         let worker = self.clone();
         std::thread::spawn(move || {
-            while running.load(Ordering::Relaxed) {
-                match listener.accept() {
-                    Ok((stream, _)) => worker.accept(stream, start),
-                    Err(_) => std::thread::sleep(ACCEPT_POLL),
-                }
+            for stream in listener.incoming().flatten() {
+                worker.accept(stream);
             }
         });
-        self.report("ready");
-        Ok(())
-    }
-
-    /// Ends the process of the worker as a crash does: its connections are closed, and its
-    /// entry stays.
-    pub fn crash(&self) {
-        lock(&self.running).store(false, Ordering::Relaxed);
-        let streams = std::mem::take(&mut lock(&self.state).streams);
-        for stream in streams {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        // The listener is closed by its thread.
-        std::thread::sleep(ACCEPT_POLL * 10);
-        self.record.write(&format!("worker {} ends", self.spec.id));
-    }
-
-    /// Ends after a planned shutdown: the entry is removed.
-    pub fn leave(&self) {
-        self.crash();
-        self.store.remove(&self.key());
-    }
-
-    /// Writes its entry with a state. Returns when the store has acknowledged it.
-    pub fn report(&self, state: &str) -> f64 {
-        let (sequence, born, start) = {
-            let mut held = lock(&self.state);
-            held.sequence += 1;
-            (held.sequence, held.born, held.start)
-        };
         let vars = [
             ("service", self.spec.service.clone()),
             ("address", self.spec.addr.to_string()),
             ("zone", self.spec.zone.clone()),
             ("slots", self.spec.slots.to_string()),
-            ("state", state.to_owned()),
-            ("sequence", sequence.to_string()),
-            ("born", born.to_string()),
+            ("born", unix_ms().to_string()),
         ];
-        let revision = self.store.put(&self.key(), &wire::fill("entry", &vars));
-        let at = self.record.now();
         let id = &self.spec.id;
-        self.record.write(&format!(
-            "store acknowledges entry of {id}: {state}, start {start}, born {born}, revision {revision}"
-        ));
-        at
-    }
-
-    /// The requests that reached it so far.
-    pub fn arrivals(&self) -> Vec<Arrival> {
-        lock(&self.state).arrivals.clone()
+        let key = format!("{}{id}", wire::name("entry_prefix"));
+        self.store.put(&key, &wire::fill("entry", &vars));
+        self.record.write(&format!("worker {id} is registered"));
+        Ok(())
     }
 
-    fn key(&self) -> String {
-        format!("{}{}", wire::name("entry_prefix"), self.spec.id)
+    /// The ids of the requests that it ran.
+    pub fn ran(&self) -> Vec<String> {
+        lock(&self.ran).clone()
     }
 
-    fn accept(&self, stream: TcpStream, start: u32) {
-        let _ = stream.set_nonblocking(false);
-        let _ = stream.set_nodelay(true);
-        if let Ok(copy) = stream.try_clone() {
-            lock(&self.state).streams.push(copy);
-        }
+    fn accept(&self, stream: TcpStream) {
         let worker = self.clone();
         std::thread::spawn(move || {
-            let _ = worker.serve(&stream, start);
-            let _ = stream.shutdown(Shutdown::Both);
+            let _ = stream.set_nodelay(true);
+            // A node may close a connection at any time.
+            let _ = worker.serve(&stream);
         });
     }
 
-    fn serve(&self, stream: &TcpStream, start: u32) -> io::Result<()> {
+    fn serve(&self, stream: &TcpStream) -> io::Result<()> {
         let mut reader = Reader::new(stream.try_clone()?);
         while let Some(head) = reader.head()? {
             reader.body(&head)?;
-            self.answer(stream, &head, start)?;
+            self.answer(stream, &head)?;
         }
         Ok(())
     }
 
-    fn answer(&self, stream: &TcpStream, head: &Head, start: u32) -> io::Result<()> {
+    fn answer(&self, stream: &TcpStream, head: &Head) -> io::Result<()> {
         let path = head.second_word();
         let answering = (wire::name("answering_header"), self.spec.id.clone());
         if path == "/health" {
@@ -210,14 +128,9 @@
             let headers = [echo, answering];
             return http::write_answer(stream, "421 Misdirected Request", &headers, b"");
         }
-        let at = self.record.now();
-        self.record
-            .write(&format!("worker {} runs {id}", self.spec.id));
-        lock(&self.state).arrivals.push(Arrival {
-            at,
-            request: id.to_owned(),
-            start,
-        });
+        let own = &self.spec.id;
+        self.record.write(&format!("worker {own} runs {id}"));
+        lock(&self.ran).push(id.to_owned());
         let segment = path.split('/').nth(1).unwrap_or_default();
         let work = self.spec.work.get(segment);
         let work = work.copied().unwrap_or(Work {
