--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -2,9 +2,11 @@
 
 pub mod born;
 pub mod foreign;
+pub mod frozen;
 pub mod limits;
 pub mod refused;
 pub mod storm;
+pub mod truncated;
 
 use std::thread;
 use std::time::Duration;
@@ -31,6 +33,7 @@
         generation: id.to_owned(),
         service: service.to_owned(),
         work: Duration::from_millis(20),
+        truncates_each: 0,
     };
     let entry = Entry {
         id: id.to_owned(),
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -131,10 +131,25 @@
 ///
 /// Fails if the connection is broken.
 pub fn write(
+    stream: &TcpStream,
+    first: &str,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    write_part(stream, first, fields, body, body.len())
+}
+
+/// Writes a message, but only the first `n` bytes of its body.
+///
+/// # Errors
+///
+/// Fails if the connection is broken.
+pub fn write_part(
     mut stream: &TcpStream,
     first: &str,
     fields: &[(&str, &str)],
     body: &[u8],
+    n: usize,
 ) -> io::Result<()> {
     let mut head = format!("{first}\r\n");
     for (name, value) in fields {
@@ -142,6 +157,6 @@
     }
     head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
     let mut bytes = head.into_bytes();
-    bytes.extend_from_slice(body);
+    bytes.extend_from_slice(&body[..n]);
     stream.write_all(&bytes)
 }
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -45,6 +45,8 @@
         "born" => cases::born::run(trouble, &record),
         "limits" => cases::limits::run(trouble, &record),
         "refused" => cases::refused::run(trouble, &record),
+        "truncated" => cases::truncated::run(trouble, &record),
+        "frozen" => cases::frozen::run(trouble, &record),
         "foreign" => cases::foreign::run(trouble, &record),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-3/src/target.rs
+++ b/review/standin-3/src/target.rs
@@ -1,6 +1,7 @@
 //! A target: a worker beside a node, which runs requests.
 
 use std::collections::HashMap;
+use std::io::Read;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -8,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -42,8 +44,13 @@
     pub service: String,
     /// Time that a request takes.
     pub work: Duration,
+    /// One answer in this many is truncated while the target is faulty; 0 for none.
+    pub truncates_each: u64,
 }
 
+/// The body of every answer.
+const BODY: &[u8] = &[b'x'; 2_000];
+
 /// One process of a target, from its start to its crash; clones are handles to the same one.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -52,6 +59,8 @@
     record: Record,
     down: Arc<AtomicBool>,
     leaving: Arc<AtomicBool>,
+    faulty: Arc<AtomicBool>,
+    answers: Arc<AtomicU64>,
     open: Arc<Mutex<HashMap<u64, TcpStream>>>,
 }
 
@@ -69,6 +78,8 @@
             record: record.clone(),
             down: Arc::default(),
             leaving: Arc::default(),
+            faulty: Arc::default(),
+            answers: Arc::default(),
             open: Arc::default(),
         };
         record.line(format!(
@@ -85,6 +96,18 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Begins or ends to truncate answers.
+    pub fn set_faulty(&self, faulty: bool) {
+        self.faulty.store(faulty, Ordering::SeqCst);
+    }
+
+    /// Whether the next answer is truncated.
+    fn truncates(&self) -> bool {
+        let each = self.cfg.truncates_each;
+        let is_faulty = self.faulty.load(Ordering::SeqCst);
+        each > 0 && is_faulty && self.answers.fetch_add(1, Ordering::SeqCst) % each == 0
+    }
+
     /// Ends the process: its connections are closed, and its port has no listener.
     pub fn crash(self) {
         self.down.store(true, Ordering::SeqCst);
@@ -171,6 +194,15 @@
         if self.leaving.load(Ordering::SeqCst) {
             fields.push(("Connection", "close"));
         }
-        http::write(stream, "HTTP/1.1 200 OK", &fields, b"done")
+        if !self.truncates() {
+            return http::write(stream, "HTTP/1.1 200 OK", &fields, BODY);
+        }
+        self.record
+            .line(format!("target {me} truncates its answer to {id}"));
+        http::write_part(stream, "HTTP/1.1 200 OK", &fields, BODY, BODY.len() / 2)?;
+        // Nothing more is sent on the connection, which the node closes.
+        let mut rest = [0; 64];
+        while (&*stream).read(&mut rest)? > 0 {}
+        Err(std::io::ErrorKind::UnexpectedEof.into())
     }
 }
