--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 pub mod born;
+pub mod chunks;
 pub mod foreign;
 pub mod frozen;
 pub mod limits;
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -160,3 +160,28 @@
     bytes.extend_from_slice(&body[..n]);
     stream.write_all(&bytes)
 }
+
+/// Writes a message whose body is sent as one chunk.
+///
+/// # Errors
+///
+/// Fails if the connection is broken.
+pub fn write_chunked(
+    mut stream: &TcpStream,
+    first: &str,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut head = format!("{first}\r\n");
+    for (name, value) in fields {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str(&format!(
+        "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n",
+        body.len()
+    ));
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes.extend_from_slice(b"\r\n0\r\n\r\n");
+    stream.write_all(&bytes)
+}
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -47,6 +47,7 @@
         "refused" => cases::refused::run(trouble, &record),
         "truncated" => cases::truncated::run(trouble, &record),
         "frozen" => cases::frozen::run(trouble, &record),
+        "chunks" => cases::chunks::run(trouble, &record),
         "foreign" => cases::foreign::run(trouble, &record),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-3/src/target.rs
+++ b/review/standin-3/src/target.rs
@@ -31,6 +31,8 @@
     pub generation: String,
     /// The service of the target that ran it.
     pub service: String,
+    /// The bytes of the body that it was run with.
+    pub body_bytes: usize,
 }
 
 /// All requests that targets ran.
@@ -184,6 +186,7 @@
             request: id.to_owned(),
             generation: me.to_owned(),
             service: service.clone(),
+            body_bytes: req.body.len(),
         });
         thread::sleep(self.cfg.work);
         let signature = format!("{me}.{id}");
