--- a/review/standin-3/src/cases/frozen.rs
+++ b/review/standin-3/src/cases/frozen.rs
@@ -22,6 +22,10 @@
 const MAX_FROZEN: usize = 8;
 const FROZEN_MS: u64 = 3_500;
 
+/// Changes of the configuration before, and the time between them.
+const CHANGES: u64 = 4;
+const CHANGE_GAP: Duration = Duration::from_secs(3);
+
 /// Targets that drain.
 const DRAINING: usize = 8;
 
@@ -60,11 +64,17 @@
             Duration::from_millis(300),
         );
     }
-    thread::sleep(Duration::from_secs(12));
-    let until = record.now_ms() + 40_000;
-    while mesh.readers().len() > MAX_FROZEN && record.now_ms() < until {
-        thread::sleep(Duration::from_secs(1));
+    thread::sleep(Duration::from_secs(3));
+    // Ordinary changes, each of which ends the watches of nodes that have ceased to read.
+    let mut routes = vec![Route::new("first", "/first/", "desk")];
+    for change in 0..CHANGES {
+        thread::sleep(CHANGE_GAP);
+        let key = format!("added-{change}");
+        routes.push(Route::new(&key, &format!("/{key}/"), "desk"));
+        operator::publish(&store, 12 + change, &routes, &["desk"]);
+        record.line(format!("acknowledged r{}, which adds a route", 12 + change));
     }
+    thread::sleep(Duration::from_secs(1));
     let readers = mesh.readers();
     record.line(format!("machines that read the platform: {readers:?}"));
     if readers.is_empty() || readers.len() > MAX_FROZEN {
--- a/review/standin-3/src/mesh.rs
+++ b/review/standin-3/src/mesh.rs
@@ -7,6 +7,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -105,7 +107,7 @@
     /// The settings of a node, as the template of the deploy file renders them.
     fn settings(&self, machine: usize) -> std::io::Result<String> {
         let (host, ports) = (&self.hosts[machine], self.ports);
-        let admin = TcpListener::bind("127.0.0.1:0")?.local_addr()?.port();
+        let admin = free_admin_port()?;
         let seeds = self.hosts.iter().take(3);
         let seeds = seeds.map(|host| format!("\"{host}:{}\"", ports.control));
         let seeds = seeds.collect::<Vec<_>>().join(",");
@@ -244,6 +246,22 @@
     }
 }
 
+/// The next free port for a node's admin address.
+///
+/// All nodes share that address, from which connections also go out. These take their ports
+/// from 32768 on, so that a lower one stays free until the node listens.
+fn free_admin_port() -> std::io::Result<u16> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 12_000 + (std::process::id() % 100) as u16 * 200;
+    for _ in 0..200 {
+        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % 200;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return Ok(port);
+        }
+    }
+    Err(std::io::Error::other("no free port"))
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         for machine in 0..self.nodes.len() {
