Bound how old a node's knowledge of the platform may get

Requests reached draining targets until the readers woke, 3.2 s after the acknowledgement, or ran at the former service for as long as the readers were rejected.

Cause: a node without news went on as before. Nodes couldn't tell how old their own knowledge was.

Now each node knows per stream up to when it has missed nothing. Only answers with knowledge prove it, for the start of their read or for the end of the time for which the platform held it. Readers prove it in turn, one in each third of staleness_bound (1.5 s), and send heartbeats down a tree of each failure domain. A node whose versions are two thirds of the bound old asks peers. Half a second later it reads the platform: at once if no peer answers, else at a random time, 40 reads a second in the whole fleet, and its proof goes down the tree. A list after a time without proofs counts as one after an outage, also at a node whose own reads didn't fail.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -225,6 +225,8 @@
 pub use crate::spread::SpreadConfig;
 pub use crate::spread::SpreadMachine;
 pub use crate::spread::SpreadStatus;
+pub use crate::spread::StreamProof;
+pub use crate::spread::StreamProofs;
 pub use crate::spread::Sync;
 pub use crate::spread::SyncReply;
 pub use crate::stream::Stream;
--- a/crates/core/src/reader/placement.rs
+++ b/crates/core/src/reader/placement.rs
@@ -4,6 +4,8 @@
 //! of the instances of a failure domain. A change of the list changes as few
 //! ranks as possible.
 
+use std::borrow::Borrow;
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 use crate::Digest;
@@ -39,15 +41,14 @@
     /// Computes the placement of `id` in a list.
     pub(crate) fn find(list: &InstanceList, id: &InstanceId, domain: &DomainName) -> Placement {
         let domains: BTreeSet<_> = list.iter().map(|instance| &instance.domain).collect();
-        let mut ranked: Vec<_> = list
+        let candidates = list
             .iter()
-            .filter(|instance| is_candidate(instance, domain))
-            .map(|instance| (weight(&instance.id), &instance.id))
-            .collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        let position = ranked.iter().position(|(_, other)| *other == id);
+            .filter(|instance| instance.domain == *domain && is_candidate(instance));
+        let mut ranked: Vec<_> = candidates.map(|instance| &instance.id).collect();
+        rank(&mut ranked);
+        let position = ranked.iter().position(|other| *other == id);
         let before = ranked.iter().take(position.unwrap_or(ranked.len()));
-        let before = before.take(MAX_BEFORE).map(|(_, id)| (*id).clone());
+        let before = before.take(MAX_BEFORE).map(|id| (*id).clone());
         let nodes = list.iter().filter(|instance| instance.has_node()).count();
         Placement {
             listed: list.get(id).is_some(),
@@ -59,11 +60,16 @@
     }
 }
 
-fn is_candidate(instance: &Instance, domain: &DomainName) -> bool {
-    let live = instance.state == InstanceState::Live;
-    instance.has_node() && instance.domain == *domain && live
+/// Whether an instance is a candidate for reading the platform.
+pub(super) fn is_candidate(instance: &Instance) -> bool {
+    instance.has_node() && instance.state == InstanceState::Live
 }
 
-fn weight(id: &InstanceId) -> Digest {
-    Digest::of(id.as_str().as_bytes())
+/// Sorts the candidates of a failure domain by rank.
+pub(super) fn rank<I: Borrow<InstanceId>>(candidates: &mut [I]) {
+    let weight = |id: &I| {
+        let id: &InstanceId = id.borrow();
+        Reverse((Digest::of(id.as_str().as_bytes()), id.clone()))
+    };
+    candidates.sort_by_cached_key(weight);
 }
--- a/crates/core/src/spread/audit.rs
+++ b/crates/core/src/spread/audit.rs
@@ -194,6 +194,13 @@
     },
     /// The local target stated in an answer that it leaves.
     TargetLeaving,
+    /// A node that isn't a reader reads the platform, since its versions are stale.
+    CatchUpRead {
+        /// How long it may have missed changes.
+        staleness: Duration,
+        /// Whether peers answer, whose versions are stale as well.
+        peers_answer: bool,
+    },
     /// The process was stopped for a while and has resumed.
     Paused {
         /// Length of the pause.
--- a/crates/core/src/spread/calls.rs
+++ b/crates/core/src/spread/calls.rs
@@ -28,6 +28,7 @@
     /// An announcement to the successor.
     AnnounceToSuccessor,
     Sync,
+    Heartbeat,
     Pull(Stream),
     Reconcile,
 }
--- a/crates/core/src/spread/config.rs
+++ b/crates/core/src/spread/config.rs
@@ -75,6 +75,10 @@
     /// Age of the newest proof of contact with the platform at which other
     /// nodes begin to take over as readers: 1 s to 10 min, at least `watch`.
     pub contact_bound: Duration,
+    /// How long a node may go without proof that it holds the newest versions
+    /// before it reads the platform for itself: 300 ms to 60 s. Changes are in
+    /// force everywhere a moment later, whichever nodes fail.
+    pub staleness_bound: Duration,
     /// Delay between the takeover by one rank and by the next: 10 ms to 60 s.
     pub takeover_step: Duration,
     /// First backoff after a failed read: 10 ms to 60 s.
@@ -112,6 +116,7 @@
             watch: Duration::from_secs(3),
             rest: Duration::ZERO,
             contact_bound: Duration::from_secs(9),
+            staleness_bound: Duration::from_millis(1_500),
             takeover_step: Duration::from_secs(1),
             backoff_base: Duration::from_millis(200),
             backoff_cap: Duration::from_secs(10),
@@ -149,6 +154,7 @@
         range("rest", self.rest, ms(0), secs(5))?;
         range("contact_bound", self.contact_bound, secs(1), secs(600))?;
         range("contact_bound", self.contact_bound, self.watch, secs(600))?;
+        range("staleness_bound", self.staleness_bound, ms(300), secs(60))?;
         range("takeover_step", self.takeover_step, ms(10), secs(60))?;
         range("backoff_base", self.backoff_base, ms(10), secs(60))?;
         range(
--- a/crates/core/src/spread/heads.rs
+++ b/crates/core/src/spread/heads.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Revision;
 use crate::Stream;
 use crate::Version;
 
@@ -53,3 +54,35 @@
     /// Rank that the answered node has in its failure domain.
     pub rank: u32,
 }
+
+/// Proof that a revision of a stream, or a newer one, was the platform's newest at a time in
+/// the past: whoever holds that revision has missed nothing up to then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamProof {
+    /// The revision.
+    pub revision: Revision,
+    /// Milliseconds since the time for which this is proved, rounded up.
+    pub age_ms: u32,
+    /// The place among the readers of the fleet of the one whose read proved it; absent if it
+    /// isn't a reader.
+    pub reader: Option<u32>,
+}
+
+/// The proofs of both streams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamProofs {
+    /// The catalogue's proof, if there is one.
+    pub catalogue: Option<StreamProof>,
+    /// The instance list's proof, if there is one.
+    pub instances: Option<StreamProof>,
+}
+
+impl StreamProofs {
+    /// The proof of one stream.
+    pub fn of(&self, stream: Stream) -> Option<StreamProof> {
+        match stream {
+            Stream::Catalogue => self.catalogue,
+            Stream::Instances => self.instances,
+        }
+    }
+}
--- a/crates/core/src/spread/list_regression.rs
+++ b/crates/core/src/spread/list_regression.rs
@@ -7,7 +7,7 @@
 use crate::Tick;
 
 /// Reads that fail for at least this long count as an outage.
-const MIN_OUTAGE: Duration = Duration::from_secs(1);
+pub(super) const MIN_OUTAGE: Duration = Duration::from_secs(1);
 
 /// How long after the platform's return missing entries may come back: live
 /// targets renew theirs within about 2 s.
@@ -48,6 +48,12 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// Records that the reads of other nodes have failed since `since` at the latest.
+    pub(super) fn note_failure_since(&mut self, since: Tick) {
+        let observed = self.failing_since.unwrap_or(since);
+        self.failing_since = Some(observed.min(since));
+    }
+
     /// Records that a read of the list was answered.
     ///
     /// `contact` is when the platform last answered any node before, as far as
--- a/crates/core/src/spread/machine.rs
+++ b/crates/core/src/spread/machine.rs
@@ -9,8 +9,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use self::heartbeat::NextHeartbeat;
 use super::calls::Address;
 use super::calls::Calls;
+use super::catch_up::CatchUp;
 use super::gossip::Gossip;
 use super::history::History;
 use super::join_state::JoinState;
@@ -44,9 +46,14 @@
 use crate::reader::ContactClock;
 use crate::reader::ReadBudget;
 use crate::reader::ReaderRole;
+use crate::reader::RelayTree;
+use crate::reader::StalenessBounds;
+use crate::reader::StalenessClock;
 
 mod announce;
 mod answer;
+mod catch_up;
+mod heartbeat;
 mod join;
 mod pull;
 mod read;
@@ -88,6 +95,11 @@
     replaced_by: Option<u64>,
     role: ReaderRole,
     contact: ContactClock,
+    bounds: StalenessBounds,
+    staleness: StalenessClock,
+    catch_up: CatchUp,
+    relay_tree: RelayTree,
+    heartbeat: NextHeartbeat,
     list_proof: NewestListProof,
     list_regression: ListRegressionGuard,
     budget: ReadBudget,
@@ -131,6 +143,11 @@
             replaced_by: None,
             role: ReaderRole::new(&cfg, &mut rng),
             contact: ContactClock::default(),
+            bounds: StalenessBounds::new(cfg.staleness_bound),
+            staleness: StalenessClock::default(),
+            catch_up: CatchUp::default(),
+            relay_tree: RelayTree::default(),
+            heartbeat: NextHeartbeat::default(),
             list_proof: NewestListProof::default(),
             list_regression: ListRegressionGuard::default(),
             budget: ReadBudget::new(&cfg, &mut rng, now),
@@ -207,6 +224,7 @@
             refused: self.store.last_refused(),
             peers: self.peers.len(),
             source_age: self.contact.age(now),
+            staleness: self.staleness(now),
             list_proof: self.list_proof.current(now),
             conflicts: self.store.conflicts(),
             refusals: self.store.refusals(),
--- a/crates/core/src/spread/machine/answer.rs
+++ b/crates/core/src/spread/machine/answer.rs
@@ -29,6 +29,7 @@
             PeerMessage::Sync(sync) => self.answer_sync(now, from, &sync, out),
             PeerMessage::Pull(pull) => PeerReply::Body(self.answer_pull(pull)),
             PeerMessage::Reconcile(reconcile) => self.answer_reconcile(now, from, &reconcile, out),
+            PeerMessage::Heartbeat(proofs) => self.answer_heartbeat(now, from, &proofs, out),
         }
     }
 
@@ -81,6 +82,7 @@
                 true => Vec::new(),
                 false => self.reports.reports_to_send(now),
             },
+            proofs: self.current_proofs(now),
         }))
     }
 
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -15,7 +15,10 @@
 use crate::Tick;
 use crate::Version;
 use crate::reader::Placement;
+use crate::reader::ReaderProof;
+use crate::reader::RelayTree;
 use crate::spread::join_state::JoinState;
+use crate::spread::list_regression::MIN_OUTAGE;
 use crate::spread::source_reads::CheckPolicy;
 use crate::spread::source_reads::EMPTY_ANSWER_DELAY;
 use crate::spread::version_store::OfferOutcome;
@@ -26,6 +29,25 @@
 /// within that time.
 const MAX_SYNC_REPLY_AGE: Duration = Duration::from_secs(1);
 
+/// Proof intervals without a proof of another reader after which a reader proves all turns.
+const MAX_MISSED_TURNS: f64 = 2.5;
+
+/// Part of the proof interval that a watch lasts at least.
+const MIN_TURN_PART: f64 = 0.3;
+
+/// Why a node reads the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadReason {
+    /// It is a reader of its failure domain.
+    Reader,
+    /// No peer brings it changes.
+    WithoutPeers,
+    /// Its versions are stale.
+    CatchUp,
+    /// It joins.
+    Join,
+}
+
 impl SpreadMachine {
     /// Decides whether this node reads, and starts the reads that are due.
     pub(super) fn start_due_reads(&mut self, now: Tick, out: &mut Vec<Action>) {
@@ -41,8 +63,12 @@
                 return;
             }
             self.budget.consume(now);
+            let reason = self.read_reason(now, stream);
+            self.audit_catch_up(now, reason, out);
             let check = self.check_policy();
-            self.reads[stream as usize].start_read(now, &self.store, check, &mut self.rng, out);
+            let hold = self.hold(now, stream, reason);
+            let reads = &mut self.reads[stream as usize];
+            reads.start_read(now, &self.store, check, hold, &mut self.rng, out);
         }
         self.budget.cancel_reservation();
     }
@@ -79,14 +105,64 @@
         }
     }
 
-    /// Whether this node reads a stream: as a reader, or to join.
+    /// How long the platform may hold a watch of a stream.
+    ///
+    /// The readers of a fleet prove in turn that nothing newer was published: one of their
+    /// watches ends in each proof interval. The turns count from the last proof of the first
+    /// reader that is alive. If no other reader has proved anything for several turns, this
+    /// one proves it in each interval.
+    fn hold(&mut self, now: Tick, stream: Stream, reason: Option<ReadReason>) -> Duration {
+        match reason {
+            Some(ReadReason::CatchUp) => return Duration::ZERO,
+            Some(ReadReason::Reader) if !self.role.every_node_reads() => {}
+            _ => return self.cfg.watch,
+        }
+        let interval = self.bounds.proof_interval().min(self.cfg.watch);
+        let domains = self.role.placement().map_or(1, |it| it.domain_count);
+        let readers = domains.saturating_mul(self.role.readers_in_domain());
+        let round = interval.saturating_mul(readers).min(self.cfg.watch);
+        let others = self.staleness.reader_proofs(now, stream, round * 2);
+        let newest = others.iter().map(|proof| proof.age).min();
+        let is_proved = newest.is_some_and(|age| age <= interval.mul_f64(MAX_MISSED_TURNS));
+        let Some(index) = self.relay_tree.reader_index().filter(|_| is_proved) else {
+            return interval;
+        };
+        match others.first().filter(|first| first.reader < index) {
+            Some(first) => turn_after(first, index, interval, round),
+            None => round,
+        }
+    }
+
+    fn audit_catch_up(&mut self, now: Tick, reason: Option<ReadReason>, out: &mut Vec<Action>) {
+        if reason == Some(ReadReason::CatchUp) && self.catch_up.begin_reading() {
+            out.push(Action::Audit(AuditEvent::CatchUpRead {
+                staleness: self.staleness(now).unwrap_or_default(),
+                peers_answer: self.catch_up.do_peers_answer(now),
+            }));
+        }
+    }
+
     fn needs_read(&self, now: Tick, stream: Stream) -> bool {
-        if self.role.is_reader() || self.has_no_peers() {
-            return true;
+        self.read_reason(now, stream).is_some()
+    }
+
+    /// Why this node reads a stream; `None` if it doesn't.
+    fn read_reason(&self, now: Tick, stream: Stream) -> Option<ReadReason> {
+        if self.role.is_reader() {
+            return Some(ReadReason::Reader);
+        }
+        if self.has_no_peers() || (self.is_unlisted_or_unranked() && !self.sync_replaces_read(now))
+        {
+            return Some(ReadReason::WithoutPeers);
         }
-        if self.is_unlisted_or_unranked() && !self.sync_replaces_read(now) {
-            return true;
+        if self.needs_catch_up_read(now, stream) {
+            return Some(ReadReason::CatchUp);
         }
+        self.needs_join_read(now, stream)
+            .then_some(ReadReason::Join)
+    }
+
+    fn needs_join_read(&self, now: Tick, stream: Stream) -> bool {
         if matches!(self.join_state, JoinState::Joined(_))
             || self.reads[stream as usize].has_answered()
         {
@@ -170,11 +246,26 @@
             self.track_outage(now, &result);
         }
         let result = self.qualify(now, result, out);
+        let proved_at = self.reads[stream as usize].proved_at(now, &result);
+        let is_applied = self.apply_source_result(now, stream, result, out);
+        self.record_read_proof(now, stream, proved_at.filter(|_| is_applied));
+    }
+
+    /// Applies a result. Returns whether this node holds now what the platform published, or
+    /// refuses it; false if the result is deferred.
+    fn apply_source_result(
+        &mut self,
+        now: Tick,
+        stream: Stream,
+        result: SourceResult,
+        out: &mut Vec<Action>,
+    ) -> bool {
         if let Some(revision) = result.revision()
             && self.store.awaits_settling(stream, revision)
         {
             self.note_source_answer(now, stream, None);
-            return self.defer_until_settled(now, stream);
+            self.defer_until_settled(now, stream);
+            return false;
         }
         self.record_list_proof(stream, &result);
         match result {
@@ -196,6 +287,7 @@
                 // seen.
                 Ok(list) if self.defer_incomplete_list(now, &list, out) => {
                     self.note_source_answer(now, stream, None);
+                    return false;
                 }
                 Ok(list) => {
                     self.note_source_answer(now, stream, Some(revision));
@@ -227,6 +319,7 @@
                 self.reads[stream as usize].fail(now, Duration::ZERO, &mut self.rng);
             }
         }
+        true
     }
 
     /// Records the epoch of a result, and makes its revision provisional if that epoch
@@ -255,12 +348,26 @@
         if matches!(result, SourceResult::Failed { .. }) {
             return self.list_regression.note_failure(now);
         }
+        self.track_unobserved_outage(now);
         let age = self.contact.age(now);
         let since_start = now.since(Tick::ZERO);
         let contact = age.map(|age| Tick::ZERO + since_start.saturating_sub(age));
         self.list_regression.note_answer(now, contact);
     }
 
+    /// Assumes an outage if no node has proved anything for longer than the nodes of the fleet
+    /// need to read: their reads have failed, though this node may not have read.
+    fn track_unobserved_outage(&mut self, now: Tick) {
+        let longest = self.cfg.staleness_bound + MIN_OUTAGE;
+        let age = self.staleness.age(now, Stream::Instances);
+        let age = age.filter(|age| *age >= longest && !self.role.every_node_reads());
+        if let Some(age) = age {
+            let since_start = now.since(Tick::ZERO);
+            let proved_at = Tick::ZERO + since_start.saturating_sub(age);
+            self.list_regression.note_failure_since(proved_at);
+        }
+    }
+
     /// Defers a list that may lack entries because of an outage; it is read
     /// again after live targets have had time to renew theirs.
     fn defer_incomplete_list(
@@ -298,7 +405,10 @@
     }
 
     fn note_source_answer(&mut self, now: Tick, stream: Stream, seen: Option<Revision>) {
-        self.contact.record_contact(now, self.role.takeover_rank());
+        // A catch-up read doesn't replace a reader that fails for long.
+        if self.read_reason(now, stream) != Some(ReadReason::CatchUp) {
+            self.contact.record_contact(now, self.role.takeover_rank());
+        }
         self.reads[stream as usize].succeed(now, seen);
     }
 
@@ -380,9 +490,9 @@
     /// connection broke while the process was paused. Otherwise this node would
     /// never read again.
     fn fail_overdue_read(&mut self, now: Tick, stream: Stream) {
-        let bound = self.cfg.watch + self.cfg.call_timeout.saturating_mul(4);
+        let tolerance = self.cfg.call_timeout.saturating_mul(4);
         let reads = &mut self.reads[stream as usize];
-        if reads.elapsed(now) > bound {
+        if reads.is_overdue(now, tolerance) {
             reads.fail(now, Duration::ZERO, &mut self.rng);
         }
     }
@@ -396,8 +506,9 @@
         let before = self.role.is_reader();
         self.was_listed |= placement.listed;
         self.role.set_placement(placement.clone());
-        self.budget
-            .set_placement(now, &placement, self.role.readers_in_domain());
+        let readers = self.role.readers_in_domain();
+        self.budget.set_placement(now, &placement, readers);
+        self.relay_tree = RelayTree::build(list, &self.local.id, &self.local.domain, readers);
         if self.role.is_reader() != before {
             self.audit_reading(out);
         }
@@ -410,3 +521,14 @@
         }));
     }
 }
+
+/// The time until the next turn of the reader at `index`, counted from a proof of the one at
+/// `first`. Turns are an interval apart and repeat after a round.
+fn turn_after(first: &ReaderProof, index: u32, interval: Duration, round: Duration) -> Duration {
+    let mut turn = interval.saturating_mul(index - first.reader);
+    let earliest = first.age + interval.mul_f64(MIN_TURN_PART);
+    while turn < earliest {
+        turn += round;
+    }
+    turn - first.age
+}
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -19,6 +19,7 @@
 use crate::Sync;
 use crate::SyncReply;
 use crate::Tick;
+use crate::reader::ProofOrigin;
 use crate::spread::calls::Address;
 use crate::spread::calls::PendingCall;
 use crate::spread::calls::Purpose;
@@ -107,13 +108,16 @@
         };
         self.peers.note_answered(&pending.to);
         match (pending.purpose, reply) {
-            (Purpose::Announce | Purpose::AnnounceToSuccessor, PeerReply::Heads(Some(heads))) => {
-                self.merge_heads(now, heads, &pending.to, out);
-            }
+            (
+                Purpose::Announce | Purpose::AnnounceToSuccessor | Purpose::Heartbeat,
+                PeerReply::Heads(Some(heads)),
+            ) => self.merge_heads(now, heads, &pending.to, out),
             (Purpose::Sync, PeerReply::Sync(reply)) => {
                 self.list_proof
                     .record_peer_proof(pending.sent_at, reply.list);
                 self.handle_sync_reply(now, &pending.to, &reply, out);
+                self.merge_proofs(pending.sent_at, &reply.proofs);
+                self.schedule_heartbeat(now, ProofOrigin::SameDomain, Some(&reply.from));
             }
             (Purpose::Pull(stream), PeerReply::Body(body)) => {
                 self.handle_pull_reply(now, stream, &pending.to, body.as_ref(), out);
@@ -150,6 +154,7 @@
         self.reconcile_reports(now, &peer, reply, out);
         self.merge_heads(now, reply.heads, &peer, out);
         self.gossip.last_sync_reply = Some(now);
+        self.catch_up.record_answer(now);
         self.gossip.synced_since_pause = true;
         self.end_quiet_if_up_to_date();
         let differing = match reply.buckets.is_empty() {
@@ -183,7 +188,7 @@
             Purpose::AnnounceToSuccessor => {
                 self.announce_to_successor(now, out);
             }
-            Purpose::Announce | Purpose::Sync | Purpose::Reconcile => {}
+            Purpose::Announce | Purpose::Sync | Purpose::Heartbeat | Purpose::Reconcile => {}
         }
     }
 
--- a/crates/core/src/spread/machine/wakeup.rs
+++ b/crates/core/src/spread/machine/wakeup.rs
@@ -27,6 +27,8 @@
             self.pending_answers.next_due(),
             self.join_deadline(),
             self.takeover_due(now),
+            self.catch_up_due(now),
+            self.heartbeat_due(),
             self.store.epochs.settle_due(),
         ];
         for due in reads.into_iter().chain(others).flatten() {
@@ -55,7 +57,9 @@
         self.join_if_due(now, out);
         self.report_due_answers(now, out);
         self.sync_if_due(now, out);
+        self.catch_up_if_stale(now, out);
         self.announce_if_due(now, out);
+        self.send_heartbeat_if_due(now, out);
         self.start_due_reads(now, out);
         self.last_event_at = self.last_event_at.max(now);
     }
@@ -72,6 +76,10 @@
     /// held versions stay in force, and only newer ones can replace them.
     pub(super) fn detect_pause(&mut self, now: Tick, out: &mut Vec<Action>) {
         let pause = now.since(self.last_event_at);
+        if pause >= self.cfg.staleness_bound {
+            let until = now + self.bounds.answer_time();
+            self.catch_up.ignore_heartbeats_until(until);
+        }
         if pause < self.cfg.pause_bound {
             return;
         }
--- a/crates/core/src/spread/message.rs
+++ b/crates/core/src/spread/message.rs
@@ -11,6 +11,7 @@
 use crate::Heads;
 use crate::Report;
 use crate::Stream;
+use crate::StreamProofs;
 use crate::Version;
 
 /// A message from one node to another.
@@ -33,6 +34,10 @@
     ///
     /// [`PeerReply::States`]: crate::PeerReply::States
     Reconcile(Reconcile),
+    /// Proofs that the sender holds the newest versions; answered by [`PeerReply::Heads`].
+    ///
+    /// [`PeerReply::Heads`]: crate::PeerReply::Heads
+    Heartbeat(StreamProofs),
 }
 
 impl PeerMessage {
@@ -43,6 +48,7 @@
             PeerMessage::Sync(_) => "sync",
             PeerMessage::Pull(_) => "pull",
             PeerMessage::Reconcile(_) => "reconcile",
+            PeerMessage::Heartbeat(_) => "heartbeat",
         }
     }
 }
--- a/crates/core/src/spread/naive.rs
+++ b/crates/core/src/spread/naive.rs
@@ -37,6 +37,8 @@
     rng: SmallRng,
     store: VersionStore,
     reads: [SourceReads; 2],
+    /// How long the platform may hold a watch.
+    watch: Duration,
     started: Tick,
     joined: bool,
 }
@@ -51,6 +53,7 @@
             rng: SmallRng::seed_from_u64(seed),
             store: VersionStore::default(),
             reads,
+            watch: cfg.watch,
             started: now,
             joined: false,
         }
@@ -60,7 +63,8 @@
         for stream in Stream::ALL {
             let reads = &mut self.reads[stream as usize];
             if reads.due().is_some_and(|due| due <= now) {
-                reads.start_read(now, &self.store, CheckPolicy::AfterEach, &mut self.rng, out);
+                let check = CheckPolicy::AfterEach;
+                reads.start_read(now, &self.store, check, self.watch, &mut self.rng, out);
             }
         }
     }
--- a/crates/core/src/spread/peers.rs
+++ b/crates/core/src/spread/peers.rs
@@ -105,6 +105,19 @@
         eligible.next().cloned()
     }
 
+    /// Whether a peer is listed and answered when it was last called.
+    pub(super) fn is_usable(&self, now: Tick, id: &InstanceId) -> bool {
+        let backoff_until = self.backoff_until.get(id);
+        self.control_by_id.contains_key(id) && backoff_until.is_none_or(|until| *until <= now)
+    }
+
+    /// Whether a listed peer is in the own failure domain.
+    pub(super) fn is_in_same_domain(&self, id: &InstanceId) -> bool {
+        self.same_domain
+            .iter()
+            .any(|peer| peer.id.as_ref() == Some(id))
+    }
+
     /// Number of listed peers.
     pub(super) fn len(&self) -> usize {
         self.same_domain.len() + self.other_domains.len()
--- a/crates/core/src/spread/reply.rs
+++ b/crates/core/src/spread/reply.rs
@@ -10,6 +10,7 @@
 use crate::InstanceId;
 use crate::ListProof;
 use crate::Report;
+use crate::StreamProofs;
 
 /// The reply to a [`PeerMessage`](crate::PeerMessage).
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -53,4 +54,6 @@
     /// Its crash reports, as many as fit, if the digest over all reports
     /// differs.
     pub reports: Vec<Report>,
+    /// Its proofs that it holds the newest versions.
+    pub proofs: StreamProofs,
 }
--- a/crates/core/src/spread/source_reads.rs
+++ b/crates/core/src/spread/source_reads.rs
@@ -1,5 +1,6 @@
 //! Reads of the platform that are due or in flight.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -9,6 +10,7 @@
 use crate::Action;
 use crate::Freshness;
 use crate::Revision;
+use crate::SourceResult;
 use crate::SpreadConfig;
 use crate::Stream;
 use crate::Tick;
@@ -89,12 +91,12 @@
 pub(super) struct SourceReads {
     stream: Stream,
     backoff: Backoff,
-    /// How long the platform may hold a watch.
-    watch: Duration,
     /// Start of the read in flight.
     in_flight_since: Option<Tick>,
     /// How long the platform may hold the last read.
     last_hold: Duration,
+    /// The last read waits for a revision newer than this.
+    last_after: Option<Revision>,
     /// Duration of the last answered read.
     last_duration: Duration,
     last_read: LastRead,
@@ -119,9 +121,9 @@
         SourceReads {
             stream,
             backoff: Backoff::new(cfg.backoff_base, cfg.backoff_cap),
-            watch: cfg.watch,
             in_flight_since: None,
             last_hold: Duration::ZERO,
+            last_after: None,
             last_duration: Duration::ZERO,
             last_read: LastRead::Pause,
             freshness: Freshness::Newest,
@@ -148,6 +150,40 @@
             .filter(|_| self.freshness == Freshness::Newest)
     }
 
+    /// The time up to which a result of the read in flight proves that all published changes
+    /// are known; `None` if it proves nothing.
+    ///
+    /// The platform held a read without changes to the end of its time. Any other answer may
+    /// have been made at any time since the read started. An answer of an older copy of the
+    /// platform's data has a lower revision than the read named.
+    pub(super) fn proved_at(&self, now: Tick, result: &SourceResult) -> Option<Tick> {
+        let started = self.newest_read_started()?;
+        let after = self.last_after;
+        let order = |revision: Revision| {
+            let after = after.filter(|after| after.epoch() == revision.epoch());
+            after.map(|after| revision.get().cmp(&after.get()))
+        };
+        let order = result.revision().and_then(order);
+        let is_unchanged = matches!(result, SourceResult::Unchanged { .. });
+        if order == Some(Ordering::Less) || (is_unchanged && order == Some(Ordering::Greater)) {
+            return None;
+        }
+        match result {
+            SourceResult::Busy { .. }
+            | SourceResult::Failed { .. }
+            | SourceResult::NothingPublished => None,
+            SourceResult::Unchanged { .. } if self.elapsed(now) >= self.last_hold => {
+                Some(started + self.last_hold)
+            }
+            _ => Some(started),
+        }
+    }
+
+    /// Whether the read in flight is late: its result may never arrive.
+    pub(super) fn is_overdue(&self, now: Tick, tolerance: Duration) -> bool {
+        self.in_flight_since.is_some() && self.elapsed(now) > self.last_hold + tolerance
+    }
+
     /// How long the read in flight has taken; zero if none is in flight.
     pub(super) fn elapsed(&self, now: Tick) -> Duration {
         self.in_flight_since
@@ -162,7 +198,7 @@
         }
     }
 
-    /// Starts a read. It waits for a revision newer than the held one and than
+    /// Starts a read, which the platform may hold for `hold` unless it is a check. It waits for a revision newer than the held one and than
     /// the newest seen: otherwise the platform would return an invalid version
     /// again and again. If these are of a former epoch, or were read before their
     /// epoch settled, the platform returns what it has.
@@ -171,6 +207,7 @@
         now: Tick,
         store: &VersionStore,
         check: CheckPolicy,
+        hold: Duration,
         rng: &mut SmallRng,
         out: &mut Vec<Action>,
     ) {
@@ -179,11 +216,12 @@
         let known = held.max(self.newest_seen);
         let after = known.filter(|known| !store.epochs.is_outdated(*known));
         self.in_flight_since = Some(now);
+        self.last_after = after;
         self.freshness = self.required_freshness(known);
         self.read_count += 1;
         self.last_hold = match after {
             Some(after) => {
-                let hold = self.hold_at(now, check, rng);
+                let hold = self.hold_at(now, check, hold, rng);
                 match store.epochs.settle_due() {
                     // The revision is to be read again as soon as its epoch has settled.
                     Some(due) if after.is_provisional() => hold.min(due.since(now)),
@@ -203,7 +241,13 @@
     }
 
     /// How long the platform may hold a read that starts now.
-    fn hold_at(&self, now: Tick, check: CheckPolicy, rng: &mut SmallRng) -> Duration {
+    fn hold_at(
+        &self,
+        now: Tick,
+        check: CheckPolicy,
+        hold: Duration,
+        rng: &mut SmallRng,
+    ) -> Duration {
         let checks = match (check, self.last_read) {
             (_, LastRead::Failure) => true,
             (CheckPolicy::AfterFailure, _) => false,
@@ -213,9 +257,9 @@
         match checks {
             true => {
                 let part = rng.random_range(MIN_CHECK_HOLD_PART..=1.0);
-                MAX_CHECK_HOLD.mul_f64(part).min(self.watch)
+                MAX_CHECK_HOLD.mul_f64(part).min(hold)
             }
-            false => self.watch,
+            false => hold,
         }
     }
 
--- a/crates/core/src/spread/status.rs
+++ b/crates/core/src/spread/status.rs
@@ -25,6 +25,9 @@
     pub peers: usize,
     /// Age of the newest proof of contact of any node with the platform.
     pub source_age: Option<Duration>,
+    /// How long it may have missed changes; `None` if every node of the fleet reads, or
+    /// before it has joined.
+    pub staleness: Option<Duration>,
     /// Its newest proof that nothing newer than a list was published.
     pub list_proof: Option<ListProof>,
     /// Number of conflicts so far.
--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -15,4 +15,5 @@
 mod random;
 mod restores;
 mod silence;
+mod staleness;
 mod versions;
--- a/crates/core/src/spread/tests/net.rs
+++ b/crates/core/src/spread/tests/net.rs
@@ -108,6 +108,12 @@
     pub(super) cut_off_groups: Vec<u32>,
     /// Nodes whose reads the platform rejects.
     pub(super) rejected_nodes: Vec<usize>,
+    /// Nodes whose reads the platform rejects as too many.
+    pub(super) busy_nodes: Vec<usize>,
+    /// Nodes whose reads the platform never answers, and whose watches it dropped.
+    pub(super) unanswered_nodes: Vec<usize>,
+    /// Whether a call to a node that can't be reached hangs until its timeout.
+    pub(super) calls_hang: bool,
     /// Pairs of nodes that opened a connection after the others became silent.
     fresh_connections: Option<BTreeSet<(usize, usize)>>,
     pub(super) loss_percent: u32,
@@ -151,6 +157,9 @@
             group: vec![0; n],
             cut_off_groups: Vec::new(),
             rejected_nodes: Vec::new(),
+            busy_nodes: Vec::new(),
+            unanswered_nodes: Vec::new(),
+            calls_hang: false,
             fresh_connections: None,
             loss_percent: 0,
             duplicate_percent: 0,
@@ -245,9 +254,14 @@
             Scheduled::Wakeup(wake) if node.paused || self.wakeups[n] != wake => {}
             Scheduled::Wakeup(_) => self.handle_event(n, Event::Wakeup),
             Scheduled::Arrival(arrival) => self.arrive(n, *arrival),
-            Scheduled::Watch { stream, .. } if self.platform.silent => {
+            Scheduled::Watch { stream, .. }
+                if self.platform.silent || self.unanswered_nodes.contains(&n) =>
+            {
                 self.time_out_read(n, generation, stream, Duration::ZERO);
             }
+            Scheduled::Watch { stream, .. } if !self.reaches_platform(n) => {
+                self.fail_read(n, generation, stream, Duration::ZERO);
+            }
             Scheduled::Watch { stream, .. } => {
                 let result = self.platform.unchanged(stream);
                 self.arrive(n, Arrival::Event(Event::SourceRead { stream, result }));
--- a/crates/core/src/spread/tests/net/transport.rs
+++ b/crates/core/src/spread/tests/net/transport.rs
@@ -39,6 +39,9 @@
         let delivered = self.nodes.get(to).is_some_and(Option::is_some)
             && self.group[from] == self.group[to]
             && !self.chance(self.loss_percent);
+        if !delivered && self.calls_hang {
+            return;
+        }
         if !delivered {
             let failed = Event::CallFailed { call: call.id };
             let at = self.now + Duration::from_millis(20);
@@ -97,11 +100,14 @@
         self.platform.reads.push(self.now);
         self.platform.lagging_reads += usize::from(freshness == Freshness::MayLag);
         let generation = self.nodes[n].as_ref().unwrap().generation;
-        if self.platform.silent {
+        if self.platform.silent || self.unanswered_nodes.contains(&n) {
             self.time_out_read(n, generation, stream, wait);
             return;
         }
         let result = match self.reaches_platform(n) {
+            _ if self.busy_nodes.contains(&n) => {
+                Some(crate::SourceResult::Busy { retry_after: None })
+            }
             true => self.platform.read(stream, after, freshness),
             false => Some(crate::SourceResult::Failed {
                 reason: "cut off".to_owned(),
@@ -133,7 +139,7 @@
         self.fail_read(n, generation, stream, wait + ANSWER_TIMEOUT);
     }
 
-    fn fail_read(&mut self, n: usize, generation: u32, stream: Stream, after: Duration) {
+    pub(super) fn fail_read(&mut self, n: usize, generation: u32, stream: Stream, after: Duration) {
         let result = crate::SourceResult::Failed {
             reason: "no answer".to_owned(),
         };
@@ -143,8 +149,10 @@
     }
 
     /// Whether a node reaches the platform and is not rejected by it.
-    fn reaches_platform(&self, n: usize) -> bool {
-        !self.cut_off_groups.contains(&self.group[n]) && !self.rejected_nodes.contains(&n)
+    pub(super) fn reaches_platform(&self, n: usize) -> bool {
+        let is_refused = self.rejected_nodes.contains(&n) || self.busy_nodes.contains(&n);
+        let is_answered = !is_refused && !self.unanswered_nodes.contains(&n);
+        is_answered && !self.cut_off_groups.contains(&self.group[n])
     }
 
     /// Answers the watches for which the platform has a newer value.
--- a/crates/core/src/spread/version_store.rs
+++ b/crates/core/src/spread/version_store.rs
@@ -104,6 +104,13 @@
         held.is_none_or(|held| supersedes(version.revision(), held.revision()))
     }
 
+    /// Whether `revision` is newer than the held one, or none is held, and it wasn't refused.
+    pub(super) fn lacks_revision(&self, stream: Stream, revision: Revision) -> bool {
+        let refused = self.refused.newest().map(|refused| refused.revision());
+        let held = self.heads().of(stream).map(|held| held.revision());
+        refused != Some(revision) && held.is_none_or(|held| supersedes(revision, held))
+    }
+
     /// Whether a revision that the platform reported can replace the held one only after
     /// its epoch has settled.
     pub(super) fn awaits_settling(&self, stream: Stream, offered: Revision) -> bool {
--- a/crates/node/src/audit/record.rs
+++ b/crates/node/src/audit/record.rs
@@ -137,6 +137,14 @@
             ("target-limit", reason)
         }
         AuditEvent::TargetLeaving => ("target-leaving", "stated in an answer".to_owned()),
+        AuditEvent::CatchUpRead {
+            staleness,
+            peers_answer,
+        } => {
+            let peers = if *peers_answer { "stale too" } else { "silent" };
+            let ms = staleness.as_millis();
+            ("catch-up", format!("versions {ms} ms old, peers {peers}"))
+        }
         AuditEvent::Paused { pause } => ("paused", format!("for {} ms", pause.as_millis())),
         other => ("other", format!("{other:?}")),
     };
--- a/crates/node/src/control/driver.rs
+++ b/crates/node/src/control/driver.rs
@@ -276,6 +276,7 @@
         AuditEvent::Replaced { .. } => counter!(names::REPLACED).increment(1),
         AuditEvent::Paused { .. } => counter!(names::PAUSES).increment(1),
         AuditEvent::TargetCrashed { .. } => counter!(names::TARGET_CRASHES).increment(1),
+        AuditEvent::CatchUpRead { .. } => counter!(names::CATCH_UPS).increment(1),
         AuditEvent::Quarantined { .. } => counter!(names::QUARANTINED).increment(1),
         AuditEvent::TargetLimitChanged { limit } => {
             gauge!(names::TARGET_LIMIT).set(limit.map_or(0.0, RequestRate::per_s));
--- a/crates/node/src/metrics/names.rs
+++ b/crates/node/src/metrics/names.rs
@@ -28,6 +28,11 @@
 /// Seconds since the newest contact of any node with the platform that this node
 /// has proof of.
 pub(crate) const SOURCE_AGE: &str = "sassafrasspool_source_age_seconds";
+/// Seconds for which the node may have missed changes.
+pub(crate) const STALENESS: &str = "sassafrasspool_staleness_seconds";
+/// Times that a node that isn't a reader began to read the platform, since its versions were
+/// stale.
+pub(crate) const CATCH_UPS: &str = "sassafrasspool_catch_ups_total";
 /// Bytes sent and received on control connections, by `direction`.
 pub(crate) const CONTROL_BYTES: &str = "sassafrasspool_control_bytes_total";
 /// Requests in flight at the node.
@@ -90,6 +95,15 @@
         Unit::Seconds,
         "Age of the newest contact with the platform"
     );
+    describe_gauge!(
+        STALENESS,
+        Unit::Seconds,
+        "Time for which changes may have been missed"
+    );
+    describe_counter!(
+        CATCH_UPS,
+        "Reads of a node that isn't a reader and lacks news"
+    );
     describe_counter!(CONTROL_BYTES, Unit::Bytes, "Bytes of control connections");
     describe_gauge!(IN_FLIGHT, "Requests that the node works on");
     describe_gauge!(PEERS, "Nodes that this one may talk to");
--- a/crates/node/src/metrics/report.rs
+++ b/crates/node/src/metrics/report.rs
@@ -32,6 +32,9 @@
         if let Some(age) = self.spread.source_age {
             gauge!(names::SOURCE_AGE).set(age.as_secs_f64());
         }
+        if let Some(staleness) = self.spread.staleness {
+            gauge!(names::STALENESS).set(staleness.as_secs_f64());
+        }
         gauge!(names::IN_FLIGHT).set(self.shared.in_flight().count() as f64);
         gauge!(names::PEERS).set(self.spread.peers as f64);
         gauge!(names::PHASE).set(f64::from(self.shared.phase() as u8));
--- a/crates/node/src/settings/spread.rs
+++ b/crates/node/src/settings/spread.rs
@@ -102,6 +102,13 @@
         default.contact_bound,
         f,
     );
+    let staleness = millis_or(
+        t,
+        "staleness_bound_ms",
+        300..=60_000,
+        default.staleness_bound,
+        f,
+    );
     let takeover = millis_or(t, "takeover_step_ms", 10..=60_000, default.takeover_step, f);
     let base = millis_or(t, "backoff_base_ms", 10..=60_000, default.backoff_base, f);
     let cap = millis_or(t, "backoff_cap_ms", 10..=600_000, default.backoff_cap, f);
@@ -124,6 +131,7 @@
         watch: watch?,
         rest: rest?,
         contact_bound: contact?,
+        staleness_bound: staleness?,
         takeover_step: takeover?,
         backoff_base: base?,
         backoff_cap: cap?,
