Treat a list after a time without proofs as one after an outage

A node that begins to read because its versions are stale hasn't seen the reads of others fail. It would take the first list after an outage, from which entries have expired, for a list whose entries were removed, and all targets would be gone (seen in a_list_that_lost_entries_in_an_outage_is_deferred_for_a_bounded_time with the reads of stale nodes: an empty list in force 1.7 s after the return).

Now a time of 2.5 s in which no node proved or heard anything counts as an outage at every node, once each. A deferred list proves nothing and isn't a failed read.

--- a/crates/core/src/spread/catch_up.rs
+++ b/crates/core/src/spread/catch_up.rs
@@ -10,7 +10,7 @@
 
 /// Reads a second that stale nodes start in the whole fleet while their peers answer. The
 /// first one that succeeds brings all others up to date.
-const FLEET_READS_PER_S: u32 = 40;
+const FLEET_READS_PER_S: u32 = 16;
 
 /// Bounds the doublings of the time over which the fleet's reads are spread, while the
 /// platform answers none of them.
--- a/crates/core/src/spread/list_regression.rs
+++ b/crates/core/src/spread/list_regression.rs
@@ -11,7 +11,7 @@
 
 /// How long after the platform's return missing entries may come back: live
 /// targets renew theirs within about 2 s.
-const RENEWAL_GRACE: Duration = Duration::from_millis(2_300);
+pub(super) const RENEWAL_GRACE: Duration = Duration::from_millis(2_300);
 
 /// How long a list that lacks many entries is deferred if no outage was observed.
 /// A leaving target may be sent requests for 2 s, and most expired entries are
@@ -36,6 +36,8 @@
 pub(super) struct ListRegressionGuard {
     /// Since when reads of the list have failed.
     failing_since: Option<Tick>,
+    /// Since when nothing was proved in the last outage that ended.
+    last_outage_since: Option<Tick>,
     /// Until when missing entries may come back after an outage.
     grace_until: Option<Tick>,
     /// Until when a list that lacks many entries is deferred.
@@ -48,10 +50,16 @@
         self.failing_since.get_or_insert(now);
     }
 
-    /// Records that the reads of other nodes have failed since `since` at the latest.
-    pub(super) fn note_failure_since(&mut self, since: Tick) {
-        let observed = self.failing_since.unwrap_or(since);
-        self.failing_since = Some(observed.min(since));
+    /// Records that the platform answered after an outage since `since`, once for each outage.
+    ///
+    /// A deferred list proves nothing, so that the same outage is seen again until the list is
+    /// accepted, and proofs of other nodes change its time by their transit times.
+    pub(super) fn note_return(&mut self, now: Tick, since: Tick) {
+        let known = self.last_outage_since.map(|known| known + MIN_OUTAGE);
+        if known.is_none_or(|known| since >= known) {
+            self.last_outage_since = Some(since);
+            self.grace_until = Some(now + RENEWAL_GRACE);
+        }
     }
 
     /// Records that a read of the list was answered.
--- a/crates/core/src/spread/machine/read.rs
+++ b/crates/core/src/spread/machine/read.rs
@@ -19,6 +19,7 @@
 use crate::reader::RelayTree;
 use crate::spread::join_state::JoinState;
 use crate::spread::list_regression::MIN_OUTAGE;
+use crate::spread::list_regression::RENEWAL_GRACE;
 use crate::spread::source_reads::CheckPolicy;
 use crate::spread::source_reads::EMPTY_ANSWER_DELAY;
 use crate::spread::version_store::OfferOutcome;
@@ -247,8 +248,10 @@
         }
         let result = self.qualify(now, result, out);
         let proved_at = self.reads[stream as usize].proved_at(now, &result);
-        let is_applied = self.apply_source_result(now, stream, result, out);
-        self.record_read_proof(now, stream, proved_at.filter(|_| is_applied));
+        // A deferred result proves nothing, and is read again once its time is over.
+        if self.apply_source_result(now, stream, result, out) {
+            self.record_read_proof(now, stream, proved_at);
+        }
     }
 
     /// Applies a result. Returns whether this node holds now what the platform published, or
@@ -359,12 +362,15 @@
     /// need to read: their reads have failed, though this node may not have read.
     fn track_unobserved_outage(&mut self, now: Tick) {
         let longest = self.cfg.staleness_bound + MIN_OUTAGE;
-        let age = self.staleness.age(now, Stream::Instances);
+        let proved = self.staleness.age(now, Stream::Instances);
+        // A younger contact is the platform's return.
+        let answered = self.contact.age(now).filter(|age| *age >= RENEWAL_GRACE);
+        let age = proved.map(|age| answered.map_or(age, |answered| age.min(answered)));
         let age = age.filter(|age| *age >= longest && !self.role.every_node_reads());
         if let Some(age) = age {
             let since_start = now.since(Tick::ZERO);
-            let proved_at = Tick::ZERO + since_start.saturating_sub(age);
-            self.list_regression.note_failure_since(proved_at);
+            let since = Tick::ZERO + since_start.saturating_sub(age);
+            self.list_regression.note_return(now, since);
         }
     }
 
--- a/crates/core/src/spread/tests/staleness.rs
+++ b/crates/core/src/spread/tests/staleness.rs
@@ -27,7 +27,7 @@
 
 /// Mean number of reads a second that a fleet makes at most while it lacks news: those of all
 /// nodes together, and those of readers, which try again after half a second on average.
-const MAX_READS_PER_S: usize = 40 + 10 * 2 * 2;
+const MAX_READS_PER_S: usize = 16 + 10 * 2 * 2;
 
 /// A fleet that has run for a while, in which an ordinary change has aligned the readers.
 fn calm_net(nodes: usize, seed: u64) -> Net {
