Forward bodies in chunks whatever the method

Cause: the node removes transfer-encoding as a hop-by-hop header, and the HTTP library sends no body of unknown size with GET, HEAD or CONNECT unless the head names a framing. Between nodes HTTP/2 frames the body itself, so that only the last hop lost it.

Now the last hop states chunked framing for every body of unknown size. The tests in requests/chunked.rs send bodies in one chunk, in several that arrive apart, empty and with trailers, with seven methods, to the node's own target and another, and without a length over HTTP/2.

--- a/crates/node/src/traffic/inbound/inbound_request.rs
+++ b/crates/node/src/traffic/inbound/inbound_request.rs
@@ -10,6 +10,8 @@
 use http::Response;
 use http::Uri;
 use http::Version;
+use http::header;
+use http_body::Body;
 use metrics::counter;
 use sassafrasspool_core::Admitted;
 use sassafrasspool_core::BoundService;
@@ -252,9 +254,22 @@
     let path = req.uri().path_and_query().cloned();
     *req.uri_mut() = path.map_or_else(Uri::default, Uri::from);
     *req.version_mut() = Version::HTTP_11;
+    set_framing(&mut req);
     req
 }
 
+/// States how a body of unknown size is framed.
+///
+/// Unless the head says otherwise, the HTTP library sends no body with methods that rarely
+/// have one, such as GET.
+fn set_framing(req: &mut Request<Payload>) {
+    let body = req.body();
+    if !body.is_end_stream() && body.size_hint().exact().is_none() {
+        let chunked = HeaderValue::from_static("chunked");
+        req.headers_mut().insert(header::TRANSFER_ENCODING, chunked);
+    }
+}
+
 /// Sets a header that only the node may set, and replaces or removes the caller's value.
 fn set_or_remove(headers: &mut HeaderMap, name: &HeaderName, value: Option<&HeaderValue>) {
     match value {
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -2,6 +2,7 @@
 
 mod calling_target;
 mod cancel;
+mod chunked;
 mod client;
 mod cold_start;
 mod drain;
