Apply the limits for callers in force to kept connections

Cause: the limits were copied into the HTTP library when a connection was accepted.

Now the library's bounds only protect the memory of a connection (64 KiB for a head, or the limit at its start), and the limits in force are applied to each request, over both HTTP versions and to requests that are started early. The timer of heads asks for the limits in force and compares them again every 2 s. A limit that is raised beyond the buffers of a connection closes it with its next answer. Connections between nodes carry heads up to the largest limit that a configuration may set; before, 32 KiB.

The twelve cases of requests/caller_limits.rs (raised and lowered limits on heads and idle time, both HTTP versions, own and other target) failed on the code before and pass now.

--- a/crates/core/src/outcome/reason.rs
+++ b/crates/core/src/outcome/reason.rs
@@ -40,6 +40,8 @@
     EarlierRunning,
     /// An earlier attempt with the same key may have run.
     EarlierUnknown,
+    /// Its head is larger than the limit.
+    HeadTooLarge,
     /// Its body is larger than the limit.
     TooLarge,
     /// Its key is empty or too long.
@@ -70,7 +72,7 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Reason; 30] = [
+    pub const ALL: [Reason; 31] = [
         Reason::NoRoute,
         Reason::NoEndpoint,
         Reason::Connect,
@@ -88,6 +90,7 @@
         Reason::WindowFull,
         Reason::EarlierRunning,
         Reason::EarlierUnknown,
+        Reason::HeadTooLarge,
         Reason::TooLarge,
         Reason::BadKey,
         Reason::TooManyHops,
@@ -123,6 +126,7 @@
             Reason::WindowFull => "window-full",
             Reason::EarlierRunning => "earlier-running",
             Reason::EarlierUnknown => "earlier-unknown",
+            Reason::HeadTooLarge => "head-too-large",
             Reason::TooLarge => "too-large",
             Reason::BadKey => "bad-key",
             Reason::TooManyHops => "too-many-hops",
--- a/crates/core/src/retry/retry_state.rs
+++ b/crates/core/src/retry/retry_state.rs
@@ -230,6 +230,7 @@
             | Reason::WindowFull
             | Reason::EarlierRunning
             | Reason::EarlierUnknown
+            | Reason::HeadTooLarge
             | Reason::TooLarge
             | Reason::BadKey
             | Reason::TooManyHops
--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -24,11 +24,19 @@
 /// The bytes of a head with its frames, as they are counted for the link.
 pub(super) const HEAD_BYTES_ON_LINK: u64 = 256;
 
-/// The largest head of a request or an answer, in bytes.
+/// The largest head of an answer, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 32 * 1024;
 
-/// The smallest buffer that the HTTP library accepts, in bytes.
-pub(super) const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
+/// The least buffer for the heads of a caller's connection, in bytes. The configuration may
+/// raise the limit on heads up to this size while the connection is kept.
+pub(super) const MIN_HEAD_BUFFER_BYTES: u32 = 64 * 1024;
+
+/// The largest head of a request between nodes, in bytes: the largest limit of a
+/// configuration, the headers that nodes add, and what HTTP/2 adds for each header.
+pub(super) const MAX_PEER_HEAD_BYTES: u32 = 1024 * 1024 + 16 * 1024;
+
+/// How often the time limits of an idle connection are compared with those in force.
+pub(super) const LIMITS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The most nodes that a chain of calls may pass, counted from the outermost caller.
 pub(super) const MAX_HOPS: u32 = 24;
--- a/crates/node/src/traffic/failure_response.rs
+++ b/crates/node/src/traffic/failure_response.rs
@@ -82,6 +82,7 @@
         (_, Reason::NoRoute) => StatusCode::NOT_FOUND,
         (_, Reason::RateLimited) => StatusCode::TOO_MANY_REQUESTS,
         (_, Reason::BadKey) => StatusCode::BAD_REQUEST,
+        (_, Reason::HeadTooLarge) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         (_, Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         (_, Reason::TooManyHops) => StatusCode::LOOP_DETECTED,
         (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
--- a/crates/node/src/traffic/head.rs
+++ b/crates/node/src/traffic/head.rs
@@ -102,6 +102,17 @@
     value.unwrap_or(HeaderValue::from_static("0"))
 }
 
+/// The size of a request's head in bytes, as HTTP/1.1 writes it without optional whitespace.
+pub(super) fn size<B>(req: &Request<B>) -> usize {
+    let target = req.uri().path_and_query();
+    let target = target.map_or(1, |target| target.as_str().len());
+    // Two spaces, the version and the end of the line; after the fields an empty line.
+    let framing = " ".len() * 2 + "HTTP/1.1\r\n".len() + "\r\n".len();
+    let fields = req.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    req.method().as_str().len() + target + framing + fields.sum::<usize>()
+}
+
 /// The host of a request, from its `host` header or else its URI.
 pub(super) fn host<B>(req: &Request<B>) -> Option<&str> {
     let named = req.headers().get(header::HOST);
--- a/crates/node/src/traffic/hub.rs
+++ b/crates/node/src/traffic/hub.rs
@@ -6,6 +6,7 @@
 use http::HeaderValue;
 use sassafrasspool_core::Admission;
 use sassafrasspool_core::AdmissionSettings;
+use sassafrasspool_core::CallerLimits;
 use sassafrasspool_core::ColdStart;
 use sassafrasspool_core::ColdTolerance;
 use sassafrasspool_core::Content;
@@ -246,6 +247,14 @@
         }
     }
 
+    /// The limits for callers that are in force.
+    pub(super) fn caller_limits(&self) -> CallerLimits {
+        let routes = self.shared.routes();
+        routes.map_or_else(CallerLimits::default, |routes| {
+            *routes.view.snapshot.caller_limits()
+        })
+    }
+
     /// Whether the local target serves the service, both by the settings at the start of the
     /// process and by the current ones.
     pub(super) fn serves(&self, service: &str) -> bool {
--- a/crates/node/src/traffic/listener/serve.rs
+++ b/crates/node/src/traffic/listener/serve.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod graceful_close;
 mod late_request;
+mod limits_timer;
 mod peer;
 mod pipelining;
 mod service;
--- a/crates/node/src/traffic/listener/serve/caller.rs
+++ b/crates/node/src/traffic/listener/serve/caller.rs
@@ -7,7 +7,6 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
-use sassafrasspool_core::CallerLimits;
 use sassafrasspool_wire::Observed;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -15,11 +14,12 @@
 
 use super::graceful_close::serve_until_closed;
 use super::late_request;
+use super::limits_timer::LimitsTimer;
 use super::pipelining::Pipeline;
+use super::service::CallerConnection;
 use super::service::RequestService;
 use super::shared_stream::SharedStream;
 use crate::traffic::bounds::CONNECTION_WINDOW_BYTES;
-use crate::traffic::bounds::MAX_HEAD_BYTES;
 use crate::traffic::bounds::MAX_STREAMS;
 use crate::traffic::bounds::MIN_HEAD_BUFFER_BYTES;
 use crate::traffic::bounds::STREAM_WINDOW_BYTES;
@@ -34,8 +34,14 @@
 pub(super) async fn serve(worker: Arc<Worker>, stream: TcpStream, port: CallerPort) {
     let hub = Arc::clone(&worker.hub);
     let pipeline = Pipeline::new(Arc::clone(&worker), port);
-    let service = RequestService::for_caller(Arc::clone(&worker), port, pipeline.clone());
-    let builder = builder(&limits(&hub));
+    let head_bytes = hub.caller_limits().head_bytes.max(MIN_HEAD_BUFFER_BYTES);
+    let client = CallerConnection {
+        port,
+        pipeline: pipeline.clone(),
+        head_bytes,
+    };
+    let service = RequestService::for_caller(Arc::clone(&worker), client);
+    let builder = builder(&hub, head_bytes);
     let stream = Arc::new(stream);
     let io = SharedStream::new(&stream, hub.closing.clone());
     let io = Observed::new(io, pipeline.clone());
@@ -67,31 +73,22 @@
     }
 }
 
-/// The limits for callers that are in force when the connection is accepted.
-fn limits(hub: &Hub) -> CallerLimits {
-    let routes = hub.shared.routes();
-    routes.map_or_else(CallerLimits::default, |routes| {
-        *routes.view.snapshot.caller_limits()
-    })
-}
-
-fn builder(limits: &CallerLimits) -> auto::Builder<TokioExecutor> {
-    let head_bytes = usize::try_from(limits.head_bytes).unwrap_or(MAX_HEAD_BYTES);
-    let head_bytes = head_bytes.max(MIN_HEAD_BUFFER_BYTES);
+/// The settings of the HTTP library for a connection. They bound the memory of the connection;
+/// the limits in force for callers are applied to each request.
+fn builder(hub: &Arc<Hub>, head_bytes: u32) -> auto::Builder<TokioExecutor> {
+    let timer = LimitsTimer::new(Arc::clone(hub));
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
-        // The library counts the wait for the first byte of a request as part of the time
-        // for its head, so the longer of both limits is set.
-        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
-        .max_buf_size(head_bytes);
+        .header_read_timeout(timer.limit())
+        .timer(timer)
+        .max_buf_size(usize::try_from(head_bytes).unwrap_or(usize::MAX));
     builder
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_header_list_size(limits.head_bytes);
+        .max_header_list_size(head_bytes);
     builder
 }
--- a/crates/node/src/traffic/listener/serve/peer.rs
+++ b/crates/node/src/traffic/listener/serve/peer.rs
@@ -11,7 +11,7 @@
 use super::graceful_close::serve_until_closed;
 use super::service::RequestService;
 use crate::traffic::bounds::CONNECTION_WINDOW_BYTES;
-use crate::traffic::bounds::MAX_HEAD_BYTES;
+use crate::traffic::bounds::MAX_PEER_HEAD_BYTES;
 use crate::traffic::bounds::MAX_STREAMS;
 use crate::traffic::bounds::UPLOAD_WINDOW_BYTES;
 use crate::traffic::worker::Worker;
@@ -25,7 +25,7 @@
         .max_concurrent_streams(MAX_STREAMS)
         .initial_stream_window_size(UPLOAD_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX))
+        .max_header_list_size(MAX_PEER_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     serve_until_closed(&hub.closing, &hub.abort, conn).await;
 }
--- a/crates/node/src/traffic/listener/serve/service.rs
+++ b/crates/node/src/traffic/listener/serve/service.rs
@@ -31,19 +31,24 @@
 /// The client that sends the requests.
 #[derive(Debug)]
 enum Client {
-    /// A caller, with its pipelined requests that were started before their turn.
-    Caller(CallerPort, Pipeline),
+    Caller(CallerConnection),
     /// Another node.
     Peer,
 }
 
+/// The connection of a caller.
+#[derive(Debug, Clone)]
+pub(super) struct CallerConnection {
+    pub(super) port: CallerPort,
+    /// Its pipelined requests that were started before their turn.
+    pub(super) pipeline: Pipeline,
+    /// The largest head that can be read on it.
+    pub(super) head_bytes: u32,
+}
+
 impl RequestService {
-    pub(super) fn for_caller(
-        worker: Arc<Worker>,
-        port: CallerPort,
-        pipeline: Pipeline,
-    ) -> RequestService {
-        let client = Client::Caller(port, pipeline);
+    pub(super) fn for_caller(worker: Arc<Worker>, conn: CallerConnection) -> RequestService {
+        let client = Client::Caller(conn);
         RequestService { worker, client }
     }
 
@@ -63,9 +68,9 @@
     fn call(&self, req: Request<Incoming>) -> Self::Future {
         let worker = Arc::clone(&self.worker);
         match &self.client {
-            Client::Caller(port, pipeline) => {
-                let (port, pipeline) = (*port, pipeline.clone());
-                Box::pin(async move { Ok(answer_caller(&worker, port, pipeline, req).await) })
+            Client::Caller(conn) => {
+                let conn = conn.clone();
+                Box::pin(async move { Ok(answer_caller(&worker, conn, req).await) })
             }
             Client::Peer => Box::pin(async move { Ok(peer_side::serve(&worker, req).await) }),
         }
@@ -74,10 +79,14 @@
 
 async fn answer_caller(
     worker: &Worker,
-    port: CallerPort,
-    pipeline: Pipeline,
+    conn: CallerConnection,
     req: Request<Incoming>,
 ) -> Response<AnswerBody> {
+    let CallerConnection {
+        port,
+        pipeline,
+        head_bytes,
+    } = conn;
     // Over HTTP/2, requests don't wait for one another.
     let taken = (req.version() != Version::HTTP_2).then(|| pipeline.take_next());
     if head::asks_to_close(&req) {
@@ -94,7 +103,9 @@
         Some(res) => res,
         None => caller_side::serve(worker, port, req.map(Payload::streaming)).await,
     };
-    if worker.hub.closes_caller_connections() && !pipeline.has_started() {
+    // A limit that was raised beyond the buffers of this connection needs another one.
+    let is_outgrown = worker.hub.caller_limits().head_bytes > head_bytes;
+    if (worker.hub.closes_caller_connections() || is_outgrown) && !pipeline.has_started() {
         // Over HTTP/2 the library omits the header and shuts the connection down itself.
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
--- a/crates/node/src/traffic/outbound/caller_side.rs
+++ b/crates/node/src/traffic/outbound/caller_side.rs
@@ -147,11 +147,14 @@
     routes: &'a Routes,
     mut req: Request<Payload>,
 ) -> Result<(FirstHop<'a>, Request<Payload>), Refusal> {
+    let limits = routes.view.snapshot.caller_limits();
+    if head::size(&req) > usize::try_from(limits.head_bytes).unwrap_or(usize::MAX) {
+        return Err(refuse(Reason::HeadTooLarge));
+    }
     head::strip_internal_headers(req.headers_mut());
     let first = FirstHop::new(worker, port, routes, &req)?;
     let (parts, body) = req.into_parts();
-    let bound = routes.view.snapshot.caller_limits().body_bytes;
-    let Ok(body) = body.bounded(bound) else {
+    let Ok(body) = body.bounded(limits.body_bytes) else {
         return Err(refuse(Reason::TooLarge));
     };
     let until = worker.hub.shared.clock().instant(first.deadline().tick());
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -1,5 +1,6 @@
 //! Requests end to end: real nodes and real sockets, with stand-in targets.
 
+mod caller_limits;
 mod calling_target;
 mod cancel;
 mod chunked;
