Bound the body of an answer by the deadline of its request

Cause: the deadline bounded the head of an answer only. Its body was ended after 30 s without progress, and bytes without end kept that timer alive for ever.

Now an answer may wait for its source, the target or another node, for as long as its request had left when the head arrived. Only waits for the source count, so that a slow caller's answer isn't cut. An answer whose size isn't stated has a bound on its bytes. What is cut ends with an error and closes its connection. answers_cut_total counts the cuts.

--- a/crates/node/src/metrics/traffic.rs
+++ b/crates/node/src/metrics/traffic.rs
@@ -16,6 +16,8 @@
 pub(crate) const TARGET_CONNECTIONS: &str = "sassafrasspool_target_connections_opened_total";
 /// Requests that were admitted to the local target, by whether it was treated as cold.
 pub(crate) const ADMISSIONS: &str = "sassafrasspool_admissions_total";
+/// Answers of targets that this node cut, by `reason`.
+pub(crate) const ANSWERS_CUT: &str = "sassafrasspool_answers_cut_total";
 /// Retries of callers, by whether they returned at the time that they were told (`result`).
 pub(crate) const RETURNS: &str = "sassafrasspool_returns_total";
 
@@ -46,5 +48,6 @@
     );
     describe_counter!(TARGET_CONNECTIONS, "Connections opened to the target");
     describe_counter!(ADMISSIONS, "Requests admitted to the target");
+    describe_counter!(ANSWERS_CUT, "Answers of targets that the node cut");
     describe_counter!(RETURNS, "Retries of callers that were refused before");
 }
--- a/crates/node/src/traffic/answer_body.rs
+++ b/crates/node/src/traffic/answer_body.rs
@@ -3,20 +3,24 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::body::Incoming;
+use metrics::counter;
 use sassafrasspool_core::Link;
 
 use self::limited::LimitedBody;
 use super::BoxError;
+use super::bounds::MAX_UNSIZED_ANSWER_BYTES;
 use super::listener::serve::AnswerInProgress;
-use super::stall_detector::StallDetector;
+use super::source_timer::SourceTimer;
 use super::target::TargetBody;
 use crate::InFlightGuard;
+use crate::metrics::traffic;
 
 mod delivery;
 mod limited;
@@ -34,7 +38,10 @@
     source: Source,
     /// The link that counts its bytes; `None` for large answers, which are granted theirs.
     link: Option<Link>,
-    stall_detector: StallDetector,
+    /// Bounds the waits for the source; `None` for a text from this node.
+    source_timer: Option<SourceTimer>,
+    /// Bytes that may still come from a source that doesn't state its size.
+    unsized_left: Option<u64>,
     _in_flight: Option<InFlightGuard>,
     /// Marks the answer as in progress in the connection's pipeline until it ends.
     _pipeline_guard: Option<AnswerInProgress>,
@@ -86,24 +93,27 @@
 impl AnswerBody {
     /// A text from this node.
     pub(super) fn from_text(text: impl Into<Bytes>) -> AnswerBody {
-        AnswerBody::new(Source::Text(Some(text.into())))
+        AnswerBody::new(Source::Text(Some(text.into())), None)
     }
 
-    /// The body of another node's answer.
-    pub(super) fn from_peer(body: Incoming) -> AnswerBody {
-        AnswerBody::new(Source::Peer(body))
+    /// The body of another node's answer, which has `left` until the deadline of its request.
+    pub(super) fn from_peer(body: Incoming, left: Duration) -> AnswerBody {
+        AnswerBody::new(Source::Peer(body), Some(SourceTimer::new(left)))
     }
 
-    /// The body of the local target's answer.
-    pub(super) fn from_target(body: TargetBody) -> AnswerBody {
-        AnswerBody::new(Source::Target(body))
+    /// The body of the local target's answer, which has `left` until the deadline of its
+    /// request.
+    pub(super) fn from_target(body: TargetBody, left: Duration) -> AnswerBody {
+        AnswerBody::new(Source::Target(body), Some(SourceTimer::new(left)))
     }
 
-    fn new(source: Source) -> AnswerBody {
+    fn new(source: Source, source_timer: Option<SourceTimer>) -> AnswerBody {
+        let is_unsized = source.size_hint().exact().is_none();
         AnswerBody {
             source,
             link: None,
-            stall_detector: StallDetector::new(),
+            source_timer,
+            unsized_left: is_unsized.then_some(MAX_UNSIZED_ANSWER_BYTES),
             _in_flight: None,
             _pipeline_guard: None,
         }
@@ -152,20 +162,29 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        match self.source.poll_frame(cx) {
-            Poll::Ready(frame) => {
-                self.stall_detector.record_progress();
-                if let (Some(link), Some(Ok(frame))) = (&self.link, &frame) {
-                    link.record_other(frame.data_ref().map_or(0, |data| data.len() as u64));
-                }
-                Poll::Ready(frame)
+        let polled = self.source.poll_frame(cx);
+        let waits_for_source = polled.is_pending() && !self.source.waits_for_link();
+        if let Some(timer) = &mut self.source_timer {
+            if !waits_for_source {
+                timer.stop_waiting();
+            } else if timer.poll_elapsed(cx).is_ready() {
+                return Poll::Ready(Some(Err(cut("timeout"))));
             }
-            Poll::Pending if self.source.waits_for_link() => Poll::Pending,
-            Poll::Pending => self
-                .stall_detector
-                .poll_stalled(cx)
-                .map(|stalled| Some(Err(stalled))),
         }
+        let Poll::Ready(Some(Ok(frame))) = &polled else {
+            return polled;
+        };
+        let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+        if let Some(link) = &self.link {
+            link.record_other(bytes);
+        }
+        if let Some(left) = &mut self.unsized_left {
+            match left.checked_sub(bytes) {
+                Some(rest) => *left = rest,
+                None => return Poll::Ready(Some(Err(cut("too-large")))),
+            }
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -176,3 +195,9 @@
         self.source.size_hint()
     }
 }
+
+/// Counts an answer that this node cuts, and returns the error that ends it.
+fn cut(reason: &'static str) -> BoxError {
+    counter!(traffic::ANSWERS_CUT, "reason" => reason).increment(1);
+    format!("the answer was cut: {reason}").into()
+}
--- a/crates/node/src/traffic/bounds.rs
+++ b/crates/node/src/traffic/bounds.rs
@@ -51,9 +51,18 @@
 /// outcome.
 pub(super) const MAX_TARGET_IDLE_TIME: Duration = Duration::from_secs(4);
 
-/// How long the transfer of a body may make no progress before it is aborted.
+/// How long an answer may wait for further bytes of its source before it is aborted,
+/// however far away the deadline of its request is.
 pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The least time for the body of an answer whose head arrived shortly before the deadline of
+/// its request.
+pub(super) const MIN_BODY_TIME: Duration = Duration::from_millis(100);
+
+/// The largest answer whose size isn't stated, in bytes. A faulty target may add bytes to its
+/// answer without end.
+pub(super) const MAX_UNSIZED_ANSWER_BYTES: u64 = 256 * 1024 * 1024;
+
 /// Flow control window of one stream between nodes, in bytes.
 pub(super) const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 
--- a/crates/node/src/traffic/inbound/exchange.rs
+++ b/crates/node/src/traffic/inbound/exchange.rs
@@ -249,8 +249,9 @@
             let id = res.headers().get(REQUEST_ID);
             self.hub.link_share(transfer, id, kind, self.deadline)
         });
+        let left = self.deadline.remaining(clock.now());
         res.map(|body| {
-            let body = AnswerBody::from_target(body.with_recorder(recorder));
+            let body = AnswerBody::from_target(body.with_recorder(recorder), left);
             match share {
                 Some(share) => body.limited(share),
                 None => body,
--- a/crates/node/src/traffic/outbound/attempt.rs
+++ b/crates/node/src/traffic/outbound/attempt.rs
@@ -177,7 +177,12 @@
         let res = self.exchange_with_peer(picked, req).await?;
         match failure_response::parse_failure(&res) {
             Some(failure) => Err(failure.into()),
-            None => Ok(clean_peer_response(res.map(AnswerBody::from_peer))),
+            None => {
+                let now = self.worker.hub.shared.clock().now();
+                let left = self.deadline.remaining(now);
+                let res = res.map(|body| AnswerBody::from_peer(body, left));
+                Ok(clean_peer_response(res))
+            }
         }
     }
 
--- a/crates/node/tests/requests/main.rs
+++ b/crates/node/tests/requests/main.rs
@@ -8,6 +8,7 @@
 mod cold_start;
 mod drain;
 mod ejection;
+mod endless_answers;
 mod evacuation;
 mod fleet;
 mod forged_headers;
