Keep announcing to a peer that didn't answer a heartbeat

Heartbeats are many, and a peer that is short of processor time misses one now and then. Counted as a failed peer, it got no announcement for 5 s and learned of changes a second later from its own questions. Heartbeats now pass over such a peer for 3 s, and other messages are sent to it as before.

--- a/crates/core/src/spread/machine/heartbeat.rs
+++ b/crates/core/src/spread/machine/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats: proofs of the newest versions that readers send down the relay tree.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::SpreadMachine;
@@ -13,6 +14,7 @@
 use crate::StreamProofs;
 use crate::Tick;
 use crate::reader::ProofOrigin;
+use crate::spread::calls::Address;
 use crate::spread::calls::Purpose;
 use crate::spread::join_state::JoinState;
 
@@ -23,6 +25,9 @@
 /// Part of the proof interval by which a proof has to be newer than the last one sent.
 const MIN_GAIN_PART: f64 = 0.25;
 
+/// How long a peer that didn't answer a heartbeat is passed over.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(3);
+
 /// The heartbeat that a node sends next.
 #[derive(Debug, Default)]
 pub(super) struct NextHeartbeat {
@@ -31,6 +36,9 @@
     /// The peer that sent the newest proof.
     sender: Option<InstanceId>,
     last_sent: Option<Tick>,
+    /// Peers that didn't answer a heartbeat, and until when they are passed over. Other
+    /// messages are still sent to them.
+    unreachable: BTreeMap<InstanceId, Tick>,
     /// Staleness of the last proofs that were sent, at the time of `last_sent`.
     last_ages: [Option<Duration>; Stream::ALL.len()],
 }
@@ -99,6 +107,14 @@
         PeerReply::Heads(self.heads_beyond(proofs))
     }
 
+    /// Records that a peer didn't answer a heartbeat.
+    pub(super) fn record_lost_heartbeat(&mut self, now: Tick, to: &Address) {
+        if let Some(id) = &to.id {
+            let until = now + UNREACHABLE_TIME;
+            self.heartbeat.unreachable.insert(id.clone(), until);
+        }
+    }
+
     /// The held heads, if one is newer than what a peer has.
     fn heads_beyond(&self, proofs: &StreamProofs) -> Option<Heads> {
         let heads = self.store.heads();
@@ -164,9 +180,12 @@
         };
         let proofs = self.current_proofs(now);
         let sender = self.heartbeat.sender.take();
-        let peers = &self.peers;
-        let is_reachable =
-            |id: &InstanceId| sender.as_ref() != Some(id) && peers.is_usable(now, id);
+        self.heartbeat.unreachable.retain(|_, until| *until > now);
+        let (peers, unreachable) = (&self.peers, &self.heartbeat.unreachable);
+        let is_reachable = |id: &InstanceId| {
+            let is_passed_over = sender.as_ref() == Some(id) || unreachable.contains_key(id);
+            !is_passed_over && peers.is_usable(now, id)
+        };
         for id in self.relay_tree.receivers(origin, is_reachable) {
             if let Some(to) = self.peers.find(&id) {
                 let message = PeerMessage::Heartbeat(proofs);
--- a/crates/core/src/spread/machine/sync.rs
+++ b/crates/core/src/spread/machine/sync.rs
@@ -182,6 +182,9 @@
         pending: &PendingCall,
         out: &mut Vec<Action>,
     ) {
+        if pending.purpose == Purpose::Heartbeat {
+            return self.record_lost_heartbeat(now, &pending.to);
+        }
         self.peers.note_failed(now, &pending.to);
         match pending.purpose {
             Purpose::Pull(stream) => self.pull_from_next_peer(now, stream, out),
