--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -164,7 +164,7 @@
         format!("{}: {}", cells[1], cells[3].replace(',', ""))
     });
     let fields: Vec<String> = fields.collect();
-    assert_eq!(fields.len(), 22);
+    assert_eq!(fields.len(), 23);
     let text = format!("{COMPLETE}spread: {{{}}}\n", fields.join(", "));
     let documented = Settings::parse(&text).expect("valid settings");
     let default = Settings::parse(COMPLETE).expect("valid settings");
