Reject answers of a target that aren't chunked alone

What callers saw: an answer whose transfer-encoding is unknown, or doesn't end in chunked, was taken for one that ends with its connection. Its caller received 200, complete, with the chunk sizes as a part of the body. Codings before chunked were dropped with the field, so that the body was still coded. With a content-length beside chunks the caller received as many bytes of the body as that said. An unsafe request that a target declined in such an answer was sent again, and the rate limit in one was applied.

Cause: the HTTP library looks only for chunked at the end of the last transfer-encoding, ignores a length beside it, and reads to the end of the connection otherwise. The node removes the field as hop-by-hop and passes on the length.

Fix: the node asks for no transfer coding, so that an answer has chunked once, without a length, or no coding. Any other answer is dropped with its connection before anything it states is used; its request is lost with an unknown outcome (502), and an unsafe one isn't sent again.

--- a/crates/core/src/outcome/loss.rs
+++ b/crates/core/src/outcome/loss.rs
@@ -15,7 +15,7 @@
     ConnectionLost,
     /// The answer was truncated.
     AnswerCut,
-    /// The answer belonged to another request, or did not come from the target.
+    /// The answer was malformed, belonged to another request, or did not come from the target.
     AnswerInvalid,
     /// The caller disconnected.
     CallerGone,
--- a/crates/node/src/traffic/inbound/exchange.rs
+++ b/crates/node/src/traffic/inbound/exchange.rs
@@ -138,6 +138,10 @@
                 }
                 Err(self.lose(LossCause::ConnectionLost))
             }
+            Ok(Err(target::ExchangeFailure::Malformed(err))) => {
+                tracing::info!(?id, %err, "lost");
+                Err(self.lose(LossCause::AnswerInvalid))
+            }
             Err(_) => Err(self.lose(LossCause::Timeout)),
         }
     }
--- a/crates/node/src/traffic/target/exchange.rs
+++ b/crates/node/src/traffic/target/exchange.rs
@@ -9,6 +9,7 @@
 use sassafrasspool_core::Error;
 use sassafrasspool_core::NothingSent;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::validate_response_head;
 
 use super::body::TargetBody;
 use super::connection::Connection;
@@ -21,6 +22,8 @@
     NotSent(Error, NothingSent, Option<Box<Request<Payload>>>),
     /// The target may have received the request.
     Sent(Error),
+    /// The target sent an answer that is malformed, whether it ran the request or not.
+    Malformed(Error),
 }
 
 /// Sends `req` to the target and waits for the head of its answer.
@@ -44,7 +47,13 @@
     })
     .await;
     match result {
-        Ok(res) => Ok(res.map(|body| TargetBody::new(body, conn))),
+        Ok(res) => match validate_response_head(&res) {
+            Ok(()) => Ok(res.map(|body| TargetBody::new(body, conn))),
+            Err(err) => {
+                let error = Error::new(Step::Forward, "malformed answer of the target");
+                Err(ExchangeFailure::Malformed(error.with_cause(err)))
+            }
+        },
         Err(mut failed) => {
             let unsent = failed.take_message().map(Box::new);
             let error = Error::new(Step::Forward, "the exchange with the target failed");
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,9 +11,12 @@
 pub mod log;
 pub mod peer;
 pub mod platform;
+mod response_head;
 mod socket;
 
 pub use crate::error_chain::error_chain;
+pub use crate::response_head::MalformedHead;
+pub use crate::response_head::validate_response_head;
 pub use crate::socket::CountedStream;
 pub use crate::socket::IoObserver;
 pub use crate::socket::Observed;
--- /dev/null
+++ b/crates/wire/src/response_head.rs
@@ -0,0 +1,69 @@
+//! Rules for the heads of HTTP responses that the HTTP library doesn't enforce.
+
+use std::error;
+use std::fmt;
+
+use http::HeaderMap;
+use http::Response;
+use http::Version;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+
+#[cfg(test)]
+mod tests;
+
+/// Why the head of a response is malformed.
+#[derive(Debug)]
+pub struct MalformedHead(&'static str);
+
+impl fmt::Display for MalformedHead {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl error::Error for MalformedHead {}
+
+/// Checks the framing of a response to a request that asked for no transfer coding.
+///
+/// Responses without a body, such as those to HEAD, are held to the same rules.
+///
+/// # Errors
+///
+/// Fails if the head doesn't frame the body in exactly one way. Nothing that such a head states can be relied on.
+///
+/// # Example
+///
+/// ```
+/// use bytes::Bytes;
+/// use http::Response;
+/// use http_body_util::Full;
+/// use sassafrasspool_wire::validate_response_head;
+///
+/// let framed_by = |name: &str, value: &str| {
+///     Response::builder().header(name, value).body(Full::<Bytes>::from("glas"))
+/// };
+/// let coded = framed_by("transfer-encoding", "gzip, chunked").unwrap();
+/// assert!(validate_response_head(&coded).is_err());
+/// ```
+pub fn validate_response_head<B>(res: &Response<B>) -> Result<(), MalformedHead> {
+    check_transfer_encoding(res.version(), res.headers())
+}
+
+fn check_transfer_encoding(version: Version, headers: &HeaderMap) -> Result<(), MalformedHead> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(coding) = codings.next() else {
+        return Ok(());
+    };
+    if version != Version::HTTP_11 {
+        return Err(MalformedHead("this version has no transfer codings"));
+    }
+    if headers.contains_key(CONTENT_LENGTH) {
+        return Err(MalformedHead("there are a length and a transfer coding"));
+    }
+    let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    match is_chunked && codings.next().is_none() {
+        true => Ok(()),
+        false => Err(MalformedHead("the transfer coding is not supported")),
+    }
+}
