Reject unreadable lengths in answers without a body

What callers saw: an answer to HEAD, or a 204 or 304, whose content-length isn't a number or has differing values, was passed on with that field. Through two nodes some of them were lost instead.

Cause: the HTTP library doesn't read the length of an answer that has no body.

Fix: the length is checked in every answer, whatever the method and the status.

HEAD, 204 and 304 with a readable length still pass.

--- a/crates/node/tests/requests/malformed_answers.rs
+++ b/crates/node/tests/requests/malformed_answers.rs
@@ -143,15 +143,29 @@
 
 /// Guards against a malformed head that is passed on because its answer has no body.
 #[rstest]
+#[case::head(Method::HEAD, b"HTTP/1.1 200 OK\r\ncontent-length: 4x\r\n\r\n")]
+#[case::head_differing_lengths(
+    Method::HEAD,
+    b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 3\r\n\r\n"
+)]
 #[case::head_unknown_coding(Method::HEAD, b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunkeX\r\n\r\n")]
 #[case::head_length_beside_chunks(
     Method::HEAD,
     b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
 )]
+#[case::no_content(Method::GET, b"HTTP/1.1 204 No Content\r\ncontent-length: -1\r\n\r\n")]
 #[case::no_content_unknown_coding(
     Method::GET,
     b"HTTP/1.1 204 No Content\r\ntransfer-encoding: chunkeX\r\n\r\n"
 )]
+#[case::not_modified(
+    Method::GET,
+    b"HTTP/1.1 304 Not Modified\r\ncontent-length: \xb4\r\n\r\n"
+)]
+#[case::not_modified_empty_length(
+    Method::GET,
+    b"HTTP/1.1 304 Not Modified\r\ncontent-length:\r\n\r\n"
+)]
 #[tokio::test]
 async fn a_malformed_head_without_a_body_is_replaced(
     #[case] method: Method,
--- a/crates/wire/src/response_head.rs
+++ b/crates/wire/src/response_head.rs
@@ -43,11 +43,16 @@
 /// let framed_by = |name: &str, value: &str| {
 ///     Response::builder().header(name, value).body(Full::<Bytes>::from("glas"))
 /// };
+/// let sized = framed_by("content-length", "004").unwrap();
+/// assert!(validate_response_head(&sized).is_ok());
+///
 /// let coded = framed_by("transfer-encoding", "gzip, chunked").unwrap();
 /// assert!(validate_response_head(&coded).is_err());
 /// ```
 pub fn validate_response_head<B>(res: &Response<B>) -> Result<(), MalformedHead> {
-    check_transfer_encoding(res.version(), res.headers())
+    check_transfer_encoding(res.version(), res.headers())?;
+    parse_content_length(res.headers())?;
+    Ok(())
 }
 
 fn check_transfer_encoding(version: Version, headers: &HeaderMap) -> Result<(), MalformedHead> {
@@ -67,3 +72,27 @@
         false => Err(MalformedHead("the transfer coding is not supported")),
     }
 }
+
+/// The length that the head states; `None` if it states none.
+fn parse_content_length(headers: &HeaderMap) -> Result<Option<u64>, MalformedHead> {
+    let mut length = None;
+    for value in headers.get_all(CONTENT_LENGTH) {
+        for element in value.as_bytes().split(|byte| *byte == b',') {
+            let parsed = parse_decimal(element.trim_ascii());
+            let parsed = parsed.ok_or(MalformedHead("the length is not a number"))?;
+            if length.is_some_and(|length| length != parsed) {
+                return Err(MalformedHead("the lengths differ"));
+            }
+            length = Some(parsed);
+        }
+    }
+    Ok(length)
+}
+
+/// Parses digits alone; unlike `str::parse`, it accepts no sign.
+fn parse_decimal(digits: &[u8]) -> Option<u64> {
+    if !digits.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    str::from_utf8(digits).ok()?.parse().ok()
+}
--- a/crates/wire/src/response_head/tests.rs
+++ b/crates/wire/src/response_head/tests.rs
@@ -35,6 +35,8 @@
 const CODING: Result<Option<&str>, &str> = Err("the transfer coding is not supported");
 const VERSION: Result<Option<&str>, &str> = Err("this version has no transfer codings");
 const BOTH: Result<Option<&str>, &str> = Err("there are a length and a transfer coding");
+const LENGTH: Result<Option<&str>, &str> = Err("the length is not a number");
+const LENGTHS: Result<Option<&str>, &str> = Err("the lengths differ");
 
 /// Guards against a malformed head that is used, and against a sound one that is rejected.
 #[rstest]
@@ -50,10 +52,24 @@
 #[case::two_coding_fields(Case { fields: &[("transfer-encoding", b"chunked"), ("transfer-encoding", b"chunked")], length: CODING, ..SOUND })]
 #[case::coding_not_ascii(Case { fields: &[("transfer-encoding", b"chunk\xe9d")], length: CODING, ..SOUND })]
 #[case::length_beside_coding(Case { fields: &[("content-length", b"4"), ("transfer-encoding", b"chunked")], length: BOTH, ..SOUND })]
+#[case::length(Case { fields: &[("content-length", b"4")], length: Ok(Some("4")), ..SOUND })]
+#[case::zero(Case { fields: &[("content-length", b"0")], length: Ok(Some("0")), ..SOUND })]
+#[case::largest_length(Case { fields: &[("content-length", b"18446744073709551615")], length: Ok(Some("18446744073709551615")), ..SOUND })]
+#[case::length_too_large(Case { fields: &[("content-length", b"18446744073709551616")], length: LENGTH, ..SOUND })]
+#[case::differing_lengths_in_a_list(Case { fields: &[("content-length", b"4, 3")], length: LENGTHS, ..SOUND })]
+#[case::differing_lengths(Case { fields: &[("content-length", b"4"), ("content-length", b"3")], length: LENGTHS, ..SOUND })]
+#[case::empty_length(Case { fields: &[("content-length", b"")], length: LENGTH, ..SOUND })]
+#[case::empty_list_element(Case { fields: &[("content-length", b"4,")], length: LENGTH, ..SOUND })]
+#[case::sign(Case { fields: &[("content-length", b"+4")], length: LENGTH, ..SOUND })]
+#[case::blank_within(Case { fields: &[("content-length", b"4 4")], length: LENGTH, ..SOUND })]
+#[case::letter(Case { fields: &[("content-length", b"4x")], length: LENGTH, ..SOUND })]
+#[case::not_ascii(Case { fields: &[("content-length", b"\xb4")], length: LENGTH, ..SOUND })]
+#[case::length_in_http_2(Case { version: Version::HTTP_2, fields: &[("content-length", b"4")], length: Ok(Some("4")), ..SOUND })]
 #[case::unframed_on_a_closing_connection(Case { fields: &[("connection", b"close")], ..SOUND })]
 #[case::close_overrides_kept(Case { fields: &[("keep-alive", b"timeout=5"), ("connection", b"x-glass, Close")], ..SOUND })]
 #[case::chunked_on_a_kept_connection(Case { fields: &[("keep-alive", b"timeout=5"), ("transfer-encoding", b"chunked")], ..SOUND })]
 #[case::bodyless_on_a_kept_connection(Case { fields: &[("keep-alive", b"timeout=5")], bodyless: true, ..SOUND })]
+#[case::bodyless_with_unreadable_length(Case { fields: &[("content-length", b"4x")], bodyless: true, length: LENGTH, ..SOUND })]
 fn a_response_head_is_checked(#[case] case: Case) {
     let parts = stream::empty::<Result<Frame<Bytes>, Infallible>>();
     let mut res = Response::new(match case.bodyless {
