Write the length of an answer as one number

What callers saw: a sound answer that states its length several times alike in a list, or with more than 19 digits because of zeros before it, was lost if its caller's node was another one than the target's. Through one node it passed.

Cause: the node passes on the field as it was received, and HTTP/2 accepts neither form.

Fix: the length that was read replaces the field.

Evidence: 2 cases of a_sound_answer_is_passed_on fail on the code before and none here.

--- a/crates/node/src/traffic/target/exchange.rs
+++ b/crates/node/src/traffic/target/exchange.rs
@@ -47,7 +47,7 @@
     })
     .await;
     match result {
-        Ok(res) => match validate_response_head(&res) {
+        Ok(mut res) => match validate_response_head(&mut res) {
             Ok(()) => Ok(res.map(|body| TargetBody::new(body, conn))),
             Err(err) => {
                 let error = Error::new(Step::Forward, "malformed answer of the target");
--- a/crates/node/tests/requests/malformed_answers.rs
+++ b/crates/node/tests/requests/malformed_answers.rs
@@ -211,9 +211,13 @@
 #[rstest]
 #[case::length_with_blanks(Sound::get(b"HTTP/1.1 200 OK\r\ncontent-length: \t 4 \r\n\r\nglas"))]
 #[case::length_with_zeros(Sound::get(b"HTTP/1.1 200 OK\r\ncontent-length: 004\r\n\r\nglas"))]
+#[case::length_with_many_zeros(Sound::get(
+    b"HTTP/1.1 200 OK\r\ncontent-length: 000000000000000000000004\r\n\r\nglas"
+))]
 #[case::same_length_twice(Sound::get(
     b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 4\r\n\r\nglas"
 ))]
+#[case::same_length_in_a_list(Sound::get(b"HTTP/1.1 200 OK\r\ncontent-length: 4, 4\r\n\r\nglas"))]
 #[case::until_close(Sound::get(b"HTTP/1.1 200 OK\r\n\r\nglas"))]
 #[case::until_announced_close(Sound::get(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nglas"))]
 #[case::until_close_in_http_1_0(Sound::get(b"HTTP/1.0 200 OK\r\n\r\nglas"))]
--- a/crates/wire/src/response_head.rs
+++ b/crates/wire/src/response_head.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Response;
 use http::Version;
 use http::header::CONTENT_LENGTH;
@@ -24,7 +25,8 @@
 
 impl error::Error for MalformedHead {}
 
-/// Checks the framing of a response to a request that asked for no transfer coding.
+/// Checks the framing of a response to a request that asked for no transfer coding. Writes the length, if the head states one, as a single
+/// decimal number.
 ///
 /// Responses without a body, such as those to HEAD, are held to the same rules.
 ///
@@ -43,15 +45,20 @@
 /// let framed_by = |name: &str, value: &str| {
 ///     Response::builder().header(name, value).body(Full::<Bytes>::from("glas"))
 /// };
-/// let sized = framed_by("content-length", "004").unwrap();
-/// assert!(validate_response_head(&sized).is_ok());
+/// let mut sized = framed_by("content-length", "004").unwrap();
+/// assert!(validate_response_head(&mut sized).is_ok());
+/// assert_eq!(sized.headers()["content-length"], "4");
 ///
-/// let coded = framed_by("transfer-encoding", "gzip, chunked").unwrap();
-/// assert!(validate_response_head(&coded).is_err());
+/// let mut coded = framed_by("transfer-encoding", "gzip, chunked").unwrap();
+/// assert!(validate_response_head(&mut coded).is_err());
 /// ```
-pub fn validate_response_head<B>(res: &Response<B>) -> Result<(), MalformedHead> {
+pub fn validate_response_head<B>(res: &mut Response<B>) -> Result<(), MalformedHead> {
     check_transfer_encoding(res.version(), res.headers())?;
-    parse_content_length(res.headers())?;
+    if let Some(length) = parse_content_length(res.headers())? {
+        // Replaces all fields of that name. HTTP/2 accepts no list and at most 19 digits.
+        let length = HeaderValue::from(length);
+        res.headers_mut().insert(CONTENT_LENGTH, length);
+    }
     Ok(())
 }
 
--- a/crates/wire/src/response_head/tests.rs
+++ b/crates/wire/src/response_head/tests.rs
@@ -54,8 +54,11 @@
 #[case::length_beside_coding(Case { fields: &[("content-length", b"4"), ("transfer-encoding", b"chunked")], length: BOTH, ..SOUND })]
 #[case::length(Case { fields: &[("content-length", b"4")], length: Ok(Some("4")), ..SOUND })]
 #[case::zero(Case { fields: &[("content-length", b"0")], length: Ok(Some("0")), ..SOUND })]
+#[case::leading_zeros(Case { fields: &[("content-length", b"0000000000000000000000004")], length: Ok(Some("4")), ..SOUND })]
 #[case::largest_length(Case { fields: &[("content-length", b"18446744073709551615")], length: Ok(Some("18446744073709551615")), ..SOUND })]
 #[case::length_too_large(Case { fields: &[("content-length", b"18446744073709551616")], length: LENGTH, ..SOUND })]
+#[case::same_length_in_a_list(Case { fields: &[("content-length", b"4,\t04")], length: Ok(Some("4")), ..SOUND })]
+#[case::same_length_twice(Case { fields: &[("content-length", b"4"), ("content-length", b"4")], length: Ok(Some("4")), ..SOUND })]
 #[case::differing_lengths_in_a_list(Case { fields: &[("content-length", b"4, 3")], length: LENGTHS, ..SOUND })]
 #[case::differing_lengths(Case { fields: &[("content-length", b"4"), ("content-length", b"3")], length: LENGTHS, ..SOUND })]
 #[case::empty_length(Case { fields: &[("content-length", b"")], length: LENGTH, ..SOUND })]
@@ -82,7 +85,7 @@
         let value = HeaderValue::from_bytes(value).expect("a field value");
         res.headers_mut().append(*name, value);
     }
-    let checked = validate_response_head(&res).map_err(|err| err.to_string());
+    let checked = validate_response_head(&mut res).map_err(|err| err.to_string());
     let lengths = res.headers().get_all("content-length").iter();
     let lengths: Vec<&str> = lengths.map(|it| it.to_str().unwrap_or("")).collect();
     match case.length {
