Reject answers without a valid final status

What callers saw: a status over 599, or a 101 that nobody asked for, was passed on as an answer. Statuses 000 and 099 and those of two or four digits were handled already.

Cause: the HTTP library accepts every status from 100 to 999, and takes a 101 for the end of the exchange. The node forwards no upgrade, so that no request can be answered with one.

Fix: an answer has a status from 200 to 599. Others are malformed: nothing they state is used, and the outcome of their request is unknown (502).

--- a/crates/node/tests/requests/malformed_answers.rs
+++ b/crates/node/tests/requests/malformed_answers.rs
@@ -91,9 +91,15 @@
 // Status codes.
 #[case::status_000(b"HTTP/1.1 000 OK\r\ncontent-length: 4\r\n\r\nglas")]
 #[case::status_099(b"HTTP/1.1 099 OK\r\ncontent-length: 4\r\n\r\nglas")]
+#[case::status_600(b"HTTP/1.1 600 OK\r\ncontent-length: 4\r\n\r\nglas")]
+#[case::status_999(b"HTTP/1.1 999 OK\r\ncontent-length: 4\r\n\r\nglas")]
 #[case::status_of_two_digits(b"HTTP/1.1 20 OK\r\ncontent-length: 4\r\n\r\nglas")]
 #[case::status_of_four_digits(b"HTTP/1.1 2000 OK\r\ncontent-length: 4\r\n\r\nglas")]
 #[case::status_with_letter(b"HTTP/1.1 2x0 OK\r\ncontent-length: 4\r\n\r\nglas")]
+#[case::unsolicited_upgrade(
+    b"HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: glass\r\n\r\nglas"
+)]
+#[case::unsolicited_upgrade_without_fields(b"HTTP/1.1 101 OK\r\ncontent-length: 4\r\n\r\nglas")]
 // The same after an interim answer.
 #[case::status_000_after_interim(
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\ncontent-length: 4\r\n\r\nglas"
@@ -153,6 +159,7 @@
     Method::HEAD,
     b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
 )]
+#[case::head_status_600(Method::HEAD, b"HTTP/1.1 600 OK\r\ncontent-length: 4\r\n\r\n")]
 #[case::no_content(Method::GET, b"HTTP/1.1 204 No Content\r\ncontent-length: -1\r\n\r\n")]
 #[case::no_content_unknown_coding(
     Method::GET,
@@ -322,6 +329,7 @@
 /// Guards against a rate limit, or a departure, that is taken from a malformed answer.
 #[rstest]
 #[case::rate_limit(b"HTTP/1.1 200 OK\r\nx-target-rate-limit: 0.1\r\ntransfer-encoding: gzip, chunked\r\n\r\n4\r\nglas\r\n0\r\n\r\n")]
+#[case::leaving(b"HTTP/1.1 600 OK\r\nx-target-leaving: 1\r\ncontent-length: 4\r\n\r\nglas")]
 #[tokio::test]
 async fn a_malformed_answer_states_nothing(#[case] answer: &'static [u8]) {
     /// Longer than a target that states that it leaves still gets requests.
@@ -340,6 +348,9 @@
 /// answer, which proves nothing.
 #[rstest]
 #[case::declined(b"HTTP/1.1 503 Full\r\nx-declined: 1\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n4\r\nglas\r\n0\r\n\r\n")]
+#[case::declined_by_unknown_status(
+    b"HTTP/1.1 700 Full\r\nx-declined: 1\r\ncontent-length: 4\r\n\r\nglas"
+)]
 #[tokio::test]
 async fn a_malformed_refusal_proves_nothing(#[case] answer: &'static [u8]) {
     let dialect = Dialect {
--- a/crates/wire/src/response_head.rs
+++ b/crates/wire/src/response_head.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
+use http::StatusCode;
 use http::Version;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
@@ -13,6 +14,9 @@
 #[cfg(test)]
 mod tests;
 
+/// The highest valid status code.
+const MAX_STATUS: u16 = 599;
+
 /// Why the head of a response is malformed.
 #[derive(Debug)]
 pub struct MalformedHead(&'static str);
@@ -25,14 +29,16 @@
 
 impl error::Error for MalformedHead {}
 
-/// Checks the framing of a response to a request that asked for no transfer coding. Writes the length, if the head states one, as a single
+/// Checks the status and the framing of a final response to a request that asked for no
+/// upgrade and no transfer coding. Writes the length, if the head states one, as a single
 /// decimal number.
 ///
 /// Responses without a body, such as those to HEAD, are held to the same rules.
 ///
 /// # Errors
 ///
-/// Fails if the head doesn't frame the body in exactly one way. Nothing that such a head states can be relied on.
+/// Fails if the status isn't that of a final response, or if the head doesn't frame the body
+/// in exactly one way. Nothing that such a head states can be relied on.
 ///
 /// # Example
 ///
@@ -53,6 +59,7 @@
 /// assert!(validate_response_head(&mut coded).is_err());
 /// ```
 pub fn validate_response_head<B>(res: &mut Response<B>) -> Result<(), MalformedHead> {
+    check_status(res.status())?;
     check_transfer_encoding(res.version(), res.headers())?;
     if let Some(length) = parse_content_length(res.headers())? {
         // Replaces all fields of that name. HTTP/2 accepts no list and at most 19 digits.
@@ -62,6 +69,16 @@
     Ok(())
 }
 
+fn check_status(status: StatusCode) -> Result<(), MalformedHead> {
+    if status.is_informational() {
+        return Err(MalformedHead("the status is not that of a final response"));
+    }
+    match status.as_u16() > MAX_STATUS {
+        true => Err(MalformedHead("the status is not valid")),
+        false => Ok(()),
+    }
+}
+
 fn check_transfer_encoding(version: Version, headers: &HeaderMap) -> Result<(), MalformedHead> {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     let Some(coding) = codings.next() else {
--- a/crates/wire/src/response_head/tests.rs
+++ b/crates/wire/src/response_head/tests.rs
@@ -32,6 +32,8 @@
     length: Ok(None),
 };
 
+const STATUS: Result<Option<&str>, &str> = Err("the status is not valid");
+const NOT_FINAL: Result<Option<&str>, &str> = Err("the status is not that of a final response");
 const CODING: Result<Option<&str>, &str> = Err("the transfer coding is not supported");
 const VERSION: Result<Option<&str>, &str> = Err("this version has no transfer codings");
 const BOTH: Result<Option<&str>, &str> = Err("there are a length and a transfer coding");
@@ -42,6 +44,10 @@
 #[rstest]
 #[case::unframed(SOUND)]
 #[case::highest_status(Case { status: 599, ..SOUND })]
+#[case::status_above_the_highest(Case { status: 600, length: STATUS, ..SOUND })]
+#[case::largest_status(Case { status: 999, length: STATUS, ..SOUND })]
+#[case::interim_status(Case { status: 100, length: NOT_FINAL, ..SOUND })]
+#[case::unsolicited_upgrade(Case { status: 101, length: NOT_FINAL, ..SOUND })]
 #[case::chunked(Case { fields: &[("transfer-encoding", b"chunked")], ..SOUND })]
 #[case::chunked_in_capitals(Case { fields: &[("transfer-encoding", b"CHUNKED")], ..SOUND })]
 #[case::chunked_in_http_1_0(Case { version: Version::HTTP_10, fields: &[("transfer-encoding", b"chunked")], length: VERSION, ..SOUND })]
