Reject answers without an end on kept connections

What callers saw: an answer whose length had lost its name, or the line with it, was taken for one that ends with its connection. Further bytes that the target sent on the connection became a part of the body, and its end at the idle timeout made it complete.

Cause: nothing but the missing length shows such a head, and a sound answer may have no length.

Fix: a target that ends an answer with its connection doesn't state that it keeps that connection. An answer without a length or coding, with a Keep-Alive or connection: keep-alive and without close, is malformed. Every other answer without a length passes as before.

Weighed: the targets of the deployments state a Keep-Alive beside a length. Rejecting answers without connection: close as well would lose sound ones.

Evidence: the four cases with a kept connection fail on the code before, by each path, and none here. A length that is lost where the target states nothing of its connection isn't detected.

--- a/crates/node/tests/requests/malformed_answers.rs
+++ b/crates/node/tests/requests/malformed_answers.rs
@@ -55,6 +55,13 @@
 #[case::length_below_chunks(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n4\r\nglas\r\n0\r\n\r\n")]
 #[case::length_above_chunks(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\ntransfer-encoding: chunked\r\n\r\n4\r\nglas\r\n0\r\n\r\n")]
 #[case::unreadable_length_beside_chunks(b"HTTP/1.1 200 OK\r\ncontent-length: x\r\ntransfer-encoding: chunked\r\n\r\n4\r\nglas\r\n0\r\n\r\n")]
+// Bodies that only the end of the connection ends, though the target keeps the connection.
+#[case::kept_connection(b"HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n\r\nglas")]
+#[case::connection_kept_for_a_time(b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=5\r\n\r\nglas")]
+#[case::misspelt_length_on_a_kept_connection(
+    b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=5\r\ncontent-lengtX: 4\r\n\r\nglasglas"
+)]
+#[case::kept_connection_in_http_1_0(b"HTTP/1.0 200 OK\r\nconnection: keep-alive\r\n\r\nglas")]
 // Lengths.
 #[case::length_with_letter(b"HTTP/1.1 200 OK\r\ncontent-length: 4x\r\n\r\nglas")]
 #[case::length_with_sign(b"HTTP/1.1 200 OK\r\ncontent-length: +4\r\n\r\nglas")]
--- a/crates/wire/src/response_head.rs
+++ b/crates/wire/src/response_head.rs
@@ -4,12 +4,15 @@
 use std::fmt;
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http::Version;
+use http::header::CONNECTION;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
+use hyper::body::Body;
 
 #[cfg(test)]
 mod tests;
@@ -17,6 +20,9 @@
 /// The highest valid status code.
 const MAX_STATUS: u16 = 599;
 
+/// The field in which a server states how long it keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Why the head of a response is malformed.
 #[derive(Debug)]
 pub struct MalformedHead(&'static str);
@@ -33,7 +39,8 @@
 /// upgrade and no transfer coding. Writes the length, if the head states one, as a single
 /// decimal number.
 ///
-/// Responses without a body, such as those to HEAD, are held to the same rules.
+/// Responses without a body, such as those to HEAD, are held to the same rules. A body that
+/// ends with its connection is valid, unless the head states that the connection is kept.
 ///
 /// # Errors
 ///
@@ -58,9 +65,10 @@
 /// let mut coded = framed_by("transfer-encoding", "gzip, chunked").unwrap();
 /// assert!(validate_response_head(&mut coded).is_err());
 /// ```
-pub fn validate_response_head<B>(res: &mut Response<B>) -> Result<(), MalformedHead> {
+pub fn validate_response_head<B: Body>(res: &mut Response<B>) -> Result<(), MalformedHead> {
     check_status(res.status())?;
     check_transfer_encoding(res.version(), res.headers())?;
+    check_unframed(res)?;
     if let Some(length) = parse_content_length(res.headers())? {
         // Replaces all fields of that name. HTTP/2 accepts no list and at most 19 digits.
         let length = HeaderValue::from(length);
@@ -97,6 +105,28 @@
     }
 }
 
+/// Checks a body without a length or coding: only the end of its connection ends it.
+fn check_unframed<B: Body>(res: &Response<B>) -> Result<(), MalformedHead> {
+    let headers = res.headers();
+    let is_framed = res.version() >= Version::HTTP_2
+        || res.body().size_hint().exact().is_some()
+        || headers.contains_key(TRANSFER_ENCODING);
+    match !is_framed && states_kept_connection(headers) {
+        true => Err(MalformedHead("a body without an end on a kept connection")),
+        false => Ok(()),
+    }
+}
+
+fn states_kept_connection(headers: &HeaderMap) -> bool {
+    let has_option = |option: &[u8]| {
+        let values = headers.get_all(CONNECTION).iter();
+        let mut options = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+        options.any(|it| it.trim_ascii().eq_ignore_ascii_case(option))
+    };
+    let states_kept = headers.contains_key(KEEP_ALIVE) || has_option(b"keep-alive");
+    states_kept && !has_option(b"close")
+}
+
 /// The length that the head states; `None` if it states none.
 fn parse_content_length(headers: &HeaderMap) -> Result<Option<u64>, MalformedHead> {
     let mut length = None;
--- a/crates/wire/src/response_head/tests.rs
+++ b/crates/wire/src/response_head/tests.rs
@@ -37,6 +37,7 @@
 const CODING: Result<Option<&str>, &str> = Err("the transfer coding is not supported");
 const VERSION: Result<Option<&str>, &str> = Err("this version has no transfer codings");
 const BOTH: Result<Option<&str>, &str> = Err("there are a length and a transfer coding");
+const KEPT: Result<Option<&str>, &str> = Err("a body without an end on a kept connection");
 const LENGTH: Result<Option<&str>, &str> = Err("the length is not a number");
 const LENGTHS: Result<Option<&str>, &str> = Err("the lengths differ");
 
@@ -75,6 +76,9 @@
 #[case::not_ascii(Case { fields: &[("content-length", b"\xb4")], length: LENGTH, ..SOUND })]
 #[case::length_in_http_2(Case { version: Version::HTTP_2, fields: &[("content-length", b"4")], length: Ok(Some("4")), ..SOUND })]
 #[case::unframed_on_a_closing_connection(Case { fields: &[("connection", b"close")], ..SOUND })]
+#[case::unframed_on_a_kept_connection(Case { fields: &[("connection", b"Keep-Alive")], length: KEPT, ..SOUND })]
+#[case::unframed_on_a_connection_kept_for_a_time(Case { fields: &[("keep-alive", b"timeout=5")], length: KEPT, ..SOUND })]
+#[case::unframed_in_http_1_0_on_a_kept_connection(Case { version: Version::HTTP_10, fields: &[("connection", b"keep-alive")], length: KEPT, ..SOUND })]
 #[case::close_overrides_kept(Case { fields: &[("keep-alive", b"timeout=5"), ("connection", b"x-glass, Close")], ..SOUND })]
 #[case::chunked_on_a_kept_connection(Case { fields: &[("keep-alive", b"timeout=5"), ("transfer-encoding", b"chunked")], ..SOUND })]
 #[case::bodyless_on_a_kept_connection(Case { fields: &[("keep-alive", b"timeout=5")], bodyless: true, ..SOUND })]
