Reject answers whose head has two line endings

What callers saw: if a byte of a head was replaced by a line feed before the end of its line, the head seemed to end there. Its caller received 200, complete, with the rest of the head as the begin of the body, cut to the digits that were left of the length.

Cause: the HTTP library accepts a lone LF as the end of a line, and an empty line of either kind as the end of the head. It doesn't report which it met.

Fix: an observer of the bytes that are read from the target notes the line endings of each head, interim ones included. A head that has both kinds is malformed. One that has lone LF throughout is unambiguous and still passes, as the standard allows.

Evidence: the five cases line_feed_* fail on the code before, by each path, and none here. Line feeds in bodies and heads with lone LF throughout pass.

--- a/crates/node/src/traffic/target/connection.rs
+++ b/crates/node/src/traffic/target/connection.rs
@@ -9,7 +9,8 @@
 
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use sassafrasspool_wire::CountedStream;
+use sassafrasspool_wire::LineEndings;
+use sassafrasspool_wire::ServerStream;
 use sassafrasspool_wire::SocketBytes;
 
 use super::pool::OpenGuard;
@@ -21,9 +22,10 @@
 #[derive(Debug)]
 pub(in crate::traffic) struct Connection {
     pub(super) sender: http1::SendRequest<Payload>,
-    driver: Pin<Box<http1::Connection<TokioIo<CountedStream>, Payload>>>,
+    driver: Pin<Box<http1::Connection<TokioIo<ServerStream>, Payload>>>,
     ended: bool,
     written: Arc<SocketBytes>,
+    pub(super) lines: LineEndings,
     pub(super) last_used: Instant,
     open: OpenGuard,
 }
@@ -31,8 +33,9 @@
 impl Connection {
     pub(super) fn new(
         sender: http1::SendRequest<Payload>,
-        driver: http1::Connection<TokioIo<CountedStream>, Payload>,
+        driver: http1::Connection<TokioIo<ServerStream>, Payload>,
         written: Arc<SocketBytes>,
+        lines: LineEndings,
         open: OpenGuard,
     ) -> Connection {
         Connection {
@@ -40,6 +43,7 @@
             driver: Box::pin(driver),
             ended: false,
             written,
+            lines,
             last_used: Instant::now(),
             open,
         }
--- a/crates/node/src/traffic/target/exchange.rs
+++ b/crates/node/src/traffic/target/exchange.rs
@@ -40,6 +40,7 @@
     req: Request<Payload>,
 ) -> Result<Response<TargetBody>, ExchangeFailure> {
     let before = conn.written();
+    conn.lines.expect_head();
     let mut response = pin!(conn.sender.try_send_request(req));
     let result = poll_fn(|cx| {
         conn.drive(cx);
@@ -47,13 +48,16 @@
     })
     .await;
     match result {
-        Ok(mut res) => match validate_response_head(&mut res) {
-            Ok(()) => Ok(res.map(|body| TargetBody::new(body, conn))),
-            Err(err) => {
-                let error = Error::new(Step::Forward, "malformed answer of the target");
-                Err(ExchangeFailure::Malformed(error.with_cause(err)))
+        Ok(mut res) => {
+            let valid = conn.lines.check();
+            match valid.and_then(|()| validate_response_head(&mut res)) {
+                Ok(()) => Ok(res.map(|body| TargetBody::new(body, conn))),
+                Err(err) => {
+                    let error = Error::new(Step::Forward, "malformed answer of the target");
+                    Err(ExchangeFailure::Malformed(error.with_cause(err)))
+                }
             }
-        },
+        }
         Err(mut failed) => {
             let unsent = failed.take_message().map(Box::new);
             let error = Error::new(Step::Forward, "the exchange with the target failed");
--- a/crates/node/src/traffic/target/pool.rs
+++ b/crates/node/src/traffic/target/pool.rs
@@ -22,7 +22,8 @@
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
-use sassafrasspool_wire::CountedStream;
+use sassafrasspool_wire::LineEndings;
+use sassafrasspool_wire::ServerStream;
 use sassafrasspool_wire::SocketBytes;
 use tokio::net::TcpStream;
 
@@ -206,14 +207,16 @@
         counter!(traffic::TARGET_CONNECTIONS).increment(1);
         self.opened_total.fetch_add(1, Ordering::Relaxed);
         let written = Arc::new(SocketBytes::default());
-        let io = TokioIo::new(CountedStream::new(stream, Arc::clone(&written)));
+        let lines = LineEndings::default();
+        let observers = (Arc::clone(&written), lines.clone());
+        let io = TokioIo::new(ServerStream::new(stream, observers));
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(io);
         let (sender, driver) = handshake
             .await
             .map_err(|e| self.error("cannot connect").with_cause(e))?;
-        let mut conn = Connection::new(sender, driver, written, open);
+        let mut conn = Connection::new(sender, driver, written, lines, open);
         // The first poll makes the connection ready for a request.
         conn.drive(&mut Context::from_waker(Waker::noop()));
         Ok(conn)
--- a/crates/node/tests/requests/malformed_answers.rs
+++ b/crates/node/tests/requests/malformed_answers.rs
@@ -91,6 +91,19 @@
 #[case::value_with_control_byte(
     b"HTTP/1.1 200 OK\r\nx-glass: a\x01b\r\ncontent-length: 4\r\n\r\nglas"
 )]
+// Lines that end in a lone line feed, where the head would end too early.
+#[case::line_feed_in_place_of_a_digit(
+    b"HTTP/1.1 200 OK\r\ncontent-length: 2\n\r\n\r\nglasglasglasglasglasglas"
+)]
+#[case::line_feed_in_place_of_a_return(b"HTTP/1.1 200 OK\r\ncontent-length: 4\n\n\r\nglas")]
+#[case::line_feed_before_the_length(
+    b"HTTP/1.1 200 OK\r\nx-glass: a\n\r\ncontent-length: 4\r\n\r\nglas"
+)]
+#[case::line_feed_in_the_status_line(b"HTTP/1.1 200 O\n\r\ncontent-length: 4\r\n\r\nglas")]
+#[case::line_feed_after_interim(
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\n\r\n\r\nglas"
+)]
+#[case::blank_line_of_blanks(b"HTTP/1.1 200 OK\r\n \r\ncontent-length: 4\r\n\r\nglas")]
 // Versions.
 #[case::unknown_version(b"HTTP/1.7 200 OK\r\ncontent-length: 4\r\n\r\nglas")]
 #[case::malformed_version(b"HTTX/1.1 200 OK\r\ncontent-length: 4\r\n\r\nglas")]
@@ -260,6 +273,11 @@
 #[case::value_not_ascii(Sound::get(
     b"HTTP/1.1 200 OK\r\nx-glass: gl\xe4ser\r\ncontent-length: 4\r\n\r\nglas"
 ))]
+#[case::line_feeds_alone(Sound::get(b"HTTP/1.1 200 OK\ncontent-length: 4\n\nglas"))]
+#[case::line_feeds_in_the_body(Sound {
+    body: "\ngl\n\nas\r\n\r\n",
+    ..Sound::get(b"HTTP/1.1 200 OK\r\ncontent-length: 11\r\n\r\n\ngl\n\nas\r\n\r\n")
+})]
 #[case::after_continue(Sound::get(
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nglas"
 ))]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,10 +15,12 @@
 mod socket;
 
 pub use crate::error_chain::error_chain;
+pub use crate::response_head::LineEndings;
 pub use crate::response_head::MalformedHead;
 pub use crate::response_head::validate_response_head;
 pub use crate::socket::CountedStream;
 pub use crate::socket::IoObserver;
 pub use crate::socket::Observed;
+pub use crate::socket::ServerStream;
 pub use crate::socket::SocketBytes;
 pub use crate::socket::enable_keep_alive;
--- a/crates/wire/src/response_head.rs
+++ b/crates/wire/src/response_head.rs
@@ -14,6 +14,9 @@
 use http::header::TRANSFER_ENCODING;
 use hyper::body::Body;
 
+pub use self::line_endings::LineEndings;
+
+mod line_endings;
 #[cfg(test)]
 mod tests;
 
--- a/crates/wire/src/response_head/tests.rs
+++ b/crates/wire/src/response_head/tests.rs
@@ -13,6 +13,8 @@
 
 use super::validate_response_head;
 
+mod line_endings;
+
 /// A response head and its content length after the check; an error if it is malformed.
 #[derive(Debug)]
 struct Case {
--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -8,6 +8,7 @@
 pub use self::observed::CountedStream;
 pub use self::observed::IoObserver;
 pub use self::observed::Observed;
+pub use self::observed::ServerStream;
 
 mod bytes;
 mod keep_alive;
--- a/crates/wire/src/socket/observed.rs
+++ b/crates/wire/src/socket/observed.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 
 use super::SocketBytes;
+use crate::LineEndings;
 
 /// Observes the bytes of a connection.
 pub trait IoObserver {
@@ -35,6 +36,10 @@
 /// data that was to be sent.
 pub type CountedStream = Observed<Arc<SocketBytes>>;
 
+/// A TCP connection to an HTTP/1 server. Its bytes are counted, and the line endings of its
+/// response heads are recorded.
+pub type ServerStream = Observed<(Arc<SocketBytes>, LineEndings)>;
+
 impl<T, I> Observed<T, I> {
     /// Reports the bytes read from and written to `io` to `observer`.
     pub const fn new(io: I, observer: T) -> Observed<T, I> {
@@ -52,6 +57,18 @@
     }
 }
 
+impl<T: IoObserver, U: IoObserver> IoObserver for (T, U) {
+    fn on_read(&mut self, bytes: &[u8]) {
+        self.0.on_read(bytes);
+        self.1.on_read(bytes);
+    }
+
+    fn on_written(&mut self, n: usize) {
+        self.0.on_written(n);
+        self.1.on_written(n);
+    }
+}
+
 impl<T: IoObserver + Unpin, I: AsyncRead + Unpin> AsyncRead for Observed<T, I> {
     fn poll_read(
         mut self: Pin<&mut Self>,
