Check answers that other nodes pass on

What callers saw: a status over 599, or an empty content-length, that a node of an earlier version passes on over HTTP/2 was written to the caller over HTTP/1.

Cause: the caller's node trusted the head of another node's answer. The HTTP/2 library checks less of it than the target's node does now, which matters while nodes are being replaced.

Fix: the same check, before the load or the rate limit that the answer reports is used.

--- a/crates/node/src/traffic/outbound/attempt.rs
+++ b/crates/node/src/traffic/outbound/attempt.rs
@@ -32,6 +32,7 @@
 use sassafrasspool_core::Step;
 use sassafrasspool_core::Tick;
 use sassafrasspool_wire::header as names;
+use sassafrasspool_wire::validate_response_head;
 
 use crate::Routes;
 use crate::traffic::answer_body::AnswerBody;
@@ -237,7 +238,7 @@
         if let Some(link) = self.worker.hub.shared.link().filter(|_| was_sent) {
             link.record_other(HEAD_BYTES_ON_LINK + body_bytes);
         }
-        let res = match sent {
+        let mut res = match sent {
             Ok(Ok(res)) => res,
             Ok(Err(SendError::NotSent(err, req))) => {
                 tracing::debug!(%err, "not sent to the peer");
@@ -250,6 +251,11 @@
             }
             Err(_) => return Err(Loss::new(Step::Forward, LossCause::Timeout).into()),
         };
+        if let Err(err) = validate_response_head(&mut res) {
+            let peer = self.instance.traffic;
+            tracing::info!(%peer, %err, "malformed answer of a peer");
+            return Err(Loss::new(Step::Forward, LossCause::AnswerInvalid).into());
+        }
         if let Some(link) = parse_link(&res) {
             picked.record_link(clock.now(), link);
         }
--- a/crates/node/tests/requests/malformed_answers.rs
+++ b/crates/node/tests/requests/malformed_answers.rs
@@ -1,15 +1,20 @@
 //! Answers whose head or framing is malformed, and unusual ones that are sound.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use axum::Router;
+use axum::body::Body;
 use bytes::Bytes;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
 use http::Response;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
 use rstest::rstest;
 use sassafrasspool_node::Dialect;
+use tokio::net::TcpListener;
 
 use crate::client;
 use crate::fleet::ADJUSTER;
@@ -411,3 +416,40 @@
     }
     assert_eq!(target.requests(), 1);
 }
+
+/// Guards against an answer that another node, of a version without these checks, passes on.
+#[rstest]
+#[case::status_600(600, None)]
+#[case::status_999(999, None)]
+#[case::length_with_letter(200, Some("4x"))]
+#[case::empty_length(200, Some(""))]
+#[tokio::test]
+async fn a_malformed_answer_of_another_node_is_replaced(
+    #[case] status: u16,
+    #[case] length: Option<&'static str>,
+    #[values(Method::GET, Method::HEAD)] method: Method,
+) {
+    let peer = start_peer(status, length).await;
+    let fleet = Fleet::start(&[DESK]).await;
+    fleet.publish_with_peer(&[DESK], 2, ADJUSTER, peer);
+    let res = call(&fleet, method, "/adjuster").await.expect("an answer");
+    assert_eq!(res.status(), StatusCode::BAD_GATEWAY, "{res:?}");
+}
+
+/// Starts a node that answers every request with this status and content length.
+async fn start_peer(status: u16, length: Option<&'static str>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    let answer = move || async move {
+        let mut res = Response::new(Body::empty());
+        *res.status_mut() = status.try_into().expect("a status");
+        if let Some(length) = length {
+            let length = HeaderValue::from_static(length);
+            res.headers_mut().insert(CONTENT_LENGTH, length);
+        }
+        res
+    };
+    let app = Router::new().fallback(answer);
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    addr
+}
