Use nothing of a malformed answer to a probe

What callers saw: nothing yet. A cold target whose malformed answer to a probe reports no cold time counted as warm, and a starting one as ready, so that more requests were sent than it tolerates.

Cause: a probe used the status and the headers of whatever the HTTP library accepted.

Fix: the same checks as for answers to requests. A malformed answer is logged, and the probe is sent again after its usual interval.

--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -15,6 +15,9 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use sassafrasspool_core::TargetId;
+use sassafrasspool_wire::LineEndings;
+use sassafrasspool_wire::Observed;
+use sassafrasspool_wire::validate_response_head;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -106,10 +109,12 @@
 }
 
 /// Sends a GET request over a new connection and returns the status and headers
-/// of the answer.
+/// of the answer; `None` if there is none or it is malformed.
 async fn fetch_head(addr: SocketAddr, path: &str) -> Option<(StatusCode, HeaderMap)> {
     let io = TcpStream::connect(addr).await.ok()?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(io)).await.ok()?;
+    let lines = LineEndings::default();
+    let io = TokioIo::new(Observed::new(io, lines.clone()));
+    let (mut sender, connection) = http1::handshake(io).await.ok()?;
     let req = Request::get(path)
         .header(HOST, addr.to_string())
         .header(CONNECTION, "close")
@@ -122,6 +127,12 @@
         res = &mut answer => res,
         () = connection_closed => answer.now_or_never().flatten(),
     };
-    let (head, _) = res?.into_parts();
+    let mut res = res?;
+    let valid = lines.check();
+    if let Err(err) = valid.and_then(|()| validate_response_head(&mut res)) {
+        tracing::info!(%addr, path, %err, "malformed answer to a probe");
+        return None;
+    }
+    let (head, _) = res.into_parts();
     Some((head.status, head.headers))
 }
--- a/crates/node/src/control/probe/tests.rs
+++ b/crates/node/src/control/probe/tests.rs
@@ -11,19 +11,25 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use rstest::rstest;
+use sassafrasspool_core::ColdTolerance;
 use sassafrasspool_core::Incarnation;
 use sassafrasspool_core::Instance;
 use sassafrasspool_core::Revision;
 use sassafrasspool_core::TargetGeneration;
 use sassafrasspool_core::TargetId;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use super::track_cold_state;
+use super::wait_until_ready;
 use crate::Dialect;
 use crate::Shared;
 use crate::View;
 use crate::log::LogSink;
+use crate::settings::TargetSettings;
 use crate::testing::instance;
 use crate::testing::locality_and_window;
 use crate::testing::name;
@@ -127,6 +133,62 @@
     }
 }
 
+/// Starts a target that answers every request with these bytes and closes the connection.
+async fn start_raw_target(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let addr = listener.local_addr().expect("bound address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 1024];
+            // A probe has no body, so that its head arrives at once.
+            if matches!(stream.read(&mut buf).await, Ok(1..)) {
+                // The node may have closed the connection already.
+                let _ = stream.write_all(answer).await;
+            }
+        }
+    });
+    addr
+}
+
+/// Guards against a flood at a cold target whose malformed answer to a probe counts as a
+/// report, and against a target that counts as ready by such an answer.
+#[rstest]
+#[case::unknown_coding(b"HTTP/1.1 200 OK\r\nx-cold-left: 0\r\ntransfer-encoding: chunkeX\r\n\r\n")]
+#[case::length_beside_chunks(
+    b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+)]
+#[case::unreadable_length_of_no_body(
+    b"HTTP/1.1 204 No Content\r\nx-cold-left: 0\r\ncontent-length: 0x\r\n\r\n"
+)]
+#[case::unreadable_length(b"HTTP/1.1 200 OK\r\nx-cold-left: 0\r\ncontent-length: 0x\r\n\r\n")]
+#[case::unsolicited_upgrade(b"HTTP/1.1 101 OK\r\nx-cold-left: 0\r\ncontent-length: 0\r\n\r\n")]
+#[case::status_000(b"HTTP/1.1 000 OK\r\nx-cold-left: 0\r\ncontent-length: 0\r\n\r\n")]
+#[case::status_600(b"HTTP/1.1 600 OK\r\nx-cold-left: 0\r\ncontent-length: 0\r\n\r\n")]
+#[case::line_feed_in_the_head(b"HTTP/1.1 200 OK\r\nx-cold-left: 0\n\r\ncontent-length: 0\r\n\r\n")]
+#[case::no_colon(b"HTTP/1.1 200 OK\r\nx-cold-left: 0\r\nglass\r\ncontent-length: 0\r\n\r\n")]
+#[case::name_with_blank(
+    b"HTTP/1.1 200 OK\r\nx-cold-left: 0\r\nx glass: 1\r\ncontent-length: 0\r\n\r\n"
+)]
+#[tokio::test]
+async fn a_malformed_answer_to_a_probe_reports_nothing(#[case] answer: &'static [u8]) {
+    let shared = shared();
+    let addr = start_raw_target(answer).await;
+    tokio::spawn(track_cold_state(Arc::clone(&shared), addr));
+    shared.set_view(view());
+    let target = TargetSettings {
+        addr,
+        probe_interval: Duration::from_millis(10),
+        ready_path: Some("/health".to_owned()),
+        slots: 1,
+        connections: 1,
+        cold_tolerance: ColdTolerance::default(),
+    };
+    let ready = timeout(Duration::from_millis(200), wait_until_ready(target)).await;
+    assert!(ready.is_err(), "the target counts as ready");
+    let left = shared.cold_tracker().cold_left(shared.clock().now());
+    assert!(left > Duration::from_secs(50), "{left:?}");
+}
+
 /// Guards against a flood at the next generation of a target, because a probe that the previous
 /// one answered as warm was still on its way when the list named the next one.
 #[tokio::test]
