Reject malformed responses of the platform

What callers saw: nothing yet. A catalogue or a list whose framing isn't known, whose length and chunks disagree, or whose head ended early at a line feed was used as a version, with bytes that the platform didn't send as its content.

Cause: the client of the platform used whatever the HTTP library accepted.

Fix: the same checks as for answers to requests. A malformed response is a failed read of the source, which closes the connection and is repeated as after any other failure.

Evidence: 6 cases of responses_are_decoded_or_rejected fail on the code before and none here. The adapter of the users' platform reads by the same client.

--- a/crates/wire/src/platform/http_get.rs
+++ b/crates/wire/src/platform/http_get.rs
@@ -25,10 +25,12 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-use crate::CountedStream;
+use crate::LineEndings;
+use crate::ServerStream;
 use crate::SocketBytes;
 use crate::enable_keep_alive;
 use crate::error_chain::error_chain;
+use crate::response_head::validate_response_head;
 
 /// The largest response head in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -54,7 +56,14 @@
     addr: SocketAddr,
     bytes: Arc<SocketBytes>,
     max_body_bytes: usize,
-    idle: Mutex<Option<SendRequest<Empty<Bytes>>>>,
+    idle: Mutex<Option<Connection>>,
+}
+
+/// A connection on which no response is awaited.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Empty<Bytes>>,
+    lines: LineEndings,
 }
 
 impl HttpGetClient {
@@ -79,7 +88,7 @@
     /// # Errors
     ///
     /// Fails, naming the step and the address, if no complete response arrives within
-    /// `limit` or if it is too large.
+    /// `limit`, or if it is malformed or too large.
     pub async fn get(
         &self,
         uri: &str,
@@ -98,11 +107,11 @@
         uri: &str,
         header: Option<(HeaderName, HeaderValue)>,
     ) -> Result<HttpResponse> {
-        // The sender is removed while in use. A read that is cancelled drops it, which
+        // The connection is removed while in use. A read that is cancelled drops it, which
         // closes the connection, so that a late response isn't read as a later one.
         let mut idle = self.idle.lock().await;
-        let mut sender = match idle.take() {
-            Some(sender) if !sender.is_closed() => sender,
+        let mut conn = match idle.take() {
+            Some(conn) if !conn.sender.is_closed() => conn,
             _ => self.connect().await?,
         };
         let mut req = Request::get(uri).header(HOST, self.addr.to_string());
@@ -113,14 +122,19 @@
             .body(Empty::new())
             .map_err(|cause| self.source_error("invalid request").with_cause(cause))?;
         let failed = |cause: hyper::Error| self.source_error(&error_chain(&cause));
-        let res = sender.send_request(req).await.map_err(failed)?;
+        conn.lines.expect_head();
+        let mut res = conn.sender.send_request(req).await.map_err(failed)?;
+        let valid = conn.lines.check();
+        valid
+            .and_then(|()| validate_response_head(&mut res))
+            .map_err(|cause| self.source_error("malformed response").with_cause(cause))?;
         let (head, body) = res.into_parts();
         let limited = Limited::new(body, self.max_body_bytes);
         let collected = limited.collect().await;
         let body = collected
             .map_err(|cause| self.source_error("response incomplete").with_cause(cause))?
             .to_bytes();
-        *idle = Some(sender);
+        *idle = Some(conn);
         Ok(HttpResponse {
             status: head.status,
             headers: head.headers,
@@ -128,7 +142,7 @@
         })
     }
 
-    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>> {
+    async fn connect(&self) -> Result<Connection> {
         let failed = |reason: &str| Error::new(Step::Connect, reason).at_peer(self.addr);
         let io = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr))
             .await
@@ -136,14 +150,16 @@
             .map_err(|cause| failed("connection refused").with_cause(cause))?;
         enable_keep_alive(&io)
             .map_err(|cause| failed("can't enable keep-alive").with_cause(cause))?;
-        let io = TokioIo::new(CountedStream::new(io, Arc::clone(&self.bytes)));
+        let lines = LineEndings::default();
+        let observers = (Arc::clone(&self.bytes), lines.clone());
+        let io = TokioIo::new(ServerStream::new(io, observers));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake::<_, Empty<Bytes>>(io)
             .await
             .map_err(|cause| failed("HTTP handshake failed").with_cause(cause))?;
         tokio::spawn(connection.map(drop));
-        Ok(sender)
+        Ok(Connection { sender, lines })
     }
 
     fn source_error(&self, reason: &str) -> Error {
--- a/crates/wire/src/platform/tests.rs
+++ b/crates/wire/src/platform/tests.rs
@@ -125,6 +125,36 @@
     response: http_response("200 OK", "x-revision: 7\r\ncontent-encoding: zstd\r\n", "kinds: {}"),
     result: "body doesn't match its content coding",
 })]
+#[case::unknown_transfer_coding(Case {
+    stream: Stream::Catalogue,
+    response: "HTTP/1.1 200 OK\r\nx-revision: 7\r\ntransfer-encoding: gzip\r\n\r\nkinds: {}".to_owned(),
+    result: "malformed response: the transfer coding is not supported",
+})]
+#[case::length_beside_chunks(Case {
+    stream: Stream::Catalogue,
+    response: http_response("200 OK", "x-revision: 7\r\ntransfer-encoding: chunked\r\n", "9\r\nkinds: {}\r\n0\r\n\r\n"),
+    result: "malformed response: there are a length and a transfer coding",
+})]
+#[case::unreadable_length_of_no_body(Case {
+    stream: Stream::Catalogue,
+    response: "HTTP/1.1 304 Not Modified\r\nx-revision: 7\r\ncontent-length: 0x\r\n\r\n".to_owned(),
+    result: "malformed response: the length is not a number",
+})]
+#[case::line_feed_in_the_head(Case {
+    stream: Stream::Catalogue,
+    response: "HTTP/1.1 200 OK\r\nx-revision: 7\r\ncontent-length: 1\n\r\n\r\nkinds: {}".to_owned(),
+    result: "malformed response: the line endings differ",
+})]
+#[case::upgrade(Case {
+    stream: Stream::Catalogue,
+    response: http_response("101 Switching Protocols", "x-revision: 7\r\n", "kinds: {}"),
+    result: "malformed response: the status is not that of a final response",
+})]
+#[case::status_600(Case {
+    stream: Stream::Catalogue,
+    response: http_response("600 OK", "x-revision: 7\r\n", "kinds: {}"),
+    result: "malformed response: the status is not valid",
+})]
 #[case::garbage(Case {
     stream: Stream::Catalogue,
     response: "\u{1}\u{2}\u{3}\r\n\r\n".to_owned(),
