Reject malformed answers in the command line

What operators saw: sassafrasspoolctl printed the state in an answer whose coding it doesn't know, as if it were the node's.

Cause: its client used whatever the HTTP library accepted.

Fix: the same check of the head. Such a node is listed as unreachable, with the reason. Line endings aren't checked here: the client opens its connections itself, and a body that isn't the node's JSON is rejected anyway.

Evidence: verb_reports_every_node with a coded status fails on the code before and passes here.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -16,6 +16,7 @@
 use sassafrasspool_core::Error;
 use sassafrasspool_core::Result;
 use sassafrasspool_core::Step;
+use sassafrasspool_wire::validate_response_head;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
@@ -50,7 +51,7 @@
     /// # Errors
     ///
     /// Fails, naming the peer, if no answer arrives within the timeout, the
-    /// status isn't a success, or the body can't be decoded as `T`.
+    /// status isn't a success, the answer is malformed, or the body can't be decoded as `T`.
     pub async fn get<T: DeserializeOwned>(&self, peer: SocketAddr, path: &str) -> Result<T> {
         let body = self.send(Method::GET, peer, path, Bytes::new()).await?;
         decode(peer, &body)
@@ -110,7 +111,9 @@
 
     async fn exchange(&self, peer: SocketAddr, req: Request<Full<Bytes>>) -> Result<Bytes> {
         let res = self.http.request(req).await;
-        let res = res.map_err(|cause| admin_error(peer, "no answer").with_cause(cause))?;
+        let mut res = res.map_err(|cause| admin_error(peer, "no answer").with_cause(cause))?;
+        validate_response_head(&mut res)
+            .map_err(|cause| admin_error(peer, "malformed answer").with_cause(cause))?;
         let status = res.status();
         let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES);
         let body = body.collect().await;
--- a/crates/ctl/tests/nodes.rs
+++ b/crates/ctl/tests/nodes.rs
@@ -34,6 +34,7 @@
 const FAILING: FakeNode = FakeNode::failing("wd-7");
 const REFUSING: FakeNode = FakeNode::refusing("wd-8");
 const UNRESPONSIVE: FakeNode = FakeNode::unresponsive("wd-9");
+const CODED: FakeNode = FakeNode::coded("wd-12");
 const GARBLED: FakeNode = FakeNode::garbled("wd-10");
 
 const R7: &[&str] = &["converged", "--revision", "7", "--within", "1"];
@@ -42,6 +43,8 @@
 #[case::status(Case { verb: &["status"], fakes: &[NEW, OLD], verdict: Verdict::Yes, output: &["wd-1", "wd-4", "ready"] })]
 #[case::status_of_faulty_nodes(Case { verb: &["status"], fakes: &[FAILING, NEW, REFUSING, GARBLED], verdict: Verdict::Unanswered,
     output: &["wd-1", "UNREACHABLE  admin with", "500 Internal Server Error out of order", "no answer", "unexpected answer"] })]
+#[case::status_in_an_unknown_coding(Case { verb: &["status"], fakes: &[CODED, NEW], verdict: Verdict::Unanswered,
+    output: &["wd-1", "malformed answer", "the transfer coding is not supported"] })]
 #[case::versions(Case { verb: &["versions"], fakes: &[NEW, ALSO_NEW, NEWER], verdict: Verdict::Yes,
     output: &["newest catalogue: 8-cc", "LAGS catalogue (heard of 9-ee)"] })]
 #[case::versions_with_an_unresponsive_node(Case { verb: &["versions"], fakes: &[NEW, UNRESPONSIVE], verdict: Verdict::Unanswered,
--- a/crates/ctl/tests/support/fake_nodes.rs
+++ b/crates/ctl/tests/support/fake_nodes.rs
@@ -7,11 +7,17 @@
 
 use axum::Json;
 use axum::Router;
+use axum::body::Body;
 use axum::extract::Query;
 use axum::extract::State;
+use axum::middleware::map_response;
+use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
+use http::HeaderValue;
 use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use sassafrasspool_core::Class;
 use sassafrasspool_core::DomainName;
 use sassafrasspool_core::InstanceId;
@@ -65,6 +71,8 @@
     Unresponsive,
     /// Answers every request with a body that isn't JSON.
     Garbled,
+    /// Answers correctly, but states a transfer coding that no client asked for.
+    Coded,
     /// Answers correctly; holds revision 7 after this many requests for versions.
     UpgradedAfter(u64),
 }
@@ -104,6 +112,10 @@
         FakeNode::with_version(instance, 1, "").with_behaviour(Behaviour::Garbled)
     }
 
+    pub(crate) const fn coded(instance: &'static str) -> FakeNode {
+        FakeNode::with_version(instance, 1, "").with_behaviour(Behaviour::Coded)
+    }
+
     pub(crate) const fn upgraded_after(self, requests: u64) -> FakeNode {
         self.with_behaviour(Behaviour::UpgradedAfter(requests))
     }
@@ -202,6 +214,10 @@
             Router::new().fallback(async || (StatusCode::INTERNAL_SERVER_ERROR, "out of order"))
         }
         Behaviour::Garbled => Router::new().fallback(async || "hello"),
+        Behaviour::Coded => Router::new()
+            .route("/status", get(status))
+            .with_state(node)
+            .layer(map_response(add_coding)),
         _ => Router::new()
             .route("/status", get(status))
             .route("/versions", get(versions))
@@ -215,6 +231,15 @@
     runtime.spawn(async move { axum::serve(listener, app).await });
 }
 
+async fn add_coding(mut res: Response) -> Response {
+    // A body of known size is sent with its length instead of a coding.
+    res.headers_mut().remove(CONTENT_LENGTH);
+    *res.body_mut() = Body::from_stream(std::mem::take(res.body_mut()).into_data_stream());
+    let coding = HeaderValue::from_static("gzip");
+    res.headers_mut().insert(TRANSFER_ENCODING, coding);
+    res
+}
+
 async fn status(State(node): State<Arc<NodeState>>) -> Json<Status> {
     Json(Status {
         instance: node.fake.id(),
