Send malformed answers in the soak

What the soak missed: no target of it sent a malformed answer, and a status over 599 that reached a caller would have counted as a failed answer, not as a broken promise.

Change: targets answer for a time with a status of 600 or with a transfer coding that nobody asked for, by turns. Such answers are marked, and one that a caller receives counts as cut, which no fault excuses.

--- a/crates/bench/src/load/client.rs
+++ b/crates/bench/src/load/client.rs
@@ -20,6 +20,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use sassafrasspool_core::Outcome;
+use sassafrasspool_standin::target::MALFORMED_HEADER;
 use sassafrasspool_standin::target::RECEIVED_BYTES_HEADER;
 use sassafrasspool_standin::target::answer_body;
 use sassafrasspool_wire::header;
@@ -150,6 +151,7 @@
         exchange.ending = match header::parse_outcome(&head.headers) {
             Some(Outcome::NotRun) => Ending::NotRun,
             Some(Outcome::Unknown) => Ending::Unknown,
+            None if head.headers.contains_key(MALFORMED_HEADER) => Ending::Wrong,
             None if head.status != StatusCode::OK => Ending::Failed,
             None => {
                 let received = head.headers.get(RECEIVED_BYTES_HEADER);
--- a/crates/bench/src/load/ending.rs
+++ b/crates/bench/src/load/ending.rs
@@ -17,7 +17,8 @@
     /// as a load-shedding answer of the target itself.
     Failed,
     /// A complete answer with status 200 that is too short or belongs to another
-    /// request, or whose request didn't arrive complete.
+    /// request, or whose request didn't arrive complete; an answer whose target sent
+    /// a malformed head.
     Wrong,
     /// An answer that began and broke off, visibly to the caller.
     Broken,
--- a/crates/bench/src/load/tests.rs
+++ b/crates/bench/src/load/tests.rs
@@ -108,6 +108,16 @@
     assert_eq!(verdict.cut, verdict.sent, "{verdict:?}");
 }
 
+/// Guards against a malformed answer that reaches a caller and counts as one of the target.
+#[tokio::test]
+async fn a_malformed_answer_counts_as_cut() {
+    let target = start_target().await;
+    target.set_malformed(true).await;
+    let done = OpenLoop::run(plan(1), caller(vec![target.addr()])).await;
+    let verdict = count_outcomes(&done.records, &ledger_of(&target), &[]);
+    assert_eq!(verdict.cut, verdict.sent, "{verdict:?}");
+}
+
 #[tokio::test]
 async fn attempts_to_a_node_that_refuses_connections_count_as_not_sent() {
     // The port is bound, so that no other process gets it, but nothing listens.
--- a/crates/soak/src/driver/switches.rs
+++ b/crates/soak/src/driver/switches.rs
@@ -48,6 +48,7 @@
         TargetFault::Slow => switches.slow_ms = Some(u64::from(on) * SLOWDOWN_MS),
         TargetFault::Hang => switches.hang_after_run = Some(on),
         TargetFault::CutAnswers => switches.cut_body = Some(on),
+        TargetFault::MalformedAnswers => switches.malformed = Some(on),
         TargetFault::Late => {
             switches.late = Some(LateAnswers {
                 every: u64::from(on) * 3,
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -55,6 +55,13 @@
 /// Combined with the seed of the run to draw statements, for the same reason as for silences.
 const STATEMENT_SEED: u64 = 0x57a7_e3e7;
 
+/// The mean time between two targets whose answers are malformed.
+const MEAN_MALFORMED_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Combined with the seed of the run to draw malformed answers, for the same reason as for
+/// silences.
+const MALFORMED_SEED: u64 = 0x0bad_4ead;
+
 /// A fault of a node process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NodeFault {
@@ -85,6 +92,8 @@
     Hang,
     /// It cuts the connection in the middle of each answer.
     CutAnswers,
+    /// The heads of its answers are malformed.
+    MalformedAnswers,
     /// Some of its answers are late, though the requests ran in time.
     Late,
     /// It reports itself as unhealthy though it is healthy.
@@ -216,6 +225,7 @@
         steps.extend(draw_restores(length, seed));
         steps.extend(draw_evacuations(length, seed));
         steps.extend(draw_statements(instances, length, seed));
+        steps.extend(draw_malformed_answers(instances, length, seed));
         steps.sort_by_key(|step| step.at);
         Schedule { steps }
     }
@@ -274,6 +284,21 @@
     })
 }
 
+/// Times in which the answers of a target are malformed. Those of several targets may overlap.
+fn draw_malformed_answers(instances: usize, length: Duration, seed: u64) -> Vec<Step> {
+    let malformed = Recurrence {
+        mean_interval: MEAN_MALFORMED_INTERVAL,
+        lengths_ms: [50, 1_200],
+        intervals_percent: [25, 175],
+    };
+    malformed.draw(length, seed ^ MALFORMED_SEED, |rng| {
+        Fault::Target(
+            rng.random_range(0..instances),
+            TargetFault::MalformedAnswers,
+        )
+    })
+}
+
 /// The distribution of a recurring fault that is drawn from a generator of its own.
 #[derive(Debug)]
 struct Recurrence {
--- a/crates/soak/src/schedule/tests.rs
+++ b/crates/soak/src/schedule/tests.rs
@@ -29,7 +29,7 @@
             other => format!("{other:?}"),
         })
         .collect();
-    let all = 5 + 1 + 9 + 2 + 5 * 6 + 7 + 2 + 3;
+    let all = 5 + 1 + 10 + 2 + 5 * 6 + 7 + 2 + 3;
     assert_eq!(kinds.len(), all);
 }
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -56,6 +56,9 @@
 /// Header of answers with the length of the request body in bytes.
 pub const RECEIVED_BYTES_HEADER: HeaderName = HeaderName::from_static("x-received-bytes");
 
+/// Marks answers whose head is malformed on purpose. No caller may receive one.
+pub const MALFORMED_HEADER: HeaderName = HeaderName::from_static("x-malformed");
+
 /// The path of the health probe. It answers 200 if the target accepts work and
 /// 503 otherwise, unless a [`HealthReport`] overrides that.
 pub const HEALTH_PATH: &str = "/healthz";
@@ -242,6 +245,15 @@
         .await;
     }
 
+    /// Begins or ends answering with malformed heads.
+    pub async fn set_malformed(&self, malformed: bool) {
+        self.apply_switches(&TargetSwitches {
+            malformed: Some(malformed),
+            ..TargetSwitches::default()
+        })
+        .await;
+    }
+
     /// Stops gracefully: accepts no more connections, finishes runs in progress
     /// and closes.
     pub async fn stop(self) {
--- a/crates/standin/src/target/switches.rs
+++ b/crates/standin/src/target/switches.rs
@@ -21,6 +21,8 @@
     pub hang_after_run: Option<bool>,
     /// Cuts each answer off after half of its body.
     pub cut_body: Option<bool>,
+    /// Answers with malformed heads, marked by [`super::MALFORMED_HEADER`].
+    pub malformed: Option<bool>,
     /// The rate limit in requests a second that each answer states; 0 for none. The limit
     /// isn't enforced.
     pub rate_limit_per_s: Option<f64>,
@@ -71,6 +73,7 @@
     pub(super) late: LateAnswers,
     pub(super) hang_after_run: bool,
     pub(super) cut_body: bool,
+    pub(super) malformed: bool,
     pub(super) rate_limit_per_s: f64,
     pub(super) leaving: bool,
 }
@@ -83,6 +86,7 @@
         self.late = switches.late.unwrap_or(self.late);
         self.hang_after_run = switches.hang_after_run.unwrap_or(self.hang_after_run);
         self.cut_body = switches.cut_body.unwrap_or(self.cut_body);
+        self.malformed = switches.malformed.unwrap_or(self.malformed);
         self.rate_limit_per_s = switches.rate_limit_per_s.unwrap_or(self.rate_limit_per_s);
         self.leaving = switches.leaving.unwrap_or(self.leaving);
     }
--- a/crates/standin/src/target/work.rs
+++ b/crates/standin/src/target/work.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sassafrasspool_core::Error;
@@ -20,6 +21,7 @@
 
 use super::HEALTH_PATH;
 use super::LOAD_PATH;
+use super::MALFORMED_HEADER;
 use super::RECEIVED_BYTES_HEADER;
 use super::answer::answer_body;
 use super::answer_stream::AnswerStream;
@@ -238,10 +240,27 @@
         if let Ok(id) = HeaderValue::from_str(&self.request.id) {
             headers.insert(REQUEST_ID, id);
         }
+        if switches.malformed {
+            malform(&mut answer, self.n);
+        }
         answer
     }
 }
 
+/// Gives an answer one of the malformed heads that the HTTP library can write, by turns.
+fn malform(answer: &mut Answer, n: u64) {
+    match n.is_multiple_of(2) {
+        true => *answer.status_mut() = StatusCode::from_u16(600).unwrap_or_default(),
+        false => {
+            // The HTTP library adds chunked.
+            let coding = HeaderValue::from_static("gzip");
+            answer.headers_mut().insert(TRANSFER_ENCODING, coding);
+        }
+    }
+    let marker = HeaderValue::from_static("1");
+    answer.headers_mut().insert(MALFORMED_HEADER, marker);
+}
+
 /// Sleeps, unless `time` is zero. The runtime's timer would round zero up to a
 /// millisecond, which is more than a call through two nodes takes.
 async fn sleep_unless_zero(time: Duration) {
