--- a/crates/node/src/traffic/inbound/exchange.rs
+++ b/crates/node/src/traffic/inbound/exchange.rs
@@ -139,7 +139,8 @@
                 Err(self.lose(LossCause::ConnectionLost))
             }
             Ok(Err(target::ExchangeFailure::Malformed(err))) => {
-                tracing::info!(?id, %err, "lost");
+                let request = id.as_ref().and_then(|id| id.to_str().ok());
+                tracing::info!(request, %err, "malformed answer of the target");
                 Err(self.lose(LossCause::AnswerInvalid))
             }
             Err(_) => Err(self.lose(LossCause::Timeout)),
--- a/crates/node/src/traffic/target/exchange.rs
+++ b/crates/node/src/traffic/target/exchange.rs
@@ -53,7 +53,7 @@
             match valid.and_then(|()| validate_response_head(&mut res)) {
                 Ok(()) => Ok(res.map(|body| TargetBody::new(body, conn))),
                 Err(err) => {
-                    let error = Error::new(Step::Forward, "malformed answer of the target");
+                    let error = Error::new(Step::Forward, "malformed answer");
                     Err(ExchangeFailure::Malformed(error.with_cause(err)))
                 }
             }
